--- /dev/null
+++ b/src/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: each command prints one JSON line."""
--- /dev/null
+++ b/src/ridgecourse/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent process: the gate before a target and the weight exchange."""
--- /dev/null
+++ b/src/ridgecourse/agent/agent.py
@@ -0,0 +1,134 @@
+"""The agent process: ties gate, exchange, rollout and control together."""
+
+import eventlet
+from msgspec.json import encode
+
+from ridgecourse.agent.context import AgentContext
+from ridgecourse.agent.control import AgentControl
+from ridgecourse.agent.exchange import Exchange
+from ridgecourse.agent.gate import Gate
+from ridgecourse.agent.rollout import Rollout
+from ridgecourse.agent.settings import AgentSettings
+from ridgecourse.net.address import parse_address
+from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.events import EventKind
+from ridgecourse.net.http import HttpReply, HttpRequest, HttpRouter, HttpServer
+from ridgecourse.net.process import Process
+from ridgecourse.net.threads import spawn_loop
+from ridgecourse.net.usage import process_usage
+from ridgecourse.net.websocket import ControlServer
+from ridgecourse.wire.control import AgentReport
+
+
+class Agent(Process):
+    """One agent, in the slot of one target."""
+
+    def __init__(self, settings: AgentSettings) -> None:
+        self.context = AgentContext(settings)
+        self.exchange = Exchange(self.context.store, settings.link, settings.shared_key)
+        self.rollout = Rollout(self.context, self.exchange)
+        self.gate = Gate(self.context, self.rollout)
+        self.changed = Broadcast()
+        self.control = AgentControl(
+            self.context, self.exchange, self.report, self.changed
+        )
+        self.router = HttpRouter()
+        self.gate.add_routes(self.router)
+        self.exchange.add_routes(self.router)
+        self.router.add("GET", "/healthz", self.serve_health)
+        self.router.add("GET", "/readyz", self.serve_ready)
+        self.router.add("GET", "/status", self.serve_status)
+        self.http_server = HttpServer(parse_address(settings.http), self.router)
+        self.control_server = ControlServer(
+            parse_address(settings.control), settings.shared_key, self.control.handle
+        )
+        self.threads: list[eventlet.greenthread.GreenThread] = []
+
+    def start(self) -> None:
+        """Open both servers and begin to follow the configuration."""
+        self.http_server.start()
+        self.control_server.start()
+        self.gate.start()
+        self.rollout.start()
+        for source in (
+            self.rollout.changed,
+            self.gate.changed,
+            self.context.config.changed,
+        ):
+            self.threads.append(spawn_loop(self._pass_on, source))
+        self.context.events.emit(
+            EventKind.STARTED,
+            target=self.context.target,
+            http=str(self.http_server.address),
+            control=str(self.control_server.address),
+        )
+
+    def _pass_on(self, source: Broadcast) -> None:
+        while True:
+            source.wait()
+            self.changed.notify()
+
+    def report(self) -> AgentReport:
+        """Return what entries are told."""
+        held, total = self.rollout.progress()
+        return AgentReport(
+            offset=self.context.config.offset,
+            in_flight=self.gate.in_flight,
+            slots=self.context.settings.engine.slots,
+            ready=self.gate.ready(),
+            serving=self.rollout.serving,
+            phase=self.rollout.phase.value,
+            bytes_held=held,
+            bytes_total=total,
+            error=self.rollout.error,
+            clock=self.context.events.clock,
+        )
+
+    def serve_health(self, request: HttpRequest) -> HttpReply:
+        """Answer that the process lives."""
+        return HttpReply(200, b"ok\n")
+
+    def serve_ready(self, request: HttpRequest) -> HttpReply:
+        """Answer whether the target takes requests."""
+        return HttpReply(200 if self.gate.ready() else 503)
+
+    def serve_status(self, request: HttpRequest) -> HttpReply:
+        """Answer with the agent's state and counts as JSON."""
+        counts = self.context.counts
+        status = {
+            "process": self.context.process,
+            "target": self.context.target,
+            "incarnation": self.context.incarnation,
+            "offset": self.context.config.offset,
+            "digest": self.context.config.state.digest(),
+            "ready": self.gate.ready(),
+            "phase": self.rollout.phase.value,
+            "serving": self.rollout.serving,
+            "error": self.rollout.error,
+            "in_flight": self.gate.in_flight,
+            "from_origin": counts.from_origin,
+            "from_domain": counts.from_domain,
+            "across_domains": counts.across_domains,
+            "fetched_twice": counts.fetched_twice,
+            "rejected": counts.rejected,
+            "uploaded": self.exchange.link.total,
+            "usage": process_usage(),
+        }
+        body = encode(status)
+        return HttpReply(200, body, [("Content-Type", "application/json")])
+
+    def drain(self) -> None:
+        """Finish the requests in progress; refuse others with proof."""
+        self.context.events.emit(EventKind.STOPPING, target=self.context.target)
+        self.gate.drain()
+
+    def close(self) -> None:
+        """Release everything."""
+        self.rollout.close()
+        self.gate.close()
+        for thread in self.threads:
+            thread.kill()
+        self.control_server.close()
+        self.http_server.close()
+        self.context.events.emit(EventKind.STOPPED, target=self.context.target)
+        self.context.close()
--- /dev/null
+++ b/src/ridgecourse/agent/exchange.py
@@ -0,0 +1,166 @@
+"""The serving side of the exchange: chunks and manifests for other agents."""
+
+from collections.abc import Iterator
+from itertools import islice
+
+import eventlet
+
+from ridgecourse.agent.holding import Holding
+from ridgecourse.agent.settings import LinkSettings
+from ridgecourse.agent.store import ChunkStore
+from ridgecourse.core.ids import ChunkDigest, RootDigest
+from ridgecourse.net.auth import AUTH_HEADER, verify_request
+from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.http import HttpReply, HttpRequest, HttpRouter
+from ridgecourse.net.throttle import Throttle, in_pieces
+from ridgecourse.net.websocket import ControlChannel
+from ridgecourse.wire.control import Follow, Holds
+
+CHUNK_PATH = "/chunks/"
+MANIFEST_PATH = "/manifests/"
+ENGINE_PATH = "/engine/"
+LAST_RESORT_HEADER = "Ridgecourse-Last-Resort"
+TICKET_HEADER = "Ridgecourse-Ticket"
+PIECE_BYTES = 16 * 1024
+HOLDS_INTERVAL = 0.05
+"""Seconds over which newly held chunks are gathered into one message."""
+
+
+class Exchange:
+    """Hands out chunks to other agents, and all of a version to the engine.
+
+    Attributes:
+        store: The chunks.
+        holdings: The versions taken part in.
+        uploads: Uploads in progress.
+        link: Limit of the outgoing link.
+        tickets: What the engine shows to fetch a version.
+    """
+
+    def __init__(self, store: ChunkStore, settings: LinkSettings, key: str) -> None:
+        self.store = store
+        self.settings = settings
+        self.key = key
+        self.link = Throttle(settings.upload_bytes_per_s)
+        self.holdings: dict[RootDigest, Holding] = {}
+        self.joined = Broadcast()
+        self.tickets: dict[str, RootDigest] = {}
+        self.uploads = 0
+
+    def add_routes(self, router: HttpRouter) -> None:
+        """Serve chunks and manifests on a router."""
+        router.add("GET", CHUNK_PATH, self.serve_chunk)
+        router.add("GET", MANIFEST_PATH, self.serve_manifest)
+        router.add("GET", f"{ENGINE_PATH}manifest/", self.serve_engine_manifest)
+        router.add("GET", f"{ENGINE_PATH}chunk/", self.serve_engine_chunk)
+
+    def join(self, holding: Holding) -> None:
+        """Take part in the exchange of a version."""
+        self.holdings[holding.root] = holding
+        for place in holding.places:
+            if self.store.get(place.digest) is not None:
+                holding.add_held(place.digest)
+        self.joined.notify()
+
+    def leave(self, root: RootDigest) -> None:
+        """Take no part in a version any more."""
+        self.holdings.pop(root, None)
+
+    def serve_chunk(self, request: HttpRequest) -> HttpReply:
+        """Answer with a chunk, or 503 where all upload slots are taken."""
+        if not self._verified(request):
+            return HttpReply(401)
+        digest = ChunkDigest(request.path.removeprefix(CHUNK_PATH))
+        data = self.store.get(digest)
+        if data is None:
+            return HttpReply(404)
+        holding = self._holding_of(digest)
+        last_resort = request.header(LAST_RESORT_HEADER) == "yes"
+        if self.uploads >= self.settings.upload_slots:
+            return HttpReply(503)
+        if not last_resort and self._over_share(holding, len(data)):
+            return HttpReply(503)
+        self.uploads += 1
+        if holding is not None:
+            holding.uploaded += len(data)
+        headers = [("Content-Length", str(len(data)))]
+        return HttpReply(200, self._upload(data), headers)
+
+    def _holding_of(self, digest: ChunkDigest) -> Holding | None:
+        for holding in self.holdings.values():
+            if digest in holding.index:
+                return holding
+        return None
+
+    def _over_share(self, holding: Holding | None, size: int) -> bool:
+        """Tell whether an upload would exceed this agent's share of the work."""
+        if holding is None:
+            return False
+        bound = self.settings.upload_copies * holding.unique_bytes
+        return holding.uploaded + size > bound
+
+    def _upload(self, data: bytes) -> Iterator[bytes]:
+        try:
+            yield from self.link.pace(in_pieces(data, PIECE_BYTES))
+        finally:
+            self.uploads -= 1
+
+    def serve_manifest(self, request: HttpRequest) -> HttpReply:
+        """Answer with a version's manifest."""
+        if not self._verified(request):
+            return HttpReply(401)
+        root = RootDigest(request.path.removeprefix(MANIFEST_PATH))
+        holding = self.holdings.get(root)
+        if holding is None:
+            return HttpReply(404)
+        return HttpReply(200, self.link.pace((holding.manifest_bytes,)))
+
+    def serve_engine_manifest(self, request: HttpRequest) -> HttpReply:
+        """Answer the engine, which shows a ticket, with a manifest."""
+        root = self.tickets.get(request.header(TICKET_HEADER))
+        holding = self.holdings.get(root) if root is not None else None
+        if holding is None:
+            return HttpReply(401)
+        return HttpReply(200, holding.manifest_bytes)
+
+    def serve_engine_chunk(self, request: HttpRequest) -> HttpReply:
+        """Answer the engine, which shows a ticket, with a chunk."""
+        if request.header(TICKET_HEADER) not in self.tickets:
+            return HttpReply(401)
+        digest = ChunkDigest(request.path.removeprefix(f"{ENGINE_PATH}chunk/"))
+        data = self.store.get(digest)
+        return HttpReply(404) if data is None else HttpReply(200, data)
+
+    def _verified(self, request: HttpRequest) -> bool:
+        header = request.header(AUTH_HEADER)
+        return verify_request(self.key, header, request.method, request.path)
+
+    def tell_holdings(self, channel: ControlChannel, follow: Follow) -> None:
+        """Tell a follower what is held of a version, until it goes away.
+
+        Raises:
+            ChannelClosed: The follower is gone.
+        """
+        while True:
+            holding = self.holdings.get(follow.root)
+            if holding is None:
+                self.joined.wait(1.0)
+                channel.send(Holds(follow.root, []))
+                continue
+            self._tell_holding(channel, holding)
+
+    def _tell_holding(self, channel: ControlChannel, holding: Holding) -> None:
+        held_told = seen_told = 0
+        while self.holdings.get(holding.root) is holding:
+            held = list(islice(holding.held, held_told, None))
+            seen = list(islice(holding.seen, seen_told, None))
+            if held or seen:
+                held_told += len(held)
+                seen_told += len(seen)
+                told = set(held)
+                others = [index for index in seen if index not in told]
+                channel.send(Holds(holding.root, held, others))
+                eventlet.sleep(HOLDS_INTERVAL)
+            elif not holding.changed.wait(1.0):
+                # A sign of life, and notice of a follower that went away.
+                channel.send(Holds(holding.root, []))
--- /dev/null
+++ b/src/ridgecourse/agent/rollout.py
@@ -0,0 +1,376 @@
+"""Brings the engine to the version that the configuration places.
+
+Phases: fetch the manifest, fetch the chunks, have the engine load and verify
+the whole, order it to serve the version all at once, read back what it serves.
+A failure at any point leaves the old version serving.
+"""
+
+import logging
+from enum import Enum
+from secrets import token_hex
+from time import monotonic
+
+import eventlet
+from returns.result import Failure
+
+from ridgecourse.agent.context import AgentContext
+from ridgecourse.agent.exchange import MANIFEST_PATH, Exchange
+from ridgecourse.agent.holding import Holding
+from ridgecourse.agent.lease import LeaseKeeper
+from ridgecourse.agent.store import OutOfBudget
+from ridgecourse.agent.transfer import Transfer, TransferError
+from ridgecourse.core.config import Service, Target, Version
+from ridgecourse.core.finding import render_findings
+from ridgecourse.core.ids import Offset, RootDigest, TargetName
+from ridgecourse.core.manifest import parse_manifest
+from ridgecourse.core.rendezvous import rendezvous_rank
+from ridgecourse.net.auth import AUTH_HEADER, sign_request
+from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.events import EventKind
+from ridgecourse.net.http import ExchangeFailed, NoConnection
+from ridgecourse.net.threads import spawn_loop
+from ridgecourse.platform.engine import (
+    ActivateOrder,
+    EngineState,
+    LoadOrder,
+    OrderResult,
+)
+from ridgecourse.platform.log import LogUnavailable
+from ridgecourse.platform.origin import OriginUnavailable
+
+logger = logging.getLogger(__name__)
+
+RETRY_SECONDS = 1.0
+ENGINE_POLL_SECONDS = 1.0
+MANIFEST_STAGGER_SECONDS = 0.5
+"""Each further agent waits this much longer before it asks the origin itself."""
+MANIFEST_MAX_WAIT_SECONDS = 5.0
+
+
+class Phase(Enum):
+    """Where a rollout stands at a target."""
+
+    IDLE = "idle"
+    MANIFEST = "manifest"
+    TRANSFER = "transfer"
+    LOAD = "load"
+    ACTIVATE = "activate"
+    SERVING = "serving"
+    HALTED = "halted"
+    FAILED = "failed"
+
+
+class RolloutStopped(Exception):
+    """The attempt ended: superseded, or a named error."""
+
+
+class Rollout:
+    """Runs rollouts one after another.
+
+    Attributes:
+        phase: Where the present one stands.
+        serving: Root digest that the engine was last seen to serve.
+        error: What keeps the present one from going on.
+        changed: Notified when any of these change.
+    """
+
+    def __init__(self, context: AgentContext, exchange: Exchange) -> None:
+        self.context = context
+        self.exchange = exchange
+        self.leases = LeaseKeeper(context)
+        self.phase = Phase.IDLE
+        self.serving = ""
+        self.error = ""
+        self.engine_seen = False
+        self.changed = Broadcast()
+        self.wanted: Version | None = None
+        self.holding: Holding | None = None
+        self.transfer: Transfer | None = None
+        self.threads: list[eventlet.greenthread.GreenThread] = []
+
+    def start(self) -> None:
+        """Follow configuration and engine."""
+        for work in (self._watch_config, self._watch_engine, self._work):
+            self.threads.append(spawn_loop(work))
+
+    def close(self) -> None:
+        """Stop what is in progress."""
+        if self.transfer is not None:
+            self.transfer.close()
+        for thread in self.threads:
+            thread.kill()
+
+    def target(self) -> Target | None:
+        """Return this agent's target as configured."""
+        key = (self.context.fleet, self.context.target)
+        return self.context.config.state.targets.get(key)
+
+    def service(self) -> Service | None:
+        """Return the service that this agent's target belongs to."""
+        target = self.target()
+        if target is None:
+            return None
+        services = self.context.config.state.services
+        return services.get((target.fleet, target.service))
+
+    def progress(self) -> tuple[int, int]:
+        """Return bytes held and bytes in all of the version being placed."""
+        if self.holding is None:
+            return 0, 0
+        return self.holding.held_bytes(), self.holding.unique_bytes
+
+    def _set(self, phase: Phase, error: str = "") -> None:
+        if (phase, error) != (self.phase, self.error):
+            self.phase = phase
+            self.error = error
+            self.changed.notify()
+
+    def _find_wanted(self) -> Version | None:
+        """Return the version to bring in, None for nothing to do."""
+        target = self.target()
+        service = self.service()
+        if service is None or target is None or target.leaving or service.halted:
+            return None
+        return service.placed
+
+    def _watch_config(self) -> None:
+        """Drop a transfer as soon as its version is no longer wanted."""
+        while True:
+            self.wanted = self._find_wanted()
+            transfer = self.transfer
+            if transfer is not None and not self._still_wanted(transfer.version):
+                transfer.cancel()
+            self.context.config.changed.wait()
+
+    def _still_wanted(self, version: Version) -> bool:
+        wanted = self._find_wanted()
+        return wanted is not None and wanted.root_digest == version.root_digest
+
+    def _watch_engine(self) -> None:
+        """Keep track of what the engine really serves."""
+        while True:
+            state = self.context.engine.state()
+            self._see_engine(state)
+            eventlet.sleep(ENGINE_POLL_SECONDS)
+
+    def _see_engine(self, state: EngineState | None) -> None:
+        serving = "" if state is None else state.active
+        seen = state is not None
+        if (serving, seen) != (self.serving, self.engine_seen):
+            self.serving = serving
+            self.engine_seen = seen
+            self.changed.notify()
+
+    def _work(self) -> None:
+        while True:
+            version = self._find_wanted()
+            if version is None:
+                service = self.service()
+                halted = service is not None and service.halted
+                self._set(Phase.HALTED if halted else Phase.IDLE)
+                self.context.config.changed.wait(RETRY_SECONDS)
+            elif self.engine_seen and version.root_digest == self.serving:
+                self._set(Phase.SERVING)
+                self.changed.wait(RETRY_SECONDS)
+            else:
+                self._attempt(version)
+
+    def _attempt(self, version: Version) -> None:
+        """Try once to bring a version in; errors are kept and tried again."""
+        try:
+            self._bring_in(version)
+        except RolloutStopped as error:
+            self._fail(version, str(error))
+        except (TransferError, OutOfBudget) as error:
+            kind = "out-of-budget: " if isinstance(error, OutOfBudget) else ""
+            self._fail(version, f"{kind}{error}")
+        except LogUnavailable as error:
+            self._fail(version, f"no-lease: {error}")
+
+    def _fail(self, version: Version, error: str) -> None:
+        if not self._still_wanted(version):
+            self.context.events.emit(
+                EventKind.ROLLOUT_DROPPED,
+                target=self.context.target,
+                version=version.root_digest,
+            )
+            return
+        if error != self.error:
+            self.context.events.emit(
+                EventKind.ROLLOUT_FAILED,
+                target=self.context.target,
+                version=version.root_digest,
+                error=error,
+            )
+        self._set(Phase.FAILED, error)
+        eventlet.sleep(RETRY_SECONDS)
+
+    def _bring_in(self, version: Version) -> None:
+        self._emit(EventKind.ROLLOUT_STARTED, version)
+        holding = self._hold(version)
+        self._transfer(version, holding)
+        self._emit(EventKind.VERSION_COMPLETE, version)
+        self._load(version)
+        self._activate(version)
+        self._emit(EventKind.VERSION_SERVING, version)
+
+    def _emit(self, kind: EventKind, version: Version) -> None:
+        self.context.events.emit(
+            kind, target=self.context.target, version=version.root_digest
+        )
+
+    def _hold(self, version: Version) -> Holding:
+        """Get the manifest, make room, and join the version's exchange."""
+        holding = self.exchange.holdings.get(version.root_digest)
+        if holding is None:
+            self._set(Phase.MANIFEST, self.error)
+            holding = self._fetch_manifest(version)
+        kept = [
+            other.manifest
+            for root, other in reversed(self.exchange.holdings.items())
+            if root != version.root_digest
+        ]
+        self.context.store.make_room(holding.manifest, *kept)
+        for root in list(self.exchange.holdings):
+            other = self.exchange.holdings[root]
+            if root != version.root_digest and not self._is_whole(other):
+                self.exchange.leave(root)
+        self.holding = holding
+        self.exchange.join(holding)
+        return holding
+
+    def _is_whole(self, holding: Holding) -> bool:
+        held = self.context.store.held_of(holding.places)
+        return len(held) == len(holding.places)
+
+    def _fetch_manifest(self, version: Version) -> Holding:
+        """Get the manifest from another agent, or from the origin.
+
+        The agents ask the origin one after another, so that as a rule one does.
+        """
+        root = version.root_digest
+        peers = self._peers()
+        order = rendezvous_rank(f"{root}/manifest", [*peers, self.context.target])
+        rank = order.index(self.context.target)
+        patience = min(rank * MANIFEST_STAGGER_SECONDS, MANIFEST_MAX_WAIT_SECONDS)
+        ask_origin = monotonic() + patience
+        asked = 0
+        while self._still_wanted(version):
+            data = None
+            if monotonic() >= ask_origin:
+                data = self._manifest_from_origin(version)
+            elif peers:
+                # The first ones are likely to have it; the others spread it.
+                near = order[: max(4, rank)]
+                name = TargetName(near[asked % len(near)])
+                asked += 1
+                if name != self.context.target:
+                    data = self._manifest_from_peer(peers[name], root)
+            if data is not None:
+                return self._check_manifest(root, data)
+            eventlet.sleep(0.05)
+        raise RolloutStopped("superseded")
+
+    def _peers(self) -> dict[TargetName, Target]:
+        target = self.target()
+        if target is None:
+            return {}
+        found = self.context.config.state.service_targets(target.fleet, target.service)
+        return {t.target: t for t in found if t.target != self.context.target}
+
+    def _manifest_from_origin(self, version: Version) -> bytes:
+        before = self.context.origin.drawn
+        try:
+            data = self.context.origin.manifest(version.origin_path)
+        except OriginUnavailable as error:
+            raise RolloutStopped(f"origin-unavailable: {error}") from error
+        self.context.counts.from_origin += self.context.origin.drawn - before
+        return data
+
+    def _manifest_from_peer(self, peer: Target, root: RootDigest) -> bytes | None:
+        path = f"{MANIFEST_PATH}{root}"
+        headers = {
+            AUTH_HEADER: sign_request(self.context.settings.shared_key, "GET", path)
+        }
+        try:
+            status, data, _ = self.context.http.fetch(
+                "GET", peer.address, path, headers=headers, timeout=2.0
+            )
+        except (NoConnection, ExchangeFailed):
+            return None
+        return data if status == 200 else None
+
+    def _check_manifest(self, root: RootDigest, data: bytes) -> Holding:
+        parsed = parse_manifest(data, root)
+        if isinstance(parsed, Failure):
+            raise RolloutStopped(f"bad-manifest: {render_findings(parsed.failure())}")
+        return Holding(root, parsed.unwrap(), data)
+
+    def _transfer(self, version: Version, holding: Holding) -> None:
+        self._set(Phase.TRANSFER, self.error)
+        fleet = self.context.config.state.fleets[self.context.fleet]
+        self.transfer = Transfer(
+            self.context, version, holding, self._peers(), fleet.origin_copies
+        )
+        reporter = eventlet.spawn(self._report_progress, self.transfer)
+        try:
+            complete = self.transfer.run()
+        finally:
+            reporter.kill()
+            self.transfer = None
+        if not complete:
+            self.exchange.leave(version.root_digest)
+            raise RolloutStopped("superseded")
+
+    def _report_progress(self, transfer: Transfer) -> None:
+        while True:
+            eventlet.sleep(RETRY_SECONDS)
+            self._set(Phase.TRANSFER, transfer.error)
+            self.changed.notify()
+
+    def _order(self, version: Version) -> Offset:
+        """Return a fencing token under which an order may be given right now."""
+        self.leases.acquire()
+        eventlet.sleep(self.leases.seconds_to_wait())
+        if not self._still_wanted(version):
+            raise RolloutStopped("superseded")
+        token = self.leases.lease.token
+        if token is None or not self.leases.may_order():
+            raise RolloutStopped("no-lease: another agent holds the engine")
+        return token
+
+    def _load(self, version: Version) -> None:
+        self._set(Phase.LOAD)
+        token = self._order(version)
+        ticket = token_hex(16)
+        self.exchange.tickets = {ticket: version.root_digest}
+        target = self.target()
+        source = self.context.settings.http if target is None else target.address
+        result = self.context.engine.load(
+            LoadOrder(version.root_digest, source, ticket, token)
+        )
+        self.exchange.tickets = {}
+        self._check_order(result, "load")
+        self._emit(EventKind.VERSION_LOADED, version)
+
+    def _activate(self, version: Version) -> None:
+        self._set(Phase.ACTIVATE)
+        token = self._order(version)
+        result = self.context.engine.activate(ActivateOrder(version.root_digest, token))
+        # Whatever the answer was, what counts is what the engine serves.
+        self._see_engine(self.context.engine.state())
+        if self.serving != version.root_digest:
+            self._check_order(result, "activate")
+            raise RolloutStopped("engine-read-back: the engine serves another version")
+        self._set(Phase.SERVING)
+
+    def _check_order(self, result: OrderResult, order: str) -> None:
+        if result is OrderResult.DONE:
+            return
+        self.context.events.emit(
+            EventKind.ORDER_REFUSED,
+            target=self.context.target,
+            order=order,
+            result=result.value,
+        )
+        raise RolloutStopped(f"engine-{result.value}: {order}")
--- /dev/null
+++ b/src/ridgecourse/agent/transfer.py
@@ -0,0 +1,277 @@
+"""The fetching side of the exchange: brings one version in."""
+
+import logging
+from collections.abc import Iterator, Mapping
+from contextlib import closing
+from time import monotonic
+
+import eventlet
+
+from ridgecourse.agent.context import AgentContext
+from ridgecourse.agent.exchange import CHUNK_PATH, LAST_RESORT_HEADER
+from ridgecourse.agent.holding import Holding
+from ridgecourse.agent.settings import PlanSettings
+from ridgecourse.core.config import Target, Version
+from ridgecourse.core.ids import ChunkDigest, Seconds, TargetName
+from ridgecourse.core.manifest import chunk_digest
+from ridgecourse.core.planner import (
+    ORIGIN,
+    ChunkPlanner,
+    Fetch,
+    FetchFailure,
+    Member,
+    PlanPolicy,
+)
+from ridgecourse.net.auth import AUTH_HEADER, sign_request
+from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.events import EventKind
+from ridgecourse.net.http import ExchangeFailed, NoConnection, read_pieces
+from ridgecourse.net.metrics import Metric
+from ridgecourse.net.threads import spawn_loop
+from ridgecourse.net.websocket import ChannelClosed, open_channel
+from ridgecourse.platform.origin import (
+    OriginBusy,
+    OriginMissing,
+    OriginUnavailable,
+)
+from ridgecourse.wire.control import PROTOCOL_VERSION, Follow, Holds
+
+logger = logging.getLogger(__name__)
+
+REFOLLOW_SECONDS = 0.5
+MAX_CORRUPT_FROM_ORIGIN = 3
+"""Times in a row a chunk may come wrong from the origin before it is an error."""
+LAST_RESORT_BUSY = 12
+"""Refusals of a chunk after which its holder is asked to exceed its share."""
+
+
+class TransferError(Exception):
+    """The version cannot be brought in, for a reason that waiting won't mend."""
+
+
+class Transfer:
+    """Fetches the missing chunks of a version.
+
+    Attributes:
+        planner: Decides what to fetch and from whom.
+        holding: Grows with each chunk.
+        cancelled: Set when the version is no longer wanted.
+        error: Named error that stands in the way, empty if none.
+    """
+
+    def __init__(
+        self,
+        context: AgentContext,
+        version: Version,
+        holding: Holding,
+        targets: Mapping[TargetName, Target],
+        origin_copies: int,
+    ) -> None:
+        self.context = context
+        self.settings = context.settings.plan
+        self.key = context.settings.shared_key
+        self.version = version
+        self.holding = holding
+        self.targets = targets
+        self.planner = ChunkPlanner(
+            context.me,
+            holding.root,
+            [place.digest for place in holding.places],
+            [holding.places[index].digest for index in holding.held],
+            [Member(target.target, target.domain) for target in targets.values()],
+            make_policy(self.settings),
+            Seconds(monotonic()),
+            origin_copies,
+        )
+        self.progress = Broadcast()
+        self.busy: dict[ChunkDigest, int] = {}
+        self.corrupt: dict[ChunkDigest, int] = {}
+        self.cancelled = False
+        self.error = ""
+        self.threads: list[eventlet.greenthread.GreenThread] = []
+
+    def run(self) -> bool:
+        """Fetch until all is held; tell whether it is, or was cancelled.
+
+        Raises:
+            TransferError: The version cannot be brought in.
+        """
+        for neighbour in self.planner.sources:
+            self.threads.append(spawn_loop(self._follow, neighbour))
+        try:
+            while not self.planner.complete() and not self.cancelled:
+                self._check_origin()
+                for fetch in self.planner.plan(Seconds(monotonic())):
+                    self.threads.append(eventlet.spawn(self._fetch, fetch))
+                self.progress.wait(self.planner.wake_after())
+                self.threads = [thread for thread in self.threads if not thread.dead]
+        finally:
+            self.close()
+        return self.planner.complete()
+
+    def cancel(self) -> None:
+        """Stop at once: what is in flight costs no more bytes."""
+        self.cancelled = True
+        self.progress.notify()
+        self.close()
+
+    def close(self) -> None:
+        """End all fetches and followed agents."""
+        threads, self.threads = self.threads, []
+        for thread in threads:
+            thread.kill()
+
+    def _check_origin(self) -> None:
+        for digest, times in self.corrupt.items():
+            if times >= MAX_CORRUPT_FROM_ORIGIN and digest in self.planner.missing:
+                place = self.holding.places[self.holding.index[digest]]
+                raise TransferError(
+                    f"origin-changed: {place.path} at byte {place.start} does not "
+                    f"match the manifest"
+                )
+
+    def _follow(self, neighbour: TargetName) -> None:
+        """Keep track of what a neighbour holds."""
+        while True:
+            try:
+                for holds in self._holdings_of(neighbour):
+                    self._take_holds(neighbour, holds)
+            except ChannelClosed as error:
+                logger.debug("cannot follow %s: %s", neighbour, error)
+            self.planner.peer_lost(neighbour)
+            eventlet.sleep(REFOLLOW_SECONDS)
+
+    def _holdings_of(self, neighbour: TargetName) -> Iterator[Holds]:
+        channel = open_channel(self.targets[neighbour].control_address, self.key)
+        with closing(channel):
+            me = self.planner.me
+            channel.send(
+                Follow(PROTOCOL_VERSION, me.target, me.domain, self.holding.root)
+            )
+            yield from channel.messages(Holds)
+
+    def _take_holds(self, neighbour: TargetName, holds: Holds) -> None:
+        if not holds.chunks and not holds.seen:
+            return
+        now = Seconds(monotonic())
+        held = self.holding.add_seen(holds.chunks)
+        seen = self.holding.add_seen(holds.seen)
+        self.planner.peer_holds(neighbour, held, now)
+        self.planner.fleet_holds(seen, now)
+        self.progress.notify()
+
+    def _fetch(self, fetch: Fetch) -> None:
+        """Carry out one fetch and tell the planner how it went."""
+        got = self._get_chunk(fetch)
+        now = Seconds(monotonic())
+        if isinstance(got, FetchFailure):
+            self.planner.failed(fetch.digest, fetch.source, got, now)
+        else:
+            self._take_chunk(fetch, got, now)
+        self.progress.notify()
+
+    def _get_chunk(self, fetch: Fetch) -> bytes | FetchFailure:
+        got = (
+            self._from_origin(fetch)
+            if fetch.source == ORIGIN
+            else self._from_peer(fetch)
+        )
+        if isinstance(got, FetchFailure):
+            return got
+        if chunk_digest(got) == fetch.digest:
+            return got
+        self._reject(fetch)
+        return FetchFailure.CORRUPT
+
+    def _reject(self, fetch: Fetch) -> None:
+        self.context.counts.rejected += 1
+        self.context.metrics.count(Metric.CHUNKS_REJECTED)
+        source = fetch.source or "origin"
+        self.context.events.emit(
+            EventKind.CHUNK_REJECTED,
+            target=self.planner.me.target,
+            version=self.holding.root,
+            chunk=fetch.digest,
+            source=source,
+        )
+        if fetch.source == ORIGIN:
+            self.corrupt[fetch.digest] = self.corrupt.get(fetch.digest, 0) + 1
+
+    def _from_origin(self, fetch: Fetch) -> bytes | FetchFailure:
+        place = self.holding.places[self.holding.index[fetch.digest]]
+        stall = self.settings.chunk_stall_seconds
+        before = self.context.origin.drawn
+        try:
+            data = self.context.origin.chunk(self.version.origin_path, place, stall)
+        except OriginBusy:
+            return FetchFailure.BUSY
+        except OriginMissing as error:
+            self.error = f"origin-missing: {error}"
+            return FetchFailure.MISSING
+        except OriginUnavailable as error:
+            self.error = f"origin-unavailable: {error}"
+            return FetchFailure.STALLED
+        self.error = ""
+        self.context.counts.from_origin += self.context.origin.drawn - before
+        self.context.metrics.count(Metric.BYTES_FROM_ORIGIN, len(data))
+        if len(data) != place.length:
+            self.error = f"chunk-length: {place.path} at byte {place.start}"
+        return data
+
+    def _from_peer(self, fetch: Fetch) -> bytes | FetchFailure:
+        target = self.targets[fetch.source]
+        path = f"{CHUNK_PATH}{fetch.digest}"
+        headers = {AUTH_HEADER: sign_request(self.key, "GET", path)}
+        if self.busy.get(fetch.digest, 0) >= LAST_RESORT_BUSY:
+            headers[LAST_RESORT_HEADER] = "yes"
+        limit = self.holding.places[self.holding.index[fetch.digest]].length
+        stall = self.settings.chunk_stall_seconds
+        try:
+            response = self.context.http.send(
+                "GET", target.address, path, headers=headers, timeout=stall
+            )
+            with closing(response):
+                if response.status != 200:
+                    return self._refused(fetch, response.status)
+                data = b"".join(
+                    self.context.download.pace(read_pieces(response, limit))
+                )
+                response.release_conn()
+        except NoConnection:
+            return FetchFailure.UNREACHABLE
+        except ExchangeFailed:
+            return FetchFailure.STALLED
+        self._count_peer_bytes(fetch.source, len(data))
+        return data
+
+    def _refused(self, fetch: Fetch, status: int) -> FetchFailure:
+        if status == 404:
+            return FetchFailure.MISSING
+        self.busy[fetch.digest] = self.busy.get(fetch.digest, 0) + 1
+        return FetchFailure.BUSY
+
+    def _count_peer_bytes(self, source: TargetName, size: int) -> None:
+        if self.targets[source].domain == self.planner.me.domain:
+            self.context.counts.from_domain += size
+        else:
+            self.context.counts.across_domains += size
+            self.context.metrics.count(Metric.BYTES_ACROSS_DOMAINS, size)
+
+    def _take_chunk(self, fetch: Fetch, data: bytes, now: Seconds) -> None:
+        if not self.planner.arrived(fetch.digest, fetch.source, now):
+            self.context.counts.fetched_twice += len(data)
+            return
+        self.context.store.put(fetch.digest, data)
+        self.holding.add_held(fetch.digest)
+        self.context.metrics.count(Metric.CHUNKS_FETCHED)
+
+
+def make_policy(settings: PlanSettings) -> PlanPolicy:
+    """Return the planner's bounds from settings."""
+    return PlanPolicy(
+        classes=settings.classes,
+        neighbours=settings.neighbours,
+        fetches=settings.fetches,
+        per_source=settings.per_source,
+        stall_seconds=settings.stall_seconds,
+    )
--- /dev/null
+++ b/src/ridgecourse/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input or output: state plus event plus time gives actions."""
--- /dev/null
+++ b/src/ridgecourse/core/config.py
@@ -0,0 +1,412 @@
+"""The configuration: a fold of the log's change records.
+
+Every process that has folded the same offset holds the same state; its digest
+shows it.
+"""
+
+from collections.abc import Callable, Iterator
+from typing import Any, TypeVar
+
+from blake3 import blake3
+from msgspec import Struct, structs
+from msgspec.json import encode
+from returns.result import Failure, Result, Success
+
+from ridgecourse.core.change import (
+    Abort,
+    ChangeOutcome,
+    ChangeRecord,
+    ChangeStatus,
+    ConfigRecord,
+    CreateFleet,
+    JoinTarget,
+    LeaveTarget,
+    Place,
+    PublishVersion,
+    PutAccount,
+    PutService,
+    RollBack,
+    ServiceKind,
+    SetTraffic,
+)
+from ridgecourse.core.ids import (
+    AccountName,
+    ChangeId,
+    DomainName,
+    FleetName,
+    ModelName,
+    Offset,
+    RootDigest,
+    ServiceName,
+    TargetName,
+    VersionName,
+)
+
+MAX_ORIGIN_COPIES = 4
+MAX_PRIORITY = 9
+OUTCOMES_KEPT = 4096
+"""Change ids remembered; an older one sent again counts as new."""
+
+
+class Fleet(Struct, frozen=True):
+    """A fleet of targets."""
+
+    fleet: FleetName
+    origin_copies: int
+    revision: int = 0
+
+
+class Version(Struct, frozen=True):
+    """A published version of a model."""
+
+    fleet: FleetName
+    model: ModelName
+    version: VersionName
+    root_digest: RootDigest
+    origin_path: str
+    total_bytes: int
+    revision: int = 0
+
+
+class Service(Struct, frozen=True):
+    """A service and the version it is to serve.
+
+    Attributes:
+        placed: The version to serve.
+        previous: The version placed before, for a roll back.
+        halted: Whether targets that have not yet taken it up stay as they are.
+    """
+
+    fleet: FleetName
+    service: ServiceName
+    kind: ServiceKind
+    placed: Version | None = None
+    previous: Version | None = None
+    halted: bool = False
+    traffic: dict[DomainName, int] = {}
+    revision: int = 0
+
+
+class Target(Struct, frozen=True):
+    """A target of a service."""
+
+    fleet: FleetName
+    service: ServiceName
+    target: TargetName
+    domain: DomainName
+    address: str
+    control_address: str
+    leaving: bool = False
+    revision: int = 0
+
+
+class Account(Struct, frozen=True):
+    """A client account."""
+
+    fleet: FleetName
+    account: AccountName
+    key_digest: str
+    max_in_flight: int
+    priority: int
+    weight: int
+    revision: int = 0
+
+
+class ConfigSnapshot(Struct, frozen=True, forbid_unknown_fields=True):
+    """The whole state at an offset, for checkpoints and late joiners."""
+
+    offset: int
+    fleets: list[Fleet]
+    services: list[Service]
+    versions: list[Version]
+    targets: list[Target]
+    accounts: list[Account]
+    outcomes: dict[ChangeId, ChangeOutcome]
+
+
+AnyObject = Fleet | Service | Version | Target | Account
+Decision = Result[AnyObject, str]
+ObjectT = TypeVar("ObjectT", Fleet, Service, Version, Target, Account)
+
+
+class ConfigState:
+    """The folded configuration.
+
+    Attributes:
+        offset: The next offset to fold; all below it are contained.
+    """
+
+    def __init__(self) -> None:
+        self.offset = Offset(0)
+        self.fleets: dict[str, Fleet] = {}
+        self.services: dict[tuple[str, str], Service] = {}
+        self.versions: dict[tuple[str, str, str], Version] = {}
+        self.targets: dict[tuple[str, str], Target] = {}
+        self.accounts: dict[tuple[str, str], Account] = {}
+        self.outcomes: dict[ChangeId, ChangeOutcome] = {}
+        self.handlers: dict[type, Callable[[Any], Decision]] = {
+            CreateFleet: self._create_fleet,
+            PutService: self._put_service,
+            PublishVersion: self._publish_version,
+            Place: self._place,
+            RollBack: self._roll_back,
+            Abort: self._abort,
+            JoinTarget: self._join_target,
+            LeaveTarget: self._leave_target,
+            SetTraffic: self._set_traffic,
+            PutAccount: self._put_account,
+        }
+
+    def apply(
+        self, offset: Offset, record: ConfigRecord | None
+    ) -> ChangeOutcome | None:
+        """Fold the record at an offset.
+
+        Args:
+            offset: Must be the state's own offset.
+            record: The change or notice, or None for a record that no reader
+                can decode.
+
+        Returns:
+            The outcome of a change; for a change id seen before, its first
+            outcome. None for any other record.
+
+        Raises:
+            ValueError: The offset is not the next one.
+        """
+        if offset != self.offset:
+            raise ValueError(f"cannot fold offset {offset} at {self.offset}")
+        self.offset = Offset(offset + 1)
+        if not isinstance(record, ChangeRecord):
+            return None
+        known = self.outcomes.get(record.change_id)
+        if known is not None:
+            return known
+        outcome = self._decide(offset, record)
+        self._remember(record.change_id, outcome)
+        return outcome
+
+    def _decide(self, offset: Offset, record: ChangeRecord) -> ChangeOutcome:
+        current = self._current(record)
+        revision = 0 if current is None else current.revision
+        expected = record.expected_revision
+        if expected is not None and expected != revision:
+            reason = f"conflict: revision is {revision}, expected {expected}"
+            return ChangeOutcome(ChangeStatus.REJECTED, offset, revision, reason)
+        decision = self.handlers[type(record.change)](record.change)
+        if isinstance(decision, Failure):
+            reason = decision.failure()
+            return ChangeOutcome(ChangeStatus.REJECTED, offset, revision, reason)
+        changed = structs.replace(decision.unwrap(), revision=offset + 1)
+        self._store(changed)
+        return ChangeOutcome(ChangeStatus.ACCEPTED, offset, offset + 1)
+
+    def _remember(self, change_id: ChangeId, outcome: ChangeOutcome) -> None:
+        self.outcomes[change_id] = outcome
+        if len(self.outcomes) > OUTCOMES_KEPT:
+            del self.outcomes[next(iter(self.outcomes))]
+
+    def _current(self, record: ChangeRecord) -> AnyObject | None:
+        """Return the object that a change is about, as it is now."""
+        change = record.change
+        if isinstance(change, CreateFleet):
+            return self.fleets.get(change.fleet)
+        if isinstance(change, PublishVersion):
+            return self.versions.get((change.fleet, change.model, change.version))
+        if isinstance(change, (JoinTarget, LeaveTarget)):
+            return self.targets.get((change.fleet, change.target))
+        if isinstance(change, PutAccount):
+            return self.accounts.get((change.fleet, change.account))
+        return self.services.get((change.fleet, change.service))
+
+    def _store(self, changed: AnyObject) -> None:
+        if isinstance(changed, Fleet):
+            self.fleets[changed.fleet] = changed
+        elif isinstance(changed, Service):
+            self.services[changed.fleet, changed.service] = changed
+        elif isinstance(changed, Version):
+            self.versions[changed.fleet, changed.model, changed.version] = changed
+        elif isinstance(changed, Target):
+            self.targets[changed.fleet, changed.target] = changed
+        else:
+            self.accounts[changed.fleet, changed.account] = changed
+
+    def _create_fleet(self, change: CreateFleet) -> Decision:
+        if not 1 <= change.origin_copies <= MAX_ORIGIN_COPIES:
+            return Failure(f"origin_copies must be 1 to {MAX_ORIGIN_COPIES}")
+        return Success(Fleet(change.fleet, change.origin_copies))
+
+    def _put_service(self, change: PutService) -> Decision:
+        if change.fleet not in self.fleets:
+            return Failure(f"unknown fleet {change.fleet}")
+        current = self.services.get((change.fleet, change.service))
+        if current is not None and current.kind is not change.kind:
+            return Failure(f"service {change.service} is of kind {current.kind.value}")
+        return Success(current or Service(change.fleet, change.service, change.kind))
+
+    def _publish_version(self, change: PublishVersion) -> Decision:
+        if change.fleet not in self.fleets:
+            return Failure(f"unknown fleet {change.fleet}")
+        version = Version(
+            change.fleet,
+            change.model,
+            change.version,
+            change.root_digest,
+            change.origin_path,
+            change.total_bytes,
+        )
+        current = self.versions.get((change.fleet, change.model, change.version))
+        if current is not None and current.root_digest != change.root_digest:
+            return Failure(f"version {change.version} has other content already")
+        return Success(version)
+
+    def _find_service(
+        self, fleet: FleetName, service: ServiceName
+    ) -> Result[Service, str]:
+        found = self.services.get((fleet, service))
+        if found is None:
+            return Failure(f"unknown service {fleet}/{service}")
+        return Success(found)
+
+    def _place(self, change: Place) -> Decision:
+        return self._find_service(change.fleet, change.service).bind(
+            lambda service: self._place_on(service, change)
+        )
+
+    def _place_on(self, service: Service, change: Place) -> Decision:
+        if service.kind is not ServiceKind.MODEL:
+            return Failure(f"service {service.service} serves no model")
+        version = self.versions.get((change.fleet, change.model, change.version))
+        if version is None:
+            return Failure(f"unknown version {change.model}/{change.version}")
+        previous = service.placed
+        if previous is not None and previous.root_digest == version.root_digest:
+            previous = service.previous
+        return Success(
+            structs.replace(service, placed=version, previous=previous, halted=False)
+        )
+
+    def _roll_back(self, change: RollBack) -> Decision:
+        return self._find_service(change.fleet, change.service).bind(_swap_versions)
+
+    def _abort(self, change: Abort) -> Decision:
+        return self._find_service(change.fleet, change.service).map(
+            lambda service: structs.replace(service, halted=True)
+        )
+
+    def _join_target(self, change: JoinTarget) -> Decision:
+        current = self.targets.get((change.fleet, change.target))
+        if current is not None and current.service != change.service:
+            return Failure(f"target {change.target} belongs to {current.service}")
+        target = Target(
+            change.fleet,
+            change.service,
+            change.target,
+            change.domain,
+            change.address,
+            change.control_address,
+        )
+        return self._find_service(change.fleet, change.service).map(lambda _: target)
+
+    def _leave_target(self, change: LeaveTarget) -> Decision:
+        current = self.targets.get((change.fleet, change.target))
+        if current is None:
+            return Failure(f"unknown target {change.target}")
+        return Success(structs.replace(current, leaving=True))
+
+    def _set_traffic(self, change: SetTraffic) -> Decision:
+        if any(weight < 0 for weight in change.weights.values()):
+            return Failure("weights must be 0 or more")
+        if change.weights and not any(change.weights.values()):
+            return Failure("at least one weight must be above 0")
+        return self._find_service(change.fleet, change.service).map(
+            lambda service: structs.replace(service, traffic=change.weights)
+        )
+
+    def _put_account(self, change: PutAccount) -> Decision:
+        if change.fleet not in self.fleets:
+            return Failure(f"unknown fleet {change.fleet}")
+        if not 0 <= change.priority <= MAX_PRIORITY:
+            return Failure(f"priority must be 0 to {MAX_PRIORITY}")
+        if change.weight < 1 or change.max_in_flight < 0:
+            return Failure("weight must be above 0 and max_in_flight not below 0")
+        account = Account(
+            change.fleet,
+            change.account,
+            change.key_digest,
+            change.max_in_flight,
+            change.priority,
+            change.weight,
+        )
+        return Success(account)
+
+    def service_targets(
+        self, fleet: FleetName, service: ServiceName
+    ) -> Iterator[Target]:
+        """Yield the targets of a service, leaving ones included."""
+        for target in self.targets.values():
+            if target.fleet == fleet and target.service == service:
+                yield target
+
+    def find_account(self, fleet: FleetName, key_digest: str) -> Account | None:
+        """Return the account that a key belongs to."""
+        for account in self.accounts.values():
+            if account.fleet == fleet and account.key_digest == key_digest:
+                return account
+        return None
+
+    def snapshot(self) -> ConfigSnapshot:
+        """Return the whole state in a fixed order."""
+        return ConfigSnapshot(
+            self.offset,
+            _in_order(self.fleets),
+            _in_order(self.services),
+            _in_order(self.versions),
+            _in_order(self.targets),
+            _in_order(self.accounts),
+            dict(self.outcomes),
+        )
+
+    def restore(self, snapshot: ConfigSnapshot) -> bool:
+        """Take over a snapshot if it is ahead.
+
+        Returns:
+            Whether it was taken over; a state never goes back.
+        """
+        if snapshot.offset <= self.offset:
+            return False
+        self.offset = Offset(snapshot.offset)
+        for objects in (self.fleets, self.services, self.versions):
+            objects.clear()
+        self.targets.clear()
+        self.accounts.clear()
+        for found in _snapshot_objects(snapshot):
+            self._store(found)
+        self.outcomes = dict(snapshot.outcomes)
+        return True
+
+    def digest(self) -> str:
+        """Return a digest that is equal where the states are equal."""
+        return blake3(encode(self.snapshot(), order="sorted")).hexdigest()
+
+
+def _swap_versions(service: Service) -> Decision:
+    if service.previous is None:
+        return Failure("no version was placed before")
+    return Success(
+        structs.replace(
+            service, placed=service.previous, previous=service.placed, halted=False
+        )
+    )
+
+
+def _in_order(objects: dict[Any, ObjectT]) -> list[ObjectT]:
+    return [objects[key] for key in sorted(objects)]
+
+
+def _snapshot_objects(snapshot: ConfigSnapshot) -> Iterator[AnyObject]:
+    yield from snapshot.fleets
+    yield from snapshot.services
+    yield from snapshot.versions
+    yield from snapshot.targets
+    yield from snapshot.accounts
--- /dev/null
+++ b/src/ridgecourse/core/ids.py
@@ -0,0 +1,28 @@
+"""Identifiers."""
+
+from typing import NewType
+
+FleetName = NewType("FleetName", str)
+ServiceName = NewType("ServiceName", str)
+ModelName = NewType("ModelName", str)
+VersionName = NewType("VersionName", str)
+TargetName = NewType("TargetName", str)
+DomainName = NewType("DomainName", str)
+AccountName = NewType("AccountName", str)
+ProcessName = NewType("ProcessName", str)
+
+ChangeId = NewType("ChangeId", str)
+RequestId = NewType("RequestId", str)
+IdempotencyKey = NewType("IdempotencyKey", str)
+Incarnation = NewType("Incarnation", str)
+"""Names one life of a process; a restart gives a new one."""
+
+ChunkDigest = NewType("ChunkDigest", str)
+"""BLAKE3 of a chunk's bytes, in hexadecimal."""
+RootDigest = NewType("RootDigest", str)
+"""BLAKE3 of a version's manifest, in hexadecimal."""
+
+Offset = NewType("Offset", int)
+"""Position of a record in a stream of the platform's log, from 0."""
+Seconds = NewType("Seconds", float)
+"""A reading of, or a span on, a process's monotonic clock."""
--- /dev/null
+++ b/src/ridgecourse/core/manifest.py
@@ -0,0 +1,160 @@
+"""Manifests: the files and chunks that make up one version of a model."""
+
+from collections.abc import Iterator
+from pathlib import PurePosixPath
+from typing import NamedTuple
+
+from blake3 import blake3
+from msgspec import DecodeError, Struct
+from msgspec.json import decode, encode
+from returns.result import Failure, Result, Success
+
+from ridgecourse.core.finding import Finding, Findings
+from ridgecourse.core.ids import ChunkDigest, RootDigest
+
+DIGEST_HEX_LENGTH = 64
+MIN_CHUNK_BYTES = 1024
+MAX_CHUNK_BYTES = 64 * 1024 * 1024
+
+
+class FileEntry(Struct, frozen=True, forbid_unknown_fields=True):
+    """A file of a version.
+
+    Attributes:
+        path: Relative path with forward slashes.
+        size: Length in bytes.
+        chunks: Digests of its chunks in order; all but the last are of the
+            manifest's chunk size.
+    """
+
+    path: str
+    size: int
+    chunks: tuple[ChunkDigest, ...]
+
+
+class ChunkPlace(NamedTuple):
+    """Where the bytes of a chunk first stand in a version.
+
+    Attributes:
+        digest: The chunk.
+        path: The file it stands in.
+        start: First byte within that file.
+        length: Length in bytes.
+    """
+
+    digest: ChunkDigest
+    path: str
+    start: int
+    length: int
+
+
+class Manifest(Struct, frozen=True, forbid_unknown_fields=True):
+    """The content of a version.
+
+    Attributes:
+        chunk_size: Length in bytes of every chunk but a file's last.
+        files: The files, sorted by path.
+    """
+
+    chunk_size: int
+    files: tuple[FileEntry, ...]
+
+    def total_bytes(self) -> int:
+        """Return the length of all files together."""
+        return sum(entry.size for entry in self.files)
+
+    def chunk_places(self) -> Iterator[ChunkPlace]:
+        """Yield each chunk of each file, repeated content included."""
+        for entry in self.files:
+            for index, digest in enumerate(entry.chunks):
+                start = index * self.chunk_size
+                length = min(self.chunk_size, entry.size - start)
+                yield ChunkPlace(digest, entry.path, start, length)
+
+    def unique_chunks(self) -> tuple[ChunkPlace, ...]:
+        """Return each distinct chunk once, in order of its first place."""
+        first: dict[ChunkDigest, ChunkPlace] = {}
+        for place in self.chunk_places():
+            first.setdefault(place.digest, place)
+        return tuple(first.values())
+
+
+def encode_manifest(manifest: Manifest) -> bytes:
+    """Return the bytes of which the root digest is taken."""
+    return encode(manifest)
+
+
+def chunk_digest(data: bytes) -> ChunkDigest:
+    """Return the digest of a chunk's bytes."""
+    return ChunkDigest(blake3(data).hexdigest())
+
+
+def root_digest(manifest_bytes: bytes) -> RootDigest:
+    """Return the digest that names a version's content."""
+    return RootDigest(blake3(manifest_bytes).hexdigest())
+
+
+def parse_manifest(
+    data: bytes, expected: RootDigest | None = None
+) -> Result[Manifest, Findings]:
+    """Decode and check a manifest.
+
+    Args:
+        data: The bytes as published.
+        expected: The digest they must have, when known.
+
+    Returns:
+        The manifest, or all that is wrong with it.
+    """
+    if expected is not None and root_digest(data) != expected:
+        message = f"has digest {root_digest(data)}, expected {expected}"
+        return Failure((Finding("manifest", message),))
+    try:
+        manifest = decode(data, type=Manifest)
+    except DecodeError as error:
+        return Failure((Finding("manifest", str(error)),))
+    findings = tuple(find_faults(manifest))
+    if findings:
+        return Failure(findings)
+    return Success(manifest)
+
+
+def find_faults(manifest: Manifest) -> Iterator[Finding]:
+    """Yield what is wrong with a decoded manifest."""
+    if not MIN_CHUNK_BYTES <= manifest.chunk_size <= MAX_CHUNK_BYTES:
+        bounds = f"{MIN_CHUNK_BYTES} to {MAX_CHUNK_BYTES}"
+        yield Finding("chunk_size", f"is {manifest.chunk_size}, expected {bounds}")
+        return
+    if not manifest.files:
+        yield Finding("files", "is empty, expected at least one file")
+    paths = [entry.path for entry in manifest.files]
+    if paths != sorted(set(paths)):
+        yield Finding("files", "expected distinct paths in sorted order")
+    lengths: dict[ChunkDigest, int] = {}
+    for index, entry in enumerate(manifest.files):
+        yield from _find_file_faults(f"files[{index}]", entry, manifest.chunk_size)
+    for place in manifest.chunk_places():
+        if lengths.setdefault(place.digest, place.length) != place.length:
+            yield Finding(place.path, f"chunk {place.digest} has two lengths")
+
+
+def _find_file_faults(
+    place: str, entry: FileEntry, chunk_size: int
+) -> Iterator[Finding]:
+    path = PurePosixPath(entry.path)
+    if path.is_absolute() or ".." in path.parts or not path.parts:
+        yield Finding(place, f"path {entry.path!r} must be relative, without '..'")
+    if entry.size < 0:
+        yield Finding(place, f"size is {entry.size}, expected 0 or more")
+    expected = -(-entry.size // chunk_size)
+    if len(entry.chunks) != expected:
+        message = f"{entry.path} has {len(entry.chunks)} chunks, expected {expected}"
+        yield Finding(place, message)
+    for digest in entry.chunks:
+        if not is_digest(digest):
+            yield Finding(place, f"{digest!r} is no BLAKE3 digest in hexadecimal")
+
+
+def is_digest(text: str) -> bool:
+    """Tell whether a text has the form of a BLAKE3 digest in hexadecimal."""
+    return len(text) == DIGEST_HEX_LENGTH and set(text) <= set("0123456789abcdef")
--- /dev/null
+++ b/src/ridgecourse/core/slots.py
@@ -0,0 +1,106 @@
+"""Draw slots: which instance brings which chunks over a scarce link.
+
+The chunks of a version are divided into classes. For each class one instance
+at a time draws its chunks over the link (from the origin, or into a failure
+domain). Every instance ranks the same candidates the same way, so nothing has
+to be agreed. When a class makes no progress for a while, the next candidate
+draws as well; what that costs at worst is a chunk drawn twice.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+from itertools import zip_longest
+
+from ridgecourse.core.ids import ChunkDigest, DomainName, Seconds, TargetName
+from ridgecourse.core.rendezvous import rendezvous_rank
+
+SMOOTHING = 0.3
+"""Share of the newest sample in the smoothed interval between chunks."""
+PATIENCE = 4.0
+"""Intervals without progress after which the next candidate draws."""
+
+
+def chunk_class(digest: ChunkDigest, classes: int) -> int:
+    """Return the class of a chunk."""
+    return int(digest[:8], 16) % classes
+
+
+class DrawSlot:
+    """One class's candidates and its progress.
+
+    Attributes:
+        candidates: All that may draw, the preferred one first.
+        last_progress: When the class last gained a chunk.
+        interval: Smoothed seconds between two gains.
+        minimum: Shortest time without progress that counts as a stall, in
+            seconds.
+    """
+
+    def __init__(
+        self, candidates: Sequence[TargetName], now: Seconds, minimum: float
+    ) -> None:
+        self.candidates = candidates
+        self.last_progress = now
+        self.interval = 0.0
+        self.minimum = minimum
+        self.gains = 0
+
+    def progress(self, now: Seconds) -> None:
+        """Note that a chunk of the class was gained."""
+        sample = now - self.last_progress
+        if self.gains == 1:
+            self.interval = sample
+        elif self.gains > 1:
+            self.interval += SMOOTHING * (sample - self.interval)
+        self.gains += 1
+        self.last_progress = now
+
+    def stall_time(self) -> float:
+        """Return the seconds without progress after which the next one draws."""
+        if self.gains < 2:
+            # The first chunk shares its link with all others' first ones.
+            return self.minimum * 3
+        return max(self.minimum, PATIENCE * self.interval)
+
+    def drawers(self, now: Seconds) -> Sequence[TargetName]:
+        """Return the candidates that may draw now, the latest one last."""
+        return self.candidates[: 1 + self.overdue(now)]
+
+    def overdue(self, now: Seconds) -> int:
+        """Return how many times over the class has stalled."""
+        return max(0, int((now - self.last_progress) / self.stall_time()))
+
+
+def slot_candidates(
+    key: str, members: Mapping[TargetName, DomainName], domain: DomainName
+) -> Sequence[TargetName]:
+    """Return a domain's members in their order for a class of chunks.
+
+    Args:
+        key: Names version and class.
+        members: Each member's failure domain.
+        domain: The domain whose members are ranked.
+    """
+    local = [target for target, where in members.items() if where == domain]
+    ranked = rendezvous_rank(f"{key}/{domain}", local)
+    return [TargetName(target) for target in ranked]
+
+
+def origin_candidates(
+    key: str, members: Mapping[TargetName, DomainName], domains: Iterable[DomainName]
+) -> Sequence[TargetName]:
+    """Return who draws a class of chunks from the origin, in order.
+
+    The first of each domain come first, in the domains' order for the key, then
+    the second ones, and so on: whoever draws from the origin also brings the
+    class into its own domain, and a lost domain does not take several
+    candidates in a row with it.
+
+    Args:
+        key: Names version and class.
+        members: Each member's failure domain.
+        domains: The domains that share one copy.
+    """
+    ranked = rendezvous_rank(key, domains)
+    columns = [slot_candidates(key, members, DomainName(name)) for name in ranked]
+    rows = zip_longest(*columns)
+    return [target for row in rows for target in row if target is not None]
--- /dev/null
+++ b/src/ridgecourse/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators."""
--- /dev/null
+++ b/src/ridgecourse/ctl/main.py
@@ -0,0 +1,32 @@
+"""Command ``ridgecourse-ctl``."""
+
+import sys
+
+from ridgecourse.ctl.arguments import make_parser
+from ridgecourse.ctl.client import AdminClient
+from ridgecourse.ctl.commands import Commands
+from ridgecourse.ctl.output import Output
+from ridgecourse.net.address import parse_address
+from ridgecourse.net.process import EXIT_OK, EXIT_USAGE
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run one verb; return the exit code."""
+    parser = make_parser()
+    parsed = parser.parse_args(arguments)
+    output = Output(parsed.json)
+    try:
+        address = str(parse_address(parsed.entry))
+    except ValueError as error:
+        output.error(f"--entry: {error}", "give the address of an entry")
+        return EXIT_USAGE
+    if parsed.check:
+        return EXIT_OK
+    if parsed.noun is None:
+        parser.print_help(sys.stderr)
+        return EXIT_USAGE
+    return Commands(AdminClient(address, parsed.token), output).run(parsed)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/ridgecourse/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: callers, administration and routing."""
--- /dev/null
+++ b/src/ridgecourse/entry/context.py
@@ -0,0 +1,40 @@
+"""What the parts of an entry share."""
+
+from random import Random
+
+from ridgecourse.core.ids import DomainName, Incarnation, ProcessName
+from ridgecourse.entry.settings import EntrySettings
+from ridgecourse.net.config_store import ConfigStore
+from ridgecourse.net.events import EventStream
+from ridgecourse.net.http import HttpClient
+from ridgecourse.net.metrics import Metrics
+from ridgecourse.net.process import new_incarnation
+from ridgecourse.platform.log import LogClient
+
+
+class EntryContext:
+    """Settings, identity, clients and configuration of one entry.
+
+    Attributes:
+        config: Its copy of the configuration.
+        random: Source of all random choices.
+        stopping: Set at a planned stop.
+    """
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self.settings = settings
+        self.process = ProcessName(settings.process)
+        self.domain = DomainName(settings.domain)
+        self.incarnation: Incarnation = new_incarnation()
+        self.events = EventStream(self.process, self.incarnation, self.domain)
+        self.metrics = Metrics(self.process, settings.statsd)
+        self.config = ConfigStore()
+        self.http = HttpClient()
+        self.log = LogClient(settings.log, self.http)
+        self.random = Random()
+        self.stopping = False
+
+    def close(self) -> None:
+        """Close idle connections and the metrics socket."""
+        self.http.close()
+        self.metrics.close()
--- /dev/null
+++ b/src/ridgecourse/entry/dispatch.py
@@ -0,0 +1,487 @@
+"""Callers' requests: routed, retried within a budget, answered with an outcome."""
+
+from collections.abc import Iterator
+from contextlib import closing
+from time import monotonic
+from typing import NamedTuple
+from uuid import uuid4
+
+from msgspec import DecodeError
+from msgspec.json import decode, encode
+from returns.result import Failure
+
+from ridgecourse.core.claim import Claim
+from ridgecourse.core.config import Target
+from ridgecourse.core.ids import AccountName, RequestId, Seconds, TargetName
+from ridgecourse.core.outcome import Outcome, Reason
+from ridgecourse.core.retry import RetryBudget
+from ridgecourse.core.routing import Router, TargetLoad
+from ridgecourse.entry.attempt import (
+    Attempter,
+    AttemptResult,
+    Lost,
+    Refused,
+    Streaming,
+    Whole,
+)
+from ridgecourse.entry.call import Call, CallFault, parse_call
+from ridgecourse.entry.claims import ClaimResult, ClaimWriter
+from ridgecourse.entry.context import EntryContext
+from ridgecourse.entry.links import AgentLinks, AgentView
+from ridgecourse.net.events import EventKind
+from ridgecourse.net.http import (
+    ExchangeFailed,
+    HeaderList,
+    HttpReply,
+    HttpRequest,
+    read_lines,
+)
+from ridgecourse.net.metrics import Metric
+from ridgecourse.wire.request import (
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    REQUEST_HEADER,
+    RETRY_AFTER_HEADER,
+    VERSION_HEADER,
+    StreamEnd,
+    TokenEvent,
+)
+
+MAX_LINE_BYTES = 64 * 1024
+MAX_ATTEMPTS = 4
+DEFAULT_RETRY_AFTER = 1.0
+"""Seconds told to a caller where nothing better is known."""
+MAX_TAKEOVERS = 3
+
+STATUS_OF_REASON = {
+    Reason.BAD_REQUEST: 400,
+    Reason.ACCOUNT_LIMIT: 429,
+    Reason.OVERLOADED: 429,
+    Reason.DEADLINE: 504,
+    Reason.DUPLICATE_KEY: 409,
+}
+
+
+class Chosen(NamedTuple):
+    """A target chosen for a try."""
+
+    target: Target
+    view: AgentView
+
+
+class Started(NamedTuple):
+    """A request that got an answer's beginning, and where."""
+
+    result: AttemptResult
+    chosen: Chosen | None
+
+
+class Dispatcher:
+    """Answers callers.
+
+    Attributes:
+        budget: Bounds retries over all requests of this entry.
+        in_flight: Requests in progress, by account.
+    """
+
+    def __init__(
+        self, context: EntryContext, links: AgentLinks, claims: ClaimWriter
+    ) -> None:
+        self.context = context
+        self.links = links
+        self.claims = claims
+        self.attempter = Attempter(context)
+        self.router = Router(context.domain, context.random)
+        self.budget = RetryBudget(context.settings.retry_ratio)
+        self.in_flight: dict[AccountName, int] = {}
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self.attempter.close()
+
+    def total_in_flight(self) -> int:
+        """Return the requests in progress."""
+        return sum(self.in_flight.values())
+
+    def handle(self, request: HttpRequest) -> HttpReply:
+        """Answer a caller's request."""
+        parsed = parse_call(request, self.context.config.state, monotonic())
+        if isinstance(parsed, Failure):
+            return self._fault(parsed.failure())
+        call = parsed.unwrap()
+        self.context.metrics.count(Metric.REQUESTS)
+        if self.context.stopping:
+            return self._not_run(call, Refused(Reason.STOPPING, DEFAULT_RETRY_AFTER))
+        running = self.in_flight.get(call.account.account, 0)
+        if call.account.max_in_flight and running >= call.account.max_in_flight:
+            refused = Refused(Reason.ACCOUNT_LIMIT, DEFAULT_RETRY_AFTER)
+            return self._not_run(call, refused)
+        self._count(call, +1)
+        streaming = False
+        try:
+            self.budget.record_request()
+            reply = self._answer(call)
+            streaming = not isinstance(reply.body, bytes)
+            return reply
+        finally:
+            if not streaming:
+                self._count(call, -1)
+
+    def _count(self, call: Call, change: int) -> None:
+        account = call.account.account
+        self.in_flight[account] = self.in_flight.get(account, 0) + change
+        self.context.metrics.gauge(Metric.IN_FLIGHT, self.total_in_flight())
+
+    def _answer(self, call: Call) -> HttpReply:
+        if call.key is not None:
+            return self._answer_keyed(call)
+        return self._reply(call, self._try_targets(call, call.request_id))
+
+    def _reply(self, call: Call, started: Started) -> HttpReply:
+        result = started.result
+        if isinstance(result, Refused):
+            return self._not_run(call, result)
+        if isinstance(result, Lost):
+            return self._unknown(call, result)
+        if isinstance(result, Whole):
+            return self._whole(call, result)
+        assert started.chosen is not None
+        headers = [
+            *self._headers(call),
+            ("Content-Type", "application/x-ndjson"),
+            (VERSION_HEADER, result.version),
+        ]
+        return HttpReply(200, self._relay(call, result, started.chosen), headers)
+
+    # Choosing and trying targets.
+
+    def _candidates(self, call: Call, tried: set[TargetName]) -> Iterator[Chosen]:
+        """Yield the targets that may serve a request, as far as known here."""
+        now = monotonic()
+        service = call.service
+        targets = self.context.config.state.service_targets(
+            service.fleet, service.service
+        )
+        for target in targets:
+            if target.leaving or target.target in tried:
+                continue
+            view = self.links.view(target)
+            report = view.fresh_report(now)
+            if report is not None and not report.ready:
+                continue
+            yield Chosen(target, view)
+
+    def choose(
+        self, call: Call, tried: set[TargetName], keyed: bool = False
+    ) -> Chosen | None:
+        """Return the target for the next try."""
+        now = Seconds(monotonic())
+        chosen = {
+            candidate.target.target: candidate
+            for candidate in self._candidates(call, tried)
+            if not keyed or candidate.view.incarnation is not None
+        }
+        reported = {
+            name: candidate
+            for name, candidate in chosen.items()
+            if candidate.view.fresh_report(now) is not None
+        }
+        own = [c for c in reported.values() if c.target.domain == self.context.domain]
+        if own:
+            # Those of the own domain that do not report are likely gone.
+            chosen = {
+                name: candidate
+                for name, candidate in chosen.items()
+                if name in reported or candidate.target.domain != self.context.domain
+            }
+        loads: list[TargetLoad] = [c.view.load for c in chosen.values()]
+        load = self.router.choose(loads, call.service.traffic, call.affinity(), now)
+        return None if load is None else chosen[load.target]
+
+    def _try_targets(
+        self,
+        call: Call,
+        request_id: RequestId,
+        start_at: int = 0,
+        version: str = "",
+        tried: set[TargetName] | None = None,
+    ) -> Started:
+        """Try targets until one answers, within attempts, budget and deadline.
+
+        A refusal proves that nothing ran, so any request may go on to another
+        target; after a loss only a repeatable one may.
+        """
+        tried = set() if tried is None else tried
+        last: AttemptResult = Refused(Reason.NO_TARGET, DEFAULT_RETRY_AFTER)
+        for attempt in range(MAX_ATTEMPTS):
+            chosen = self.choose(call, tried)
+            if chosen is None or (attempt and not self._may_retry(call, last)):
+                return Started(last, None)
+            tried.add(chosen.target.target)
+            last = self._try_one(call, chosen, request_id, start_at, version)
+            if isinstance(last, (Whole, Streaming)):
+                return Started(last, chosen)
+        return Started(last, None)
+
+    def _may_retry(self, call: Call, last: AttemptResult) -> bool:
+        if isinstance(last, Lost) and not call.repeatable:
+            return False
+        if isinstance(last, Refused) and last.reason is Reason.BAD_REQUEST:
+            return False
+        if monotonic() >= call.deadline or not self.budget.take_retry():
+            return False
+        self.context.metrics.count(Metric.RETRIES)
+        self.context.events.emit(EventKind.REQUEST_RETRIED, request=call.request_id)
+        return True
+
+    def _try_one(
+        self,
+        call: Call,
+        chosen: Chosen,
+        request_id: RequestId,
+        start_at: int = 0,
+        version: str = "",
+    ) -> AttemptResult:
+        target, view = chosen
+        self.context.events.emit(
+            EventKind.REQUEST_DISPATCHED, request=request_id, target=target.target
+        )
+        begun = monotonic()
+        view.load.outstanding += 1
+        result = self.attempter.send(call, target, view, request_id, start_at, version)
+        if isinstance(result, Streaming):
+            return result
+        view.load.outstanding -= 1
+        now = Seconds(monotonic())
+        if isinstance(result, Whole):
+            view.load.succeeded(now - begun)
+        elif isinstance(result, Lost) or result.blame:
+            self._blame(view, target, now)
+        return result
+
+    def _blame(self, view: AgentView, target: Target, now: Seconds) -> None:
+        view.load.failed(now)
+        if view.load.ejected(now):
+            self.context.events.emit(EventKind.TARGET_EJECTED, target=target.target)
+
+    # Streams.
+
+    def _relay(self, call: Call, first: Streaming, chosen: Chosen) -> Iterator[bytes]:
+        """Yield the answer's lines, resumed elsewhere if its target is lost.
+
+        The answer ends with an event that tells its outcome; without it the
+        caller knows that the answer is not whole.
+        """
+        tried = {chosen.target.target}
+        streaming, count = first, 0
+        begun = monotonic()
+        ended = False
+        try:
+            while True:
+                for event in self._events(streaming, chosen, count, begun):
+                    if event.end is StreamEnd.DONE:
+                        ended = True
+                        yield self._last(call, Outcome.COMPLETED, count, first.version)
+                        return
+                    count += 1
+                    yield encode(event) + b"\n"
+                resumed = self._resume(call, tried, count, first.version)
+                if resumed is None:
+                    break
+                streaming, chosen = resumed
+                tried.add(chosen.target.target)
+            ended = True
+            yield self._last(call, Outcome.UNKNOWN, count, first.version)
+        finally:
+            self._count(call, -1)
+            if not ended:
+                self._note_end(call, Outcome.UNKNOWN, Reason.TARGET_LOST)
+
+    def _events(
+        self, streaming: Streaming, chosen: Chosen, count: int, begun: float
+    ) -> Iterator[TokenEvent]:
+        """Yield one target's events in order; end early where it is lost."""
+        load = chosen.view.load
+        expected = count
+        whole = False
+        try:
+            with closing(streaming.response) as response:
+                for line in read_lines(response, MAX_LINE_BYTES):
+                    event = decode(line, type=TokenEvent)
+                    if event.end is StreamEnd.DONE:
+                        whole = event.count == expected
+                        if whole:
+                            yield event
+                        return
+                    if event.end is not None or event.seq != expected:
+                        return
+                    expected += 1
+                    yield event
+        except (ExchangeFailed, DecodeError):
+            whole = False
+        finally:
+            load.outstanding -= 1
+            now = Seconds(monotonic())
+            tokens = max(1, expected - count)
+            if whole:
+                load.succeeded((now - begun) / tokens)
+            else:
+                self._blame(chosen.view, chosen.target, now)
+
+    def _resume(
+        self, call: Call, tried: set[TargetName], count: int, version: str
+    ) -> tuple[Streaming, Chosen] | None:
+        """Continue a repeatable stream elsewhere, on the same version."""
+        if not self._may_retry(call, Lost(Reason.TARGET_LOST, "")):
+            return None
+        started = self._try_targets(call, call.request_id, count, version, tried)
+        if isinstance(started.result, Streaming) and started.chosen is not None:
+            return started.result, started.chosen
+        return None
+
+    def _last(self, call: Call, outcome: Outcome, count: int, version: str) -> bytes:
+        reason = Reason.ADMITTED if outcome is Outcome.COMPLETED else Reason.TARGET_LOST
+        self._note_end(call, outcome, reason)
+        end = StreamEnd.DONE if outcome is Outcome.COMPLETED else StreamEnd.FAILED
+        event = TokenEvent(
+            end=end,
+            count=count,
+            version=version,
+            outcome=outcome.value,
+            reason=reason.value,
+        )
+        return encode(event) + b"\n"
+
+    # Requests under an idempotency key.
+
+    def _answer_keyed(self, call: Call) -> HttpReply:
+        """Claim the key in the log, then dispatch at most once."""
+        assert call.key is not None
+        replaces: RequestId | None = None
+        for _ in range(MAX_TAKEOVERS):
+            chosen = self.choose(call, set(), keyed=True)
+            if chosen is None:
+                refused = Refused(Reason.NO_TARGET, DEFAULT_RETRY_AFTER)
+                return self._not_run(call, refused)
+            claim = self._make_claim(call, chosen, replaces)
+            left = call.deadline - monotonic()
+            seconds = min(self.context.settings.claim_seconds, left)
+            result, holder = self.claims.claim(claim, seconds)
+            if result is ClaimResult.NO_LOG:
+                return self._not_run(call, Refused(Reason.NO_LOG, DEFAULT_RETRY_AFTER))
+            self.context.events.emit(
+                EventKind.KEY_CLAIMED, request=claim.request_id, result=result.value
+            )
+            if result is ClaimResult.WON:
+                return self._dispatch_claimed(call, chosen, claim)
+            assert holder is not None
+            settled = self._settle(call, holder)
+            if settled is not None:
+                return settled
+            replaces = holder.request_id
+        return self._unknown(call, Lost(Reason.DUPLICATE_KEY, "others hold the key"))
+
+    def _make_claim(
+        self, call: Call, chosen: Chosen, replaces: RequestId | None
+    ) -> Claim:
+        assert call.key is not None and chosen.view.incarnation is not None
+        return Claim(
+            call.service.fleet,
+            call.account.account,
+            call.key,
+            RequestId(uuid4().hex),
+            chosen.target.target,
+            chosen.view.incarnation,
+            replaces,
+        )
+
+    def _dispatch_claimed(self, call: Call, chosen: Chosen, claim: Claim) -> HttpReply:
+        """Dispatch the one request that holds its key."""
+        result = self._try_one(call, chosen, claim.request_id)
+        return self._reply(call, Started(result, chosen))
+
+    def _settle(self, call: Call, holder: Claim) -> HttpReply | None:
+        """Answer from the request that holds the key.
+
+        Returns:
+            The reply; None if that request was not started and now never will
+            be, so that the key may be taken over.
+        """
+        targets = self.context.config.state.targets
+        target = targets.get((holder.fleet, holder.target))
+        reply = None
+        if target is not None:
+            reply = self.attempter.fence(target, holder.request_id, holder.incarnation)
+        if reply is None or not reply.known:
+            detail = "the request that holds the key cannot be asked after"
+            return self._unknown(call, Lost(Reason.DUPLICATE_KEY, detail))
+        if not reply.started:
+            return None
+        if reply.answer is None:
+            detail = "the request that holds the key was started"
+            return self._unknown(call, Lost(Reason.DUPLICATE_KEY, detail))
+        return self._kept(call, reply.answer, reply.version)
+
+    def _kept(self, call: Call, answer: bytes, version: str) -> HttpReply:
+        """Answer with what the first request under the key was answered."""
+        if not version:
+            return self._whole(call, Whole(200, answer))
+        *tokens, _ = answer.split(b"\n")
+        last = self._last(call, Outcome.COMPLETED, len(tokens), version)
+        body = b"".join(line + b"\n" for line in tokens) + last
+        return HttpReply(200, body, self._headers(call, Outcome.COMPLETED))
+
+    # Replies.
+
+    def _headers(self, call: Call, outcome: Outcome | None = None) -> HeaderList:
+        headers = [(REQUEST_HEADER, str(call.request_id))]
+        if outcome is not None:
+            headers.append((OUTCOME_HEADER, outcome.value))
+        return headers
+
+    def _note_end(self, call: Call, outcome: Outcome, reason: Reason) -> None:
+        metric = {
+            Outcome.COMPLETED: Metric.COMPLETED,
+            Outcome.NOT_RUN: Metric.NOT_RUN,
+            Outcome.UNKNOWN: Metric.UNKNOWN,
+        }[outcome]
+        self.context.metrics.count(metric)
+        self.context.events.emit(
+            EventKind.REQUEST_ENDED,
+            request=call.request_id,
+            outcome=outcome.value,
+            reason=reason.value,
+        )
+
+    def _whole(self, call: Call, result: Whole) -> HttpReply:
+        self._note_end(call, Outcome.COMPLETED, Reason.ADMITTED)
+        headers = self._headers(call, Outcome.COMPLETED)
+        return HttpReply(result.status, result.body, headers)
+
+    def _not_run(self, call: Call, refused: Refused) -> HttpReply:
+        self._note_end(call, Outcome.NOT_RUN, refused.reason)
+        status = STATUS_OF_REASON.get(refused.reason, 503)
+        headers = self._headers(call, Outcome.NOT_RUN)
+        headers.append((REASON_HEADER, refused.reason.value))
+        after = refused.retry_after or DEFAULT_RETRY_AFTER
+        headers.append((RETRY_AFTER_HEADER, str(max(1, round(after)))))
+        return HttpReply(status, f"not run: {refused.reason.value}\n".encode(), headers)
+
+    def _unknown(self, call: Call, lost: Lost) -> HttpReply:
+        self._note_end(call, Outcome.UNKNOWN, lost.reason)
+        status = 409 if lost.reason is Reason.DUPLICATE_KEY else 502
+        headers = self._headers(call, Outcome.UNKNOWN)
+        headers.append((REASON_HEADER, lost.reason.value))
+        headers.append((RETRY_AFTER_HEADER, str(round(DEFAULT_RETRY_AFTER))))
+        return HttpReply(status, f"unknown: {lost.detail}\n".encode(), headers)
+
+    def _fault(self, fault: CallFault) -> HttpReply:
+        self.context.metrics.count(Metric.BAD_INPUT)
+        self.context.events.emit(
+            EventKind.REQUEST_REFUSED, reason=fault.reason.value, detail=fault.detail
+        )
+        headers = [
+            (OUTCOME_HEADER, Outcome.NOT_RUN.value),
+            (REASON_HEADER, fault.reason.value),
+        ]
+        return HttpReply(fault.status, f"{fault.detail}\n".encode(), headers)
--- /dev/null
+++ b/src/ridgecourse/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, HTTP, websockets, events, metrics and settings."""
--- /dev/null
+++ b/src/ridgecourse/net/address.py
@@ -0,0 +1,38 @@
+"""Socket addresses, written HOST:PORT with a numeric host."""
+
+from ipaddress import ip_address
+from typing import Annotated, NamedTuple
+
+from pydantic import AfterValidator
+
+
+class Address(NamedTuple):
+    """A numeric host and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Return the address that a text names.
+
+    Raises:
+        ValueError: The text is not HOST:PORT with a numeric host.
+    """
+    host, separator, port = text.rpartition(":")
+    if not separator or not port.isdecimal() or int(port) > 65535:
+        raise ValueError(f"expected HOST:PORT, found {text!r}")
+    ip_address(host.strip("[]"))
+    return Address(host.strip("[]"), int(port))
+
+
+def _check_address(text: str) -> str:
+    parse_address(text)
+    return text
+
+
+AddressText = Annotated[str, AfterValidator(_check_address)]
+"""Type of a settings value that is an address."""
--- /dev/null
+++ b/src/ridgecourse/net/events.py
@@ -0,0 +1,143 @@
+"""Typed events: what a process did, as JSON lines on standard output.
+
+Each event carries a Lamport clock, so that ``ridgecourse-timeline`` can merge
+the streams of all processes in causal order without trusting their clocks.
+"""
+
+import sys
+from enum import Enum
+from time import monotonic, time
+from typing import Any, TextIO
+
+from msgspec import Struct
+from msgspec.json import encode
+
+from ridgecourse.core.ids import DomainName, Incarnation, ProcessName
+
+
+class EventKind(Enum):
+    """Everything that a process reports."""
+
+    STARTED = "started"
+    STOPPING = "stopping"
+    STOPPED = "stopped"
+    READY = "ready"
+    CONFIG_FOLDED = "config-folded"
+    CONFIG_FROM_PEER = "config-from-peer"
+    CHANGE_DECIDED = "change-decided"
+    CHECKPOINT_WRITTEN = "checkpoint-written"
+    LOG_LOST = "log-lost"
+    LOG_BACK = "log-back"
+    REQUEST_DISPATCHED = "request-dispatched"
+    REQUEST_RETRIED = "request-retried"
+    REQUEST_ENDED = "request-ended"
+    REQUEST_REFUSED = "request-refused"
+    REQUEST_ADMITTED = "request-admitted"
+    KEY_CLAIMED = "key-claimed"
+    KEY_FENCED = "key-fenced"
+    TARGET_EJECTED = "target-ejected"
+    TARGET_LEAVING = "target-leaving"
+    ROLLOUT_STARTED = "rollout-started"
+    ROLLOUT_DROPPED = "rollout-dropped"
+    ROLLOUT_FAILED = "rollout-failed"
+    CHUNK_REJECTED = "chunk-rejected"
+    VERSION_COMPLETE = "version-complete"
+    VERSION_LOADED = "version-loaded"
+    VERSION_SERVING = "version-serving"
+    LEASE_GRANTED = "lease-granted"
+    ORDER_REFUSED = "order-refused"
+    BAD_INPUT = "bad-input"
+
+
+class Event(Struct, omit_defaults=True):
+    """One event.
+
+    Attributes:
+        kind: What happened.
+        process: Where.
+        incarnation: The process's life.
+        domain: The process's failure domain.
+        seq: Position in the process's own stream, from 0.
+        clock: Lamport clock.
+        mono: Monotonic time of the process, in seconds.
+        wall: Time of day, in seconds since 1970.
+        request: Request it is about.
+        change: Change of configuration it is about.
+        target: Target it is about.
+        version: Root digest it is about.
+        offset: Offset of the log it is about.
+        detail: Further values by name.
+    """
+
+    kind: EventKind
+    process: ProcessName
+    incarnation: Incarnation
+    domain: DomainName
+    seq: int
+    clock: int
+    mono: float
+    wall: float
+    request: str = ""
+    change: str = ""
+    target: str = ""
+    version: str = ""
+    offset: int = -1
+    detail: dict[str, Any] = {}
+
+
+class EventStream:
+    """Writes a process's events.
+
+    Attributes:
+        clock: The process's Lamport clock.
+    """
+
+    def __init__(
+        self,
+        process: ProcessName,
+        incarnation: Incarnation,
+        domain: DomainName,
+        output: TextIO | None = None,
+    ) -> None:
+        self.process = process
+        self.incarnation = incarnation
+        self.domain = domain
+        self.output = output or sys.stdout
+        self.clock = 0
+        self.seq = 0
+
+    def merge(self, clock: int) -> None:
+        """Take in the clock of a received message."""
+        self.clock = max(self.clock, clock)
+
+    def emit(
+        self,
+        kind: EventKind,
+        request: str = "",
+        change: str = "",
+        target: str = "",
+        version: str = "",
+        offset: int = -1,
+        **detail: Any,
+    ) -> None:
+        """Write an event; see ``Event`` for the arguments."""
+        self.clock += 1
+        event = Event(
+            kind,
+            self.process,
+            self.incarnation,
+            self.domain,
+            self.seq,
+            self.clock,
+            monotonic(),
+            time(),
+            request,
+            change,
+            target,
+            version,
+            offset,
+            detail,
+        )
+        self.seq += 1
+        self.output.write(encode(event).decode() + "\n")
+        self.output.flush()
--- /dev/null
+++ b/src/ridgecourse/net/metrics.py
@@ -0,0 +1,63 @@
+"""Metrics by ``statsd``; without an address they cost nothing.
+
+Every name stands in ``Metric``, and docs/OPERATIONS.md lists them.
+"""
+
+from enum import Enum
+
+from statsd import StatsClient
+
+from ridgecourse.core.ids import ProcessName
+from ridgecourse.net.address import parse_address
+
+
+class Metric(Enum):
+    """The names of all metrics, below ``ridgecourse.PROCESS``."""
+
+    REQUESTS = "requests"
+    COMPLETED = "requests.completed"
+    NOT_RUN = "requests.not_run"
+    UNKNOWN = "requests.unknown"
+    RETRIES = "requests.retries"
+    REQUEST_TIME = "requests.time"
+    IN_FLIGHT = "requests.in_flight"
+    QUEUE_LENGTH = "queue.length"
+    CONFIG_OFFSET = "config.offset"
+    LOG_FAILURES = "log.failures"
+    CHUNKS_FETCHED = "chunks.fetched"
+    CHUNKS_REJECTED = "chunks.rejected"
+    BYTES_FROM_ORIGIN = "bytes.from_origin"
+    BYTES_ACROSS_DOMAINS = "bytes.across_domains"
+    BYTES_UPLOADED = "bytes.uploaded"
+    BAD_INPUT = "bad_input"
+
+
+class Metrics:
+    """Sends metrics over UDP."""
+
+    def __init__(self, process: ProcessName, address: str | None) -> None:
+        self.client: StatsClient | None = None
+        if address is not None:
+            host, port = parse_address(address)
+            prefix = f"ridgecourse.{process}"
+            self.client = StatsClient(host, port, prefix=prefix)
+
+    def count(self, metric: Metric, value: int = 1) -> None:
+        """Add to a counter."""
+        if self.client is not None:
+            self.client.incr(metric.value, value)
+
+    def gauge(self, metric: Metric, value: float) -> None:
+        """Set a gauge."""
+        if self.client is not None:
+            self.client.gauge(metric.value, value)
+
+    def time(self, metric: Metric, seconds: float) -> None:
+        """Record a span."""
+        if self.client is not None:
+            self.client.timing(metric.value, seconds * 1000.0)
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self.client is not None:
+            self.client.close()
--- /dev/null
+++ b/src/ridgecourse/net/websocket.py
@@ -0,0 +1,191 @@
+"""Control connections: typed CBOR messages over websockets."""
+
+import logging
+from collections.abc import Callable, Iterator
+from contextlib import suppress
+from typing import Any
+
+import eventlet
+from returns.result import Failure, Result
+from websockets.exceptions import ConnectionClosed, InvalidHandshake, InvalidURI
+from websockets.sync.client import connect
+from websockets.sync.connection import Connection
+from websockets.sync.server import ServerConnection, serve
+
+from ridgecourse.net.address import Address
+from ridgecourse.net.auth import AUTH_HEADER, sign_request, verify_request
+from ridgecourse.wire.codec import DecodeFailure, decode_message, encode_message
+from ridgecourse.wire.control import MAX_CONTROL_BYTES, ControlMessage
+
+logger = logging.getLogger(__name__)
+
+CONTROL_PATH = "/control"
+KEEPALIVE_SECONDS = 5.0
+OPEN_SECONDS = 2.0
+
+
+class ChannelClosed(Exception):
+    """The connection is gone, or sent what is no message."""
+
+
+class ControlChannel:
+    """One control connection.
+
+    Attributes:
+        sent: Bytes of messages sent.
+        received: Bytes of messages received.
+    """
+
+    def __init__(self, connection: Connection) -> None:
+        self.connection = connection
+        self.sent = 0
+        self.received = 0
+
+    def send(self, message: ControlMessage) -> None:
+        """Send a message.
+
+        Raises:
+            ChannelClosed: The connection is gone.
+        """
+        data = encode_message(message)
+        self.sent += len(data)
+        try:
+            self.connection.send(data)
+        except (ConnectionClosed, OSError) as error:
+            raise ChannelClosed(str(error)) from error
+
+    def receive(self, expected: Any, timeout: float | None = None) -> Any:
+        """Return the next message, or None when the time is up.
+
+        Args:
+            expected: The message class, or a union of them.
+            timeout: Longest wait in seconds.
+
+        Raises:
+            ChannelClosed: The connection is gone, or what came is no message
+                of an expected type; then it is closed.
+        """
+        try:
+            data = self.connection.recv(timeout)
+        except TimeoutError:
+            return None
+        except (ConnectionClosed, OSError) as error:
+            raise ChannelClosed(str(error)) from error
+        self.received += len(data)
+        decoded = self.decode(data, expected)
+        if isinstance(decoded, Failure):
+            self.close()
+            raise ChannelClosed(f"bad message: {decoded.failure()}")
+        return decoded.unwrap()
+
+    def decode(self, data: bytes | str, expected: Any) -> Result[Any, DecodeFailure]:
+        """Decode what came in; text is no message."""
+        if isinstance(data, str):
+            return Failure(DecodeFailure("text, expected CBOR"))
+        return decode_message(data, expected)
+
+    def messages(self, expected: Any) -> Iterator[Any]:
+        """Yield messages until the connection is gone."""
+        while True:
+            yield self.receive(expected)
+
+    def close(self) -> None:
+        """Close the connection without waiting for the other side."""
+        with suppress(Exception):
+            self.connection.close_timeout = 0.2
+            self.connection.close()
+
+
+def open_channel(address: str, key: str) -> ControlChannel:
+    """Connect to a process's control server.
+
+    Args:
+        address: HOST:PORT.
+        key: The key shared by the processes of the system.
+
+    Raises:
+        ChannelClosed: No connection could be made, or it was refused.
+    """
+    header = sign_request(key, "GET", CONTROL_PATH)
+    try:
+        connection = connect(
+            f"ws://{address}{CONTROL_PATH}",
+            additional_headers={AUTH_HEADER: header},
+            open_timeout=OPEN_SECONDS,
+            ping_interval=KEEPALIVE_SECONDS,
+            ping_timeout=KEEPALIVE_SECONDS,
+            close_timeout=0.5,
+            max_size=MAX_CONTROL_BYTES,
+            compression=None,
+            proxy=None,
+        )
+    except (OSError, InvalidHandshake, InvalidURI, ConnectionClosed, EOFError) as error:
+        raise ChannelClosed(f"{address}: {error}") from error
+    return ControlChannel(connection)
+
+
+class ControlServer:
+    """Accepts control connections.
+
+    Attributes:
+        address: Where it listens; the port is the real one after ``start``.
+    """
+
+    def __init__(
+        self, address: Address, key: str, handler: Callable[[ControlChannel], None]
+    ) -> None:
+        self.address = address
+        self.key = key
+        self.handler = handler
+        self.refused = 0
+        self.channels: set[ControlChannel] = set()
+        self.server: Any = None
+        self.thread: Any = None
+
+    def start(self) -> None:
+        """Listen and begin to accept.
+
+        Raises:
+            OSError: The address cannot be listened on.
+        """
+        self.server = serve(
+            self._serve,
+            self.address.host,
+            self.address.port,
+            process_request=self._check,
+            open_timeout=OPEN_SECONDS,
+            ping_interval=KEEPALIVE_SECONDS,
+            ping_timeout=KEEPALIVE_SECONDS,
+            close_timeout=0.5,
+            max_size=MAX_CONTROL_BYTES,
+            compression=None,
+        )
+        self.address = Address(*self.server.socket.getsockname()[:2])
+        self.thread = eventlet.spawn(self.server.serve_forever)
+
+    def _check(self, connection: ServerConnection, request: Any) -> Any:
+        header = request.headers.get(AUTH_HEADER, "")
+        if verify_request(self.key, header, "GET", request.path):
+            return None
+        self.refused += 1
+        return connection.respond(401, "no valid proof of the shared key\n")
+
+    def _serve(self, connection: ServerConnection) -> None:
+        channel = ControlChannel(connection)
+        self.channels.add(channel)
+        try:
+            self.handler(channel)
+        except ChannelClosed as error:
+            logger.debug("control connection ended: %s", error)
+        finally:
+            self.channels.discard(channel)
+            channel.close()
+
+    def close(self) -> None:
+        """Stop listening and close all connections."""
+        if self.server is not None:
+            self.server.shutdown()
+        for channel in list(self.channels):
+            channel.close()
+        if self.thread is not None:
+            self.thread.kill()
--- /dev/null
+++ b/src/ridgecourse/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: log service, weight origin, engine."""
--- /dev/null
+++ b/src/ridgecourse/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""The merged time line of all processes."""
--- /dev/null
+++ b/src/ridgecourse/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between processes, their codecs and the administration schema."""
--- /dev/null
+++ b/src/ridgecourse_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems outside ridgecourse, for the demo, tests and benchmarks."""
--- /dev/null
+++ b/src/ridgecourse_standins/engine.py
@@ -0,0 +1,268 @@
+"""Stand-in of a model engine; docs/ENGINE.md has its protocol."""
+
+import eventlet
+
+eventlet.monkey_patch()
+
+import sys  # noqa: E402
+from collections import OrderedDict  # noqa: E402
+from collections.abc import Iterator  # noqa: E402
+from contextlib import suppress  # noqa: E402
+from time import monotonic  # noqa: E402
+
+from msgspec import DecodeError, Struct  # noqa: E402
+from msgspec.json import decode, encode  # noqa: E402
+from returns.result import Failure  # noqa: E402
+
+from ridgecourse.core.manifest import chunk_digest, parse_manifest  # noqa: E402
+from ridgecourse.net.broadcast import Broadcast  # noqa: E402
+from ridgecourse.net.http import (  # noqa: E402
+    ExchangeFailed,
+    HttpClient,
+    HttpReply,
+    HttpRequest,
+    HttpRouter,
+    NoConnection,
+)
+from ridgecourse.platform.engine import (  # noqa: E402
+    ActivateOrder,
+    EngineState,
+    GenerateOrder,
+    LoadOrder,
+)
+from ridgecourse.wire.request import StreamEnd, TokenEvent  # noqa: E402
+from ridgecourse_standins.oracle import Weights, join_files  # noqa: E402
+from ridgecourse_standins.service import (  # noqa: E402
+    Faults,
+    json_reply,
+    make_parser,
+    serve,
+)
+
+MAX_BODY_BYTES = 8 * 1024 * 1024
+DEFAULT_TOKENS = 16
+CACHED_PREFIXES = 32
+PREFIX_LENGTH = 64
+PREFILL_STEPS = 2
+STEP_GROWTH = 0.01
+"""Share by which a step takes longer for each further request in the batch."""
+
+
+class Prompt(Struct):
+    """A caller's body, as this engine understands it."""
+
+    prompt: str
+    max_tokens: int = DEFAULT_TOKENS
+
+
+class Execution(Struct):
+    """A request that the engine started."""
+
+    request_id: str
+    prompt: str
+    root: str
+    start_at: int
+    tokens: int = 0
+    whole: bool = False
+
+
+class Engine:
+    """Batches requests in steps; every step gives each of them one token.
+
+    Faults: ``step_seconds`` sets the length of a step, ``fail_after`` breaks
+    streams off after that many tokens, ``refuse_load`` refuses orders to load.
+    """
+
+    def __init__(self, slots: int, step_seconds: float, fenced: bool) -> None:
+        self.slots = slots
+        self.fenced = fenced
+        self.faults = Faults(
+            step_seconds=step_seconds, fail_after=-1, refuse_load=False, down=False
+        )
+        self.active = ""
+        self.loaded: dict[str, Weights] = {}
+        self.token = -1
+        self.orders: list[tuple[str, int, str]] = []
+        self.running: dict[str, Execution] = {}
+        self.cancelled: set[str] = set()
+        self.executions: list[Execution] = []
+        self.prefixes: OrderedDict[str, None] = OrderedDict()
+        self.step = Broadcast()
+        self.http = HttpClient()
+        self.router = HttpRouter()
+        self.router.add("GET", "/v1/state", self.state)
+        self.router.add("POST", "/v1/load", self.load)
+        self.router.add("POST", "/v1/activate", self.activate)
+        self.router.add("POST", "/v1/generate", self.generate)
+        self.router.add("POST", "/v1/cancel", self.cancel)
+        self.router.add("GET", "/executions", self.list_executions)
+        self.router.add("POST", "/faults", self.faults.set)
+
+    def start(self) -> None:
+        """Begin to step."""
+        eventlet.spawn(self._step)
+
+    def _step(self) -> None:
+        while True:
+            growth = 1 + STEP_GROWTH * max(0, len(self.running) - 1)
+            eventlet.sleep(self.faults.step_seconds * growth)
+            self.step.notify()
+
+    def state(self, request: HttpRequest) -> HttpReply:
+        """Tell what is served and loaded."""
+        if self.faults.down:
+            return HttpReply(503)
+        state = EngineState(
+            self.active, tuple(self.loaded), self.token, len(self.running)
+        )
+        return json_reply(state)
+
+    def _accept_token(self, token: int) -> bool:
+        """Tell whether an order may be carried out."""
+        if self.fenced and token < self.token:
+            return False
+        self.token = max(self.token, token)
+        return True
+
+    def load(self, request: HttpRequest) -> HttpReply:
+        """Fetch and verify a version; what is served stays as it is."""
+        order = decode(request.read_body(MAX_BODY_BYTES), type=LoadOrder)
+        if not self._accept_token(order.token):
+            return HttpReply(409, b"old token\n")
+        if self.faults.refuse_load:
+            return HttpReply(503, b"no memory\n")
+        try:
+            weights = self._fetch(order)
+        except (NoConnection, ExchangeFailed, ValueError) as error:
+            return HttpReply(503, f"{error}\n".encode())
+        self.loaded = {
+            root: held for root, held in self.loaded.items() if root == self.active
+        }
+        self.loaded[order.root] = weights
+        self.orders.append(("load", order.token, order.root))
+        return json_reply({"loaded": order.root})
+
+    def _fetch(self, order: LoadOrder) -> Weights:
+        parsed = parse_manifest(self._get(order, f"manifest/{order.root}"), order.root)
+        if isinstance(parsed, Failure):
+            raise ValueError(f"bad manifest: {parsed.failure()}")
+        chunks = {}
+        for place in parsed.unwrap().unique_chunks():
+            data = self._get(order, f"chunk/{place.digest}")
+            if chunk_digest(data) != place.digest:
+                raise ValueError(f"bad chunk {place.digest}")
+            chunks[place.digest] = data
+        return Weights(join_files(parsed.unwrap().chunk_places(), chunks))
+
+    def _get(self, order: LoadOrder, path: str) -> bytes:
+        status, data, _ = self.http.fetch(
+            "GET",
+            order.source,
+            f"/engine/{path}",
+            headers={"Ridgecourse-Ticket": order.ticket},
+        )
+        if status != 200:
+            raise ValueError(f"{path}: status {status}")
+        return data
+
+    def activate(self, request: HttpRequest) -> HttpReply:
+        """Serve a loaded version to all requests that start from now on."""
+        order = decode(request.read_body(MAX_BODY_BYTES), type=ActivateOrder)
+        if not self._accept_token(order.token):
+            return HttpReply(409, b"old token\n")
+        if order.root not in self.loaded:
+            return HttpReply(409, b"not loaded\n")
+        self.active = order.root
+        self.orders.append(("activate", order.token, order.root))
+        return json_reply({"active": self.active})
+
+    def generate(self, request: HttpRequest) -> HttpReply:
+        """Start a request, or tell that it was not started."""
+        try:
+            order = decode(request.read_body(MAX_BODY_BYTES), type=GenerateOrder)
+            prompt = decode(order.body, type=Prompt)
+        except DecodeError as error:
+            return HttpReply(400, f"{error}\n".encode())
+        if self.faults.down:
+            return HttpReply(503)
+        if not self.active or order.expect != self.active:
+            return HttpReply(409, b"another version is served\n")
+        if len(self.running) >= self.slots:
+            return HttpReply(429)
+        execution = Execution(
+            order.request_id, prompt.prompt, self.active, order.start_at
+        )
+        self.executions.append(execution)
+        # The stream keeps the weights that it started with.
+        weights = self.loaded[self.active]
+        self.running[order.request_id] = execution
+        lines = self._stream(execution, weights, prompt)
+        return HttpReply(200, lines, [("Content-Type", "application/x-ndjson")])
+
+    def _stream(
+        self, execution: Execution, weights: Weights, prompt: Prompt
+    ) -> Iterator[bytes]:
+        try:
+            for _ in range(self._prefill_steps(prompt.prompt)):
+                self.step.wait()
+            for index in range(execution.start_at, prompt.max_tokens):
+                self.step.wait()
+                if self._broken(execution):
+                    return
+                token = weights.token(prompt.prompt, index)
+                execution.tokens += 1
+                yield encode(TokenEvent(index, token)) + b"\n"
+            execution.whole = True
+            end = TokenEvent(
+                end=StreamEnd.DONE, count=prompt.max_tokens, version=execution.root
+            )
+            yield encode(end) + b"\n"
+        finally:
+            self.running.pop(execution.request_id, None)
+            self.cancelled.discard(execution.request_id)
+
+    def _broken(self, execution: Execution) -> bool:
+        after = self.faults.fail_after
+        failed = 0 <= after <= execution.tokens
+        return failed or execution.request_id in self.cancelled
+
+    def _prefill_steps(self, prompt: str) -> int:
+        prefix = prompt[:PREFIX_LENGTH]
+        cached = prefix in self.prefixes
+        self.prefixes[prefix] = None
+        self.prefixes.move_to_end(prefix)
+        if len(self.prefixes) > CACHED_PREFIXES:
+            self.prefixes.popitem(last=False)
+        return 0 if cached else PREFILL_STEPS
+
+    def cancel(self, request: HttpRequest) -> HttpReply:
+        """Stop a request."""
+        with suppress(DecodeError, KeyError):
+            request_id = decode(request.read_body(MAX_BODY_BYTES))["request_id"]
+            if request_id in self.running:
+                self.cancelled.add(request_id)
+        return HttpReply(200)
+
+    def list_executions(self, request: HttpRequest) -> HttpReply:
+        """Tell every request that was started, and every order."""
+        return json_reply(
+            {"executions": self.executions, "orders": self.orders, "now": monotonic()}
+        )
+
+
+def main() -> int:
+    """Run the stand-in."""
+    parser = make_parser(__doc__ or "")
+    parser.add_argument("--slots", type=int, default=8)
+    parser.add_argument("--step-seconds", type=float, default=0.0095)
+    parser.add_argument("--ignore-tokens", action="store_true")
+    arguments = parser.parse_args()
+    engine = Engine(
+        arguments.slots, arguments.step_seconds, not arguments.ignore_tokens
+    )
+    engine.start()
+    return serve(arguments, engine.router)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/ridgecourse_standins/instances.py
@@ -0,0 +1,52 @@
+"""Stand-in of the platform's instance list; tests say what it tells."""
+
+import eventlet
+
+eventlet.monkey_patch()
+
+import sys  # noqa: E402
+
+from msgspec.json import decode  # noqa: E402
+
+from ridgecourse.net.http import HttpReply, HttpRequest, HttpRouter  # noqa: E402
+from ridgecourse.platform.instances import Instance  # noqa: E402
+from ridgecourse_standins.service import (  # noqa: E402
+    Faults,
+    json_reply,
+    make_parser,
+    serve,
+)
+
+MAX_BODY_BYTES = 8 * 1024 * 1024
+
+
+class InstanceList:
+    """Keeps the list; ``down`` refuses to tell it."""
+
+    def __init__(self) -> None:
+        self.instances: tuple[Instance, ...] = ()
+        self.faults = Faults(down=False)
+        self.router = HttpRouter()
+        self.router.add("GET", "/instances", self.read)
+        self.router.add("POST", "/instances", self.write)
+        self.router.add("POST", "/faults", self.faults.set)
+
+    def read(self, request: HttpRequest) -> HttpReply:
+        """Tell the list."""
+        return HttpReply(503) if self.faults.down else json_reply(self.instances)
+
+    def write(self, request: HttpRequest) -> HttpReply:
+        """Set the list."""
+        body = request.read_body(MAX_BODY_BYTES)
+        self.instances = decode(body, type=tuple[Instance, ...])
+        return HttpReply(200)
+
+
+def main() -> int:
+    """Run the stand-in."""
+    arguments = make_parser(__doc__ or "").parse_args()
+    return serve(arguments, InstanceList().router)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/ridgecourse_standins/plain.py
@@ -0,0 +1,62 @@
+"""Stand-in of a plain service whose calls may not be repeated."""
+
+import eventlet
+
+eventlet.monkey_patch()
+
+import sys  # noqa: E402
+
+from ridgecourse.net.http import HttpReply, HttpRequest, HttpRouter  # noqa: E402
+from ridgecourse_standins.service import (  # noqa: E402
+    Faults,
+    json_reply,
+    make_parser,
+    serve,
+)
+
+MAX_BODY_BYTES = 8 * 1024 * 1024
+
+
+class PlainService:
+    """Counts each call by its body and answers with the count.
+
+    Faults: ``slow_seconds`` delays the answer after the call took effect,
+    ``lose_replies`` carries out that many calls without answering.
+    """
+
+    def __init__(self) -> None:
+        self.calls: dict[str, int] = {}
+        self.faults = Faults(slow_seconds=0.0, lose_replies=0)
+        self.router = HttpRouter()
+        self.router.add("POST", "/call", self.call)
+        self.router.add("GET", "/v1/state", self.state)
+        self.router.add("GET", "/calls", self.list_calls)
+        self.router.add("POST", "/faults", self.faults.set)
+
+    def call(self, request: HttpRequest) -> HttpReply:
+        """Carry a call out."""
+        body = request.read_body(MAX_BODY_BYTES).decode("utf-8", "replace")
+        self.calls[body] = self.calls.get(body, 0) + 1
+        if self.faults.slow_seconds:
+            eventlet.sleep(self.faults.slow_seconds)
+        if self.faults.spend("lose_replies"):
+            return HttpReply(500)
+        return json_reply({"done": body, "times": self.calls[body]})
+
+    def state(self, request: HttpRequest) -> HttpReply:
+        """Tell that the service is there."""
+        return json_reply({})
+
+    def list_calls(self, request: HttpRequest) -> HttpReply:
+        """Tell how often each call was carried out."""
+        return json_reply(self.calls)
+
+
+def main() -> int:
+    """Run the stand-in."""
+    arguments = make_parser(__doc__ or "").parse_args()
+    return serve(arguments, PlainService().router)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
