--- a/src/ridgecourse/agent/agent.py
+++ b/src/ridgecourse/agent/agent.py
@@ -12,7 +12,7 @@
 from ridgecourse.net.address import parse_address
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.events import EventKind
-from ridgecourse.net.http import HttpReply, HttpRequest, HttpRouter, HttpServer
+from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter, HttpServer
 from ridgecourse.net.process import Process
 from ridgecourse.net.threads import spawn_loop
 from ridgecourse.net.usage import process_usage
--- a/src/ridgecourse/agent/context.py
+++ b/src/ridgecourse/agent/context.py
@@ -12,7 +12,7 @@
 from ridgecourse.core.planner import Member
 from ridgecourse.net.config_store import ConfigStore
 from ridgecourse.net.events import EventStream
-from ridgecourse.net.http import HttpClient
+from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.metrics import Metrics
 from ridgecourse.net.process import new_incarnation
 from ridgecourse.net.throttle import Throttle
--- a/src/ridgecourse/agent/exchange.py
+++ b/src/ridgecourse/agent/exchange.py
@@ -11,7 +11,7 @@
 from ridgecourse.core.ids import ChunkDigest, RootDigest
 from ridgecourse.net.auth import AUTH_HEADER, verify_request
 from ridgecourse.net.broadcast import Broadcast
-from ridgecourse.net.http import HttpReply, HttpRequest, HttpRouter
+from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
 from ridgecourse.net.throttle import Throttle, in_pieces
 from ridgecourse.net.websocket import ControlChannel
 from ridgecourse.wire.control import Follow, Holds
--- a/src/ridgecourse/agent/gate.py
+++ b/src/ridgecourse/agent/gate.py
@@ -26,15 +26,13 @@
 from ridgecourse.net.auth import AUTH_HEADER, verify_request
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.events import EventKind
-from ridgecourse.net.http import (
+from ridgecourse.net.http_client import (
     ExchangeFailed,
-    HttpReply,
-    HttpRequest,
-    HttpRouter,
     NoConnection,
     read_lines,
     read_pieces,
 )
+from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
 from ridgecourse.net.metrics import Metric
 from ridgecourse.net.threads import spawn_loop
 from ridgecourse.platform.engine import GenerateOrder
--- a/src/ridgecourse/agent/main.py
+++ b/src/ridgecourse/agent/main.py
@@ -1,14 +1,12 @@
 """Command ``ridgecourse-agent``."""
 
-import eventlet
+import ridgecourse.net.patch  # noqa: F401, I001
 
-eventlet.monkey_patch()
+import sys
 
-import sys  # noqa: E402
-
-from ridgecourse.agent.agent import Agent  # noqa: E402
-from ridgecourse.agent.settings import AgentSettings  # noqa: E402
-from ridgecourse.net.process import make_parser, run_process  # noqa: E402
+from ridgecourse.agent.agent import Agent
+from ridgecourse.agent.settings import AgentSettings
+from ridgecourse.net.process import make_parser, run_process
 
 DESCRIPTION = "Gate before one target, and its part in the exchange of weights."
 
--- a/src/ridgecourse/agent/rollout.py
+++ b/src/ridgecourse/agent/rollout.py
@@ -27,7 +27,7 @@
 from ridgecourse.net.auth import AUTH_HEADER, sign_request
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.events import EventKind
-from ridgecourse.net.http import ExchangeFailed, NoConnection
+from ridgecourse.net.http_client import ExchangeFailed, NoConnection
 from ridgecourse.net.threads import spawn_loop
 from ridgecourse.platform.engine import (
     ActivateOrder,
@@ -169,7 +169,10 @@
                 halted = service is not None and service.halted
                 self._set(Phase.HALTED if halted else Phase.IDLE)
                 self.context.config.changed.wait(RETRY_SECONDS)
-            elif self.engine_seen and version.root_digest == self.serving:
+            elif not self.engine_seen:
+                # What it serves is not known; it may be the version wanted.
+                self.changed.wait(RETRY_SECONDS)
+            elif version.root_digest == self.serving:
                 self._set(Phase.SERVING)
                 self.changed.wait(RETRY_SECONDS)
             else:
--- a/src/ridgecourse/agent/settings.py
+++ b/src/ridgecourse/agent/settings.py
@@ -42,7 +42,7 @@
 
     upload_bytes_per_s: float | None = Field(None, gt=0)
     download_bytes_per_s: float | None = Field(None, gt=0)
-    upload_slots: int = Field(4, ge=1)
+    upload_slots: int = Field(2, ge=1)
     upload_copies: float = Field(1.2, gt=0)
 
 
--- a/src/ridgecourse/agent/transfer.py
+++ b/src/ridgecourse/agent/transfer.py
@@ -25,7 +25,7 @@
 from ridgecourse.net.auth import AUTH_HEADER, sign_request
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.events import EventKind
-from ridgecourse.net.http import ExchangeFailed, NoConnection, read_pieces
+from ridgecourse.net.http_client import ExchangeFailed, NoConnection, read_pieces
 from ridgecourse.net.metrics import Metric
 from ridgecourse.net.threads import spawn_loop
 from ridgecourse.net.websocket import ChannelClosed, open_channel
@@ -41,8 +41,8 @@
 REFOLLOW_SECONDS = 0.5
 MAX_CORRUPT_FROM_ORIGIN = 3
 """Times in a row a chunk may come wrong from the origin before it is an error."""
-LAST_RESORT_BUSY = 12
-"""Refusals of a chunk after which its holder is asked to exceed its share."""
+LAST_RESORT_BUSY = 3
+"""Refusals of a chunk after which a holder is asked to exceed its share."""
 
 
 class TransferError(Exception):
@@ -222,7 +222,8 @@
         target = self.targets[fetch.source]
         path = f"{CHUNK_PATH}{fetch.digest}"
         headers = {AUTH_HEADER: sign_request(self.key, "GET", path)}
-        if self.busy.get(fetch.digest, 0) >= LAST_RESORT_BUSY:
+        sole = self.planner.holders(fetch.digest) <= 1
+        if sole or self.busy.get(fetch.digest, 0) >= LAST_RESORT_BUSY:
             headers[LAST_RESORT_HEADER] = "yes"
         limit = self.holding.places[self.holding.index[fetch.digest]].length
         stall = self.settings.chunk_stall_seconds
--- a/src/ridgecourse/core/planner.py
+++ b/src/ridgecourse/core/planner.py
@@ -294,6 +294,10 @@
         if not fetching:
             self.in_flight.pop(digest, None)
 
+    def holders(self, digest: ChunkDigest) -> int:
+        """Return how many followed agents are known to hold a chunk."""
+        return self.rarity.get(digest, 0)
+
     def complete(self) -> bool:
         """Tell whether every chunk is held."""
         return not self.missing
--- a/src/ridgecourse/ctl/arguments.py
+++ b/src/ridgecourse/ctl/arguments.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from os import environ
 from pathlib import Path
+from typing import TypeAlias
 
 from ridgecourse import __version__
 from ridgecourse.ctl.publish import DEFAULT_CHUNK_BYTES
@@ -11,7 +12,7 @@
 ENTRY_VARIABLE = "RIDGECOURSE_ENTRY"
 TOKEN_VARIABLE = "RIDGECOURSE_TOKEN"  # noqa: S105
 
-Verbs = "_SubParsersAction[ArgumentParser]"
+Subparsers: TypeAlias = "_SubParsersAction[ArgumentParser]"
 
 
 def make_parser() -> ArgumentParser:
@@ -47,14 +48,14 @@
     return parser
 
 
-def add_noun(nouns: "_SubParsersAction[ArgumentParser]", name: str, help: str) -> Verbs:
+def add_noun(nouns: Subparsers, name: str, help: str) -> Subparsers:
     """Add a noun and return where its verbs go."""
     noun = nouns.add_parser(name, help=help)
     return noun.add_subparsers(dest="verb", metavar="VERB", required=True)
 
 
 def add_verb(
-    verbs: "_SubParsersAction[ArgumentParser]",
+    verbs: Subparsers,
     name: str,
     help: str,
     positionals: Sequence[str],
@@ -71,7 +72,7 @@
     return verb
 
 
-def add_fleet(nouns: "_SubParsersAction[ArgumentParser]") -> None:
+def add_fleet(nouns: Subparsers) -> None:
     """Add the verbs on fleets."""
     verbs = add_noun(nouns, "fleet", "fleets of targets")
     create = add_verb(verbs, "create", "create or change a fleet", ["fleet"])
@@ -79,7 +80,7 @@
     add_verb(verbs, "show", "show a fleet's configuration", ["fleet"], change=False)
 
 
-def add_service(nouns: "_SubParsersAction[ArgumentParser]") -> None:
+def add_service(nouns: Subparsers) -> None:
     """Add the verbs on services."""
     verbs = add_noun(nouns, "service", "services and their rollouts")
     place = ["fleet", "service"]
@@ -95,7 +96,7 @@
     watch.add_argument("--timeout", type=float, default=3600.0, help="seconds")
 
 
-def add_model(nouns: "_SubParsersAction[ArgumentParser]") -> None:
+def add_model(nouns: Subparsers) -> None:
     """Add the verbs on models."""
     verbs = add_noun(nouns, "model", "models and versions")
     publish = add_verb(
@@ -107,7 +108,7 @@
     publish.add_argument("--chunk-bytes", type=int, default=DEFAULT_CHUNK_BYTES)
 
 
-def add_target(nouns: "_SubParsersAction[ArgumentParser]") -> None:
+def add_target(nouns: Subparsers) -> None:
     """Add the verbs on targets."""
     verbs = add_noun(nouns, "target", "targets of services")
     join = add_verb(verbs, "join", "add a target", ["fleet", "service", "target"])
@@ -117,7 +118,7 @@
     add_verb(verbs, "leave", "take a target out of service", ["fleet", "target"])
 
 
-def add_account(nouns: "_SubParsersAction[ArgumentParser]") -> None:
+def add_account(nouns: Subparsers) -> None:
     """Add the verbs on client accounts."""
     verbs = add_noun(nouns, "account", "client accounts")
     put = add_verb(verbs, "put", "create or change an account", ["fleet", "account"])
@@ -127,7 +128,7 @@
     put.add_argument("--weight", type=int, default=1)
 
 
-def add_change(nouns: "_SubParsersAction[ArgumentParser]") -> None:
+def add_change(nouns: Subparsers) -> None:
     """Add the verbs on changes."""
     verbs = add_noun(nouns, "change", "fates of changes")
     add_verb(verbs, "show", "tell the fate of a change", ["change_id"], change=False)
--- a/src/ridgecourse/ctl/client.py
+++ b/src/ridgecourse/ctl/client.py
@@ -7,7 +7,7 @@
 from protobuf import Message
 from returns.result import Failure, Result, Success
 
-from ridgecourse.net.http import ExchangeFailed, HttpClient, NoConnection
+from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
 from ridgecourse.wire import admin_pb as pb
 
 SERVICE_PATH = "/ridgecourse.wire.Admin/"
--- a/src/ridgecourse/ctl/commands.py
+++ b/src/ridgecourse/ctl/commands.py
@@ -12,7 +12,7 @@
 from ridgecourse.ctl.client import AdminClient, CallFailure
 from ridgecourse.ctl.output import Output
 from ridgecourse.ctl.publish import make_manifest, total_bytes, write_manifest
-from ridgecourse.net.process import EXIT_FAILED, EXIT_OK, EXIT_USAGE
+from ridgecourse.net.exit_code import EXIT_FAILED, EXIT_OK, EXIT_USAGE
 from ridgecourse.wire import admin_pb as pb
 
 EXIT_UNKNOWN = 3
--- a/src/ridgecourse/ctl/main.py
+++ b/src/ridgecourse/ctl/main.py
@@ -7,7 +7,7 @@
 from ridgecourse.ctl.commands import Commands
 from ridgecourse.ctl.output import Output
 from ridgecourse.net.address import parse_address
-from ridgecourse.net.process import EXIT_OK, EXIT_USAGE
+from ridgecourse.net.exit_code import EXIT_OK, EXIT_USAGE
 
 
 def main(arguments: list[str] | None = None) -> int:
--- a/src/ridgecourse/entry/attempt.py
+++ b/src/ridgecourse/entry/attempt.py
@@ -14,7 +14,7 @@
 from ridgecourse.entry.context import EntryContext
 from ridgecourse.entry.links import AgentView
 from ridgecourse.net.auth import AUTH_HEADER, sign_request
-from ridgecourse.net.http import (
+from ridgecourse.net.http_client import (
     ExchangeFailed,
     HttpClient,
     NoConnection,
--- a/src/ridgecourse/entry/call.py
+++ b/src/ridgecourse/entry/call.py
@@ -10,7 +10,7 @@
 from ridgecourse.core.ids import FleetName, IdempotencyKey, RequestId, ServiceName
 from ridgecourse.core.outcome import Reason
 from ridgecourse.net.auth import bearer_token, token_digest
-from ridgecourse.net.http import HttpRequest
+from ridgecourse.net.http_server import HttpRequest
 from ridgecourse.wire.request import (
     DEADLINE_HEADER,
     KEY_HEADER,
--- a/src/ridgecourse/entry/changes.py
+++ b/src/ridgecourse/entry/changes.py
@@ -6,7 +6,7 @@
 from ridgecourse.core.ids import ChangeId
 from ridgecourse.entry.config_follower import ConfigFollower
 from ridgecourse.entry.context import EntryContext
-from ridgecourse.net.http import HttpClient
+from ridgecourse.net.http_client import HttpClient
 from ridgecourse.platform.log import LogClient, LogUnavailable, Stream
 from ridgecourse.wire.codec import encode_message
 
--- a/src/ridgecourse/entry/claims.py
+++ b/src/ridgecourse/entry/claims.py
@@ -15,7 +15,7 @@
 from ridgecourse.core.ids import Offset
 from ridgecourse.entry.context import EntryContext
 from ridgecourse.net.broadcast import Broadcast
-from ridgecourse.net.http import HttpClient
+from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.threads import spawn_loop
 from ridgecourse.platform.log import LogClient, LogUnavailable, Stream
 from ridgecourse.wire.codec import decode_message, encode_message
--- a/src/ridgecourse/entry/config_follower.py
+++ b/src/ridgecourse/entry/config_follower.py
@@ -17,13 +17,8 @@
 from ridgecourse.net.auth import AUTH_HEADER, sign_request, verify_request
 from ridgecourse.net.config_store import Folded
 from ridgecourse.net.events import EventKind
-from ridgecourse.net.http import (
-    ExchangeFailed,
-    HttpClient,
-    HttpReply,
-    HttpRequest,
-    NoConnection,
-)
+from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
+from ridgecourse.net.http_server import HttpReply, HttpRequest
 from ridgecourse.net.metrics import Metric
 from ridgecourse.net.threads import spawn_loop
 from ridgecourse.platform.log import LogUnavailable, Stream
--- a/src/ridgecourse/entry/context.py
+++ b/src/ridgecourse/entry/context.py
@@ -6,7 +6,7 @@
 from ridgecourse.entry.settings import EntrySettings
 from ridgecourse.net.config_store import ConfigStore
 from ridgecourse.net.events import EventStream
-from ridgecourse.net.http import HttpClient
+from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.metrics import Metrics
 from ridgecourse.net.process import new_incarnation
 from ridgecourse.platform.log import LogClient
--- a/src/ridgecourse/entry/dispatch.py
+++ b/src/ridgecourse/entry/dispatch.py
@@ -29,13 +29,8 @@
 from ridgecourse.entry.context import EntryContext
 from ridgecourse.entry.links import AgentLinks, AgentView
 from ridgecourse.net.events import EventKind
-from ridgecourse.net.http import (
-    ExchangeFailed,
-    HeaderList,
-    HttpReply,
-    HttpRequest,
-    read_lines,
-)
+from ridgecourse.net.http_client import ExchangeFailed, read_lines
+from ridgecourse.net.http_server import HeaderList, HttpReply, HttpRequest
 from ridgecourse.net.metrics import Metric
 from ridgecourse.wire.request import (
     OUTCOME_HEADER,
--- a/src/ridgecourse/entry/entry.py
+++ b/src/ridgecourse/entry/entry.py
@@ -18,7 +18,7 @@
 from ridgecourse.entry.strict_json import StrictJson
 from ridgecourse.net.address import parse_address
 from ridgecourse.net.events import EventKind
-from ridgecourse.net.http import HttpReply, HttpRequest, HttpRouter, HttpServer
+from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter, HttpServer
 from ridgecourse.net.process import Process
 from ridgecourse.net.usage import process_usage
 from ridgecourse.wire.admin_connect import AdminWSGIApplication
--- a/src/ridgecourse/entry/main.py
+++ b/src/ridgecourse/entry/main.py
@@ -1,14 +1,12 @@
 """Command ``ridgecourse-entry``."""
 
-import eventlet
+import ridgecourse.net.patch  # noqa: F401, I001
 
-eventlet.monkey_patch()
+import sys
 
-import sys  # noqa: E402
-
-from ridgecourse.entry.entry import Entry  # noqa: E402
-from ridgecourse.entry.settings import EntrySettings  # noqa: E402
-from ridgecourse.net.process import make_parser, run_process  # noqa: E402
+from ridgecourse.entry.entry import Entry
+from ridgecourse.entry.settings import EntrySettings
+from ridgecourse.net.process import make_parser, run_process
 
 DESCRIPTION = "Takes callers' requests and operators' decisions."
 
--- a/src/ridgecourse/entry/reports.py
+++ b/src/ridgecourse/entry/reports.py
@@ -10,13 +10,8 @@
 from ridgecourse.entry.context import EntryContext
 from ridgecourse.entry.links import AgentLinks
 from ridgecourse.net.auth import AUTH_HEADER, sign_request, verify_request
-from ridgecourse.net.http import (
-    ExchangeFailed,
-    HttpClient,
-    HttpReply,
-    HttpRequest,
-    NoConnection,
-)
+from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
+from ridgecourse.net.http_server import HttpReply, HttpRequest
 from ridgecourse.wire.codec import decode_message, encode_message
 from ridgecourse.wire.control import MAX_CONTROL_BYTES, ReportList, TargetReport
 
--- a/src/ridgecourse/net/http.py
+++ b/src/ridgecourse/net/http_server.py
@@ -1,29 +1,21 @@
-"""HTTP servers on ``eventlet.wsgi`` and clients on ``urllib3``."""
+"""HTTP servers on ``eventlet.wsgi``."""
 
 import logging
-from collections.abc import Callable, Iterable, Iterator
-from contextlib import closing, suppress
+from collections.abc import Callable, Iterable
+from contextlib import suppress
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs
 
 import eventlet
 import eventlet.wsgi
-from urllib3 import BaseHTTPResponse, HTTPConnectionPool, PoolManager, Timeout
-from urllib3.exceptions import (
-    ConnectTimeoutError,
-    HTTPError,
-    NewConnectionError,
-)
-from urllib3.exceptions import TimeoutError as HttpTimeout
 
-from ridgecourse.net.address import Address, parse_address
+from ridgecourse.net.address import Address
 
 logger = logging.getLogger(__name__)
 
 SLOW_SENDER_SECONDS = 15.0
 """A connection that sends nothing for this long while it should is closed."""
 MAX_CONNECTIONS = 1024
-READ_BYTES = 64 * 1024
 
 STATUS_TEXT = {
     200: "200 OK",
@@ -215,132 +207,3 @@
         self.stop_listening()
         for worker in list(self.pool.coroutines_running):
             worker.kill()
-
-
-class NoConnection(Exception):
-    """No connection could be made, so no byte of the request was sent."""
-
-
-class ExchangeFailed(Exception):
-    """The connection failed after the request may have been sent."""
-
-
-class HttpClient:
-    """Requests with connection reuse and without hidden retries.
-
-    Attributes:
-        connect_seconds: Longest wait for a connection.
-    """
-
-    def __init__(self, connect_seconds: float = 1.0, pool_size: int = 64) -> None:
-        self.connect_seconds = connect_seconds
-        self.pool = PoolManager(
-            num_pools=256, maxsize=pool_size, block=False, retries=False
-        )
-
-    def send(
-        self,
-        method: str,
-        address: str,
-        path: str,
-        body: bytes | None = None,
-        headers: dict[str, str] | None = None,
-        timeout: float = 10.0,
-        fresh: bool = False,
-    ) -> BaseHTTPResponse:
-        """Send a request and return the response with its body unread.
-
-        Args:
-            timeout: Longest wait for each read, in seconds.
-            fresh: Open a connection for this request alone. A reused one may
-                have been closed by the server while idle, which cannot be told
-                apart from one lost after sending.
-
-        Raises:
-            NoConnection: Nothing was sent.
-            ExchangeFailed: The request may have been received.
-        """
-        pool = self._pool(address, fresh)
-        try:
-            return pool.urlopen(
-                method,
-                path,
-                body=body,
-                headers=headers or {},
-                timeout=Timeout(connect=self.connect_seconds, read=timeout),
-                preload_content=False,
-                redirect=False,
-                retries=False,
-            )
-        except (NewConnectionError, ConnectTimeoutError) as error:
-            raise NoConnection(f"{address}: {error}") from error
-        except (HTTPError, OSError) as error:
-            raise ExchangeFailed(f"{address}: {error}") from error
-
-    def _pool(self, address: str, fresh: bool) -> HTTPConnectionPool:
-        if not fresh:
-            return self.pool.connection_from_url(f"http://{address}")
-        where = parse_address(address)
-        return HTTPConnectionPool(where.host, where.port, maxsize=1, retries=False)
-
-    def fetch(
-        self,
-        method: str,
-        address: str,
-        path: str,
-        body: bytes | None = None,
-        headers: dict[str, str] | None = None,
-        timeout: float = 10.0,
-        limit: int = 64 * 1024 * 1024,
-    ) -> tuple[int, bytes, dict[str, str]]:
-        """Send a request and return status, whole body and headers.
-
-        Raises:
-            NoConnection: Nothing was sent.
-            ExchangeFailed: The request may have been received.
-        """
-        response = self.send(method, address, path, body, headers, timeout)
-        with closing(response):
-            data = b"".join(read_pieces(response, limit))
-            response.release_conn()
-            return response.status, data, dict(response.headers)
-
-    def close(self) -> None:
-        """Close all idle connections."""
-        self.pool.clear()
-
-
-def read_pieces(response: BaseHTTPResponse, limit: int) -> Iterator[bytes]:
-    """Yield a body in pieces.
-
-    Raises:
-        ExchangeFailed: The connection failed, or the body is over the limit.
-    """
-    total = 0
-    try:
-        while piece := response.read(READ_BYTES):
-            total += len(piece)
-            if total > limit:
-                raise ExchangeFailed(f"the answer is over {limit} bytes")
-            yield piece
-    except (HTTPError, HttpTimeout, OSError) as error:
-        raise ExchangeFailed(str(error)) from error
-
-
-def read_lines(response: BaseHTTPResponse, limit: int) -> Iterator[bytes]:
-    """Yield the lines of a streamed body as they come, ends stripped.
-
-    Raises:
-        ExchangeFailed: The connection failed, or a line is over the limit.
-    """
-    rest = b""
-    try:
-        while piece := response.read1(READ_BYTES):
-            *lines, rest = (rest + piece).split(b"\n")
-            yield from lines
-            if len(rest) > limit:
-                raise ExchangeFailed(f"a line is over {limit} bytes")
-    except (HTTPError, HttpTimeout, OSError) as error:
-        raise ExchangeFailed(str(error)) from error
-    if rest:
-        yield rest
--- /dev/null
+++ b/src/ridgecourse/net/patch.py
@@ -0,0 +1,14 @@
+"""Makes blocking calls cooperative; imported before anything else by a program.
+
+Eventlet warns that it is deprecated. docs/design/runtime.md says why it is used
+all the same and what a successor would cost, so that the warning is not shown
+to operators.
+"""
+
+import warnings
+
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+
+import eventlet  # noqa: E402
+
+eventlet.monkey_patch()
--- a/src/ridgecourse/net/process.py
+++ b/src/ridgecourse/net/process.py
@@ -5,6 +5,7 @@
 import sys
 from abc import ABC, abstractmethod
 from argparse import ArgumentParser, Namespace
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 from uuid import uuid4
@@ -16,15 +17,12 @@
 from ridgecourse import __version__
 from ridgecourse.core.finding import render_findings
 from ridgecourse.core.ids import Incarnation
+from ridgecourse.net.exit_code import EXIT_FAILED, EXIT_OK, EXIT_USAGE
 from ridgecourse.net.logs import set_up_logging
 from ridgecourse.net.settings import Settings, load_settings
 
 logger = logging.getLogger(__name__)
 
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_USAGE = 2
-
 
 class Process(ABC):
     """A long-running process."""
@@ -60,7 +58,7 @@
 
 
 def run_process(
-    arguments: Namespace, kind: type[Settings], make: type[Process] | Any
+    arguments: Namespace, kind: type[Settings], make: Callable[[Any], Process]
 ) -> int:
     """Check the settings, run a process until it is told to stop.
 
--- a/src/ridgecourse/platform/engine.py
+++ b/src/ridgecourse/platform/engine.py
@@ -8,7 +8,7 @@
 from urllib3 import BaseHTTPResponse
 
 from ridgecourse.core.ids import RootDigest
-from ridgecourse.net.http import ExchangeFailed, HttpClient, NoConnection
+from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
 
 LOAD_SECONDS = 300.0
 ORDER_SECONDS = 10.0
--- a/src/ridgecourse/platform/instances.py
+++ b/src/ridgecourse/platform/instances.py
@@ -10,7 +10,7 @@
 from msgspec.json import decode
 
 from ridgecourse.core.ids import DomainName, ProcessName
-from ridgecourse.net.http import ExchangeFailed, HttpClient, NoConnection
+from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
 
 
 class InstanceState(Enum):
--- a/src/ridgecourse/platform/log.py
+++ b/src/ridgecourse/platform/log.py
@@ -15,7 +15,7 @@
 from returns.result import Failure
 
 from ridgecourse.core.ids import Offset
-from ridgecourse.net.http import ExchangeFailed, HttpClient, NoConnection
+from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
 from ridgecourse.wire.codec import decode_message
 
 MAX_BATCH_BYTES = 64 * 1024 * 1024
--- a/src/ridgecourse/platform/origin.py
+++ b/src/ridgecourse/platform/origin.py
@@ -4,7 +4,7 @@
 from urllib.parse import quote
 
 from ridgecourse.core.manifest import ChunkPlace
-from ridgecourse.net.http import (
+from ridgecourse.net.http_client import (
     ExchangeFailed,
     HttpClient,
     NoConnection,
--- a/src/ridgecourse/timeline/main.py
+++ b/src/ridgecourse/timeline/main.py
@@ -7,7 +7,7 @@
 from rich.console import Console
 
 from ridgecourse import __version__
-from ridgecourse.net.process import EXIT_OK, EXIT_USAGE
+from ridgecourse.net.exit_code import EXIT_OK, EXIT_USAGE
 from ridgecourse.timeline.merge import Filter, merge_streams, select
 from ridgecourse.timeline.render import html_page, print_text
 
--- a/src/ridgecourse/timeline/render.py
+++ b/src/ridgecourse/timeline/render.py
@@ -7,6 +7,7 @@
 from rich.console import Console
 from rich.text import Text
 
+from ridgecourse.core.ids import ProcessName
 from ridgecourse.net.events import Event, EventKind
 
 GOOD = {
@@ -125,7 +126,7 @@
 
 
 def html_rows(
-    events: Iterable[Event], hues: dict[str, int], start: float
+    events: Iterable[Event], hues: dict[ProcessName, int], start: float
 ) -> Iterator[str]:
     """Yield a table row for each event."""
     for event in events:
--- a/src/ridgecourse/wire/codec.py
+++ b/src/ridgecourse/wire/codec.py
@@ -4,14 +4,12 @@
 fit is reported as a DecodeFailure, never raised out of a loop.
 """
 
-from typing import Any, TypeVar
+from typing import Any
 
 import cbor2
 from msgspec import ValidationError, convert, to_builtins
 from returns.result import Failure, Result, Success
 
-MessageT = TypeVar("MessageT")
-
 
 class DecodeFailure(Exception):
     """Bytes that are no message of the expected type."""
@@ -22,9 +20,7 @@
     return cbor2.dumps(to_builtins(message, builtin_types=(bytes,)))
 
 
-def decode_message(
-    data: bytes, expected: type[MessageT] | Any
-) -> Result[MessageT, DecodeFailure]:
+def decode_message(data: bytes, expected: Any) -> Result[Any, DecodeFailure]:
     """Decode CBOR into a typed message.
 
     Args:
--- a/src/ridgecourse_standins/cluster.py
+++ b/src/ridgecourse_standins/cluster.py
@@ -35,6 +35,8 @@
         slots: Requests that an engine runs at once.
         step_seconds: Length of an engine's step.
         fenced: Whether engines refuse old fencing tokens.
+        engines_per_process: Engines that share one process, to save memory.
+        origin_copies: Copies of a version that the origin may send.
     """
 
     domains: tuple[str, ...] = ("montreal", "quebec", "saguenay")
@@ -47,6 +49,8 @@
     slots: int = 8
     step_seconds: float = 0.0095
     fenced: bool = True
+    engines_per_process: int = 1
+    origin_copies: int = 1
 
 
 class Node(NamedTuple):
@@ -111,18 +115,23 @@
 
     def processes(self) -> Iterator[Managed]:
         """Yield every process."""
-        yield from self.standins.values()
-        yield from self.engines.values()
         for node in [*self.entries, *self.agents]:
             yield node.managed
+        yield from self.engines.values()
+        yield from self.standins.values()
 
     def standin(self, name: str, module: str, *arguments: str) -> Managed:
         """Start a stand-in on a free port."""
-        address = free_address()
-        command = ["-m", f"ridgecourse_standins.{module}", "--listen", address]
-        managed = Managed(name, [*command, *arguments], self.directory)
+        return self.shared_standin([name], module, *arguments)
+
+    def shared_standin(self, names: list[str], module: str, *arguments: str) -> Managed:
+        """Start several stand-ins of a kind as one process."""
+        addresses = {name: free_address() for name in names}
+        listen = ",".join(addresses.values())
+        command = ["-m", f"ridgecourse_standins.{module}", "--listen", listen]
+        managed = Managed(names[0], [*command, *arguments], self.directory)
         managed.start()
-        self.addresses[name] = address
+        self.addresses.update(addresses)
         return managed
 
     def _start_standins(self) -> None:
@@ -172,6 +181,7 @@
             self.entries.append(self._node("entry", name, domain, settings))
 
     def _make_agents(self) -> None:
+        self._start_engines()
         for domain in self.plan.domains:
             for number in range(self.plan.targets):
                 self.add_agent(f"{domain}-{number}", domain, "model")
@@ -180,21 +190,33 @@
         for managed in self.engines.values():
             managed.wait_listening()
 
+    def _start_engines(self) -> None:
+        """Start the engines of all model targets."""
+        names = [
+            f"engine-{domain}-{number}"
+            for domain in self.plan.domains
+            for number in range(self.plan.targets)
+        ]
+        share = self.plan.engines_per_process
+        for start in range(0, len(names), share):
+            group = names[start : start + share]
+            managed = self.shared_standin(group, "engine", *self._engine_arguments())
+            for name in group:
+                self.engines[name.removeprefix("engine-")] = managed
+
+    def _engine_arguments(self) -> list[str]:
+        plan = self.plan
+        options = ["--slots", str(plan.slots), "--step-seconds", str(plan.step_seconds)]
+        return options if plan.fenced else [*options, "--ignore-tokens"]
+
     def add_agent(self, target: str, domain: str, kind: str) -> Node:
-        """Start an engine and prepare, but not start, its agent."""
+        """Prepare, but do not start, an agent; start its engine if need be."""
         name = f"engine-{target}"
-        if kind == "model":
-            arguments = [
-                "--slots",
-                str(self.plan.slots),
-                "--step-seconds",
-                str(self.plan.step_seconds),
-            ]
-            if not self.plan.fenced:
-                arguments.append("--ignore-tokens")
-            self.engines[target] = self.standin(name, "engine", *arguments)
-        else:
+        if kind == "plain":
             self.engines[target] = self.standin(name, "plain")
+        elif target not in self.engines:
+            arguments = self._engine_arguments()
+            self.engines[target] = self.standin(name, "engine", *arguments)
         settings = {
             "process": f"agent-{target}",
             "domain": domain,
@@ -259,7 +281,7 @@
 
     def set_up(self) -> None:
         """Create fleet, services and targets."""
-        self.change("CreateFleet")
+        self.change("CreateFleet", origin_copies=self.plan.origin_copies)
         self.change("PutService", service=MODEL_SERVICE, kind="model")
         self.change("PutService", service=PLAIN_SERVICE, kind="plain")
         for node in self.agents:
--- a/src/ridgecourse_standins/engine.py
+++ b/src/ridgecourse_standins/engine.py
@@ -1,38 +1,31 @@
 """Stand-in of a model engine; docs/ENGINE.md has its protocol."""
 
+import ridgecourse.net.patch  # noqa: F401, I001
 import eventlet
 
-eventlet.monkey_patch()
-
-import sys  # noqa: E402
-from collections import OrderedDict  # noqa: E402
-from collections.abc import Iterator  # noqa: E402
-from contextlib import suppress  # noqa: E402
-from time import monotonic  # noqa: E402
-
-from msgspec import DecodeError, Struct  # noqa: E402
-from msgspec.json import decode, encode  # noqa: E402
-from returns.result import Failure  # noqa: E402
-
-from ridgecourse.core.manifest import chunk_digest, parse_manifest  # noqa: E402
-from ridgecourse.net.broadcast import Broadcast  # noqa: E402
-from ridgecourse.net.http import (  # noqa: E402
-    ExchangeFailed,
-    HttpClient,
-    HttpReply,
-    HttpRequest,
-    HttpRouter,
-    NoConnection,
-)
-from ridgecourse.platform.engine import (  # noqa: E402
+import sys
+from collections import OrderedDict
+from collections.abc import Iterator
+from contextlib import suppress
+from time import monotonic
+
+from msgspec import DecodeError, Struct
+from msgspec.json import decode, encode
+from returns.result import Failure
+
+from ridgecourse.core.manifest import chunk_digest, parse_manifest
+from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
+from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
+from ridgecourse.platform.engine import (
     ActivateOrder,
     EngineState,
     GenerateOrder,
     LoadOrder,
 )
-from ridgecourse.wire.request import StreamEnd, TokenEvent  # noqa: E402
-from ridgecourse_standins.oracle import Weights, join_files  # noqa: E402
-from ridgecourse_standins.service import (  # noqa: E402
+from ridgecourse.wire.request import StreamEnd, TokenEvent
+from ridgecourse_standins.oracle import Weights, join_files
+from ridgecourse_standins.service import (
     Faults,
     json_reply,
     make_parser,
@@ -257,11 +250,13 @@
     parser.add_argument("--step-seconds", type=float, default=0.0095)
     parser.add_argument("--ignore-tokens", action="store_true")
     arguments = parser.parse_args()
-    engine = Engine(
-        arguments.slots, arguments.step_seconds, not arguments.ignore_tokens
-    )
-    engine.start()
-    return serve(arguments, engine.router)
+    engines = [
+        Engine(arguments.slots, arguments.step_seconds, not arguments.ignore_tokens)
+        for _ in arguments.listen.split(",")
+    ]
+    for engine in engines:
+        engine.start()
+    return serve(arguments, *(engine.router for engine in engines))
 
 
 if __name__ == "__main__":
--- a/src/ridgecourse_standins/instances.py
+++ b/src/ridgecourse_standins/instances.py
@@ -1,16 +1,14 @@
 """Stand-in of the platform's instance list; tests say what it tells."""
 
-import eventlet
+import ridgecourse.net.patch  # noqa: F401, I001
 
-eventlet.monkey_patch()
+import sys
 
-import sys  # noqa: E402
+from msgspec.json import decode
 
-from msgspec.json import decode  # noqa: E402
-
-from ridgecourse.net.http import HttpReply, HttpRequest, HttpRouter  # noqa: E402
-from ridgecourse.platform.instances import Instance  # noqa: E402
-from ridgecourse_standins.service import (  # noqa: E402
+from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
+from ridgecourse.platform.instances import Instance
+from ridgecourse_standins.service import (
     Faults,
     json_reply,
     make_parser,
--- a/src/ridgecourse_standins/log.py
+++ b/src/ridgecourse_standins/log.py
@@ -1,17 +1,16 @@
 """Stand-in of the platform's log service, in memory."""
 
+import ridgecourse.net.patch  # noqa: F401, I001
 import eventlet
 
-eventlet.monkey_patch()
+import sys
+from time import monotonic
 
-import sys  # noqa: E402
-from time import monotonic  # noqa: E402
+import cbor2
 
-import cbor2  # noqa: E402
-
-from ridgecourse.net.broadcast import Broadcast  # noqa: E402
-from ridgecourse.net.http import HttpReply, HttpRequest, HttpRouter  # noqa: E402
-from ridgecourse_standins.service import (  # noqa: E402
+from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
+from ridgecourse_standins.service import (
     Faults,
     json_reply,
     make_parser,
--- a/src/ridgecourse_standins/origin.py
+++ b/src/ridgecourse_standins/origin.py
@@ -1,17 +1,16 @@
 """Stand-in of the origin of weights: a directory over a limited link."""
 
+import ridgecourse.net.patch  # noqa: F401, I001
 import eventlet
 
-eventlet.monkey_patch()
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from time import monotonic
 
-import sys  # noqa: E402
-from collections.abc import Iterator  # noqa: E402
-from pathlib import Path  # noqa: E402
-from time import monotonic  # noqa: E402
-
-from ridgecourse.net.http import HttpReply, HttpRequest, HttpRouter  # noqa: E402
-from ridgecourse.net.throttle import Throttle  # noqa: E402
-from ridgecourse_standins.service import (  # noqa: E402
+from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
+from ridgecourse.net.throttle import Throttle
+from ridgecourse_standins.service import (
     Faults,
     json_reply,
     make_parser,
--- a/src/ridgecourse_standins/plain.py
+++ b/src/ridgecourse_standins/plain.py
@@ -1,13 +1,12 @@
 """Stand-in of a plain service whose calls may not be repeated."""
 
+import ridgecourse.net.patch  # noqa: F401, I001
 import eventlet
 
-eventlet.monkey_patch()
+import sys
 
-import sys  # noqa: E402
-
-from ridgecourse.net.http import HttpReply, HttpRequest, HttpRouter  # noqa: E402
-from ridgecourse_standins.service import (  # noqa: E402
+from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
+from ridgecourse_standins.service import (
     Faults,
     json_reply,
     make_parser,
--- a/src/ridgecourse_standins/service.py
+++ b/src/ridgecourse_standins/service.py
@@ -8,7 +8,7 @@
 from msgspec.json import decode, encode
 
 from ridgecourse.net.address import parse_address
-from ridgecourse.net.http import HttpReply, HttpRequest, HttpRouter, HttpServer
+from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter, HttpServer
 
 MAX_FAULT_BYTES = 64 * 1024
 
@@ -58,11 +58,17 @@
     return parser
 
 
-def serve(arguments: Namespace, router: HttpRouter) -> int:
-    """Serve until ended; the first line of output tells the address."""
-    server = HttpServer(parse_address(arguments.listen), router)
-    server.start()
-    sys.stdout.write(encode({"listening": str(server.address)}).decode() + "\n")
+def serve(arguments: Namespace, *routers: HttpRouter) -> int:
+    """Serve until ended; a line of output for each router tells its address.
+
+    Args:
+        arguments: ``listen`` names an address for each router, by commas.
+        routers: What to serve.
+    """
+    for address, router in zip(arguments.listen.split(","), routers, strict=True):
+        server = HttpServer(parse_address(address), router)
+        server.start()
+        sys.stdout.write(encode({"listening": str(server.address)}).decode() + "\n")
     sys.stdout.flush()
     Signal().wait()
     return 0
