Queue uploads shortly, let imports go first, and load engines while chunks come in

Cause: agents polled busy sources (profile: most of an agent's time went into HTTP exchanges that moved nothing), imports into a domain competed with their source's own domain, and the engine began to load only when all was there.

--- a/src/ridgecourse/agent/agent.py
+++ b/src/ridgecourse/agent/agent.py
@@ -25,7 +25,9 @@
 
     def __init__(self, settings: AgentSettings) -> None:
         self.context = AgentContext(settings)
-        self.exchange = Exchange(self.context.store, settings.link, settings.shared_key)
+        self.exchange = Exchange(
+            self.context.domain, self.context.store, settings.link, settings.shared_key
+        )
         self.rollout = Rollout(self.context, self.exchange)
         self.gate = Gate(self.context, self.rollout)
         self.changed = Broadcast()
--- a/src/ridgecourse/agent/exchange.py
+++ b/src/ridgecourse/agent/exchange.py
@@ -2,26 +2,30 @@
 
 from collections.abc import Iterator
 from itertools import islice
+from time import monotonic
 
 import eventlet
 
 from ridgecourse.agent.holding import Holding
 from ridgecourse.agent.settings import LinkSettings
 from ridgecourse.agent.store import ChunkStore
-from ridgecourse.core.ids import ChunkDigest, RootDigest
+from ridgecourse.core.ids import ChunkDigest, DomainName, RootDigest
 from ridgecourse.net.auth import AUTH_HEADER, verify_request
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
 from ridgecourse.net.throttle import Throttle, in_pieces
 from ridgecourse.net.websocket import ControlChannel
+from ridgecourse.platform.engine import TICKET_HEADER, frame_header
 from ridgecourse.wire.control import Follow, Holds
 
 CHUNK_PATH = "/chunks/"
 MANIFEST_PATH = "/manifests/"
 ENGINE_PATH = "/engine/"
+DOMAIN_HEADER = "Ridgecourse-Domain"
 LAST_RESORT_HEADER = "Ridgecourse-Last-Resort"
-TICKET_HEADER = "Ridgecourse-Ticket"
 PIECE_BYTES = 16 * 1024
+QUEUE_SECONDS = 1.0
+"""Longest wait of a request for an upload slot."""
 HOLDS_INTERVAL = 0.05
 """Seconds over which newly held chunks are gathered into one message."""
 
@@ -33,11 +37,16 @@
         store: The chunks.
         holdings: The versions taken part in.
         uploads: Uploads in progress.
+        queued: Requests of the own domain that wait for an upload slot.
+        queued_across: The same of other domains.
         link: Limit of the outgoing link.
         tickets: What the engine shows to fetch a version.
     """
 
-    def __init__(self, store: ChunkStore, settings: LinkSettings, key: str) -> None:
+    def __init__(
+        self, domain: DomainName, store: ChunkStore, settings: LinkSettings, key: str
+    ) -> None:
+        self.domain = domain
         self.store = store
         self.settings = settings
         self.key = key
@@ -46,13 +55,16 @@
         self.joined = Broadcast()
         self.tickets: dict[str, RootDigest] = {}
         self.uploads = 0
+        self.queued = 0
+        self.queued_across = 0
+        self.slot_free = Broadcast()
 
     def add_routes(self, router: HttpRouter) -> None:
         """Serve chunks and manifests on a router."""
         router.add("GET", CHUNK_PATH, self.serve_chunk)
         router.add("GET", MANIFEST_PATH, self.serve_manifest)
         router.add("GET", f"{ENGINE_PATH}manifest/", self.serve_engine_manifest)
-        router.add("GET", f"{ENGINE_PATH}chunk/", self.serve_engine_chunk)
+        router.add("GET", f"{ENGINE_PATH}stream/", self.serve_engine_stream)
 
     def join(self, holding: Holding) -> None:
         """Take part in the exchange of a version."""
@@ -76,16 +88,42 @@
             return HttpReply(404)
         holding = self._holding_of(digest)
         last_resort = request.header(LAST_RESORT_HEADER) == "yes"
-        if self.uploads >= self.settings.upload_slots:
-            return HttpReply(503)
         if not last_resort and self._over_share(holding, len(data)):
             return HttpReply(503)
-        self.uploads += 1
+        if not self._take_slot(request.header(DOMAIN_HEADER) != self.domain):
+            return HttpReply(503)
         if holding is not None:
             holding.uploaded += len(data)
         headers = [("Content-Length", str(len(data)))]
         return HttpReply(200, self._upload(data), headers)
 
+    def _take_slot(self, across: bool) -> bool:
+        """Wait for an upload slot; tell whether one was got.
+
+        A short queue costs less than asking again and again does. Requests from
+        other domains always queue and go first: a whole domain waits for what
+        they bring in.
+        """
+        if not across and self.queued >= self.settings.upload_queue:
+            return False
+        self.queued += not across
+        self.queued_across += across
+        try:
+            deadline = monotonic() + QUEUE_SECONDS
+            while self._must_wait(across):
+                left = deadline - monotonic()
+                if left <= 0 or not self.slot_free.wait(left):
+                    return False
+        finally:
+            self.queued -= not across
+            self.queued_across -= across
+        self.uploads += 1
+        return True
+
+    def _must_wait(self, across: bool) -> bool:
+        taken = self.uploads >= self.settings.upload_slots
+        return taken or (not across and self.queued_across > 0)
+
     def _holding_of(self, digest: ChunkDigest) -> Holding | None:
         for holding in self.holdings.values():
             if digest in holding.index:
@@ -104,6 +142,7 @@
             yield from self.link.pace(in_pieces(data, PIECE_BYTES))
         finally:
             self.uploads -= 1
+            self.slot_free.notify()
 
     def serve_manifest(self, request: HttpRequest) -> HttpReply:
         """Answer with a version's manifest."""
@@ -123,13 +162,34 @@
             return HttpReply(401)
         return HttpReply(200, holding.manifest_bytes)
 
-    def serve_engine_chunk(self, request: HttpRequest) -> HttpReply:
-        """Answer the engine, which shows a ticket, with a chunk."""
-        if request.header(TICKET_HEADER) not in self.tickets:
+    def serve_engine_stream(self, request: HttpRequest) -> HttpReply:
+        """Answer the engine with a version's chunks, each as soon as it is held."""
+        ticket = request.header(TICKET_HEADER)
+        root = self.tickets.get(ticket)
+        holding = self.holdings.get(root) if root is not None else None
+        if holding is None:
             return HttpReply(401)
-        digest = ChunkDigest(request.path.removeprefix(f"{ENGINE_PATH}chunk/"))
-        data = self.store.get(digest)
-        return HttpReply(404) if data is None else HttpReply(200, data)
+        return HttpReply(200, self._chunk_frames(holding, ticket))
+
+    def _chunk_frames(self, holding: Holding, ticket: str) -> Iterator[bytes]:
+        """Yield digest, length and bytes of each chunk, in order of arrival.
+
+        The stream ends early where the version is dropped meanwhile.
+        """
+        sent = 0
+        while sent < len(holding.places):
+            fresh = list(islice(holding.held, sent, None))
+            for index in fresh:
+                digest = holding.places[index].digest
+                data = self.store.get(digest)
+                if data is None:
+                    return
+                yield frame_header(digest, len(data)) + data
+            sent += len(fresh)
+            if not fresh:
+                holding.changed.wait(1.0)
+            if ticket not in self.tickets:
+                return
 
     def _verified(self, request: HttpRequest) -> bool:
         header = request.header(AUTH_HEADER)
--- a/src/ridgecourse/agent/rollout.py
+++ b/src/ridgecourse/agent/rollout.py
@@ -11,7 +11,7 @@
 from time import monotonic
 
 import eventlet
-from returns.result import Failure
+from returns.result import Failure, Result, Success
 
 from ridgecourse.agent.context import AgentContext
 from ridgecourse.agent.exchange import MANIFEST_PATH, Exchange
@@ -53,7 +53,6 @@
     IDLE = "idle"
     MANIFEST = "manifest"
     TRANSFER = "transfer"
-    LOAD = "load"
     ACTIVATE = "activate"
     SERVING = "serving"
     HALTED = "halted"
@@ -211,9 +210,17 @@
     def _bring_in(self, version: Version) -> None:
         self._emit(EventKind.ROLLOUT_STARTED, version)
         holding = self._hold(version)
-        self._transfer(version, holding)
-        self._emit(EventKind.VERSION_COMPLETE, version)
-        self._load(version)
+        # The engine loads while chunks come in, so that it is done soon after.
+        load = eventlet.spawn(self._load, version)
+        try:
+            self._transfer(version, holding)
+            self._emit(EventKind.VERSION_COMPLETE, version)
+            result = load.wait()
+        finally:
+            self.exchange.tickets = {}
+            load.kill()
+        if isinstance(result, Failure):
+            raise RolloutStopped(result.failure())
         self._activate(version)
         self._emit(EventKind.VERSION_SERVING, version)
 
@@ -342,19 +349,22 @@
             raise RolloutStopped("no-lease: another agent holds the engine")
         return token
 
-    def _load(self, version: Version) -> None:
-        self._set(Phase.LOAD)
-        token = self._order(version)
+    def _load(self, version: Version) -> Result[OrderResult, str]:
+        """Have the engine load; a fault is returned for the one who waits."""
+        try:
+            token = self._order(version)
+        except (RolloutStopped, LogUnavailable) as error:
+            return Failure(str(error))
         ticket = token_hex(16)
         self.exchange.tickets = {ticket: version.root_digest}
         target = self.target()
         source = self.context.settings.http if target is None else target.address
-        result = self.context.engine.load(
-            LoadOrder(version.root_digest, source, ticket, token)
-        )
-        self.exchange.tickets = {}
-        self._check_order(result, "load")
+        order = LoadOrder(version.root_digest, source, ticket, token)
+        result = self.context.engine.load(order)
+        if result is not OrderResult.DONE:
+            return Failure(self._describe_order(result, "load"))
         self._emit(EventKind.VERSION_LOADED, version)
+        return Success(result)
 
     def _activate(self, version: Version) -> None:
         self._set(Phase.ACTIVATE)
@@ -363,17 +373,15 @@
         # Whatever the answer was, what counts is what the engine serves.
         self._see_engine(self.context.engine.state())
         if self.serving != version.root_digest:
-            self._check_order(result, "activate")
-            raise RolloutStopped("engine-read-back: the engine serves another version")
+            raise RolloutStopped(self._describe_order(result, "activate"))
         self._set(Phase.SERVING)
 
-    def _check_order(self, result: OrderResult, order: str) -> None:
-        if result is OrderResult.DONE:
-            return
+    def _describe_order(self, result: OrderResult, order: str) -> str:
+        """Note an order that was not carried out; return it as an error."""
         self.context.events.emit(
             EventKind.ORDER_REFUSED,
             target=self.context.target,
             order=order,
             result=result.value,
         )
-        raise RolloutStopped(f"engine-{result.value}: {order}")
+        return f"engine-{result.value}: {order}"
--- a/src/ridgecourse/agent/settings.py
+++ b/src/ridgecourse/agent/settings.py
@@ -36,6 +36,7 @@
         upload_bytes_per_s: None for no limit.
         download_bytes_per_s: None for no limit.
         upload_slots: Chunks sent to other agents at a time.
+        upload_queue: Requests that may wait for a slot.
         upload_copies: Copies of a version that the agent sends to others
             before it does so only where nobody else can.
     """
@@ -43,6 +44,7 @@
     upload_bytes_per_s: float | None = Field(None, gt=0)
     download_bytes_per_s: float | None = Field(None, gt=0)
     upload_slots: int = Field(2, ge=1)
+    upload_queue: int = Field(1, ge=1)
     upload_copies: float = Field(1.2, gt=0)
 
 
@@ -50,8 +52,8 @@
     """Bounds of the chunk planner; see ``PlanPolicy``."""
 
     classes: int = Field(4, ge=1, le=64)
-    neighbours: int = Field(8, ge=1)
-    fetches: int = Field(6, ge=1)
+    neighbours: int = Field(12, ge=1)
+    fetches: int = Field(3, ge=1)
     per_source: int = Field(2, ge=1)
     stall_seconds: float = Field(1.5, gt=0)
     chunk_stall_seconds: float = Field(3.0, gt=0)
--- a/src/ridgecourse/agent/transfer.py
+++ b/src/ridgecourse/agent/transfer.py
@@ -8,7 +8,7 @@
 import eventlet
 
 from ridgecourse.agent.context import AgentContext
-from ridgecourse.agent.exchange import CHUNK_PATH, LAST_RESORT_HEADER
+from ridgecourse.agent.exchange import CHUNK_PATH, DOMAIN_HEADER, LAST_RESORT_HEADER
 from ridgecourse.agent.holding import Holding
 from ridgecourse.agent.settings import PlanSettings
 from ridgecourse.core.config import Target, Version
@@ -221,7 +221,10 @@
     def _from_peer(self, fetch: Fetch) -> bytes | FetchFailure:
         target = self.targets[fetch.source]
         path = f"{CHUNK_PATH}{fetch.digest}"
-        headers = {AUTH_HEADER: sign_request(self.key, "GET", path)}
+        headers = {
+            AUTH_HEADER: sign_request(self.key, "GET", path),
+            DOMAIN_HEADER: self.context.domain,
+        }
         sole = self.planner.holders(fetch.digest) <= 1
         if sole or self.busy.get(fetch.digest, 0) >= LAST_RESORT_BUSY:
             headers[LAST_RESORT_HEADER] = "yes"
@@ -233,6 +236,8 @@
             )
             with closing(response):
                 if response.status != 200:
+                    response.drain_conn()
+                    response.release_conn()
                     return self._refused(fetch, response.status)
                 data = b"".join(
                     self.context.download.pace(read_pieces(response, limit))
--- a/src/ridgecourse_standins/engine.py
+++ b/src/ridgecourse_standins/engine.py
@@ -6,18 +6,22 @@
 import sys
 from collections import OrderedDict
 from collections.abc import Iterator
-from contextlib import suppress
+from contextlib import closing, suppress
 from time import monotonic
 
 from msgspec import DecodeError, Struct
 from msgspec.json import decode, encode
 from returns.result import Failure
+from urllib3.exceptions import HTTPError
 
-from ridgecourse.core.manifest import chunk_digest, parse_manifest
+from ridgecourse.core.manifest import DIGEST_HEX_LENGTH, chunk_digest, parse_manifest
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
 from ridgecourse.platform.engine import (
+    FRAME_HEADER_BYTES,
+    LOAD_SECONDS,
+    TICKET_HEADER,
     ActivateOrder,
     EngineState,
     GenerateOrder,
@@ -126,7 +130,7 @@
             return HttpReply(503, b"no memory\n")
         try:
             weights = self._fetch(order)
-        except (NoConnection, ExchangeFailed, ValueError) as error:
+        except (NoConnection, ExchangeFailed, HTTPError, ValueError) as error:
             return HttpReply(503, f"{error}\n".encode())
         self.loaded = {
             root: held for root, held in self.loaded.items() if root == self.active
@@ -139,20 +143,34 @@
         parsed = parse_manifest(self._get(order, f"manifest/{order.root}"), order.root)
         if isinstance(parsed, Failure):
             raise ValueError(f"bad manifest: {parsed.failure()}")
-        chunks = {}
-        for place in parsed.unwrap().unique_chunks():
-            data = self._get(order, f"chunk/{place.digest}")
-            if chunk_digest(data) != place.digest:
-                raise ValueError(f"bad chunk {place.digest}")
-            chunks[place.digest] = data
+        chunks = dict(self._stream_chunks(order))
+        wanted = {place.digest for place in parsed.unwrap().unique_chunks()}
+        if set(chunks) != wanted:
+            raise ValueError(f"{len(chunks)} chunks of {len(wanted)}")
         return Weights(join_files(parsed.unwrap().chunk_places(), chunks))
 
+    def _stream_chunks(self, order: LoadOrder) -> Iterator[tuple[str, bytes]]:
+        """Yield the chunks that the agent sends, each verified."""
+        headers = {TICKET_HEADER: order.ticket}
+        path = f"/engine/stream/{order.root}"
+        response = self.http.send(
+            "GET", order.source, path, headers=headers, timeout=LOAD_SECONDS, fresh=True
+        )
+        with closing(response):
+            while header := response.read(FRAME_HEADER_BYTES):
+                digest = header[:DIGEST_HEX_LENGTH].decode()
+                length = int.from_bytes(header[DIGEST_HEX_LENGTH:], "big")
+                data = response.read(length)
+                if chunk_digest(data) != digest:
+                    raise ValueError(f"bad chunk {digest}")
+                yield digest, data
+
     def _get(self, order: LoadOrder, path: str) -> bytes:
         status, data, _ = self.http.fetch(
             "GET",
             order.source,
             f"/engine/{path}",
-            headers={"Ridgecourse-Ticket": order.ticket},
+            headers={TICKET_HEADER: order.ticket},
         )
         if status != 200:
             raise ValueError(f"{path}: status {status}")
