Leave a chunk to those who got it after two uploads of it

Cause: the first holder of a chunk is asked by all who follow it and uploads it to most of them, so its link bounds the rollout.

--- a/src/ridgecourse/agent/exchange.py
+++ b/src/ridgecourse/agent/exchange.py
@@ -88,12 +88,13 @@
             return HttpReply(404)
         holding = self._holding_of(digest)
         last_resort = request.header(LAST_RESORT_HEADER) == "yes"
-        if not last_resort and self._over_share(holding, len(data)):
-            return HttpReply(503)
-        if not self._take_slot(request.header(DOMAIN_HEADER) != self.domain):
+        across = request.header(DOMAIN_HEADER) != self.domain
+        if not last_resort and self._over_share(holding, digest, across):
+            return HttpReply(429)
+        if not self._take_slot(across):
             return HttpReply(503)
         if holding is not None:
-            holding.uploaded += len(data)
+            holding.uploads[digest, across] += 1
         headers = [("Content-Length", str(len(data)))]
         return HttpReply(200, self._upload(data), headers)
 
@@ -130,12 +131,17 @@
                 return holding
         return None
 
-    def _over_share(self, holding: Holding | None, size: int) -> bool:
-        """Tell whether an upload would exceed this agent's share of the work."""
+    def _over_share(
+        self, holding: Holding | None, digest: ChunkDigest, across: bool
+    ) -> bool:
+        """Tell whether others should send a chunk on now.
+
+        The first holder of a chunk is asked by all at once. If it served them
+        all, its link would bound the whole rollout; those that it served can.
+        """
         if holding is None:
             return False
-        bound = self.settings.upload_copies * holding.unique_bytes
-        return holding.uploaded + size > bound
+        return holding.uploads[digest, across] >= self.settings.uploads_per_chunk
 
     def _upload(self, data: bytes) -> Iterator[bytes]:
         try:
--- a/src/ridgecourse/agent/holding.py
+++ b/src/ridgecourse/agent/holding.py
@@ -1,5 +1,7 @@
 """What an agent holds of one version, and what it knows that others hold."""
 
+from collections import Counter
+
 from ridgecourse.core.ids import ChunkDigest, RootDigest
 from ridgecourse.core.manifest import Manifest
 from ridgecourse.net.broadcast import Broadcast
@@ -29,7 +31,8 @@
         self.unique_bytes = sum(place.length for place in self.places)
         self.held: dict[int, None] = {}
         self.seen: dict[int, None] = {}
-        self.uploaded = 0
+        # By chunk and whether it went to another domain.
+        self.uploads: Counter[tuple[ChunkDigest, bool]] = Counter()
         self.changed = Broadcast()
 
     def add_held(self, digest: ChunkDigest) -> None:
--- a/src/ridgecourse/agent/settings.py
+++ b/src/ridgecourse/agent/settings.py
@@ -37,15 +37,15 @@
         download_bytes_per_s: None for no limit.
         upload_slots: Chunks sent to other agents at a time.
         upload_queue: Requests that may wait for a slot.
-        upload_copies: Copies of a version that the agent sends to others
-            before it does so only where nobody else can.
+        uploads_per_chunk: Times that a chunk is sent to agents of the own
+            domain, and of others, before that is left to those who got it.
     """
 
     upload_bytes_per_s: float | None = Field(None, gt=0)
     download_bytes_per_s: float | None = Field(None, gt=0)
     upload_slots: int = Field(2, ge=1)
     upload_queue: int = Field(1, ge=1)
-    upload_copies: float = Field(1.2, gt=0)
+    uploads_per_chunk: int = Field(2, ge=1)
 
 
 class PlanSettings(Settings):
--- a/src/ridgecourse/agent/transfer.py
+++ b/src/ridgecourse/agent/transfer.py
@@ -41,8 +41,8 @@
 REFOLLOW_SECONDS = 0.5
 MAX_CORRUPT_FROM_ORIGIN = 3
 """Times in a row a chunk may come wrong from the origin before it is an error."""
-LAST_RESORT_BUSY = 3
-"""Refusals of a chunk after which a holder is asked to exceed its share."""
+LAST_RESORT_REFERRALS = 8
+"""Referrals to others after which a holder is asked to exceed its share."""
 
 
 class TransferError(Exception):
@@ -84,7 +84,7 @@
             origin_copies,
         )
         self.progress = Broadcast()
-        self.busy: dict[ChunkDigest, int] = {}
+        self.referred: dict[ChunkDigest, int] = {}
         self.corrupt: dict[ChunkDigest, int] = {}
         self.cancelled = False
         self.error = ""
@@ -225,8 +225,7 @@
             AUTH_HEADER: sign_request(self.key, "GET", path),
             DOMAIN_HEADER: self.context.domain,
         }
-        sole = self.planner.holders(fetch.digest) <= 1
-        if sole or self.busy.get(fetch.digest, 0) >= LAST_RESORT_BUSY:
+        if self.referred.get(fetch.digest, 0) >= LAST_RESORT_REFERRALS:
             headers[LAST_RESORT_HEADER] = "yes"
         limit = self.holding.places[self.holding.index[fetch.digest]].length
         stall = self.settings.chunk_stall_seconds
@@ -253,7 +252,9 @@
     def _refused(self, fetch: Fetch, status: int) -> FetchFailure:
         if status == 404:
             return FetchFailure.MISSING
-        self.busy[fetch.digest] = self.busy.get(fetch.digest, 0) + 1
+        if status == 429:
+            self.referred[fetch.digest] = self.referred.get(fetch.digest, 0) + 1
+            return FetchFailure.REFERRED
         return FetchFailure.BUSY
 
     def _count_peer_bytes(self, source: TargetName, size: int) -> None:
--- a/src/ridgecourse/core/planner.py
+++ b/src/ridgecourse/core/planner.py
@@ -11,7 +11,7 @@
 from random import Random
 from typing import NamedTuple
 
-from msgspec import Struct
+from msgspec import Struct, field
 
 from ridgecourse.core.ids import (
     ChunkDigest,
@@ -57,6 +57,7 @@
     """Why a fetch gave nothing."""
 
     BUSY = "busy"
+    REFERRED = "referred"
     MISSING = "missing"
     STALLED = "stalled"
     UNREACHABLE = "unreachable"
@@ -73,6 +74,8 @@
         fetches: Fetches in progress at a time.
         per_source: Fetches in progress from one source.
         busy_seconds: How long a source is left alone after it was busy.
+        referred_seconds: How long a source is not asked for a chunk that it
+            has sent often enough.
         back_off_seconds: First wait after a failure of a source; doubles.
         stall_seconds: Shortest time without progress that counts as a stall.
     """
@@ -82,6 +85,7 @@
     fetches: int = 6
     per_source: int = 2
     busy_seconds: float = 0.1
+    referred_seconds: float = 0.25
     back_off_seconds: float = 0.5
     max_back_off_seconds: float = 15.0
     stall_seconds: float = 1.5
@@ -95,12 +99,14 @@
         fetching: Fetches in progress from it.
         not_before: When it may be asked again.
         failures: Failures in a row.
+        later: Chunks that it referred to others, and until when.
     """
 
     held: set[ChunkDigest]
     fetching: int = 0
     not_before: Seconds = Seconds(0.0)
     failures: int = 0
+    later: dict[ChunkDigest, Seconds] = field(default_factory=dict)
 
 
 class ChunkPlanner:
@@ -268,6 +274,9 @@
         if why is FetchFailure.MISSING and source != ORIGIN:
             self._forget_held(state, digest)
             return
+        if why is FetchFailure.REFERRED:
+            state.later[digest] = Seconds(now + self.policy.referred_seconds)
+            return
         if why is FetchFailure.BUSY:
             wait = self.policy.busy_seconds * (0.5 + self.random.random())
         else:
@@ -345,6 +354,7 @@
             and target not in self.in_flight.get(digest, ())
             and state.fetching < self.policy.per_source
             and state.not_before <= now
+            and state.later.get(digest, now) <= now
             and self._may_ask(target, digest, now)
         ]
         return min(usable)[2] if usable else None
