Give each draw slot another holder

Cause: every class ranked its candidates on its own, so that in a domain of four one agent came first for several classes and carried their uploads. Ruled out before: processors (half the rate gave the same ratio), upload slots, number of fetches.

--- a/src/ridgecourse/agent/settings.py
+++ b/src/ridgecourse/agent/settings.py
@@ -51,7 +51,7 @@
 class PlanSettings(Settings):
     """Bounds of the chunk planner; see ``PlanPolicy``."""
 
-    classes: int = Field(4, ge=1, le=64)
+    classes: int = Field(8, ge=1, le=64)
     neighbours: int = Field(12, ge=1)
     fetches: int = Field(3, ge=1)
     per_source: int = Field(2, ge=1)
--- a/src/ridgecourse/core/planner.py
+++ b/src/ridgecourse/core/planner.py
@@ -80,7 +80,7 @@
         stall_seconds: Shortest time without progress that counts as a stall.
     """
 
-    classes: int = 4
+    classes: int = 8
     neighbours: int = 8
     fetches: int = 6
     per_source: int = 2
@@ -159,12 +159,8 @@
         for target in self.neighbours():
             self.sources[target] = SourceState(set())
 
-    def _slot_key(self, number: int) -> str:
-        return f"{self.root}/{number}"
-
     def _origin_slot(self, number: int, now: Seconds) -> DrawSlot:
-        key = self._slot_key(number)
-        candidates = origin_candidates(key, self.members, self.group)
+        candidates = origin_candidates(self.root, self.members, self.group, number)
         return DrawSlot(candidates, now, self.policy.stall_seconds)
 
     def _origin_group(self) -> frozenset[DomainName]:
@@ -175,8 +171,8 @@
         return frozenset(DomainName(name) for name in ranked[mine::copies])
 
     def _import_slot(self, number: int, now: Seconds) -> DrawSlot:
-        key = self._slot_key(number)
-        candidates = slot_candidates(key, self.members, self.me.domain)
+        domain = self.me.domain
+        candidates = slot_candidates(self.root, self.members, domain, number)
         return DrawSlot(candidates, now, self.policy.stall_seconds)
 
     def neighbours(self) -> Sequence[TargetName]:
@@ -186,7 +182,7 @@
         candidates, the first candidates of that class in every domain.
         """
         local = slot_candidates(
-            f"{self.root}/{self.me.target}", self.members, self.me.domain
+            f"{self.root}/{self.me.target}", self.members, self.me.domain, 0
         )
         others = [target for target in local if target != self.me.target]
         followed = others[: self.policy.neighbours]
@@ -198,9 +194,9 @@
         return list(unique)
 
     def _first_candidates(self, number: int) -> Iterator[TargetName]:
-        key = self._slot_key(number)
         for domain in sorted(set(self.members.values())):
-            yield from slot_candidates(key, self.members, domain)[:STANDBY]
+            ranked = slot_candidates(self.root, self.members, domain, number)
+            yield from ranked[:STANDBY]
 
     def peer_holds(
         self, peer: TargetName, chunks: Iterable[ChunkDigest], now: Seconds
--- a/src/ridgecourse/core/slots.py
+++ b/src/ridgecourse/core/slots.py
@@ -71,36 +71,57 @@
 
 
 def slot_candidates(
-    key: str, members: Mapping[TargetName, DomainName], domain: DomainName
+    key: str,
+    members: Mapping[TargetName, DomainName],
+    domain: DomainName,
+    number: int,
 ) -> Sequence[TargetName]:
     """Return a domain's members in their order for a class of chunks.
 
+    The members are ranked once; each class starts one further on, so that no
+    member comes first for two classes while another does for none.
+
     Args:
-        key: Names version and class.
+        key: Names the version.
         members: Each member's failure domain.
         domain: The domain whose members are ranked.
+        number: The class.
     """
     local = [target for target, where in members.items() if where == domain]
     ranked = rendezvous_rank(f"{key}/{domain}", local)
-    return [TargetName(target) for target in ranked]
+    return [TargetName(target) for target in rotate(ranked, number)]
 
 
 def origin_candidates(
-    key: str, members: Mapping[TargetName, DomainName], domains: Iterable[DomainName]
+    key: str,
+    members: Mapping[TargetName, DomainName],
+    domains: Iterable[DomainName],
+    number: int,
 ) -> Sequence[TargetName]:
     """Return who draws a class of chunks from the origin, in order.
 
-    The first of each domain come first, in the domains' order for the key, then
-    the second ones, and so on: whoever draws from the origin also brings the
-    class into its own domain, and a lost domain does not take several
+    The first of each domain come first, in the domains' order for the class,
+    then the second ones, and so on: whoever draws from the origin also brings
+    the class into its own domain, and a lost domain does not take several
     candidates in a row with it.
 
     Args:
-        key: Names version and class.
+        key: Names the version.
         members: Each member's failure domain.
         domains: The domains that share one copy.
+        number: The class.
     """
-    ranked = rendezvous_rank(key, domains)
-    columns = [slot_candidates(key, members, DomainName(name)) for name in ranked]
+    ranked = rotate(rendezvous_rank(key, domains), number)
+    columns = [
+        slot_candidates(key, members, DomainName(name), number) for name in ranked
+    ]
     rows = zip_longest(*columns)
     return [target for row in rows for target in row if target is not None]
+
+
+def rotate(ranked: Sequence[str], steps: int) -> Sequence[str]:
+    """Return a ranking begun some steps further on."""
+    if not ranked:
+        return ranked
+    start = steps % len(ranked)
+    return [*ranked[start:], *ranked[:start]]
