Draw a chunk again whose only holder was lost

Cause: a chunk once heard of was never drawn from the origin again, so if its holder died before sending it on, the rollout stuck; and the wait before a successor draws grew with the pace without bound.

--- a/src/ridgecourse/core/planner.py
+++ b/src/ridgecourse/core/planner.py
@@ -380,7 +380,7 @@
                 continue
             if self._draws_origin(number):
                 continue
-            digest = self._next_origin_chunk(number)
+            digest = self._next_origin_chunk(number, stalled=len(drawers) > 1)
             if digest is not None:
                 yield Fetch(digest, ORIGIN)
 
@@ -390,16 +390,17 @@
             for digest, sources in self.in_flight.items()
         )
 
-    def _next_origin_chunk(self, number: int) -> ChunkDigest | None:
+    def _next_origin_chunk(self, number: int, stalled: bool) -> ChunkDigest | None:
         """Return the next chunk of a class that nobody is known to hold.
 
         The order is the same for all, so that a successor starts where its
-        predecessor ended.
+        predecessor ended. Once the class has stalled, chunks that someone held
+        but no followed agent holds now count too: their holder may be gone.
         """
         wanted = [
             digest
             for digest in self.missing
-            if digest not in self.seen_in_group
+            if (digest not in self.seen_in_group or self._is_lost(digest, stalled))
             and digest not in self.in_flight
             and chunk_class(digest, self.policy.classes) == number
         ]
@@ -409,6 +410,9 @@
             default=None,
         )
 
+    def _is_lost(self, digest: ChunkDigest, stalled: bool) -> bool:
+        return stalled and not self.holders(digest)
+
     def wake_after(self) -> float:
         """Return the seconds after which to plan again if nothing happens."""
         return self.policy.busy_seconds
--- a/src/ridgecourse/core/slots.py
+++ b/src/ridgecourse/core/slots.py
@@ -17,6 +17,8 @@
 """Share of the newest sample in the smoothed interval between chunks."""
 PATIENCE = 4.0
 """Intervals without progress after which the next candidate draws."""
+LONGEST_STALL = 10.0
+"""The same at most, in multiples of the shortest time that counts as a stall."""
 
 
 def chunk_class(digest: ChunkDigest, classes: int) -> int:
@@ -59,7 +61,8 @@
         if self.gains < 2:
             # The first chunk shares its link with all others' first ones.
             return self.minimum * 3
-        return max(self.minimum, PATIENCE * self.interval)
+        longest = LONGEST_STALL * self.minimum
+        return min(longest, max(self.minimum, PATIENCE * self.interval))
 
     def drawers(self, now: Seconds) -> Sequence[TargetName]:
         """Return the candidates that may draw now, the latest one last."""
