Outcomes under failure: keys over entries, kills, freezes, outages

Requests under a key are claimed in the log with the target and the life of its agent; a claim is taken over only with that agent's proof (fence). Faults found by the tests, each red before and green after: - entries without a link to a target refused keyed requests for ever (test_a_lost_reply_to_a_claim: 'not-run' == 'completed'): they now ask the agent which life it is in; - a target that had just become ready was refused for a moment (test_a_broken_stream_ends_as_unknown...: 'not-run' == 'unknown'): where no target reports ready, those not leaving are tried; - of two entries with one key the first winner could be fenced before its dispatch arrived and tell 'not run' although the key ran elsewhere (test_a_key_sent_to_two_entries_at_once_runs_once: reason key-fenced): it now answers from the request that holds the key; - nested unknown fields of JSON calls passed silently (test_input: no message).

--- a/src/ridgecourse/agent/context.py
+++ b/src/ridgecourse/agent/context.py
@@ -56,7 +56,7 @@
         self.counts = TransferCounts()
         self.config = ConfigStore()
         self.store = ChunkStore(settings.staging_bytes)
-        self.http = HttpClient()
+        self.http = HttpClient(source=settings.source)
         self.download = Throttle(settings.link.download_bytes_per_s)
         self.origin = OriginClient(settings.origin, self.http, self.download)
         self.log = LogClient(settings.log, self.http)
--- a/src/ridgecourse/agent/gate.py
+++ b/src/ridgecourse/agent/gate.py
@@ -38,6 +38,8 @@
 from ridgecourse.platform.engine import GenerateOrder
 from ridgecourse.wire.codec import decode_message, encode_message
 from ridgecourse.wire.request import (
+    FENCE_PATH,
+    IDENTITY_PATH,
     LOAD_HEADER,
     MAX_ANSWER_BYTES,
     MAX_REQUEST_BYTES,
@@ -45,15 +47,15 @@
     REASON_HEADER,
     RETRY_AFTER_HEADER,
     VERSION_HEADER,
+    WORK_PATH,
     FenceReply,
     FenceRequest,
+    Identity,
     StreamEnd,
     TokenEvent,
     Work,
 )
 
-WORK_PATH = "/work"
-FENCE_PATH = "/fence"
 MAX_WORK_BYTES = MAX_REQUEST_BYTES + 64 * 1024
 MAX_LINE_BYTES = 64 * 1024
 MAX_KEPT_ANSWER_BYTES = 64 * 1024
@@ -100,6 +102,7 @@
         """Serve work and fences on a router."""
         router.add("POST", WORK_PATH, self.handle_work)
         router.add("POST", FENCE_PATH, self.handle_fence)
+        router.add("GET", IDENTITY_PATH, self.handle_identity)
 
     def ready(self) -> bool:
         """Tell whether the target takes requests."""
@@ -367,6 +370,11 @@
             return HttpReply(400, str(decoded.failure()).encode())
         return HttpReply(200, encode_message(self._fence(decoded.unwrap())))
 
+    def handle_identity(self, request: HttpRequest) -> HttpReply:
+        """Tell which life of the agent this is."""
+        identity = Identity(self.context.incarnation)
+        return HttpReply(200, encode_message(identity))
+
     def _fence(self, fence: FenceRequest) -> FenceReply:
         known = fence.incarnation == self.context.incarnation
         if not known or (
--- a/src/ridgecourse/agent/settings.py
+++ b/src/ridgecourse/agent/settings.py
@@ -75,6 +75,7 @@
         link: Limits of weight transfer.
         plan: Bounds of the chunk planner.
         staging_bytes: Memory for chunks; the agent has no disk.
+        source: Local address that connections are made from; None for any.
         shared_key: Proves the system's processes to each other.
         heartbeat_seconds: Between two reports to an entry without a change.
         lease_seconds: Length of a lease on the engine.
@@ -94,6 +95,7 @@
     link: LinkSettings = LinkSettings()
     plan: PlanSettings = PlanSettings()
     staging_bytes: int = Field(256 * MEBIBYTE, ge=MEBIBYTE)
+    source: str | None = None
     shared_key: str = Field(min_length=16)
     heartbeat_seconds: float = Field(1.0, gt=0)
     lease_seconds: float = Field(15.0, gt=0)
--- a/src/ridgecourse/agent/transfer.py
+++ b/src/ridgecourse/agent/transfer.py
@@ -142,7 +142,11 @@
             eventlet.sleep(REFOLLOW_SECONDS)
 
     def _holdings_of(self, neighbour: TargetName) -> Iterator[Holds]:
-        channel = open_channel(self.targets[neighbour].control_address, self.key)
+        channel = open_channel(
+            self.targets[neighbour].control_address,
+            self.key,
+            self.context.settings.source,
+        )
         with closing(channel):
             me = self.planner.me
             channel.send(
--- a/src/ridgecourse/core/claim.py
+++ b/src/ridgecourse/core/claim.py
@@ -19,31 +19,46 @@
 )
 
 
-class Claim(Struct, frozen=True, forbid_unknown_fields=True):
-    """A request's claim on a key.
+class ClaimRecord(Struct, frozen=True, tag_field="type", forbid_unknown_fields=True):
+    """Base of what stands in the stream of claims.
 
     Attributes:
         fleet: Fleet of the account.
         account: Keys of different accounts are different.
         key: The caller's key.
-        request_id: The request that claims.
-        target: Where it will be dispatched.
-        incarnation: The life of that target's agent; the request is refused by
-            any other.
-        replaces: The request whose claim it takes over, if any.
+        request_id: The request that claims or releases.
     """
 
     fleet: FleetName
     account: AccountName
     key: IdempotencyKey
     request_id: RequestId
+
+    def scope(self) -> tuple[str, str, str]:
+        """Return what a claim is exclusive for."""
+        return self.fleet, self.account, self.key
+
+
+class Claim(ClaimRecord, frozen=True, tag="claim"):
+    """A request's claim on a key.
+
+    Attributes:
+        target: Where it will be dispatched.
+        incarnation: The life of that target's agent; the request is refused by
+            any other.
+        replaces: The request whose claim it takes over, if any.
+    """
+
     target: TargetName
     incarnation: Incarnation
     replaces: RequestId | None = None
 
-    def scope(self) -> tuple[str, str, str]:
-        """Return what the claim is exclusive for."""
-        return self.fleet, self.account, self.key
+
+class Release(ClaimRecord, frozen=True, tag="release"):
+    """Gives a key back, after proof that the request which held it was not run."""
+
+
+AnyClaimRecord = Claim | Release
 
 
 class ClaimTable:
@@ -65,7 +80,7 @@
         """Go on from a later offset, where older records are gone."""
         self.offset = max(self.offset, offset)
 
-    def apply(self, offset: Offset, claim: Claim | None) -> None:
+    def apply(self, offset: Offset, record: AnyClaimRecord | None) -> None:
         """Fold the record at an offset; None stands for one not decodable.
 
         Raises:
@@ -74,8 +89,17 @@
         if offset != self.offset:
             raise ValueError(f"cannot fold offset {offset} at {self.offset}")
         self.offset = Offset(offset + 1)
-        if claim is None:
-            return
+        if isinstance(record, Release):
+            self._release(record)
+        elif record is not None:
+            self._claim(record)
+
+    def _release(self, release: Release) -> None:
+        holder = self.holders.get(release.scope())
+        if holder is not None and holder.request_id == release.request_id:
+            del self.holders[release.scope()]
+
+    def _claim(self, claim: Claim) -> None:
         self.decided[claim.request_id] = None
         if len(self.decided) > self.limit:
             del self.decided[next(iter(self.decided))]
--- a/src/ridgecourse/entry/attempt.py
+++ b/src/ridgecourse/entry/attempt.py
@@ -16,25 +16,26 @@
 from ridgecourse.net.auth import AUTH_HEADER, sign_request
 from ridgecourse.net.http_client import (
     ExchangeFailed,
-    HttpClient,
     NoConnection,
     read_pieces,
 )
 from ridgecourse.wire.codec import decode_message, encode_message
 from ridgecourse.wire.request import (
+    FENCE_PATH,
+    IDENTITY_PATH,
     LOAD_HEADER,
     MAX_ANSWER_BYTES,
     OUTCOME_HEADER,
     REASON_HEADER,
     RETRY_AFTER_HEADER,
     VERSION_HEADER,
+    WORK_PATH,
     FenceReply,
     FenceRequest,
+    Identity,
     Work,
 )
 
-WORK_PATH = "/work"
-FENCE_PATH = "/fence"
 ANSWER_GRACE_SECONDS = 0.25
 """An agent that refuses at the deadline gets this long for its proof to arrive."""
 FENCE_SECONDS = 2.0
@@ -83,7 +84,7 @@
 
     def __init__(self, context: EntryContext) -> None:
         self.context = context
-        self.http = HttpClient(connect_seconds=0.5)
+        self.http = context.new_client(0.5)
 
     def send(
         self,
@@ -184,6 +185,19 @@
             return None
         return decoded.unwrap()
 
+    def identify(self, target: Target) -> Incarnation | None:
+        """Ask an agent which life it is in; None if it cannot be reached."""
+        try:
+            status, data, _ = self.http.fetch(
+                "GET", target.address, IDENTITY_PATH, timeout=FENCE_SECONDS
+            )
+        except (NoConnection, ExchangeFailed):
+            return None
+        decoded = decode_message(data, Identity)
+        if status != 200 or isinstance(decoded, Failure):
+            return None
+        return decoded.unwrap().incarnation
+
     def close(self) -> None:
         """Close idle connections."""
         self.http.close()
--- a/src/ridgecourse/entry/changes.py
+++ b/src/ridgecourse/entry/changes.py
@@ -6,7 +6,6 @@
 from ridgecourse.core.ids import ChangeId
 from ridgecourse.entry.config_follower import ConfigFollower
 from ridgecourse.entry.context import EntryContext
-from ridgecourse.net.http_client import HttpClient
 from ridgecourse.platform.log import LogClient, LogUnavailable, Stream
 from ridgecourse.wire.codec import encode_message
 
@@ -25,7 +24,7 @@
         self.context = context
         self.follower = follower
         # A client of its own: an append is not to wait behind a long poll.
-        self.log = LogClient(context.settings.log, HttpClient(), seconds=1.0)
+        self.log = LogClient(context.settings.log, context.new_client(), seconds=1.0)
 
     def submit(self, record: ChangeRecord, seconds: float) -> ChangeOutcome:
         """Make a change and return its fate.
--- a/src/ridgecourse/entry/claims.py
+++ b/src/ridgecourse/entry/claims.py
@@ -11,11 +11,10 @@
 import eventlet
 from returns.result import Failure
 
-from ridgecourse.core.claim import Claim, ClaimTable
+from ridgecourse.core.claim import AnyClaimRecord, Claim, ClaimTable, Release
 from ridgecourse.core.ids import Offset
 from ridgecourse.entry.context import EntryContext
 from ridgecourse.net.broadcast import Broadcast
-from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.threads import spawn_loop
 from ridgecourse.platform.log import LogClient, LogUnavailable, Stream
 from ridgecourse.wire.codec import decode_message, encode_message
@@ -51,9 +50,9 @@
 
     def __init__(self, context: EntryContext) -> None:
         self.context = context
-        self.log = LogClient(context.settings.log, HttpClient(), seconds=1.0)
+        self.log = LogClient(context.settings.log, context.new_client(), seconds=1.0)
         self.table = ClaimTable()
-        self.pending: list[Claim] = []
+        self.pending: list[AnyClaimRecord] = []
         self.wake = Broadcast()
         self.folded = Broadcast()
         self.appends = 0
@@ -89,6 +88,17 @@
             self.pending.remove(claim)
         return Claimed(ClaimResult.NO_LOG)
 
+    def release(self, claim: Claim) -> None:
+        """Give a key back, after proof that its request was not run.
+
+        Best effort: a release that is lost leaves the key to be taken over with
+        the target's proof.
+        """
+        self.pending.append(
+            Release(claim.fleet, claim.account, claim.key, claim.request_id)
+        )
+        self.wake.notify()
+
     def _is_folded(self, claim: Claim) -> bool:
         return claim.request_id in self.table.decided
 
@@ -110,7 +120,7 @@
             except LogUnavailable:
                 eventlet.sleep(0.1)
 
-    def _write(self, batch: list[Claim]) -> None:
+    def _write(self, batch: list[AnyClaimRecord]) -> None:
         """Append a batch and fold the stream up to it."""
         records = [encode_message(claim) for claim in batch]
         last = self.log.append(Stream.CLAIMS, records) + len(records) - 1
@@ -126,6 +136,6 @@
             self.table.skip_to(batch.earliest)
             return
         for data in batch.records:
-            decoded = decode_message(data, Claim)
-            claim = None if isinstance(decoded, Failure) else decoded.unwrap()
-            self.table.apply(Offset(self.table.offset), claim)
+            decoded = decode_message(data, AnyClaimRecord)
+            record = None if isinstance(decoded, Failure) else decoded.unwrap()
+            self.table.apply(Offset(self.table.offset), record)
--- a/src/ridgecourse/entry/config_follower.py
+++ b/src/ridgecourse/entry/config_follower.py
@@ -17,7 +17,7 @@
 from ridgecourse.net.auth import AUTH_HEADER, sign_request, verify_request
 from ridgecourse.net.config_store import Folded
 from ridgecourse.net.events import EventKind
-from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
+from ridgecourse.net.http_client import ExchangeFailed, NoConnection
 from ridgecourse.net.http_server import HttpReply, HttpRequest
 from ridgecourse.net.metrics import Metric
 from ridgecourse.net.threads import spawn_loop
@@ -45,7 +45,7 @@
     def __init__(self, context: EntryContext) -> None:
         self.context = context
         self.config = context.config
-        self.peer_http = HttpClient(connect_seconds=0.5)
+        self.peer_http = context.new_client(0.5)
         self.log_lost = False
         self.checkpoint_seen = monotonic()
         self.checkpoint_known: CheckpointNotice | None = None
--- a/src/ridgecourse/entry/context.py
+++ b/src/ridgecourse/entry/context.py
@@ -29,11 +29,15 @@
         self.events = EventStream(self.process, self.incarnation, self.domain)
         self.metrics = Metrics(self.process, settings.statsd)
         self.config = ConfigStore()
-        self.http = HttpClient()
+        self.http = self.new_client()
         self.log = LogClient(settings.log, self.http)
         self.random = Random()
         self.stopping = False
 
+    def new_client(self, connect_seconds: float = 1.0) -> HttpClient:
+        """Return a client that connects from this entry's address."""
+        return HttpClient(connect_seconds, source=self.settings.source)
+
     def close(self) -> None:
         """Close idle connections and the metrics socket."""
         self.http.close()
--- a/src/ridgecourse/entry/dispatch.py
+++ b/src/ridgecourse/entry/dispatch.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 from uuid import uuid4
 
+import eventlet
 from msgspec import DecodeError
 from msgspec.json import decode, encode
 from returns.result import Failure
@@ -47,6 +48,7 @@
 DEFAULT_RETRY_AFTER = 1.0
 """Seconds told to a caller where nothing better is known."""
 MAX_TAKEOVERS = 3
+SETTLE_SECONDS = 0.1
 
 STATUS_OF_REASON = {
     Reason.BAD_REQUEST: 400,
@@ -150,45 +152,39 @@
 
     # Choosing and trying targets.
 
-    def _candidates(self, call: Call, tried: set[TargetName]) -> Iterator[Chosen]:
-        """Yield the targets that may serve a request, as far as known here."""
-        now = monotonic()
+    def _candidates(self, call: Call, tried: set[TargetName]) -> list[Chosen]:
+        """Return the targets that may serve a request, as far as known here.
+
+        Targets that report ready; without any, all that are not leaving, since
+        a report may be a moment old and a refusal costs little.
+        """
         service = call.service
         targets = self.context.config.state.service_targets(
             service.fleet, service.service
         )
-        for target in targets:
-            if target.leaving or target.target in tried:
-                continue
-            view = self.links.view(target)
-            report = view.fresh_report(now)
-            if report is not None and not report.ready:
-                continue
-            yield Chosen(target, view)
+        staying = [
+            Chosen(target, self.links.view(target))
+            for target in targets
+            if not target.leaving and target.target not in tried
+        ]
+        now = monotonic()
+        return [c for c in staying if self._seems_ready(c, now)] or staying
+
+    def _seems_ready(self, chosen: Chosen, now: float) -> bool:
+        """Tell whether a target is likely to take a request.
+
+        Targets of other domains have no link to this entry as a rule; one of
+        the own domain that does not report is likely gone.
+        """
+        report = chosen.view.fresh_report(now)
+        if report is None:
+            return chosen.target.domain != self.context.domain
+        return report.ready
 
-    def choose(
-        self, call: Call, tried: set[TargetName], keyed: bool = False
-    ) -> Chosen | None:
+    def choose(self, call: Call, tried: set[TargetName]) -> Chosen | None:
         """Return the target for the next try."""
         now = Seconds(monotonic())
-        chosen = {
-            candidate.target.target: candidate
-            for candidate in self._candidates(call, tried)
-            if not keyed or candidate.view.incarnation is not None
-        }
-        reported = {
-            name: candidate
-            for name, candidate in chosen.items()
-            if candidate.view.fresh_report(now) is not None
-        }
-        own = [c for c in reported.values() if c.target.domain == self.context.domain]
-        if own:
-            # Those of the own domain that do not report are likely gone.
-            chosen = {
-                name: candidate
-                for name, candidate in chosen.items()
-                if name in reported or candidate.target.domain != self.context.domain
-            }
+        chosen = {c.target.target: c for c in self._candidates(call, tried)}
         loads: list[TargetLoad] = [c.view.load for c in chosen.values()]
         load = self.router.choose(loads, call.service.traffic, call.affinity(), now)
         return None if load is None else chosen[load.target]
@@ -252,6 +248,8 @@
             view.load.succeeded(now - begun)
         elif isinstance(result, Lost) or result.blame:
             self._blame(view, target, now)
+        elif result.reason is Reason.WRONG_INCARNATION:
+            view.incarnation = None
         return result
 
     def _blame(self, view: AgentView, target: Target, now: Seconds) -> None:
@@ -350,14 +348,21 @@
     # Requests under an idempotency key.
 
     def _answer_keyed(self, call: Call) -> HttpReply:
-        """Claim the key in the log, then dispatch at most once."""
-        assert call.key is not None
+        """Claim the key in the log, then dispatch at most once.
+
+        A claim is taken over, from another request or from an own try, only
+        with proof that the request which holds it was not run and never will be.
+        """
         replaces: RequestId | None = None
+        tried: set[TargetName] = set()
+        refused = Refused(Reason.NO_TARGET, DEFAULT_RETRY_AFTER)
         for _ in range(MAX_TAKEOVERS):
-            chosen = self.choose(call, set(), keyed=True)
+            chosen = self.choose(call, tried)
             if chosen is None:
-                refused = Refused(Reason.NO_TARGET, DEFAULT_RETRY_AFTER)
                 return self._not_run(call, refused)
+            tried.add(chosen.target.target)
+            if not self._identified(chosen):
+                continue
             claim = self._make_claim(call, chosen, replaces)
             left = call.deadline - monotonic()
             seconds = min(self.context.settings.claim_seconds, left)
@@ -368,13 +373,30 @@
                 EventKind.KEY_CLAIMED, request=claim.request_id, result=result.value
             )
             if result is ClaimResult.WON:
-                return self._dispatch_claimed(call, chosen, claim)
+                answer = self._try_one(call, chosen, claim.request_id)
+                if not isinstance(answer, Refused):
+                    return self._reply(call, Started(answer, chosen))
+                refused = answer
+                replaces = claim.request_id
+                if answer.reason is not Reason.KEY_FENCED:
+                    self.claims.release(claim)
+                    continue
+                # Another entry took the key over before the dispatch arrived.
+                tried.clear()
+                continue
             assert holder is not None
             settled = self._settle(call, holder)
             if settled is not None:
                 return settled
             replaces = holder.request_id
-        return self._unknown(call, Lost(Reason.DUPLICATE_KEY, "others hold the key"))
+            tried.clear()
+        return self._not_run(call, refused)
+
+    def _identified(self, chosen: Chosen) -> bool:
+        """Tell whether the life of a target's agent is known, asking if need be."""
+        if chosen.view.incarnation is None:
+            chosen.view.incarnation = self.attempter.identify(chosen.target)
+        return chosen.view.incarnation is not None
 
     def _make_claim(
         self, call: Call, chosen: Chosen, replaces: RequestId | None
@@ -390,11 +412,6 @@
             replaces,
         )
 
-    def _dispatch_claimed(self, call: Call, chosen: Chosen, claim: Claim) -> HttpReply:
-        """Dispatch the one request that holds its key."""
-        result = self._try_one(call, chosen, claim.request_id)
-        return self._reply(call, Started(result, chosen))
-
     def _settle(self, call: Call, holder: Claim) -> HttpReply | None:
         """Answer from the request that holds the key.
 
@@ -405,6 +422,8 @@
         targets = self.context.config.state.targets
         target = targets.get((holder.fleet, holder.target))
         reply = None
+        # The holder has just won; let its dispatch arrive before it is fenced.
+        eventlet.sleep(SETTLE_SECONDS)
         if target is not None:
             reply = self.attempter.fence(target, holder.request_id, holder.incarnation)
         if reply is None or not reply.known:
--- a/src/ridgecourse/entry/links.py
+++ b/src/ridgecourse/entry/links.py
@@ -145,7 +145,9 @@
         while True:
             try:
                 channel = open_channel(
-                    target.control_address, self.context.settings.shared_key
+                    target.control_address,
+                    self.context.settings.shared_key,
+                    self.context.settings.source,
                 )
                 with closing(channel):
                     self._talk(channel, view)
--- a/src/ridgecourse/entry/reports.py
+++ b/src/ridgecourse/entry/reports.py
@@ -10,7 +10,7 @@
 from ridgecourse.entry.context import EntryContext
 from ridgecourse.entry.links import AgentLinks
 from ridgecourse.net.auth import AUTH_HEADER, sign_request, verify_request
-from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
+from ridgecourse.net.http_client import ExchangeFailed, NoConnection
 from ridgecourse.net.http_server import HttpReply, HttpRequest
 from ridgecourse.wire.codec import decode_message, encode_message
 from ridgecourse.wire.control import MAX_CONTROL_BYTES, ReportList, TargetReport
@@ -25,7 +25,7 @@
     def __init__(self, context: EntryContext, links: AgentLinks) -> None:
         self.context = context
         self.links = links
-        self.http = HttpClient(connect_seconds=0.5)
+        self.http = context.new_client(0.5)
 
     def close(self) -> None:
         """Close idle connections."""
--- a/src/ridgecourse/entry/settings.py
+++ b/src/ridgecourse/entry/settings.py
@@ -44,6 +44,7 @@
         instances: HOST:PORT of the platform's instance list, if there is one.
         peers: HOST:PORT of other entries, asked for the configuration while
             the log cannot be reached.
+        source: Local address that connections are made from; None for any.
         shared_key: Proves the system's processes to each other.
         operators: Who may use the administration API.
         agent_links: Entries that keep a control connection to each target of
@@ -62,6 +63,7 @@
     log: AddressText
     instances: AddressText | None = None
     peers: tuple[AddressText, ...] = Field((), strict=False)
+    source: str | None = None
     shared_key: str = Field(min_length=16)
     operators: tuple[OperatorSettings, ...] = Field((), strict=False)
     agent_links: int = Field(4, ge=2)
--- a/src/ridgecourse/entry/strict_json.py
+++ b/src/ridgecourse/entry/strict_json.py
@@ -68,7 +68,7 @@
         if name not in known:
             yield f"{place}{name}"
             continue
-        nested = getattr(known[name], "message", None)
+        nested = getattr(known[name].value, "message", None)
         if isinstance(nested, DescMessage) and isinstance(value, dict):
             yield from unknown_fields(nested, value, f"{place}{name}.")
 
--- a/src/ridgecourse/net/http_client.py
+++ b/src/ridgecourse/net/http_client.py
@@ -29,12 +29,23 @@
 
     Attributes:
         connect_seconds: Longest wait for a connection.
+        source_address: Local address to connect from; None for any.
     """
 
-    def __init__(self, connect_seconds: float = 1.0, pool_size: int = 64) -> None:
+    def __init__(
+        self,
+        connect_seconds: float = 1.0,
+        pool_size: int = 64,
+        source: str | None = None,
+    ) -> None:
         self.connect_seconds = connect_seconds
+        self.source_address = None if source is None else (source, 0)
         self.pool = PoolManager(
-            num_pools=256, maxsize=pool_size, block=False, retries=False
+            num_pools=256,
+            maxsize=pool_size,
+            block=False,
+            retries=False,
+            source_address=self.source_address,
         )
 
     def send(
@@ -80,7 +91,13 @@
         if not fresh:
             return self.pool.connection_from_url(f"http://{address}")
         where = parse_address(address)
-        return HTTPConnectionPool(where.host, where.port, maxsize=1, retries=False)
+        return HTTPConnectionPool(
+            where.host,
+            where.port,
+            maxsize=1,
+            retries=False,
+            source_address=self.source_address,
+        )
 
     def fetch(
         self,
--- a/src/ridgecourse/net/websocket.py
+++ b/src/ridgecourse/net/websocket.py
@@ -96,12 +96,13 @@
             self.connection.close()
 
 
-def open_channel(address: str, key: str) -> ControlChannel:
+def open_channel(address: str, key: str, source: str | None = None) -> ControlChannel:
     """Connect to a process's control server.
 
     Args:
         address: HOST:PORT.
         key: The key shared by the processes of the system.
+        source: Local address to connect from; None for any.
 
     Raises:
         ChannelClosed: No connection could be made, or it was refused.
@@ -118,6 +119,7 @@
             max_size=MAX_CONTROL_BYTES,
             compression=None,
             proxy=None,
+            source_address=None if source is None else (source, 0),
         )
     except (OSError, InvalidHandshake, InvalidURI, ConnectionClosed, EOFError) as error:
         raise ChannelClosed(f"{address}: {error}") from error
--- a/src/ridgecourse/wire/request.py
+++ b/src/ridgecourse/wire/request.py
@@ -22,6 +22,10 @@
 REPEATABLE_HEADER = "Ridgecourse-Repeatable"
 KEY_HEADER = "Idempotency-Key"
 
+WORK_PATH = "/work"
+FENCE_PATH = "/fence"
+IDENTITY_PATH = "/identity"
+
 MAX_REQUEST_BYTES = 4 * 1024 * 1024
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
@@ -84,6 +88,12 @@
     version: str = ""
 
 
+class Identity(Struct, frozen=True, forbid_unknown_fields=True):
+    """Tells an entry without a control connection which life an agent is in."""
+
+    incarnation: Incarnation
+
+
 class StreamEnd(Enum):
     """How a streamed answer ended."""
 
--- a/src/ridgecourse_standins/cluster.py
+++ b/src/ridgecourse_standins/cluster.py
@@ -8,6 +8,7 @@
 from typing import Any, NamedTuple
 
 from urllib3 import PoolManager
+from urllib3.exceptions import HTTPError
 
 from ridgecourse.net.auth import token_digest
 from ridgecourse_standins.managed import Managed, ProcessFailed
@@ -19,6 +20,7 @@
 MODEL_SERVICE = "text"
 PLAIN_SERVICE = "orders"
 POLL_SECONDS = 0.05
+WAIT_SECONDS = 40.0
 
 
 class Plan(NamedTuple):
@@ -35,6 +37,8 @@
         slots: Requests that an engine runs at once.
         step_seconds: Length of an engine's step.
         fenced: Whether engines refuse old fencing tokens.
+        relayed: Whether all that crosses a domain's border goes through relays,
+            so that it can be cut.
         engines_per_process: Engines that share one process, to save memory.
         origin_copies: Copies of a version that the origin may send.
     """
@@ -50,6 +54,7 @@
     step_seconds: float = 0.0095
     fenced: bool = True
     engines_per_process: int = 1
+    relayed: bool = False
     origin_copies: int = 1
 
 
@@ -85,12 +90,15 @@
         self.entries: list[Node] = []
         self.agents: list[Node] = []
         self.engines: dict[str, Managed] = {}
+        self.routes: list[tuple[str, str, str]] = []
 
     def start(self) -> None:
         """Start everything; returns once all processes listen."""
         self._start_standins()
         self._make_entries()
         self._make_agents()
+        if self.plan.relayed:
+            self._start_relays()
         for node in [*self.entries, *self.agents]:
             node.managed.start()
         for node in [*self.entries, *self.agents]:
@@ -160,13 +168,15 @@
             for number in range(self.plan.entries)
         ]
         addresses = {name: free_address() for name, _ in names}
+        outside = {name: self.relay(domain, addresses[name]) for name, domain in names}
         for name, domain in names:
-            peers = [address for other, address in addresses.items() if other != name]
+            peers = [address for other, address in outside.items() if other != name]
             settings = {
                 "process": name,
                 "domain": domain,
                 "http": addresses[name],
-                "log": self.addresses["log"],
+                "log": self.relay("platform", self.addresses["log"]),
+                **self.source_of(domain),
                 "peers": peers,
                 "shared_key": SHARED_KEY,
                 "operators": [
@@ -224,8 +234,9 @@
             "target": target,
             "http": free_address(),
             "control": free_address(),
-            "log": self.addresses["log"],
-            "origin": self.addresses["origin"],
+            "log": self.relay("platform", self.addresses["log"]),
+            "origin": self.relay("platform", self.addresses["origin"]),
+            **self.source_of(domain),
             "engine": {
                 "address": self.addresses[name],
                 "kind": kind,
@@ -235,10 +246,39 @@
             "shared_key": SHARED_KEY,
             **self.plan.agent,
         }
+        self.relay(domain, settings["http"])
+        self.relay(domain, settings["control"])
         node = self._node("agent", f"agent-{target}", domain, settings)
         self.agents.append(node)
         return node
 
+    # Cutting domains off.
+
+    def source_of(self, domain: str) -> dict[str, str]:
+        """Return the setting by which relays know a domain's processes."""
+        if not self.plan.relayed:
+            return {}
+        return {"source": f"127.0.{1 + self.plan.domains.index(domain)}.1"}
+
+    def relay(self, side: str, address: str) -> str:
+        """Return the address by which others reach a process."""
+        if not self.plan.relayed:
+            return address
+        listen = free_address()
+        self.routes.append((side, listen, address))
+        return listen
+
+    def _start_relays(self) -> None:
+        sides = {self.source_of(d)["source"]: d for d in self.plan.domains}
+        self.standins["relay"] = self.standin("relay", "relay")
+        self.standins["relay"].wait_listening()
+        routes = {"sides": sides, "routes": self.routes}
+        self.post_json(self.addresses["relay"], "/routes", routes)
+
+    def cut(self, *pairs: tuple[str, str]) -> None:
+        """Let nothing pass between pairs of sides; without pairs, heal all."""
+        self.post_json(self.addresses["relay"], "/cuts", pairs)
+
     # Reaching processes.
 
     def get_json(self, address: str, path: str) -> Any:
@@ -295,16 +335,40 @@
             service=PLAIN_SERVICE if plain else MODEL_SERVICE,
             target=node.settings["target"],
             domain=node.domain,
-            address=node.http,
-            control_address=node.settings["control"],
+            address=self.outside(node.http),
+            control_address=self.outside(node.settings["control"]),
         )
 
+    def outside(self, address: str) -> str:
+        """Return the address by which a process is joined."""
+        known = {to: listen for _, listen, to in self.routes}
+        return known.get(address, address)
+
     def account(self, name: str, **fields: Any) -> str:
         """Create an account and return its key."""
         key = f"key-of-{name}"
         self.change("PutAccount", account=name, key_digest=token_digest(key), **fields)
         return key
 
+    def replace_agent(self, node: Node) -> Node:
+        """Start a second agent for a target, at other addresses, and join it."""
+        settings = {
+            **node.settings,
+            "process": f"{node.settings['process']}-second",
+            "http": free_address(),
+            "control": free_address(),
+        }
+        other = self._node("agent", settings["process"], node.domain, settings)
+        self.agents.append(other)
+        other.managed.start()
+        other.managed.wait_event("started")
+        self.join(other)
+        return other
+
+    def answers(self, node: Node) -> bool:
+        """Tell whether a process answers."""
+        return self.get_json(node.http, "/status")["process"] != ""
+
     def model_agents(self) -> list[Node]:
         """Return the agents before model engines."""
         return [n for n in self.agents if n.settings["engine"]["kind"] == "model"]
@@ -313,10 +377,12 @@
         """Return what a process tells of itself."""
         return self.get_json(node.http, "/status")
 
-    def wait(self, what: str, check: Callable[[], bool], seconds: float = 60.0) -> None:
-        """Wait until a check holds."""
+    def wait(
+        self, what: str, check: Callable[[], bool], seconds: float = WAIT_SECONDS
+    ) -> None:
+        """Wait until a check holds; a process that does not answer fails it."""
         deadline = monotonic() + seconds
-        while not check():
+        while not answered(check):
             if monotonic() > deadline:
                 raise ProcessFailed(f"not in time: {what}")
             sleep(POLL_SECONDS)
@@ -338,3 +404,11 @@
                 lambda node=node: self.status(node)["ready"],  # type: ignore[misc]
                 seconds,
             )
+
+
+def answered(check: Callable[[], bool]) -> bool:
+    """Return what a check says; False where a process does not answer it."""
+    try:
+        return check()
+    except HTTPError:
+        return False
