Refuse what would end too late, and measure overload

Cause: tickets were queued and admitted although they would end after their deadline, so slots went to answers that nobody waited for, and refusals came only at the deadline.

--- a/src/bench/__main__.py
+++ b/src/bench/__main__.py
@@ -3,7 +3,7 @@
 import sys
 from importlib import import_module
 
-NAMES = ("rollout", "baseline", "config", "control", "routing", "fairness", "overload")
+NAMES = ("rollout", "config", "control", "routing", "fairness", "overload")
 
 
 def main() -> int:
--- /dev/null
+++ b/src/bench/baseline_entry.py
@@ -0,0 +1,29 @@
+"""An entry as a baseline: targets chosen at random, retries without a budget."""
+
+import ridgecourse.net.patch  # noqa: F401, I001
+
+import sys
+from collections.abc import Sequence
+
+from ridgecourse.core.ids import Seconds
+from ridgecourse.core.retry import RetryBudget
+from ridgecourse.core.routing import Router, TargetLoad
+from ridgecourse.entry.main import main
+
+
+def choose_at_random(
+    self: Router, loads: Sequence[TargetLoad], prefix: str, now: Seconds
+) -> TargetLoad:
+    """Return any target."""
+    return self.random.choice(loads)
+
+
+def always_retry(self: RetryBudget) -> bool:
+    """Allow every retry."""
+    return True
+
+
+if __name__ == "__main__":
+    Router.choose_within = choose_at_random  # type: ignore[method-assign]
+    RetryBudget.take_retry = always_retry  # type: ignore[method-assign]
+    sys.exit(main())
--- a/src/ridgecourse/core/admission.py
+++ b/src/ridgecourse/core/admission.py
@@ -13,6 +13,8 @@
 
 QUANTUM = 64
 """Cost units that an account of weight 1 may spend in one round."""
+ESTIMATE_MARGIN = 1.25
+"""A ticket is queued only if this times the estimate still makes its deadline."""
 SERVICE_TIME_WEIGHT = 0.1
 """Share of the newest sample in the smoothed service time."""
 
@@ -87,7 +89,7 @@
             None if queued, else the seconds after which to come back.
         """
         wait = self.expected_wait(ticket)
-        if now + wait + self.service_time > ticket.deadline:
+        if now + ESTIMATE_MARGIN * (wait + self.service_time) > ticket.deadline:
             return max(wait, self.service_time)
         accounts = self.levels.setdefault(ticket.priority, {})
         accounts.setdefault(ticket.account, AccountQueue()).tickets.append(ticket)
@@ -113,10 +115,15 @@
             yield ticket
 
     def expire(self, now: Seconds) -> Iterator[Ticket]:
-        """Yield and drop waiting tickets that can no longer make their deadline."""
+        """Yield and drop waiting tickets that can no longer make their deadline.
+
+        What is left must be enough to be served, not only to be begun: work that
+        ends too late takes a slot from work that would not.
+        """
+        latest = now + self.service_time
         for accounts in self.levels.values():
             for queue in accounts.values():
-                late = [t for t in queue.tickets if t.deadline <= now]
+                late = [t for t in queue.tickets if t.deadline <= latest]
                 for ticket in late:
                     queue.tickets.remove(ticket)
                     self.waiting -= 1
--- a/src/ridgecourse/entry/entry.py
+++ b/src/ridgecourse/entry/entry.py
@@ -88,6 +88,8 @@
             "links": sum(view.connected for view in self.links.views.values()),
             "control_sent": self.links.sent,
             "control_received": self.links.received,
+            "log_exchanges": self.context.log.exchanges,
+            "log_moved": self.context.log.moved,
             "claims": self.claims.claims,
             "claim_appends": self.claims.appends,
             "usage": process_usage(),
--- a/src/ridgecourse/platform/log.py
+++ b/src/ridgecourse/platform/log.py
@@ -76,12 +76,16 @@
     Attributes:
         address: HOST:PORT of the service.
         seconds: Longest wait for an answer.
+        exchanges: Requests sent so far.
+        moved: Bytes of their bodies, both ways.
     """
 
     def __init__(self, address: str, http: HttpClient, seconds: float = 2.0) -> None:
         self.address = address
         self.http = http
         self.seconds = seconds
+        self.exchanges = 0
+        self.moved = 0
 
     def append(self, stream: Stream, records: list[bytes]) -> Offset:
         """Append records and return the offset of the first one.
@@ -151,6 +155,8 @@
             )
         except (NoConnection, ExchangeFailed) as error:
             raise LogUnavailable(str(error)) from error
+        self.exchanges += 1
+        self.moved += len(body or b"") + len(data)
         if status not in (200, 410):
             raise LogUnavailable(f"status {status}")
         return status, data
--- a/src/ridgecourse_standins/cluster.py
+++ b/src/ridgecourse_standins/cluster.py
@@ -39,6 +39,8 @@
         fenced: Whether engines refuse old fencing tokens.
         relayed: Whether all that crosses a domain's border goes through relays,
             so that it can be cut.
+        entry_module: Program of the entries; benchmarks run baselines instead.
+        agent_module: The same of the agents.
         engines_per_process: Engines that share one process, to save memory.
         origin_copies: Copies of a version that the origin may send.
     """
@@ -55,6 +57,8 @@
     fenced: bool = True
     engines_per_process: int = 1
     relayed: bool = False
+    entry_module: str = "ridgecourse.entry.main"
+    agent_module: str = "ridgecourse.agent.main"
     origin_copies: int = 1
 
 
@@ -158,7 +162,8 @@
     ) -> Node:
         path = self.directory / f"{name}.json"
         path.write_text(json.dumps(settings, indent=2))
-        command = ["-m", f"ridgecourse.{role}.main", str(path)]
+        modules = {"entry": self.plan.entry_module, "agent": self.plan.agent_module}
+        command = ["-m", modules[role], str(path)]
         return Node(Managed(name, command, self.directory), domain, settings)
 
     def _make_entries(self) -> None:
