Pass tokens on as they come, and route by the time between them

Cause: eventlet.wsgi gathers 4 KiB before it sends, so that short answers came in one piece; entries could not see a slow engine until requests had ended, and callers got no first token early. Red: test_tokens_are_passed_on_as_they_come, [True] == [False] (the engine had ended before the first piece came); green after. Found since routing with one slow engine of six got worse, not better, when it learned from token gaps, which were all zero. Also: a target not yet observed counts as fast instead of 50 ms a unit, which had kept targets unused for ever (1 of 261 requests), and old latencies fade. Ruled out: ejection, affinity, load reports.

--- a/src/ridgecourse/agent/gate.py
+++ b/src/ridgecourse/agent/gate.py
@@ -209,6 +209,7 @@
     def _count(self, change: int) -> None:
         self.in_flight += change
         self.context.metrics.gauge(Metric.IN_FLIGHT, self.in_flight)
+        self.context.metrics.gauge(Metric.QUEUE_LENGTH, self.queue.waiting)
         self.changed.notify()
 
     def _run(self, work: Work, ticket: Ticket) -> HttpReply:
--- a/src/ridgecourse/agent/rollout.py
+++ b/src/ridgecourse/agent/rollout.py
@@ -139,7 +139,8 @@
             transfer = self.transfer
             if transfer is not None and not self._still_wanted(transfer.version):
                 transfer.cancel()
-            self.context.config.changed.wait()
+            # With a bound, since a change may come while a transfer is cancelled.
+            self.context.config.changed.wait(RETRY_SECONDS)
 
     def _still_wanted(self, version: Version) -> bool:
         wanted = self._find_wanted()
--- a/src/ridgecourse/core/config.py
+++ b/src/ridgecourse/core/config.py
@@ -144,6 +144,9 @@
         self.targets: dict[tuple[str, str], Target] = {}
         self.accounts: dict[tuple[str, str], Account] = {}
         self.outcomes: dict[ChangeId, ChangeOutcome] = {}
+        # Found by each request, so not searched for.
+        self.by_service: dict[tuple[str, str], dict[TargetName, Target]] = {}
+        self.by_key: dict[tuple[str, str], AccountName] = {}
         self.handlers: dict[type, Callable[[Any], Decision]] = {
             CreateFleet: self._create_fleet,
             PutService: self._put_service,
@@ -228,8 +231,13 @@
             self.versions[changed.fleet, changed.model, changed.version] = changed
         elif isinstance(changed, Target):
             self.targets[changed.fleet, changed.target] = changed
+            of_service = self.by_service.setdefault(
+                (changed.fleet, changed.service), {}
+            )
+            of_service[changed.target] = changed
         else:
             self.accounts[changed.fleet, changed.account] = changed
+            self.by_key[changed.fleet, changed.key_digest] = changed.account
 
     def _create_fleet(self, change: CreateFleet) -> Decision:
         if not 1 <= change.origin_copies <= MAX_ORIGIN_COPIES:
@@ -344,16 +352,15 @@
         self, fleet: FleetName, service: ServiceName
     ) -> Iterator[Target]:
         """Yield the targets of a service, leaving ones included."""
-        for target in self.targets.values():
-            if target.fleet == fleet and target.service == service:
-                yield target
+        yield from self.by_service.get((fleet, service), {}).values()
 
     def find_account(self, fleet: FleetName, key_digest: str) -> Account | None:
         """Return the account that a key belongs to."""
-        for account in self.accounts.values():
-            if account.fleet == fleet and account.key_digest == key_digest:
-                return account
-        return None
+        name = self.by_key.get((fleet, key_digest))
+        account = None if name is None else self.accounts[fleet, name]
+        # A key that the account no longer has is none.
+        valid = account is not None and account.key_digest == key_digest
+        return account if valid else None
 
     def snapshot(self) -> ConfigSnapshot:
         """Return the whole state in a fixed order."""
@@ -380,6 +387,8 @@
             objects.clear()
         self.targets.clear()
         self.accounts.clear()
+        self.by_service.clear()
+        self.by_key.clear()
         for found in _snapshot_objects(snapshot):
             self._store(found)
         self.outcomes = dict(snapshot.outcomes)
--- a/src/ridgecourse/core/routing.py
+++ b/src/ridgecourse/core/routing.py
@@ -14,8 +14,10 @@
 
 REPORT_HALF_LIFE = 1.0
 """Seconds after which a target's own load report counts half."""
-LATENCY_WEIGHT = 0.2
+REQUEST_WEIGHT = 0.2
 """Share of the newest sample in the smoothed time per request."""
+TOKEN_WEIGHT = 0.02
+"""The same for the time between two tokens."""
 AFFINITY_LOAD_FACTOR = 1.25
 """A prefix keeps its target while its load is below this times the mean."""
 EJECT_FAILURES = 3
@@ -23,7 +25,11 @@
 LONGEST_EJECTION = 30.0
 MAX_EJECTED_SHARE = 0.5
 """At most this share of a domain's targets is ejected at a time."""
-FIRST_LATENCY = 0.05
+UNKNOWN_LATENCY = 0.0001
+"""A target not yet observed looks fast, so that it is tried and observed."""
+FORGET_SECONDS = 10.0
+"""A latency not confirmed for this long counts half, after twice as long a
+quarter, so that a target that was slow once is tried again."""
 
 
 class TargetLoad(Struct):
@@ -37,6 +43,7 @@
         outstanding_at_report: This entry's own share in that report.
         reported_at: When the report came.
         latency: Smoothed seconds per unit of work.
+        observed_at: When the latency was last taken in.
         slots: Requests that the target runs at once.
         failures: Failures in a row.
         ejected_until: When it may be chosen again.
@@ -48,7 +55,8 @@
     reported: int = 0
     outstanding_at_report: int = 0
     reported_at: Seconds = Seconds(0.0)
-    latency: float = FIRST_LATENCY
+    latency: float = UNKNOWN_LATENCY
+    observed_at: Seconds = Seconds(0.0)
     slots: int = 8
     failures: int = 0
     ejections: int = 0
@@ -69,7 +77,9 @@
         load = self.load(now)
         waves = max(1.0, (load + 1) / self.slots)
         # A little of the load even below saturation: batches slow down.
-        return self.latency * (waves + 0.1 * load / self.slots)
+        age = max(0.0, now - self.observed_at - FORGET_SECONDS)
+        latency = self.latency * 0.5 ** (age / FORGET_SECONDS)
+        return latency * (waves + 0.1 * load / self.slots)
 
     def ejected(self, now: Seconds) -> bool:
         """Tell whether the target is left alone after failures."""
@@ -81,11 +91,24 @@
         self.outstanding_at_report = self.outstanding
         self.reported_at = now
 
-    def succeeded(self, seconds_per_unit: float) -> None:
-        """Take in a completed request's time per unit of work."""
+    def succeeded(self) -> None:
+        """Take in a completed request."""
         self.failures = 0
         self.ejections = 0
-        self.latency += LATENCY_WEIGHT * (seconds_per_unit - self.latency)
+
+    def observe(self, seconds: float, now: Seconds, weight: float) -> None:
+        """Take in the time of one unit of work.
+
+        Args:
+            seconds: Of a whole request, or between two tokens of an answer in
+                progress: a slow target shows within a few tokens, long before
+                a request ends.
+            now: The present time.
+            weight: Share of this sample, REQUEST_WEIGHT or TOKEN_WEIGHT.
+        """
+        first = self.latency == UNKNOWN_LATENCY
+        self.latency += (1.0 if first else weight) * (seconds - self.latency)
+        self.observed_at = now
 
     def failed(self, now: Seconds) -> None:
         """Take in a failure that the target is to blame for."""
--- a/src/ridgecourse/entry/call.py
+++ b/src/ridgecourse/entry/call.py
@@ -34,6 +34,7 @@
         service: Where it goes.
         account: Who sends it.
         body: Its body.
+        received: When it came, on this process's clock.
         deadline: When the caller gives up, on this process's clock.
         repeatable: Whether it may run more than once.
         key: The caller's idempotency key; then it runs at most once over all
@@ -44,6 +45,7 @@
     service: Service
     account: Account
     body: bytes
+    received: float
     deadline: float
     repeatable: bool
     key: IdempotencyKey | None
@@ -111,6 +113,7 @@
             service,
             account,
             request.read_body(MAX_REQUEST_BYTES),
+            now,
             now + int(milliseconds) / 1000.0,
             repeatable == "yes" and not key,
             IdempotencyKey(key) if key else None,
--- a/src/ridgecourse/entry/changes.py
+++ b/src/ridgecourse/entry/changes.py
@@ -44,6 +44,9 @@
                 return known
             if not appended:
                 appended = self._append(record)
+                if appended:
+                    # It may have been folded while the append was answered.
+                    continue
             left = deadline - monotonic()
             self.context.config.changed.wait(max(0.0, min(APPEND_RETRY_SECONDS, left)))
         return self.context.config.outcome(record.change_id) or NOT_KNOWN
--- a/src/ridgecourse/entry/dispatch.py
+++ b/src/ridgecourse/entry/dispatch.py
@@ -16,7 +16,7 @@
 from ridgecourse.core.ids import AccountName, RequestId, Seconds, TargetName
 from ridgecourse.core.outcome import Outcome, Reason
 from ridgecourse.core.retry import RetryBudget
-from ridgecourse.core.routing import Router, TargetLoad
+from ridgecourse.core.routing import REQUEST_WEIGHT, TOKEN_WEIGHT
 from ridgecourse.entry.attempt import (
     Attempter,
     AttemptResult,
@@ -25,19 +25,17 @@
     Streaming,
     Whole,
 )
-from ridgecourse.entry.call import Call, CallFault, parse_call
+from ridgecourse.entry.call import Call, parse_call
+from ridgecourse.entry.chooser import Chosen, TargetChooser
 from ridgecourse.entry.claims import ClaimResult, ClaimWriter
 from ridgecourse.entry.context import EntryContext
 from ridgecourse.entry.links import AgentLinks, AgentView
+from ridgecourse.entry.replies import DEFAULT_RETRY_AFTER, Replies
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.http_client import ExchangeFailed, read_lines
-from ridgecourse.net.http_server import HeaderList, HttpReply, HttpRequest
+from ridgecourse.net.http_server import HttpReply, HttpRequest
 from ridgecourse.net.metrics import Metric
 from ridgecourse.wire.request import (
-    OUTCOME_HEADER,
-    REASON_HEADER,
-    REQUEST_HEADER,
-    RETRY_AFTER_HEADER,
     VERSION_HEADER,
     StreamEnd,
     TokenEvent,
@@ -45,26 +43,9 @@
 
 MAX_LINE_BYTES = 64 * 1024
 MAX_ATTEMPTS = 4
-DEFAULT_RETRY_AFTER = 1.0
-"""Seconds told to a caller where nothing better is known."""
 MAX_TAKEOVERS = 3
 SETTLE_SECONDS = 0.1
 
-STATUS_OF_REASON = {
-    Reason.BAD_REQUEST: 400,
-    Reason.ACCOUNT_LIMIT: 429,
-    Reason.OVERLOADED: 429,
-    Reason.DEADLINE: 504,
-    Reason.DUPLICATE_KEY: 409,
-}
-
-
-class Chosen(NamedTuple):
-    """A target chosen for a try."""
-
-    target: Target
-    view: AgentView
-
 
 class Started(NamedTuple):
     """A request that got an answer's beginning, and where."""
@@ -85,10 +66,10 @@
         self, context: EntryContext, links: AgentLinks, claims: ClaimWriter
     ) -> None:
         self.context = context
-        self.links = links
         self.claims = claims
         self.attempter = Attempter(context)
-        self.router = Router(context.domain, context.random)
+        self.replies = Replies(context)
+        self.chooser = TargetChooser(context, links)
         self.budget = RetryBudget(context.settings.retry_ratio)
         self.in_flight: dict[AccountName, int] = {}
 
@@ -104,15 +85,17 @@
         """Answer a caller's request."""
         parsed = parse_call(request, self.context.config.state, monotonic())
         if isinstance(parsed, Failure):
-            return self._fault(parsed.failure())
+            return self.replies.fault(parsed.failure())
         call = parsed.unwrap()
         self.context.metrics.count(Metric.REQUESTS)
         if self.context.stopping:
-            return self._not_run(call, Refused(Reason.STOPPING, DEFAULT_RETRY_AFTER))
+            return self.replies.not_run(
+                call, Refused(Reason.STOPPING, DEFAULT_RETRY_AFTER)
+            )
         running = self.in_flight.get(call.account.account, 0)
         if call.account.max_in_flight and running >= call.account.max_in_flight:
             refused = Refused(Reason.ACCOUNT_LIMIT, DEFAULT_RETRY_AFTER)
-            return self._not_run(call, refused)
+            return self.replies.not_run(call, refused)
         self._count(call, +1)
         streaming = False
         try:
@@ -137,57 +120,20 @@
     def _reply(self, call: Call, started: Started) -> HttpReply:
         result = started.result
         if isinstance(result, Refused):
-            return self._not_run(call, result)
+            return self.replies.not_run(call, result)
         if isinstance(result, Lost):
-            return self._unknown(call, result)
+            return self.replies.unknown(call, result)
         if isinstance(result, Whole):
-            return self._whole(call, result)
+            return self.replies.whole(call, result)
         assert started.chosen is not None
         headers = [
-            *self._headers(call),
+            *self.replies.headers(call),
             ("Content-Type", "application/x-ndjson"),
             (VERSION_HEADER, result.version),
         ]
         return HttpReply(200, self._relay(call, result, started.chosen), headers)
 
-    # Choosing and trying targets.
-
-    def _candidates(self, call: Call, tried: set[TargetName]) -> list[Chosen]:
-        """Return the targets that may serve a request, as far as known here.
-
-        Targets that report ready; without any, all that are not leaving, since
-        a report may be a moment old and a refusal costs little.
-        """
-        service = call.service
-        targets = self.context.config.state.service_targets(
-            service.fleet, service.service
-        )
-        staying = [
-            Chosen(target, self.links.view(target))
-            for target in targets
-            if not target.leaving and target.target not in tried
-        ]
-        now = monotonic()
-        return [c for c in staying if self._seems_ready(c, now)] or staying
-
-    def _seems_ready(self, chosen: Chosen, now: float) -> bool:
-        """Tell whether a target is likely to take a request.
-
-        Targets of other domains have no link to this entry as a rule, and one
-        just joined has none yet; one whose reports stopped is likely gone.
-        """
-        report = chosen.view.fresh_report(now)
-        if report is None:
-            return chosen.view.report is None
-        return report.ready
-
-    def choose(self, call: Call, tried: set[TargetName]) -> Chosen | None:
-        """Return the target for the next try."""
-        now = Seconds(monotonic())
-        chosen = {c.target.target: c for c in self._candidates(call, tried)}
-        loads: list[TargetLoad] = [c.view.load for c in chosen.values()]
-        load = self.router.choose(loads, call.service.traffic, call.affinity(), now)
-        return None if load is None else chosen[load.target]
+    # Trying targets.
 
     def _try_targets(
         self,
@@ -205,7 +151,7 @@
         tried = set() if tried is None else tried
         last: AttemptResult = Refused(Reason.NO_TARGET, DEFAULT_RETRY_AFTER)
         for attempt in range(MAX_ATTEMPTS):
-            chosen = self.choose(call, tried)
+            chosen = self.chooser.choose(call, tried)
             if chosen is None or (attempt and not self._may_retry(call, last)):
                 return Started(last, None)
             tried.add(chosen.target.target)
@@ -234,10 +180,14 @@
         version: str = "",
     ) -> AttemptResult:
         target, view = chosen
+        begun = monotonic()
         self.context.events.emit(
-            EventKind.REQUEST_DISPATCHED, request=request_id, target=target.target
+            EventKind.REQUEST_DISPATCHED,
+            request=request_id,
+            target=target.target,
+            load=round(view.load.load(Seconds(begun)), 1),
+            latency=round(view.load.latency, 4),
         )
-        begun = monotonic()
         view.load.outstanding += 1
         result = self.attempter.send(call, target, view, request_id, start_at, version)
         if isinstance(result, Streaming):
@@ -245,7 +195,8 @@
         view.load.outstanding -= 1
         now = Seconds(monotonic())
         if isinstance(result, Whole):
-            view.load.succeeded(now - begun)
+            view.load.succeeded()
+            view.load.observe(now - begun, now, REQUEST_WEIGHT)
         elif isinstance(result, Lost) or result.blame:
             self._blame(view, target, now)
         elif result.reason is Reason.WRONG_INCARNATION:
@@ -267,14 +218,15 @@
         """
         tried = {chosen.target.target}
         streaming, count = first, 0
-        begun = monotonic()
         ended = False
         try:
             while True:
-                for event in self._events(streaming, chosen, count, begun):
+                for event in self._events(streaming, chosen, count):
                     if event.end is StreamEnd.DONE:
                         ended = True
-                        yield self._last(call, Outcome.COMPLETED, count, first.version)
+                        yield self.replies.last(
+                            call, Outcome.COMPLETED, count, first.version
+                        )
                         return
                     count += 1
                     yield encode(event) + b"\n"
@@ -284,19 +236,20 @@
                 streaming, chosen = resumed
                 tried.add(chosen.target.target)
             ended = True
-            yield self._last(call, Outcome.UNKNOWN, count, first.version)
+            yield self.replies.last(call, Outcome.UNKNOWN, count, first.version)
         finally:
             self._count(call, -1)
             if not ended:
-                self._note_end(call, Outcome.UNKNOWN, Reason.TARGET_LOST)
+                self.replies.note_end(call, Outcome.UNKNOWN, Reason.TARGET_LOST)
 
     def _events(
-        self, streaming: Streaming, chosen: Chosen, count: int, begun: float
+        self, streaming: Streaming, chosen: Chosen, count: int
     ) -> Iterator[TokenEvent]:
         """Yield one target's events in order; end early where it is lost."""
         load = chosen.view.load
         expected = count
         whole = False
+        last: Seconds | None = None
         try:
             with closing(streaming.response) as response:
                 for line in read_lines(response, MAX_LINE_BYTES):
@@ -309,17 +262,19 @@
                     if event.end is not None or event.seq != expected:
                         return
                     expected += 1
+                    now = Seconds(monotonic())
+                    if last is not None:
+                        load.observe(now - last, now, TOKEN_WEIGHT)
+                    last = now
                     yield event
         except (ExchangeFailed, DecodeError):
             whole = False
         finally:
             load.outstanding -= 1
-            now = Seconds(monotonic())
-            tokens = max(1, expected - count)
             if whole:
-                load.succeeded((now - begun) / tokens)
+                load.succeeded()
             else:
-                self._blame(chosen.view, chosen.target, now)
+                self._blame(chosen.view, chosen.target, Seconds(monotonic()))
 
     def _resume(
         self, call: Call, tried: set[TargetName], count: int, version: str
@@ -332,19 +287,6 @@
             return started.result, started.chosen
         return None
 
-    def _last(self, call: Call, outcome: Outcome, count: int, version: str) -> bytes:
-        reason = Reason.ADMITTED if outcome is Outcome.COMPLETED else Reason.TARGET_LOST
-        self._note_end(call, outcome, reason)
-        end = StreamEnd.DONE if outcome is Outcome.COMPLETED else StreamEnd.FAILED
-        event = TokenEvent(
-            end=end,
-            count=count,
-            version=version,
-            outcome=outcome.value,
-            reason=reason.value,
-        )
-        return encode(event) + b"\n"
-
     # Requests under an idempotency key.
 
     def _answer_keyed(self, call: Call) -> HttpReply:
@@ -357,9 +299,9 @@
         tried: set[TargetName] = set()
         refused = Refused(Reason.NO_TARGET, DEFAULT_RETRY_AFTER)
         for _ in range(MAX_TAKEOVERS):
-            chosen = self.choose(call, tried)
+            chosen = self.chooser.choose(call, tried)
             if chosen is None:
-                return self._not_run(call, refused)
+                return self.replies.not_run(call, refused)
             tried.add(chosen.target.target)
             if not self._identified(chosen):
                 continue
@@ -368,7 +310,9 @@
             seconds = min(self.context.settings.claim_seconds, left)
             result, holder = self.claims.claim(claim, seconds)
             if result is ClaimResult.NO_LOG:
-                return self._not_run(call, Refused(Reason.NO_LOG, DEFAULT_RETRY_AFTER))
+                return self.replies.not_run(
+                    call, Refused(Reason.NO_LOG, DEFAULT_RETRY_AFTER)
+                )
             self.context.events.emit(
                 EventKind.KEY_CLAIMED, request=claim.request_id, result=result.value
             )
@@ -390,7 +334,10 @@
                 return settled
             replaces = holder.request_id
             tried.clear()
-        return self._not_run(call, refused)
+        if refused.reason is Reason.KEY_FENCED:
+            # The own request was not run, but another under the key may have been.
+            return self.replies.unknown(call, Lost(refused.reason, "key taken over"))
+        return self.replies.not_run(call, refused)
 
     def _identified(self, chosen: Chosen) -> bool:
         """Tell whether the life of a target's agent is known, asking if need be."""
@@ -428,74 +375,10 @@
             reply = self.attempter.fence(target, holder.request_id, holder.incarnation)
         if reply is None or not reply.known:
             detail = "the request that holds the key cannot be asked after"
-            return self._unknown(call, Lost(Reason.DUPLICATE_KEY, detail))
+            return self.replies.unknown(call, Lost(Reason.DUPLICATE_KEY, detail))
         if not reply.started:
             return None
         if reply.answer is None:
             detail = "the request that holds the key was started"
-            return self._unknown(call, Lost(Reason.DUPLICATE_KEY, detail))
-        return self._kept(call, reply.answer, reply.version)
-
-    def _kept(self, call: Call, answer: bytes, version: str) -> HttpReply:
-        """Answer with what the first request under the key was answered."""
-        if not version:
-            return self._whole(call, Whole(200, answer))
-        *tokens, _ = answer.split(b"\n")
-        last = self._last(call, Outcome.COMPLETED, len(tokens), version)
-        body = b"".join(line + b"\n" for line in tokens) + last
-        return HttpReply(200, body, self._headers(call, Outcome.COMPLETED))
-
-    # Replies.
-
-    def _headers(self, call: Call, outcome: Outcome | None = None) -> HeaderList:
-        headers = [(REQUEST_HEADER, str(call.request_id))]
-        if outcome is not None:
-            headers.append((OUTCOME_HEADER, outcome.value))
-        return headers
-
-    def _note_end(self, call: Call, outcome: Outcome, reason: Reason) -> None:
-        metric = {
-            Outcome.COMPLETED: Metric.COMPLETED,
-            Outcome.NOT_RUN: Metric.NOT_RUN,
-            Outcome.UNKNOWN: Metric.UNKNOWN,
-        }[outcome]
-        self.context.metrics.count(metric)
-        self.context.events.emit(
-            EventKind.REQUEST_ENDED,
-            request=call.request_id,
-            outcome=outcome.value,
-            reason=reason.value,
-        )
-
-    def _whole(self, call: Call, result: Whole) -> HttpReply:
-        self._note_end(call, Outcome.COMPLETED, Reason.ADMITTED)
-        headers = self._headers(call, Outcome.COMPLETED)
-        return HttpReply(result.status, result.body, headers)
-
-    def _not_run(self, call: Call, refused: Refused) -> HttpReply:
-        self._note_end(call, Outcome.NOT_RUN, refused.reason)
-        status = STATUS_OF_REASON.get(refused.reason, 503)
-        headers = self._headers(call, Outcome.NOT_RUN)
-        headers.append((REASON_HEADER, refused.reason.value))
-        after = refused.retry_after or DEFAULT_RETRY_AFTER
-        headers.append((RETRY_AFTER_HEADER, str(max(1, round(after)))))
-        return HttpReply(status, f"not run: {refused.reason.value}\n".encode(), headers)
-
-    def _unknown(self, call: Call, lost: Lost) -> HttpReply:
-        self._note_end(call, Outcome.UNKNOWN, lost.reason)
-        status = 409 if lost.reason is Reason.DUPLICATE_KEY else 502
-        headers = self._headers(call, Outcome.UNKNOWN)
-        headers.append((REASON_HEADER, lost.reason.value))
-        headers.append((RETRY_AFTER_HEADER, str(round(DEFAULT_RETRY_AFTER))))
-        return HttpReply(status, f"unknown: {lost.detail}\n".encode(), headers)
-
-    def _fault(self, fault: CallFault) -> HttpReply:
-        self.context.metrics.count(Metric.BAD_INPUT)
-        self.context.events.emit(
-            EventKind.REQUEST_REFUSED, reason=fault.reason.value, detail=fault.detail
-        )
-        headers = [
-            (OUTCOME_HEADER, Outcome.NOT_RUN.value),
-            (REASON_HEADER, fault.reason.value),
-        ]
-        return HttpReply(fault.status, f"{fault.detail}\n".encode(), headers)
+            return self.replies.unknown(call, Lost(Reason.DUPLICATE_KEY, detail))
+        return self.replies.kept(call, reply.answer, reply.version)
--- a/src/ridgecourse/net/http_server.py
+++ b/src/ridgecourse/net/http_server.py
@@ -190,6 +190,8 @@
                 custom_pool=self.pool,
                 log_output=False,
                 socket_timeout=SLOW_SENDER_SECONDS,
+                # Tokens go out as they come, not when 4 KiB have gathered.
+                minimum_chunk_size=1,
                 debug=False,
             )
 
--- a/src/ridgecourse/net/metrics.py
+++ b/src/ridgecourse/net/metrics.py
@@ -28,7 +28,6 @@
     CHUNKS_REJECTED = "chunks.rejected"
     BYTES_FROM_ORIGIN = "bytes.from_origin"
     BYTES_ACROSS_DOMAINS = "bytes.across_domains"
-    BYTES_UPLOADED = "bytes.uploaded"
     BAD_INPUT = "bad_input"
 
 
--- a/src/ridgecourse_standins/caller.py
+++ b/src/ridgecourse_standins/caller.py
@@ -200,7 +200,7 @@
             sleep(max(0.0, due - monotonic()))
 
     def _work(self) -> None:
-        while self.due.get() is not None:
+        while self.due.get() is not None and not self.stopped.is_set():
             body = prompt_body(self.tokens)
             self.caller.send(self.service, body, **self.options)
 
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -198,3 +198,19 @@
     )
     prompts = {e["prompt"] for e in executed["executions"]}
     assert not [a for a in refused if a.body.split('"')[3] in prompts]
+
+
+def test_tokens_are_passed_on_as_they_come(site: Callable[[Plan], Site]) -> None:
+    here = site(MODEL._replace(targets=1))
+    here.roll_out("v1", 1)
+    response = here.cluster.pool.request(
+        "POST",
+        f"http://{here.cluster.entries[0].http}/v1/demo/{MODEL_SERVICE}",
+        body=prompt_body(60),
+        headers={"Authorization": f"Bearer {here.caller.key}"},
+        preload_content=False,
+    )
+    assert response.read1(65536)
+    executed = here.cluster.get_json(here.cluster.addresses["engine-a-0"], "/executions")
+    assert [e["whole"] for e in executed["executions"]] == [False]
+    response.close()
