--- a/src/ridgecourse/core/admission.py
+++ b/src/ridgecourse/core/admission.py
@@ -40,11 +40,17 @@
 
 
 class AccountQueue:
-    """The tickets of one account, first in first out, and its deficit."""
+    """The tickets of one account, first in first out.
+
+    Attributes:
+        deficit: Cost units that it may still spend.
+        visited: Whether it got its quantum in this round.
+    """
 
     def __init__(self) -> None:
         self.tickets: deque[Ticket] = deque()
         self.deficit = 0
+        self.visited = False
 
 
 class AdmissionQueue:
@@ -92,7 +98,11 @@
         if now + ESTIMATE_MARGIN * (wait + self.service_time) > ticket.deadline:
             return max(wait, self.service_time)
         accounts = self.levels.setdefault(ticket.priority, {})
-        accounts.setdefault(ticket.account, AccountQueue()).tickets.append(ticket)
+        if ticket.account not in accounts:
+            # One that had nothing waiting goes next, not after all who had.
+            accounts = {ticket.account: AccountQueue(), **accounts}
+            self.levels[ticket.priority] = accounts
+        accounts[ticket.account].tickets.append(ticket)
         self.waiting += 1
         return None
 
@@ -154,6 +164,9 @@
         while accounts:
             account, queue = next(iter(accounts.items()))
             ticket = queue.tickets[0]
+            if queue.deficit < ticket.cost and not queue.visited:
+                queue.deficit += QUANTUM * ticket.weight
+            queue.visited = True
             if queue.deficit >= ticket.cost:
                 queue.deficit -= ticket.cost
                 queue.tickets.popleft()
@@ -161,7 +174,7 @@
                 if not queue.tickets:
                     del accounts[account]
                 return ticket
-            queue.deficit += QUANTUM * ticket.weight
+            queue.visited = False
             # To the end of the round.
             del accounts[account]
             accounts[account] = queue
--- a/src/ridgecourse/core/planner.py
+++ b/src/ridgecourse/core/planner.py
@@ -81,8 +81,8 @@
     """
 
     classes: int = 8
-    neighbours: int = 8
-    fetches: int = 6
+    neighbours: int = 12
+    fetches: int = 3
     per_source: int = 2
     busy_seconds: float = 0.1
     referred_seconds: float = 0.25
--- a/src/ridgecourse/entry/chooser.py
+++ b/src/ridgecourse/entry/chooser.py
@@ -1,15 +1,20 @@
 """Chooses the target for each try of a request."""
 
+from collections.abc import Iterator
 from time import monotonic
 from typing import NamedTuple
 
-from ridgecourse.core.config import Target
-from ridgecourse.core.ids import Seconds, TargetName
+from ridgecourse.core.config import Service, Target
+from ridgecourse.core.ids import DomainName, Seconds, TargetName
+from ridgecourse.core.rendezvous import rendezvous_rank
 from ridgecourse.core.routing import Router, TargetLoad
 from ridgecourse.entry.call import Call
 from ridgecourse.entry.context import EntryContext
 from ridgecourse.entry.links import AgentLinks, AgentView
 
+FAR_TARGETS = 8
+"""Targets of each other failure domain that an entry considers."""
+
 
 class Chosen(NamedTuple):
     """A target chosen for a try."""
@@ -18,6 +23,18 @@
     view: AgentView
 
 
+class Subset(NamedTuple):
+    """An entry's share of a service's targets.
+
+    Attributes:
+        made: Offset of the configuration, and state of the links, it is from.
+        targets: The share.
+    """
+
+    made: tuple[int, int]
+    targets: list[Target]
+
+
 class TargetChooser:
     """Puts what is known of targets before the router.
 
@@ -29,6 +46,7 @@
         self.context = context
         self.links = links
         self.router = Router(context.domain, context.random)
+        self.subsets: dict[tuple[str, str], Subset] = {}
 
     def _candidates(self, call: Call, tried: set[TargetName]) -> list[Chosen]:
         """Return the targets that may serve a request, as far as known here.
@@ -36,18 +54,45 @@
         Targets that report ready; without any, all that are not leaving, since
         a report may be a moment old and a refusal costs little.
         """
-        service = call.service
-        targets = self.context.config.state.service_targets(
-            service.fleet, service.service
-        )
         staying = [
             Chosen(target, self.links.view(target))
-            for target in targets
-            if not target.leaving and target.target not in tried
+            for target in self._subset(call.service)
+            if target.target not in tried
         ]
         now = monotonic()
         return [c for c in staying if self._seems_ready(c, now)] or staying
 
+    def _subset(self, service: Service) -> list[Target]:
+        """Return this entry's share of a service's targets, made anew on change.
+
+        Of its own domain those that it is linked to, of others a few, chosen
+        differently by each entry: what a request costs does not grow with the
+        fleet, and every target is some entries' choice.
+        """
+        key = (service.fleet, service.service)
+        made = (self.context.config.offset, self.links.changes)
+        known = self.subsets.get(key)
+        if known is None or known.made != made:
+            known = Subset(made, list(self._choose_subset(service)))
+            self.subsets[key] = known
+        return known.targets
+
+    def _choose_subset(self, service: Service) -> Iterator[Target]:
+        by_domain: dict[DomainName, dict[str, Target]] = {}
+        targets = self.context.config.state.service_targets(
+            service.fleet, service.service
+        )
+        for target in targets:
+            if not target.leaving:
+                by_domain.setdefault(target.domain, {})[target.target] = target
+        for domain, found in by_domain.items():
+            if domain == self.context.domain:
+                linked = [t for t in found.values() if self.links.is_linked(t)]
+                yield from linked or found.values()
+            else:
+                ranked = rendezvous_rank(self.context.process, found)
+                yield from (found[name] for name in ranked[:FAR_TARGETS])
+
     def _seems_ready(self, chosen: Chosen, now: float) -> bool:
         """Tell whether a target is likely to take a request.
 
--- a/src/ridgecourse/entry/links.py
+++ b/src/ridgecourse/entry/links.py
@@ -70,6 +70,7 @@
     Attributes:
         views: By fleet and target.
         instances: The instance list as last read.
+        changes: Times that the set of connections changed.
     """
 
     def __init__(self, context: EntryContext, follower: ConfigFollower) -> None:
@@ -80,6 +81,7 @@
         self.links = {}
         self.instances: InstanceSnapshot | None = None
         self.threads: list[eventlet.greenthread.GreenThread] = []
+        self.changes = 0
         self.sent = 0
         self.received = 0
 
@@ -94,6 +96,10 @@
         for thread in [*self.threads, *self.links.values()]:
             thread.kill()
 
+    def is_linked(self, target: Target) -> bool:
+        """Tell whether this entry keeps a connection to a target's agent."""
+        return (target.fleet, target.target, target.control_address) in self.links
+
     def view(self, target: Target) -> AgentView:
         """Return what is known of a target's agent."""
         key = (target.fleet, target.target)
@@ -133,11 +139,13 @@
                 (target.fleet, target.target, target.control_address): target
                 for target in self._linked_targets()
             }
+            changed = set(wanted) != set(self.links)
             for key in [key for key in self.links if key not in wanted]:
                 self.links.pop(key).kill()
             for key, target in wanted.items():
                 if key not in self.links:
                     self.links[key] = spawn_loop(self._keep_link, target)
+            self.changes += changed
             self.context.config.changed.wait(INSTANCE_POLL_SECONDS)
 
     def _keep_link(self, target: Target) -> None:
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -211,6 +211,8 @@
         preload_content=False,
     )
     assert response.read1(65536)
-    executed = here.cluster.get_json(here.cluster.addresses["engine-a-0"], "/executions")
+    executed = here.cluster.get_json(
+        here.cluster.addresses["engine-a-0"], "/executions"
+    )
     assert [e["whole"] for e in executed["executions"]] == [False]
     response.close()
