--- a/src/ridgecourse/agent/gate.py
+++ b/src/ridgecourse/agent/gate.py
@@ -217,6 +217,10 @@
         begun = monotonic()
         reason = self._why_not(work)
         if reason is None and work.once and not self.register.start(work.request_id):
+            if self.register.states[work.request_id].started:
+                # This start is refused, but the request was run: no proof.
+                self._end(begun)
+                return self._unknown(work, "started before", Reason.DUPLICATE_KEY)
             reason = Reason.KEY_FENCED
         if reason is not None:
             self._end(begun)
@@ -348,7 +352,9 @@
             headers.append((RETRY_AFTER_HEADER, f"{come_back:.3f}"))
         return HttpReply(status, f"{reason.value}\n".encode(), headers)
 
-    def _unknown(self, work: Work, detail: str) -> HttpReply:
+    def _unknown(
+        self, work: Work, detail: str, reason: Reason = Reason.ENGINE_FAILED
+    ) -> HttpReply:
         self.context.events.emit(
             EventKind.REQUEST_ENDED,
             request=work.request_id,
@@ -356,7 +362,7 @@
             outcome=Outcome.UNKNOWN.value,
             detail=detail,
         )
-        headers = self._headers(Outcome.UNKNOWN, Reason.ENGINE_FAILED)
+        headers = self._headers(Outcome.UNKNOWN, reason)
         return HttpReply(502, f"{detail}\n".encode(), headers)
 
     def handle_fence(self, request: HttpRequest) -> HttpReply:
--- a/src/ridgecourse/core/planner.py
+++ b/src/ridgecourse/core/planner.py
@@ -30,6 +30,8 @@
 
 ORIGIN = TargetName("")
 """Stands for the origin where a source is named."""
+LOST_FAILURES = 2
+"""Failures in a row after which a source counts as gone."""
 STANDBY = 2
 """Candidates of a class that follow what the others of it hold."""
 
@@ -303,10 +305,6 @@
         if not fetching:
             self.in_flight.pop(digest, None)
 
-    def holders(self, digest: ChunkDigest) -> int:
-        """Return how many followed agents are known to hold a chunk."""
-        return self.rarity.get(digest, 0)
-
     def complete(self) -> bool:
         """Tell whether every chunk is held."""
         return not self.missing
@@ -368,9 +366,10 @@
         domain = self.members.get(target)
         if domain == self.me.domain:
             return True
-        if digest in self.seen_in_domain:
-            return False
         number = chunk_class(digest, self.policy.classes)
+        overdue = self.import_slots[number].overdue(now) > 0
+        if digest in self.seen_in_domain and not self._is_lost(digest, overdue, True):
+            return False
         if domain not in self.group and not self.origin_slots[number].overdue(now):
             return False
         return self.me.target in self.import_slots[number].drawers(now)
@@ -404,7 +403,10 @@
         wanted = [
             digest
             for digest in self.missing
-            if (digest not in self.seen_in_group or self._is_lost(digest, stalled))
+            if (
+                digest not in self.seen_in_group
+                or self._is_lost(digest, stalled, False)
+            )
             and digest not in self.in_flight
             and chunk_class(digest, self.policy.classes) == number
         ]
@@ -414,8 +416,20 @@
             default=None,
         )
 
-    def _is_lost(self, digest: ChunkDigest, stalled: bool) -> bool:
-        return stalled and not self.holders(digest)
+    def _is_lost(self, digest: ChunkDigest, stalled: bool, local: bool) -> bool:
+        """Tell whether a chunk that someone held can no longer be had from it.
+
+        Args:
+            digest: The chunk.
+            stalled: Whether its class makes no progress; else nothing is lost.
+            local: Whether only agents of the own domain count.
+        """
+        return stalled and not any(
+            digest in state.held
+            and state.failures < LOST_FAILURES
+            and not (local and self.members.get(target) != self.me.domain)
+            for target, state in self.sources.items()
+        )
 
     def wake_after(self) -> float:
         """Return the seconds after which to plan again if nothing happens."""
--- a/src/ridgecourse/timeline/render.py
+++ b/src/ridgecourse/timeline/render.py
@@ -38,6 +38,7 @@
   border-bottom: 1px solid var(--line); vertical-align: top; }
 th { position: sticky; top: 0; background: Canvas; }
 td.time, td.clock { font-variant-numeric: tabular-nums; text-align: right; }
+td.about { white-space: normal; }
 td.detail { white-space: normal; min-width: 16rem; }
 .good { color: var(--good); font-weight: 600; }
 .bad { color: var(--bad); font-weight: 600; }
@@ -137,6 +138,6 @@
             f"<td><span class=lane style='border-color:{colour}'>"
             f"{escape(event.process)}</span><td>{escape(event.domain)}"
             f"<td class='{mood(event.kind)}'>{event.kind.value}"
-            f"<td>{escape(subject(event))}"
+            f"<td class=about>{escape(subject(event))}"
             f"<td class=detail>{escape(details(event))}"
         )
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -87,6 +87,7 @@
     assert reply["status"] == UNKNOWN
     here.cluster.fault("log", down=False)
     assert traffic(here, 0, 3, changeId="c2")["status"] == ACCEPTED
+    wait_agreed(here)
     fate = here.cluster.admin("GetChange", 1, changeId="c2")
     assert fate["status"] == ACCEPTED
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -181,3 +181,23 @@
         planner.peer_holds(local[0], CHUNKS, Seconds(0.0))
         planner.peer_holds(outside[0], CHUNKS, Seconds(0.0))
         assert all(f.source not in outside for f in planner.plan(Seconds(0.0)))
+
+
+def test_a_chunk_whose_local_holder_does_not_answer_is_brought_in() -> None:
+    """The holder is frozen: its connection stands, its answers stall."""
+    for member in MEMBERS:
+        planner = make_planner(member)
+        local = [t for t in planner.sources if t.startswith(member.domain)]
+        outside = [t for t in planner.sources if not t.startswith(member.domain)]
+        if not outside or not local:
+            continue
+        planner.peer_holds(local[0], CHUNKS, Seconds(0.0))
+        planner.peer_holds(outside[0], CHUNKS, Seconds(0.0))
+        sources = set()
+        for step in range(200):
+            now = Seconds(float(step))
+            for fetch in list(planner.plan(now)):
+                sources.add(fetch.source)
+                why = FetchFailure.STALLED
+                planner.failed(fetch.digest, fetch.source, why, now)
+        assert outside[0] in sources
