--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -61,7 +61,7 @@
 ) -> None:
     here = site(PLAN)
     here.roll_out("v1", 1)
-    load = Load(here.caller, MODEL_SERVICE, 6.0, tokens=300)
+    load = Load(here.caller, MODEL_SERVICE, 3.0, tokens=200)
     load.start()
     here.cluster.wait("both serve", lambda: started_at(here, "a-0") > 3)
     assert here.cluster.agents[0].managed.stop() == 0
