--- a/src/ridgecourse/agent/exchange.py
+++ b/src/ridgecourse/agent/exchange.py
@@ -10,7 +10,7 @@
 from ridgecourse.agent.settings import LinkSettings
 from ridgecourse.agent.store import ChunkStore
 from ridgecourse.core.ids import ChunkDigest, DomainName, RootDigest
-from ridgecourse.net.auth import AUTH_HEADER, verify_request
+from ridgecourse.net.auth import is_signed
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
 from ridgecourse.net.throttle import Throttle, in_pieces
@@ -80,7 +80,7 @@
 
     def serve_chunk(self, request: HttpRequest) -> HttpReply:
         """Answer with a chunk, or 503 where all upload slots are taken."""
-        if not self._verified(request):
+        if not is_signed(request, self.key):
             return HttpReply(401)
         digest = ChunkDigest(request.path.removeprefix(CHUNK_PATH))
         data = self.store.get(digest)
@@ -152,7 +152,7 @@
 
     def serve_manifest(self, request: HttpRequest) -> HttpReply:
         """Answer with a version's manifest."""
-        if not self._verified(request):
+        if not is_signed(request, self.key):
             return HttpReply(401)
         root = RootDigest(request.path.removeprefix(MANIFEST_PATH))
         holding = self.holdings.get(root)
@@ -197,10 +197,6 @@
             if ticket not in self.tickets:
                 return
 
-    def _verified(self, request: HttpRequest) -> bool:
-        header = request.header(AUTH_HEADER)
-        return verify_request(self.key, header, request.method, request.path)
-
     def tell_holdings(self, channel: ControlChannel, follow: Follow) -> None:
         """Tell a follower what is held of a version, until it goes away.
 
