--- a/src/ridgecourse/agent/exchange.py
+++ b/src/ridgecourse/agent/exchange.py
@@ -10,7 +10,6 @@
 from ridgecourse.agent.settings import LinkSettings
 from ridgecourse.agent.store import ChunkStore
 from ridgecourse.core.ids import ChunkDigest, DomainName, RootDigest
-from ridgecourse.net.auth import is_signed
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
 from ridgecourse.net.throttle import Throttle, in_pieces
@@ -80,7 +79,7 @@
 
     def serve_chunk(self, request: HttpRequest) -> HttpReply:
         """Answer with a chunk, or 503 where all upload slots are taken."""
-        if not is_signed(request, self.key):
+        if not request.is_signed(self.key):
             return HttpReply(401)
         digest = ChunkDigest(request.path.removeprefix(CHUNK_PATH))
         data = self.store.get(digest)
@@ -152,7 +151,7 @@
 
     def serve_manifest(self, request: HttpRequest) -> HttpReply:
         """Answer with a version's manifest."""
-        if not is_signed(request, self.key):
+        if not request.is_signed(self.key):
             return HttpReply(401)
         root = RootDigest(request.path.removeprefix(MANIFEST_PATH))
         holding = self.holdings.get(root)
--- a/src/ridgecourse/agent/gate.py
+++ b/src/ridgecourse/agent/gate.py
@@ -23,7 +23,6 @@
 from ridgecourse.core.claim import KeyRegister
 from ridgecourse.core.ids import RequestId, Seconds
 from ridgecourse.core.outcome import Outcome, Reason
-from ridgecourse.net.auth import is_signed
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.http_client import (
@@ -126,7 +125,7 @@
     def handle_work(self, request: HttpRequest) -> HttpReply:
         """Answer an entry's request."""
         body = request.read_body(MAX_WORK_BYTES)
-        if not is_signed(request, self.context.settings.shared_key, body):
+        if not request.is_signed(self.context.settings.shared_key, body):
             return self._refuse(Reason.UNAUTHENTICATED, status=401)
         decoded = decode_message(body, Work)
         if isinstance(decoded, Failure):
@@ -366,7 +365,7 @@
     def handle_fence(self, request: HttpRequest) -> HttpReply:
         """Make sure that a request is never started here, or tell that it was."""
         body = request.read_body(MAX_WORK_BYTES)
-        if not is_signed(request, self.context.settings.shared_key, body):
+        if not request.is_signed(self.context.settings.shared_key, body):
             return HttpReply(401)
         decoded = decode_message(body, FenceRequest)
         if isinstance(decoded, Failure):
--- a/src/ridgecourse/entry/config_follower.py
+++ b/src/ridgecourse/entry/config_follower.py
@@ -14,7 +14,7 @@
 from ridgecourse.core.config import ConfigSnapshot
 from ridgecourse.core.ids import Offset
 from ridgecourse.entry.context import EntryContext
-from ridgecourse.net.auth import AUTH_HEADER, is_signed, sign_request
+from ridgecourse.net.auth import AUTH_HEADER, sign_request
 from ridgecourse.net.config_store import Folded
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.http_client import ExchangeFailed, NoConnection
@@ -157,7 +157,7 @@
 
     def serve_config(self, request: HttpRequest) -> HttpReply:
         """Answer another entry with what it lacks; 404 while nothing is known."""
-        if not is_signed(request, self.context.settings.shared_key):
+        if not request.is_signed(self.context.settings.shared_key):
             return HttpReply(401)
         offset = request.path.removeprefix(f"{CONFIG_PATH}/")
         if not offset.isdecimal():
--- a/src/ridgecourse/entry/reports.py
+++ b/src/ridgecourse/entry/reports.py
@@ -9,7 +9,7 @@
 from ridgecourse.core.ids import FleetName, ServiceName, TargetName
 from ridgecourse.entry.context import EntryContext
 from ridgecourse.entry.links import AgentLinks
-from ridgecourse.net.auth import AUTH_HEADER, is_signed, sign_request
+from ridgecourse.net.auth import AUTH_HEADER, sign_request
 from ridgecourse.net.http_client import ExchangeFailed, NoConnection
 from ridgecourse.net.http_server import HttpReply, HttpRequest
 from ridgecourse.wire.codec import decode_message, encode_message
@@ -76,7 +76,7 @@
 
     def serve(self, request: HttpRequest) -> HttpReply:
         """Answer another entry with the reports that came over own links."""
-        if not is_signed(request, self.context.settings.shared_key):
+        if not request.is_signed(self.context.settings.shared_key):
             return HttpReply(401)
         fleet, _, service = request.path.removeprefix(REPORTS_PATH).partition("/")
         targets = self.context.config.state.service_targets(
--- a/src/ridgecourse/net/auth.py
+++ b/src/ridgecourse/net/auth.py
@@ -10,8 +10,6 @@
 
 from blake3 import blake3
 
-from ridgecourse.net.http_server import HttpRequest
-
 AUTH_HEADER = "Ridgecourse-Auth"
 MAX_CLOCK_SKEW = 300.0
 """Seconds; a captured request can be sent again no longer than this."""
@@ -34,12 +32,6 @@
     return hmac.compare_digest(mac.encode(), expected.encode())
 
 
-def is_signed(request: HttpRequest, key: str, body: bytes = b"") -> bool:
-    """Tell whether a request was signed by a process that holds the key."""
-    header = request.header(AUTH_HEADER)
-    return verify_request(key, header, request.method, request.path, body)
-
-
 def _mac(key: str, stamp: str, method: str, path: str, body: bytes) -> str:
     digest = blake3(body).hexdigest()
     text = f"{stamp}\n{method}\n{path}\n{digest}"
--- a/src/ridgecourse/net/http_server.py
+++ b/src/ridgecourse/net/http_server.py
@@ -10,6 +10,7 @@
 import eventlet.wsgi
 
 from ridgecourse.net.address import Address
+from ridgecourse.net.auth import AUTH_HEADER, verify_request
 
 logger = logging.getLogger(__name__)
 
@@ -62,6 +63,11 @@
             return self.environ.get(key, default)
         return self.environ.get(f"HTTP_{key}", default)
 
+    def is_signed(self, key: str, body: bytes = b"") -> bool:
+        """Tell whether a process that holds the key signed this request."""
+        header = self.header(AUTH_HEADER)
+        return verify_request(key, header, self.method, self.path, body)
+
     def read_body(self, limit: int) -> bytes:
         """Return the body.
 
