Take out a follower that changes did not use, and a doubled branch

ChangeWriter kept the follower without calling it; the keyed dispatch left its round in two places that one can serve. Behaviour is unchanged: 9 tests of keys and changes passed, lint, types and layers clean.

--- a/src/ridgecourse/entry/changes.py
+++ b/src/ridgecourse/entry/changes.py
@@ -4,7 +4,6 @@
 
 from ridgecourse.core.change import ChangeOutcome, ChangeRecord, ChangeStatus
 from ridgecourse.core.ids import ChangeId
-from ridgecourse.entry.config_follower import ConfigFollower
 from ridgecourse.entry.context import EntryContext
 from ridgecourse.platform.log import LogClient, LogUnavailable, Stream
 from ridgecourse.wire.codec import encode_message
@@ -20,9 +19,8 @@
 class ChangeWriter:
     """Appends changes and answers once they are read back."""
 
-    def __init__(self, context: EntryContext, follower: ConfigFollower) -> None:
+    def __init__(self, context: EntryContext) -> None:
         self.context = context
-        self.follower = follower
         # A client of its own: an append is not to wait behind a long poll.
         self.log = LogClient(context.settings.log, context.new_client(), seconds=1.0)
 
--- a/src/ridgecourse/entry/dispatch.py
+++ b/src/ridgecourse/entry/dispatch.py
@@ -322,11 +322,11 @@
                     return self._reply(call, Started(answer, chosen))
                 refused = answer
                 replaces = claim.request_id
-                if answer.reason is not Reason.KEY_FENCED:
+                if answer.reason is Reason.KEY_FENCED:
+                    # Another entry took the key over before the dispatch arrived.
+                    tried.clear()
+                else:
                     self.claims.release(claim)
-                    continue
-                # Another entry took the key over before the dispatch arrived.
-                tried.clear()
                 continue
             assert holder is not None
             settled = self._settle(call, holder)
--- a/src/ridgecourse/entry/entry.py
+++ b/src/ridgecourse/entry/entry.py
@@ -35,7 +35,7 @@
         self.follower = ConfigFollower(self.context)
         self.links = AgentLinks(self.context, self.follower)
         self.claims = ClaimWriter(self.context)
-        self.writer = ChangeWriter(self.context, self.follower)
+        self.writer = ChangeWriter(self.context)
         self.dispatcher = Dispatcher(self.context, self.links, self.claims)
         self.reports = ReportCollector(self.context, self.links)
         admin = AdminService(self.context, self.writer, self.reports)
