--- a/src/ridgecourse/agent/context.py
+++ b/src/ridgecourse/agent/context.py
@@ -10,15 +10,15 @@
     TargetName,
 )
 from ridgecourse.core.planner import Member
+from ridgecourse.native.engine import EngineClient
+from ridgecourse.native.log import LogClient
+from ridgecourse.native.origin import OriginClient
 from ridgecourse.net.config_store import ConfigStore
 from ridgecourse.net.events import EventStream
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.metrics import Metrics
 from ridgecourse.net.process import new_incarnation
 from ridgecourse.net.throttle import Throttle
-from ridgecourse.platform.engine import EngineClient
-from ridgecourse.platform.log import LogClient
-from ridgecourse.platform.origin import OriginClient
 
 
 class TransferCounts:
--- a/src/ridgecourse/agent/exchange.py
+++ b/src/ridgecourse/agent/exchange.py
@@ -10,11 +10,11 @@
 from ridgecourse.agent.settings import LinkSettings
 from ridgecourse.agent.store import ChunkStore
 from ridgecourse.core.ids import ChunkDigest, DomainName, RootDigest
+from ridgecourse.native.engine import TICKET_HEADER, frame_header
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
 from ridgecourse.net.throttle import Throttle, in_pieces
 from ridgecourse.net.websocket import ControlChannel
-from ridgecourse.platform.engine import TICKET_HEADER, frame_header
 from ridgecourse.wire.control import Follow, Holds
 
 CHUNK_PATH = "/chunks/"
--- a/src/ridgecourse/agent/gate.py
+++ b/src/ridgecourse/agent/gate.py
@@ -23,6 +23,7 @@
 from ridgecourse.core.claim import KeyRegister
 from ridgecourse.core.ids import RequestId, Seconds
 from ridgecourse.core.outcome import Outcome, Reason
+from ridgecourse.native.engine import GenerateOrder
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.http_client import (
@@ -34,7 +35,6 @@
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
 from ridgecourse.net.metrics import Metric
 from ridgecourse.net.threads import spawn_loop
-from ridgecourse.platform.engine import GenerateOrder
 from ridgecourse.wire.codec import decode_message, encode_message
 from ridgecourse.wire.request import (
     FENCE_PATH,
--- a/src/ridgecourse/agent/lease.py
+++ b/src/ridgecourse/agent/lease.py
@@ -7,8 +7,8 @@
 from ridgecourse.agent.context import AgentContext
 from ridgecourse.core.ids import Offset, Seconds
 from ridgecourse.core.lease import Lease, LeaseRecord
+from ridgecourse.native.log import LogUnavailable, Stream
 from ridgecourse.net.events import EventKind
-from ridgecourse.platform.log import LogUnavailable, Stream
 from ridgecourse.wire.codec import decode_message, encode_message
 
 
--- a/src/ridgecourse/agent/main.py
+++ b/src/ridgecourse/agent/main.py
@@ -6,7 +6,7 @@
 
 from ridgecourse.agent.agent import Agent
 from ridgecourse.agent.settings import AgentSettings
-from ridgecourse.net.process import make_parser, run_process
+from ridgecourse.net.program import make_parser, run_process
 
 DESCRIPTION = "Gate before one target, and its part in the exchange of weights."
 
--- a/src/ridgecourse/agent/rollout.py
+++ b/src/ridgecourse/agent/rollout.py
@@ -24,19 +24,19 @@
 from ridgecourse.core.ids import Offset, RootDigest, TargetName
 from ridgecourse.core.manifest import parse_manifest
 from ridgecourse.core.rendezvous import rendezvous_rank
-from ridgecourse.net.auth import AUTH_HEADER, sign_request
-from ridgecourse.net.broadcast import Broadcast
-from ridgecourse.net.events import EventKind
-from ridgecourse.net.http_client import ExchangeFailed, NoConnection
-from ridgecourse.net.threads import spawn_loop
-from ridgecourse.platform.engine import (
+from ridgecourse.native.engine import (
     ActivateOrder,
     EngineState,
     LoadOrder,
     OrderResult,
 )
-from ridgecourse.platform.log import LogUnavailable
-from ridgecourse.platform.origin import OriginUnavailable
+from ridgecourse.native.log import LogUnavailable
+from ridgecourse.native.origin import OriginUnavailable
+from ridgecourse.net.auth import AUTH_HEADER, sign_request
+from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.events import EventKind
+from ridgecourse.net.http_client import ExchangeFailed, NoConnection
+from ridgecourse.net.threads import spawn_loop
 
 logger = logging.getLogger(__name__)
 
--- a/src/ridgecourse/agent/settings.py
+++ b/src/ridgecourse/agent/settings.py
@@ -3,8 +3,7 @@
 from pydantic import Field
 
 from ridgecourse.core.change import ServiceKind
-from ridgecourse.net.address import AddressText
-from ridgecourse.net.settings import Settings
+from ridgecourse.net.settings import AddressText, Settings
 
 MEBIBYTE = 1024 * 1024
 
--- a/src/ridgecourse/agent/transfer.py
+++ b/src/ridgecourse/agent/transfer.py
@@ -22,6 +22,11 @@
     Member,
     PlanPolicy,
 )
+from ridgecourse.native.origin import (
+    OriginBusy,
+    OriginMissing,
+    OriginUnavailable,
+)
 from ridgecourse.net.auth import AUTH_HEADER, sign_request
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.events import EventKind
@@ -29,11 +34,6 @@
 from ridgecourse.net.metrics import Metric
 from ridgecourse.net.threads import spawn_loop
 from ridgecourse.net.websocket import ChannelClosed, open_channel
-from ridgecourse.platform.origin import (
-    OriginBusy,
-    OriginMissing,
-    OriginUnavailable,
-)
 from ridgecourse.wire.control import PROTOCOL_VERSION, Follow, Holds
 
 logger = logging.getLogger(__name__)
--- a/src/ridgecourse/core/ids.py
+++ b/src/ridgecourse/core/ids.py
@@ -8,11 +8,14 @@
 VersionName = NewType("VersionName", str)
 TargetName = NewType("TargetName", str)
 DomainName = NewType("DomainName", str)
+RegionName = NewType("RegionName", str)
 AccountName = NewType("AccountName", str)
 ProcessName = NewType("ProcessName", str)
 
 ChangeId = NewType("ChangeId", str)
 RequestId = NewType("RequestId", str)
+TargetId = NewType("TargetId", str)
+"""Names one life of a target, as the platform lists it."""
 IdempotencyKey = NewType("IdempotencyKey", str)
 Incarnation = NewType("Incarnation", str)
 """Names one life of a process; a restart gives a new one."""
@@ -22,6 +25,8 @@
 RootDigest = NewType("RootDigest", str)
 """BLAKE3 of a version's manifest, in hexadecimal."""
 
+WeightsVersion = NewType("WeightsVersion", int)
+"""Version of a model's weights; 0 where there are none."""
 Offset = NewType("Offset", int)
 """Position of a record in a stream of the platform's log, from 0."""
 Seconds = NewType("Seconds", float)
--- a/src/ridgecourse/core/outcome.py
+++ b/src/ridgecourse/core/outcome.py
@@ -35,6 +35,8 @@
     NO_LOG = "no-log"
     WRONG_INCARNATION = "wrong-incarnation"
     WRONG_VERSION = "wrong-version"
+    WRONG_TARGET = "wrong-target"
+    UNREACHABLE = "unreachable"
     TARGET_LOST = "target-lost"
     ENGINE_FAILED = "engine-failed"
     STOPPING = "stopping"
--- a/src/ridgecourse/entry/changes.py
+++ b/src/ridgecourse/entry/changes.py
@@ -5,7 +5,7 @@
 from ridgecourse.core.change import ChangeOutcome, ChangeRecord, ChangeStatus
 from ridgecourse.core.ids import ChangeId
 from ridgecourse.entry.context import EntryContext
-from ridgecourse.platform.log import LogClient, LogUnavailable, Stream
+from ridgecourse.native.log import LogClient, LogUnavailable, Stream
 from ridgecourse.wire.codec import encode_message
 
 APPEND_RETRY_SECONDS = 0.3
--- a/src/ridgecourse/entry/config_follower.py
+++ b/src/ridgecourse/entry/config_follower.py
@@ -14,6 +14,7 @@
 from ridgecourse.core.config import ConfigSnapshot
 from ridgecourse.core.ids import Offset
 from ridgecourse.entry.context import EntryContext
+from ridgecourse.native.log import LogUnavailable, Stream
 from ridgecourse.net.auth import AUTH_HEADER, sign_request
 from ridgecourse.net.config_store import Folded
 from ridgecourse.net.events import EventKind
@@ -21,7 +22,6 @@
 from ridgecourse.net.http_server import HttpReply, HttpRequest
 from ridgecourse.net.metrics import Metric
 from ridgecourse.net.threads import spawn_loop
-from ridgecourse.platform.log import LogUnavailable, Stream
 from ridgecourse.wire.codec import decode_message, encode_message
 from ridgecourse.wire.control import MAX_CONTROL_BYTES, ConfigFull, ConfigRecords
 
--- a/src/ridgecourse/entry/context.py
+++ b/src/ridgecourse/entry/context.py
@@ -4,12 +4,12 @@
 
 from ridgecourse.core.ids import DomainName, Incarnation, ProcessName
 from ridgecourse.entry.settings import EntrySettings
+from ridgecourse.native.log import LogClient
 from ridgecourse.net.config_store import ConfigStore
 from ridgecourse.net.events import EventStream
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.metrics import Metrics
 from ridgecourse.net.process import new_incarnation
-from ridgecourse.platform.log import LogClient
 
 
 class EntryContext:
--- a/src/ridgecourse/entry/links.py
+++ b/src/ridgecourse/entry/links.py
@@ -19,9 +19,9 @@
 from ridgecourse.core.routing import TargetLoad
 from ridgecourse.entry.config_follower import ConfigFollower
 from ridgecourse.entry.context import EntryContext
+from ridgecourse.native.instances import InstanceListClient, InstanceSnapshot
 from ridgecourse.net.threads import spawn_loop
 from ridgecourse.net.websocket import ChannelClosed, ControlChannel, open_channel
-from ridgecourse.platform.instances import InstanceListClient, InstanceSnapshot
 from ridgecourse.wire.control import (
     PROTOCOL_VERSION,
     AgentMessage,
--- a/src/ridgecourse/entry/main.py
+++ b/src/ridgecourse/entry/main.py
@@ -6,7 +6,7 @@
 
 from ridgecourse.entry.entry import Entry
 from ridgecourse.entry.settings import EntrySettings
-from ridgecourse.net.process import make_parser, run_process
+from ridgecourse.net.program import make_parser, run_process
 
 DESCRIPTION = "Takes callers' requests and operators' decisions."
 
--- a/src/ridgecourse/entry/settings.py
+++ b/src/ridgecourse/entry/settings.py
@@ -4,8 +4,7 @@
 
 from pydantic import Field
 
-from ridgecourse.net.address import AddressText
-from ridgecourse.net.settings import Settings
+from ridgecourse.net.settings import AddressText, Settings
 
 
 class Role(Enum):
--- /dev/null
+++ b/src/ridgecourse/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Program at the entry: takes callers' HTTP requests to targets by route."""
--- /dev/null
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -0,0 +1,353 @@
+"""Callers' requests: routed, sent, repeated where allowed, answered."""
+
+from collections.abc import Iterator
+from random import Random
+from time import monotonic
+
+from msgspec import Struct, structs
+from returns.result import Failure
+
+from ridgecourse.core.ids import Seconds, ServiceName, TargetId
+from ridgecourse.core.outcome import Outcome, Reason
+from ridgecourse.core.retry import RetryBudget
+from ridgecourse.core.routes import Account, Route, RoutingConfig, Service
+from ridgecourse.core.site import Site
+from ridgecourse.core.targets import ListedTarget
+from ridgecourse.gateway.messages import CallerRequest
+from ridgecourse.gateway.protocol import RequestProtocol
+from ridgecourse.gateway.relay import StreamEvent
+from ridgecourse.gateway.selection import (
+    MISSING_WEIGHTS_SECONDS,
+    TargetSelector,
+)
+from ridgecourse.gateway.sender import (
+    NotRun,
+    Order,
+    Sender,
+    SendResult,
+    Stream,
+    Unknown,
+    Whole,
+    time_left,
+)
+from ridgecourse.gateway.view import ClusterView
+from ridgecourse.net.events import EventKind, EventStream
+from ridgecourse.net.exchange import Broken, TooLate
+from ridgecourse.net.front_server import CallerGone, FrontReply, FrontRequest
+
+DEFAULT_WAIT_SECONDS = 30.0
+"""Deadline of a request without one, on a route without a limit."""
+SHORTEST_ATTEMPT_SECONDS = 0.05
+"""A request is not sent once more with less time left than this."""
+COME_BACK_SECONDS = 0.25
+"""After which a refused caller may come back: about the time in which an engine
+frees a slot or a list of targets is read again."""
+RETRY_SAFETY = 0.9
+"""Share of the allowed repeats that is used: entries count apart."""
+ASSUMED_ENTRIES = 12
+"""Entries among which the slack of the retry budget is divided. More than any
+deployment of today has, so that the sum stays below the bound."""
+
+
+class AnswerTorn(Exception):
+    """A stream broke off; its connection ends without the final chunk."""
+
+
+class Terms(Struct, frozen=True):
+    """What the configuration says of a request."""
+
+    route: Route
+    service: Service
+    account: Account | None
+
+
+class Forwarder:
+    """Answers callers.
+
+    Attributes:
+        budgets: Bounds repeated sends, by service.
+    """
+
+    def __init__(
+        self,
+        site: Site,
+        view: ClusterView,
+        protocol: RequestProtocol,
+        events: EventStream,
+        random: Random,
+    ) -> None:
+        self.site = site
+        self.view = view
+        self.protocol = protocol
+        self.events = events
+        self.random = random
+        self.selector = TargetSelector(site, view, random)
+        self.sender = Sender(protocol)
+        self.budgets: dict[ServiceName, RetryBudget] = {}
+
+    def budget(self, service: ServiceName) -> RetryBudget:
+        """Return the bound on a service's repeated sends."""
+        if service not in self.budgets:
+            bounds = self.site.bounds
+            self.budgets[service] = RetryBudget(
+                bounds.retry_ratio * RETRY_SAFETY, bounds.retry_slack / ASSUMED_ENTRIES
+            )
+        return self.budgets[service]
+
+    def handle(self, request: FrontRequest) -> FrontReply:
+        """Answer a request."""
+        arrived = Seconds(monotonic())
+        config = self.view.config
+        if config is None:
+            return self._refuse("", Reason.NOT_READY)
+        if request.head_bytes > config.limits.header_bytes:
+            return self._reject("", 431, "the head is too long")
+        decoded = self.protocol.decode_request(request)
+        if isinstance(decoded, Failure):
+            text = "; ".join(map(str, decoded.failure()))
+            return self._reject("", 400, text)
+        call = decoded.unwrap()
+        terms = self._find_terms(call, config)
+        if isinstance(terms, FrontReply):
+            return terms
+        body = request.read_body(config.limits.body_bytes)
+        order = self._make_order(call, terms, body, arrived)
+        try:
+            with request.watched():
+                return self._answer(request, order, terms)
+        except CallerGone:
+            self._note_end(call, Outcome.UNKNOWN, "caller gone")
+            raise
+
+    def _find_terms(
+        self, call: CallerRequest, config: RoutingConfig
+    ) -> Terms | FrontReply:
+        route = config.find_route(call.host, call.path)
+        if route is None:
+            return self._reject(call.request_id, 404, "no route", config.version)
+        account = None
+        if config.keyed and not route.public:
+            account = config.accounts.get(call.key)
+            if account is None:
+                return self._reject(call.request_id, 401, "key", config.version)
+        service = config.services.get(self._pick_service(route))
+        if service is None:
+            return self._refuse(call.request_id, Reason.UNKNOWN_SERVICE)
+        return Terms(route, service, account)
+
+    def _pick_service(self, route: Route) -> ServiceName:
+        if len(route.services) == 1:
+            return route.services[0].service
+        weights = [share.weight for share in route.services]
+        return self.random.choices(route.services, weights)[0].service
+
+    def _make_order(
+        self, call: CallerRequest, terms: Terms, body: bytes, arrived: Seconds
+    ) -> Order:
+        waits = [call.wait, terms.route.timeout or None]
+        wait = min((w for w in waits if w is not None), default=DEFAULT_WAIT_SECONDS)
+        return Order(
+            call=call,
+            body=body or None,
+            account=terms.account.account if terms.account else None,
+            deadline=Seconds(arrived + wait),
+            version=None,
+            last_event=call.last_event,
+        )
+
+    # Sending.
+
+    def _answer(self, request: FrontRequest, order: Order, terms: Terms) -> FrontReply:
+        self.budget(terms.service.name).record_request()
+        tried: set[TargetId] = set()
+        result, target = self._try_targets(order, terms, tried)
+        call = order.call
+        if isinstance(result, Whole):
+            outcome = Outcome.COMPLETED if result.head.success else Outcome.UNKNOWN
+            self._note_end(call, outcome, f"status {result.head.status}")
+            head = result.head
+            return FrontReply(head.status, head.reason, head.headers, result.body)
+        if isinstance(result, Stream):
+            assert target is not None
+            head = result.head
+            body = self._relay(request, order, terms, tried, result, target)
+            return FrontReply(head.status, head.reason, head.headers, body)
+        if isinstance(result, NotRun):
+            return self._refuse(call.request_id, result.reason, result.detail)
+        self._note_end(call, Outcome.UNKNOWN, result.detail)
+        return FrontReply(504 if result.late else 502)
+
+    def _try_targets(
+        self, order: Order, terms: Terms, tried: set[TargetId]
+    ) -> tuple[SendResult, ListedTarget | None]:
+        """Send until a target answers, within attempts, budget and deadline.
+
+        A proof that nothing ran lets any request go on to another target; after
+        a loss only one that may be repeated goes on.
+        """
+        result: SendResult = NotRun(Reason.NO_TARGET, "no target", arrived=False)
+        sends = len(tried)
+        while time_left(order.deadline) > SHORTEST_ATTEMPT_SECONDS:
+            target = self.selector.choose(terms.service, order.call.model, tried)
+            if target is None or sends >= terms.route.max_attempts:
+                break
+            if sends and not self.budget(terms.service.name).take_retry():
+                break
+            result = self._send_once(order, target, tried)
+            if isinstance(result, (Whole, Stream)):
+                return result, target
+            if isinstance(result, Unknown):
+                if result.late or not terms.route.repeatable:
+                    break
+                sends += 1
+            elif result.arrived:
+                sends += 1
+        return result, None
+
+    def _send_once(
+        self, order: Order, target: ListedTarget, tried: set[TargetId]
+    ) -> SendResult:
+        tried.add(target.target)
+        model = order.call.model
+        if model and self.selector.only_version(model):
+            order.version = self.view.wanted_version(model)
+        state = self.selector.state(target.target)
+        begun = monotonic()
+        state.outstanding += 1
+        result: SendResult | None = None
+        try:
+            result = self.sender.send(order, target)
+        finally:
+            if not isinstance(result, Stream):
+                state.outstanding -= 1
+        self._learn(result, target)
+        self._note_send(order, target, result, monotonic() - begun)
+        return result
+
+    def _learn(self, result: SendResult, target: ListedTarget) -> None:
+        """Take in what a result says of the target's health."""
+        state = self.selector.state(target.target)
+        now = Seconds(monotonic())
+        if isinstance(result, NotRun) and result.reason is Reason.WRONG_TARGET:
+            state.not_before = Seconds(now + MISSING_WEIGHTS_SECONDS)
+            return
+        if isinstance(result, NotRun) and result.arrived:
+            return
+        if isinstance(result, (Whole, Stream)):
+            state.succeeded()
+        elif state.failed(now):
+            self.events.emit(EventKind.TARGET_EJECTED, target=target.target)
+
+    # Streams.
+
+    def _relay(
+        self,
+        request: FrontRequest,
+        order: Order,
+        terms: Terms,
+        tried: set[TargetId],
+        stream: Stream,
+        target: ListedTarget,
+    ) -> Iterator[bytes]:
+        """Yield a stream's events, resumed at another target if one is lost."""
+        call = order.call
+        outcome, why = Outcome.UNKNOWN, "caller gone"
+        try:
+            with request.watched():
+                while True:
+                    try:
+                        for event in self._events(order, stream, target):
+                            yield event.data
+                        outcome, why = Outcome.COMPLETED, "stream whole"
+                        return
+                    except Broken as error:
+                        why = f"stream broke off: {error}"
+                        resumed = self._resume(order, terms, tried, error)
+                    if resumed is None:
+                        raise AnswerTorn(why)
+                    stream, target = resumed
+        finally:
+            self._note_end(call, outcome, why, last_event=order.last_event)
+
+    def _events(
+        self, order: Order, stream: Stream, target: ListedTarget
+    ) -> Iterator[StreamEvent]:
+        """Yield a target's events that the caller has not had yet."""
+        state = self.selector.state(target.target)
+        try:
+            for event in stream.events:
+                last = order.last_event
+                if event.number is not None:
+                    if last is not None and event.number <= last:
+                        continue
+                    order.last_event = event.number
+                yield event
+        finally:
+            state.outstanding -= 1
+            stream.exchange.close()
+
+    def _resume(
+        self, order: Order, terms: Terms, tried: set[TargetId], error: Broken
+    ) -> tuple[Stream, ListedTarget] | None:
+        """Let another target go on with a stream; None where that can't be."""
+        if not terms.route.resumable or isinstance(error, TooLate):
+            return None
+        result, target = self._try_targets(order, terms, tried)
+        if isinstance(result, Stream) and target is not None:
+            return result, target
+        return None
+
+    # Answers of the gateway's own, and the log.
+
+    def _refuse(self, request_id: str, reason: Reason, detail: str = "") -> FrontReply:
+        """Answer that a request has not run and will not."""
+        self.events.emit(
+            EventKind.REQUEST_REFUSED,
+            request=request_id,
+            reason=reason.value,
+            why=detail,
+        )
+        return FrontReply(503, headers=self.protocol.retry_after(COME_BACK_SECONDS))
+
+    def _reject(
+        self, request_id: str, status: int, why: str, version: int = 0
+    ) -> FrontReply:
+        """Answer that a request is wrong."""
+        self.events.emit(
+            EventKind.REQUEST_REFUSED,
+            request=request_id,
+            status=status,
+            why=why,
+            config=version,
+        )
+        return FrontReply(status, body=f"{why}\n".encode())
+
+    def _note_send(
+        self, order: Order, target: ListedTarget, result: SendResult, seconds: float
+    ) -> None:
+        detail = structs.asdict(result) if isinstance(result, (NotRun, Unknown)) else {}
+        self.events.emit(
+            EventKind.REQUEST_DISPATCHED,
+            request=order.call.request_id,
+            target=target.target,
+            took=round(seconds, 4),
+            outstanding=self.selector.state(target.target).outstanding,
+            result=type(result).__name__,
+            only_version=order.version,
+            **{name: str(value) for name, value in detail.items()},
+        )
+
+    def _note_end(
+        self,
+        call: CallerRequest,
+        outcome: Outcome,
+        why: str,
+        last_event: int | None = None,
+    ) -> None:
+        self.events.emit(
+            EventKind.REQUEST_ENDED,
+            request=call.request_id,
+            outcome=outcome.value,
+            why=why,
+            last_event=last_event,
+        )
--- /dev/null
+++ b/src/ridgecourse/gateway/gateway.py
@@ -0,0 +1,99 @@
+"""The gateway process: ties callers, store and targets together."""
+
+from random import Random
+from time import monotonic
+
+import eventlet
+
+from ridgecourse.core.site import Site
+from ridgecourse.gateway.forwarder import Forwarder
+from ridgecourse.gateway.protocol import RecordDecoder, RequestProtocol
+from ridgecourse.gateway.view import ClusterView
+from ridgecourse.net.address import parse_address
+from ridgecourse.net.events import EventKind, EventStream
+from ridgecourse.net.front_server import FrontReply, FrontRequest, FrontServer
+from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter, HttpServer
+from ridgecourse.net.process import Process, new_incarnation
+from ridgecourse.net.record_source import RecordSource
+from ridgecourse.net.threads import spawn_loop
+
+UNREADY_SECONDS = 3.2
+"""How long new requests are still taken after readiness ended: the balancer asks
+once a second and believes the second miss."""
+STOP_MARGIN_SECONDS = 0.5
+"""Before the process would be killed, by when it has ended itself."""
+DRAIN_POLL_SECONDS = 0.05
+
+
+class Gateway(Process):
+    """One gateway.
+
+    Attributes:
+        stopping: Whether the process has been told to stop.
+    """
+
+    def __init__(
+        self,
+        site: Site,
+        source: RecordSource,
+        decoder: RecordDecoder,
+        protocol: RequestProtocol,
+        ready_path: str,
+    ) -> None:
+        self.site = site
+        self.events = EventStream(site.process, new_incarnation(), site.domain)
+        self.view = ClusterView(source, decoder, self.events)
+        self.forwarder = Forwarder(site, self.view, protocol, self.events, Random())
+        assert site.callers is not None and site.readiness is not None
+        self.front = FrontServer(parse_address(site.callers), self.handle)
+        self.router = HttpRouter()
+        self.router.add("GET", ready_path, self.serve_ready)
+        self.readiness = HttpServer(parse_address(site.readiness), self.router)
+        self.stopping = False
+        self.threads: list = []
+
+    def start(self) -> None:
+        """Open the servers and begin to read the store."""
+        self.front.start()
+        self.readiness.start()
+        self.view.start()
+        self.threads.append(spawn_loop(self._take_limits))
+        self.events.emit(EventKind.STARTED, http=str(self.front.address))
+
+    def _take_limits(self) -> None:
+        while True:
+            if self.view.config is not None:
+                self.front.limits = self.view.config.limits
+            self.forwarder.selector.forget_gone()
+            self.view.changed.wait()
+
+    def handle(self, request: FrontRequest) -> FrontReply:
+        """Answer a caller."""
+        return self.forwarder.handle(request)
+
+    def serve_ready(self, request: HttpRequest) -> HttpReply:
+        """Answer whether the balancer may send callers here."""
+        ready = self.view.ready() and not self.stopping
+        return HttpReply(200 if ready else 503)
+
+    def drain(self) -> None:
+        """End readiness, serve what still comes, then finish and close."""
+        begun = monotonic()
+        self.stopping = True
+        self.events.emit(EventKind.STOPPING, in_flight=self.front.in_flight)
+        eventlet.sleep(UNREADY_SECONDS)
+        self.front.closing = True
+        self.front.end_idle_connections()
+        limit = begun + self.site.bounds.stop_seconds - STOP_MARGIN_SECONDS
+        while self.front.in_flight and monotonic() < limit:
+            eventlet.sleep(DRAIN_POLL_SECONDS)
+            self.front.end_idle_connections()
+
+    def close(self) -> None:
+        """Release everything."""
+        self.view.close()
+        for thread in self.threads:
+            thread.kill()
+        self.front.close()
+        self.readiness.close()
+        self.events.emit(EventKind.STOPPED)
--- /dev/null
+++ b/src/ridgecourse/gateway/sender.py
@@ -0,0 +1,162 @@
+"""Sends one request to one target and tells what came of it."""
+
+from collections.abc import Iterator
+from time import monotonic
+
+from msgspec import Struct
+
+from ridgecourse.core.ids import AccountName, Seconds, WeightsVersion
+from ridgecourse.core.outcome import Reason
+from ridgecourse.core.targets import ListedTarget
+from ridgecourse.gateway.messages import AnswerHead, CallerRequest, SendTerms
+from ridgecourse.gateway.protocol import RequestProtocol
+from ridgecourse.gateway.relay import StreamEvent, split_events
+from ridgecourse.net.exchange import Broken, Exchange, NotSent, TooLate
+
+CONNECT_SECONDS = 0.3
+"""Longest wait for a connection: some 30 round trips between the farthest
+domains, and well below the objective of any route seen (400 ms)."""
+RETURN_SECONDS = 0.02
+"""Left of the deadline for the answer's way back to the caller."""
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
+
+class Order(Struct):
+    """A request with what was decided about it.
+
+    Attributes:
+        call: The request.
+        body: Its body; None if it has none.
+        account: The account that it is charged to.
+        deadline: When it must have been answered.
+        version: The only version of weights that may run it; None for any.
+        last_event: Event after which its stream goes on.
+    """
+
+    call: CallerRequest
+    body: bytes | None
+    account: AccountName | None
+    deadline: Seconds
+    version: WeightsVersion | None
+    last_event: int | None
+
+
+class NotRun(Struct, frozen=True):
+    """The target did not run the request and never will.
+
+    Attributes:
+        reason: Why.
+        detail: What was seen.
+        arrived: Whether the request reached the target.
+    """
+
+    reason: Reason
+    detail: str
+    arrived: bool
+
+
+class Unknown(Struct, frozen=True):
+    """The request may have run.
+
+    Attributes:
+        detail: What was seen.
+        late: Whether its time ran out.
+    """
+
+    detail: str
+    late: bool
+
+
+class Whole(Struct, frozen=True):
+    """The target's whole answer."""
+
+    head: AnswerHead
+    body: bytes
+
+
+class Stream(Struct):
+    """An answer whose first event has come.
+
+    Attributes:
+        head: Its head.
+        events: Its events, the first included; raises ``Broken`` where the
+            stream breaks off.
+        exchange: Its connection, closed by whoever reads the events.
+    """
+
+    head: AnswerHead
+    events: Iterator[StreamEvent]
+    exchange: Exchange
+
+
+SendResult = NotRun | Unknown | Whole | Stream
+
+
+class Sender:
+    """Sends requests in a platform's protocol."""
+
+    def __init__(self, protocol: RequestProtocol) -> None:
+        self.protocol = protocol
+
+    def send(self, order: Order, target: ListedTarget) -> SendResult:
+        """Send a request to a target and wait for its answer's beginning."""
+        exchange = Exchange(target.address, order.deadline)
+        result: SendResult | None = None
+        try:
+            result = self._exchange(exchange, order, target)
+        except NotSent as error:
+            result = NotRun(Reason.UNREACHABLE, str(error), arrived=False)
+        except TooLate as error:
+            result = Unknown(str(error), late=True)
+        except Broken as error:
+            result = Unknown(str(error), late=False)
+        finally:
+            if not isinstance(result, Stream):
+                exchange.close()
+        return result
+
+    def _exchange(
+        self, exchange: Exchange, order: Order, target: ListedTarget
+    ) -> SendResult:
+        exchange.connect(min(CONNECT_SECONDS, exchange.remaining()))
+        call = order.call
+        terms = SendTerms(
+            target=target.target,
+            account=order.account,
+            wait=exchange.remaining() - RETURN_SECONDS,
+            version=order.version,
+            last_event=order.last_event,
+            urgency=None,
+        )
+        headers = self.protocol.encode_request(call, terms)
+        exchange.send(call.method, call.target, headers, order.body)
+        head = self.protocol.decode_answer(exchange.receive_head())
+        if head.not_run:
+            detail = f"status {head.status}"
+            reason = Reason.WRONG_TARGET if head.other_target else Reason.OVERLOADED
+            return NotRun(reason, detail, arrived=True)
+        if head.request_id != call.request_id:
+            return Unknown(f"answer to {head.request_id!r}", late=False)
+        if head.success and not head.signed:
+            return Unknown("success without a signature", late=False)
+        if head.success and head.events:
+            return self._stream(exchange, head)
+        return Whole(head, exchange.read_whole(MAX_ANSWER_BYTES))
+
+    def _stream(self, exchange: Exchange, head: AnswerHead) -> Stream:
+        events = split_events(exchange.read_pieces(MAX_ANSWER_BYTES))
+        first = next(events, None)
+        return Stream(head, _chain(first, events), exchange)
+
+
+def _chain(
+    first: StreamEvent | None, rest: Iterator[StreamEvent]
+) -> Iterator[StreamEvent]:
+    if first is not None:
+        yield first
+    yield from rest
+
+
+def time_left(deadline: Seconds) -> float:
+    """Return the seconds until a deadline; negative once it is over."""
+    return deadline - monotonic()
--- /dev/null
+++ b/src/ridgecourse/gateway/view.py
@@ -0,0 +1,195 @@
+"""What a gateway believes: configuration, versions of weights, targets."""
+
+from collections.abc import Iterable, Iterator
+from time import monotonic
+
+from returns.result import Failure
+
+from ridgecourse.core.ids import ModelName, Seconds, ServiceName, WeightsVersion
+from ridgecourse.core.routes import RoutingConfig
+from ridgecourse.core.targets import ListedTarget, TargetList
+from ridgecourse.core.weights import FIRST_VERSION, NamedVersion
+from ridgecourse.gateway.protocol import RecordDecoder
+from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.events import EventKind, EventStream
+from ridgecourse.net.record_follower import RecordFollower
+from ridgecourse.net.record_source import (
+    KeyedRecord,
+    RecordBatch,
+    RecordSource,
+    Topic,
+)
+from ridgecourse.net.threads import spawn_loop
+
+DECISION_WAIT_SECONDS = 5.0
+"""Longest wait of one read for an operator's decision. Longer saves calls, but a
+connection that died unseen is noticed only after it."""
+TARGETS_PAUSE_SECONDS = 0.8
+"""Between two reads of the list: a leaving target may get requests for 2 s more,
+and its heartbeats would end a waiting read ten times a second."""
+
+
+class VersionNotice(NamedVersion, frozen=True):
+    """A named version and when this process learned of it."""
+
+    learned_at: Seconds = Seconds(0.0)
+
+
+class ClusterView:
+    """State read from the platform's store.
+
+    Attributes:
+        config: The newest configuration; None before the first is known.
+        versions: The newest version of each model's weights.
+        targets: The list of targets.
+        listed: Whether the list has been read.
+        changed: Notified after each change.
+    """
+
+    def __init__(
+        self, source: RecordSource, decoder: RecordDecoder, events: EventStream
+    ) -> None:
+        self.decoder = decoder
+        self.events = events
+        self.config: RoutingConfig | None = None
+        self.versions: dict[ModelName, VersionNotice] = {}
+        self.targets = TargetList()
+        self.listed = False
+        self.changed = Broadcast()
+        self.decisions_reader = RecordFollower(
+            source,
+            Topic.DECISIONS,
+            DECISION_WAIT_SECONDS,
+            0.0,
+            self.take_decisions,
+            self._note_back,
+        )
+        self.targets_reader = RecordFollower(
+            source,
+            Topic.TARGETS,
+            0.0,
+            TARGETS_PAUSE_SECONDS,
+            self.take_targets,
+            self._note_back,
+        )
+        self.threads: list = []
+
+    def start(self) -> None:
+        """Begin to read."""
+        self.decisions_reader.start()
+        self.targets_reader.start()
+        self.threads.append(spawn_loop(self._expire))
+
+    def close(self) -> None:
+        """Stop reading."""
+        self.decisions_reader.close()
+        self.targets_reader.close()
+        for thread in self.threads:
+            thread.kill()
+
+    def _note_back(self, away: float) -> None:
+        self.targets.outage_ended(Seconds(monotonic()))
+        self.events.emit(EventKind.LOG_BACK, away=round(away, 2))
+
+    def _expire(self) -> None:
+        while True:
+            self.changed.wait(0.25)
+            for target in self.targets.expire(Seconds(monotonic())):
+                self.events.emit(
+                    EventKind.TARGET_GONE, target=target, why="not back after outage"
+                )
+
+    # Decisions.
+
+    def take_decisions(self, batch: RecordBatch, whole: bool) -> None:
+        """Take in operators' decisions; an older one never replaces a newer."""
+        for record in batch.records:
+            self._take_decision(record)
+        self.changed.notify()
+
+    def _take_decision(self, record: KeyedRecord) -> None:
+        decoded = self.decoder.decision(record)
+        if isinstance(decoded, Failure):
+            self.events.emit(EventKind.BAD_INPUT, error=str(decoded.failure()))
+            return
+        decision = decoded.unwrap()
+        if isinstance(decision, RoutingConfig):
+            self._take_config(decision, record.offset)
+        elif isinstance(decision, NamedVersion):
+            self._take_version(decision, record.offset)
+
+    def _take_config(self, config: RoutingConfig, offset: int) -> None:
+        if self.config is not None and config.version <= self.config.version:
+            return
+        self.config = config
+        self.events.emit(
+            EventKind.CONFIG_FOLDED, offset=offset, version=str(config.version)
+        )
+
+    def _take_version(self, named: NamedVersion, offset: int) -> None:
+        known = self.versions.get(named.model)
+        if known is not None and named.version <= known.version:
+            return
+        self.versions[named.model] = VersionNotice(
+            named.model, named.version, Seconds(monotonic())
+        )
+        self.events.emit(
+            EventKind.VERSION_NAMED,
+            offset=offset,
+            version=str(named.version),
+            model=named.model,
+        )
+
+    def wanted_version(self, model: ModelName) -> WeightsVersion:
+        """Return the version of a model that is to be served."""
+        notice = self.versions.get(model)
+        return FIRST_VERSION if notice is None else notice.version
+
+    # Targets.
+
+    def take_targets(self, batch: RecordBatch, whole: bool) -> None:
+        """Take in changes of the list of targets, or the whole of it."""
+        records, findings = self.decoder.targets(batch.records)
+        for finding in findings:
+            self.events.emit(EventKind.BAD_INPUT, error=str(finding))
+        before = dict(self.targets.targets)
+        now = Seconds(monotonic())
+        if whole:
+            self.targets.replace(records, now)
+        else:
+            self.targets.apply(records, now)
+        self.listed = True
+        self._note_targets(before, self.targets.targets.values())
+        self.changed.notify()
+
+    def _note_targets(self, before: dict, current: Iterable[ListedTarget]) -> None:
+        names = set()
+        for target in current:
+            names.add(target.target)
+            known = before.get(target.target)
+            if known is None or known.leaving != target.leaving:
+                self.events.emit(
+                    EventKind.TARGET_LISTED,
+                    target=target.target,
+                    service=target.service,
+                    address=target.address,
+                    leaving=target.leaving,
+                    models=dict(target.models),
+                )
+            elif known.models != target.models or known.layers != target.layers:
+                self.events.emit(
+                    EventKind.TARGET_WEIGHTS,
+                    target=target.target,
+                    models=dict(target.models),
+                )
+        for name in before:
+            if name not in names:
+                self.events.emit(EventKind.TARGET_GONE, target=name, why="not listed")
+
+    def serving(self, service: ServiceName) -> Iterator[ListedTarget]:
+        """Yield the targets of a service that may get requests."""
+        return self.targets.of_service(service)
+
+    def ready(self) -> bool:
+        """Tell whether requests can be served."""
+        return self.config is not None and self.listed
--- /dev/null
+++ b/src/ridgecourse/loader/__init__.py
@@ -0,0 +1,1 @@
+"""Program beside a model engine: brings its weights in and starts them."""
--- a/src/ridgecourse/net/address.py
+++ b/src/ridgecourse/net/address.py
@@ -1,9 +1,7 @@
 """Socket addresses, written HOST:PORT with a numeric host."""
 
 from ipaddress import ip_address
-from typing import Annotated, NamedTuple
-
-from pydantic import AfterValidator
+from typing import NamedTuple
 
 
 class Address(NamedTuple):
@@ -27,12 +25,3 @@
         raise ValueError(f"expected HOST:PORT, found {text!r}")
     ip_address(host.strip("[]"))
     return Address(host.strip("[]"), int(port))
-
-
-def _check_address(text: str) -> str:
-    parse_address(text)
-    return text
-
-
-AddressText = Annotated[str, AfterValidator(_check_address)]
-"""Type of a settings value that is an address."""
--- /dev/null
+++ b/src/ridgecourse/net/record_follower.py
@@ -0,0 +1,110 @@
+"""Follows a topic of the platform's store through its outages."""
+
+import logging
+from collections.abc import Callable
+from random import random
+from time import monotonic
+
+import eventlet
+
+from ridgecourse.core.ids import Offset, Seconds
+from ridgecourse.net.record_source import (
+    RecordBatch,
+    RecordsGone,
+    RecordSource,
+    SourceUnavailable,
+    Topic,
+)
+from ridgecourse.net.threads import spawn_loop
+
+logger = logging.getLogger(__name__)
+
+FIRST_RETRY_SECONDS = 0.1
+LONGEST_RETRY_SECONDS = 0.8
+"""Between two tries while the store is away; a bound of two seconds must hold
+soon after it is back."""
+
+
+class RecordFollower:
+    """Reads a topic from its newest records on.
+
+    Attributes:
+        topic: What is followed.
+        wait: Longest wait of a read for a first record, in seconds.
+        pause: Between two reads, in seconds.
+        offset: Where to read next; None before the first read.
+        lost_since: When the store could last be read, while it cannot.
+        read_at: When the store last answered.
+    """
+
+    def __init__(
+        self,
+        source: RecordSource,
+        topic: Topic,
+        wait: float,
+        pause: float,
+        take: Callable[[RecordBatch, bool], None],
+        outage_ended: Callable[[float], None],
+    ) -> None:
+        self.source = source
+        self.topic = topic
+        self.wait = wait
+        self.pause = pause
+        self.take = take
+        self.outage_ended = outage_ended
+        self.offset: Offset | None = None
+        self.lost_since: Seconds | None = None
+        self.read_at = Seconds(0.0)
+        self.failures = 0
+        self.thread: eventlet.greenthread.GreenThread | None = None
+
+    def start(self) -> None:
+        """Begin to read."""
+        self.thread = spawn_loop(self._run)
+
+    def close(self) -> None:
+        """Stop reading."""
+        if self.thread is not None:
+            self.thread.kill()
+            self.thread = None
+
+    def _run(self) -> None:
+        while True:
+            try:
+                batch, whole = self._read()
+            except RecordsGone as error:
+                logger.info("%s: records gone: %s", self.topic.value, error)
+                self.offset = None
+                continue
+            except SourceUnavailable as error:
+                self._note_loss(error)
+                eventlet.sleep(self._retry_wait())
+                continue
+            self._note_answer()
+            self.offset = batch.end
+            self.take(batch, whole)
+            eventlet.sleep(self.pause)
+
+    def _read(self) -> tuple[RecordBatch, bool]:
+        if self.offset is None:
+            return self.source.newest(self.topic), True
+        return self.source.read(self.topic, self.offset, self.wait), False
+
+    def _retry_wait(self) -> float:
+        wait = FIRST_RETRY_SECONDS * 2.0 ** min(self.failures, 8)
+        return min(LONGEST_RETRY_SECONDS, wait) * (0.5 + random() / 2)
+
+    def _note_loss(self, error: SourceUnavailable) -> None:
+        self.failures += 1
+        if self.lost_since is None:
+            self.lost_since = Seconds(monotonic())
+            logger.warning("%s: the store is lost: %s", self.topic.value, error)
+
+    def _note_answer(self) -> None:
+        self.failures = 0
+        self.read_at = Seconds(monotonic())
+        if self.lost_since is not None:
+            away = monotonic() - self.lost_since
+            self.lost_since = None
+            logger.warning("%s: the store is back after %.1f s", self.topic.value, away)
+            self.outage_ended(away)
--- /dev/null
+++ b/src/ridgecourse/net/record_source.py
@@ -0,0 +1,80 @@
+"""Keyed records of the platform's store, as the system sees them."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from enum import Enum
+
+from msgspec import Struct
+
+from ridgecourse.core.ids import Offset
+
+
+class Topic(Enum):
+    """Streams of records that the system reads.
+
+    DECISIONS: What operators decided: configurations and versions of weights.
+    TARGETS: The list of targets.
+    """
+
+    DECISIONS = "decisions"
+    TARGETS = "targets"
+
+
+class KeyedRecord(Struct, frozen=True):
+    """A record.
+
+    Attributes:
+        key: What it is about.
+        value: What holds from now on; empty where the key was dropped.
+        offset: Its position.
+    """
+
+    key: str
+    value: bytes
+    offset: Offset
+
+
+class RecordBatch(Struct, frozen=True):
+    """Records that were read together.
+
+    Attributes:
+        records: In order of their offsets.
+        end: Where to go on reading.
+    """
+
+    records: Sequence[KeyedRecord]
+    end: Offset
+
+
+class SourceUnavailable(Exception):
+    """The store gave no usable answer."""
+
+
+class RecordsGone(Exception):
+    """The records asked for are no longer kept."""
+
+
+class RecordSource(ABC):
+    """Reads records."""
+
+    @abstractmethod
+    def newest(self, topic: Topic) -> RecordBatch:
+        """Return the newest record of each key.
+
+        Raises:
+            SourceUnavailable: The store gave no usable answer.
+        """
+
+    @abstractmethod
+    def read(self, topic: Topic, start: Offset, wait: float) -> RecordBatch:
+        """Return the records from an offset on.
+
+        Args:
+            topic: The stream.
+            start: The first offset wanted.
+            wait: Longest wait for a first record, in seconds.
+
+        Raises:
+            RecordsGone: They are no longer kept; ``newest`` has what holds.
+            SourceUnavailable: The store gave no usable answer.
+        """
--- a/src/ridgecourse/net/settings.py
+++ b/src/ridgecourse/net/settings.py
@@ -6,19 +6,29 @@
 
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
 from json5.loader import DefaultLoader, ModelLoader, loads
 from json5.utils import JSON5DecodeError
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import AfterValidator, BaseModel, ConfigDict, ValidationError
 from returns.result import Failure, Result, Success
 
 from ridgecourse.core.finding import Finding, Findings
+from ridgecourse.net.address import parse_address
 
 SettingsT = TypeVar("SettingsT", bound="Settings")
 KeyPath = tuple[str | int, ...]
 
 
+def _check_address(text: str) -> str:
+    parse_address(text)
+    return text
+
+
+AddressText = Annotated[str, AfterValidator(_check_address)]
+"""Type of a settings value that is an address."""
+
+
 class Settings(BaseModel):
     """Base of all settings: unknown keys are errors, values are not coerced."""
 
--- a/src/ridgecourse/platform/__init__.py
+++ b/src/ridgecourse/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform: log service, weight origin, engine."""
+"""Adapter for the users' platform: its names, formats and calls, no decisions."""
--- /dev/null
+++ b/src/ridgecourse/platform/gateway_main.py
@@ -0,0 +1,24 @@
+"""Starts a gateway from the platform's settings."""
+
+import ridgecourse.net.patch  # noqa: F401, I001
+
+import sys
+
+from ridgecourse.core.site import Site
+from ridgecourse.gateway.gateway import Gateway
+from ridgecourse.net.http_client import HttpClient
+from ridgecourse.platform.names import READY_PATH
+from ridgecourse.platform.process import run_on_platform
+from ridgecourse.platform.records import PlatformRecords
+from ridgecourse.platform.requests import PlatformRequests
+from ridgecourse.platform.store import PlatformStore
+
+
+def make_gateway(site: Site) -> Gateway:
+    """Return a gateway that speaks the platform's protocols."""
+    store = PlatformStore(site.store, HttpClient(source=site.host))
+    return Gateway(site, store, PlatformRecords(), PlatformRequests(), READY_PATH)
+
+
+if __name__ == "__main__":
+    sys.exit(run_on_platform("ridgecourse-gateway", make_gateway))
--- /dev/null
+++ b/src/ridgecourse/platform/process.py
@@ -0,0 +1,54 @@
+"""What the programs on the platform do alike: settings, logs, signals."""
+
+import os
+import sys
+from argparse import ArgumentParser
+from collections.abc import Callable
+from pathlib import Path
+
+from returns.result import Failure
+
+from ridgecourse import __version__
+from ridgecourse.core.finding import render_findings
+from ridgecourse.core.site import Site
+from ridgecourse.net.exit_code import EXIT_OK, EXIT_USAGE
+from ridgecourse.net.logs import set_up_logging
+from ridgecourse.net.process import Process, run_until_signal
+from ridgecourse.platform.names import SETTINGS_VARIABLE
+from ridgecourse.platform.settings import load_site
+
+
+def run_on_platform(
+    program: str,
+    make: Callable[[Site], Process],
+    arguments: list[str] | None = None,
+) -> int:
+    """Check the settings and run a process until it is told to stop.
+
+    Returns:
+        The exit code: 0 after a planned stop, 1 if it could not start, 2 for
+        settings that do not fit.
+    """
+    parser = ArgumentParser(prog=program)
+    parser.add_argument(
+        "settings",
+        nargs="?",
+        default=os.environ.get(SETTINGS_VARIABLE, ""),
+        help=f"settings file; default: the path in {SETTINGS_VARIABLE}",
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and exit"
+    )
+    parser.add_argument("--log-level", default="info", help="default: info")
+    parser.add_argument("--version", action="version", version=__version__)
+    options = parser.parse_args(arguments)
+    loaded = load_site(Path(options.settings))
+    if isinstance(loaded, Failure):
+        print(render_findings(loaded.failure()), file=sys.stderr)
+        return EXIT_USAGE
+    site = loaded.unwrap()
+    if options.check:
+        print(f"{options.settings}: ok")
+        return EXIT_OK
+    set_up_logging(site.process, site.domain, options.log_level)
+    return run_until_signal(make(site))
--- /dev/null
+++ b/src/ridgecourse/platform/store.py
@@ -0,0 +1,163 @@
+"""The platform's store: an append-only log with keyed topics, over HTTP."""
+
+from base64 import b64decode
+from collections.abc import Iterator
+from struct import error as StructError
+from struct import unpack_from
+from typing import Any
+from urllib.parse import urlencode
+
+from msgspec import DecodeError, Struct, field
+from msgspec.json import decode
+
+from ridgecourse.core.ids import Offset
+from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
+from ridgecourse.net.record_source import (
+    KeyedRecord,
+    RecordBatch,
+    RecordsGone,
+    RecordSource,
+    SourceUnavailable,
+    Topic,
+)
+from ridgecourse.platform.names import (
+    DECISIONS_TOPIC,
+    LOG_NEWEST_PATH,
+    LOG_READ_PATH,
+    TARGETS_TOPIC,
+)
+
+TOPICS = {Topic.DECISIONS: DECISIONS_TOPIC, Topic.TARGETS: TARGETS_TOPIC}
+ANSWER_SECONDS = 1.5
+"""Longest wait for an answer beyond a requested one: the store answers in 4 ms,
+in some hundred when slow."""
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+
+
+class NewestItem(Struct):
+    """The newest record of a key.
+
+    Attributes:
+        key: The key; the platform calls it a file, which it is not.
+        value: The record's value in base64.
+        offset: Its position.
+    """
+
+    key: str = field(name="key_file")
+    value: str
+    offset: int
+
+
+class NewestPage(Struct):
+    """A page of newest records.
+
+    Attributes:
+        items: The records.
+        end_offset: End of the topic.
+        truncated: Whether there are more.
+    """
+
+    items: list[NewestItem]
+    end_offset: int
+    truncated: bool = False
+
+
+class PlatformStore(RecordSource):
+    """Client of the store.
+
+    Attributes:
+        address: HOST:PORT.
+        calls: Calls made so far; each has a price.
+    """
+
+    def __init__(self, address: str, http: HttpClient) -> None:
+        self.address = address
+        self.http = http
+        self.calls = 0
+
+    def newest(self, topic: Topic) -> RecordBatch:
+        """Return the newest record of each key; see ``RecordSource``."""
+        pages = list(self._newest_pages(TOPICS[topic]))
+        records = [
+            KeyedRecord(item.key, b64decode(item.value), Offset(item.offset))
+            for page in pages
+            for item in page.items
+        ]
+        # The pages are no snapshot: what changed meanwhile is read again.
+        return RecordBatch(records, Offset(pages[0].end_offset))
+
+    def _newest_pages(self, topic: str) -> Iterator[NewestPage]:
+        after = ""
+        while True:
+            query: dict[str, Any] = {"topic": topic, "part": 0}
+            if after:
+                query["after_revision"] = after
+            status, data = self._get(LOG_NEWEST_PATH, query, 0.0)
+            if status != 200:
+                raise SourceUnavailable(f"status {status}")
+            try:
+                page = decode(data, type=NewestPage)
+            except DecodeError as error:
+                raise SourceUnavailable(str(error)) from error
+            yield page
+            if not page.truncated or not page.items:
+                return
+            after = page.items[-1].key
+
+    def read(self, topic: Topic, start: Offset, wait: float) -> RecordBatch:
+        """Return records from an offset on; see ``RecordSource``."""
+        query = {
+            "topic": TOPICS[topic],
+            "part": 0,
+            "from": start,
+            "wait_ms": int(wait * 1000),
+        }
+        status, data = self._get(LOG_READ_PATH, query, wait)
+        if status == 410:
+            raise RecordsGone(f"from {start}")
+        if status != 200:
+            raise SourceUnavailable(f"status {status}")
+        try:
+            return decode_records(data, start)
+        except (StructError, UnicodeDecodeError, IndexError) as error:
+            raise SourceUnavailable(f"no records: {error}") from error
+
+    def _get(self, path: str, query: dict[str, Any], wait: float) -> tuple[int, bytes]:
+        self.calls += 1
+        target = f"{path}?{urlencode(query)}"
+        try:
+            status, data, _ = self.http.fetch(
+                "GET",
+                self.address,
+                target,
+                timeout=wait + ANSWER_SECONDS,
+                limit=MAX_ANSWER_BYTES,
+            )
+        except (NoConnection, ExchangeFailed) as error:
+            raise SourceUnavailable(str(error)) from error
+        return status, data
+
+
+def decode_records(data: bytes, start: Offset) -> RecordBatch:
+    """Decode the records of a keyed topic.
+
+    The bytes are the end of the topic and the first offset kept, 8 bytes each,
+    then records: 4 bytes of length, 1 byte of the key's length, key, value.
+
+    Raises:
+        struct.error: The bytes end early.
+        IndexError: Likewise.
+        UnicodeDecodeError: A key is no text.
+    """
+    end, _first_kept = unpack_from(">QQ", data)
+    records = []
+    position, offset = 16, start
+    while position < len(data):
+        (length,) = unpack_from(">I", data, position)
+        record = data[position + 4 : position + 4 + length]
+        key_end = 1 + record[0]
+        key = record[1:key_end].decode()
+        records.append(KeyedRecord(key, record[key_end:], offset))
+        position += 4 + length
+        offset = Offset(offset + 1)
+    return RecordBatch(records, offset if records else Offset(max(start, end)))
--- a/src/ridgecourse_standins/instances.py
+++ b/src/ridgecourse_standins/instances.py
@@ -7,7 +7,7 @@
 from msgspec.json import decode
 
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
-from ridgecourse.platform.instances import Instance
+from ridgecourse.native.instances import Instance
 from ridgecourse_standins.service import (
     Faults,
     json_reply,
