Platform: a loader brings versions of weights to engines, through the exchange that agents use

Cause: new versions and new engines got no weights, so that every engine was refused 8 s after a version's name. The exchange of chunks moved out of the agent into a package that both programs use.

--- a/src/ridgecourse/agent/agent.py
+++ b/src/ridgecourse/agent/agent.py
@@ -5,10 +5,10 @@
 
 from ridgecourse.agent.context import AgentContext
 from ridgecourse.agent.control import AgentControl
-from ridgecourse.agent.exchange import Exchange
 from ridgecourse.agent.gate import Gate
 from ridgecourse.agent.rollout import Rollout
 from ridgecourse.agent.settings import AgentSettings
+from ridgecourse.exchange.server import Exchange
 from ridgecourse.net.address import parse_address
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.events import EventKind
@@ -25,9 +25,7 @@
 
     def __init__(self, settings: AgentSettings) -> None:
         self.context = AgentContext(settings)
-        self.exchange = Exchange(
-            self.context.domain, self.context.store, settings.link, settings.shared_key
-        )
+        self.exchange = Exchange(self.context.exchange)
         self.rollout = Rollout(self.context, self.exchange)
         self.gate = Gate(self.context, self.rollout)
         self.changed = Broadcast()
--- a/src/ridgecourse/agent/context.py
+++ b/src/ridgecourse/agent/context.py
@@ -1,7 +1,6 @@
 """What the parts of an agent share."""
 
 from ridgecourse.agent.settings import AgentSettings
-from ridgecourse.agent.store import ChunkStore
 from ridgecourse.core.ids import (
     DomainName,
     FleetName,
@@ -9,7 +8,9 @@
     ProcessName,
     TargetName,
 )
-from ridgecourse.core.planner import Member
+from ridgecourse.core.planner import Member, PlanPolicy
+from ridgecourse.exchange.context import ExchangeContext, LinkPolicy
+from ridgecourse.exchange.store import ChunkStore
 from ridgecourse.native.engine import EngineClient
 from ridgecourse.native.log import LogClient
 from ridgecourse.native.origin import OriginClient
@@ -18,18 +19,6 @@
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.metrics import Metrics
 from ridgecourse.net.process import new_incarnation
-from ridgecourse.net.throttle import Throttle
-
-
-class TransferCounts:
-    """Bytes of weights that an agent moved, over all versions."""
-
-    def __init__(self) -> None:
-        self.from_origin = 0
-        self.from_domain = 0
-        self.across_domains = 0
-        self.fetched_twice = 0
-        self.rejected = 0
 
 
 class AgentContext:
@@ -40,7 +29,7 @@
         incarnation: This life of the process.
         config: Its copy of the configuration.
         store: Its chunks.
-        download: Limit of the incoming link.
+        exchange: Its part in the exchange of weights.
     """
 
     def __init__(self, settings: AgentSettings) -> None:
@@ -53,17 +42,44 @@
         self.incarnation: Incarnation = new_incarnation()
         self.events = EventStream(self.process, self.incarnation, self.domain)
         self.metrics = Metrics(self.process, settings.statsd)
-        self.counts = TransferCounts()
         self.config = ConfigStore()
         self.store = ChunkStore(settings.staging_bytes)
         self.http = HttpClient(source=settings.source)
-        self.download = Throttle(settings.link.download_bytes_per_s)
-        self.origin = OriginClient(settings.origin, self.http, self.download)
+        self.exchange = self._make_exchange(settings)
+        self.counts = self.exchange.counts
+        self.origin = OriginClient(settings.origin, self.http, self.exchange.download)
         self.log = LogClient(settings.log, self.http)
         self.engine = EngineClient(
             settings.engine.address, self.http, settings.engine.api_token
         )
 
+    def _make_exchange(self, settings: AgentSettings) -> ExchangeContext:
+        link, plan = settings.link, settings.plan
+        return ExchangeContext(
+            me=self.me,
+            events=self.events,
+            metrics=self.metrics,
+            http=self.http,
+            store=self.store,
+            link=LinkPolicy(
+                upload_bytes_per_s=link.upload_bytes_per_s,
+                upload_slots=link.upload_slots,
+                upload_queue=link.upload_queue,
+                uploads_per_chunk=link.uploads_per_chunk,
+            ),
+            plan=PlanPolicy(
+                classes=plan.classes,
+                neighbours=plan.neighbours,
+                fetches=plan.fetches,
+                per_source=plan.per_source,
+                stall_seconds=plan.stall_seconds,
+            ),
+            key=settings.shared_key,
+            source=settings.source,
+            download_bytes_per_s=link.download_bytes_per_s,
+            chunk_stall_seconds=plan.chunk_stall_seconds,
+        )
+
     def close(self) -> None:
         """Close idle connections and the metrics socket."""
         self.http.close()
--- a/src/ridgecourse/agent/control.py
+++ b/src/ridgecourse/agent/control.py
@@ -7,7 +7,7 @@
 from returns.result import Failure
 
 from ridgecourse.agent.context import AgentContext
-from ridgecourse.agent.exchange import Exchange
+from ridgecourse.exchange.server import Exchange
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.websocket import ChannelClosed, ControlChannel
--- a/src/ridgecourse/agent/rollout.py
+++ b/src/ridgecourse/agent/rollout.py
@@ -14,16 +14,18 @@
 from returns.result import Failure, Result, Success
 
 from ridgecourse.agent.context import AgentContext
-from ridgecourse.agent.exchange import MANIFEST_PATH, Exchange
-from ridgecourse.agent.holding import Holding
 from ridgecourse.agent.lease import LeaseKeeper
-from ridgecourse.agent.store import OutOfBudget
-from ridgecourse.agent.transfer import Transfer, TransferError
 from ridgecourse.core.config import Service, Target, Version
 from ridgecourse.core.finding import render_findings
 from ridgecourse.core.ids import Offset, RootDigest, TargetName
 from ridgecourse.core.manifest import parse_manifest
 from ridgecourse.core.rendezvous import rendezvous_rank
+from ridgecourse.exchange.context import Peer
+from ridgecourse.exchange.holding import Holding
+from ridgecourse.exchange.origin import OriginUnavailable
+from ridgecourse.exchange.server import MANIFEST_PATH, Exchange
+from ridgecourse.exchange.store import OutOfBudget
+from ridgecourse.exchange.transfer import Transfer, TransferError
 from ridgecourse.native.engine import (
     ActivateOrder,
     EngineState,
@@ -31,7 +33,6 @@
     OrderResult,
 )
 from ridgecourse.native.log import LogUnavailable
-from ridgecourse.native.origin import OriginUnavailable
 from ridgecourse.net.auth import AUTH_HEADER, sign_request
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.events import EventKind
@@ -85,6 +86,7 @@
         self.wanted: Version | None = None
         self.holding: Holding | None = None
         self.transfer: Transfer | None = None
+        self.transferred: Version | None = None
         self.threads: list[eventlet.greenthread.GreenThread] = []
 
     def start(self) -> None:
@@ -137,8 +139,10 @@
         while True:
             self.wanted = self._find_wanted()
             transfer = self.transfer
-            if transfer is not None and not self._still_wanted(transfer.version):
-                transfer.cancel()
+            version = self.transferred
+            if transfer is not None and version is not None:
+                if not self._still_wanted(version):
+                    transfer.cancel()
             # With a bound, since a change may come while a transfer is cancelled.
             self.context.config.changed.wait(RETRY_SECONDS)
 
@@ -328,9 +332,15 @@
     def _transfer(self, version: Version, holding: Holding) -> None:
         self._set(Phase.TRANSFER, self.error)
         fleet = self.context.config.state.fleets[self.context.fleet]
+        origin = self.context.origin.version(version.origin_path)
+        peers = {
+            name: Peer(name, peer.domain, peer.address, peer.control_address)
+            for name, peer in self._peers().items()
+        }
         self.transfer = Transfer(
-            self.context, version, holding, self._peers(), fleet.origin_copies
+            self.context.exchange, origin, holding, peers, fleet.origin_copies
         )
+        self.transferred = version
         reporter = eventlet.spawn(self._report_progress, self.transfer)
         try:
             complete = self.transfer.run()
--- /dev/null
+++ b/src/ridgecourse/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""What a process believes of the cluster, read from the platform's store."""
--- a/src/ridgecourse/gateway/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -5,11 +5,11 @@
 
 from returns.result import Failure
 
+from ridgecourse.cluster.decoder import RecordDecoder
 from ridgecourse.core.ids import ModelName, Seconds, ServiceName, WeightsVersion
 from ridgecourse.core.routes import RoutingConfig
 from ridgecourse.core.targets import ListedTarget, TargetList
 from ridgecourse.core.weights import FIRST_VERSION, NamedVersion
-from ridgecourse.gateway.protocol import RecordDecoder
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.record_follower import RecordFollower
@@ -41,18 +41,24 @@
     Attributes:
         config: The newest configuration; None before the first is known.
         versions: The newest version of each model's weights.
+        previous: The one before it.
         targets: The list of targets.
         listed: Whether the list has been read.
         changed: Notified after each change.
     """
 
     def __init__(
-        self, source: RecordSource, decoder: RecordDecoder, events: EventStream
+        self,
+        source: RecordSource,
+        decoder: RecordDecoder,
+        events: EventStream,
+        targets_pause: float = TARGETS_PAUSE_SECONDS,
     ) -> None:
         self.decoder = decoder
         self.events = events
         self.config: RoutingConfig | None = None
         self.versions: dict[ModelName, VersionNotice] = {}
+        self.previous: dict[ModelName, VersionNotice] = {}
         self.targets = TargetList()
         self.listed = False
         self.changed = Broadcast()
@@ -68,7 +74,7 @@
             source,
             Topic.TARGETS,
             0.0,
-            TARGETS_PAUSE_SECONDS,
+            targets_pause,
             self.take_targets,
             self._note_back,
         )
@@ -130,6 +136,8 @@
         known = self.versions.get(named.model)
         if known is not None and named.version <= known.version:
             return
+        if known is not None:
+            self.previous[named.model] = known
         self.versions[named.model] = VersionNotice(
             named.model, named.version, Seconds(monotonic())
         )
@@ -145,6 +153,11 @@
         notice = self.versions.get(model)
         return FIRST_VERSION if notice is None else notice.version
 
+    def learned_before(self, model: ModelName) -> Seconds:
+        """Return when the version before the newest became known; 0 for never."""
+        notice = self.previous.get(model)
+        return Seconds(0.0) if notice is None else notice.learned_at
+
     # Targets.
 
     def take_targets(self, batch: RecordBatch, whole: bool) -> None:
--- /dev/null
+++ b/src/ridgecourse/core/supersession.py
@@ -0,0 +1,38 @@
+"""Whether to finish one version of weights when a newer one is named."""
+
+from msgspec import Struct
+
+from ridgecourse.core.ids import Seconds
+
+
+class TransferPlan(Struct, frozen=True):
+    """A version that is being brought in.
+
+    Attributes:
+        ready_after: Seconds that it still takes.
+        bound: When requests may no longer begin on older versions.
+    """
+
+    ready_after: float
+    bound: Seconds
+
+
+def should_finish(current: TransferPlan, newer: TransferPlan, now: Seconds) -> bool:
+    """Tell which order leaves the engine idle for a shorter time.
+
+    An engine is idle from a version's bound until it serves that version or a
+    newer one. The transfers share one link, so that the newer version comes
+    later if the current one is finished first.
+
+    Args:
+        current: The version in transfer.
+        newer: The version named meanwhile, as if begun now.
+        now: The present time.
+    """
+    current_ready = now + current.ready_after
+    newer_ready_after = current_ready + newer.ready_after
+    idle_finishing = max(0.0, current_ready - current.bound) + max(
+        0.0, newer_ready_after - max(newer.bound, current_ready)
+    )
+    idle_jumping = max(0.0, now + newer.ready_after - current.bound)
+    return idle_finishing < idle_jumping
--- /dev/null
+++ b/src/ridgecourse/exchange/__init__.py
@@ -0,0 +1,1 @@
+"""The exchange of weights between the agents of a fleet."""
--- /dev/null
+++ b/src/ridgecourse/exchange/context.py
@@ -0,0 +1,102 @@
+"""What the parts of the exchange share within one agent."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from msgspec import Struct
+
+from ridgecourse.core.ids import ChunkDigest, DomainName, TargetName
+from ridgecourse.core.manifest import chunk_digest
+from ridgecourse.core.planner import Member, PlanPolicy
+from ridgecourse.exchange.store import ChunkStore
+from ridgecourse.net.events import EventStream
+from ridgecourse.net.http_client import HttpClient
+from ridgecourse.net.metrics import Metrics
+from ridgecourse.net.throttle import Throttle
+
+
+class Peer(NamedTuple):
+    """Another agent of the fleet.
+
+    Attributes:
+        target: Its target.
+        domain: Its failure domain.
+        address: HOST:PORT for chunks.
+        control_address: HOST:PORT for control connections.
+    """
+
+    target: TargetName
+    domain: DomainName
+    address: str
+    control_address: str
+
+
+class LinkPolicy(Struct, frozen=True):
+    """What uploads may use of the instance's link.
+
+    Attributes:
+        upload_bytes_per_s: None for no limit.
+        upload_slots: Chunks sent to other agents at a time.
+        upload_queue: Requests of the own domain that may wait for a slot.
+        uploads_per_chunk: Times that a chunk is sent to agents of the own
+            domain, and of others, before that is left to those who got it.
+    """
+
+    upload_bytes_per_s: float | None = None
+    upload_slots: int = 2
+    upload_queue: int = 1
+    uploads_per_chunk: int = 2
+
+
+class TransferCounts:
+    """Bytes of weights that an agent moved, over all versions."""
+
+    def __init__(self) -> None:
+        self.from_origin = 0
+        self.from_domain = 0
+        self.across_domains = 0
+        self.fetched_twice = 0
+        self.rejected = 0
+
+
+class ExchangeContext:
+    """Identity, clients and bounds of one agent's part in the exchange.
+
+    Attributes:
+        me: The agent as others name it.
+        store: Its chunks.
+        download: Limit of the incoming link.
+        key: Proves the system's processes to each other; empty for no proof.
+        source: Local address that connections are made from; None for any.
+        chunk_stall_seconds: Longest wait for bytes of a chunk.
+        digest: Returns the digest of a chunk's bytes.
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        events: EventStream,
+        metrics: Metrics,
+        http: HttpClient,
+        store: ChunkStore,
+        link: LinkPolicy,
+        plan: PlanPolicy,
+        key: str = "",
+        source: str | None = None,
+        download_bytes_per_s: float | None = None,
+        chunk_stall_seconds: float = 3.0,
+        digest: Callable[[bytes], ChunkDigest] = chunk_digest,
+    ) -> None:
+        self.me = me
+        self.events = events
+        self.metrics = metrics
+        self.http = http
+        self.store = store
+        self.link = link
+        self.plan = plan
+        self.key = key
+        self.source = source
+        self.download = Throttle(download_bytes_per_s)
+        self.chunk_stall_seconds = chunk_stall_seconds
+        self.digest = digest
+        self.counts = TransferCounts()
--- a/src/ridgecourse/agent/exchange.py
+++ b/src/ridgecourse/exchange/server.py
@@ -6,11 +6,10 @@
 
 import eventlet
 
-from ridgecourse.agent.holding import Holding
-from ridgecourse.agent.settings import LinkSettings
-from ridgecourse.agent.store import ChunkStore
-from ridgecourse.core.ids import ChunkDigest, DomainName, RootDigest
-from ridgecourse.native.engine import TICKET_HEADER, frame_header
+from ridgecourse.core.ids import ChunkDigest, RootDigest
+from ridgecourse.exchange.context import ExchangeContext
+from ridgecourse.exchange.frames import TICKET_HEADER, frame_header
+from ridgecourse.exchange.holding import Holding
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
 from ridgecourse.net.throttle import Throttle, in_pieces
@@ -22,7 +21,8 @@
 ENGINE_PATH = "/engine/"
 DOMAIN_HEADER = "Ridgecourse-Domain"
 LAST_RESORT_HEADER = "Ridgecourse-Last-Resort"
-PIECE_BYTES = 16 * 1024
+PIECE_BYTES = 4 * 1024
+"""Sent at a time where the link is limited, so that requests wait little behind."""
 QUEUE_SECONDS = 1.0
 """Longest wait of a request for an upload slot."""
 HOLDS_INTERVAL = 0.05
@@ -42,14 +42,12 @@
         tickets: What the engine shows to fetch a version.
     """
 
-    def __init__(
-        self, domain: DomainName, store: ChunkStore, settings: LinkSettings, key: str
-    ) -> None:
-        self.domain = domain
-        self.store = store
-        self.settings = settings
-        self.key = key
-        self.link = Throttle(settings.upload_bytes_per_s)
+    def __init__(self, context: ExchangeContext) -> None:
+        self.domain = context.me.domain
+        self.store = context.store
+        self.policy = context.link
+        self.key = context.key
+        self.link = Throttle(self.policy.upload_bytes_per_s)
         self.holdings: dict[RootDigest, Holding] = {}
         self.joined = Broadcast()
         self.tickets: dict[str, RootDigest] = {}
@@ -104,7 +102,7 @@
         other domains always queue and go first: a whole domain waits for what
         they bring in.
         """
-        if not across and self.queued >= self.settings.upload_queue:
+        if not across and self.queued >= self.policy.upload_queue:
             return False
         self.queued += not across
         self.queued_across += across
@@ -121,7 +119,7 @@
         return True
 
     def _must_wait(self, across: bool) -> bool:
-        taken = self.uploads >= self.settings.upload_slots
+        taken = self.uploads >= self.policy.upload_slots
         return taken or (not across and self.queued_across > 0)
 
     def _holding_of(self, digest: ChunkDigest) -> Holding | None:
@@ -140,7 +138,7 @@
         """
         if holding is None:
             return False
-        return holding.uploads[digest, across] >= self.settings.uploads_per_chunk
+        return holding.uploads[digest, across] >= self.policy.uploads_per_chunk
 
     def _upload(self, data: bytes) -> Iterator[bytes]:
         try:
--- a/src/ridgecourse/agent/transfer.py
+++ b/src/ridgecourse/exchange/transfer.py
@@ -7,26 +7,27 @@
 
 import eventlet
 
-from ridgecourse.agent.context import AgentContext
-from ridgecourse.agent.exchange import CHUNK_PATH, DOMAIN_HEADER, LAST_RESORT_HEADER
-from ridgecourse.agent.holding import Holding
-from ridgecourse.agent.settings import PlanSettings
-from ridgecourse.core.config import Target, Version
 from ridgecourse.core.ids import ChunkDigest, Seconds, TargetName
-from ridgecourse.core.manifest import chunk_digest
 from ridgecourse.core.planner import (
     ORIGIN,
     ChunkPlanner,
     Fetch,
     FetchFailure,
     Member,
-    PlanPolicy,
 )
-from ridgecourse.native.origin import (
+from ridgecourse.exchange.context import ExchangeContext, Peer
+from ridgecourse.exchange.holding import Holding
+from ridgecourse.exchange.origin import (
+    ChunkOrigin,
     OriginBusy,
     OriginMissing,
     OriginUnavailable,
 )
+from ridgecourse.exchange.server import (
+    CHUNK_PATH,
+    DOMAIN_HEADER,
+    LAST_RESORT_HEADER,
+)
 from ridgecourse.net.auth import AUTH_HEADER, sign_request
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.events import EventKind
@@ -61,25 +62,23 @@
 
     def __init__(
         self,
-        context: AgentContext,
-        version: Version,
+        context: ExchangeContext,
+        origin: ChunkOrigin,
         holding: Holding,
-        targets: Mapping[TargetName, Target],
+        peers: Mapping[TargetName, Peer],
         origin_copies: int,
     ) -> None:
         self.context = context
-        self.settings = context.settings.plan
-        self.key = context.settings.shared_key
-        self.version = version
+        self.origin = origin
         self.holding = holding
-        self.targets = targets
+        self.peers = peers
         self.planner = ChunkPlanner(
             context.me,
             holding.root,
             [place.digest for place in holding.places],
             [holding.places[index].digest for index in holding.held],
-            [Member(target.target, target.domain) for target in targets.values()],
-            make_policy(self.settings),
+            [Member(peer.target, peer.domain) for peer in peers.values()],
+            context.plan,
             Seconds(monotonic()),
             origin_copies,
         )
@@ -143,9 +142,9 @@
 
     def _holdings_of(self, neighbour: TargetName) -> Iterator[Holds]:
         channel = open_channel(
-            self.targets[neighbour].control_address,
-            self.key,
-            self.context.settings.source,
+            self.peers[neighbour].control_address,
+            self.context.key,
+            self.context.source,
         )
         with closing(channel):
             me = self.planner.me
@@ -182,7 +181,7 @@
         )
         if isinstance(got, FetchFailure):
             return got
-        if chunk_digest(got) == fetch.digest:
+        if self.context.digest(got) == fetch.digest:
             return got
         self._reject(fetch)
         return FetchFailure.CORRUPT
@@ -203,10 +202,10 @@
 
     def _from_origin(self, fetch: Fetch) -> bytes | FetchFailure:
         place = self.holding.places[self.holding.index[fetch.digest]]
-        stall = self.settings.chunk_stall_seconds
-        before = self.context.origin.drawn
+        stall = self.context.chunk_stall_seconds
+        before = self.origin.drawn
         try:
-            data = self.context.origin.chunk(self.version.origin_path, place, stall)
+            data = self.origin.chunk(place, stall)
         except OriginBusy:
             return FetchFailure.BUSY
         except OriginMissing as error:
@@ -216,26 +215,26 @@
             self.error = f"origin-unavailable: {error}"
             return FetchFailure.STALLED
         self.error = ""
-        self.context.counts.from_origin += self.context.origin.drawn - before
+        self.context.counts.from_origin += self.origin.drawn - before
         self.context.metrics.count(Metric.BYTES_FROM_ORIGIN, len(data))
         if len(data) != place.length:
             self.error = f"chunk-length: {place.path} at byte {place.start}"
         return data
 
     def _from_peer(self, fetch: Fetch) -> bytes | FetchFailure:
-        target = self.targets[fetch.source]
+        peer = self.peers[fetch.source]
         path = f"{CHUNK_PATH}{fetch.digest}"
         headers = {
-            AUTH_HEADER: sign_request(self.key, "GET", path),
-            DOMAIN_HEADER: self.context.domain,
+            AUTH_HEADER: sign_request(self.context.key, "GET", path),
+            DOMAIN_HEADER: self.context.me.domain,
         }
         if self.referred.get(fetch.digest, 0) >= LAST_RESORT_REFERRALS:
             headers[LAST_RESORT_HEADER] = "yes"
         limit = self.holding.places[self.holding.index[fetch.digest]].length
-        stall = self.settings.chunk_stall_seconds
+        stall = self.context.chunk_stall_seconds
         try:
             response = self.context.http.send(
-                "GET", target.address, path, headers=headers, timeout=stall
+                "GET", peer.address, path, headers=headers, timeout=stall
             )
             with closing(response):
                 if response.status != 200:
@@ -262,7 +261,7 @@
         return FetchFailure.BUSY
 
     def _count_peer_bytes(self, source: TargetName, size: int) -> None:
-        if self.targets[source].domain == self.planner.me.domain:
+        if self.peers[source].domain == self.planner.me.domain:
             self.context.counts.from_domain += size
         else:
             self.context.counts.across_domains += size
@@ -275,14 +274,3 @@
         self.context.store.put(fetch.digest, data)
         self.holding.add_held(fetch.digest)
         self.context.metrics.count(Metric.CHUNKS_FETCHED)
-
-
-def make_policy(settings: PlanSettings) -> PlanPolicy:
-    """Return the planner's bounds from settings."""
-    return PlanPolicy(
-        classes=settings.classes,
-        neighbours=settings.neighbours,
-        fetches=settings.fetches,
-        per_source=settings.per_source,
-        stall_seconds=settings.stall_seconds,
-    )
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -3,10 +3,12 @@
 from collections.abc import Iterator
 from random import Random
 from time import monotonic
+from typing import Any
 
 from msgspec import Struct, structs
 from returns.result import Failure
 
+from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.ids import Seconds, ServiceName, TargetId
 from ridgecourse.core.outcome import Outcome, Reason
 from ridgecourse.core.retry import RetryBudget
@@ -30,7 +32,6 @@
     Whole,
     time_left,
 )
-from ridgecourse.gateway.view import ClusterView
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.exchange import Broken, TooLate
 from ridgecourse.net.front_server import CallerGone, FrontReply, FrontRequest
@@ -325,7 +326,9 @@
     def _note_send(
         self, order: Order, target: ListedTarget, result: SendResult, seconds: float
     ) -> None:
-        detail = structs.asdict(result) if isinstance(result, (NotRun, Unknown)) else {}
+        detail: dict[str, Any] = (
+            structs.asdict(result) if isinstance(result, (NotRun, Unknown)) else {}
+        )
         self.events.emit(
             EventKind.REQUEST_DISPATCHED,
             request=order.call.request_id,
@@ -334,7 +337,7 @@
             outstanding=self.selector.state(target.target).outstanding,
             result=type(result).__name__,
             only_version=order.version,
-            **{name: str(value) for name, value in detail.items()},
+            detail={name: str(value) for name, value in detail.items()},
         )
 
     def _note_end(
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -5,10 +5,11 @@
 
 import eventlet
 
+from ridgecourse.cluster.decoder import RecordDecoder
+from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.site import Site
 from ridgecourse.gateway.forwarder import Forwarder
-from ridgecourse.gateway.protocol import RecordDecoder, RequestProtocol
-from ridgecourse.gateway.view import ClusterView
+from ridgecourse.gateway.protocol import RequestProtocol
 from ridgecourse.net.address import parse_address
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.front_server import FrontReply, FrontRequest, FrontServer
--- a/src/ridgecourse/gateway/messages.py
+++ b/src/ridgecourse/gateway/messages.py
@@ -6,7 +6,6 @@
     AccountName,
     ModelName,
     RequestId,
-    Seconds,
     TargetId,
     WeightsVersion,
 )
@@ -98,28 +97,3 @@
     def success(self) -> bool:
         """Whether the request was served."""
         return 200 <= self.status < 300
-
-
-class TargetReport(Struct, frozen=True):
-    """What an engine tells of itself.
-
-    Attributes:
-        version: Version of the weights that it serves; 0 for none.
-        orders: Orders taken so far in this life.
-        busy: Whether it carries out an order.
-        queued: Requests that wait.
-        active: Requests in progress.
-        cache_used: Tokens of context in memory that cannot give way.
-        cache_total: Tokens of context that fit.
-        staged: Chunks that lie staged.
-    """
-
-    version: WeightsVersion
-    orders: int
-    busy: bool
-    queued: int
-    active: int
-    cache_used: int
-    cache_total: int
-    staged: tuple[int, ...]
-    at: Seconds = Seconds(0.0)
--- a/src/ridgecourse/gateway/protocol.py
+++ b/src/ridgecourse/gateway/protocol.py
@@ -1,21 +1,14 @@
 """What a platform's adapter provides to the gateway."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
 
 from returns.result import Result
 from urllib3 import BaseHTTPResponse
 
 from ridgecourse.core.finding import Findings
-from ridgecourse.core.routes import RoutingConfig
-from ridgecourse.core.targets import TargetRecord
-from ridgecourse.core.weights import NamedVersion
 from ridgecourse.gateway.messages import AnswerHead, CallerRequest, SendTerms
 from ridgecourse.net.front_server import FrontRequest
 from ridgecourse.net.http_server import HeaderList
-from ridgecourse.net.record_source import KeyedRecord
-
-Decision = RoutingConfig | NamedVersion
 
 
 class RequestProtocol(ABC):
@@ -36,17 +29,3 @@
     @abstractmethod
     def retry_after(self, seconds: float) -> HeaderList:
         """Return the headers that tell a caller when to come back."""
-
-
-class RecordDecoder(ABC):
-    """Decodes the records of the platform's store."""
-
-    @abstractmethod
-    def decision(self, record: KeyedRecord) -> Result[Decision | None, Findings]:
-        """Return an operator's decision; None for kinds that are not known."""
-
-    @abstractmethod
-    def targets(
-        self, records: Sequence[KeyedRecord]
-    ) -> tuple[Sequence[TargetRecord], Findings]:
-        """Return changes of the list of targets, and what could not be read."""
--- a/src/ridgecourse/gateway/selection.py
+++ b/src/ridgecourse/gateway/selection.py
@@ -4,11 +4,11 @@
 from random import Random
 from time import monotonic
 
+from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.ids import ModelName, Seconds, ServiceName, TargetId
 from ridgecourse.core.routes import Service
 from ridgecourse.core.site import Site
 from ridgecourse.core.targets import ListedTarget
-from ridgecourse.gateway.view import ClusterView
 
 REGION_PENALTY = 0.15
 """Load, in shares of a target's slots, by which a target of the own region may
--- a/src/ridgecourse/loader/loader.py
+++ b/src/ridgecourse/loader/loader.py
@@ -1,17 +1,123 @@
-"""stub"""
+"""The loader process: ties engine, exchange of weights and store together."""
 
-from ridgecourse.net.process import Process
+from hashlib import sha256
+
+from ridgecourse.cluster.decoder import RecordDecoder
+from ridgecourse.cluster.view import ClusterView
+from ridgecourse.core.ids import ChunkDigest, TargetName
+from ridgecourse.core.planner import Member, PlanPolicy
+from ridgecourse.core.site import Site
+from ridgecourse.exchange.context import ExchangeContext, LinkPolicy
+from ridgecourse.exchange.server import Exchange
+from ridgecourse.exchange.store import ChunkStore
+from ridgecourse.loader.protocol import EngineControl, WeightsOrigin
+from ridgecourse.loader.rollout import Rollout
+from ridgecourse.net.address import Address
+from ridgecourse.net.events import EventKind, EventStream
+from ridgecourse.net.http_client import HttpClient
+from ridgecourse.net.http_server import HttpRouter, HttpServer
+from ridgecourse.net.metrics import Metrics
+from ridgecourse.net.process import Process, new_incarnation
+from ridgecourse.net.record_source import RecordSource
+from ridgecourse.net.websocket import ChannelClosed, ControlChannel, ControlServer
+from ridgecourse.wire.control import Follow
+
+TARGETS_PAUSE_SECONDS = 2.0
+"""Between two reads of the list, which here only tells who else has chunks."""
+STORE_BYTES = 64 * 1024 * 1024
+"""Memory for chunks: some versions of a few MB."""
+LINK_SHARE = 0.9
+"""Share of the instance's link that weights may use each way; the rest is for the
+engine's requests and answers, which wait behind them."""
+UPLOAD_QUEUE = 6
+"""Requests for chunks that may wait for an upload slot: a chunk takes some 50 ms,
+less than a refused loader waits before it asks again."""
+FETCHES = 6
+"""Chunks asked for at a time; most of them wait in others' queues."""
+FIRST_MESSAGE_SECONDS = 2.0
 
 
 class Loader(Process):
-    def __init__(self, site):
+    """One loader, beside one engine."""
+
+    def __init__(
+        self,
+        site: Site,
+        source: RecordSource,
+        decoder: RecordDecoder,
+        engine: EngineControl,
+        origin: WeightsOrigin,
+        http: HttpClient,
+    ) -> None:
         self.site = site
+        self.events = EventStream(site.process, new_incarnation(), site.domain)
+        self.view = ClusterView(source, decoder, self.events, TARGETS_PAUSE_SECONDS)
+        self.context = ExchangeContext(
+            me=Member(TargetName(site.host), site.domain),
+            events=self.events,
+            metrics=Metrics(site.process, None),
+            http=http,
+            store=ChunkStore(STORE_BYTES),
+            link=LinkPolicy(
+                upload_bytes_per_s=site.upload_bytes_per_s * LINK_SHARE,
+                upload_queue=UPLOAD_QUEUE,
+            ),
+            plan=PlanPolicy(fetches=FETCHES),
+            download_bytes_per_s=site.upload_bytes_per_s * LINK_SHARE,
+            source=site.host,
+            digest=sha256_digest,
+        )
+        self.exchange = Exchange(self.context)
+        control_port, chunk_port = site.peer_ports[0], site.peer_ports[0] + 1
+        self.rollout = Rollout(
+            site,
+            self.view,
+            self.context,
+            self.exchange,
+            engine,
+            origin,
+            (chunk_port, control_port),
+        )
+        self.router = HttpRouter()
+        self.exchange.add_routes(self.router)
+        self.rollout.catalogue.add_routes(self.router)
+        self.http_server = HttpServer(Address(site.host, chunk_port), self.router)
+        self.control_server = ControlServer(
+            Address(site.host, control_port), "", self.handle_channel
+        )
+
+    def start(self) -> None:
+        """Open both servers, read the store and drive the engine."""
+        self.http_server.start()
+        self.control_server.start()
+        self.view.start()
+        self.rollout.start()
+        self.events.emit(EventKind.STARTED, http=str(self.http_server.address))
+
+    def handle_channel(self, channel: ControlChannel) -> None:
+        """Tell another loader what is held here, until it goes away.
+
+        Raises:
+            ChannelClosed: It went away.
+        """
+        follow = channel.receive(Follow, FIRST_MESSAGE_SECONDS)
+        if follow is None:
+            raise ChannelClosed("no first message")
+        self.exchange.tell_holdings(channel, follow)
+
+    def drain(self) -> None:
+        """Stop; other loaders have what this one held, or fetch it anew."""
+        self.events.emit(EventKind.STOPPING)
 
-    def start(self):
-        pass
+    def close(self) -> None:
+        """Release everything."""
+        self.rollout.close()
+        self.view.close()
+        self.control_server.close()
+        self.http_server.close()
+        self.events.emit(EventKind.STOPPED)
 
-    def drain(self):
-        pass
 
-    def close(self):
-        pass
+def sha256_digest(data: bytes) -> ChunkDigest:
+    """Return the digest by which the origin names a chunk's bytes."""
+    return ChunkDigest(sha256(data).hexdigest())
--- a/src/ridgecourse/native/engine.py
+++ b/src/ridgecourse/native/engine.py
@@ -7,22 +7,13 @@
 from msgspec.json import decode, encode
 from urllib3 import BaseHTTPResponse
 
-from ridgecourse.core.ids import ChunkDigest, RootDigest
-from ridgecourse.core.manifest import DIGEST_HEX_LENGTH
+from ridgecourse.core.ids import RootDigest
 from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
 
-TICKET_HEADER = "Ridgecourse-Ticket"
-"""Shown by an engine to fetch the version that it was ordered to load."""
-FRAME_HEADER_BYTES = DIGEST_HEX_LENGTH + 8
 LOAD_SECONDS = 3600.0
 ORDER_SECONDS = 10.0
 
 
-def frame_header(digest: ChunkDigest, length: int) -> bytes:
-    """Return what stands before a chunk's bytes in the stream to an engine."""
-    return digest.encode() + length.to_bytes(8, "big")
-
-
 class OrderResult(Enum):
     """What became of an order to an engine."""
 
--- a/src/ridgecourse/native/origin.py
+++ b/src/ridgecourse/native/origin.py
@@ -4,6 +4,12 @@
 from urllib.parse import quote
 
 from ridgecourse.core.manifest import ChunkPlace
+from ridgecourse.exchange.origin import (
+    ChunkOrigin,
+    OriginBusy,
+    OriginMissing,
+    OriginUnavailable,
+)
 from ridgecourse.net.http_client import (
     ExchangeFailed,
     HttpClient,
@@ -16,18 +22,6 @@
 MAX_MANIFEST_BYTES = 64 * 1024 * 1024
 
 
-class OriginUnavailable(Exception):
-    """The origin gave no usable answer."""
-
-
-class OriginBusy(OriginUnavailable):
-    """The origin asks to come back later."""
-
-
-class OriginMissing(OriginUnavailable):
-    """The origin does not have what was asked for."""
-
-
 class OriginClient:
     """Fetches manifests and chunks.
 
@@ -66,6 +60,10 @@
         headers = {"Range": f"bytes={place.start}-{end}"}
         return self._read(f"{origin_path}/{place.path}", headers, place.length, stall)
 
+    def version(self, origin_path: str) -> "VersionOrigin":
+        """Return the origin of one version."""
+        return VersionOrigin(self, origin_path)
+
     def _read(
         self, path: str, headers: dict[str, str], limit: int, stall: float
     ) -> bytes:
@@ -83,6 +81,23 @@
         return data
 
 
+class VersionOrigin(ChunkOrigin):
+    """The origin of the version at one path."""
+
+    def __init__(self, client: OriginClient, origin_path: str) -> None:
+        self.client = client
+        self.origin_path = origin_path
+
+    @property
+    def drawn(self) -> int:  # type: ignore[override]
+        """Bytes received from the origin so far."""
+        return self.client.drawn
+
+    def chunk(self, place: ChunkPlace, stall: float) -> bytes:
+        """Return a chunk's bytes; see ``ChunkOrigin``."""
+        return self.client.chunk(self.origin_path, place, stall)
+
+
 def _check_status(status: int, path: str) -> None:
     if status in (429, 503):
         raise OriginBusy(f"{path}: status {status}")
--- a/src/ridgecourse/net/auth.py
+++ b/src/ridgecourse/net/auth.py
@@ -16,7 +16,13 @@
 
 
 def sign_request(key: str, method: str, path: str, body: bytes = b"") -> str:
-    """Return the value of the authentication header for a request."""
+    """Return the value of the authentication header for a request.
+
+    Without a key it proves nothing, and nothing is checked: the instances then
+    stand in a network that only the system reaches.
+    """
+    if not key:
+        return ""
     stamp = str(int(time()))
     return f"{stamp}:{_mac(key, stamp, method, path, body)}"
 
@@ -25,6 +31,8 @@
     key: str, header: str, method: str, path: str, body: bytes = b""
 ) -> bool:
     """Tell whether a header proves that its sender holds the key."""
+    if not key:
+        return True
     stamp, _, mac = header.partition(":")
     if not stamp.isdecimal() or abs(time() - int(stamp)) > MAX_CLOCK_SKEW:
         return False
--- a/src/ridgecourse/net/events.py
+++ b/src/ridgecourse/net/events.py
@@ -43,6 +43,8 @@
     VERSION_NAMED = "version-named"
     ROLLOUT_STARTED = "rollout-started"
     ROLLOUT_DROPPED = "rollout-dropped"
+    ROLLOUT_PHASE = "rollout-phase"
+    VERSION_STARTED = "version-started"
     ROLLOUT_FAILED = "rollout-failed"
     CHUNK_REJECTED = "chunk-rejected"
     VERSION_COMPLETE = "version-complete"
--- a/src/ridgecourse/platform/loader_main.py
+++ b/src/ridgecourse/platform/loader_main.py
@@ -4,8 +4,29 @@
 
 import sys
 
+from ridgecourse.core.site import Site
 from ridgecourse.loader.loader import Loader
+from ridgecourse.net.http_client import HttpClient
+from ridgecourse.platform.engine import PlatformEngine
+from ridgecourse.platform.origin import PlatformOrigin
 from ridgecourse.platform.process import run_on_platform
+from ridgecourse.platform.records import PlatformRecords
+from ridgecourse.platform.store import PlatformStore
+
+
+def make_loader(site: Site) -> Loader:
+    """Return a loader that speaks the platform's protocols."""
+    assert site.target is not None
+    http = HttpClient(source=site.host)
+    return Loader(
+        site,
+        PlatformStore(site.store, http),
+        PlatformRecords(),
+        PlatformEngine(site.target.address, http),
+        PlatformOrigin(http),
+        http,
+    )
+
 
 if __name__ == "__main__":
-    sys.exit(run_on_platform("ridgecourse-loader", Loader))
+    sys.exit(run_on_platform("ridgecourse-loader", make_loader))
--- a/src/ridgecourse/platform/records.py
+++ b/src/ridgecourse/platform/records.py
@@ -8,6 +8,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from ridgecourse.cluster.decoder import Decision, RecordDecoder
 from ridgecourse.core.finding import Finding, Findings
 from ridgecourse.core.ids import (
     AccountName,
@@ -31,7 +32,6 @@
 )
 from ridgecourse.core.targets import HeldLayers, ListedTarget, TargetRecord
 from ridgecourse.core.weights import NamedVersion
-from ridgecourse.gateway.protocol import Decision, RecordDecoder
 from ridgecourse.net.record_source import KeyedRecord
 from ridgecourse.platform.names import CONFIG_KEY, VERSION_KEY_PREFIX
 from ridgecourse.platform.settings import BYTES_PER_MBIT, MILLISECOND
--- a/src/ridgecourse_standins/engine.py
+++ b/src/ridgecourse_standins/engine.py
@@ -18,10 +18,9 @@
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
+from ridgecourse.exchange.frames import FRAME_HEADER_BYTES, TICKET_HEADER
 from ridgecourse.native.engine import (
-    FRAME_HEADER_BYTES,
     LOAD_SECONDS,
-    TICKET_HEADER,
     ActivateOrder,
     EngineState,
     GenerateOrder,
