--- /dev/null
+++ b/src/ridgecourse_standins/platform/store.py
@@ -0,0 +1,185 @@
+"""A stand-in for the platform's store, with the failures that tests ask for."""
+
+from base64 import b64encode
+from collections.abc import Callable
+from contextlib import suppress
+from enum import Enum
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from struct import pack
+from threading import Condition, Thread
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from msgspec.json import encode
+
+from ridgecourse.platform.names import (
+    CONFIG_KEY,
+    DECISIONS_TOPIC,
+    LOG_NEWEST_PATH,
+    LOG_READ_PATH,
+    TARGETS_TOPIC,
+    VERSION_KEY_PREFIX,
+)
+
+
+class StoreMode(Enum):
+    """How the store answers.
+
+    UP: As it should.
+    DOWN: With 503.
+    SILENT: Not at all.
+    """
+
+    UP = "up"
+    DOWN = "down"
+    SILENT = "silent"
+
+
+class StoreStandIn:
+    """A store on loopback.
+
+    Attributes:
+        mode: How it answers.
+        topics: Records of each topic, as key and value.
+        first_kept: Offsets below this answer 410.
+        calls: Calls so far.
+    """
+
+    def __init__(self) -> None:
+        self.mode = StoreMode.UP
+        self.topics: dict[str, list[tuple[str, bytes]]] = {
+            DECISIONS_TOPIC: [],
+            TARGETS_TOPIC: [],
+        }
+        self.first_kept = dict.fromkeys(self.topics, 0)
+        self.calls = 0
+        self.condition = Condition()
+        self.closed = False
+        self.server = ThreadingHTTPServer(("127.0.0.1", 0), self._make_handler())
+        self.server.daemon_threads = True
+        self.thread = Thread(target=self.server.serve_forever, daemon=True)
+
+    @property
+    def address(self) -> str:
+        """HOST:PORT of the store."""
+        host, port = self.server.server_address[:2]
+        return f"{host!s}:{port}"
+
+    def start(self) -> None:
+        """Begin to answer."""
+        self.thread.start()
+
+    def close(self) -> None:
+        """Stop."""
+        with self.condition:
+            self.closed = True
+            self.condition.notify_all()
+        self.server.shutdown()
+        self.server.server_close()
+
+    def put(self, topic: str, key: str, value: Any) -> None:
+        """Append a record; None drops the key."""
+        data = b"" if value is None else encode(value)
+        with self.condition:
+            self.topics[topic].append((key, data))
+            self.condition.notify_all()
+
+    def put_config(self, config: dict[str, Any]) -> None:
+        """Publish a configuration."""
+        self.put(DECISIONS_TOPIC, CONFIG_KEY, config)
+
+    def put_version(self, model: str, version: int) -> None:
+        """Name a version of a model's weights."""
+        key = f"{VERSION_KEY_PREFIX}{model}"
+        self.put(DECISIONS_TOPIC, key, {"model": model, "version": version})
+
+    def put_target(self, target: str, entry: dict[str, Any] | None) -> None:
+        """List a target; None takes it off the list."""
+        self.put(TARGETS_TOPIC, target, entry)
+
+    def forget_history(self, topic: str) -> None:
+        """Drop all records but the newest of each key."""
+        with self.condition:
+            self.first_kept[topic] = len(self.topics[topic])
+
+    def set_mode(self, mode: StoreMode) -> None:
+        """Change how it answers, waiting reads included."""
+        with self.condition:
+            self.mode = mode
+            self.condition.notify_all()
+
+    def newest(self, topic: str) -> bytes:
+        """Return the newest records as the store encodes them."""
+        newest: dict[str, dict[str, Any]] = {}
+        for offset, (key, value) in enumerate(self.topics[topic]):
+            newest.pop(key, None)
+            if value:
+                text = b64encode(value).decode()
+                newest[key] = {"key_file": key, "value": text, "offset": offset}
+        end = len(self.topics[topic])
+        return encode({"items": list(newest.values()), "end_offset": end})
+
+    def read(self, topic: str, start: int, wait: float) -> bytes | None:
+        """Return records from an offset on, None where they are gone."""
+        records = self.topics[topic]
+        with self.condition:
+            self.condition.wait_for(
+                lambda: (
+                    len(records) > start or self.closed or self.mode is not StoreMode.UP
+                ),
+                wait,
+            )
+            if start < self.first_kept[topic]:
+                return None
+            parts = [pack(">QQ", len(records), self.first_kept[topic])]
+            for key, value in records[start:]:
+                record = bytes([len(key)]) + key.encode() + value
+                parts.append(pack(">I", len(record)) + record)
+            return b"".join(parts)
+
+    def _make_handler(self) -> Callable[..., BaseHTTPRequestHandler]:
+        store = self
+
+        class Handler(BaseHTTPRequestHandler):
+            """Answers one connection."""
+
+            protocol_version = "HTTP/1.1"
+
+            def do_GET(self) -> None:  # noqa: N802
+                """Answer a read."""
+                store.answer(self)
+
+            def log_message(self, *_: Any) -> None:
+                """Log nothing."""
+
+        return Handler
+
+    def answer(self, handler: BaseHTTPRequestHandler) -> None:
+        """Answer a call as the mode has it."""
+        self.calls += 1
+        if self.mode is StoreMode.SILENT:
+            with self.condition:
+                self.condition.wait_for(
+                    lambda: self.closed or self.mode is not StoreMode.SILENT
+                )
+            handler.close_connection = True
+            return
+        status, body = self._find(handler.path)
+        if self.mode is StoreMode.DOWN:
+            status, body = 503, b""
+        with suppress(BrokenPipeError, ConnectionResetError):
+            handler.send_response(status)
+            handler.send_header("Content-Length", str(len(body)))
+            handler.end_headers()
+            handler.wfile.write(body)
+
+    def _find(self, target: str) -> tuple[int, bytes]:
+        parts = urlsplit(target)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        if parts.path == LOG_NEWEST_PATH:
+            return 200, self.newest(query["topic"])
+        if parts.path == LOG_READ_PATH:
+            wait = int(query.get("wait_ms", "0")) / 1000
+            data = self.read(query["topic"], int(query["from"]), wait)
+            return (410, b"{}") if data is None else (200, data)
+        return 404, b""
--- /dev/null
+++ b/tests/platform/test_requests.py
@@ -0,0 +1,346 @@
+"""The way of a request through the gateway, and what can be proved of it."""
+
+import socket
+from threading import Event
+
+import pytest
+
+from ridgecourse_standins.platform.engine import (
+    ReceivedRequest,
+    event,
+    refuse,
+    reset,
+    send_chunk,
+    send_events,
+    send_stream_head,
+    send_whole,
+)
+
+STREAM = ("Model: m0", "Token-Usage: 100,50")
+
+
+def test_a_request_reaches_its_target_unaltered(site) -> None:
+    engine = site.add_engine("app")
+    site.start()
+    target = "//safe/%2f..%20x/?q=%41&empty="
+    site_target = "/safe/%2f../%C3%A9;a=1//?q=%41&r="
+    status, headers, body, whole = site.ask(
+        site_target, extra=("X-Odd_Name: 1", "X-Two: a", "X-Two: b", "Tenant: forged")
+    )
+    assert (status, body, whole) == (200, b"answer", True)
+    assert headers["response-signature"] == "signed-by-engine"
+    assert headers["attempt-id"] == f"attempt-{site.attempts}"
+    [request] = engine.requests
+    assert request.line == f"GET {site_target} HTTP/1.1"
+    assert request.header("Host") == "shop.example"
+    assert request.header("X-Odd_Name") == "1"
+    assert request.values("X-Two") == ["a", "b"]
+    assert request.values("Tenant") == ["shop"]
+    assert request.values("Key") == []
+    assert request.header("Expected-Instance") == "i-0"
+    assert 0 < int(request.header("Deadline-Ms") or 0) <= 4000
+    # A doubled slash at the start is another path, which no route has.
+    assert site.ask(target)[0] == 404
+
+
+def test_a_sized_and_a_chunked_body_arrive_whole(site) -> None:
+    engine = site.add_engine("app")
+    site.start()
+    body = bytes(range(256)) * 40
+    assert site.ask("/once/a", body, method="POST")[0] == 200
+    connection = site.open()
+    head = site.head(
+        "/once/b", method="POST", extra=("Transfer-Encoding: chunked",)
+    ).encode()
+    connection.sendall(head + b"3\r\nabc\r\n4;x=y\r\ndefg\r\n0\r\n\r\n")
+    assert connection.recv(12) == b"HTTP/1.1 200"
+    assert [request.body for request in engine.wait_for(2)] == [body, b"abcdefg"]
+
+
+@pytest.mark.parametrize(
+    ("extra", "status"),
+    [
+        (("Content-Length: 3", "Transfer-Encoding: chunked"), 400),
+        (("Transfer-Encoding: gzip, chunked",), 400),
+        (("Attempt-Id: another",), 400),
+        (("Host: other.example",), 400),
+        (("X-Long: " + "x" * 9000,), 431),
+        (("Content-Length: 200000",), 413),
+    ],
+)
+def test_a_doubtful_head_is_refused(site, extra: tuple[str, ...], status: int) -> None:
+    engine = site.add_engine("app")
+    site.start()
+    assert site.ask("/once/a", method="POST", extra=extra)[0] == status
+    assert engine.requests == []
+
+
+def test_routes_keys_and_accounts(site) -> None:
+    site.add_engine("app")
+    other = site.add_engine("other")
+    site.start()
+    assert site.ask("/nowhere/")[0] == 404
+    assert site.ask("/safe/x", key=None)[0] == 401
+    assert site.ask("/safe/x", key="wrong")[0] == 401
+    assert site.ask("/open/x", key=None)[0] == 200
+    assert site.ask("/safe/deep/x")[0] == 200
+    assert len(other.requests) == 1
+
+
+def test_a_connection_serves_many_requests(site) -> None:
+    site.add_engine("app")
+    site.start()
+    connection = site.open()
+    file = connection.makefile("rb")
+    for _ in range(3):
+        site.send(connection, "/safe/x")
+        lines = []
+        while (line := file.readline()) not in (b"\r\n", b""):
+            lines.append(line)
+        assert lines[0] == b"HTTP/1.1 200 OK\r\n"
+        assert file.read(len(b"answer")) == b"answer"
+
+
+def test_without_a_configuration_nothing_is_denied(site) -> None:
+    site.gateway.start()
+    site.wait_until(lambda: site.gateway.events_path.read_bytes().count(b"started"))
+    status, headers, _, _ = site.ask("/safe/x", key="wrong")
+    assert status == 503
+    assert float(headers["retry-after"]) > 0
+    assert site.ready() == 503
+
+
+# Outcomes by proof.
+
+
+def test_a_refusal_lets_an_unsafe_request_be_refused(site) -> None:
+    engine = site.add_engine("app", refuse)
+    site.start()
+    status, headers, _, _ = site.ask("/once/x", method="POST")
+    assert status == 503
+    assert float(headers["retry-after"]) > 0
+    assert len(engine.requests) == 1
+
+
+def test_a_target_that_cannot_be_reached_is_passed_over(site) -> None:
+    gone = site.add_engine("app")
+    gone.close()
+    engine = site.add_engine("app")
+    site.start()
+    for _ in range(6):
+        assert site.ask("/once/x", method="POST")[0] == 200
+    assert len(engine.requests) == 6
+
+
+def test_an_unsafe_request_that_broke_off_is_never_called_not_run(site) -> None:
+    engines = [site.add_engine("app", reset) for _ in range(2)]
+    site.start()
+    status, headers, _, _ = site.ask("/once/x", method="POST")
+    assert status == 502
+    assert "response-signature" not in headers
+    assert sum(len(engine.requests) for engine in engines) == 1
+
+
+def test_a_safe_request_that_broke_off_goes_to_another_target(site) -> None:
+    broken = site.add_engine("app", reset)
+    sound = site.add_engine("app")
+    site.start()
+    for _ in range(6):
+        assert site.ask("/safe/x")[0] == 200
+    assert broken.requests and sound.requests
+
+
+def answer_of_another(request: ReceivedRequest) -> None:
+    index = [name for name, _ in request.headers].index("Attempt-Id")
+    request.headers[index] = ("Attempt-Id", "of-an-earlier-request")
+    send_whole(request)
+
+
+def answer_unsigned(request: ReceivedRequest) -> None:
+    send_whole(request, signed=False)
+
+
+def answer_nonsense(request: ReceivedRequest) -> None:
+    request.connection.sendall(b"\x00\x01 no answer at all\r\n\r\n")
+    request.connection.close()
+
+
+def answer_short(request: ReceivedRequest) -> None:
+    request.connection.sendall(
+        f"HTTP/1.1 200 OK\r\nAttempt-Id: {request.header('Attempt-Id')}\r\n"
+        "Response-Signature: s\r\nContent-Length: 50\r\n\r\nshort".encode()
+    )
+    reset(request)
+
+
+def answer_unframed_then_reset(request: ReceivedRequest) -> None:
+    request.connection.sendall(
+        f"HTTP/1.1 200 OK\r\nAttempt-Id: {request.header('Attempt-Id')}\r\n"
+        "Response-Signature: s\r\n\r\nhalf".encode()
+    )
+    reset(request)
+
+
+@pytest.mark.parametrize(
+    "behaviour",
+    [
+        answer_of_another,
+        answer_unsigned,
+        answer_nonsense,
+        answer_short,
+        answer_unframed_then_reset,
+    ],
+)
+def test_what_is_no_whole_answer_is_not_passed_on(site, behaviour) -> None:
+    site.add_engine("app", behaviour)
+    site.start()
+    status, headers, body, _ = site.ask("/once/x", method="POST")
+    assert (status, body) == (502, b"")
+    assert "response-signature" not in headers
+
+
+def test_an_unframed_answer_that_ends_well_is_whole(site) -> None:
+    def behaviour(request: ReceivedRequest) -> None:
+        request.connection.sendall(
+            f"HTTP/1.1 200 OK\r\nAttempt-Id: {request.header('Attempt-Id')}\r\n"
+            "Response-Signature: s\r\n\r\nall of it".encode()
+        )
+        request.connection.shutdown(socket.SHUT_WR)
+
+    site.add_engine("app", behaviour)
+    site.start()
+    assert site.ask("/once/x", method="POST")[2:] == (b"all of it", True)
+
+
+def test_a_failure_of_the_target_is_passed_on_as_it_is(site) -> None:
+    site.add_engine(
+        "app", lambda request: send_whole(request, b"no", "500 Its Own Reason")
+    )
+    site.start()
+    status, headers, body, _ = site.ask("/once/x", method="POST")
+    assert (status, body) == (500, b"no")
+    assert headers["response-signature"] == "signed-by-engine"
+
+
+def test_a_silent_target_costs_no_more_than_the_routes_time(site) -> None:
+    silence = Event()
+    engine = site.add_engine("app", lambda request: silence.wait(10) and None)
+    site.start()
+    assert site.ask("/short/x")[0] == 504
+    assert site.engines[0].wait_closed(engine.requests[0])
+    silence.set()
+
+
+def test_a_caller_that_leaves_ends_the_targets_work(site) -> None:
+    silence = Event()
+    engine = site.add_engine("app", lambda request: silence.wait(10) and None)
+    site.start()
+    connection = site.open()
+    site.send(connection, "/safe/x")
+    [request] = engine.wait_for(1)
+    connection.close()
+    assert engine.wait_closed(request, 2.0)
+    silence.set()
+    assert len(engine.requests) == 1
+
+
+# Streams.
+
+
+def stream(first: int, last: int):
+    def behaviour(request: ReceivedRequest) -> None:
+        send_stream_head(request)
+        send_events(request, first, last)
+        send_chunk(request, b"")
+
+    return behaviour
+
+
+def test_events_are_passed_on_as_they_come(site) -> None:
+    proceed = Event()
+
+    def behaviour(request: ReceivedRequest) -> None:
+        send_stream_head(request)
+        send_events(request, 1, 1)
+        assert proceed.wait(10)
+        send_events(request, 2, 2)
+        send_chunk(request, b"")
+
+    site.add_engine("llm", behaviour)
+    site.start()
+    connection = site.open()
+    site.send(connection, "/stream/x", method="POST", extra=STREAM)
+    file = connection.makefile("rb")
+    while file.readline() != b"\r\n":
+        pass
+    size = int(file.readline(), 16)
+    assert file.read(size) == event(1)
+    proceed.set()
+    assert file.readline() == b"\r\n"
+    size = int(file.readline(), 16)
+    assert file.read(size) == event(2)
+
+
+def test_a_stream_goes_on_at_another_target(site) -> None:
+    def torn(request: ReceivedRequest) -> None:
+        send_stream_head(request)
+        send_events(request, 1, 3)
+        send_chunk(request, b"id: 4\ndata: half an ev")
+        reset(request)
+
+    def rest(request: ReceivedRequest) -> None:
+        after = int(request.header("Last-Event-Id") or 0)
+        send_stream_head(request)
+        # A target may repeat what the caller has had.
+        send_events(request, max(1, after), 6)
+        send_chunk(request, b"")
+
+    first = site.add_engine("llm", torn, zone="a")
+    site.add_engine("llm", rest, zone="b")
+    site.start()
+    status, headers, body, whole = site.ask("/stream/x", method="POST", extra=STREAM)
+    assert first.requests
+    assert (status, whole) == (200, True)
+    assert headers["response-signature"] == "signed-by-engine"
+    assert body == b"".join(event(number) for number in range(1, 7))
+
+
+def test_a_stream_that_may_not_be_resumed_ends_torn(site) -> None:
+    def torn(request: ReceivedRequest) -> None:
+        send_stream_head(request)
+        send_events(request, 1, 3)
+        reset(request)
+
+    site.add_engine("llm", torn, zone="a")
+    other = site.add_engine("llm", stream(1, 3), zone="b")
+    site.start()
+    _, _, body, whole = site.ask("/once-stream/x", method="POST", extra=STREAM)
+    assert not whole
+    assert body == b"".join(event(number) for number in range(1, 4))
+    assert other.requests == []
+
+
+def test_a_caller_that_leaves_mid_stream_ends_the_targets_work(site) -> None:
+    proceed = Event()
+
+    def behaviour(request: ReceivedRequest) -> None:
+        send_stream_head(request)
+        send_events(request, 1, 1)
+        proceed.wait(10)
+
+    engine = site.add_engine("llm", behaviour)
+    site.start()
+    connection = site.open()
+    site.send(connection, "/stream/x", method="POST", extra=STREAM)
+    assert connection.recv(100)
+    connection.close()
+    assert engine.wait_closed(engine.requests[0], 2.0)
+    proceed.set()
+    assert len(engine.requests) == 1
+
+
+def test_an_engine_without_weights_gets_no_request(site) -> None:
+    empty = site.add_engine("llm", stream(1, 2), version=0)
+    site.start()
+    assert site.ask("/stream/x", method="POST", extra=STREAM)[0] == 503
+    assert empty.requests == []
