Each named version keeps its own bound; a planned stop ends new connections

Now each version has its bound, and a request that has not begun by it is taken back and sent elsewhere. Ruled out: slow reading of the name (it was read within 20 ms in the logs).

It stops listening 3 s after SIGTERM.

--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -9,7 +9,7 @@
 from ridgecourse.core.ids import ModelName, Seconds, ServiceName, WeightsVersion
 from ridgecourse.core.routes import RoutingConfig
 from ridgecourse.core.targets import ListedTarget, TargetList
-from ridgecourse.core.weights import FIRST_VERSION, NamedVersion
+from ridgecourse.core.weights import NamedVersion, VersionHistory
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.record_follower import RecordFollower
@@ -29,19 +29,13 @@
 and its heartbeats would end a waiting read ten times a second."""
 
 
-class VersionNotice(NamedVersion, frozen=True):
-    """A named version and when this process learned of it."""
-
-    learned_at: Seconds = Seconds(0.0)
-
-
 class ClusterView:
     """State read from the platform's store.
 
     Attributes:
         config: The newest configuration; None before the first is known.
-        versions: The newest version of each model's weights.
-        previous: The one before it.
+        version_seconds: From a version's name until it is required.
+        histories: The named versions of each model.
         targets: The list of targets.
         listed: Whether the list has been read.
         changed: Notified after each change.
@@ -52,13 +46,14 @@
         source: RecordSource,
         decoder: RecordDecoder,
         events: EventStream,
+        version_seconds: float,
         targets_pause: float = TARGETS_PAUSE_SECONDS,
     ) -> None:
         self.decoder = decoder
         self.events = events
         self.config: RoutingConfig | None = None
-        self.versions: dict[ModelName, VersionNotice] = {}
-        self.previous: dict[ModelName, VersionNotice] = {}
+        self.version_seconds = version_seconds
+        self.histories: dict[ModelName, VersionHistory] = {}
         self.targets = TargetList()
         self.listed = False
         self.changed = Broadcast()
@@ -133,14 +128,9 @@
         )
 
     def _take_version(self, named: NamedVersion, offset: int) -> None:
-        known = self.versions.get(named.model)
-        if known is not None and named.version <= known.version:
+        history = self.history(named.model)
+        if not history.name(named.version, Seconds(monotonic())):
             return
-        if known is not None:
-            self.previous[named.model] = known
-        self.versions[named.model] = VersionNotice(
-            named.model, named.version, Seconds(monotonic())
-        )
         self.events.emit(
             EventKind.VERSION_NAMED,
             offset=offset,
@@ -148,15 +138,15 @@
             model=named.model,
         )
 
+    def history(self, model: ModelName) -> VersionHistory:
+        """Return the named versions of a model."""
+        if model not in self.histories:
+            self.histories[model] = VersionHistory(self.version_seconds)
+        return self.histories[model]
+
     def wanted_version(self, model: ModelName) -> WeightsVersion:
         """Return the version of a model that is to be served."""
-        notice = self.versions.get(model)
-        return FIRST_VERSION if notice is None else notice.version
-
-    def learned_before(self, model: ModelName) -> Seconds:
-        """Return when the version before the newest became known; 0 for never."""
-        notice = self.previous.get(model)
-        return Seconds(0.0) if notice is None else notice.learned_at
+        return self.history(model).newest
 
     # Targets.
 
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -153,6 +153,7 @@
             account=terms.account.account if terms.account else None,
             deadline=Seconds(arrived + wait),
             version=None,
+            begin_by=None,
             last_event=call.last_event,
         )
 
@@ -209,9 +210,9 @@
         self, order: Order, target: ListedTarget, tried: set[TargetId]
     ) -> SendResult:
         tried.add(target.target)
-        model = order.call.model
-        if model and self.selector.only_version(model):
-            order.version = self.view.wanted_version(model)
+        now = Seconds(monotonic())
+        terms = self.selector.version_terms(order.call.model, target, now)
+        order.version, order.begin_by = terms.version, terms.begin_by
         state = self.selector.state(target.target)
         begun = monotonic()
         state.outstanding += 1
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -18,9 +18,9 @@
 from ridgecourse.net.record_source import RecordSource
 from ridgecourse.net.threads import spawn_loop
 
-UNREADY_SECONDS = 3.2
+UNREADY_SECONDS = 3.0
 """How long new requests are still taken after readiness ended: the balancer asks
-once a second and believes the second miss."""
+once a second and believes the second miss. Later ones might not end in time."""
 STOP_MARGIN_SECONDS = 0.5
 """Before the process would be killed, by when it has ended itself."""
 DRAIN_POLL_SECONDS = 0.05
@@ -43,7 +43,8 @@
     ) -> None:
         self.site = site
         self.events = EventStream(site.process, new_incarnation(), site.domain)
-        self.view = ClusterView(source, decoder, self.events)
+        version_seconds = site.bounds.version_seconds
+        self.view = ClusterView(source, decoder, self.events, version_seconds)
         self.forwarder = Forwarder(site, self.view, protocol, self.events, Random())
         assert site.callers is not None and site.readiness is not None
         self.front = FrontServer(parse_address(site.callers), self.handle)
@@ -83,6 +84,7 @@
         self.stopping = True
         self.events.emit(EventKind.STOPPING, in_flight=self.front.in_flight)
         eventlet.sleep(UNREADY_SECONDS)
+        self.front.stop_listening()
         self.front.closing = True
         self.front.end_idle_connections()
         limit = begun + self.site.bounds.stop_seconds - STOP_MARGIN_SECONDS
--- a/src/ridgecourse/gateway/selection.py
+++ b/src/ridgecourse/gateway/selection.py
@@ -4,8 +4,16 @@
 from random import Random
 from time import monotonic
 
+from msgspec import Struct
+
 from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.ids import ModelName, Seconds, ServiceName, TargetId
+from ridgecourse.core.ids import (
+    ModelName,
+    Seconds,
+    ServiceName,
+    TargetId,
+    WeightsVersion,
+)
 from ridgecourse.core.routes import Service
 from ridgecourse.core.site import Site
 from ridgecourse.core.targets import ListedTarget
@@ -19,9 +27,25 @@
 FAILURES_IN_A_ROW = 2
 FIRST_EJECTION_SECONDS = 1.0
 LONGEST_EJECTION_SECONDS = 8.0
-VERSION_MARGIN_SECONDS = 1.2
-"""Before the bound on old weights, from when on only new ones are asked for:
-covers what is queued at the engine and the way there."""
+VERSION_MARGIN_SECONDS = 0.3
+"""Before the bound on old weights, by when a request must have begun on them: the
+bound runs from the name, which was learned of a little later, and a request that
+is taken back must reach the engine in time."""
+QUEUE_SECONDS = 0.7
+"""A request is sent to an engine with old weights up to this long before it must
+have begun there: more than most wait in an engine's queue."""
+
+
+class VersionTerms(Struct, frozen=True):
+    """On which weights a request may run.
+
+    Attributes:
+        version: The only version; None for the one that the engine has.
+        begin_by: When it must have begun on that; None for any time.
+    """
+
+    version: WeightsVersion | None
+    begin_by: Seconds | None
 
 
 class TargetState:
@@ -92,11 +116,22 @@
         ]
         if not able:
             return None
+        able = self._current(able, model, now) or able
         free = [t for t in able if self.state(t.target).not_before <= now]
         if not free:
             return min(able, key=lambda t: self.state(t.target).not_before)
         return min(free, key=self._cost)
 
+    def _current(
+        self, targets: list[ListedTarget], model: ModelName, now: Seconds
+    ) -> list[ListedTarget]:
+        """Return the targets listed with weights on which a request may begin."""
+        return [
+            target
+            for target in targets
+            if self.version_terms(model, target, now).version is None
+        ]
+
     def has_weights(self, service: Service, target: ListedTarget) -> bool:
         """Tell whether a target is listed with the weights that it needs."""
         if service.engine is None or not service.engine.layers:
@@ -108,13 +143,26 @@
         near = self.site.region(target.domain) == self.site.region(self.site.domain)
         return load + (0.0 if near else REGION_PENALTY), self.random.random()
 
-    def only_version(self, model: ModelName) -> bool:
-        """Tell whether a request may only begin on the newest weights by now."""
-        notice = self.view.versions.get(model)
-        if notice is None:
-            return False
-        bound = self.site.bounds.version_seconds - VERSION_MARGIN_SECONDS
-        return monotonic() - notice.learned_at >= bound
+    def begin_by(self, model: ModelName, target: ListedTarget) -> Seconds | None:
+        """Return until when a request may begin there; None for any time."""
+        held = target.models.get(model)
+        if held is None:
+            return None
+        bound = self.view.history(model).begin_by(held)
+        return None if bound is None else Seconds(bound - VERSION_MARGIN_SECONDS)
+
+    def version_terms(
+        self, model: ModelName, target: ListedTarget, now: Seconds
+    ) -> VersionTerms:
+        """Return on which weights a request may run at a target.
+
+        An engine that is listed with weights too old may have newer ones by now,
+        since the list lags; it is asked for the newest and refuses if it has not.
+        """
+        begin_by = self.begin_by(model, target)
+        if begin_by is None or now < begin_by - QUEUE_SECONDS:
+            return VersionTerms(None, begin_by)
+        return VersionTerms(self.view.wanted_version(model), None)
 
     def forget_gone(self) -> None:
         """Drop what was seen of targets that are no longer listed."""
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -30,6 +30,7 @@
         account: The account that it is charged to.
         deadline: When it must have been answered.
         version: The only version of weights that may run it; None for any.
+        begin_by: When it must have begun; None for any time.
         last_event: Event after which its stream goes on.
     """
 
@@ -38,6 +39,7 @@
     account: AccountName | None
     deadline: Seconds
     version: WeightsVersion | None
+    begin_by: Seconds | None
     last_event: int | None
 
 
@@ -130,7 +132,7 @@
         )
         headers = self.protocol.encode_request(call, terms)
         exchange.send(call.method, call.target, headers, order.body)
-        head = self.protocol.decode_answer(exchange.receive_head())
+        head = self.protocol.decode_answer(exchange.receive_head(order.begin_by))
         if head.not_run:
             detail = f"status {head.status}"
             reason = Reason.WRONG_TARGET if head.other_target else Reason.OVERLOADED
--- a/src/ridgecourse/loader/loader.py
+++ b/src/ridgecourse/loader/loader.py
@@ -51,7 +51,13 @@
     ) -> None:
         self.site = site
         self.events = EventStream(site.process, new_incarnation(), site.domain)
-        self.view = ClusterView(source, decoder, self.events, TARGETS_PAUSE_SECONDS)
+        self.view = ClusterView(
+            source,
+            decoder,
+            self.events,
+            site.bounds.version_seconds,
+            TARGETS_PAUSE_SECONDS,
+        )
         self.context = ExchangeContext(
             me=Member(TargetName(site.host), site.domain),
             events=self.events,
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -259,14 +259,12 @@
         now = Seconds(monotonic())
         copy = model.chunks * model.chunk_bytes / self.site.upload_bytes_per_s
         missing = len(transfer.planner.missing) / max(1, len(transfer.holding.places))
-        notice = self.view.versions[model.model]
+        history = self.view.history(model.model)
+        older = WeightsVersion(self.version - 1)
         newer = TransferPlan(
-            copy + START_SECONDS,
-            Seconds(notice.learned_at + self.site.bounds.version_seconds),
+            copy + START_SECONDS, history.begin_by(self.version) or now
         )
-        begun = self.view.learned_before(model.model)
         current = TransferPlan(
-            copy * missing + START_SECONDS,
-            Seconds(begun + self.site.bounds.version_seconds),
+            copy * missing + START_SECONDS, history.begin_by(older) or now
         )
         return should_finish(current, newer, now)
--- a/src/ridgecourse/net/exchange.py
+++ b/src/ridgecourse/net/exchange.py
@@ -94,17 +94,26 @@
         except (HTTPError, OSError, ValueError) as error:
             raise Broken(f"{self.address}: {error}") from error
 
-    def receive_head(self) -> BaseHTTPResponse:
+    def receive_head(self, begin_by: Seconds | None = None) -> BaseHTTPResponse:
         """Wait for the answer's head.
 
+        Args:
+            begin_by: When the answer must have begun, if before the deadline.
+
         Raises:
             TooLate: It did not come by the deadline.
-            Broken: The connection ended, or what came is no answer.
+            Broken: The connection ended, what came is no answer, or it had not
+                begun when it must have.
         """
-        self._wait_at_most(self.remaining())
+        wait = self.remaining()
+        if begin_by is not None:
+            wait = min(wait, begin_by - monotonic())
+        self._wait_at_most(wait)
         try:
             self.response = self.connection.getresponse()
         except TimeoutError as error:
+            if wait < self.deadline - monotonic():
+                raise Broken(f"{self.address}: not begun in time") from error
             raise TooLate(f"{self.address}: no answer in time") from error
         except Exception as error:
             # http.client has errors of its own for what is no answer.
--- a/src/ridgecourse/net/front_server.py
+++ b/src/ridgecourse/net/front_server.py
@@ -307,13 +307,17 @@
         for protocol in list(self.connections):
             protocol.end_if_idle()
 
-    def close(self) -> None:
-        """Stop listening and end what is open."""
+    def stop_listening(self) -> None:
+        """Accept no further connections; those open go on."""
         if self.thread is not None:
             self.thread.kill()
             self.thread = None
         if self.listener is not None:
             self.listener.close()
             self.listener = None
+
+    def close(self) -> None:
+        """Stop listening and end what is open."""
+        self.stop_listening()
         for worker in list(self.pool.coroutines_running):
             worker.kill()
