Loaders tell gateways their engines' load; a request that would begin too late is refused at once

Each loader now reports queue, batch and weights over a control connection, and a request whose best expected wait passes its objective is refused at once with the time to come back.

--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -9,17 +9,21 @@
 from returns.result import Failure
 
 from ridgecourse.cluster.view import ClusterView
+from ridgecourse.core.engine_load import prompt_seconds
 from ridgecourse.core.ids import Seconds, ServiceName, TargetId
 from ridgecourse.core.outcome import Outcome, Reason
 from ridgecourse.core.retry import RetryBudget
 from ridgecourse.core.routes import Account, Route, RoutingConfig, Service
 from ridgecourse.core.site import Site
 from ridgecourse.core.targets import ListedTarget
+from ridgecourse.gateway.loads import LoadWatcher
 from ridgecourse.gateway.messages import CallerRequest
 from ridgecourse.gateway.protocol import RequestProtocol
 from ridgecourse.gateway.relay import StreamEvent
 from ridgecourse.gateway.selection import (
     MISSING_WEIGHTS_SECONDS,
+    REFUSED_SECONDS,
+    Choice,
     TargetSelector,
 )
 from ridgecourse.gateway.sender import (
@@ -43,6 +47,13 @@
 COME_BACK_SECONDS = 0.25
 """After which a refused caller may come back: about the time in which an engine
 frees a slot or a list of targets is read again."""
+LONGEST_COME_BACK_SECONDS = 1.5
+"""Callers wait as told for at most a third of their time, some 2 s."""
+FIRST_EVENT_SECONDS = 0.06
+"""From an engine's taking up a request to its first event at the caller, without
+the reading of the prompt: some steps of a batch, and the way back."""
+SHORTEST_QUEUE_SECONDS = 0.05
+"""A wait this short never refuses a request, however long its prompt."""
 RETRY_SAFETY = 0.9
 """Share of the allowed repeats that is used: entries count apart."""
 ASSUMED_ENTRIES = 12
@@ -74,6 +85,7 @@
         site: Site,
         view: ClusterView,
         protocol: RequestProtocol,
+        watcher: LoadWatcher,
         events: EventStream,
         random: Random,
     ) -> None:
@@ -82,7 +94,7 @@
         self.protocol = protocol
         self.events = events
         self.random = random
-        self.selector = TargetSelector(site, view, random)
+        self.selector = TargetSelector(site, view, watcher, random)
         self.sender = Sender(protocol)
         self.budgets: dict[ServiceName, RetryBudget] = {}
 
@@ -155,6 +167,7 @@
             version=None,
             begin_by=None,
             last_event=call.last_event,
+            come_back=COME_BACK_SECONDS,
         )
 
     # Sending.
@@ -175,7 +188,9 @@
             body = self._relay(request, order, terms, tried, result, target)
             return FrontReply(head.status, head.reason, head.headers, body)
         if isinstance(result, NotRun):
-            return self._refuse(call.request_id, result.reason, result.detail)
+            return self._refuse(
+                call.request_id, result.reason, result.detail, order.come_back
+            )
         self._note_end(call, Outcome.UNKNOWN, result.detail)
         return FrontReply(504 if result.late else 502)
 
@@ -190,14 +205,16 @@
         result: SendResult = NotRun(Reason.NO_TARGET, "no target", arrived=False)
         sends = len(tried)
         while time_left(order.deadline) > SHORTEST_ATTEMPT_SECONDS:
-            target = self.selector.choose(terms.service, order.call.model, tried)
-            if target is None or sends >= terms.route.max_attempts:
+            choice = self.selector.choose(terms.service, order.call.model, tried)
+            if choice is None or sends >= terms.route.max_attempts:
                 break
+            if not tried and (hopeless := self._hopeless(order, terms, choice)):
+                return hopeless, None
             if sends and not self.budget(terms.service.name).take_retry():
                 break
-            result = self._send_once(order, target, tried)
+            result = self._send_once(order, choice, tried)
             if isinstance(result, (Whole, Stream)):
-                return result, target
+                return result, choice.target
             if isinstance(result, Unknown):
                 if result.late or not terms.route.repeatable:
                     break
@@ -206,24 +223,44 @@
                 sends += 1
         return result, None
 
+    def _hopeless(self, order: Order, terms: Terms, choice: Choice) -> NotRun | None:
+        """Refuse what would begin too late, even where it would begin soonest.
+
+        Served late it would earn little and make others late as well; refused
+        at once it may come back when there is room.
+        """
+        engine = terms.service.engine
+        if engine is None or not terms.route.objective:
+            return None
+        reading = prompt_seconds(engine, order.call.prompt_tokens)
+        allowed = terms.route.objective - reading - FIRST_EVENT_SECONDS
+        if choice.wait <= max(allowed, SHORTEST_QUEUE_SECONDS):
+            return None
+        order.come_back = min(
+            LONGEST_COME_BACK_SECONDS, COME_BACK_SECONDS + choice.wait - allowed
+        )
+        detail = f"would wait {choice.wait:.2f} s at {choice.target.target}"
+        return NotRun(Reason.OVERLOADED, detail, arrived=False)
+
     def _send_once(
-        self, order: Order, target: ListedTarget, tried: set[TargetId]
+        self, order: Order, choice: Choice, tried: set[TargetId]
     ) -> SendResult:
+        target = choice.target
         tried.add(target.target)
-        now = Seconds(monotonic())
-        terms = self.selector.version_terms(order.call.model, target, now)
-        order.version, order.begin_by = terms.version, terms.begin_by
-        state = self.selector.state(target.target)
-        begun = monotonic()
-        state.outstanding += 1
+        order.version, order.begin_by = choice.terms.version, choice.terms.begin_by
+        load = self.selector.load(target)
+        begun = Seconds(monotonic())
+        load.outstanding += 1
+        load.waiting[order.call.request_id] = begun
         result: SendResult | None = None
         try:
             result = self.sender.send(order, target)
         finally:
+            load.waiting.pop(order.call.request_id, None)
             if not isinstance(result, Stream):
-                state.outstanding -= 1
+                load.outstanding -= 1
         self._learn(result, target)
-        self._note_send(order, target, result, monotonic() - begun)
+        self._note_send(order, choice, result, monotonic() - begun)
         return result
 
     def _learn(self, result: SendResult, target: ListedTarget) -> None:
@@ -234,6 +271,7 @@
             state.not_before = Seconds(now + MISSING_WEIGHTS_SECONDS)
             return
         if isinstance(result, NotRun) and result.arrived:
+            state.not_before = Seconds(now + REFUSED_SECONDS)
             return
         if isinstance(result, (Whole, Stream)):
             state.succeeded()
@@ -275,7 +313,7 @@
         self, order: Order, stream: Stream, target: ListedTarget
     ) -> Iterator[StreamEvent]:
         """Yield a target's events that the caller has not had yet."""
-        state = self.selector.state(target.target)
+        load = self.selector.load(target)
         try:
             for event in stream.events:
                 last = order.last_event
@@ -285,7 +323,7 @@
                     order.last_event = event.number
                 yield event
         finally:
-            state.outstanding -= 1
+            load.outstanding -= 1
             stream.exchange.close()
 
     def _resume(
@@ -301,15 +339,22 @@
 
     # Answers of the gateway's own, and the log.
 
-    def _refuse(self, request_id: str, reason: Reason, detail: str = "") -> FrontReply:
+    def _refuse(
+        self,
+        request_id: str,
+        reason: Reason,
+        detail: str = "",
+        come_back: float = COME_BACK_SECONDS,
+    ) -> FrontReply:
         """Answer that a request has not run and will not."""
         self.events.emit(
             EventKind.REQUEST_REFUSED,
             request=request_id,
             reason=reason.value,
             why=detail,
+            come_back=round(come_back, 3),
         )
-        return FrontReply(503, headers=self.protocol.retry_after(COME_BACK_SECONDS))
+        return FrontReply(503, headers=self.protocol.retry_after(come_back))
 
     def _reject(
         self, request_id: str, status: int, why: str, version: int = 0
@@ -325,8 +370,10 @@
         return FrontReply(status, body=f"{why}\n".encode())
 
     def _note_send(
-        self, order: Order, target: ListedTarget, result: SendResult, seconds: float
+        self, order: Order, choice: Choice, result: SendResult, seconds: float
     ) -> None:
+        target = choice.target
+        load = self.selector.load(target)
         detail: dict[str, Any] = (
             structs.asdict(result) if isinstance(result, (NotRun, Unknown)) else {}
         )
@@ -335,7 +382,9 @@
             request=order.call.request_id,
             target=target.target,
             took=round(seconds, 4),
-            outstanding=self.selector.state(target.target).outstanding,
+            expected_wait=round(choice.wait, 3),
+            load_age=round(monotonic() - load.reported_at, 2),
+            outstanding=load.outstanding,
             result=type(result).__name__,
             only_version=order.version,
             detail={name: str(value) for name, value in detail.items()},
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -9,6 +9,7 @@
 from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.site import Site
 from ridgecourse.gateway.forwarder import Forwarder
+from ridgecourse.gateway.loads import LoadWatcher
 from ridgecourse.gateway.protocol import RequestProtocol
 from ridgecourse.net.address import parse_address
 from ridgecourse.net.events import EventKind, EventStream
@@ -45,7 +46,10 @@
         self.events = EventStream(site.process, new_incarnation(), site.domain)
         version_seconds = site.bounds.version_seconds
         self.view = ClusterView(source, decoder, self.events, version_seconds)
-        self.forwarder = Forwarder(site, self.view, protocol, self.events, Random())
+        self.watcher = LoadWatcher(site, self.view, self.events)
+        self.forwarder = Forwarder(
+            site, self.view, protocol, self.watcher, self.events, Random()
+        )
         assert site.callers is not None and site.readiness is not None
         self.front = FrontServer(parse_address(site.callers), self.handle)
         self.router = HttpRouter()
@@ -59,6 +63,7 @@
         self.front.start()
         self.readiness.start()
         self.view.start()
+        self.watcher.start()
         self.threads.append(spawn_loop(self._take_limits))
         self.events.emit(EventKind.STARTED, http=str(self.front.address))
 
@@ -94,6 +99,7 @@
 
     def close(self) -> None:
         """Release everything."""
+        self.watcher.close()
         self.view.close()
         for thread in self.threads:
             thread.kill()
--- /dev/null
+++ b/src/ridgecourse/gateway/loads.py
@@ -0,0 +1,121 @@
+"""Follows the engines' loads, as the loaders beside them tell."""
+
+import logging
+from contextlib import closing
+from random import random
+from time import monotonic
+
+import eventlet
+
+from ridgecourse.cluster.view import ClusterView
+from ridgecourse.core.engine_load import EngineLoad, EngineStatus
+from ridgecourse.core.ids import Seconds
+from ridgecourse.core.site import Site
+from ridgecourse.core.targets import ListedTarget
+from ridgecourse.net.events import EventKind, EventStream
+from ridgecourse.net.threads import spawn_loop
+from ridgecourse.net.websocket import ChannelClosed, open_channel
+from ridgecourse.wire.control import PROTOCOL_VERSION, EngineReport, Watch
+
+logger = logging.getLogger(__name__)
+
+NEAR_INTERVAL_SECONDS = 0.1
+FAR_INTERVAL_SECONDS = 0.2
+"""Between two reports within a region, and between regions, where bytes are dear."""
+RECONNECT_SECONDS = 0.7
+SILENCE_SECONDS = 2.5
+"""A loader that tells nothing for this long has gone, or its link has."""
+
+
+class LoadWatcher:
+    """Keeps a connection to the loader beside each listed engine.
+
+    Attributes:
+        loads: What is known of each engine, by its address.
+    """
+
+    def __init__(self, site: Site, view: ClusterView, events: EventStream) -> None:
+        self.site = site
+        self.view = view
+        self.events = events
+        self.loads: dict[str, EngineLoad] = {}
+        self.followers: dict[str, eventlet.greenthread.GreenThread] = {}
+        self.thread: eventlet.greenthread.GreenThread | None = None
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self.thread = spawn_loop(self._keep_followers)
+
+    def close(self) -> None:
+        """Stop following."""
+        if self.thread is not None:
+            self.thread.kill()
+        for follower in self.followers.values():
+            follower.kill()
+
+    def load(self, address: str) -> EngineLoad:
+        """Return what is known of an engine's load."""
+        return self.loads.setdefault(address, EngineLoad())
+
+    def _keep_followers(self) -> None:
+        while True:
+            engines = {
+                target.address: target
+                for target in self.view.targets.targets.values()
+                if self._is_engine(target)
+            }
+            for address in [a for a in self.followers if a not in engines]:
+                self.followers.pop(address).kill()
+                self.loads.pop(address, None)
+            for address, target in engines.items():
+                if address not in self.followers:
+                    self.followers[address] = spawn_loop(self._follow, target)
+            self.view.changed.wait()
+
+    def _is_engine(self, target: ListedTarget) -> bool:
+        config = self.view.config
+        service = config.services.get(target.service) if config else None
+        return service is not None and service.engine is not None
+
+    def _follow(self, target: ListedTarget) -> None:
+        """Take in one engine's reports, over one connection after another."""
+        port = self.site.peer_ports[0]
+        while True:
+            try:
+                self._take_reports(target, f"{target.host}:{port}")
+            except ChannelClosed as error:
+                logger.debug("no reports of %s: %s", target.target, error)
+            eventlet.sleep(RECONNECT_SECONDS * (0.5 + random()))
+
+    def _take_reports(self, target: ListedTarget, control_address: str) -> None:
+        channel = open_channel(control_address, "", self.site.host)
+        with closing(channel):
+            channel.send(
+                Watch(PROTOCOL_VERSION, self.site.process, self._interval(target))
+            )
+            while True:
+                report = channel.receive(EngineReport, SILENCE_SECONDS)
+                if report is None:
+                    raise ChannelClosed("silent")
+                self._take(target, report.status)
+
+    def _take(self, target: ListedTarget, status: EngineStatus) -> None:
+        load = self.load(target.address)
+        before = load.status
+        load.report(status, Seconds(monotonic()))
+        if before is None or (before.version, before.busy) != (
+            status.version,
+            status.busy,
+        ):
+            self.events.emit(
+                EventKind.TARGET_WEIGHTS,
+                target=target.target,
+                version=str(status.version),
+                busy=status.busy,
+                queued=status.queued,
+                active=status.active,
+            )
+
+    def _interval(self, target: ListedTarget) -> float:
+        near = self.site.region(target.domain) == self.site.region(self.site.domain)
+        return NEAR_INTERVAL_SECONDS if near else FAR_INTERVAL_SECONDS
--- a/src/ridgecourse/gateway/selection.py
+++ b/src/ridgecourse/gateway/selection.py
@@ -1,4 +1,4 @@
-"""Which target gets a request: the least loaded, near ones first."""
+"""Which target gets a request: where it begins soonest, near ones first."""
 
 from collections.abc import Collection
 from random import Random
@@ -7,23 +7,27 @@
 from msgspec import Struct
 
 from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.ids import (
-    ModelName,
-    Seconds,
-    ServiceName,
-    TargetId,
-    WeightsVersion,
-)
+from ridgecourse.core.engine_load import EngineLoad
+from ridgecourse.core.ids import ModelName, Seconds, TargetId, WeightsVersion
 from ridgecourse.core.routes import Service
 from ridgecourse.core.site import Site
 from ridgecourse.core.targets import ListedTarget
-
-REGION_PENALTY = 0.15
-"""Load, in shares of a target's slots, by which a target of the own region may
-be fuller than one elsewhere: bytes between regions are dear."""
+from ridgecourse.gateway.loads import LoadWatcher
+
+REGION_PENALTY_SECONDS = 0.06
+"""Wait for which a target of the own region is still preferred to one elsewhere.
+Bytes between regions cost some 1.4 in 100 of a request's worth; a wait of this
+length moves about as many answers past their objective."""
+PLAIN_REQUEST_SECONDS = 0.06
+"""Estimated time of a plain service's request, until its targets report loads."""
+SENDERS = 3
+"""Gateways that are taken to send to an engine as much as this one does, while its
+reports are missing: as many as a failure domain has."""
 MISSING_WEIGHTS_SECONDS = 1.0
 """How long a target is left alone after it said that it lacks the weights; its
 entry in the list lags by about a heartbeat."""
+REFUSED_SECONDS = 0.15
+"""How long a target is left alone after it refused a request, unless it reports."""
 FAILURES_IN_A_ROW = 2
 FIRST_EJECTION_SECONDS = 1.0
 LONGEST_EJECTION_SECONDS = 8.0
@@ -48,18 +52,30 @@
     begin_by: Seconds | None
 
 
+class Choice(Struct, frozen=True):
+    """A target for a request.
+
+    Attributes:
+        target: The target.
+        wait: Estimated seconds until the request would begin there.
+        terms: On which weights it may run.
+    """
+
+    target: ListedTarget
+    wait: float
+    terms: VersionTerms
+
+
 class TargetState:
     """What this gateway has seen of a target.
 
     Attributes:
-        outstanding: Requests in progress there.
         failures: Failures in a row.
         ejections: Times in a row that it was ejected.
         not_before: When it may be chosen again.
     """
 
     def __init__(self) -> None:
-        self.outstanding = 0
         self.failures = 0
         self.ejections = 0
         self.not_before = Seconds(0.0)
@@ -86,11 +102,15 @@
 
     Attributes:
         states: What was seen of each target.
+        watcher: Knows the engines' loads.
     """
 
-    def __init__(self, site: Site, view: ClusterView, random: Random) -> None:
+    def __init__(
+        self, site: Site, view: ClusterView, watcher: LoadWatcher, random: Random
+    ) -> None:
         self.site = site
         self.view = view
+        self.watcher = watcher
         self.random = random
         self.states: dict[TargetId, TargetState] = {}
 
@@ -98,9 +118,13 @@
         """Return what was seen of a target."""
         return self.states.setdefault(target, TargetState())
 
+    def load(self, target: ListedTarget) -> EngineLoad:
+        """Return what is known of a target's load."""
+        return self.watcher.load(target.address)
+
     def choose(
         self, service: Service, model: ModelName, tried: Collection[TargetId]
-    ) -> ListedTarget | None:
+    ) -> Choice | None:
         """Return the target for a request, or None where there is none.
 
         Args:
@@ -112,55 +136,74 @@
         able = [
             target
             for target in self.view.serving(service.name)
-            if target.target not in tried and self.has_weights(service, target)
+            if target.target not in tried and self._is_able(service, target, now)
         ]
-        if not able:
-            return None
-        able = self._current(able, model, now) or able
-        free = [t for t in able if self.state(t.target).not_before <= now]
+        choices = [self._weigh(service, model, target, now) for target in able]
+        # Those with weights that may serve now go before those that may have them.
+        current = [choice for choice in choices if choice.terms.version is None]
+        choices = current or choices
+        free = [c for c in choices if self.state(c.target.target).not_before <= now]
         if not free:
-            return min(able, key=lambda t: self.state(t.target).not_before)
+            return min(
+                choices,
+                key=lambda choice: self.state(choice.target.target).not_before,
+                default=None,
+            )
         return min(free, key=self._cost)
 
-    def _current(
-        self, targets: list[ListedTarget], model: ModelName, now: Seconds
-    ) -> list[ListedTarget]:
-        """Return the targets listed with weights on which a request may begin."""
-        return [
-            target
-            for target in targets
-            if self.version_terms(model, target, now).version is None
-        ]
-
-    def has_weights(self, service: Service, target: ListedTarget) -> bool:
-        """Tell whether a target is listed with the weights that it needs."""
+    def _is_able(self, service: Service, target: ListedTarget, now: Seconds) -> bool:
+        """Tell whether a target has weights and takes new requests."""
         if service.engine is None or not service.engine.layers:
             return True
+        load = self.load(target)
+        if load.status is not None and load.is_fresh(now):
+            return load.status.version > 0 and not load.status.busy
         return target.holds_model(service.engine.layers)
 
-    def _cost(self, target: ListedTarget) -> tuple[float, float]:
-        load = self.state(target.target).outstanding / max(1, target.slots)
-        near = self.site.region(target.domain) == self.site.region(self.site.domain)
-        return load + (0.0 if near else REGION_PENALTY), self.random.random()
-
-    def begin_by(self, model: ModelName, target: ListedTarget) -> Seconds | None:
-        """Return until when a request may begin there; None for any time."""
-        held = target.models.get(model)
-        if held is None:
-            return None
-        bound = self.view.history(model).begin_by(held)
-        return None if bound is None else Seconds(bound - VERSION_MARGIN_SECONDS)
-
-    def version_terms(
+    def _weigh(
+        self, service: Service, model: ModelName, target: ListedTarget, now: Seconds
+    ) -> Choice:
+        load = self.load(target)
+        if service.engine is None:
+            wait = load.outstanding * PLAIN_REQUEST_SECONDS / max(1, target.slots)
+        else:
+            wait = load.wait(service.engine, target.slots, now, SENDERS)
+        return Choice(target, wait, self._version_terms(model, target, now))
+
+    def _cost(self, choice: Choice) -> tuple[float, float]:
+        domain = choice.target.domain
+        near = self.site.region(domain) == self.site.region(self.site.domain)
+        penalty = 0.0 if near else REGION_PENALTY_SECONDS
+        # Among equals the one with fewest requests: batches slow down as they fill.
+        requests = self.load(choice.target).requests(Seconds(monotonic()), SENDERS)
+        crowding = requests / max(1, choice.target.slots) * REGION_PENALTY_SECONDS
+        return choice.wait + penalty + crowding, self.random.random()
+
+    # Weights.
+
+    def _held_version(
+        self, model: ModelName, target: ListedTarget, now: Seconds
+    ) -> WeightsVersion | None:
+        """Return the version that an engine serves, by its report or the list."""
+        load = self.load(target)
+        if load.status is not None and load.is_fresh(now):
+            return load.status.version
+        return target.models.get(model)
+
+    def _version_terms(
         self, model: ModelName, target: ListedTarget, now: Seconds
     ) -> VersionTerms:
         """Return on which weights a request may run at a target.
 
-        An engine that is listed with weights too old may have newer ones by now,
-        since the list lags; it is asked for the newest and refuses if it has not.
+        An engine whose weights are too old by what is known may have newer ones
+        by now; it is asked for the newest and refuses if it has not.
         """
-        begin_by = self.begin_by(model, target)
-        if begin_by is None or now < begin_by - QUEUE_SECONDS:
+        held = self._held_version(model, target, now)
+        bound = None if held is None else self.view.history(model).begin_by(held)
+        if bound is None:
+            return VersionTerms(None, None)
+        begin_by = Seconds(bound - VERSION_MARGIN_SECONDS)
+        if now < begin_by - QUEUE_SECONDS:
             return VersionTerms(None, begin_by)
         return VersionTerms(self.view.wanted_version(model), None)
 
@@ -168,10 +211,4 @@
         """Drop what was seen of targets that are no longer listed."""
         for name in list(self.states):
             if name not in self.view.targets.targets:
-                if not self.states[name].outstanding:
-                    del self.states[name]
-
-
-def service_targets(view: ClusterView, service: ServiceName) -> int:
-    """Return the number of a service's targets that may get requests."""
-    return sum(1 for _ in view.serving(service))
+                del self.states[name]
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -32,6 +32,7 @@
         version: The only version of weights that may run it; None for any.
         begin_by: When it must have begun; None for any time.
         last_event: Event after which its stream goes on.
+        come_back: Seconds after which its caller may come back if it is refused.
     """
 
     call: CallerRequest
@@ -41,6 +42,7 @@
     version: WeightsVersion | None
     begin_by: Seconds | None
     last_event: int | None
+    come_back: float
 
 
 class NotRun(Struct, frozen=True):
--- a/src/ridgecourse/loader/loader.py
+++ b/src/ridgecourse/loader/loader.py
@@ -12,6 +12,7 @@
 from ridgecourse.exchange.store import ChunkStore
 from ridgecourse.loader.protocol import EngineControl, WeightsOrigin
 from ridgecourse.loader.rollout import Rollout
+from ridgecourse.loader.status import StatusFeed
 from ridgecourse.net.address import Address
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.http_client import HttpClient
@@ -20,7 +21,7 @@
 from ridgecourse.net.process import Process, new_incarnation
 from ridgecourse.net.record_source import RecordSource
 from ridgecourse.net.websocket import ChannelClosed, ControlChannel, ControlServer
-from ridgecourse.wire.control import Follow
+from ridgecourse.wire.control import Follow, LoaderMessage
 
 TARGETS_PAUSE_SECONDS = 2.0
 """Between two reads of the list, which here only tells who else has chunks."""
@@ -84,6 +85,7 @@
             origin,
             (chunk_port, control_port),
         )
+        self.feed = StatusFeed(engine, self.rollout)
         self.router = HttpRouter()
         self.exchange.add_routes(self.router)
         self.rollout.catalogue.add_routes(self.router)
@@ -98,18 +100,22 @@
         self.control_server.start()
         self.view.start()
         self.rollout.start()
+        self.feed.start()
         self.events.emit(EventKind.STARTED, http=str(self.http_server.address))
 
     def handle_channel(self, channel: ControlChannel) -> None:
-        """Tell another loader what is held here, until it goes away.
+        """Tell another process what it asks for, until it goes away.
 
         Raises:
             ChannelClosed: It went away.
         """
-        follow = channel.receive(Follow, FIRST_MESSAGE_SECONDS)
-        if follow is None:
+        first = channel.receive(LoaderMessage, FIRST_MESSAGE_SECONDS)
+        if first is None:
             raise ChannelClosed("no first message")
-        self.exchange.tell_holdings(channel, follow)
+        if isinstance(first, Follow):
+            self.exchange.tell_holdings(channel, first)
+        else:
+            self.feed.tell(channel, first)
 
     def drain(self) -> None:
         """Stop; other loaders have what this one held, or fetch it anew."""
@@ -117,6 +123,7 @@
 
     def close(self) -> None:
         """Release everything."""
+        self.feed.close()
         self.rollout.close()
         self.view.close()
         self.control_server.close()
--- a/src/ridgecourse/loader/protocol.py
+++ b/src/ridgecourse/loader/protocol.py
@@ -26,6 +26,7 @@
         active: Requests in progress.
         cache_used: Tokens of context in memory that cannot give way.
         cache_total: Tokens of context that fit.
+        pace: How much slower than usual it is; 1 for usual.
     """
 
     layers: HeldLayers | None
@@ -35,6 +36,7 @@
     active: int
     cache_used: int
     cache_total: int
+    pace: float = 1.0
 
     def serves(self, version: WeightsVersion, layers: int) -> bool:
         """Tell whether it serves a whole model of a version."""
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -5,6 +5,7 @@
 from time import monotonic
 
 from ridgecourse.cluster.view import ClusterView
+from ridgecourse.core.engine_load import EngineStatus
 from ridgecourse.core.ids import Seconds, TargetName, WeightsVersion
 from ridgecourse.core.routes import EngineModel, OriginPlace
 from ridgecourse.core.site import Site
@@ -144,6 +145,22 @@
             error=error,
         )
 
+    def describe(self, report: EngineReport) -> EngineStatus:
+        """Return what gateways are told of the engine."""
+        held = report.layers
+        found = self._find_model()
+        layers = found[0].layers if found else 0
+        whole = held is not None and report.serves(held.version, layers)
+        return EngineStatus(
+            version=held.version if held and whole else WeightsVersion(0),
+            busy=report.busy,
+            queued=report.queued,
+            active=report.active,
+            cache_used=report.cache_used,
+            cache_total=report.cache_total,
+            pace=report.pace,
+        )
+
     def peers(self) -> Mapping[TargetName, Peer]:
         """Return the other loaders of the service's engines, by instance."""
         found = {}
--- /dev/null
+++ b/src/ridgecourse/loader/status.py
@@ -0,0 +1,84 @@
+"""Tells gateways the load of the engine."""
+
+from time import monotonic
+
+import eventlet
+
+from ridgecourse.core.engine_load import EngineStatus
+from ridgecourse.loader.protocol import EngineControl, EngineUnavailable
+from ridgecourse.loader.rollout import Rollout
+from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.threads import spawn_loop
+from ridgecourse.net.websocket import ControlChannel
+from ridgecourse.wire.control import EngineReport, Watch
+
+BUSY_SECONDS = 0.1
+"""Between two looks at an engine with requests: an engine at its limit begins one
+about every 0.1 s."""
+IDLE_SECONDS = 0.4
+HEARTBEAT_SECONDS = 1.0
+"""Between two reports without a change."""
+SHORTEST_INTERVAL_SECONDS = 0.05
+
+
+class StatusFeed:
+    """Looks at the engine and tells those who watch.
+
+    Attributes:
+        status: The newest load; None while the engine does not answer.
+        watchers: Gateways that are told.
+    """
+
+    def __init__(self, engine: EngineControl, rollout: Rollout) -> None:
+        self.engine = engine
+        self.rollout = rollout
+        self.status: EngineStatus | None = None
+        self.changed = Broadcast()
+        self.watchers = 0
+        self.thread: eventlet.greenthread.GreenThread | None = None
+
+    def start(self) -> None:
+        """Begin to look."""
+        self.thread = spawn_loop(self._look)
+
+    def close(self) -> None:
+        """Stop."""
+        if self.thread is not None:
+            self.thread.kill()
+
+    def _look(self) -> None:
+        while True:
+            eventlet.sleep(self._look_once())
+
+    def _look_once(self) -> float:
+        """Look if anybody is told; return the seconds until the next look."""
+        if not self.watchers:
+            return IDLE_SECONDS
+        try:
+            status = self.rollout.describe(self.engine.report())
+        except EngineUnavailable:
+            # The rollout logs it; those who watch hear nothing new.
+            self.status = None
+            return IDLE_SECONDS
+        if status != self.status:
+            self.status = status
+            self.changed.notify()
+        return BUSY_SECONDS if status.active or status.busy else IDLE_SECONDS
+
+    def tell(self, channel: ControlChannel, watch: Watch) -> None:
+        """Tell a gateway the load until it goes away.
+
+        Raises:
+            ChannelClosed: It went away.
+        """
+        interval = max(SHORTEST_INTERVAL_SECONDS, watch.interval)
+        self.watchers += 1
+        try:
+            while True:
+                sent = monotonic()
+                if self.status is not None:
+                    channel.send(EngineReport(self.status))
+                self.changed.wait(HEARTBEAT_SECONDS)
+                eventlet.sleep(max(0.0, sent + interval - monotonic()))
+        finally:
+            self.watchers -= 1
--- a/src/ridgecourse/platform/engine.py
+++ b/src/ridgecourse/platform/engine.py
@@ -53,6 +53,7 @@
     kv_used: int = 0
     kv_total: int = 0
     layers: LayerFields | None = None
+    pace: float = 1.0
 
 
 class StartFields(Struct):
@@ -88,6 +89,7 @@
             active=fields.active,
             cache_used=fields.kv_used,
             cache_total=fields.kv_total,
+            pace=fields.pace,
         )
 
     def start(self, model: ModelName, version: WeightsVersion) -> OrderOutcome:
--- a/src/ridgecourse/wire/control.py
+++ b/src/ridgecourse/wire/control.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from ridgecourse.core.config import ConfigSnapshot
+from ridgecourse.core.engine_load import EngineStatus
 from ridgecourse.core.ids import (
     ChunkDigest,
     DomainName,
@@ -113,9 +114,30 @@
     seen: list[int] = []
 
 
+class Watch(ControlMessage, frozen=True, tag="watch"):
+    """Asks a loader to tell its engine's load, now and from then on.
+
+    Attributes:
+        protocol: Version of this protocol.
+        process: The sender.
+        interval: Shortest time between two reports, in seconds.
+    """
+
+    protocol: int
+    process: ProcessName
+    interval: float
+
+
+class EngineReport(ControlMessage, frozen=True, tag="engine"):
+    """An engine's load, sent on change and as a heartbeat."""
+
+    status: EngineStatus
+
+
 EntryMessage = Hello | ConfigRecords | ConfigFull | WantRecords
 AgentMessage = Hello | ConfigRecords | ConfigFull | AgentReport | WantRecords
 FirstMessage = Hello | Follow
+LoaderMessage = Follow | Watch
 ChunkIndex = dict[ChunkDigest, int]
 
 
