Gateways are hubs of weights; half of the engines start early

A gateway's link is some hundred times larger: one gateway a domain draws a version now, paced to what each loader's link takes, and loaders send nothing. Half of a domain's engines take new weights as soon as they can, the others when theirs may no longer be used; of two versions in quick succession the early half finishes the first.

--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -63,7 +63,7 @@
             DECISION_WAIT_SECONDS,
             0.0,
             self.take_decisions,
-            self._note_back,
+            self._note_decisions_back,
         )
         self.targets_reader = RecordFollower(
             source,
@@ -71,7 +71,7 @@
             0.0,
             targets_pause,
             self.take_targets,
-            self._note_back,
+            self._note_targets_back,
         )
         self.threads: list = []
 
@@ -88,9 +88,18 @@
         for thread in self.threads:
             thread.kill()
 
-    def _note_back(self, away: float) -> None:
+    def _note_decisions_back(self, away: float) -> None:
+        self.events.emit(EventKind.LOG_BACK, topic="decisions", away=round(away, 2))
+
+    def _note_targets_back(self, away: float) -> None:
+        """Note the end of an outage.
+
+        The list is read often, so that its reader notices an outage first; the
+        read that waits for decisions may hang on a connection that died in it.
+        """
         self.targets.outage_ended(Seconds(monotonic()))
-        self.events.emit(EventKind.LOG_BACK, away=round(away, 2))
+        self.events.emit(EventKind.LOG_BACK, topic="targets", away=round(away, 2))
+        self.decisions_reader.restart()
 
     def _expire(self) -> None:
         while True:
--- a/src/ridgecourse/core/planner.py
+++ b/src/ridgecourse/core/planner.py
@@ -119,6 +119,7 @@
         root: The version.
         missing: Chunks not yet held.
         in_flight: Fetches in progress, by chunk.
+        hubs: Members that draw and import before all others.
         group: Domains that share one copy from the origin.
         seen: Chunks that some agent of the fleet holds, as far as known.
         seen_in_group: The same for the domains that share a copy from the origin.
@@ -137,7 +138,9 @@
         now: Seconds,
         origin_copies: int = 1,
         seed: int = 0,
+        hubs: Iterable[TargetName] = (),
     ) -> None:
+        self.hubs = frozenset(hubs)
         self.me = me
         self.root = root
         self.policy = policy
@@ -162,7 +165,9 @@
             self.sources[target] = SourceState(set())
 
     def _origin_slot(self, number: int, now: Seconds) -> DrawSlot:
-        candidates = origin_candidates(self.root, self.members, self.group, number)
+        candidates = origin_candidates(
+            self.root, self.members, self.group, number, self.hubs
+        )
         return DrawSlot(candidates, now, self.policy.stall_seconds)
 
     def _origin_group(self) -> frozenset[DomainName]:
@@ -174,7 +179,7 @@
 
     def _import_slot(self, number: int, now: Seconds) -> DrawSlot:
         domain = self.me.domain
-        candidates = slot_candidates(self.root, self.members, domain, number)
+        candidates = slot_candidates(self.root, self.members, domain, number, self.hubs)
         return DrawSlot(candidates, now, self.policy.stall_seconds)
 
     def neighbours(self) -> Sequence[TargetName]:
@@ -189,6 +194,8 @@
         others = [target for target in local if target != self.me.target]
         followed = others[: self.policy.neighbours]
         for number, slot in enumerate(self.import_slots):
+            if self.hubs and self.me.target not in self.hubs:
+                break
             if self.me.target in slot.candidates[:STANDBY]:
                 followed.extend(self._first_candidates(number))
         unique = dict.fromkeys(followed)
@@ -197,7 +204,7 @@
 
     def _first_candidates(self, number: int) -> Iterator[TargetName]:
         for domain in sorted(set(self.members.values())):
-            ranked = slot_candidates(self.root, self.members, domain, number)
+            ranked = slot_candidates(self.root, self.members, domain, number, self.hubs)
             yield from ranked[:STANDBY]
 
     def peer_holds(
--- a/src/ridgecourse/core/slots.py
+++ b/src/ridgecourse/core/slots.py
@@ -7,7 +7,7 @@
 draws as well; what that costs at worst is a chunk drawn twice.
 """
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Container, Iterable, Mapping, Sequence
 from itertools import zip_longest
 
 from ridgecourse.core.ids import ChunkDigest, DomainName, Seconds, TargetName
@@ -81,6 +81,7 @@
     members: Mapping[TargetName, DomainName],
     domain: DomainName,
     number: int,
+    hubs: Container[str] = (),
 ) -> Sequence[TargetName]:
     """Return a domain's members in their order for a class of chunks.
 
@@ -92,10 +93,13 @@
         members: Each member's failure domain.
         domain: The domain whose members are ranked.
         number: The class.
+        hubs: Members that draw before all others.
     """
     local = [target for target, where in members.items() if where == domain]
-    ranked = rendezvous_rank(f"{key}/{domain}", local)
-    return [TargetName(target) for target in rotate(ranked, number)]
+    ranked = rotate(rendezvous_rank(f"{key}/{domain}", local), number)
+    # The sort is stable: hubs go before all others, each in the class's order.
+    first = sorted(ranked, key=lambda target: target not in hubs)
+    return [TargetName(target) for target in first]
 
 
 def origin_candidates(
@@ -103,6 +107,7 @@
     members: Mapping[TargetName, DomainName],
     domains: Iterable[DomainName],
     number: int,
+    hubs: Container[str] = (),
 ) -> Sequence[TargetName]:
     """Return who draws a class of chunks from the origin, in order.
 
@@ -116,10 +121,11 @@
         members: Each member's failure domain.
         domains: The domains that share one copy.
         number: The class.
+        hubs: Members that draw before all others.
     """
     ranked = rotate(rendezvous_rank(key, domains), number)
     columns = [
-        slot_candidates(key, members, DomainName(name), number) for name in ranked
+        slot_candidates(key, members, DomainName(name), number, hubs) for name in ranked
     ]
     rows = zip_longest(*columns)
     return [target for row in rows for target in row if target is not None]
--- /dev/null
+++ b/src/ridgecourse/exchange/catalogue.py
@@ -0,0 +1,122 @@
+"""Manifests of versions: served to others, fetched from them or the origin."""
+
+from collections.abc import Callable, Sequence
+from time import monotonic
+
+import eventlet
+from returns.result import Success
+
+from ridgecourse.core.ids import ModelName, WeightsVersion
+from ridgecourse.core.manifest import (
+    Manifest,
+    encode_manifest,
+    parse_manifest,
+    root_digest,
+)
+from ridgecourse.exchange.context import ExchangeContext, Peer
+from ridgecourse.exchange.holding import Holding
+from ridgecourse.exchange.origin import OriginUnavailable, WeightsOrigin
+from ridgecourse.net.http_client import ExchangeFailed, NoConnection
+from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
+
+VERSIONS_PATH = "/versions/"
+PEER_SECONDS = 0.5
+POLL_SECONDS = 0.05
+KEPT_VERSIONS = 2
+"""Versions kept for others: the newest and the one before, which the origin has."""
+
+VersionKey = tuple[ModelName, WeightsVersion]
+
+
+class Catalogue:
+    """The versions whose manifest is known.
+
+    Attributes:
+        holdings: By model and version.
+        asked: Called with a version that somebody asked for in vain.
+    """
+
+    def __init__(
+        self,
+        context: ExchangeContext,
+        origin: WeightsOrigin,
+        asked: Callable[[VersionKey], None] | None = None,
+    ) -> None:
+        self.context = context
+        self.origin = origin
+        self.asked = asked
+        self.holdings: dict[VersionKey, Holding] = {}
+
+    def add_routes(self, router: HttpRouter) -> None:
+        """Serve known manifests on a router."""
+        router.add("GET", VERSIONS_PATH, self.serve)
+
+    def serve(self, request: HttpRequest) -> HttpReply:
+        """Answer with a version's manifest."""
+        model, _, number = request.path.removeprefix(VERSIONS_PATH).partition("/")
+        if not number.isdecimal():
+            return HttpReply(400)
+        key = (ModelName(model), WeightsVersion(int(number)))
+        holding = self.holdings.get(key)
+        if holding is not None:
+            return HttpReply(200, holding.manifest_bytes)
+        if self.asked is not None:
+            self.asked(key)
+        return HttpReply(404)
+
+    def find(
+        self, key: VersionKey, address: str, peers: Sequence[Peer], patience: float
+    ) -> Holding | None:
+        """Return a version's holding, None where its manifest can't be had now.
+
+        Args:
+            key: The version.
+            address: HOST:PORT of the origin.
+            peers: Whom to ask, over and over.
+            patience: Seconds after which the origin is asked instead.
+        """
+        if key in self.holdings:
+            return self.holdings[key]
+        ask_origin = monotonic() + patience
+        while peers and monotonic() < ask_origin:
+            for peer in peers:
+                if holding := self.ask(peer.address, key):
+                    return holding
+            eventlet.sleep(POLL_SECONDS)
+        return self._ask_origin(key, address)
+
+    def ask(self, address: str, key: VersionKey) -> Holding | None:
+        """Ask another process for a manifest; it brings the version in if it can."""
+        path = f"{VERSIONS_PATH}{key[0]}/{key[1]}"
+        try:
+            status, data, _ = self.context.http.fetch(
+                "GET", address, path, timeout=PEER_SECONDS
+            )
+        except (NoConnection, ExchangeFailed):
+            return None
+        if status != 200:
+            return None
+        parsed = parse_manifest(data)
+        return self._keep(key, parsed.unwrap()) if isinstance(parsed, Success) else None
+
+    def _ask_origin(self, key: VersionKey, address: str) -> Holding | None:
+        try:
+            return self._keep(key, self.origin.manifest(address, *key))
+        except OriginUnavailable:
+            return None
+
+    def _keep(self, key: VersionKey, manifest: Manifest) -> Holding:
+        if key not in self.holdings:
+            data = encode_manifest(manifest)
+            self.holdings[key] = Holding(root_digest(data), manifest, data)
+        return self.holdings[key]
+
+    def drop_old(self, model: ModelName) -> list[Holding]:
+        """Forget the versions before the kept ones; return them."""
+        known = sorted(key for key in self.holdings if key[0] == model)
+        return [self.holdings.pop(key) for key in known[:-KEPT_VERSIONS]]
+
+    def retain_chunks(self) -> None:
+        """Drop the stored chunks of versions that are no longer known."""
+        places = [place for held in self.holdings.values() for place in held.places]
+        self.context.store.retain([place.digest for place in places])
--- a/src/ridgecourse/exchange/context.py
+++ b/src/ridgecourse/exchange/context.py
@@ -1,6 +1,7 @@
 """What the parts of the exchange share within one agent."""
 
 from collections.abc import Callable
+from hashlib import sha256
 from typing import NamedTuple
 
 from msgspec import Struct
@@ -12,7 +13,7 @@
 from ridgecourse.net.events import EventStream
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.metrics import Metrics
-from ridgecourse.net.throttle import Throttle
+from ridgecourse.net.throttle import AdaptiveRate, Throttle
 
 
 class Peer(NamedTuple):
@@ -68,6 +69,7 @@
         download: Limit of the incoming link.
         key: Proves the system's processes to each other; empty for no proof.
         source: Local address that connections are made from; None for any.
+        rate: Rate at which others are asked to send; None for as they like.
         chunk_stall_seconds: Longest wait for bytes of a chunk.
         digest: Returns the digest of a chunk's bytes.
     """
@@ -84,6 +86,7 @@
         key: str = "",
         source: str | None = None,
         download_bytes_per_s: float | None = None,
+        rate: AdaptiveRate | None = None,
         chunk_stall_seconds: float = 3.0,
         digest: Callable[[bytes], ChunkDigest] = chunk_digest,
     ) -> None:
@@ -97,6 +100,12 @@
         self.key = key
         self.source = source
         self.download = Throttle(download_bytes_per_s)
+        self.rate = rate
         self.chunk_stall_seconds = chunk_stall_seconds
         self.digest = digest
         self.counts = TransferCounts()
+
+
+def sha256_digest(data: bytes) -> ChunkDigest:
+    """Return the digest of a chunk's bytes where the origin uses SHA-256."""
+    return ChunkDigest(sha256(data).hexdigest())
--- a/src/ridgecourse/exchange/origin.py
+++ b/src/ridgecourse/exchange/origin.py
@@ -2,7 +2,8 @@
 
 from abc import ABC, abstractmethod
 
-from ridgecourse.core.manifest import ChunkPlace
+from ridgecourse.core.ids import ModelName, WeightsVersion
+from ridgecourse.core.manifest import ChunkPlace, Manifest
 
 
 class OriginUnavailable(Exception):
@@ -37,3 +38,23 @@
         Raises:
             OriginUnavailable: It cannot be had now.
         """
+
+
+class WeightsOrigin(ABC):
+    """The origin of all versions."""
+
+    @abstractmethod
+    def manifest(
+        self, address: str, model: ModelName, version: WeightsVersion
+    ) -> Manifest:
+        """Return a version's manifest.
+
+        Raises:
+            OriginUnavailable: It cannot be had now.
+        """
+
+    @abstractmethod
+    def chunks(
+        self, address: str, model: ModelName, version: WeightsVersion
+    ) -> ChunkOrigin:
+        """Return the origin of a version's chunks."""
--- a/src/ridgecourse/exchange/server.py
+++ b/src/ridgecourse/exchange/server.py
@@ -20,9 +20,13 @@
 MANIFEST_PATH = "/manifests/"
 ENGINE_PATH = "/engine/"
 DOMAIN_HEADER = "Ridgecourse-Domain"
+RATE_HEADER = "Ridgecourse-Rate"
+"""Bytes a second that the link of whoever asks can take."""
 LAST_RESORT_HEADER = "Ridgecourse-Last-Resort"
 PIECE_BYTES = 4 * 1024
 """Sent at a time where the link is limited, so that requests wait little behind."""
+PACE_BURST_SECONDS = 0.02
+"""Of an agent's rate that may go to it at once: requests to its engine wait behind."""
 QUEUE_SECONDS = 1.0
 """Longest wait of a request for an upload slot."""
 HOLDS_INTERVAL = 0.05
@@ -40,6 +44,7 @@
         queued_across: The same of other domains.
         link: Limit of the outgoing link.
         tickets: What the engine shows to fetch a version.
+        pacers: Limits of uploads to each agent that asked for one.
     """
 
     def __init__(self, context: ExchangeContext) -> None:
@@ -55,6 +60,7 @@
         self.queued = 0
         self.queued_across = 0
         self.slot_free = Broadcast()
+        self.pacers: dict[str, Throttle] = {}
 
     def add_routes(self, router: HttpRouter) -> None:
         """Serve chunks and manifests on a router."""
@@ -93,7 +99,7 @@
         if holding is not None:
             holding.uploads[digest, across] += 1
         headers = [("Content-Length", str(len(data)))]
-        return HttpReply(200, self._upload(data), headers)
+        return HttpReply(200, self._upload(data, self._pacer(request)), headers)
 
     def _take_slot(self, across: bool) -> bool:
         """Wait for an upload slot; tell whether one was got.
@@ -140,9 +146,22 @@
             return False
         return holding.uploads[digest, across] >= self.policy.uploads_per_chunk
 
-    def _upload(self, data: bytes) -> Iterator[bytes]:
+    def _pacer(self, request: HttpRequest) -> Throttle | None:
+        """Return what keeps all uploads to one agent below the rate it asks for."""
+        rate = request.header(RATE_HEADER)
+        if not rate.isdecimal() or not int(rate):
+            return None
+        host = request.environ.get("REMOTE_ADDR", "")
+        pacer = self.pacers.setdefault(host, Throttle(None, PACE_BURST_SECONDS))
+        pacer.rate = float(rate)
+        return pacer
+
+    def _upload(self, data: bytes, pacer: Throttle | None) -> Iterator[bytes]:
+        pieces = in_pieces(data, PIECE_BYTES)
+        if pacer is not None:
+            pieces = pacer.pace(pieces)
         try:
-            yield from self.link.pace(in_pieces(data, PIECE_BYTES))
+            yield from self.link.pace(pieces)
         finally:
             self.uploads -= 1
             self.slot_free.notify()
--- a/src/ridgecourse/exchange/transfer.py
+++ b/src/ridgecourse/exchange/transfer.py
@@ -1,7 +1,7 @@
 """The fetching side of the exchange: brings one version in."""
 
 import logging
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from contextlib import closing
 from time import monotonic
 
@@ -27,6 +27,7 @@
     CHUNK_PATH,
     DOMAIN_HEADER,
     LAST_RESORT_HEADER,
+    RATE_HEADER,
 )
 from ridgecourse.net.auth import AUTH_HEADER, sign_request
 from ridgecourse.net.broadcast import Broadcast
@@ -67,6 +68,7 @@
         holding: Holding,
         peers: Mapping[TargetName, Peer],
         origin_copies: int,
+        hubs: Iterable[TargetName] = (),
     ) -> None:
         self.context = context
         self.origin = origin
@@ -81,6 +83,7 @@
             context.plan,
             Seconds(monotonic()),
             origin_copies,
+            hubs=hubs,
         )
         self.progress = Broadcast()
         self.referred: dict[ChunkDigest, int] = {}
@@ -228,6 +231,10 @@
             AUTH_HEADER: sign_request(self.context.key, "GET", path),
             DOMAIN_HEADER: self.context.me.domain,
         }
+        rate = self.context.rate
+        if rate is not None:
+            headers[RATE_HEADER] = str(int(rate.current))
+        begun = monotonic()
         if self.referred.get(fetch.digest, 0) >= LAST_RESORT_REFERRALS:
             headers[LAST_RESORT_HEADER] = "yes"
         limit = self.holding.places[self.holding.index[fetch.digest]].length
@@ -249,6 +256,8 @@
             return FetchFailure.UNREACHABLE
         except ExchangeFailed:
             return FetchFailure.STALLED
+        if rate is not None:
+            rate.observe(len(data), monotonic() - begun)
         self._count_peer_bytes(fetch.source, len(data))
         return data
 
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -8,12 +8,15 @@
 from ridgecourse.cluster.decoder import RecordDecoder
 from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.site import Site
+from ridgecourse.exchange.origin import WeightsOrigin
 from ridgecourse.gateway.forwarder import Forwarder
+from ridgecourse.gateway.hub import Hub
 from ridgecourse.gateway.loads import LoadWatcher
 from ridgecourse.gateway.protocol import RequestProtocol
 from ridgecourse.net.address import parse_address
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.front_server import FrontReply, FrontRequest, FrontServer
+from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter, HttpServer
 from ridgecourse.net.process import Process, new_incarnation
 from ridgecourse.net.record_source import RecordSource
@@ -40,13 +43,16 @@
         source: RecordSource,
         decoder: RecordDecoder,
         protocol: RequestProtocol,
+        origin: WeightsOrigin,
+        http: HttpClient,
         ready_path: str,
     ) -> None:
         self.site = site
         self.events = EventStream(site.process, new_incarnation(), site.domain)
         version_seconds = site.bounds.version_seconds
         self.view = ClusterView(source, decoder, self.events, version_seconds)
-        self.watcher = LoadWatcher(site, self.view, self.events)
+        self.hub = Hub(site, self.view, self.events, origin, http)
+        self.watcher = LoadWatcher(site, self.view, self.hub, self.events)
         self.forwarder = Forwarder(
             site, self.view, protocol, self.watcher, self.events, Random()
         )
@@ -63,6 +69,7 @@
         self.front.start()
         self.readiness.start()
         self.view.start()
+        self.hub.start()
         self.watcher.start()
         self.threads.append(spawn_loop(self._take_limits))
         self.events.emit(EventKind.STARTED, http=str(self.front.address))
@@ -100,6 +107,7 @@
     def close(self) -> None:
         """Release everything."""
         self.watcher.close()
+        self.hub.close()
         self.view.close()
         for thread in self.threads:
             thread.kill()
--- /dev/null
+++ b/src/ridgecourse/gateway/hub.py
@@ -0,0 +1,217 @@
+"""A gateway's part in the exchange of weights."""
+
+from collections.abc import Sequence
+from time import monotonic
+
+import eventlet
+
+from ridgecourse.cluster.view import ClusterView
+from ridgecourse.core.hubs import GatewayPlace, choose_hubs
+from ridgecourse.core.ids import TargetName
+from ridgecourse.core.planner import Member, PlanPolicy
+from ridgecourse.core.site import Site
+from ridgecourse.exchange.catalogue import Catalogue, VersionKey
+from ridgecourse.exchange.context import (
+    ExchangeContext,
+    LinkPolicy,
+    Peer,
+    sha256_digest,
+)
+from ridgecourse.exchange.holding import Holding
+from ridgecourse.exchange.origin import WeightsOrigin
+from ridgecourse.exchange.server import Exchange
+from ridgecourse.exchange.store import ChunkStore
+from ridgecourse.exchange.transfer import Transfer, TransferError
+from ridgecourse.net.address import Address
+from ridgecourse.net.events import EventKind, EventStream
+from ridgecourse.net.http_client import HttpClient
+from ridgecourse.net.http_server import HttpRouter, HttpServer
+from ridgecourse.net.metrics import Metrics
+from ridgecourse.net.throttle import AdaptiveRate
+from ridgecourse.net.websocket import ChannelClosed, ControlChannel, ControlServer
+from ridgecourse.wire.control import Follow
+
+STORE_BYTES = 64 * 1024 * 1024
+"""Memory for chunks: some versions of a few MB."""
+REGION_BYTES_PER_S = 1_000_000.0
+"""Asked of hubs elsewhere: two fifths of the 20 Mbit/s between two regions, which
+requests share."""
+UPLOAD_SLOTS = 64
+"""Chunks sent at a time: each loader of the domain asks for some."""
+MANIFEST_STAGGER_SECONDS = 0.3
+"""A hub that is not the first waits so long before it asks the origin itself."""
+RETRY_SECONDS = 0.5
+FIRST_MESSAGE_SECONDS = 2.0
+
+
+class Hub:
+    """Brings versions in for the loaders of the domain.
+
+    Attributes:
+        place: Where others find it.
+        told: Gateways that each loader knows, by the loader's address.
+        working: Versions that are being brought in.
+    """
+
+    def __init__(
+        self,
+        site: Site,
+        view: ClusterView,
+        events: EventStream,
+        origin: WeightsOrigin,
+        http: HttpClient,
+    ) -> None:
+        self.site = site
+        self.view = view
+        self.events = events
+        self.origin = origin
+        control_port = site.peer_ports[0]
+        self.place = GatewayPlace(
+            TargetName(site.host),
+            site.domain,
+            f"{site.host}:{control_port + 1}",
+            f"{site.host}:{control_port}",
+        )
+        self.told: dict[str, list[GatewayPlace]] = {}
+        self.context = ExchangeContext(
+            me=Member(self.place.name, site.domain),
+            events=events,
+            metrics=Metrics(site.process, None),
+            http=http,
+            store=ChunkStore(STORE_BYTES),
+            link=LinkPolicy(
+                upload_slots=UPLOAD_SLOTS,
+                upload_queue=UPLOAD_SLOTS,
+                uploads_per_chunk=1_000_000,
+            ),
+            plan=PlanPolicy(fetches=4),
+            rate=AdaptiveRate(REGION_BYTES_PER_S),
+            source=site.host,
+            digest=sha256_digest,
+        )
+        self.exchange = Exchange(self.context)
+        self.catalogue = Catalogue(self.context, origin, self.want)
+        self.working: dict[VersionKey, eventlet.greenthread.GreenThread] = {}
+        router = HttpRouter()
+        self.exchange.add_routes(router)
+        self.catalogue.add_routes(router)
+        self.http_server = HttpServer(Address(site.host, control_port + 1), router)
+        self.control_server = ControlServer(
+            Address(site.host, control_port), "", self.handle_channel
+        )
+
+    def start(self) -> None:
+        """Open both servers."""
+        self.http_server.start()
+        self.control_server.start()
+
+    def close(self) -> None:
+        """Close them and end all transfers."""
+        for thread in self.working.values():
+            thread.kill()
+        self.control_server.close()
+        self.http_server.close()
+
+    def handle_channel(self, channel: ControlChannel) -> None:
+        """Tell another process what is held here, until it goes away.
+
+        Raises:
+            ChannelClosed: It went away.
+        """
+        follow = channel.receive(Follow, FIRST_MESSAGE_SECONDS)
+        if follow is None:
+            raise ChannelClosed("no first message")
+        self.exchange.tell_holdings(channel, follow)
+
+    def learn(self, loader: str, gateways: list[GatewayPlace]) -> None:
+        """Take in the gateways that a loader knows; none once it is lost."""
+        if gateways:
+            self.told[loader] = gateways
+        else:
+            self.told.pop(loader, None)
+
+    def hubs(self, key: VersionKey) -> Sequence[GatewayPlace]:
+        """Return the hubs of a version, this gateway among them.
+
+        Who is asked for a version is a hub, even if others would have been.
+        """
+        known = [gateway for told in self.told.values() for gateway in told]
+        chosen = choose_hubs(str(key), [*known, self.place])
+        return [
+            self.place if gateway.domain == self.place.domain else gateway
+            for gateway in chosen
+        ]
+
+    def want(self, key: VersionKey) -> None:
+        """Bring a version in, if that has not begun."""
+        if key in self.working or key in self.catalogue.holdings:
+            return
+        self.working[key] = eventlet.spawn(self._bring, key)
+
+    def _bring(self, key: VersionKey) -> None:
+        """Bring a version in for others, until it is whole or out of date."""
+        begun = monotonic()
+        try:
+            while not self._is_old(key):
+                if self._try_bring(key):
+                    seconds = round(monotonic() - begun, 2)
+                    self.events.emit(
+                        EventKind.VERSION_COMPLETE, version=str(key[1]), took=seconds
+                    )
+                    return
+                eventlet.sleep(RETRY_SECONDS)
+        finally:
+            self.working.pop(key, None)
+
+    def _is_old(self, key: VersionKey) -> bool:
+        return self.view.wanted_version(key[0]) > key[1] + 1
+
+    def _try_bring(self, key: VersionKey) -> bool:
+        config = self.view.config
+        if config is None or config.origin is None:
+            return False
+        hubs = self.hubs(key)
+        self._wake_others(key, hubs)
+        holding = self._find_manifest(key, config.origin.address, hubs)
+        if holding is None:
+            return False
+        self._join(key, holding)
+        peers = {
+            hub.name: Peer(hub.name, hub.domain, hub.address, hub.control_address)
+            for hub in hubs
+            if hub.name != self.place.name
+        }
+        chunks = self.origin.chunks(config.origin.address, *key)
+        names = [hub.name for hub in hubs]
+        transfer = Transfer(self.context, chunks, holding, peers, 1, names)
+        try:
+            return transfer.run()
+        except TransferError as error:
+            self.events.emit(
+                EventKind.ROLLOUT_FAILED, version=str(key[1]), error=str(error)
+            )
+            return False
+
+    def _wake_others(self, key: VersionKey, hubs: Sequence[GatewayPlace]) -> None:
+        """Ask the other hubs for the version, so that they begin as well."""
+        for hub in hubs:
+            if hub.name != self.place.name:
+                eventlet.spawn(self.catalogue.ask, hub.address, key)
+
+    def _find_manifest(
+        self, key: VersionKey, origin: str, hubs: Sequence[GatewayPlace]
+    ) -> Holding | None:
+        rank = hubs.index(self.place)
+        before = [
+            Peer(hub.name, hub.domain, hub.address, hub.control_address)
+            for hub in hubs[:rank]
+        ]
+        patience = MANIFEST_STAGGER_SECONDS * rank
+        return self.catalogue.find(key, origin, before, patience)
+
+    def _join(self, key: VersionKey, holding: Holding) -> None:
+        for old in self.catalogue.drop_old(key[0]):
+            self.exchange.leave(old.root)
+        self.catalogue.retain_chunks()
+        if holding.root not in self.exchange.holdings:
+            self.exchange.join(holding)
--- a/src/ridgecourse/gateway/loads.py
+++ b/src/ridgecourse/gateway/loads.py
@@ -12,10 +12,16 @@
 from ridgecourse.core.ids import Seconds
 from ridgecourse.core.site import Site
 from ridgecourse.core.targets import ListedTarget
+from ridgecourse.gateway.hub import Hub
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.threads import spawn_loop
 from ridgecourse.net.websocket import ChannelClosed, open_channel
-from ridgecourse.wire.control import PROTOCOL_VERSION, EngineReport, Watch
+from ridgecourse.wire.control import (
+    PROTOCOL_VERSION,
+    EngineReport,
+    LoaderReport,
+    Watch,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -34,8 +40,11 @@
         loads: What is known of each engine, by its address.
     """
 
-    def __init__(self, site: Site, view: ClusterView, events: EventStream) -> None:
+    def __init__(
+        self, site: Site, view: ClusterView, hub: Hub, events: EventStream
+    ) -> None:
         self.site = site
+        self.hub = hub
         self.view = view
         self.events = events
         self.loads: dict[str, EngineLoad] = {}
@@ -85,19 +94,29 @@
                 self._take_reports(target, f"{target.host}:{port}")
             except ChannelClosed as error:
                 logger.debug("no reports of %s: %s", target.target, error)
+            finally:
+                self.hub.learn(target.address, [])
             eventlet.sleep(RECONNECT_SECONDS * (0.5 + random()))
 
     def _take_reports(self, target: ListedTarget, control_address: str) -> None:
         channel = open_channel(control_address, "", self.site.host)
         with closing(channel):
             channel.send(
-                Watch(PROTOCOL_VERSION, self.site.process, self._interval(target))
+                Watch(
+                    PROTOCOL_VERSION,
+                    self.site.process,
+                    self._interval(target),
+                    self.hub.place,
+                )
             )
             while True:
-                report = channel.receive(EngineReport, SILENCE_SECONDS)
+                report = channel.receive(LoaderReport, SILENCE_SECONDS)
                 if report is None:
                     raise ChannelClosed("silent")
-                self._take(target, report.status)
+                if isinstance(report, EngineReport):
+                    self._take(target, report.status)
+                else:
+                    self.hub.learn(target.address, report.gateways)
 
     def _take(self, target: ListedTarget, status: EngineStatus) -> None:
         load = self.load(target.address)
--- a/src/ridgecourse/loader/loader.py
+++ b/src/ridgecourse/loader/loader.py
@@ -1,16 +1,18 @@
 """The loader process: ties engine, exchange of weights and store together."""
 
-from hashlib import sha256
+from collections import Counter
 
 from ridgecourse.cluster.decoder import RecordDecoder
 from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.ids import ChunkDigest, TargetName
+from ridgecourse.core.hubs import GatewayPlace
+from ridgecourse.core.ids import TargetName
 from ridgecourse.core.planner import Member, PlanPolicy
 from ridgecourse.core.site import Site
-from ridgecourse.exchange.context import ExchangeContext, LinkPolicy
+from ridgecourse.exchange.context import ExchangeContext, LinkPolicy, sha256_digest
+from ridgecourse.exchange.origin import WeightsOrigin
 from ridgecourse.exchange.server import Exchange
 from ridgecourse.exchange.store import ChunkStore
-from ridgecourse.loader.protocol import EngineControl, WeightsOrigin
+from ridgecourse.loader.protocol import EngineControl
 from ridgecourse.loader.rollout import Rollout
 from ridgecourse.loader.status import StatusFeed
 from ridgecourse.net.address import Address
@@ -20,6 +22,7 @@
 from ridgecourse.net.metrics import Metrics
 from ridgecourse.net.process import Process, new_incarnation
 from ridgecourse.net.record_source import RecordSource
+from ridgecourse.net.throttle import AdaptiveRate
 from ridgecourse.net.websocket import ChannelClosed, ControlChannel, ControlServer
 from ridgecourse.wire.control import Follow, LoaderMessage
 
@@ -33,8 +36,8 @@
 UPLOAD_QUEUE = 6
 """Requests for chunks that may wait for an upload slot: a chunk takes some 50 ms,
 less than a refused loader waits before it asks again."""
-FETCHES = 6
-"""Chunks asked for at a time; most of them wait in others' queues."""
+FETCHES = 3
+"""Chunks asked for at a time: enough that the link is never idle."""
 FIRST_MESSAGE_SECONDS = 2.0
 
 
@@ -70,11 +73,12 @@
                 upload_queue=UPLOAD_QUEUE,
             ),
             plan=PlanPolicy(fetches=FETCHES),
-            download_bytes_per_s=site.upload_bytes_per_s * LINK_SHARE,
+            rate=AdaptiveRate(site.upload_bytes_per_s * LINK_SHARE),
             source=site.host,
             digest=sha256_digest,
         )
         self.exchange = Exchange(self.context)
+        self.gateways: Counter[GatewayPlace] = Counter()
         control_port, chunk_port = site.peer_ports[0], site.peer_ports[0] + 1
         self.rollout = Rollout(
             site,
@@ -83,9 +87,10 @@
             self.exchange,
             engine,
             origin,
+            self.gateways,
             (chunk_port, control_port),
         )
-        self.feed = StatusFeed(engine, self.rollout)
+        self.feed = StatusFeed(engine, self.rollout, self.gateways)
         self.router = HttpRouter()
         self.exchange.add_routes(self.router)
         self.rollout.catalogue.add_routes(self.router)
@@ -129,8 +134,3 @@
         self.control_server.close()
         self.http_server.close()
         self.events.emit(EventKind.STOPPED)
-
-
-def sha256_digest(data: bytes) -> ChunkDigest:
-    """Return the digest by which the origin names a chunk's bytes."""
-    return ChunkDigest(sha256(data).hexdigest())
--- a/src/ridgecourse/loader/protocol.py
+++ b/src/ridgecourse/loader/protocol.py
@@ -6,9 +6,7 @@
 from msgspec import Struct
 
 from ridgecourse.core.ids import ModelName, WeightsVersion
-from ridgecourse.core.manifest import Manifest
 from ridgecourse.core.targets import HeldLayers
-from ridgecourse.exchange.origin import ChunkOrigin
 
 
 class EngineUnavailable(Exception):
@@ -91,23 +89,3 @@
         Raises:
             EngineUnavailable: It gave no usable answer.
         """
-
-
-class WeightsOrigin(ABC):
-    """The origin of all versions."""
-
-    @abstractmethod
-    def manifest(
-        self, address: str, model: ModelName, version: WeightsVersion
-    ) -> Manifest:
-        """Return a version's manifest.
-
-        Raises:
-            OriginUnavailable: It cannot be had now.
-        """
-
-    @abstractmethod
-    def chunks(
-        self, address: str, model: ModelName, version: WeightsVersion
-    ) -> ChunkOrigin:
-        """Return the origin of a version's chunks."""
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -1,26 +1,29 @@
 """Brings the engine to the version that is to be served, and keeps it there."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from enum import Enum
 from time import monotonic
 
 from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.engine_load import EngineStatus
+from ridgecourse.core.hubs import GatewayPlace, choose_hubs
 from ridgecourse.core.ids import Seconds, TargetName, WeightsVersion
+from ridgecourse.core.rendezvous import rendezvous_rank
 from ridgecourse.core.routes import EngineModel, OriginPlace
 from ridgecourse.core.site import Site
 from ridgecourse.core.supersession import TransferPlan, should_finish
+from ridgecourse.core.targets import ListedTarget
+from ridgecourse.exchange.catalogue import Catalogue, VersionKey
 from ridgecourse.exchange.context import ExchangeContext, Peer
 from ridgecourse.exchange.holding import Holding
+from ridgecourse.exchange.origin import WeightsOrigin
 from ridgecourse.exchange.server import Exchange
 from ridgecourse.exchange.transfer import Transfer, TransferError
-from ridgecourse.loader.catalogue import Catalogue, VersionKey
 from ridgecourse.loader.protocol import (
     EngineControl,
     EngineReport,
     EngineUnavailable,
     OrderOutcome,
-    WeightsOrigin,
 )
 from ridgecourse.loader.staging import Staging
 from ridgecourse.net.events import EventKind
@@ -31,10 +34,22 @@
 engine is noticed within this."""
 WORK_SECONDS = 0.1
 """Between two looks at an engine that carries out an order."""
-KEPT_VERSIONS = 2
-"""Versions kept for others: the newest and the one before, which the origin has."""
-START_SECONDS = 1.0
-"""From the last chunk to serving: staging, checking, the engine's own start."""
+START_SECONDS = 0.5
+"""From the last chunk to the order: staging and checking."""
+LATE_START_SECONDS = 0.4
+"""Before requests may no longer begin on an engine's weights, when an engine of
+the late half takes new ones: what begins later would not be allowed to."""
+APART_SECONDS = 3.0
+"""Between the bounds of two versions from which on the early half finishes the
+first: less, and it would be late for both."""
+NEARLY_SECONDS = 0.7
+"""A transfer this close to its end is always finished."""
+SETTLE_SECONDS = 3.0
+"""From its start on, how long a loader without any gateway waits for one before it
+turns to other loaders: gateways read the list of targets each 0.8 s."""
+MANIFEST_PATIENCE_SECONDS = 1.0
+"""How long hubs are asked for a manifest before the origin is: theirs takes some
+round trips."""
 
 
 class Phase(Enum):
@@ -55,6 +70,8 @@
         phase: What is being done.
         version: The version it is done for.
         error: What stands in the way; empty for nothing.
+        ordered: The version of the last order.
+        hubs: Where the transfer in progress takes chunks from.
     """
 
     def __init__(
@@ -65,6 +82,7 @@
         exchange: Exchange,
         engine: EngineControl,
         origin: WeightsOrigin,
+        gateways: Mapping[GatewayPlace, int],
         peer_address: tuple[int, int],
     ) -> None:
         assert site.target is not None
@@ -75,12 +93,16 @@
         self.exchange = exchange
         self.engine = engine
         self.origin = origin
+        self.gateways = gateways
         self.chunk_port, self.control_port = peer_address
         self.catalogue = Catalogue(context, origin)
         self.phase = Phase.WAITING
         self.version = WeightsVersion(0)
         self.error = ""
+        self.alone_until = monotonic() + SETTLE_SECONDS
+        self.ordered = WeightsVersion(0)
         self.transfer: Transfer | None = None
+        self.hubs: Sequence[GatewayPlace] = []
         self.threads: list = []
 
     def start(self) -> None:
@@ -113,11 +135,10 @@
         model, place = found
         wanted = self.view.wanted_version(model.model)
         report = self.engine.report()
-        if report.busy:
+        if report.busy and self.ordered == wanted:
             return WORK_SECONDS
         if report.serves(wanted, model.layers):
             self._set(Phase.SERVING, "", wanted)
-            self._share((model.model, wanted), place)
             return IDLE_SECONDS
         return self._bring((model.model, wanted), model, place, report)
 
@@ -161,11 +182,25 @@
             pace=report.pace,
         )
 
-    def peers(self) -> Mapping[TargetName, Peer]:
-        """Return the other loaders of the service's engines, by instance."""
+    def sources(self, key: VersionKey) -> tuple[Mapping[TargetName, Peer], list]:
+        """Return whom to take a version from, and which of them are hubs.
+
+        Without any gateway the loaders take it from each other.
+        """
+        self.hubs = choose_hubs(str(key), self.gateways)
+        if not self.hubs:
+            return self.other_loaders(), []
+        peers = {
+            hub.name: Peer(hub.name, hub.domain, hub.address, hub.control_address)
+            for hub in self.hubs
+        }
+        return peers, list(peers)
+
+    def other_loaders(self) -> Mapping[TargetName, Peer]:
+        """Return the loaders of the service's other engines, by instance."""
         found = {}
-        for target in self.view.targets.targets.values():
-            if target.service != self.service or target.host == self.site.host:
+        for target in self._engines():
+            if target.host == self.site.host:
                 continue
             name = TargetName(target.host)
             found[name] = Peer(
@@ -176,25 +211,33 @@
             )
         return found
 
-    # Steps.
+    def _engines(self) -> Iterator[ListedTarget]:
+        for target in self.view.targets.targets.values():
+            if target.service == self.service:
+                yield target
 
-    def _share(self, key: VersionKey, place: OriginPlace) -> None:
-        """Offer the version that the engine serves to others."""
-        if key in self.catalogue.holdings:
-            return
-        holding = self.catalogue.find(key, place.address, self.peers())
-        if holding is not None:
-            Staging(self.context, self.engine, key[0]).take_in(holding.manifest)
-            self._join(key, holding)
+    def starts_early(self, key: VersionKey) -> bool:
+        """Tell whether this engine is in the half that takes new weights first.
+
+        An engine that changes its weights takes no requests until it has ended
+        those in progress. Half of each domain's engines do that as soon as they
+        can; the others serve on until their weights may no longer be used.
+        """
+        near = {
+            target.host
+            for target in self._engines()
+            if target.domain == self.site.domain
+        }
+        ranked = rendezvous_rank(f"{key}/start", near | {self.site.host})
+        return ranked.index(self.site.host) % 2 == 0
+
+    # Steps.
 
     def _join(self, key: VersionKey, holding: Holding) -> None:
         """Take part in a version's exchange; drop what is older than needed."""
-        known = sorted(k for k in self.catalogue.holdings if k[0] == key[0])
-        for old in known[:-KEPT_VERSIONS]:
-            self.exchange.leave(self.catalogue.holdings.pop(old).root)
-        holdings = self.catalogue.holdings.values()
-        places = [place for held in holdings for place in held.places]
-        self.context.store.retain([place.digest for place in places])
+        for old in self.catalogue.drop_old(key[0]):
+            self.exchange.leave(old.root)
+        self.catalogue.retain_chunks()
         if holding.root not in self.exchange.holdings:
             self.exchange.join(holding)
 
@@ -206,8 +249,15 @@
         report: EngineReport,
     ) -> float:
         """Bring a version in and start it."""
+        if not self.gateways and monotonic() < self.alone_until:
+            return WORK_SECONDS
         self._set(Phase.MANIFEST, "", key[1])
-        holding = self.catalogue.find(key, place.address, self.peers())
+        peers, hubs = self.sources(key)
+        near = sorted(peers.values(), key=lambda peer: peer.domain != self.site.domain)
+        asked = near if hubs else []
+        holding = self.catalogue.find(
+            key, place.address, asked, MANIFEST_PATIENCE_SECONDS
+        )
         if holding is None:
             self._set(Phase.MANIFEST, "no manifest", key[1])
             return WORK_SECONDS
@@ -215,30 +265,53 @@
         if len(holding.held) < len(holding.places):
             staging.take_in(holding.manifest)
         self._join(key, holding)
-        if not self._complete(key, holding, place):
-            return WORK_SECONDS
-        self._set(Phase.STAGING, "", key[1])
-        staging.fill(holding.manifest)
-        # Once more, shortly before it is taken: chunks turn bad where they lie.
-        repaired = staging.fill(holding.manifest)
-        self._start(key, repaired)
-        return WORK_SECONDS
+        if len(holding.held) < len(holding.places):
+            origin = self.origin.chunks(place.address, *key)
+            transfer = Transfer(self.context, origin, holding, peers, 1, hubs)
+            if not self._run_transfer(key, transfer):
+                return WORK_SECONDS
+        return self._take(key, holding, staging, report)
 
-    def _complete(self, key: VersionKey, holding: Holding, place: OriginPlace) -> bool:
+    def _run_transfer(self, key: VersionKey, transfer: Transfer) -> bool:
         """Fetch the missing chunks; tell whether all are held."""
-        if len(holding.held) == len(holding.places):
-            return True
         self._set(Phase.TRANSFER, "", key[1])
-        origin = self.origin.chunks(place.address, *key)
-        self.transfer = Transfer(self.context, origin, holding, self.peers(), 1)
+        self.transfer = transfer
         try:
-            return self.transfer.run()
+            return transfer.run()
         except TransferError as error:
             self._set(Phase.TRANSFER, str(error), key[1])
             return False
         finally:
             self.transfer = None
 
+    def _take(
+        self,
+        key: VersionKey,
+        holding: Holding,
+        staging: Staging,
+        report: EngineReport,
+    ) -> float:
+        """Stage a version that is held, and start it when its time has come."""
+        self._set(Phase.STAGING, "", key[1])
+        staging.fill(holding.manifest)
+        wait = self._start_wait(key, report)
+        if wait > 0:
+            return min(wait, IDLE_SECONDS)
+        # Once more, shortly before it is taken: chunks turn bad where they lie.
+        repaired = staging.fill(holding.manifest)
+        self._start(key, repaired)
+        return WORK_SECONDS
+
+    def _start_wait(self, key: VersionKey, report: EngineReport) -> float:
+        """Return the seconds after which to order the start; 0 for now."""
+        held = report.layers
+        if held is None or self.starts_early(key):
+            return 0.0
+        bound = self.view.history(key[0]).begin_by(held.version)
+        if bound is None:
+            return 0.0
+        return max(0.0, bound - LATE_START_SECONDS - monotonic())
+
     def _start(self, key: VersionKey, repaired: int) -> None:
         outcome = self.engine.start(*key)
         self.context.events.emit(
@@ -248,6 +321,7 @@
             repaired=repaired,
         )
         if outcome in (OrderOutcome.BEGUN, OrderOutcome.HELD):
+            self.ordered = key[1]
             self._set(Phase.STARTING, "", key[1])
         else:
             self._set(Phase.STARTING, f"order {outcome.value}", key[1])
@@ -263,7 +337,10 @@
                 continue
             model = found[0]
             wanted = self.view.wanted_version(model.model)
-            if wanted > self.version and not self._should_finish(transfer, model):
+            if self.hubs != choose_hubs(str(self._key(model)), self.gateways):
+                # A hub came or went: begin again with those that are there now.
+                transfer.cancel()
+            elif wanted > self.version and not self._should_finish(transfer, model):
                 self.context.events.emit(
                     EventKind.ROLLOUT_DROPPED,
                     version=str(self.version),
@@ -284,4 +361,12 @@
         current = TransferPlan(
             copy * missing + START_SECONDS, history.begin_by(older) or now
         )
-        return should_finish(current, newer, now)
+        if current.ready_after < START_SECONDS + NEARLY_SECONDS:
+            return True
+        if newer.bound - current.bound < APART_SECONDS:
+            return should_finish(current, newer, now)
+        # Half of the engines serve the first version until the second is there.
+        return self.starts_early(self._key(model))
+
+    def _key(self, model: EngineModel) -> VersionKey:
+        return model.model, self.version
--- a/src/ridgecourse/loader/status.py
+++ b/src/ridgecourse/loader/status.py
@@ -1,16 +1,18 @@
 """Tells gateways the load of the engine."""
 
+from collections import Counter
 from time import monotonic
 
 import eventlet
 
 from ridgecourse.core.engine_load import EngineStatus
+from ridgecourse.core.hubs import GatewayPlace
 from ridgecourse.loader.protocol import EngineControl, EngineUnavailable
 from ridgecourse.loader.rollout import Rollout
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.threads import spawn_loop
 from ridgecourse.net.websocket import ControlChannel
-from ridgecourse.wire.control import EngineReport, Watch
+from ridgecourse.wire.control import EngineReport, Gateways, Watch
 
 BUSY_SECONDS = 0.1
 """Between two looks at an engine with requests: an engine at its limit begins one
@@ -26,15 +28,20 @@
 
     Attributes:
         status: The newest load; None while the engine does not answer.
-        watchers: Gateways that are told.
+        gateways: Those that are told, with the number of their connections.
     """
 
-    def __init__(self, engine: EngineControl, rollout: Rollout) -> None:
+    def __init__(
+        self,
+        engine: EngineControl,
+        rollout: Rollout,
+        gateways: Counter[GatewayPlace],
+    ) -> None:
         self.engine = engine
         self.rollout = rollout
         self.status: EngineStatus | None = None
         self.changed = Broadcast()
-        self.watchers = 0
+        self.gateways = gateways
         self.thread: eventlet.greenthread.GreenThread | None = None
 
     def start(self) -> None:
@@ -52,7 +59,7 @@
 
     def _look_once(self) -> float:
         """Look if anybody is told; return the seconds until the next look."""
-        if not self.watchers:
+        if not self.gateways:
             return IDLE_SECONDS
         try:
             status = self.rollout.describe(self.engine.report())
@@ -72,13 +79,24 @@
             ChannelClosed: It went away.
         """
         interval = max(SHORTEST_INTERVAL_SECONDS, watch.interval)
-        self.watchers += 1
+        self._count(watch.gateway, +1)
+        told: list[GatewayPlace] = []
         try:
             while True:
                 sent = monotonic()
+                if told != list(self.gateways):
+                    told = list(self.gateways)
+                    channel.send(Gateways(told))
                 if self.status is not None:
                     channel.send(EngineReport(self.status))
                 self.changed.wait(HEARTBEAT_SECONDS)
                 eventlet.sleep(max(0.0, sent + interval - monotonic()))
         finally:
-            self.watchers -= 1
+            self._count(watch.gateway, -1)
+
+    def _count(self, gateway: GatewayPlace, change: int) -> None:
+        """Note that a gateway connected or went away."""
+        self.gateways[gateway] += change
+        if self.gateways[gateway] <= 0:
+            del self.gateways[gateway]
+        self.changed.notify()
--- a/src/ridgecourse/net/record_follower.py
+++ b/src/ridgecourse/net/record_follower.py
@@ -68,6 +68,11 @@
             self.thread.kill()
             self.thread = None
 
+    def restart(self) -> None:
+        """Give up a read that waits: its connection may have died unseen."""
+        self.close()
+        self.start()
+
     def _run(self) -> None:
         while True:
             try:
--- a/src/ridgecourse/net/throttle.py
+++ b/src/ridgecourse/net/throttle.py
@@ -39,6 +39,36 @@
             yield piece
 
 
+class AdaptiveRate:
+    """The rate of a link that may narrow for a while.
+
+    Attributes:
+        limit: Bytes a second that the link can take at best.
+        current: Bytes a second that it is believed to take now.
+    """
+
+    FLOOR = 0.05
+    """Share of the limit below which the rate is not lowered."""
+    SLOWER = 2.0
+    """Times longer than expected that a transfer takes on a narrowed link."""
+    GROWTH = 1.15
+    """Factor at which the rate grows back with each transfer in time."""
+
+    def __init__(self, limit: float) -> None:
+        self.limit = limit
+        self.current = limit
+
+    def observe(self, size: int, seconds: float) -> None:
+        """Take in how long one of several transfers at a time took."""
+        if seconds <= 0:
+            return
+        measured = size / seconds
+        if measured * self.SLOWER < self.current / 2:
+            self.current = max(self.limit * self.FLOOR, self.current / 2)
+        else:
+            self.current = min(self.limit, self.current * self.GROWTH)
+
+
 def in_pieces(data: bytes, size: int) -> Iterator[bytes]:
     """Yield data in pieces of at most a size."""
     view = memoryview(data)
--- a/src/ridgecourse/platform/gateway_main.py
+++ b/src/ridgecourse/platform/gateway_main.py
@@ -8,6 +8,7 @@
 from ridgecourse.gateway.gateway import Gateway
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse.platform.names import READY_PATH
+from ridgecourse.platform.origin import PlatformOrigin
 from ridgecourse.platform.process import run_on_platform
 from ridgecourse.platform.records import PlatformRecords
 from ridgecourse.platform.requests import PlatformRequests
@@ -16,8 +17,16 @@
 
 def make_gateway(site: Site) -> Gateway:
     """Return a gateway that speaks the platform's protocols."""
-    store = PlatformStore(site.store, HttpClient(source=site.host))
-    return Gateway(site, store, PlatformRecords(), PlatformRequests(), READY_PATH)
+    http = HttpClient(source=site.host)
+    return Gateway(
+        site,
+        PlatformStore(site.store, http),
+        PlatformRecords(),
+        PlatformRequests(),
+        PlatformOrigin(http),
+        http,
+        READY_PATH,
+    )
 
 
 if __name__ == "__main__":
--- a/src/ridgecourse/platform/origin.py
+++ b/src/ridgecourse/platform/origin.py
@@ -12,8 +12,8 @@
     OriginBusy,
     OriginMissing,
     OriginUnavailable,
+    WeightsOrigin,
 )
-from ridgecourse.loader.protocol import WeightsOrigin
 from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
 from ridgecourse.platform.names import CHUNK_INDEX, CHUNK_PATH, MANIFEST_PATH
 from ridgecourse.platform.records import decode_json
--- a/src/ridgecourse/platform/store.py
+++ b/src/ridgecourse/platform/store.py
@@ -28,7 +28,7 @@
 )
 
 TOPICS = {Topic.DECISIONS: DECISIONS_TOPIC, Topic.TARGETS: TARGETS_TOPIC}
-ANSWER_SECONDS = 1.5
+ANSWER_SECONDS = 1.0
 """Longest wait for an answer beyond a requested one: the store answers in 4 ms,
 in some hundred when slow."""
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
--- a/src/ridgecourse/wire/control.py
+++ b/src/ridgecourse/wire/control.py
@@ -4,6 +4,7 @@
 
 from ridgecourse.core.config import ConfigSnapshot
 from ridgecourse.core.engine_load import EngineStatus
+from ridgecourse.core.hubs import GatewayPlace
 from ridgecourse.core.ids import (
     ChunkDigest,
     DomainName,
@@ -121,11 +122,13 @@
         protocol: Version of this protocol.
         process: The sender.
         interval: Shortest time between two reports, in seconds.
+        gateway: Where the sender takes part in the exchange of weights.
     """
 
     protocol: int
     process: ProcessName
     interval: float
+    gateway: GatewayPlace
 
 
 class EngineReport(ControlMessage, frozen=True, tag="engine"):
@@ -134,6 +137,13 @@
     status: EngineStatus
 
 
+class Gateways(ControlMessage, frozen=True, tag="gateways"):
+    """The gateways that watch the sender: so they learn of each other."""
+
+    gateways: list[GatewayPlace]
+
+
+LoaderReport = EngineReport | Gateways
 EntryMessage = Hello | ConfigRecords | ConfigFull | WantRecords
 AgentMessage = Hello | ConfigRecords | ConfigFull | AgentReport | WantRecords
 FirstMessage = Hello | Follow
