--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -38,6 +38,10 @@
 requests share."""
 UPLOAD_SLOTS = 64
 """Chunks sent at a time: each loader of the domain asks for some."""
+FIRST_BACK_OFF_SECONDS = 0.1
+LONGEST_BACK_OFF_SECONDS = 0.6
+"""After failures of the origin or another hub. Few ask, and each second without the
+weights after their bound is one without service."""
 MANIFEST_STAGGER_SECONDS = 0.3
 """A hub that is not the first waits so long before it asks the origin itself."""
 RETRY_SECONDS = 0.5
@@ -84,7 +88,11 @@
                 upload_queue=UPLOAD_SLOTS,
                 uploads_per_chunk=1_000_000,
             ),
-            plan=PlanPolicy(fetches=4),
+            plan=PlanPolicy(
+                fetches=4,
+                back_off_seconds=FIRST_BACK_OFF_SECONDS,
+                max_back_off_seconds=LONGEST_BACK_OFF_SECONDS,
+            ),
             rate=AdaptiveRate(REGION_BYTES_PER_S),
             source=site.host,
             digest=sha256_digest,
