--- /dev/null
+++ b/tests/platform/test_load.py
@@ -0,0 +1,67 @@
+"""Estimates of an engine's load, and what is refused by them."""
+
+from ridgecourse.core.engine_load import EngineLoad, EngineStatus, seconds_per_request
+from ridgecourse.core.ids import ModelName, Seconds, WeightsVersion
+from ridgecourse.core.routes import EngineModel
+
+MODEL = EngineModel(
+    model=ModelName("m"),
+    slots=16,
+    cache_tokens=317_000,
+    step=0.00927,
+    step_per_request=0.0000232,
+    step_per_token=0.0000000322,
+    prompt_rate=20_700,
+    pair_seconds=1.18e-9,
+    prompt_tokens=979,
+    answer_tokens=92,
+    layers=16,
+    chunks=96,
+    chunk_bytes=24_576,
+)
+
+
+def make_status(queued: int, active: int, pace: float = 1.0) -> EngineStatus:
+    return EngineStatus(WeightsVersion(1), False, queued, active, 0, 317_000, pace)
+
+
+def test_a_full_engine_finishes_some_nine_requests_a_second() -> None:
+    assert 8 < 1 / seconds_per_request(MODEL, 16) < 11
+
+
+def test_nothing_waits_while_slots_are_free() -> None:
+    load = EngineLoad()
+    load.report(make_status(0, 15), Seconds(10.0))
+    assert load.wait(MODEL, 16, Seconds(10.0), 3) == 0.0
+
+
+def test_what_waits_and_what_was_sent_since_goes_before() -> None:
+    load = EngineLoad()
+    load.report(make_status(3, 16), Seconds(10.0))
+    one = seconds_per_request(MODEL, 16)
+    assert load.wait(MODEL, 16, Seconds(10.0), 3) == 4 * one
+    load.waiting["a"] = Seconds(10.1)
+    assert load.wait(MODEL, 16, Seconds(10.1), 3) == 5 * one
+    load.waiting["b"] = Seconds(9.0)
+    assert load.requests(Seconds(10.1), 3) == 20
+
+
+def test_a_slow_engine_tells_so() -> None:
+    load = EngineLoad()
+    load.report(make_status(3, 16, pace=3.0), Seconds(10.0))
+    one = seconds_per_request(MODEL, 16)
+    assert abs(load.wait(MODEL, 16, Seconds(10.0), 3) - 12 * one) < 1e-9
+
+
+def test_an_old_report_gives_way_to_own_sends() -> None:
+    load = EngineLoad()
+    load.report(make_status(9, 16), Seconds(10.0))
+    load.outstanding = 4
+    assert load.requests(Seconds(20.0), 3) == 12
+
+
+def test_an_engine_that_leaves_requests_unanswered_looks_slower() -> None:
+    load = EngineLoad()
+    load.report(make_status(0, 1), Seconds(10.0))
+    load.waiting["hangs"] = Seconds(8.0)
+    assert load.wait(MODEL, 16, Seconds(10.0), 3) > 1.0
--- /dev/null
+++ b/tests/platform/test_weights.py
@@ -0,0 +1,140 @@
+"""Versions of weights: bounds, supersession, hubs, chunks over a link."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ridgecourse.core.hubs import GatewayPlace, choose_hubs
+from ridgecourse.core.ids import (
+    ChunkDigest,
+    DomainName,
+    RootDigest,
+    Seconds,
+    TargetName,
+    WeightsVersion,
+)
+from ridgecourse.core.planner import ORIGIN, ChunkPlanner, Member, PlanPolicy
+from ridgecourse.core.supersession import TransferPlan, should_finish
+from ridgecourse.core.weights import FIRST_VERSION, VersionHistory
+from ridgecourse.net.throttle import AdaptiveRate
+
+BOUND = 8.0
+
+
+@given(st.lists(st.tuples(st.integers(1, 9), st.floats(0.0, 5.0)), max_size=8))
+def test_each_version_keeps_its_own_bound(names: list[tuple[int, float]]) -> None:
+    history = VersionHistory(BOUND)
+    now = 0.0
+    accepted: list[tuple[int, float]] = []
+    for number, pause in names:
+        now += pause
+        newer = number > max([FIRST_VERSION, *(n for n, _ in accepted)])
+        assert history.name(WeightsVersion(number), Seconds(now)) is newer
+        if newer:
+            accepted.append((number, now))
+    for time in (now, now + BOUND / 2, now + BOUND + 5):
+        due = [number for number, named in accepted if named + BOUND <= time]
+        assert history.required(Seconds(time)) == max(due, default=FIRST_VERSION)
+        for version in range(1, 10):
+            begin_by = history.begin_by(WeightsVersion(version))
+            allowed = begin_by is None or time < begin_by
+            assert allowed == all(number <= version for number in due)
+
+
+def test_a_second_name_does_not_put_the_first_bound_off() -> None:
+    history = VersionHistory(BOUND)
+    history.name(WeightsVersion(2), Seconds(0.0))
+    history.name(WeightsVersion(3), Seconds(4.0))
+    assert history.begin_by(WeightsVersion(1)) == BOUND
+    assert history.begin_by(WeightsVersion(2)) == 4.0 + BOUND
+    assert history.begin_by(WeightsVersion(3)) is None
+
+
+def test_a_transfer_near_its_end_is_finished() -> None:
+    newer = TransferPlan(6.0, Seconds(12.0))
+    assert should_finish(TransferPlan(1.0, Seconds(8.0)), newer, Seconds(4.0))
+
+
+def test_a_transfer_just_begun_gives_way() -> None:
+    newer = TransferPlan(6.0, Seconds(8.5))
+    assert not should_finish(TransferPlan(5.5, Seconds(8.0)), newer, Seconds(0.5))
+
+
+def make_gateways(count: int, domains: int) -> list[GatewayPlace]:
+    return [
+        GatewayPlace(
+            TargetName(f"10.0.0.{n}"), DomainName(f"d{n % domains}"), "x:1", "x:2"
+        )
+        for n in range(count)
+    ]
+
+
+@given(st.integers(1, 12), st.integers(1, 4), st.randoms())
+def test_all_choose_the_same_hubs(count: int, domains: int, random) -> None:
+    gateways = make_gateways(count, domains)
+    hubs = choose_hubs("m/2", gateways)
+    assert {hub.domain for hub in hubs} == {gateway.domain for gateway in gateways}
+    assert len(hubs) == len({hub.domain for hub in hubs})
+    shuffled = list(gateways)
+    random.shuffle(shuffled)
+    assert choose_hubs("m/2", shuffled) == hubs
+    # The loss of one that is no hub changes nothing.
+    others = [gateway for gateway in gateways if gateway not in hubs]
+    if others:
+        assert choose_hubs("m/2", [g for g in gateways if g != others[0]]) == hubs
+
+
+CHUNKS = [ChunkDigest(f"{n:064x}") for n in range(32)]
+
+
+def make_planner(me: Member, hubs: list[Member]) -> ChunkPlanner:
+    return ChunkPlanner(
+        me,
+        RootDigest("r"),
+        CHUNKS,
+        [],
+        hubs,
+        PlanPolicy(),
+        Seconds(0.0),
+        hubs=[hub.target for hub in hubs],
+    )
+
+
+HUBS = [Member(TargetName(f"hub-{d}"), DomainName(d)) for d in ("a", "b", "c")]
+
+
+def test_a_loader_takes_chunks_from_its_hub_alone() -> None:
+    planner = make_planner(Member(TargetName("loader"), DomainName("a")), HUBS)
+    assert planner.neighbours() == [TargetName("hub-a")]
+    assert list(planner.plan(Seconds(0.1))) == []
+    planner.peer_holds(TargetName("hub-a"), CHUNKS[:5], Seconds(0.2))
+    fetches = list(planner.plan(Seconds(0.3)))
+    assert fetches
+    assert {fetch.source for fetch in fetches} == {TargetName("hub-a")}
+
+
+def test_a_loader_turns_to_the_origin_once_the_hubs_have_stalled() -> None:
+    planner = make_planner(Member(TargetName("loader"), DomainName("a")), HUBS)
+    sources = {fetch.source for fetch in planner.plan(Seconds(60.0))}
+    assert ORIGIN in sources
+
+
+def test_the_hubs_share_one_copy_from_the_origin() -> None:
+    drawn: list[ChunkDigest] = []
+    for hub in HUBS:
+        planner = make_planner(hub, HUBS)
+        for _ in range(len(CHUNKS)):
+            for fetch in planner.plan(Seconds(0.1)):
+                assert fetch.source == ORIGIN
+                drawn.append(fetch.digest)
+                planner.arrived(fetch.digest, ORIGIN, Seconds(0.1))
+    assert sorted(drawn) == sorted(set(drawn)) == CHUNKS
+
+
+def test_the_rate_follows_a_link_that_narrows_and_widens() -> None:
+    rate = AdaptiveRate(400_000.0)
+    for _ in range(10):
+        rate.observe(24_576, 1.5)
+    assert rate.current < 100_000
+    for _ in range(30):
+        rate.observe(24_576, 0.05)
+    assert rate.current == rate.limit
