The origin's own domain draws from it; the list of targets is read each 1.1 s

Each domain's hub drew its third from the origin, so that 2.7 copies crossed borders for each version.

--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -24,7 +24,7 @@
 DECISION_WAIT_SECONDS = 5.0
 """Longest wait of one read for an operator's decision. Longer saves calls, but a
 connection that died unseen is noticed only after it."""
-TARGETS_PAUSE_SECONDS = 0.8
+TARGETS_PAUSE_SECONDS = 1.1
 """Between two reads of the list: a leaving target may get requests for 2 s more,
 and its heartbeats would end a waiting read ten times a second."""
 
--- a/src/ridgecourse/core/planner.py
+++ b/src/ridgecourse/core/planner.py
@@ -120,6 +120,8 @@
         missing: Chunks not yet held.
         in_flight: Fetches in progress, by chunk.
         hubs: Members that draw and import before all others.
+        origin_domain: Where the origin stands; its members draw from it first,
+            for across a border a chunk is brought in once anyway.
         group: Domains that share one copy from the origin.
         seen: Chunks that some agent of the fleet holds, as far as known.
         seen_in_group: The same for the domains that share a copy from the origin.
@@ -139,8 +141,10 @@
         origin_copies: int = 1,
         seed: int = 0,
         hubs: Iterable[TargetName] = (),
+        origin_domain: DomainName | None = None,
     ) -> None:
         self.hubs = frozenset(hubs)
+        self.origin_domain = origin_domain
         self.me = me
         self.root = root
         self.policy = policy
@@ -168,7 +172,10 @@
         candidates = origin_candidates(
             self.root, self.members, self.group, number, self.hubs
         )
-        return DrawSlot(candidates, now, self.policy.stall_seconds)
+        near = sorted(
+            candidates, key=lambda name: self.members[name] != self.origin_domain
+        )
+        return DrawSlot(near, now, self.policy.stall_seconds)
 
     def _origin_group(self) -> frozenset[DomainName]:
         """Return the domains that share one copy from the origin with this one."""
--- a/src/ridgecourse/exchange/transfer.py
+++ b/src/ridgecourse/exchange/transfer.py
@@ -7,7 +7,7 @@
 
 import eventlet
 
-from ridgecourse.core.ids import ChunkDigest, Seconds, TargetName
+from ridgecourse.core.ids import ChunkDigest, DomainName, Seconds, TargetName
 from ridgecourse.core.planner import (
     ORIGIN,
     ChunkPlanner,
@@ -69,6 +69,7 @@
         peers: Mapping[TargetName, Peer],
         origin_copies: int,
         hubs: Iterable[TargetName] = (),
+        origin_domain: DomainName | None = None,
     ) -> None:
         self.context = context
         self.origin = origin
@@ -84,6 +85,7 @@
             Seconds(monotonic()),
             origin_copies,
             hubs=hubs,
+            origin_domain=origin_domain,
         )
         self.progress = Broadcast()
         self.referred: dict[ChunkDigest, int] = {}
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -191,7 +191,9 @@
         }
         chunks = self.origin.chunks(config.origin.address, *key)
         names = [hub.name for hub in hubs]
-        transfer = Transfer(self.context, chunks, holding, peers, 1, names)
+        transfer = Transfer(
+            self.context, chunks, holding, peers, 1, names, config.origin.domain
+        )
         try:
             return transfer.run()
         except TransferError as error:
--- a/src/ridgecourse/loader/loader.py
+++ b/src/ridgecourse/loader/loader.py
@@ -26,13 +26,13 @@
 from ridgecourse.net.websocket import ChannelClosed, ControlChannel, ControlServer
 from ridgecourse.wire.control import Follow, LoaderMessage
 
-TARGETS_PAUSE_SECONDS = 2.0
-"""Between two reads of the list, which here only tells who else has chunks."""
+TARGETS_PAUSE_SECONDS = 6.0
+"""Between two reads of the list, which here only tells which engines start early."""
 STORE_BYTES = 64 * 1024 * 1024
 """Memory for chunks: some versions of a few MB."""
-LINK_SHARE = 0.9
-"""Share of the instance's link that weights may use each way; the rest is for the
-engine's requests and answers, which wait behind them."""
+LINK_SHARE = 0.94
+"""Share of the instance's incoming link that weights may use: an engine's requests
+need some 3 in 100 of it."""
 UPLOAD_QUEUE = 6
 """Requests for chunks that may wait for an upload slot: a chunk takes some 50 ms,
 less than a refused loader waits before it asks again."""
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -46,7 +46,7 @@
 """A transfer this close to its end is always finished."""
 SETTLE_SECONDS = 3.0
 """From its start on, how long a loader without any gateway waits for one before it
-turns to other loaders: gateways read the list of targets each 0.8 s."""
+turns to other loaders: gateways read the list of targets each 1.1 s."""
 MANIFEST_PATIENCE_SECONDS = 1.0
 """How long hubs are asked for a manifest before the origin is: theirs takes some
 round trips."""
@@ -182,6 +182,11 @@
             pace=report.pace,
         )
 
+    def _transfer_seconds(self, transfer: Transfer, model: EngineModel) -> float:
+        """Return the seconds that a transfer still takes at the link's speed."""
+        missing = len(transfer.planner.missing) * model.chunk_bytes
+        return missing / self.site.upload_bytes_per_s
+
     def sources(self, key: VersionKey) -> tuple[Mapping[TargetName, Peer], list]:
         """Return whom to take a version from, and which of them are hubs.
 
@@ -267,7 +272,9 @@
         self._join(key, holding)
         if len(holding.held) < len(holding.places):
             origin = self.origin.chunks(place.address, *key)
-            transfer = Transfer(self.context, origin, holding, peers, 1, hubs)
+            transfer = Transfer(
+                self.context, origin, holding, peers, 1, hubs, place.domain
+            )
             if not self._run_transfer(key, transfer):
                 return WORK_SECONDS
         return self._take(key, holding, staging, report)
@@ -352,14 +359,14 @@
     def _should_finish(self, transfer: Transfer, model: EngineModel) -> bool:
         now = Seconds(monotonic())
         copy = model.chunks * model.chunk_bytes / self.site.upload_bytes_per_s
-        missing = len(transfer.planner.missing) / max(1, len(transfer.holding.places))
         history = self.view.history(model.model)
         older = WeightsVersion(self.version - 1)
         newer = TransferPlan(
             copy + START_SECONDS, history.begin_by(self.version) or now
         )
         current = TransferPlan(
-            copy * missing + START_SECONDS, history.begin_by(older) or now
+            self._transfer_seconds(transfer, model) + START_SECONDS,
+            history.begin_by(older) or now,
         )
         if current.ready_after < START_SECONDS + NEARLY_SECONDS:
             return True
