--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -89,6 +89,7 @@
             thread.kill()
 
     def _note_decisions_back(self, away: float) -> None:
+        self.targets.outage_ended(Seconds(monotonic()))
         self.events.emit(EventKind.LOG_BACK, topic="decisions", away=round(away, 2))
 
     def _note_targets_back(self, away: float) -> None:
@@ -166,6 +167,9 @@
             self.events.emit(EventKind.BAD_INPUT, error=str(finding))
         before = dict(self.targets.targets)
         now = Seconds(monotonic())
+        if self.decisions_reader.lost_since is not None:
+            # The store was away too shortly for this reader to notice.
+            self.targets.outage_ended(now)
         if whole:
             self.targets.replace(records, now)
         else:
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -174,6 +174,7 @@
 
     def _answer(self, request: FrontRequest, order: Order, terms: Terms) -> FrontReply:
         self.budget(terms.service.name).record_request()
+        self.events.figures.count("requests")
         tried: set[TargetId] = set()
         result, target = self._try_targets(order, terms, tried)
         call = order.call
@@ -374,6 +375,7 @@
     ) -> None:
         target = choice.target
         load = self.selector.load(target)
+        self.events.figures.observe("first_answer", seconds)
         detail: dict[str, Any] = (
             structs.asdict(result) if isinstance(result, (NotRun, Unknown)) else {}
         )
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -15,6 +15,7 @@
 from ridgecourse.gateway.protocol import RequestProtocol
 from ridgecourse.net.address import parse_address
 from ridgecourse.net.events import EventKind, EventStream
+from ridgecourse.net.figures import figures_server
 from ridgecourse.net.front_server import FrontReply, FrontRequest, FrontServer
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter, HttpServer
@@ -61,6 +62,7 @@
         self.router = HttpRouter()
         self.router.add("GET", ready_path, self.serve_ready)
         self.readiness = HttpServer(parse_address(site.readiness), self.router)
+        self.figures = figures_server(site.host, self.events.figures)
         self.stopping = False
         self.threads: list = []
 
@@ -68,6 +70,7 @@
         """Open the servers and begin to read the store."""
         self.front.start()
         self.readiness.start()
+        self.figures.start()
         self.view.start()
         self.hub.start()
         self.watcher.start()
@@ -113,4 +116,5 @@
             thread.kill()
         self.front.close()
         self.readiness.close()
+        self.figures.close()
         self.events.emit(EventKind.STOPPED)
--- a/src/ridgecourse/loader/loader.py
+++ b/src/ridgecourse/loader/loader.py
@@ -17,6 +17,7 @@
 from ridgecourse.loader.status import StatusFeed
 from ridgecourse.net.address import Address
 from ridgecourse.net.events import EventKind, EventStream
+from ridgecourse.net.figures import figures_server
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.http_server import HttpRouter, HttpServer
 from ridgecourse.net.metrics import Metrics
@@ -95,6 +96,7 @@
         self.exchange.add_routes(self.router)
         self.rollout.catalogue.add_routes(self.router)
         self.http_server = HttpServer(Address(site.host, chunk_port), self.router)
+        self.figures = figures_server(site.host, self.events.figures)
         self.control_server = ControlServer(
             Address(site.host, control_port), "", self.handle_channel
         )
@@ -102,6 +104,7 @@
     def start(self) -> None:
         """Open both servers, read the store and drive the engine."""
         self.http_server.start()
+        self.figures.start()
         self.control_server.start()
         self.view.start()
         self.rollout.start()
@@ -133,4 +136,5 @@
         self.view.close()
         self.control_server.close()
         self.http_server.close()
+        self.figures.close()
         self.events.emit(EventKind.STOPPED)
--- a/src/ridgecourse/net/events.py
+++ b/src/ridgecourse/net/events.py
@@ -4,15 +4,21 @@
 the streams of all processes in causal order without trusting their clocks.
 """
 
-import sys
+from collections import Counter
 from enum import Enum
 from time import monotonic, time
-from typing import Any, TextIO
+from typing import Any
 
 from msgspec import Struct
 from msgspec.json import encode
 
 from ridgecourse.core.ids import DomainName, Incarnation, ProcessName
+from ridgecourse.net.figures import Figures
+from ridgecourse.net.line_writer import LineWriter
+
+LINES_PER_SECOND = 300
+"""Events on requests written in a second; more are only counted. A gateway at its
+limit handles some 50 requests a second, each with two or three events."""
 
 
 class EventKind(Enum):
@@ -53,6 +59,19 @@
     LEASE_GRANTED = "lease-granted"
     ORDER_REFUSED = "order-refused"
     BAD_INPUT = "bad-input"
+    SUPPRESSED = "suppressed"
+
+
+REQUEST_KINDS = frozenset(
+    {
+        EventKind.REQUEST_DISPATCHED,
+        EventKind.REQUEST_RETRIED,
+        EventKind.REQUEST_ENDED,
+        EventKind.REQUEST_REFUSED,
+        EventKind.REQUEST_ADMITTED,
+    }
+)
+"""Events whose number grows with the traffic."""
 
 
 class Event(Struct, omit_defaults=True):
@@ -96,6 +115,7 @@
 
     Attributes:
         clock: The process's Lamport clock.
+        figures: Counts all events, written or not.
     """
 
     def __init__(
@@ -103,12 +123,15 @@
         process: ProcessName,
         incarnation: Incarnation,
         domain: DomainName,
-        output: TextIO | None = None,
     ) -> None:
         self.process = process
         self.incarnation = incarnation
         self.domain = domain
-        self.output = output or sys.stdout
+        self.output = LineWriter()
+        self.figures = Figures()
+        self.second = 0
+        self.lines_in_second = 0
+        self.suppressed: Counter[str] = Counter()
         self.clock = 0
         self.seq = 0
 
@@ -127,6 +150,10 @@
         **detail: Any,
     ) -> None:
         """Write an event; see ``Event`` for the arguments."""
+        self.figures.count(f"event_{kind.value.replace('-', '_')}")
+        if self._is_over_limit(kind):
+            self.suppressed[kind.value] += 1
+            return
         self.clock += 1
         event = Event(
             kind,
@@ -145,5 +172,19 @@
             detail,
         )
         self.seq += 1
-        self.output.write(encode(event).decode() + "\n")
-        self.output.flush()
+        self.output.write(encode(event) + b"\n")
+
+    def _is_over_limit(self, kind: EventKind) -> bool:
+        """Tell whether an event is only counted; tell of those that were."""
+        second = int(monotonic())
+        if second != self.second:
+            self.second = second
+            self.lines_in_second = 0
+            lost, self.output.dropped = self.output.dropped, 0
+            counts, self.suppressed = self.suppressed, Counter()
+            if counts or lost:
+                self.emit(EventKind.SUPPRESSED, counts=dict(counts), dropped=lost)
+        if kind not in REQUEST_KINDS:
+            return False
+        self.lines_in_second += 1
+        return self.lines_in_second > LINES_PER_SECOND
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 import pytest
+from gateway_site import front
 
 from ridgecourse.ctl.publish import make_manifest, write_manifest
 from ridgecourse_standins.caller import Caller
@@ -121,3 +122,6 @@
         lines = [text_line(event, events[0].wall).plain for event in events]
         report.sections.append(("time line", "\n".join(lines)))
     return report
+
+
+__all__ = ["front"]
--- a/tests/platform/gateway_site.py
+++ b/tests/gateway_site.py
@@ -1,8 +1,10 @@
 import socket
+from collections.abc import Iterator
 from pathlib import Path
 from time import monotonic, sleep
 from typing import Any
 
+import pytest
 from msgspec.json import encode
 
 from ridgecourse_standins.managed import Managed
@@ -261,3 +263,11 @@
         for engine in self.engines:
             engine.close()
         self.store.close()
+
+
+@pytest.fixture
+def front(tmp_path: Path) -> Iterator[GatewaySite]:
+    """A gateway with its surroundings; a test starts it."""
+    site = GatewaySite(tmp_path)
+    yield site
+    site.close()
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -19,17 +19,17 @@
 STREAM = ("Model: m0", "Token-Usage: 100,50")
 
 
-def test_a_request_reaches_its_target_unaltered(site) -> None:
-    engine = site.add_engine("app")
-    site.start()
+def test_a_request_reaches_its_target_unaltered(front) -> None:
+    engine = front.add_engine("app")
+    front.start()
     target = "//safe/%2f..%20x/?q=%41&empty="
     site_target = "/safe/%2f../%C3%A9;a=1//?q=%41&r="
-    status, headers, body, whole = site.ask(
+    status, headers, body, whole = front.ask(
         site_target, extra=("X-Odd_Name: 1", "X-Two: a", "X-Two: b", "Tenant: forged")
     )
     assert (status, body, whole) == (200, b"answer", True)
     assert headers["response-signature"] == "signed-by-engine"
-    assert headers["attempt-id"] == f"attempt-{site.attempts}"
+    assert headers["attempt-id"] == f"attempt-{front.attempts}"
     [request] = engine.requests
     assert request.line == f"GET {site_target} HTTP/1.1"
     assert request.header("Host") == "shop.example"
@@ -40,16 +40,16 @@
     assert request.header("Expected-Instance") == "i-0"
     assert 0 < int(request.header("Deadline-Ms") or 0) <= 4000
     # A doubled slash at the start is another path, which no route has.
-    assert site.ask(target)[0] == 404
+    assert front.ask(target)[0] == 404
 
 
-def test_a_sized_and_a_chunked_body_arrive_whole(site) -> None:
-    engine = site.add_engine("app")
-    site.start()
+def test_a_sized_and_a_chunked_body_arrive_whole(front) -> None:
+    engine = front.add_engine("app")
+    front.start()
     body = bytes(range(256)) * 40
-    assert site.ask("/once/a", body, method="POST")[0] == 200
-    connection = site.open()
-    head = site.head(
+    assert front.ask("/once/a", body, method="POST")[0] == 200
+    connection = front.open()
+    head = front.head(
         "/once/b", method="POST", extra=("Transfer-Encoding: chunked",)
     ).encode()
     connection.sendall(head + b"3\r\nabc\r\n4;x=y\r\ndefg\r\n0\r\n\r\n")
@@ -68,32 +68,32 @@
         (("Content-Length: 200000",), 413),
     ],
 )
-def test_a_doubtful_head_is_refused(site, extra: tuple[str, ...], status: int) -> None:
-    engine = site.add_engine("app")
-    site.start()
-    assert site.ask("/once/a", method="POST", extra=extra)[0] == status
+def test_a_doubtful_head_is_refused(front, extra: tuple[str, ...], status: int) -> None:
+    engine = front.add_engine("app")
+    front.start()
+    assert front.ask("/once/a", method="POST", extra=extra)[0] == status
     assert engine.requests == []
 
 
-def test_routes_keys_and_accounts(site) -> None:
-    site.add_engine("app")
-    other = site.add_engine("other")
-    site.start()
-    assert site.ask("/nowhere/")[0] == 404
-    assert site.ask("/safe/x", key=None)[0] == 401
-    assert site.ask("/safe/x", key="wrong")[0] == 401
-    assert site.ask("/open/x", key=None)[0] == 200
-    assert site.ask("/safe/deep/x")[0] == 200
+def test_routes_keys_and_accounts(front) -> None:
+    front.add_engine("app")
+    other = front.add_engine("other")
+    front.start()
+    assert front.ask("/nowhere/")[0] == 404
+    assert front.ask("/safe/x", key=None)[0] == 401
+    assert front.ask("/safe/x", key="wrong")[0] == 401
+    assert front.ask("/open/x", key=None)[0] == 200
+    assert front.ask("/safe/deep/x")[0] == 200
     assert len(other.requests) == 1
 
 
-def test_a_connection_serves_many_requests(site) -> None:
-    site.add_engine("app")
-    site.start()
-    connection = site.open()
+def test_a_connection_serves_many_requests(front) -> None:
+    front.add_engine("app")
+    front.start()
+    connection = front.open()
     file = connection.makefile("rb")
     for _ in range(3):
-        site.send(connection, "/safe/x")
+        front.send(connection, "/safe/x")
         lines = []
         while (line := file.readline()) not in (b"\r\n", b""):
             lines.append(line)
@@ -101,52 +101,52 @@
         assert file.read(len(b"answer")) == b"answer"
 
 
-def test_without_a_configuration_nothing_is_denied(site) -> None:
-    site.gateway.start()
-    site.wait_until(lambda: site.gateway.events_path.read_bytes().count(b"started"))
-    status, headers, _, _ = site.ask("/safe/x", key="wrong")
+def test_without_a_configuration_nothing_is_denied(front) -> None:
+    front.gateway.start()
+    front.wait_until(lambda: front.gateway.events_path.read_bytes().count(b"started"))
+    status, headers, _, _ = front.ask("/safe/x", key="wrong")
     assert status == 503
     assert float(headers["retry-after"]) > 0
-    assert site.ready() == 503
+    assert front.ready() == 503
 
 
 # Outcomes by proof.
 
 
-def test_a_refusal_lets_an_unsafe_request_be_refused(site) -> None:
-    engine = site.add_engine("app", refuse)
-    site.start()
-    status, headers, _, _ = site.ask("/once/x", method="POST")
+def test_a_refusal_lets_an_unsafe_request_be_refused(front) -> None:
+    engine = front.add_engine("app", refuse)
+    front.start()
+    status, headers, _, _ = front.ask("/once/x", method="POST")
     assert status == 503
     assert float(headers["retry-after"]) > 0
     assert len(engine.requests) == 1
 
 
-def test_a_target_that_cannot_be_reached_is_passed_over(site) -> None:
-    gone = site.add_engine("app")
+def test_a_target_that_cannot_be_reached_is_passed_over(front) -> None:
+    gone = front.add_engine("app")
     gone.close()
-    engine = site.add_engine("app")
-    site.start()
+    engine = front.add_engine("app")
+    front.start()
     for _ in range(6):
-        assert site.ask("/once/x", method="POST")[0] == 200
+        assert front.ask("/once/x", method="POST")[0] == 200
     assert len(engine.requests) == 6
 
 
-def test_an_unsafe_request_that_broke_off_is_never_called_not_run(site) -> None:
-    engines = [site.add_engine("app", reset) for _ in range(2)]
-    site.start()
-    status, headers, _, _ = site.ask("/once/x", method="POST")
+def test_an_unsafe_request_that_broke_off_is_never_called_not_run(front) -> None:
+    engines = [front.add_engine("app", reset) for _ in range(2)]
+    front.start()
+    status, headers, _, _ = front.ask("/once/x", method="POST")
     assert status == 502
     assert "response-signature" not in headers
     assert sum(len(engine.requests) for engine in engines) == 1
 
 
-def test_a_safe_request_that_broke_off_goes_to_another_target(site) -> None:
-    broken = site.add_engine("app", reset)
-    sound = site.add_engine("app")
-    site.start()
+def test_a_safe_request_that_broke_off_goes_to_another_target(front) -> None:
+    broken = front.add_engine("app", reset)
+    sound = front.add_engine("app")
+    front.start()
     for _ in range(6):
-        assert site.ask("/safe/x")[0] == 200
+        assert front.ask("/safe/x")[0] == 200
     assert broken.requests and sound.requests
 
 
@@ -191,15 +191,15 @@
         answer_unframed_then_reset,
     ],
 )
-def test_what_is_no_whole_answer_is_not_passed_on(site, behaviour) -> None:
-    site.add_engine("app", behaviour)
-    site.start()
-    status, headers, body, _ = site.ask("/once/x", method="POST")
+def test_what_is_no_whole_answer_is_not_passed_on(front, behaviour) -> None:
+    front.add_engine("app", behaviour)
+    front.start()
+    status, headers, body, _ = front.ask("/once/x", method="POST")
     assert (status, body) == (502, b"")
     assert "response-signature" not in headers
 
 
-def test_an_unframed_answer_that_ends_well_is_whole(site) -> None:
+def test_an_unframed_answer_that_ends_well_is_whole(front) -> None:
     def behaviour(request: ReceivedRequest) -> None:
         request.connection.sendall(
             f"HTTP/1.1 200 OK\r\nAttempt-Id: {request.header('Attempt-Id')}\r\n"
@@ -207,36 +207,36 @@
         )
         request.connection.shutdown(socket.SHUT_WR)
 
-    site.add_engine("app", behaviour)
-    site.start()
-    assert site.ask("/once/x", method="POST")[2:] == (b"all of it", True)
+    front.add_engine("app", behaviour)
+    front.start()
+    assert front.ask("/once/x", method="POST")[2:] == (b"all of it", True)
 
 
-def test_a_failure_of_the_target_is_passed_on_as_it_is(site) -> None:
-    site.add_engine(
+def test_a_failure_of_the_target_is_passed_on_as_it_is(front) -> None:
+    front.add_engine(
         "app", lambda request: send_whole(request, b"no", "500 Its Own Reason")
     )
-    site.start()
-    status, headers, body, _ = site.ask("/once/x", method="POST")
+    front.start()
+    status, headers, body, _ = front.ask("/once/x", method="POST")
     assert (status, body) == (500, b"no")
     assert headers["response-signature"] == "signed-by-engine"
 
 
-def test_a_silent_target_costs_no_more_than_the_routes_time(site) -> None:
+def test_a_silent_target_costs_no_more_than_the_routes_time(front) -> None:
     silence = Event()
-    engine = site.add_engine("app", lambda request: silence.wait(10) and None)
-    site.start()
-    assert site.ask("/short/x")[0] == 504
-    assert site.engines[0].wait_closed(engine.requests[0])
+    engine = front.add_engine("app", lambda request: silence.wait(10) and None)
+    front.start()
+    assert front.ask("/short/x")[0] == 504
+    assert front.engines[0].wait_closed(engine.requests[0])
     silence.set()
 
 
-def test_a_caller_that_leaves_ends_the_targets_work(site) -> None:
+def test_a_caller_that_leaves_ends_the_targets_work(front) -> None:
     silence = Event()
-    engine = site.add_engine("app", lambda request: silence.wait(10) and None)
-    site.start()
-    connection = site.open()
-    site.send(connection, "/safe/x")
+    engine = front.add_engine("app", lambda request: silence.wait(10) and None)
+    front.start()
+    connection = front.open()
+    front.send(connection, "/safe/x")
     [request] = engine.wait_for(1)
     connection.close()
     assert engine.wait_closed(request, 2.0)
@@ -256,7 +256,7 @@
     return behaviour
 
 
-def test_events_are_passed_on_as_they_come(site) -> None:
+def test_events_are_passed_on_as_they_come(front) -> None:
     proceed = Event()
 
     def behaviour(request: ReceivedRequest) -> None:
@@ -266,10 +266,10 @@
         send_events(request, 2, 2)
         send_chunk(request, b"")
 
-    site.add_engine("llm", behaviour)
-    site.start()
-    connection = site.open()
-    site.send(connection, "/stream/x", method="POST", extra=STREAM)
+    front.add_engine("llm", behaviour)
+    front.start()
+    connection = front.open()
+    front.send(connection, "/stream/x", method="POST", extra=STREAM)
     file = connection.makefile("rb")
     while file.readline() != b"\r\n":
         pass
@@ -281,7 +281,7 @@
     assert file.read(size) == event(2)
 
 
-def test_a_stream_goes_on_at_another_target(site) -> None:
+def test_a_stream_goes_on_at_another_target(front) -> None:
     def torn(request: ReceivedRequest) -> None:
         send_stream_head(request)
         send_events(request, 1, 3)
@@ -295,32 +295,32 @@
         send_events(request, max(1, after), 6)
         send_chunk(request, b"")
 
-    first = site.add_engine("llm", torn, zone="a")
-    site.add_engine("llm", rest, zone="b")
-    site.start()
-    status, headers, body, whole = site.ask("/stream/x", method="POST", extra=STREAM)
+    first = front.add_engine("llm", torn, zone="a")
+    front.add_engine("llm", rest, zone="b")
+    front.start()
+    status, headers, body, whole = front.ask("/stream/x", method="POST", extra=STREAM)
     assert first.requests
     assert (status, whole) == (200, True)
     assert headers["response-signature"] == "signed-by-engine"
     assert body == b"".join(event(number) for number in range(1, 7))
 
 
-def test_a_stream_that_may_not_be_resumed_ends_torn(site) -> None:
+def test_a_stream_that_may_not_be_resumed_ends_torn(front) -> None:
     def torn(request: ReceivedRequest) -> None:
         send_stream_head(request)
         send_events(request, 1, 3)
         reset(request)
 
-    site.add_engine("llm", torn, zone="a")
-    other = site.add_engine("llm", stream(1, 3), zone="b")
-    site.start()
-    _, _, body, whole = site.ask("/once-stream/x", method="POST", extra=STREAM)
+    front.add_engine("llm", torn, zone="a")
+    other = front.add_engine("llm", stream(1, 3), zone="b")
+    front.start()
+    _, _, body, whole = front.ask("/once-stream/x", method="POST", extra=STREAM)
     assert not whole
     assert body == b"".join(event(number) for number in range(1, 4))
     assert other.requests == []
 
 
-def test_a_caller_that_leaves_mid_stream_ends_the_targets_work(site) -> None:
+def test_a_caller_that_leaves_mid_stream_ends_the_targets_work(front) -> None:
     proceed = Event()
 
     def behaviour(request: ReceivedRequest) -> None:
@@ -328,10 +328,10 @@
         send_events(request, 1, 1)
         proceed.wait(10)
 
-    engine = site.add_engine("llm", behaviour)
-    site.start()
-    connection = site.open()
-    site.send(connection, "/stream/x", method="POST", extra=STREAM)
+    engine = front.add_engine("llm", behaviour)
+    front.start()
+    connection = front.open()
+    front.send(connection, "/stream/x", method="POST", extra=STREAM)
     assert connection.recv(100)
     connection.close()
     assert engine.wait_closed(engine.requests[0], 2.0)
@@ -339,8 +339,8 @@
     assert len(engine.requests) == 1
 
 
-def test_an_engine_without_weights_gets_no_request(site) -> None:
-    empty = site.add_engine("llm", stream(1, 2), version=0)
-    site.start()
-    assert site.ask("/stream/x", method="POST", extra=STREAM)[0] == 503
+def test_an_engine_without_weights_gets_no_request(front) -> None:
+    empty = front.add_engine("llm", stream(1, 2), version=0)
+    front.start()
+    assert front.ask("/stream/x", method="POST", extra=STREAM)[0] == 503
     assert empty.requests == []
