A reader that lost the store asks without waiting; the rate of weights follows what a link brings

The rate was lowered only below a quarter of what was asked, whatever number of chunks shared the link.

--- a/src/ridgecourse/exchange/transfer.py
+++ b/src/ridgecourse/exchange/transfer.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Iterable, Iterator, Mapping
 from contextlib import closing
+from itertools import chain
 from time import monotonic
 
 import eventlet
@@ -236,6 +237,7 @@
         rate = self.context.rate
         if rate is not None:
             headers[RATE_HEADER] = str(int(rate.current))
+        sharing = self._peer_fetches()
         begun = monotonic()
         if self.referred.get(fetch.digest, 0) >= LAST_RESORT_REFERRALS:
             headers[LAST_RESORT_HEADER] = "yes"
@@ -259,10 +261,16 @@
         except ExchangeFailed:
             return FetchFailure.STALLED
         if rate is not None:
-            rate.observe(len(data), monotonic() - begun)
+            sharing = max(1, min(sharing, self._peer_fetches()))
+            rate.observe(len(data), monotonic() - begun, sharing)
         self._count_peer_bytes(fetch.source, len(data))
         return data
 
+    def _peer_fetches(self) -> int:
+        """Return the fetches from other agents in progress."""
+        sources = chain.from_iterable(self.planner.in_flight.values())
+        return sum(1 for source in sources if source != ORIGIN)
+
     def _refused(self, fetch: Fetch, status: int) -> FetchFailure:
         if status == 404:
             return FetchFailure.MISSING
--- a/src/ridgecourse/loader/loader.py
+++ b/src/ridgecourse/loader/loader.py
@@ -37,8 +37,9 @@
 UPLOAD_QUEUE = 6
 """Requests for chunks that may wait for an upload slot: a chunk takes some 50 ms,
 less than a refused loader waits before it asks again."""
-FETCHES = 3
-"""Chunks asked for at a time: enough that the link is never idle."""
+FETCHES = 2
+"""Chunks asked for at a time: enough that the link is never idle, and few enough
+that little has queued up before a link that narrows."""
 FIRST_MESSAGE_SECONDS = 2.0
 
 
--- a/src/ridgecourse/net/record_follower.py
+++ b/src/ridgecourse/net/record_follower.py
@@ -93,7 +93,9 @@
     def _read(self) -> tuple[RecordBatch, bool]:
         if self.offset is None:
             return self.source.newest(self.topic), True
-        return self.source.read(self.topic, self.offset, self.wait), False
+        # A read that waits would tell only at its end that the store is back.
+        wait = self.wait if self.lost_since is None else 0.0
+        return self.source.read(self.topic, self.offset, wait), False
 
     def _retry_wait(self) -> float:
         wait = FIRST_RETRY_SECONDS * 2.0 ** min(self.failures, 8)
--- a/src/ridgecourse/net/throttle.py
+++ b/src/ridgecourse/net/throttle.py
@@ -49,22 +49,31 @@
 
     FLOOR = 0.05
     """Share of the limit below which the rate is not lowered."""
-    SLOWER = 2.0
-    """Times longer than expected that a transfer takes on a narrowed link."""
-    GROWTH = 1.15
+    SHORTFALL = 0.75
+    """Share of the rate asked for that a link at its limit still brings."""
+    BACK_OFF = 0.85
+    """Share of what a narrowed link brings that is asked for: less, so that what
+    has queued up before it drains."""
+    GROWTH = 1.1
     """Factor at which the rate grows back with each transfer in time."""
 
     def __init__(self, limit: float) -> None:
         self.limit = limit
         self.current = limit
 
-    def observe(self, size: int, seconds: float) -> None:
-        """Take in how long one of several transfers at a time took."""
+    def observe(self, size: int, seconds: float, sharing: int = 1) -> None:
+        """Take in how long a transfer took.
+
+        Args:
+            size: Bytes of the transfer.
+            seconds: From its request to its last byte.
+            sharing: Transfers in progress at that time, which share the link.
+        """
         if seconds <= 0:
             return
-        measured = size / seconds
-        if measured * self.SLOWER < self.current / 2:
-            self.current = max(self.limit * self.FLOOR, self.current / 2)
+        measured = size * sharing / seconds
+        if measured < self.current * self.SHORTFALL:
+            self.current = max(self.limit * self.FLOOR, measured * self.BACK_OFF)
         else:
             self.current = min(self.limit, self.current * self.GROWTH)
 
--- a/tests/platform/test_weights.py
+++ b/tests/platform/test_weights.py
@@ -132,9 +132,13 @@
 
 def test_the_rate_follows_a_link_that_narrows_and_widens() -> None:
     rate = AdaptiveRate(400_000.0)
-    for _ in range(10):
-        rate.observe(24_576, 1.5)
-    assert rate.current < 100_000
-    for _ in range(30):
-        rate.observe(24_576, 0.05)
+    # Two chunks at a time over a link that brings 57 kB a second.
+    for _ in range(3):
+        rate.observe(24_576, 2 * 24_576 / 57_000, 2)
+    assert rate.current < 57_000
+    # Asked for less than it brings, it is tried again little by little.
+    rate.observe(24_576, 2 * 24_576 / rate.current, 2)
+    assert 0.85 * 57_000 < rate.current < 1.1 * 57_000
+    for _ in range(40):
+        rate.observe(24_576, 2 * 24_576 / rate.current, 2)
     assert rate.current == rate.limit
