--- /dev/null
+++ b/src/ridgecourse_standins/platform/weights.py
@@ -0,0 +1,180 @@
+"""Stand-ins for an engine's staging area and orders, and for the origin of weights."""
+
+from collections.abc import Callable
+from hashlib import sha256
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from threading import Condition, Thread
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from msgspec.json import decode, encode
+
+from ridgecourse.platform.names import (
+    CHUNK_INDEX,
+    CHUNK_PATH,
+    MANIFEST_PATH,
+    ORDER_PATH,
+    REPORT_PATH,
+    STAGE_GET_PATH,
+    STAGE_PUT_PATH,
+)
+
+Answer = tuple[int, bytes]
+
+
+class HttpStandIn:
+    """An HTTP server on loopback whose answers a subclass finds.
+
+    Attributes:
+        calls: Method and target of each call so far.
+    """
+
+    def __init__(self) -> None:
+        self.calls: list[tuple[str, str]] = []
+        self.changed = Condition()
+        self.server = ThreadingHTTPServer(("127.0.0.1", 0), self._make_handler())
+        self.server.daemon_threads = True
+        self.thread = Thread(target=self.server.serve_forever, daemon=True)
+
+    @property
+    def address(self) -> str:
+        """HOST:PORT of the server."""
+        host, port = self.server.server_address[:2]
+        return f"{host!s}:{port}"
+
+    def start(self) -> None:
+        """Begin to answer."""
+        self.thread.start()
+
+    def close(self) -> None:
+        """Stop."""
+        self.server.shutdown()
+        self.server.server_close()
+
+    def answer(self, method: str, path: str, query: dict[str, str], body: bytes) -> Any:
+        """Return status and body of the answer to a call."""
+        raise NotImplementedError
+
+    def wait_until(self, condition: Callable[[], bool], seconds: float = 20.0) -> None:
+        """Wait until a condition holds, looking at it after each call."""
+        with self.changed:
+            if not self.changed.wait_for(condition, seconds):
+                raise AssertionError("the condition did not come about")
+
+    def _make_handler(self) -> type[BaseHTTPRequestHandler]:
+        stand_in = self
+
+        class Handler(BaseHTTPRequestHandler):
+            """Answers one connection."""
+
+            protocol_version = "HTTP/1.1"
+
+            def _answer(self) -> None:
+                length = int(self.headers.get("Content-Length") or 0)
+                body = self.rfile.read(length)
+                parts = urlsplit(self.path)
+                query = {name: v[0] for name, v in parse_qs(parts.query).items()}
+                with stand_in.changed:
+                    stand_in.calls.append((self.command, self.path))
+                    status, data = stand_in.answer(
+                        self.command, parts.path, query, body
+                    )
+                    stand_in.changed.notify_all()
+                self.send_response(status)
+                self.send_header("Content-Length", str(len(data)))
+                self.end_headers()
+                self.wfile.write(data)
+
+            do_GET = do_PUT = do_POST = _answer  # noqa: N815
+
+            def log_message(self, *_: Any) -> None:
+                """Log nothing."""
+
+        return Handler
+
+
+class StagingEngine(HttpStandIn):
+    """An engine that serves what was staged when it was told to start.
+
+    Attributes:
+        layers: Layers of its model.
+        staged: Chunks in the staging area, by index.
+        version: Version that it serves; 0 for none.
+        started: What lay staged at each start, by version.
+        spoil: Called after each staged chunk; may turn others bad.
+    """
+
+    def __init__(self, layers: int) -> None:
+        super().__init__()
+        self.layers = layers
+        self.staged: dict[int, bytes] = {}
+        self.version = 0
+        self.orders = 0
+        self.started: dict[int, dict[int, bytes]] = {}
+        self.spoil: Callable[[dict[int, bytes]], None] = lambda staged: None
+
+    def answer(
+        self, method: str, path: str, query: dict[str, str], body: bytes
+    ) -> Answer:
+        """Answer a report, an order, or a call of the staging area."""
+        if path == REPORT_PATH:
+            return 200, self._report()
+        if path == ORDER_PATH:
+            return self._start(decode(body))
+        if path.startswith(STAGE_PUT_PATH):
+            self.staged[int(query[CHUNK_INDEX])] = body
+            self.spoil(self.staged)
+            return 200, b""
+        if path.startswith(STAGE_GET_PATH):
+            data = self.staged.get(int(query[CHUNK_INDEX]))
+            return (404, b"") if data is None else (200, data)
+        return 404, b""
+
+    def _report(self) -> bytes:
+        report: dict[str, Any] = {"utilization": False, "sequence": self.orders}
+        if self.version:
+            report["layers"] = {
+                "from": 0,
+                "target_version": self.layers,
+                "version": self.version,
+            }
+        return encode(report)
+
+    def _start(self, order: dict[str, Any]) -> Answer:
+        self.orders += 1
+        self.version = order["version"]
+        self.started[self.version] = dict(self.staged)
+        return 202, b""
+
+
+class OriginStandIn(HttpStandIn):
+    """An origin of weights.
+
+    Attributes:
+        versions: Chunks of each version.
+        spoilt: Chunks that come wrong the next time, as version and index.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.versions: dict[int, list[bytes]] = {}
+        self.spoilt: set[tuple[int, int]] = set()
+
+    def answer(
+        self, method: str, path: str, query: dict[str, str], body: bytes
+    ) -> Answer:
+        """Answer with a manifest or a chunk."""
+        version = int(query["version"])
+        chunks = self.versions.get(version)
+        if chunks is None:
+            return 410, b""
+        if path.startswith(MANIFEST_PATH):
+            digests = [sha256(chunk).hexdigest() for chunk in chunks]
+            return 200, encode({"chunk_bytes": len(chunks[0]), "digests": digests})
+        if path.startswith(CHUNK_PATH):
+            index = int(query[CHUNK_INDEX])
+            if (version, index) in self.spoilt:
+                self.spoilt.discard((version, index))
+                return 200, bytes(len(chunks[index]))
+            return 200, chunks[index]
+        return 404, b""
