--- a/src/ridgecourse/net/process.py
+++ b/src/ridgecourse/net/process.py
@@ -30,6 +30,14 @@
     def close(self) -> None:
         """Release everything at once."""
 
+    def reload(self) -> None:
+        """Take notice that the settings file may have changed (SIGHUP).
+
+        All settings are read at the start; what changed takes effect at the
+        next one, and nothing in progress is touched.
+        """
+        logger.info("SIGHUP: settings are read at start and take effect then")
+
 
 def new_incarnation() -> Incarnation:
     """Return the name of a new life of a process."""
@@ -37,7 +45,10 @@
 
 
 def run_until_signal(process: Process) -> int:
-    """Run a process until SIGTERM or SIGINT, then drain and close it."""
+    """Run a process until SIGTERM or SIGINT, then drain and close it.
+
+    SIGHUP would end a process that does not handle it.
+    """
     stop = Signal()
 
     def on_signal(number: int, frame: Any) -> None:
@@ -49,6 +60,10 @@
         if not stop.ready():
             stop.send(True)
 
+    def on_hangup(number: int, frame: Any) -> None:
+        eventlet.spawn_after(0, process.reload)
+
+    signal.signal(signal.SIGHUP, on_hangup)
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
     try:
