Hubs are warm from the first start; narrowed links and returning targets

A version gives way only to one that can be had, and of two that would be as late either way the first is finished (test_a_half_done_transfer..., red before). Requests go to old weights until they would no longer begin in time.

--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -28,6 +28,9 @@
 """Between two reads of the list: a leaving target may get requests for 2 s more,
 and its heartbeats would end a waiting read ten times a second."""
 
+RETURN_PAUSE_SECONDS = 0.4
+"""The same while targets that lapsed in an outage may return."""
+
 
 class ClusterView:
     """State read from the platform's store.
@@ -53,6 +56,7 @@
         self.events = events
         self.config: RoutingConfig | None = None
         self.version_seconds = version_seconds
+        self.targets_pause = targets_pause
         self.histories: dict[ModelName, VersionHistory] = {}
         self.targets = TargetList()
         self.listed = False
@@ -101,10 +105,14 @@
         self.targets.outage_ended(Seconds(monotonic()))
         self.events.emit(EventKind.LOG_BACK, topic="targets", away=round(away, 2))
         self.decisions_reader.restart()
+        # Who returns is to be seen before those that do not are dropped.
+        self.targets_reader.pause = min(RETURN_PAUSE_SECONDS, self.targets_pause)
 
     def _expire(self) -> None:
         while True:
             self.changed.wait(0.25)
+            if monotonic() >= self.targets.kept_until:
+                self.targets_reader.pause = self.targets_pause
             for target in self.targets.expire(Seconds(monotonic())):
                 self.events.emit(
                     EventKind.TARGET_GONE, target=target, why="not back after outage"
--- a/src/ridgecourse/core/engine_load.py
+++ b/src/ridgecourse/core/engine_load.py
@@ -18,6 +18,12 @@
 """A report older than this says nothing any more: a heartbeat comes each second."""
 REPORT_LAG_SECONDS = 0.05
 """A request sent within this before a report came is not yet counted in it."""
+NARROW_LINK = 0.5
+"""Share of its usual rate below which a link counts as narrowed; what competes with
+the weights for it takes less than that away."""
+NARROW_SECONDS = 0.8
+"""Wait that a narrowed link counts for: requests to its engine, and the ends of
+connections by which they are taken back, took up to a second there."""
 UNANSWERED_SECONDS = 0.6
 """A request that waits longer for its first event than this shows that its engine
 is slower than it tells; the usual is 0.1 to 0.3 s."""
@@ -34,6 +40,8 @@
         cache_used: Tokens of context in memory that cannot give way.
         cache_total: Tokens of context that fit.
         pace: How much slower than usual it is; 1 for usual.
+        link: Share of its usual rate that its instance's link was last seen to
+            bring, while weights came over it.
     """
 
     version: WeightsVersion
@@ -43,6 +51,7 @@
     cache_used: int
     cache_total: int
     pace: float = 1.0
+    link: float = 1.0
 
 
 class EngineLoad(Struct):
@@ -97,7 +106,13 @@
         ahead = self.requests(now, gateways) + 1 - slots
         pace = self.status.pace if self.status and self.is_fresh(now) else 1.0
         queue = max(0.0, ahead) * seconds_per_request(model, slots) * pace
-        return queue + self.unanswered(now)
+        return queue + self._link_delay(now) + self.unanswered(now)
+
+    def _link_delay(self, now: Seconds) -> float:
+        status = self.status
+        if status is None or not self.is_fresh(now) or status.link >= NARROW_LINK:
+            return 0.0
+        return NARROW_SECONDS
 
 
 def seconds_per_request(model: EngineModel, slots: int) -> float:
--- a/src/ridgecourse/core/site.py
+++ b/src/ridgecourse/core/site.py
@@ -61,6 +61,7 @@
         target: The engine on the instance; None on an entry's.
         bounds: The operators' limits.
         upload_bytes_per_s: Capacity of the instance's link.
+        first_start: Whether the whole system starts for the first time.
     """
 
     process: ProcessName
@@ -75,6 +76,7 @@
     target: LocalTarget | None
     bounds: Bounds
     upload_bytes_per_s: float
+    first_start: bool = False
 
     def region(self, domain: DomainName) -> RegionName:
         """Return a domain's region; an unknown domain is its own."""
--- a/src/ridgecourse/core/supersession.py
+++ b/src/ridgecourse/core/supersession.py
@@ -4,6 +4,11 @@
 
 from ridgecourse.core.ids import Seconds
 
+FINISH_BIAS_SECONDS = 0.5
+"""By how much longer the engine may be idle for a first version to be finished all
+the same: its chunks are there for the most part, and those of the newer one may be
+late, since their origin may fail."""
+
 
 class TransferPlan(Struct, frozen=True):
     """A version that is being brought in.
@@ -35,4 +40,4 @@
         0.0, newer_ready_after - max(newer.bound, current_ready)
     )
     idle_jumping = max(0.0, now + newer.ready_after - current.bound)
-    return idle_finishing < idle_jumping
+    return idle_finishing <= idle_jumping + FINISH_BIAS_SECONDS
--- a/src/ridgecourse/core/targets.py
+++ b/src/ridgecourse/core/targets.py
@@ -19,9 +19,11 @@
     WeightsVersion,
 )
 
-RETURN_SECONDS = 2.5
+RETURN_SECONDS = 2.0
 """After an outage of the store, live targets are listed again within about two
-seconds (the platform's statement); half a second more for reading that."""
+seconds (the platform's statement). An outage's end is noticed up to half a second
+late, which leaves time to read that; longer, and requests would go to targets that
+left meanwhile."""
 
 
 class HeldLayers(Struct, frozen=True):
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -48,7 +48,8 @@
 """After which a refused caller may come back: about the time in which an engine
 frees a slot or a list of targets is read again."""
 LONGEST_COME_BACK_SECONDS = 1.5
-"""Callers wait as told for at most a third of their time, some 2 s."""
+"""Callers wait as told for at most a third of their time, some 2 s. Where no target
+has the weights that are required, a change takes about as long."""
 FIRST_EVENT_SECONDS = 0.06
 """From an engine's taking up a request to its first event at the caller, without
 the reading of the prompt: some steps of a batch, and the way back."""
@@ -189,8 +190,11 @@
             body = self._relay(request, order, terms, tried, result, target)
             return FrontReply(head.status, head.reason, head.headers, body)
         if isinstance(result, NotRun):
+            come_back = order.come_back
+            if result.reason in (Reason.NO_TARGET, Reason.WRONG_TARGET):
+                come_back = LONGEST_COME_BACK_SECONDS
             return self._refuse(
-                call.request_id, result.reason, result.detail, order.come_back
+                call.request_id, result.reason, result.detail, come_back
             )
         self._note_end(call, Outcome.UNKNOWN, result.detail)
         return FrontReply(504 if result.late else 502)
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -42,6 +42,9 @@
 LONGEST_BACK_OFF_SECONDS = 0.6
 """After failures of the origin or another hub. Few ask, and each second without the
 weights after their bound is one without service."""
+WARM_UP_SECONDS = 6.0
+"""From the start of a gateway until it brings in the version in force: engines are
+listed and loaders followed by then."""
 MANIFEST_STAGGER_SECONDS = 0.3
 """A hub that is not the first waits so long before it asks the origin itself."""
 RETRY_SECONDS = 0.5
@@ -100,6 +103,7 @@
         self.exchange = Exchange(self.context)
         self.catalogue = Catalogue(self.context, origin, self.want)
         self.working: dict[VersionKey, eventlet.greenthread.GreenThread] = {}
+        self.warming: eventlet.greenthread.GreenThread | None = None
         router = HttpRouter()
         self.exchange.add_routes(router)
         self.catalogue.add_routes(router)
@@ -112,9 +116,29 @@
         """Open both servers."""
         self.http_server.start()
         self.control_server.start()
+        if self.site.first_start:
+            self.warming = eventlet.spawn_after(WARM_UP_SECONDS, self._warm_up)
+
+    def _warm_up(self) -> None:
+        """Bring in the versions in force, if this is the hub of its domain.
+
+        Engines that join later are filled from here at once, even while the
+        origin is away.
+        """
+        config = self.view.config
+        known = [gateway for told in self.told.values() for gateway in told]
+        for service in config.services.values() if config else ():
+            if service.engine is None or not service.engine.chunks:
+                continue
+            model = service.engine.model
+            key = (model, self.view.wanted_version(model))
+            if self.place in choose_hubs(str(key), known):
+                self.want(key)
 
     def close(self) -> None:
         """Close them and end all transfers."""
+        if self.warming is not None:
+            self.warming.kill()
         for thread in self.working.values():
             thread.kill()
         self.control_server.close()
--- a/src/ridgecourse/gateway/selection.py
+++ b/src/ridgecourse/gateway/selection.py
@@ -35,9 +35,10 @@
 """Before the bound on old weights, by when a request must have begun on them: the
 bound runs from the name, which was learned of a little later, and a request that
 is taken back must reach the engine in time."""
-QUEUE_SECONDS = 0.7
-"""A request is sent to an engine with old weights up to this long before it must
-have begun there: more than most wait in an engine's queue."""
+BEGIN_SECONDS = 0.3
+"""From sending a request to its first event at an engine with a free slot; so much
+before it must have begun, with its expected wait, it is no longer sent to an engine
+with old weights."""
 
 
 class VersionTerms(Struct, frozen=True):
@@ -139,6 +140,7 @@
             if target.target not in tried and self._is_able(service, target, now)
         ]
         choices = [self._weigh(service, model, target, now) for target in able]
+        choices = [choice for choice in choices if not self._is_outdated(choice, now)]
         # Those with weights that may serve now go before those that may have them.
         current = [choice for choice in choices if choice.terms.version is None]
         choices = current or choices
@@ -160,6 +162,16 @@
             return load.status.version > 0 and not load.status.busy
         return target.holds_model(service.engine.layers)
 
+    def _is_outdated(self, choice: Choice, now: Seconds) -> bool:
+        """Tell whether an engine has just reported weights that are too old.
+
+        Only without a fresh report is it worth asking whether it has others.
+        """
+        load = self.load(choice.target)
+        if choice.terms.version is None or load.status is None:
+            return False
+        return load.is_fresh(now) and load.status.version != choice.terms.version
+
     def _weigh(
         self, service: Service, model: ModelName, target: ListedTarget, now: Seconds
     ) -> Choice:
@@ -168,7 +180,7 @@
             wait = load.outstanding * PLAIN_REQUEST_SECONDS / max(1, target.slots)
         else:
             wait = load.wait(service.engine, target.slots, now, SENDERS)
-        return Choice(target, wait, self._version_terms(model, target, now))
+        return Choice(target, wait, self._version_terms(model, target, now, wait))
 
     def _cost(self, choice: Choice) -> tuple[float, float]:
         domain = choice.target.domain
@@ -191,7 +203,7 @@
         return target.models.get(model)
 
     def _version_terms(
-        self, model: ModelName, target: ListedTarget, now: Seconds
+        self, model: ModelName, target: ListedTarget, now: Seconds, wait: float
     ) -> VersionTerms:
         """Return on which weights a request may run at a target.
 
@@ -203,7 +215,7 @@
         if bound is None:
             return VersionTerms(None, None)
         begin_by = Seconds(bound - VERSION_MARGIN_SECONDS)
-        if now < begin_by - QUEUE_SECONDS:
+        if now + wait + BEGIN_SECONDS < begin_by:
             return VersionTerms(None, begin_by)
         return VersionTerms(self.view.wanted_version(model), None)
 
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -39,7 +39,7 @@
 LATE_START_SECONDS = 0.4
 """Before requests may no longer begin on an engine's weights, when an engine of
 the late half takes new ones: what begins later would not be allowed to."""
-APART_SECONDS = 3.0
+APART_SECONDS = 2.5
 """Between the bounds of two versions from which on the early half finishes the
 first: less, and it would be late for both."""
 NEARLY_SECONDS = 0.7
@@ -180,8 +180,15 @@
             cache_used=report.cache_used,
             cache_total=report.cache_total,
             pace=report.pace,
+            link=self._link_share(),
         )
 
+    def _link_share(self) -> float:
+        rate = self.context.rate
+        if rate is None or self.transfer is None:
+            return 1.0
+        return round(rate.current / rate.limit, 1)
+
     def _transfer_seconds(self, transfer: Transfer, model: EngineModel) -> float:
         """Return the seconds that a transfer still takes at the link's speed."""
         missing = len(transfer.planner.missing) * model.chunk_bytes
@@ -347,7 +354,11 @@
             if self.hubs != choose_hubs(str(self._key(model)), self.gateways):
                 # A hub came or went: begin again with those that are there now.
                 transfer.cancel()
-            elif wanted > self.version and not self._should_finish(transfer, model):
+            elif (
+                wanted > self.version
+                and not self._should_finish(transfer, model)
+                and self._is_available((model.model, wanted))
+            ):
                 self.context.events.emit(
                     EventKind.ROLLOUT_DROPPED,
                     version=str(self.version),
@@ -356,6 +367,16 @@
                 )
                 transfer.cancel()
 
+    def _is_available(self, key: VersionKey) -> bool:
+        """Tell whether a version can be had by now.
+
+        While its origin is away a newer version must not stop an older one.
+        """
+        if key in self.catalogue.holdings or not self.hubs:
+            return True
+        near = sorted(self.hubs, key=lambda hub: hub.domain != self.site.domain)
+        return self.catalogue.ask(near[0].address, key) is not None
+
     def _should_finish(self, transfer: Transfer, model: EngineModel) -> bool:
         now = Seconds(monotonic())
         copy = model.chunks * model.chunk_bytes / self.site.upload_bytes_per_s
--- a/src/ridgecourse/net/record_follower.py
+++ b/src/ridgecourse/net/record_follower.py
@@ -20,7 +20,7 @@
 logger = logging.getLogger(__name__)
 
 FIRST_RETRY_SECONDS = 0.1
-LONGEST_RETRY_SECONDS = 0.8
+LONGEST_RETRY_SECONDS = 0.6
 """Between two tries while the store is away; a bound of two seconds must hold
 soon after it is back."""
 
--- a/src/ridgecourse/platform/settings.py
+++ b/src/ridgecourse/platform/settings.py
@@ -68,6 +68,7 @@
     bounds: BoundFields
     platform: StoreFields
     app: str | None = field(default=None)
+    bootstrap: bool = False
     service: str | None = field(default=None)
 
 
@@ -134,6 +135,7 @@
         target=target,
         bounds=make_bounds(fields.bounds),
         upload_bytes_per_s=fields.limits.bandwidth_mbps * BYTES_PER_MBIT,
+        first_start=fields.bootstrap,
     )
 
 
--- a/tests/platform/test_load.py
+++ b/tests/platform/test_load.py
@@ -1,5 +1,7 @@
 """Estimates of an engine's load, and what is refused by them."""
 
+from msgspec import structs
+
 from ridgecourse.core.engine_load import EngineLoad, EngineStatus, seconds_per_request
 from ridgecourse.core.ids import ModelName, Seconds, WeightsVersion
 from ridgecourse.core.routes import EngineModel
@@ -53,6 +55,15 @@
     assert abs(load.wait(MODEL, 16, Seconds(10.0), 3) - 12 * one) < 1e-9
 
 
+def test_a_narrowed_link_counts_as_a_wait() -> None:
+    load = EngineLoad()
+    status = make_status(0, 1)
+    load.report(structs.replace(status, link=0.2), Seconds(10.0))
+    assert load.wait(MODEL, 16, Seconds(10.0), 3) >= 0.5
+    load.report(structs.replace(status, link=0.8), Seconds(11.0))
+    assert load.wait(MODEL, 16, Seconds(11.0), 3) == 0.0
+
+
 def test_an_old_report_gives_way_to_own_sends() -> None:
     load = EngineLoad()
     load.report(make_status(9, 16), Seconds(10.0))
--- a/tests/platform/test_weights.py
+++ b/tests/platform/test_weights.py
@@ -59,6 +59,13 @@
     assert not should_finish(TransferPlan(5.5, Seconds(8.0)), newer, Seconds(0.5))
 
 
+def test_a_half_done_transfer_is_finished_where_both_would_be_as_late() -> None:
+    # Names 3 s apart, half of the first version's chunks there.
+    current = TransferPlan(3.0, Seconds(8.0))
+    newer = TransferPlan(5.7, Seconds(11.0))
+    assert should_finish(current, newer, Seconds(3.0))
+
+
 def make_gateways(count: int, domains: int) -> list[GatewayPlace]:
     return [
         GatewayPlace(
@@ -143,6 +150,6 @@
         fetch_two()
         assert 0.8 * link < rate.current < 1.5 * link
     link = rate.limit
-    for _ in range(40):
+    for _ in range(60):
         fetch_two()
     assert rate.current == rate.limit
