--- a/src/ridgecourse/core/engine_load.py
+++ b/src/ridgecourse/core/engine_load.py
@@ -18,6 +18,12 @@
 """A report older than this says nothing any more: a heartbeat comes each second."""
 REPORT_LAG_SECONDS = 0.05
 """A request sent within this before a report came is not yet counted in it."""
+SILENT_SECONDS = 0.5
+"""Wait that an engine counts for while its loader has fallen silent: the instance
+may be frozen, and what is sent there then hangs."""
+FORGET_SECONDS = 12.0
+"""After which a silent loader no longer counts against its engine: a frozen
+instance has woken by then or left the list."""
 NARROW_LINK = 0.5
 """Share of its usual rate below which a link counts as narrowed; what competes with
 the weights for it takes less than that away."""
@@ -106,7 +112,14 @@
         ahead = self.requests(now, gateways) + 1 - slots
         pace = self.status.pace if self.status and self.is_fresh(now) else 1.0
         queue = max(0.0, ahead) * seconds_per_request(model, slots) * pace
-        return queue + self._link_delay(now) + self.unanswered(now)
+        return queue + self._doubt(now) + self.unanswered(now)
+
+    def _doubt(self, now: Seconds) -> float:
+        """Return the wait for which an engine counts whose instance seems unwell."""
+        age = now - self.reported_at
+        if self.status is not None and FRESH_SECONDS < age < FORGET_SECONDS:
+            return SILENT_SECONDS
+        return self._link_delay(now)
 
     def _link_delay(self, now: Seconds) -> float:
         status = self.status
--- a/tests/platform/test_load.py
+++ b/tests/platform/test_load.py
@@ -71,6 +71,15 @@
     assert load.requests(Seconds(20.0), 3) == 12
 
 
+def test_an_engine_whose_loader_fell_silent_comes_after_others() -> None:
+    load = EngineLoad()
+    load.report(make_status(0, 1), Seconds(10.0))
+    assert load.wait(MODEL, 16, Seconds(11.0), 3) == 0.0
+    assert load.wait(MODEL, 16, Seconds(12.0), 3) == 0.5
+    assert load.wait(MODEL, 16, Seconds(40.0), 3) == 0.0
+    assert EngineLoad().wait(MODEL, 16, Seconds(12.0), 3) == 0.0
+
+
 def test_an_engine_that_leaves_requests_unanswered_looks_slower() -> None:
     load = EngineLoad()
     load.report(make_status(0, 1), Seconds(10.0))
