A taken port of the figures does not keep a process from starting

Cause (tests red beside a second run of the tests): all processes of a machine took one port for figures, and a process that could not have it did not start. The tests' gateways also shared the ports of the exchange; now each has its own.

--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -15,7 +15,7 @@
 from ridgecourse.gateway.protocol import RequestProtocol
 from ridgecourse.net.address import parse_address
 from ridgecourse.net.events import EventKind, EventStream
-from ridgecourse.net.figures import figures_server
+from ridgecourse.net.figures import FiguresServer
 from ridgecourse.net.front_server import FrontReply, FrontRequest, FrontServer
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter, HttpServer
@@ -62,7 +62,7 @@
         self.router = HttpRouter()
         self.router.add("GET", ready_path, self.serve_ready)
         self.readiness = HttpServer(parse_address(site.readiness), self.router)
-        self.figures = figures_server(site.host, self.events.figures)
+        self.figures = FiguresServer(site.host, self.events.figures)
         self.stopping = False
         self.threads: list = []
 
--- a/src/ridgecourse/loader/loader.py
+++ b/src/ridgecourse/loader/loader.py
@@ -17,7 +17,7 @@
 from ridgecourse.loader.status import StatusFeed
 from ridgecourse.net.address import Address
 from ridgecourse.net.events import EventKind, EventStream
-from ridgecourse.net.figures import figures_server
+from ridgecourse.net.figures import FiguresServer
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.http_server import HttpRouter, HttpServer
 from ridgecourse.net.metrics import Metrics
@@ -100,7 +100,7 @@
         self.exchange.add_routes(self.router)
         self.rollout.catalogue.add_routes(self.router)
         self.http_server = HttpServer(Address(site.host, chunk_port), self.router)
-        self.figures = figures_server(site.host, self.events.figures)
+        self.figures = FiguresServer(site.host, self.events.figures)
         self.control_server = ControlServer(
             Address(site.host, control_port), "", self.handle_channel
         )
--- a/src/ridgecourse/net/figures.py
+++ b/src/ridgecourse/net/figures.py
@@ -1,5 +1,6 @@
 """Counters and latency histograms, served as text."""
 
+import logging
 from bisect import bisect_left
 from collections import Counter
 from collections.abc import Iterator
@@ -7,6 +8,8 @@
 from ridgecourse.net.address import Address
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter, HttpServer
 
+logger = logging.getLogger(__name__)
+
 FIGURES_PORT = 9464
 """Port of the figures, on each instance; deploy/system.toml names it too."""
 FIGURES_PATH = "/metrics"
@@ -75,8 +78,21 @@
         return HttpReply(200, body, [("Content-Type", "text/plain; version=0.0.4")])
 
 
-def figures_server(host: str, figures: Figures) -> HttpServer:
-    """Return a server of a process's figures."""
-    router = HttpRouter()
-    router.add("GET", FIGURES_PATH, figures.serve)
-    return HttpServer(Address(host, FIGURES_PORT), router)
+class FiguresServer:
+    """Serves a process's figures; the process goes on where it cannot."""
+
+    def __init__(self, host: str, figures: Figures) -> None:
+        router = HttpRouter()
+        router.add("GET", FIGURES_PATH, figures.serve)
+        self.server = HttpServer(Address(host, FIGURES_PORT), router)
+
+    def start(self) -> None:
+        """Begin to serve, if the port is free."""
+        try:
+            self.server.start()
+        except OSError as error:
+            logger.warning("no figures at port %d: %s", FIGURES_PORT, error)
+
+    def close(self) -> None:
+        """Stop."""
+        self.server.close()
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -14,7 +14,7 @@
     send_whole,
 )
 from ridgecourse_standins.platform.store import StoreStandIn
-from ridgecourse_standins.ports import free_address
+from ridgecourse_standins.ports import LAST_PORT, free_address, free_port
 
 HOST = "shop.example"
 KEY = "key-of-shop"
@@ -90,7 +90,7 @@
         "zone": "a",
         "zones": {"a": "north", "b": "south"},
         "listen": {"frontend": free_address(), "readiness": free_address()},
-        "internal_port_range": [7700, 7715],
+        "internal_port_range": [free_port(), LAST_PORT],
         "seed_nodes": [],
         "limits": {"bandwidth_mbps": 1000.0},
         "bounds": {
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,9 +1,11 @@
 """What a gateway believes while its store fails in one way or another."""
 
+import socket
 from time import monotonic, sleep
 
-from gateway_site import make_config, make_route
+from gateway_site import make_config, make_route, receive_answer
 
+from ridgecourse.net.figures import FIGURES_PORT
 from ridgecourse.platform.names import DECISIONS_TOPIC, TARGETS_TOPIC
 from ridgecourse_standins.platform.engine import send_whole
 from ridgecourse_standins.platform.store import StoreMode
@@ -99,3 +101,24 @@
         make_config(2, tenants=[{"name": "shop", "api_keys": ["k"]}])
     )
     front.wait_until(lambda: front.ask("/safe/x")[0] == 401, 2.0)
+
+
+def test_a_gateway_starts_where_the_port_of_the_figures_is_taken(front) -> None:
+    taken = socket.create_server(("127.0.0.1", FIGURES_PORT))
+    with taken:
+        front.add_engine("app")
+        front.start()
+        assert front.ask("/safe/x")[0] == 200
+
+
+def test_figures_are_served_as_text(front) -> None:
+    front.add_engine("app")
+    front.start()
+    assert front.ask("/safe/x")[0] == 200
+    address = ("127.0.0.1", FIGURES_PORT)
+    with socket.create_connection(address, 5.0) as connection:
+        connection.sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+        status, _, body, _ = receive_answer(connection)
+    assert status == 200
+    assert b"ridgecourse_requests_total 1\n" in body
+    assert b'ridgecourse_first_answer_seconds_bucket{le="8.0"} 1\n' in body
