A request is not sent on once its caller has gone

The caller's connection is now looked at before each send (test_a_frozen_gateway_does_not_resend..., red before).

--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -125,7 +125,7 @@
         if isinstance(terms, FrontReply):
             return terms
         body = request.read_body(config.limits.body_bytes)
-        order = self._make_order(call, terms, body, arrived)
+        order = self._make_order(request, call, terms, body, arrived)
         try:
             with request.watched():
                 return self._answer(request, order, terms)
@@ -156,7 +156,12 @@
         return self.random.choices(route.services, weights)[0].service
 
     def _make_order(
-        self, call: CallerRequest, terms: Terms, body: bytes, arrived: Seconds
+        self,
+        request: FrontRequest,
+        call: CallerRequest,
+        terms: Terms,
+        body: bytes,
+        arrived: Seconds,
     ) -> Order:
         waits = [call.wait, terms.route.timeout or None]
         wait = min((w for w in waits if w is not None), default=DEFAULT_WAIT_SECONDS)
@@ -169,6 +174,7 @@
             begin_by=None,
             last_event=call.last_event,
             come_back=COME_BACK_SECONDS,
+            is_abandoned=request.is_abandoned,
         )
 
     # Sending.
@@ -213,6 +219,8 @@
             choice = self.selector.choose(terms.service, order.call.model, tried)
             if choice is None or sends >= terms.route.max_attempts:
                 break
+            if order.is_abandoned():
+                raise CallerGone("the connection ended before a send")
             if not tried and (hopeless := self._hopeless(order, terms, choice)):
                 return hopeless, None
             if sends and not self.budget(terms.service.name).take_retry():
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -1,6 +1,6 @@
 """Sends one request to one target and tells what came of it."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from time import monotonic
 
 from msgspec import Struct
@@ -33,6 +33,7 @@
         begin_by: When it must have begun; None for any time.
         last_event: Event after which its stream goes on.
         come_back: Seconds after which its caller may come back if it is refused.
+        is_abandoned: Tells whether the caller has gone.
     """
 
     call: CallerRequest
@@ -43,6 +44,7 @@
     begin_by: Seconds | None
     last_event: int | None
     come_back: float
+    is_abandoned: Callable[[], bool]
 
 
 class NotRun(Struct, frozen=True):
--- a/src/ridgecourse/net/front_server.py
+++ b/src/ridgecourse/net/front_server.py
@@ -8,7 +8,7 @@
 import logging
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager, suppress
-from socket import MSG_PEEK
+from socket import MSG_DONTWAIT, MSG_PEEK
 from typing import Any, NamedTuple
 
 import eventlet
@@ -107,6 +107,19 @@
                 raise BodyTooLarge(f"over {limit} bytes")
             yield piece
 
+    def is_abandoned(self) -> bool:
+        """Tell whether the caller's connection has ended by now.
+
+        A process that was frozen learns of several things at the same time, and
+        this may be the last of them that its watch comes to.
+        """
+        try:
+            return not self.protocol.connection.fd.recv(1, MSG_PEEK | MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     @contextmanager
     def watched(self) -> Iterator[None]:
         """Raise ``CallerGone`` in the block when the caller goes away."""
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -1,5 +1,6 @@
 """The way of a request through the gateway, and what can be proved of it."""
 
+import signal
 import socket
 from threading import Event
 
@@ -344,3 +345,28 @@
     front.start()
     assert front.ask("/stream/x", method="POST", extra=STREAM)[0] == 503
     assert empty.requests == []
+
+
+def test_a_frozen_gateway_does_not_resend_for_callers_that_left(front) -> None:
+    held: list[ReceivedRequest] = []
+
+    def hold(request: ReceivedRequest) -> None:
+        held.append(request)
+
+    engines = [front.add_engine("app", hold) for _ in range(2)]
+    front.start()
+    callers = [front.open() for _ in range(8)]
+    for caller in callers:
+        front.send(caller, "/safe/x")
+    front.wait_until(lambda: len(held) == len(callers))
+    gateway = front.gateway.running
+    gateway.send_signal(signal.SIGSTOP)
+    for request in list(held):
+        reset(request)
+    for caller in callers:
+        caller.close()
+    gateway.send_signal(signal.SIGCONT)
+    front.wait_until(
+        lambda: front.gateway.events_path.read_text().count("caller gone") == 8
+    )
+    assert sum(len(engine.requests) for engine in engines) == 8
