One hub a domain brings a version in; the next in line copies it

Whoever was asked for a version made itself its domain's hub, and loaders asked the hub of the old version whether the new one could be had. A loader that knew a manifest did not ask a new hub for the version at all: after its hub had stopped it waited from 12.4 to 18.6 s. A stopping gateway stayed hub until its end.

Change: a gateway that is asked and is not its domain's hub copies from the one that is; the next in rank holds each version as well, within the domain, where bytes cost nothing; transfers begin again when the plan changes; loaders ask the hub of each transfer; a stopping gateway leaves its part to the next, if there is one; a loader without a hub in its domain follows those elsewhere. GatewayPlace and Peer were one type under two names and are one now.

--- a/src/ridgecourse/agent/rollout.py
+++ b/src/ridgecourse/agent/rollout.py
@@ -17,10 +17,10 @@
 from ridgecourse.agent.lease import LeaseKeeper
 from ridgecourse.core.config import Service, Target, Version
 from ridgecourse.core.finding import render_findings
+from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import Offset, RootDigest, TargetName
 from ridgecourse.core.manifest import parse_manifest
 from ridgecourse.core.rendezvous import rendezvous_rank
-from ridgecourse.exchange.context import Peer
 from ridgecourse.exchange.holding import Holding
 from ridgecourse.exchange.origin import OriginUnavailable
 from ridgecourse.exchange.server import MANIFEST_PATH, Exchange
--- a/src/ridgecourse/core/hubs.py
+++ b/src/ridgecourse/core/hubs.py
@@ -2,19 +2,25 @@
 
 An instance beside an engine has a small link, which its engine's answers share.
 A gateway's link is some hundred times larger. So one gateway a domain draws the
-version, and the loaders of the domain take it from there; no loader sends.
+version, and the loaders of the domain take it from there; no loader sends. The
+next gateway in line holds the version as well, copied within the domain, so that
+the loss of a hub costs no second copy from the origin or across a border.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from msgspec import Struct
 
 from ridgecourse.core.ids import DomainName, TargetName
 from ridgecourse.core.rendezvous import rendezvous_rank
 
+NEIGHBOURS = 3
+"""Gateways of a domain that may hold a version: the hub, the next in line, and the
+one that was pushed back by a gateway that came later."""
 
-class GatewayPlace(Struct, frozen=True):
-    """Where a gateway takes part in the exchange of weights.
+
+class Peer(Struct, frozen=True):
+    """Where a process takes part in the exchange of weights.
 
     Attributes:
         name: Names it among the members of the exchange.
@@ -29,16 +35,62 @@
     control_address: str
 
 
-def choose_hubs(key: str, gateways: Iterable[GatewayPlace]) -> Sequence[GatewayPlace]:
-    """Return the hub of each domain, the first of them first in line for the origin.
+def rank_gateways(
+    key: str, gateways: Iterable[Peer]
+) -> Mapping[DomainName, Sequence[Peer]]:
+    """Return the gateways of each domain, its hub first, then who follows it.
 
     Args:
-        key: Names the version; each has hubs of its own.
-        gateways: All known ones; who knows the same ones gets the same hubs.
+        key: Names the version; each has an order of its own.
+        gateways: All known ones; who knows the same ones gets the same order.
+
+    Returns:
+        The domains, that of the hub first in line for the origin first.
     """
     by_name = {gateway.name: gateway for gateway in gateways}
-    hubs: dict[DomainName, GatewayPlace] = {}
+    ranked: dict[DomainName, list[Peer]] = {}
     for name in rendezvous_rank(key, by_name):
         gateway = by_name[TargetName(name)]
-        hubs.setdefault(gateway.domain, gateway)
-    return list(hubs.values())
+        ranked.setdefault(gateway.domain, []).append(gateway)
+    return ranked
+
+
+def choose_hubs(key: str, gateways: Iterable[Peer]) -> Sequence[Peer]:
+    """Return the hub of each domain, the first of them first in line for the origin.
+
+    Args:
+        key: Names the version.
+        gateways: All known ones.
+    """
+    return [ranked[0] for ranked in rank_gateways(key, gateways).values()]
+
+
+class HubPlan(Struct, frozen=True):
+    """Who takes part in bringing a version in, as one gateway sees it.
+
+    Attributes:
+        hubs: The hub of each domain.
+        near: Gateways of the own domain that may hold it, this one excluded.
+    """
+
+    hubs: Sequence[Peer]
+    near: Sequence[Peer]
+
+    def sources(self, me: Peer) -> Mapping[TargetName, Peer]:
+        """Return whom the gateway takes chunks from."""
+        peers = {peer.name: peer for peer in [*self.hubs, *self.near]}
+        peers.pop(me.name, None)
+        return peers
+
+
+def plan_hubs(key: str, gateways: Iterable[Peer], me: Peer) -> HubPlan:
+    """Return who brings a version in.
+
+    Args:
+        key: Names the version.
+        gateways: The known ones.
+        me: The gateway that asks.
+    """
+    ranked = rank_gateways(key, [*gateways, me])
+    near = [peer for peer in ranked[me.domain][:NEIGHBOURS] if peer != me]
+    return HubPlan([domain[0] for domain in ranked.values()], near)
--- a/src/ridgecourse/core/planner.py
+++ b/src/ridgecourse/core/planner.py
@@ -201,7 +201,7 @@
         others = [target for target in local if target != self.me.target]
         followed = others[: self.policy.neighbours]
         for number, slot in enumerate(self.import_slots):
-            if self.hubs and self.me.target not in self.hubs:
+            if self._is_fed_by_hub():
                 break
             if self.me.target in slot.candidates[:STANDBY]:
                 followed.extend(self._first_candidates(number))
@@ -209,6 +209,12 @@
         unique.pop(self.me.target, None)
         return list(unique)
 
+    def _is_fed_by_hub(self) -> bool:
+        """Tell whether another member brings chunks into the own domain."""
+        if self.me.target in self.hubs:
+            return False
+        return any(self.members.get(hub) == self.me.domain for hub in self.hubs)
+
     def _first_candidates(self, number: int) -> Iterator[TargetName]:
         for domain in sorted(set(self.members.values())):
             ranked = slot_candidates(self.root, self.members, domain, number, self.hubs)
--- a/src/ridgecourse/exchange/catalogue.py
+++ b/src/ridgecourse/exchange/catalogue.py
@@ -6,6 +6,7 @@
 import eventlet
 from returns.result import Success
 
+from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import ModelName, WeightsVersion
 from ridgecourse.core.manifest import (
     Manifest,
@@ -13,7 +14,7 @@
     parse_manifest,
     root_digest,
 )
-from ridgecourse.exchange.context import ExchangeContext, Peer
+from ridgecourse.exchange.context import ExchangeContext
 from ridgecourse.exchange.holding import Holding
 from ridgecourse.exchange.origin import OriginUnavailable, WeightsOrigin
 from ridgecourse.net.http_client import ExchangeFailed, NoConnection
@@ -33,7 +34,8 @@
 
     Attributes:
         holdings: By model and version.
-        asked: Called with a version that somebody asked for in vain.
+        asked: Called with a version that somebody asked for and that is not
+            whole here.
     """
 
     def __init__(
@@ -58,11 +60,11 @@
             return HttpReply(400)
         key = (ModelName(model), WeightsVersion(int(number)))
         holding = self.holdings.get(key)
-        if holding is not None:
-            return HttpReply(200, holding.manifest_bytes)
-        if self.asked is not None:
+        if self.asked is not None and (holding is None or not holding.complete):
             self.asked(key)
-        return HttpReply(404)
+        if holding is None:
+            return HttpReply(404)
+        return HttpReply(200, holding.manifest_bytes)
 
     def find(
         self, key: VersionKey, address: str, peers: Sequence[Peer], patience: float
--- a/src/ridgecourse/exchange/context.py
+++ b/src/ridgecourse/exchange/context.py
@@ -2,11 +2,10 @@
 
 from collections.abc import Callable
 from hashlib import sha256
-from typing import NamedTuple
 
 from msgspec import Struct
 
-from ridgecourse.core.ids import ChunkDigest, DomainName, TargetName
+from ridgecourse.core.ids import ChunkDigest
 from ridgecourse.core.manifest import chunk_digest
 from ridgecourse.core.planner import Member, PlanPolicy
 from ridgecourse.exchange.store import ChunkStore
@@ -16,22 +15,6 @@
 from ridgecourse.net.throttle import AdaptiveRate, Throttle
 
 
-class Peer(NamedTuple):
-    """Another agent of the fleet.
-
-    Attributes:
-        target: Its target.
-        domain: Its failure domain.
-        address: HOST:PORT for chunks.
-        control_address: HOST:PORT for control connections.
-    """
-
-    target: TargetName
-    domain: DomainName
-    address: str
-    control_address: str
-
-
 class LinkPolicy(Struct, frozen=True):
     """What uploads may use of the instance's link.
 
--- a/src/ridgecourse/exchange/holding.py
+++ b/src/ridgecourse/exchange/holding.py
@@ -51,6 +51,11 @@
             self.changed.notify()
         return [self.places[index].digest for index in valid]
 
+    @property
+    def complete(self) -> bool:
+        """Whether every chunk is held."""
+        return len(self.held) == len(self.places)
+
     def held_bytes(self) -> int:
         """Return the bytes held."""
         return sum(self.places[index].length for index in self.held)
--- a/src/ridgecourse/exchange/transfer.py
+++ b/src/ridgecourse/exchange/transfer.py
@@ -8,6 +8,7 @@
 
 import eventlet
 
+from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import ChunkDigest, DomainName, Seconds, TargetName
 from ridgecourse.core.planner import (
     ORIGIN,
@@ -16,7 +17,7 @@
     FetchFailure,
     Member,
 )
-from ridgecourse.exchange.context import ExchangeContext, Peer
+from ridgecourse.exchange.context import ExchangeContext
 from ridgecourse.exchange.holding import Holding
 from ridgecourse.exchange.origin import (
     ChunkOrigin,
@@ -81,7 +82,7 @@
             holding.root,
             [place.digest for place in holding.places],
             [holding.places[index].digest for index in holding.held],
-            [Member(peer.target, peer.domain) for peer in peers.values()],
+            [Member(peer.name, peer.domain) for peer in peers.values()],
             context.plan,
             Seconds(monotonic()),
             origin_copies,
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -98,6 +98,8 @@
         begun = monotonic()
         self.stopping = True
         self.events.emit(EventKind.STOPPING, in_flight=self.front.in_flight)
+        if self.hub.has_successor():
+            self.watcher.withdraw()
         eventlet.sleep(UNREADY_SECONDS)
         self.front.stop_listening()
         self.front.closing = True
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -1,12 +1,11 @@
 """A gateway's part in the exchange of weights."""
 
-from collections.abc import Sequence
 from time import monotonic
 
 import eventlet
 
 from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.hubs import GatewayPlace, choose_hubs
+from ridgecourse.core.hubs import HubPlan, Peer, choose_hubs, plan_hubs
 from ridgecourse.core.ids import TargetName
 from ridgecourse.core.planner import Member, PlanPolicy
 from ridgecourse.core.site import Site
@@ -14,7 +13,6 @@
 from ridgecourse.exchange.context import (
     ExchangeContext,
     LinkPolicy,
-    Peer,
     sha256_digest,
 )
 from ridgecourse.exchange.holding import Holding
@@ -47,6 +45,8 @@
 listed and loaders followed by then."""
 MANIFEST_STAGGER_SECONDS = 0.3
 """A hub that is not the first waits so long before it asks the origin itself."""
+MANIFEST_PATIENCE_SECONDS = 1.0
+"""How long the next in line asks its domain's hub: some round trips are enough."""
 RETRY_SECONDS = 0.5
 FIRST_MESSAGE_SECONDS = 2.0
 
@@ -58,6 +58,7 @@
         place: Where others find it.
         told: Gateways that each loader knows, by the loader's address.
         working: Versions that are being brought in.
+        transfers: Their transfers in progress, with the plan of each.
     """
 
     def __init__(
@@ -73,13 +74,13 @@
         self.events = events
         self.origin = origin
         control_port = site.peer_ports[0]
-        self.place = GatewayPlace(
+        self.place = Peer(
             TargetName(site.host),
             site.domain,
             f"{site.host}:{control_port + 1}",
             f"{site.host}:{control_port}",
         )
-        self.told: dict[str, list[GatewayPlace]] = {}
+        self.told: dict[str, list[Peer]] = {}
         self.context = ExchangeContext(
             me=Member(self.place.name, site.domain),
             events=events,
@@ -103,6 +104,7 @@
         self.exchange = Exchange(self.context)
         self.catalogue = Catalogue(self.context, origin, self.want)
         self.working: dict[VersionKey, eventlet.greenthread.GreenThread] = {}
+        self.transfers: dict[VersionKey, tuple[HubPlan, Transfer]] = {}
         self.warming: eventlet.greenthread.GreenThread | None = None
         router = HttpRouter()
         self.exchange.add_routes(router)
@@ -126,13 +128,12 @@
         origin is away.
         """
         config = self.view.config
-        known = [gateway for told in self.told.values() for gateway in told]
         for service in config.services.values() if config else ():
             if service.engine is None or not service.engine.chunks:
                 continue
             model = service.engine.model
             key = (model, self.view.wanted_version(model))
-            if self.place in choose_hubs(str(key), known):
+            if self.place in choose_hubs(str(key), self._known()):
                 self.want(key)
 
     def close(self) -> None:
@@ -155,28 +156,39 @@
             raise ChannelClosed("no first message")
         self.exchange.tell_holdings(channel, follow)
 
-    def learn(self, loader: str, gateways: list[GatewayPlace]) -> None:
+    def learn(self, loader: str, gateways: list[Peer]) -> None:
         """Take in the gateways that a loader knows; none once it is lost."""
         if gateways:
             self.told[loader] = gateways
         else:
             self.told.pop(loader, None)
+        for key, (plan, transfer) in list(self.transfers.items()):
+            if plan != self.plan(key):
+                # A gateway came or went: go on with those that are there now.
+                transfer.cancel()
 
-    def hubs(self, key: VersionKey) -> Sequence[GatewayPlace]:
-        """Return the hubs of a version, this gateway among them.
+    def _known(self) -> list[Peer]:
+        return [gateway for told in self.told.values() for gateway in told]
 
-        Who is asked for a version is a hub, even if others would have been.
+    def has_successor(self) -> bool:
+        """Tell whether another gateway of the domain can take this one's place."""
+        return any(
+            gateway.domain == self.place.domain and gateway != self.place
+            for gateway in self._known()
+        )
+
+    def plan(self, key: VersionKey) -> HubPlan:
+        """Return who brings a version in.
+
+        A gateway that is asked and is not its domain's hub copies the version
+        from there, so that no second one draws it from the origin.
         """
-        known = [gateway for told in self.told.values() for gateway in told]
-        chosen = choose_hubs(str(key), [*known, self.place])
-        return [
-            self.place if gateway.domain == self.place.domain else gateway
-            for gateway in chosen
-        ]
+        return plan_hubs(str(key), self._known(), self.place)
 
     def want(self, key: VersionKey) -> None:
         """Bring a version in, if that has not begun."""
-        if key in self.working or key in self.catalogue.holdings:
+        holding = self.catalogue.holdings.get(key)
+        if key in self.working or (holding is not None and holding.complete):
             return
         self.working[key] = eventlet.spawn(self._bring, key)
 
@@ -191,7 +203,6 @@
                         EventKind.VERSION_COMPLETE, version=str(key[1]), took=seconds
                     )
                     return
-                eventlet.sleep(RETRY_SECONDS)
         finally:
             self.working.pop(key, None)
 
@@ -201,47 +212,50 @@
     def _try_bring(self, key: VersionKey) -> bool:
         config = self.view.config
         if config is None or config.origin is None:
+            eventlet.sleep(RETRY_SECONDS)
             return False
-        hubs = self.hubs(key)
-        self._wake_others(key, hubs)
-        holding = self._find_manifest(key, config.origin.address, hubs)
+        plan = self.plan(key)
+        self._wake_others(key, plan)
+        holding = self._find_manifest(key, config.origin.address, plan)
         if holding is None:
+            self._note_failure(key, "no manifest")
             return False
         self._join(key, holding)
-        peers = {
-            hub.name: Peer(hub.name, hub.domain, hub.address, hub.control_address)
-            for hub in hubs
-            if hub.name != self.place.name
-        }
         chunks = self.origin.chunks(config.origin.address, *key)
-        names = [hub.name for hub in hubs]
+        names = [hub.name for hub in plan.hubs]
+        peers = plan.sources(self.place)
         transfer = Transfer(
             self.context, chunks, holding, peers, 1, names, config.origin.domain
         )
+        self.transfers[key] = plan, transfer
         try:
             return transfer.run()
         except TransferError as error:
-            self.events.emit(
-                EventKind.ROLLOUT_FAILED, version=str(key[1]), error=str(error)
-            )
+            self._note_failure(key, str(error))
             return False
+        finally:
+            del self.transfers[key]
+
+    def _note_failure(self, key: VersionKey, error: str) -> None:
+        self.events.emit(EventKind.ROLLOUT_FAILED, version=str(key[1]), error=error)
+        eventlet.sleep(RETRY_SECONDS)
 
-    def _wake_others(self, key: VersionKey, hubs: Sequence[GatewayPlace]) -> None:
-        """Ask the other hubs for the version, so that they begin as well."""
-        for hub in hubs:
-            if hub.name != self.place.name:
-                eventlet.spawn(self.catalogue.ask, hub.address, key)
+    def _wake_others(self, key: VersionKey, plan: HubPlan) -> None:
+        """Ask the other hubs, and the next in line here, to begin as well."""
+        woken = [*plan.hubs, *plan.near[:1]]
+        for peer in woken if self.place in plan.hubs else plan.hubs:
+            if peer != self.place:
+                eventlet.spawn(self.catalogue.ask, peer.address, key)
 
     def _find_manifest(
-        self, key: VersionKey, origin: str, hubs: Sequence[GatewayPlace]
+        self, key: VersionKey, origin: str, plan: HubPlan
     ) -> Holding | None:
-        rank = hubs.index(self.place)
-        before = [
-            Peer(hub.name, hub.domain, hub.address, hub.control_address)
-            for hub in hubs[:rank]
-        ]
-        patience = MANIFEST_STAGGER_SECONDS * rank
-        return self.catalogue.find(key, origin, before, patience)
+        """Return a version's holding; the hub first in line asks the origin."""
+        if self.place in plan.hubs:
+            rank = plan.hubs.index(self.place)
+            patience = MANIFEST_STAGGER_SECONDS * rank
+            return self.catalogue.find(key, origin, plan.hubs[:rank], patience)
+        return self.catalogue.find(key, origin, plan.near, MANIFEST_PATIENCE_SECONDS)
 
     def _join(self, key: VersionKey, holding: Holding) -> None:
         for old in self.catalogue.drop_old(key[0]):
--- a/src/ridgecourse/gateway/loads.py
+++ b/src/ridgecourse/gateway/loads.py
@@ -38,6 +38,7 @@
 
     Attributes:
         loads: What is known of each engine, by its address.
+        brings_weights: Whether loaders are told to take weights from here.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         self.view = view
         self.events = events
         self.loads: dict[str, EngineLoad] = {}
+        self.brings_weights = True
         self.followers: dict[str, eventlet.greenthread.GreenThread] = {}
         self.thread: eventlet.greenthread.GreenThread | None = None
 
@@ -62,6 +64,14 @@
         for follower in self.followers.values():
             follower.kill()
 
+    def withdraw(self) -> None:
+        """Tell the loaders to take weights from the next gateway in line."""
+        self.brings_weights = False
+        followers, self.followers = self.followers, {}
+        for follower in followers.values():
+            follower.kill()
+        self.view.changed.notify()
+
     def load(self, address: str) -> EngineLoad:
         """Return what is known of an engine's load."""
         return self.loads.setdefault(address, EngineLoad())
@@ -106,7 +116,7 @@
                     PROTOCOL_VERSION,
                     self.site.process,
                     self._interval(target),
-                    self.hub.place,
+                    self.hub.place if self.brings_weights else None,
                 )
             )
             while True:
--- a/src/ridgecourse/loader/loader.py
+++ b/src/ridgecourse/loader/loader.py
@@ -4,7 +4,7 @@
 
 from ridgecourse.cluster.decoder import RecordDecoder
 from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.hubs import GatewayPlace
+from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import TargetName
 from ridgecourse.core.planner import Member, PlanPolicy
 from ridgecourse.core.site import Site
@@ -83,7 +83,7 @@
             digest=sha256_digest,
         )
         self.exchange = Exchange(self.context)
-        self.gateways: Counter[GatewayPlace] = Counter()
+        self.gateways: Counter[Peer] = Counter()
         control_port, chunk_port = site.peer_ports[0], site.peer_ports[0] + 1
         self.rollout = Rollout(
             site,
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -4,9 +4,11 @@
 from enum import Enum
 from time import monotonic
 
+import eventlet
+
 from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.engine_load import EngineStatus
-from ridgecourse.core.hubs import GatewayPlace, choose_hubs
+from ridgecourse.core.hubs import Peer, choose_hubs
 from ridgecourse.core.ids import Seconds, TargetName, WeightsVersion
 from ridgecourse.core.rendezvous import rendezvous_rank
 from ridgecourse.core.routes import EngineModel, OriginPlace
@@ -14,7 +16,7 @@
 from ridgecourse.core.supersession import TransferPlan, should_finish
 from ridgecourse.core.targets import ListedTarget
 from ridgecourse.exchange.catalogue import Catalogue, VersionKey
-from ridgecourse.exchange.context import ExchangeContext, Peer
+from ridgecourse.exchange.context import ExchangeContext
 from ridgecourse.exchange.holding import Holding
 from ridgecourse.exchange.origin import WeightsOrigin
 from ridgecourse.exchange.server import Exchange
@@ -82,7 +84,7 @@
         exchange: Exchange,
         engine: EngineControl,
         origin: WeightsOrigin,
-        gateways: Mapping[GatewayPlace, int],
+        gateways: Mapping[Peer, int],
         peer_address: tuple[int, int],
     ) -> None:
         assert site.target is not None
@@ -102,7 +104,7 @@
         self.alone_until = monotonic() + SETTLE_SECONDS
         self.ordered = WeightsVersion(0)
         self.transfer: Transfer | None = None
-        self.hubs: Sequence[GatewayPlace] = []
+        self.hubs: Sequence[Peer] = []
         self.threads: list = []
 
     def start(self) -> None:
@@ -202,12 +204,14 @@
         self.hubs = choose_hubs(str(key), self.gateways)
         if not self.hubs:
             return self.other_loaders(), []
-        peers = {
-            hub.name: Peer(hub.name, hub.domain, hub.address, hub.control_address)
-            for hub in self.hubs
-        }
+        peers = {hub.name: hub for hub in self.hubs}
         return peers, list(peers)
 
+    def note_gateways(self) -> None:
+        """Log which gateways bring weights in, after one came or went."""
+        names = sorted(gateway.name for gateway in self.gateways)
+        self.context.events.emit(EventKind.GATEWAYS_KNOWN, gateways=names)
+
     def other_loaders(self) -> Mapping[TargetName, Peer]:
         """Return the loaders of the service's other engines, by instance."""
         found = {}
@@ -278,6 +282,9 @@
             staging.take_in(holding.manifest)
         self._join(key, holding)
         if len(holding.held) < len(holding.places):
+            if hubs:
+                # Known or not, the hub may be a new one that has not begun.
+                eventlet.spawn(self.catalogue.ask, near[0].address, key)
             origin = self.origin.chunks(place.address, *key)
             transfer = Transfer(
                 self.context, origin, holding, peers, 1, hubs, place.domain
@@ -372,9 +379,10 @@
 
         While its origin is away a newer version must not stop an older one.
         """
-        if key in self.catalogue.holdings or not self.hubs:
+        hubs = choose_hubs(str(key), self.gateways)
+        if key in self.catalogue.holdings or not hubs:
             return True
-        near = sorted(self.hubs, key=lambda hub: hub.domain != self.site.domain)
+        near = sorted(hubs, key=lambda hub: hub.domain != self.site.domain)
         return self.catalogue.ask(near[0].address, key) is not None
 
     def _should_finish(self, transfer: Transfer, model: EngineModel) -> bool:
--- a/src/ridgecourse/loader/status.py
+++ b/src/ridgecourse/loader/status.py
@@ -6,7 +6,7 @@
 import eventlet
 
 from ridgecourse.core.engine_load import EngineStatus
-from ridgecourse.core.hubs import GatewayPlace
+from ridgecourse.core.hubs import Peer
 from ridgecourse.loader.protocol import EngineControl, EngineUnavailable
 from ridgecourse.loader.rollout import Rollout
 from ridgecourse.net.broadcast import Broadcast
@@ -28,20 +28,22 @@
 
     Attributes:
         status: The newest load; None while the engine does not answer.
-        gateways: Those that are told, with the number of their connections.
+        gateways: Those that bring weights in, with the number of their connections.
+        watchers: Connections of gateways that are told.
     """
 
     def __init__(
         self,
         engine: EngineControl,
         rollout: Rollout,
-        gateways: Counter[GatewayPlace],
+        gateways: Counter[Peer],
     ) -> None:
         self.engine = engine
         self.rollout = rollout
         self.status: EngineStatus | None = None
         self.changed = Broadcast()
         self.gateways = gateways
+        self.watchers = 0
         self.thread: eventlet.greenthread.GreenThread | None = None
 
     def start(self) -> None:
@@ -59,7 +61,7 @@
 
     def _look_once(self) -> float:
         """Look if anybody is told; return the seconds until the next look."""
-        if not self.gateways:
+        if not self.watchers:
             return IDLE_SECONDS
         try:
             status = self.rollout.describe(self.engine.report())
@@ -80,7 +82,7 @@
         """
         interval = max(SHORTEST_INTERVAL_SECONDS, watch.interval)
         self._count(watch.gateway, +1)
-        told: list[GatewayPlace] = []
+        told: list[Peer] = []
         try:
             while True:
                 sent = monotonic()
@@ -94,9 +96,15 @@
         finally:
             self._count(watch.gateway, -1)
 
-    def _count(self, gateway: GatewayPlace, change: int) -> None:
+    def _count(self, gateway: Peer | None, change: int) -> None:
         """Note that a gateway connected or went away."""
+        self.watchers += change
+        if gateway is None:
+            return
+        before = len(self.gateways)
         self.gateways[gateway] += change
         if self.gateways[gateway] <= 0:
             del self.gateways[gateway]
+        if len(self.gateways) != before:
+            self.rollout.note_gateways()
         self.changed.notify()
--- a/src/ridgecourse/net/events.py
+++ b/src/ridgecourse/net/events.py
@@ -41,6 +41,7 @@
     REQUEST_ADMITTED = "request-admitted"
     KEY_CLAIMED = "key-claimed"
     KEY_FENCED = "key-fenced"
+    GATEWAYS_KNOWN = "gateways-known"
     TARGET_EJECTED = "target-ejected"
     TARGET_LEAVING = "target-leaving"
     TARGET_LISTED = "target-listed"
--- a/src/ridgecourse/wire/control.py
+++ b/src/ridgecourse/wire/control.py
@@ -4,7 +4,7 @@
 
 from ridgecourse.core.config import ConfigSnapshot
 from ridgecourse.core.engine_load import EngineStatus
-from ridgecourse.core.hubs import GatewayPlace
+from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import (
     ChunkDigest,
     DomainName,
@@ -122,13 +122,14 @@
         protocol: Version of this protocol.
         process: The sender.
         interval: Shortest time between two reports, in seconds.
-        gateway: Where the sender takes part in the exchange of weights.
+        gateway: Where the sender takes part in the exchange of weights; None
+            once it is about to stop.
     """
 
     protocol: int
     process: ProcessName
     interval: float
-    gateway: GatewayPlace
+    gateway: Peer | None
 
 
 class EngineReport(ControlMessage, frozen=True, tag="engine"):
@@ -140,7 +141,7 @@
 class Gateways(ControlMessage, frozen=True, tag="gateways"):
     """The gateways that watch the sender: so they learn of each other."""
 
-    gateways: list[GatewayPlace]
+    gateways: list[Peer]
 
 
 LoaderReport = EngineReport | Gateways
--- a/src/ridgecourse_standins/platform/weights.py
+++ b/src/ridgecourse_standins/platform/weights.py
@@ -153,12 +153,20 @@
     Attributes:
         versions: Chunks of each version.
         spoilt: Chunks that come wrong the next time, as version and index.
+        held_back: Whether chunks are not sent yet.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.versions: dict[int, list[bytes]] = {}
         self.spoilt: set[tuple[int, int]] = set()
+        self.held_back = False
+
+    def release(self) -> None:
+        """Send the chunks that were held back."""
+        with self.changed:
+            self.held_back = False
+            self.changed.notify_all()
 
     def answer(
         self, method: str, path: str, query: dict[str, str], body: bytes
@@ -172,6 +180,8 @@
             digests = [sha256(chunk).hexdigest() for chunk in chunks]
             return 200, encode({"chunk_bytes": len(chunks[0]), "digests": digests})
         if path.startswith(CHUNK_PATH):
+            self.changed.notify_all()
+            self.changed.wait_for(lambda: not self.held_back)
             index = int(query[CHUNK_INDEX])
             if (version, index) in self.spoilt:
                 self.spoilt.discard((version, index))
--- /dev/null
+++ b/tests/platform/test_hubs.py
@@ -0,0 +1,161 @@
+"""One hub a domain draws a version; the next in line takes over from it."""
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from gateway_site import MODEL, make_settings
+from hypothesis import given
+from hypothesis import strategies as st
+from msgspec.json import encode
+from test_loader import CHUNKS, LoaderSite, chunk_calls, make_chunks
+from test_weights import CHUNKS as DIGESTS
+from test_weights import HUBS, make_gateways, make_planner
+
+from ridgecourse.core.hubs import Peer, choose_hubs, plan_hubs
+from ridgecourse.core.ids import DomainName, Seconds, TargetName
+from ridgecourse.core.planner import Member
+from ridgecourse.net.http_client import HttpClient
+from ridgecourse_standins.managed import Managed
+from ridgecourse_standins.ports import free_address
+
+KEY = f"('{MODEL}', 2)"
+VERSION_PATH = f"/versions/{MODEL}/2"
+
+
+@given(st.integers(1, 12), st.integers(1, 4))
+def test_a_gateway_that_is_no_hub_copies_from_the_one_that_is(
+    count: int, domains: int
+) -> None:
+    gateways = make_gateways(count, domains)
+    hubs = choose_hubs(KEY, gateways)
+    for me in gateways:
+        plan = plan_hubs(KEY, gateways, me)
+        assert plan.hubs == hubs
+        assert me.name not in plan.sources(me)
+        assert all(peer.domain == me.domain for peer in plan.near)
+        if me not in hubs:
+            hub = next(hub for hub in hubs if hub.domain == me.domain)
+            assert plan.near[0] == hub
+
+
+@given(st.integers(2, 12))
+def test_the_next_in_line_is_the_hub_once_the_first_has_gone(count: int) -> None:
+    gateways = make_gateways(count, 1)
+    (hub,) = choose_hubs(KEY, gateways)
+    successor = plan_hubs(KEY, gateways, hub).near[0]
+    left = [gateway for gateway in gateways if gateway != hub]
+    assert list(choose_hubs(KEY, left)) == [successor]
+
+
+def test_a_loader_without_a_hub_in_its_domain_follows_those_elsewhere() -> None:
+    hubs = [hub for hub in HUBS if hub.domain != "a"]
+    planner = make_planner(Member(TargetName("loader"), DomainName("a")), hubs)
+    assert set(planner.neighbours()) == {hub.target for hub in hubs}
+    planner.peer_holds(TargetName("hub-b"), DIGESTS[:5], Seconds(0.1))
+    fetches = list(planner.plan(Seconds(0.2)))
+    assert {fetch.source for fetch in fetches} == {TargetName("hub-b")}
+
+
+class HubSite(LoaderSite):
+    """A loader site with two gateways of the loader's domain."""
+
+    def __init__(self, directory: Path) -> None:
+        super().__init__(directory)
+        self.places: dict[str, Managed] = {}
+        for number in (2, 3):
+            host = f"127.0.0.{number}"
+            settings = make_settings(
+                self.store.address,
+                node_name=f"edge-a-{number}",
+                ip=host,
+                internal_port_range=self.ports,
+                listen={"frontend": free_address(), "readiness": free_address()},
+            )
+            path = directory / f"{host}.json"
+            path.write_bytes(encode(settings))
+            command = ["-m", "ridgecourse.platform.gateway_main", str(path)]
+            self.places[host] = Managed(f"gateway-{number}", command, directory)
+
+    def start(self) -> None:
+        self.list_engine()
+        for gateway in self.places.values():
+            gateway.start()
+        super().start()
+        self.wait_serving(1)
+        for gateway in self.places.values():
+            gateway.wait_event("target-listed")
+        self.loader.wait_event("gateways-known", detail={"gateways": list(self.places)})
+
+    def ranked(self) -> list[str]:
+        """Return the gateways' hosts, the hub of the second version first."""
+        peers = [
+            Peer(TargetName(host), DomainName("a"), "x", "x") for host in self.places
+        ]
+        (hub,) = choose_hubs(KEY, peers)
+        return sorted(self.places, key=lambda host: host != hub.name)
+
+    def ask(self, host: str) -> None:
+        """Ask a gateway for the second version, as a loader does."""
+        HttpClient().fetch("GET", f"{host}:{self.ports[0] + 1}", VERSION_PATH)
+
+    def close(self) -> None:
+        for gateway in self.places.values():
+            gateway.close()
+        super().close()
+
+
+@pytest.fixture
+def hub_site(tmp_path: Path) -> Iterator[HubSite]:
+    site = HubSite(tmp_path)
+    yield site
+    site.close()
+
+
+def test_two_gateways_that_are_asked_draw_one_copy(hub_site) -> None:
+    hub_site.start()
+    drawn = chunk_calls(hub_site)
+    hub_site.store.put_version(MODEL, 2)
+    for host in hub_site.places:
+        hub_site.ask(host)
+    for gateway in hub_site.places.values():
+        gateway.wait_event("version-complete", version="2")
+    hub_site.wait_serving(2)
+    assert chunk_calls(hub_site) == drawn + CHUNKS
+
+
+def test_the_next_in_line_holds_what_a_lost_hub_held(hub_site) -> None:
+    hub_site.start()
+    hub, successor = hub_site.ranked()
+    hub_site.ask(hub)
+    hub_site.places[successor].wait_event("version-complete", version="2")
+    drawn = chunk_calls(hub_site)
+    hub_site.places[hub].kill()
+    hub_site.store.put_version(MODEL, 2)
+    hub_site.wait_serving(2)
+    assert chunk_calls(hub_site) == drawn
+
+
+def test_a_new_hub_is_asked_for_a_version_that_is_on_its_way(hub_site) -> None:
+    hub_site.origin.versions[2] = make_chunks(2)
+    hub_site.start()
+    hub, successor = hub_site.ranked()
+    hub_site.origin.held_back = True
+    hub_site.store.put_version(MODEL, 2)
+    hub_site.loader.wait_event("rollout-phase", version="2")
+    hub_site.origin.wait_until(lambda: chunk_calls(hub_site) > CHUNKS)
+    hub_site.places[hub].kill()
+    hub_site.origin.release()
+    hub_site.wait_serving(2)
+    hub_site.places[successor].wait_event("version-complete", version="2")
+
+
+def test_a_gateway_that_stops_leaves_its_part_to_the_next(hub_site) -> None:
+    hub_site.start()
+    hub, successor = hub_site.ranked()
+    hub_site.places[hub].running.terminate()
+    hub_site.loader.wait_event("gateways-known", detail={"gateways": [successor]})
+    hub_site.store.put_version(MODEL, 2)
+    hub_site.wait_serving(2)
+    hub_site.places[successor].wait_event("version-complete", version="2")
+    assert hub_site.places[hub].running.wait(10) == 0
--- a/tests/platform/test_loader.py
+++ b/tests/platform/test_loader.py
@@ -34,11 +34,12 @@
         for stand_in in (self.store, self.engine, self.origin):
             stand_in.start()
         port = free_port()
+        self.ports = [port, port + 9]
         settings = make_settings(
             self.store.address,
             node_name="side-a-1",
             listen={},
-            internal_port_range=[port, port + 9],
+            internal_port_range=self.ports,
             app=self.engine.address,
             service="llm",
         )
@@ -54,6 +55,17 @@
         config["services"][3]["origin"] = self.origin.address
         return config
 
+    def list_engine(self) -> None:
+        entry = {
+            "service": "llm",
+            "address": self.engine.address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 16,
+            "state": "ready",
+        }
+        self.store.put_target("i-0", entry)
+
     def start(self) -> None:
         self.store.put_config(self.config())
         self.loader.start()
--- a/tests/platform/test_weights.py
+++ b/tests/platform/test_weights.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ridgecourse.core.hubs import GatewayPlace, choose_hubs
+from ridgecourse.core.hubs import Peer, choose_hubs
 from ridgecourse.core.ids import (
     ChunkDigest,
     DomainName,
@@ -66,11 +66,9 @@
     assert should_finish(current, newer, Seconds(3.0))
 
 
-def make_gateways(count: int, domains: int) -> list[GatewayPlace]:
+def make_gateways(count: int, domains: int) -> list[Peer]:
     return [
-        GatewayPlace(
-            TargetName(f"10.0.0.{n}"), DomainName(f"d{n % domains}"), "x:1", "x:2"
-        )
+        Peer(TargetName(f"10.0.0.{n}"), DomainName(f"d{n % domains}"), "x:1", "x:2")
         for n in range(count)
     ]
 
