Hubs take the first version from what engines of their domain have staged

Change: before traffic a hub asks the loaders of its domain, which read their engine's staging area and send it; the next in line copies as usual; what is missing after 7 s comes from the origin.

--- a/src/ridgecourse/core/hubs.py
+++ b/src/ridgecourse/core/hubs.py
@@ -13,6 +13,7 @@
 
 from ridgecourse.core.ids import DomainName, TargetName
 from ridgecourse.core.rendezvous import rendezvous_rank
+from ridgecourse.core.targets import ListedTarget
 
 NEIGHBOURS = 3
 """Gateways of a domain that may hold a version: the hub, the next in line, and the
@@ -65,6 +66,27 @@
     return [ranked[0] for ranked in rank_gateways(key, gateways).values()]
 
 
+def loader_peers(
+    targets: Iterable[ListedTarget], ports: tuple[int, int]
+) -> Mapping[TargetName, Peer]:
+    """Return where the loaders beside listed engines take part, by instance.
+
+    Args:
+        targets: The engines.
+        ports: Ports of every loader, for chunks and for control connections.
+    """
+    chunk_port, control_port = ports
+    return {
+        TargetName(target.host): Peer(
+            TargetName(target.host),
+            target.domain,
+            f"{target.host}:{chunk_port}",
+            f"{target.host}:{control_port}",
+        )
+        for target in targets
+    }
+
+
 class HubPlan(Struct, frozen=True):
     """Who takes part in bringing a version in, as one gateway sees it.
 
--- a/src/ridgecourse/exchange/transfer.py
+++ b/src/ridgecourse/exchange/transfer.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from contextlib import closing
 from itertools import chain
+from math import inf
 from time import monotonic
 
 import eventlet
@@ -57,21 +58,24 @@
     """Fetches the missing chunks of a version.
 
     Attributes:
+        origin: Where the chunks come from first; None to take them from peers alone.
         planner: Decides what to fetch and from whom.
         holding: Grows with each chunk.
         cancelled: Set when the version is no longer wanted.
         error: Named error that stands in the way, empty if none.
+        rate: Rate at which peers are asked to send; None for as they like.
     """
 
     def __init__(
         self,
         context: ExchangeContext,
-        origin: ChunkOrigin,
+        origin: ChunkOrigin | None,
         holding: Holding,
         peers: Mapping[TargetName, Peer],
         origin_copies: int,
         hubs: Iterable[TargetName] = (),
         origin_domain: DomainName | None = None,
+        paced: bool = True,
     ) -> None:
         self.context = context
         self.origin = origin
@@ -89,6 +93,9 @@
             hubs=hubs,
             origin_domain=origin_domain,
         )
+        if origin is None:
+            self.planner.origin.not_before = Seconds(inf)
+        self.rate = context.rate if paced else None
         self.progress = Broadcast()
         self.referred: dict[ChunkDigest, int] = {}
         self.corrupt: dict[ChunkDigest, int] = {}
@@ -208,6 +215,7 @@
             self.corrupt[fetch.digest] = self.corrupt.get(fetch.digest, 0) + 1
 
     def _from_origin(self, fetch: Fetch) -> bytes | FetchFailure:
+        assert self.origin is not None
         place = self.holding.places[self.holding.index[fetch.digest]]
         stall = self.context.chunk_stall_seconds
         before = self.origin.drawn
@@ -235,7 +243,7 @@
             AUTH_HEADER: sign_request(self.context.key, "GET", path),
             DOMAIN_HEADER: self.context.me.domain,
         }
-        rate = self.context.rate
+        rate = self.rate
         if rate is not None:
             headers[RATE_HEADER] = str(int(rate.current))
         sharing = self._peer_fetches()
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -5,9 +5,10 @@
 import eventlet
 
 from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.hubs import HubPlan, Peer, choose_hubs, plan_hubs
+from ridgecourse.core.hubs import HubPlan, Peer, choose_hubs, loader_peers, plan_hubs
 from ridgecourse.core.ids import TargetName
 from ridgecourse.core.planner import Member, PlanPolicy
+from ridgecourse.core.routes import Service
 from ridgecourse.core.site import Site
 from ridgecourse.exchange.catalogue import Catalogue, VersionKey
 from ridgecourse.exchange.context import (
@@ -41,8 +42,12 @@
 """After failures of the origin or another hub. Few ask, and each second without the
 weights after their bound is one without service."""
 WARM_UP_SECONDS = 6.0
-"""From the start of a gateway until it brings in the version in force: engines are
-listed and loaders followed by then."""
+"""From the start of a gateway until it brings in the version in force even if no
+loader of its domain is known: engines are listed some 5 s after the start."""
+WARM_UP_POLL_SECONDS = 0.5
+STAGED_SECONDS = 7.0
+"""How long loaders are given to send it: one copy over one loader's link takes 5.2 s
+on the sites of today, and a domain has two."""
 MANIFEST_STAGGER_SECONDS = 0.3
 """A hub that is not the first waits so long before it asks the origin itself."""
 MANIFEST_PATIENCE_SECONDS = 1.0
@@ -119,22 +124,64 @@
         self.http_server.start()
         self.control_server.start()
         if self.site.first_start:
-            self.warming = eventlet.spawn_after(WARM_UP_SECONDS, self._warm_up)
+            self.warming = eventlet.spawn(self._warm_up)
 
     def _warm_up(self) -> None:
-        """Bring in the versions in force, if this is the hub of its domain.
+        """Hold the versions in force, if this is the hub of its domain.
 
         Engines that join later are filled from here at once, even while the
         origin is away.
         """
+        begun = monotonic()
+        while not self._knows_loaders() and monotonic() < begun + WARM_UP_SECONDS:
+            eventlet.sleep(WARM_UP_POLL_SECONDS)
         config = self.view.config
         for service in config.services.values() if config else ():
             if service.engine is None or not service.engine.chunks:
                 continue
             model = service.engine.model
             key = (model, self.view.wanted_version(model))
-            if self.place in choose_hubs(str(key), self._known()):
-                self.want(key)
+            if self.place in choose_hubs(str(key), [*self._known(), self.place]):
+                self.working[key] = eventlet.spawn(self._bring_staged, key, service)
+
+    def _knows_loaders(self) -> bool:
+        """Tell whether the loaders of all listed engines of the domain are known."""
+        config = self.view.config
+        if config is None:
+            return False
+        models = {s.name for s in config.services.values() if s.engine is not None}
+        near = [
+            target.address
+            for target in self.view.targets.targets.values()
+            if target.domain == self.site.domain and target.service in models
+        ]
+        return bool(near) and all(address in self.told for address in near)
+
+    def _bring_staged(self, key: VersionKey, service: Service) -> None:
+        """Take a version from the domain's engines, what is missing as usual."""
+        with eventlet.Timeout(STAGED_SECONDS, False):
+            self._take_staged(key, service)
+        self._bring(key)
+
+    def _take_staged(self, key: VersionKey, service: Service) -> None:
+        config = self.view.config
+        if config is None or config.origin is None:
+            return
+        holding = self.catalogue.find(key, config.origin.address, [], 0.0)
+        if holding is None:
+            return
+        self._join(key, holding)
+        near = [
+            target
+            for target in self.view.serving(service.name)
+            if target.domain == self.site.domain and key[0] in target.models
+        ]
+        control_port = self.site.peer_ports[0]
+        peers = loader_peers(near, (control_port + 1, control_port))
+        for peer in peers.values():
+            self.catalogue.ask(peer.address, key)
+        me = [self.place.name]
+        Transfer(self.context, None, holding, peers, 1, me, paced=False).run()
 
     def close(self) -> None:
         """Close them and end all transfers."""
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -1,5 +1,6 @@
 """Brings the engine to the version that is to be served, and keeps it there."""
 
+import logging
 from collections.abc import Iterator, Mapping, Sequence
 from enum import Enum
 from time import monotonic
@@ -8,7 +9,7 @@
 
 from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.engine_load import EngineStatus
-from ridgecourse.core.hubs import Peer, choose_hubs
+from ridgecourse.core.hubs import Peer, choose_hubs, loader_peers
 from ridgecourse.core.ids import Seconds, TargetName, WeightsVersion
 from ridgecourse.core.rendezvous import rendezvous_rank
 from ridgecourse.core.routes import EngineModel, OriginPlace
@@ -31,6 +32,8 @@
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.threads import spawn_loop
 
+logger = logging.getLogger(__name__)
+
 IDLE_SECONDS = 0.5
 """Between two looks at an engine that serves what it should; a crash of the
 engine is noticed within this."""
@@ -97,7 +100,7 @@
         self.origin = origin
         self.gateways = gateways
         self.chunk_port, self.control_port = peer_address
-        self.catalogue = Catalogue(context, origin)
+        self.catalogue = Catalogue(context, origin, self.offer)
         self.phase = Phase.WAITING
         self.version = WeightsVersion(0)
         self.error = ""
@@ -214,18 +217,8 @@
 
     def other_loaders(self) -> Mapping[TargetName, Peer]:
         """Return the loaders of the service's other engines, by instance."""
-        found = {}
-        for target in self._engines():
-            if target.host == self.site.host:
-                continue
-            name = TargetName(target.host)
-            found[name] = Peer(
-                name,
-                target.domain,
-                f"{target.host}:{self.chunk_port}",
-                f"{target.host}:{self.control_port}",
-            )
-        return found
+        others = [t for t in self._engines() if t.host != self.site.host]
+        return loader_peers(others, (self.chunk_port, self.control_port))
 
     def _engines(self) -> Iterator[ListedTarget]:
         for target in self.view.targets.targets.values():
@@ -247,6 +240,29 @@
         ranked = rendezvous_rank(f"{key}/start", near | {self.site.host})
         return ranked.index(self.site.host) % 2 == 0
 
+    def offer(self, key: VersionKey) -> None:
+        """Take part in the exchange of the version that the engine serves.
+
+        Its chunks lie staged. So gateways get the first version, which nobody
+        brought in, without the origin and its border.
+        """
+        if self.phase is Phase.SERVING and key[1] == self.version:
+            eventlet.spawn(self._offer_staged, key)
+
+    def _offer_staged(self, key: VersionKey) -> None:
+        found = self._find_model()
+        if found is None:
+            return
+        holding = self.catalogue.find(key, found[1].address, [], 0.0)
+        if holding is None:
+            return
+        try:
+            Staging(self.context, self.engine, key[0]).take_in(holding.manifest)
+        except EngineUnavailable as error:
+            logger.warning("cannot offer %s: %s", key, error)
+            return
+        self._join(key, holding)
+
     # Steps.
 
     def _join(self, key: VersionKey, holding: Holding) -> None:
--- a/tests/platform/test_hubs.py
+++ b/tests/platform/test_hubs.py
@@ -70,6 +70,7 @@
                 node_name=f"edge-a-{number}",
                 ip=host,
                 internal_port_range=self.ports,
+                bootstrap=True,
                 listen={"frontend": free_address(), "readiness": free_address()},
             )
             path = directory / f"{host}.json"
@@ -159,3 +160,14 @@
     hub_site.wait_serving(2)
     hub_site.places[successor].wait_event("version-complete", version="2")
     assert hub_site.places[hub].running.wait(10) == 0
+
+
+def test_the_first_version_is_taken_from_the_engines_of_the_domain(hub_site) -> None:
+    chunks = hub_site.origin.versions[1]
+    hub_site.engine.staged = dict(enumerate(chunks))
+    hub_site.engine.version = 1
+    hub_site.engine.started[1] = dict(enumerate(chunks))
+    hub_site.start()
+    for gateway in hub_site.places.values():
+        gateway.wait_event("version-complete", version="1")
+    assert chunk_calls(hub_site) == 0
--- a/tests/platform/test_loader.py
+++ b/tests/platform/test_loader.py
@@ -56,7 +56,7 @@
         return config
 
     def list_engine(self) -> None:
-        entry = {
+        entry: dict[str, Any] = {
             "service": "llm",
             "address": self.engine.address,
             "zone": "a",
@@ -64,6 +64,9 @@
             "slots": 16,
             "state": "ready",
         }
+        if self.engine.version:
+            held = {"name": MODEL, "version": self.engine.version, "adapters": []}
+            entry["models"] = [held]
         self.store.put_target("i-0", entry)
 
     def start(self) -> None:
