A request's wait counts the prompts that an engine has still to read

Gateways reckoned that nothing waits while slots are free. An engine reads the prompts that came during a pass all in the next one, though, so that of 16 requests that reach a free engine at once each waits 0.7 s; and all gateways saw the same engine become free (16 sends within 0.25 s at 27.9 s).

--- a/src/bench/__main__.py
+++ b/src/bench/__main__.py
@@ -3,7 +3,15 @@
 import sys
 from importlib import import_module
 
-NAMES = ("rollout", "config", "control", "routing", "fairness", "overload")
+NAMES = (
+    "rollout",
+    "config",
+    "control",
+    "routing",
+    "fairness",
+    "overload",
+    "placement",
+)
 
 
 def main() -> int:
--- /dev/null
+++ b/src/bench/placement.py
@@ -0,0 +1,218 @@
+"""Measures where gateways send requests, in virtual time on modelled engines.
+
+Engines join one after the other, as after new weights, while gateways see reports
+that are up to 0.2 s old. Compared are the share of requests whose first event comes
+within its objective, by policy.
+"""
+
+from argparse import ArgumentParser
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+from typing import Any
+
+from msgspec import structs
+
+from bench.engine_passes import PassEngine, SimulatedRequest
+from bench.result import print_result, quantile
+from ridgecourse.core.engine_load import (
+    EngineLoad,
+    EngineStatus,
+    Pending,
+    UnreadEstimate,
+    prompt_seconds,
+)
+from ridgecourse.core.ids import ModelName, Seconds, WeightsVersion
+from ridgecourse.core.placement import FIRST_EVENT_SECONDS, SENDERS, placement_cost
+from ridgecourse.core.routes import EngineModel
+
+MODEL = EngineModel(
+    model=ModelName("m"),
+    slots=16,
+    cache_tokens=317_000,
+    step=0.00927,
+    step_per_request=0.0000232,
+    step_per_token=0.0000000322,
+    prompt_rate=20_700,
+    pair_seconds=1.18e-9,
+    prompt_tokens=979,
+    answer_tokens=92,
+    layers=16,
+    chunks=96,
+    chunk_bytes=24_576,
+)
+OBJECTIVE_SECONDS = 0.4
+LOOK_SECONDS = 0.1
+DOMAINS = 3
+POLICIES = ("random", "count", "unread")
+
+
+@dataclass
+class Gateway:
+    """A gateway with what it knows of each engine."""
+
+    domain: int
+    loads: list[EngineLoad]
+
+
+@dataclass
+class Simulation:
+    """Traffic over gateways and engines.
+
+    Attributes:
+        policy: How gateways choose.
+        engines: The engines.
+        gateways: The gateways.
+        done: All requests, refused ones included.
+    """
+
+    policy: str
+    engines: list[PassEngine]
+    gateways: list[Gateway]
+    random: Random
+    estimates: list[UnreadEstimate] = field(default_factory=list)
+    done: list[tuple[SimulatedRequest, bool]] = field(default_factory=list)
+    events: list[tuple[float, int, Callable[[float], None]]] = field(
+        default_factory=list
+    )
+    order: Iterator[int] = field(default_factory=count)
+
+    def at(self, time: float, action: Callable[[float], None]) -> None:
+        """Let something happen at a time."""
+        heappush(self.events, (time, next(self.order), action))
+
+    def run(self, seconds: float, rate: float) -> None:
+        """Let callers send for some seconds."""
+        self.estimates = [UnreadEstimate() for _ in self.engines]
+        time = 0.0
+        while (time := time + self.random.expovariate(rate)) < seconds:
+            self.at(time, self.arrive)
+        for index in range(len(self.engines)):
+            self.at(self.random.random() * LOOK_SECONDS, self.make_look(index, 0))
+        while self.events:
+            time, _, action = heappop(self.events)
+            if time > seconds + 5.0:
+                return
+            action(time)
+
+    def arrive(self, now: float) -> None:
+        """Send a request to where its gateway thinks best."""
+        prompt = min(3880, int(self.random.lognormvariate(6.5, 0.8)) + 40)
+        answer = min(250, 5 * int(self.random.lognormvariate(2.7, 0.7)) + 5)
+        request = SimulatedRequest(now, prompt, answer, OBJECTIVE_SECONDS)
+        gateway = self.random.choice(self.gateways)
+        index, wait = self.choose(gateway, Seconds(now))
+        reading = prompt_seconds(MODEL, prompt)
+        refused = wait > max(0.05, OBJECTIVE_SECONDS - reading - FIRST_EVENT_SECONDS)
+        self.done.append((request, refused and self.policy != "random"))
+        if self.done[-1][1]:
+            return
+        counted = reading if self.policy == "unread" else 0.0
+        load = gateway.loads[index]
+        load.waiting[str(id(request))] = Pending(Seconds(now), counted)
+        load.outstanding += 1
+        idle = self.engines[index].pass_end is None
+        self.engines[index].take(request, now)
+        if idle:
+            self.schedule_pass(index)
+
+    def choose(self, gateway: Gateway, now: Seconds) -> tuple[int, float]:
+        """Return an engine and the wait expected there."""
+        able = [i for i, engine in enumerate(self.engines) if engine.open_at <= now]
+        if self.policy == "random":
+            return self.random.choice(able), 0.0
+        costs = []
+        for index in able:
+            load = gateway.loads[index]
+            wait = load.wait(MODEL, MODEL.slots, now, SENDERS)
+            near = index % DOMAINS == gateway.domain
+            cost = placement_cost(load, wait, MODEL.slots, near, now, self.random)
+            costs.append((cost, index, wait))
+        _, index, wait = min(costs)
+        return index, wait
+
+    def schedule_pass(self, index: int) -> None:
+        """Let an engine's pass end when it does."""
+        end = self.engines[index].pass_end
+        if end is None:
+            return
+
+        def action(now: float) -> None:
+            self.engines[index].end_pass(now)
+            self.forget_begun(index)
+            self.schedule_pass(index)
+
+        self.at(end, action)
+
+    def forget_begun(self, index: int) -> None:
+        """Take requests with a first event from what gateways wait for."""
+        engine = self.engines[index]
+        open_ids = {str(id(r)) for r in engine.unread + engine.queue}
+        for gateway in self.gateways:
+            waiting = gateway.loads[index].waiting
+            for name in [name for name in waiting if name not in open_ids]:
+                del waiting[name]
+
+    def make_look(self, index: int, number: int) -> Callable[[float], None]:
+        """Return a loader's look, which ends in reports to the gateways."""
+
+        def look(now: float) -> None:
+            engine = self.engines[index]
+            status = EngineStatus(
+                WeightsVersion(1), False, len(engine.queue), engine.active, 0, 1
+            )
+            requests = len(engine.queue) + engine.active
+            unread = self.estimates[index].look(MODEL, requests, Seconds(now))
+            if self.policy == "unread":
+                status = structs.replace(status, unread=unread)
+            for gateway in self.gateways:
+                if index % DOMAINS == gateway.domain or number % 2 == 0:
+                    gateway.loads[index].report(status, Seconds(now))
+            self.at(now + LOOK_SECONDS, self.make_look(index, number + 1))
+
+        return look
+
+
+def measure(policy: str, arguments: Any) -> dict[str, Any]:
+    """Return what callers got under one policy."""
+    random = Random(arguments.seed)
+    openings = [0.0, 0.0, *(1.0 + 0.4 * n for n in range(arguments.engines - 2))]
+    engines = [PassEngine(MODEL, open_at) for open_at in openings]
+    gateways = [
+        Gateway(n % DOMAINS, [EngineLoad() for _ in engines])
+        for n in range(arguments.gateways)
+    ]
+    simulation = Simulation(policy, engines, gateways, random)
+    simulation.run(arguments.seconds, arguments.rate)
+    waits = [r.first_event - r.arrived for r, _ in simulation.done if r.first_event]
+    total = len(simulation.done)
+    return {
+        "in_time": sum(wait <= OBJECTIVE_SECONDS for wait in waits) / total,
+        "refused": sum(refused for _, refused in simulation.done) / total,
+        "p50_seconds": quantile(waits, 0.5),
+        "p90_seconds": quantile(waits, 0.9),
+    }
+
+
+def main(argv: list[str]) -> int:
+    """Run the benchmark."""
+    parser = ArgumentParser(prog="python -m bench placement", description=__doc__)
+    parser.add_argument("--engines", type=int, default=6)
+    parser.add_argument("--gateways", type=int, default=6)
+    parser.add_argument("--rate", type=float, default=55.0, help="requests a second")
+    parser.add_argument("--seconds", type=float, default=20.0, help="virtual time")
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args(argv)
+    print_result(
+        {
+            "rate": arguments.rate,
+            "engines": arguments.engines,
+            **{
+                policy: {k: round(v, 3) for k, v in measure(policy, arguments).items()}
+                for policy in POLICIES
+            },
+        }
+    )
+    return 0
--- a/src/ridgecourse/core/engine_load.py
+++ b/src/ridgecourse/core/engine_load.py
@@ -1,12 +1,15 @@
 """How long a request would wait at an engine, from its reports and our own sends.
 
-An engine runs ``slots`` requests at once. Prompts are read between the tokens of
-others, so that at saturation a request leaves the engine every
+An engine runs ``slots`` requests at once, in passes: it reads the prompts that came
+in during the pass before, all of them, and then some tokens of each answer. So a
+request waits for the prompts that came before it; of 16 that reach an engine at once
+each waits for all 16, though no slot is taken. At saturation a request leaves the
+engine every
 
     prompt / prompt_rate + answer * step / slots
 
-seconds, and what waits leaves at that rate. The figures come from the service's
-configuration; a slow engine tells by how much it is slower.
+seconds, and what waits for a slot leaves at that rate. The figures come from the
+service's configuration; a slow engine tells by how much it is slower.
 """
 
 from msgspec import Struct, field
@@ -30,6 +33,8 @@
 NARROW_SECONDS = 0.8
 """Wait that a narrowed link counts for: requests to its engine, and the ends of
 connections by which they are taken back, took up to a second there."""
+SHORTEST_ANSWER_SECONDS = 0.3
+"""What reading its own prompt and those of others adds to a request's stay."""
 UNANSWERED_SECONDS = 0.6
 """A request that waits longer for its first event than this shows that its engine
 is slower than it tells; the usual is 0.1 to 0.3 s."""
@@ -48,6 +53,7 @@
         pace: How much slower than usual it is; 1 for usual.
         link: Share of its usual rate that its instance's link was last seen to
             bring, while weights came over it.
+        unread: Seconds that it still reads prompts for, as estimated beside it.
     """
 
     version: WeightsVersion
@@ -58,6 +64,54 @@
     cache_total: int
     pace: float = 1.0
     link: float = 1.0
+    unread: float = 0.0
+
+
+class UnreadEstimate:
+    """Estimates how long an engine still reads prompts, from its reports.
+
+    An engine tells how many requests it has, not which of them it has read. Those
+    that came since the last look are unread; what was unread then is read at the
+    engine's rate.
+
+    Attributes:
+        seconds: The estimate at the last look.
+    """
+
+    def __init__(self) -> None:
+        self.seconds = 0.0
+        self.requests = 0
+        self.looked_at: Seconds | None = None
+
+    def look(self, model: EngineModel, requests: int, now: Seconds) -> float:
+        """Take in the number of requests at the engine; return the estimate.
+
+        Args:
+            model: The engine's figures.
+            requests: Requests in progress and waiting.
+            now: The present time.
+        """
+        if self.looked_at is not None:
+            passed = now - self.looked_at
+            ended = min(self.requests, self.requests * passed / _answer_seconds(model))
+            came = max(0.0, requests - self.requests + ended)
+            reading = came * prompt_seconds(model, model.prompt_tokens)
+            self.seconds = max(0.0, self.seconds - passed) + reading
+        self.requests = requests
+        self.looked_at = now
+        return self.seconds
+
+
+class Pending(Struct, frozen=True):
+    """An own request without a first event.
+
+    Attributes:
+        sent: When it was sent.
+        reading: Seconds that the engine reads its prompt for.
+    """
+
+    sent: Seconds
+    reading: float
 
 
 class EngineLoad(Struct):
@@ -66,13 +120,13 @@
     Attributes:
         status: The newest report.
         reported_at: When it came; 0 for never.
-        waiting: Own requests without a first event, and when they were sent.
+        waiting: Own requests without a first event.
         outstanding: Own requests in progress.
     """
 
     status: EngineStatus | None = None
     reported_at: Seconds = Seconds(0.0)
-    waiting: dict[str, Seconds] = field(default_factory=dict)
+    waiting: dict[str, Pending] = field(default_factory=dict)
     outstanding: int = 0
 
     def report(self, status: EngineStatus, now: Seconds) -> None:
@@ -95,15 +149,33 @@
         status = self.status
         if status is None or not self.is_fresh(now):
             return float(self.outstanding * gateways)
+        return float(status.queued + status.active + len(self._unseen()))
+
+    def _unseen(self) -> list[Pending]:
+        """Return the own requests that the newest report does not count yet."""
         since = self.reported_at - REPORT_LAG_SECONDS
-        unseen = sum(1 for sent in self.waiting.values() if sent >= since)
-        return float(status.queued + status.active + unseen)
+        return [pending for pending in self.waiting.values() if pending.sent >= since]
+
+    def unread(self, now: Seconds, gateways: int) -> float:
+        """Return the seconds for which the engine still reads prompts.
+
+        Args:
+            now: The present time.
+            gateways: Gateways that send there; each is taken to have sent as much
+                since the newest report as this one.
+        """
+        status = self.status
+        if status is None or not self.is_fresh(now):
+            return gateways * sum(pending.reading for pending in self.waiting.values())
+        left = max(0.0, status.unread - (now - self.reported_at))
+        return left + gateways * sum(pending.reading for pending in self._unseen())
 
     def unanswered(self, now: Seconds) -> float:
         """Return by how many seconds the oldest own request is overdue."""
         if not self.waiting:
             return 0.0
-        return max(0.0, now - min(self.waiting.values()) - UNANSWERED_SECONDS)
+        oldest = min(pending.sent for pending in self.waiting.values())
+        return max(0.0, now - oldest - UNANSWERED_SECONDS)
 
     def wait(
         self, model: EngineModel, slots: int, now: Seconds, gateways: int
@@ -111,8 +183,9 @@
         """Return the seconds until one more request would begin."""
         ahead = self.requests(now, gateways) + 1 - slots
         pace = self.status.pace if self.status and self.is_fresh(now) else 1.0
-        queue = max(0.0, ahead) * seconds_per_request(model, slots) * pace
-        return queue + self._doubt(now) + self.unanswered(now)
+        queue = max(0.0, ahead) * seconds_per_request(model, slots)
+        before = pace * max(queue, self.unread(now, gateways))
+        return before + self._doubt(now) + self.unanswered(now)
 
     def _doubt(self, now: Seconds) -> float:
         """Return the wait for which an engine counts whose instance seems unwell."""
@@ -138,6 +211,11 @@
     return reading + model.answer_tokens * step / max(1, slots)
 
 
+def _answer_seconds(model: EngineModel) -> float:
+    """Return the seconds that a request of usual length takes in a half full batch."""
+    return model.answer_tokens * model.step + SHORTEST_ANSWER_SECONDS
+
+
 def prompt_seconds(model: EngineModel, tokens: float) -> float:
     """Return the seconds that an engine reads a prompt for."""
     pairs = tokens * tokens / 2
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -9,9 +9,10 @@
 from returns.result import Failure
 
 from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.engine_load import prompt_seconds
+from ridgecourse.core.engine_load import Pending
 from ridgecourse.core.ids import Seconds, ServiceName, TargetId
 from ridgecourse.core.outcome import Outcome, Reason
+from ridgecourse.core.placement import FIRST_EVENT_SECONDS
 from ridgecourse.core.retry import RetryBudget
 from ridgecourse.core.routes import Account, Route, RoutingConfig, Service
 from ridgecourse.core.site import Site
@@ -50,9 +51,6 @@
 LONGEST_COME_BACK_SECONDS = 1.5
 """Callers wait as told for at most a third of their time, some 2 s. Where no target
 has the weights that are required, a change takes about as long."""
-FIRST_EVENT_SECONDS = 0.06
-"""From an engine's taking up a request to its first event at the caller, without
-the reading of the prompt: some steps of a batch, and the way back."""
 SHORTEST_QUEUE_SECONDS = 0.05
 """A wait this short never refuses a request, however long its prompt."""
 RETRY_SAFETY = 0.9
@@ -216,7 +214,7 @@
         result: SendResult = NotRun(Reason.NO_TARGET, "no target", arrived=False)
         sends = len(tried)
         while time_left(order.deadline) > SHORTEST_ATTEMPT_SECONDS:
-            choice = self.selector.choose(terms.service, order.call.model, tried)
+            choice = self.selector.choose(terms.service, order.call, tried)
             if choice is None or sends >= terms.route.max_attempts:
                 break
             if order.is_abandoned():
@@ -245,8 +243,7 @@
         engine = terms.service.engine
         if engine is None or not terms.route.objective:
             return None
-        reading = prompt_seconds(engine, order.call.prompt_tokens)
-        allowed = terms.route.objective - reading - FIRST_EVENT_SECONDS
+        allowed = terms.route.objective - choice.reading - FIRST_EVENT_SECONDS
         if choice.wait <= max(allowed, SHORTEST_QUEUE_SECONDS):
             return None
         order.come_back = min(
@@ -264,7 +261,7 @@
         load = self.selector.load(target)
         begun = Seconds(monotonic())
         load.outstanding += 1
-        load.waiting[order.call.request_id] = begun
+        load.waiting[order.call.request_id] = Pending(begun, choice.reading)
         result: SendResult | None = None
         try:
             result = self.sender.send(order, target)
--- a/src/ridgecourse/gateway/selection.py
+++ b/src/ridgecourse/gateway/selection.py
@@ -7,22 +7,17 @@
 from msgspec import Struct
 
 from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.engine_load import EngineLoad
+from ridgecourse.core.engine_load import EngineLoad, prompt_seconds
 from ridgecourse.core.ids import ModelName, Seconds, TargetId, WeightsVersion
+from ridgecourse.core.placement import SENDERS, placement_cost
 from ridgecourse.core.routes import Service
 from ridgecourse.core.site import Site
 from ridgecourse.core.targets import ListedTarget
 from ridgecourse.gateway.loads import LoadWatcher
+from ridgecourse.gateway.messages import CallerRequest
 
-REGION_PENALTY_SECONDS = 0.06
-"""Wait for which a target of the own region is still preferred to one elsewhere.
-Bytes between regions cost some 1.4 in 100 of a request's worth; a wait of this
-length moves about as many answers past their objective."""
 PLAIN_REQUEST_SECONDS = 0.06
 """Estimated time of a plain service's request, until its targets report loads."""
-SENDERS = 3
-"""Gateways that are taken to send to an engine as much as this one does, while its
-reports are missing: as many as a failure domain has."""
 MISSING_WEIGHTS_SECONDS = 1.0
 """How long a target is left alone after it said that it lacks the weights; its
 entry in the list lags by about a heartbeat."""
@@ -59,11 +54,13 @@
     Attributes:
         target: The target.
         wait: Estimated seconds until the request would begin there.
+        reading: Seconds that the target would read its prompt for.
         terms: On which weights it may run.
     """
 
     target: ListedTarget
     wait: float
+    reading: float
     terms: VersionTerms
 
 
@@ -124,13 +121,13 @@
         return self.watcher.load(target.address)
 
     def choose(
-        self, service: Service, model: ModelName, tried: Collection[TargetId]
+        self, service: Service, call: CallerRequest, tried: Collection[TargetId]
     ) -> Choice | None:
         """Return the target for a request, or None where there is none.
 
         Args:
             service: The service that answers.
-            model: The model asked for.
+            call: The request.
             tried: Targets that have had the request.
         """
         now = Seconds(monotonic())
@@ -139,7 +136,7 @@
             for target in self.view.serving(service.name)
             if target.target not in tried and self._is_able(service, target, now)
         ]
-        choices = [self._weigh(service, model, target, now) for target in able]
+        choices = [self._weigh(service, call, target, now) for target in able]
         choices = [choice for choice in choices if not self._is_outdated(choice, now)]
         # Those with weights that may serve now go before those that may have them.
         current = [choice for choice in choices if choice.terms.version is None]
@@ -173,23 +170,24 @@
         return load.is_fresh(now) and load.status.version != choice.terms.version
 
     def _weigh(
-        self, service: Service, model: ModelName, target: ListedTarget, now: Seconds
+        self, service: Service, call: CallerRequest, target: ListedTarget, now: Seconds
     ) -> Choice:
         load = self.load(target)
+        reading = 0.0
         if service.engine is None:
             wait = load.outstanding * PLAIN_REQUEST_SECONDS / max(1, target.slots)
         else:
             wait = load.wait(service.engine, target.slots, now, SENDERS)
-        return Choice(target, wait, self._version_terms(model, target, now, wait))
-
-    def _cost(self, choice: Choice) -> tuple[float, float]:
-        domain = choice.target.domain
-        near = self.site.region(domain) == self.site.region(self.site.domain)
-        penalty = 0.0 if near else REGION_PENALTY_SECONDS
-        # Among equals the one with fewest requests: batches slow down as they fill.
-        requests = self.load(choice.target).requests(Seconds(monotonic()), SENDERS)
-        crowding = requests / max(1, choice.target.slots) * REGION_PENALTY_SECONDS
-        return choice.wait + penalty + crowding, self.random.random()
+            reading = prompt_seconds(service.engine, call.prompt_tokens)
+        terms = self._version_terms(call.model, target, now, wait)
+        return Choice(target, wait, reading, terms)
+
+    def _cost(self, choice: Choice) -> float:
+        target = choice.target
+        near = self.site.region(target.domain) == self.site.region(self.site.domain)
+        now = Seconds(monotonic())
+        load = self.load(target)
+        return placement_cost(load, choice.wait, target.slots, near, now, self.random)
 
     # Weights.
 
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -8,7 +8,7 @@
 import eventlet
 
 from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.engine_load import EngineStatus
+from ridgecourse.core.engine_load import EngineStatus, UnreadEstimate
 from ridgecourse.core.hubs import Peer, choose_hubs, loader_peers
 from ridgecourse.core.ids import Seconds, TargetName, WeightsVersion
 from ridgecourse.core.rendezvous import rendezvous_rank
@@ -101,6 +101,7 @@
         self.gateways = gateways
         self.chunk_port, self.control_port = peer_address
         self.catalogue = Catalogue(context, origin, self.offer)
+        self.unread = UnreadEstimate()
         self.phase = Phase.WAITING
         self.version = WeightsVersion(0)
         self.error = ""
@@ -186,8 +187,16 @@
             cache_total=report.cache_total,
             pace=report.pace,
             link=self._link_share(),
+            unread=self._unread(report),
         )
 
+    def _unread(self, report: EngineReport) -> float:
+        found = self._find_model()
+        if found is None:
+            return 0.0
+        requests = report.queued + report.active
+        return self.unread.look(found[0], requests, Seconds(monotonic()))
+
     def _link_share(self) -> float:
         rate = self.context.rate
         if rate is None or self.transfer is None:
--- a/tests/platform/test_load.py
+++ b/tests/platform/test_load.py
@@ -1,8 +1,18 @@
 """Estimates of an engine's load, and what is refused by them."""
 
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from msgspec import structs
 
-from ridgecourse.core.engine_load import EngineLoad, EngineStatus, seconds_per_request
+from ridgecourse.core.engine_load import (
+    EngineLoad,
+    EngineStatus,
+    Pending,
+    UnreadEstimate,
+    prompt_seconds,
+    seconds_per_request,
+)
 from ridgecourse.core.ids import ModelName, Seconds, WeightsVersion
 from ridgecourse.core.routes import EngineModel
 
@@ -42,9 +52,9 @@
     load.report(make_status(3, 16), Seconds(10.0))
     one = seconds_per_request(MODEL, 16)
     assert load.wait(MODEL, 16, Seconds(10.0), 3) == 4 * one
-    load.waiting["a"] = Seconds(10.1)
+    load.waiting["a"] = Pending(Seconds(10.1), 0.0)
     assert load.wait(MODEL, 16, Seconds(10.1), 3) == 5 * one
-    load.waiting["b"] = Seconds(9.0)
+    load.waiting["b"] = Pending(Seconds(9.0), 0.0)
     assert load.requests(Seconds(10.1), 3) == 20
 
 
@@ -83,5 +93,47 @@
 def test_an_engine_that_leaves_requests_unanswered_looks_slower() -> None:
     load = EngineLoad()
     load.report(make_status(0, 1), Seconds(10.0))
-    load.waiting["hangs"] = Seconds(8.0)
+    load.waiting["hangs"] = Pending(Seconds(8.0), 0.05)
     assert load.wait(MODEL, 16, Seconds(10.0), 3) > 1.0
+
+
+def test_unread_prompts_are_waited_for_though_slots_are_free() -> None:
+    load = EngineLoad()
+    load.report(structs.replace(make_status(0, 8), unread=0.4), Seconds(10.0))
+    assert load.wait(MODEL, 16, Seconds(10.0), 3) == 0.4
+    # The engine reads on while the report ages.
+    assert load.wait(MODEL, 16, Seconds(10.3), 3) == pytest.approx(0.1)
+    assert load.wait(MODEL, 16, Seconds(10.9), 3) == 0.0
+
+
+def test_what_others_send_between_two_reports_is_reckoned_with() -> None:
+    load = EngineLoad()
+    load.report(make_status(0, 0), Seconds(10.0))
+    load.waiting["a"] = Pending(Seconds(10.02), 0.05)
+    assert load.wait(MODEL, 16, Seconds(10.03), 4) == pytest.approx(0.2)
+    # Counted in the next report.
+    load.report(structs.replace(make_status(0, 4), unread=0.15), Seconds(10.1))
+    assert load.wait(MODEL, 16, Seconds(10.1), 4) == pytest.approx(0.15)
+
+
+def test_a_rush_on_an_idle_engine_counts_as_unread() -> None:
+    estimate = UnreadEstimate()
+    assert estimate.look(MODEL, 0, Seconds(1.0)) == 0.0
+    one = prompt_seconds(MODEL, MODEL.prompt_tokens)
+    assert estimate.look(MODEL, 12, Seconds(1.1)) == pytest.approx(12 * one)
+    assert estimate.look(MODEL, 12, Seconds(1.2)) < 12 * one
+
+
+@given(st.lists(st.integers(0, 48), min_size=1, max_size=40))
+def test_unread_prompts_never_outlast_an_engine_that_gets_nothing(
+    counts: list[int],
+) -> None:
+    estimate = UnreadEstimate()
+    now = 0.0
+    for requests in counts:
+        now += 0.1
+        assert estimate.look(MODEL, requests, Seconds(now)) >= 0.0
+    for _ in range(60):
+        now += 0.1
+        left = estimate.look(MODEL, 0, Seconds(now))
+    assert left == 0.0
