An older version that is nearly here is finished before a newer one is drawn

Change: a hub waits, at most 8 s, to draw a newer version while half or less of an older one is missing; it draws three chunks at a time, for what is under way when the origin goes away is lost; a member that is no hub is no early candidate for the origin, also where its domain has no hub.

The order of draws is right all the same: test_what_is_nearly_here... fails without it.

--- a/src/ridgecourse/core/planner.py
+++ b/src/ridgecourse/core/planner.py
@@ -73,6 +73,7 @@
         classes: Draw slots for a copy from the origin; also the most fetches
             from the origin at a time for each copy.
         neighbours: Agents of the own domain whose holdings are followed.
+        origin_fetches: Fetches from the origin in progress at a time.
         fetches: Fetches in progress at a time.
         per_source: Fetches in progress from one source.
         busy_seconds: How long a source is left alone after it was busy.
@@ -83,6 +84,7 @@
     """
 
     classes: int = 8
+    origin_fetches: int = 8
     neighbours: int = 12
     fetches: int = 3
     per_source: int = 2
@@ -172,10 +174,15 @@
         candidates = origin_candidates(
             self.root, self.members, self.group, number, self.hubs
         )
-        near = sorted(
-            candidates, key=lambda name: self.members[name] != self.origin_domain
+        # Hubs first, also for a member of a domain that has none now.
+        ranked = sorted(
+            candidates,
+            key=lambda name: (
+                name not in self.hubs,
+                self.members[name] != self.origin_domain,
+            ),
         )
-        return DrawSlot(near, now, self.policy.stall_seconds)
+        return DrawSlot(ranked, now, self.policy.stall_seconds)
 
     def _origin_group(self) -> frozenset[DomainName]:
         """Return the domains that share one copy from the origin with this one."""
@@ -398,6 +405,8 @@
         if self.origin.not_before > now:
             return
         for number, slot in enumerate(self.origin_slots):
+            if self.origin.fetching >= self.policy.origin_fetches:
+                return
             drawers = slot.drawers(now)
             if self.me.target not in drawers and not slot.taken_over:
                 continue
--- a/src/ridgecourse/exchange/transfer.py
+++ b/src/ridgecourse/exchange/transfer.py
@@ -122,6 +122,11 @@
             self.close()
         return self.planner.complete()
 
+    @property
+    def missing_share(self) -> float:
+        """Share of the version's chunks that are still missing."""
+        return len(self.planner.missing) / max(1, len(self.holding.places))
+
     def cancel(self) -> None:
         """Stop at once: what is in flight costs no more bytes."""
         self.cancelled = True
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -37,6 +37,15 @@
 requests share."""
 UPLOAD_SLOTS = 64
 """Chunks sent at a time: each loader of the domain asks for some."""
+ORIGIN_FETCHES = 3
+"""Chunks drawn from the origin at a time: enough to keep its link busy, and few, for
+what is under way is lost when the origin goes away."""
+OLDER_FIRST_SHARE = 0.5
+"""Share of an older version's chunks up to which it is finished before a newer one
+is drawn: both would share the origin's link, and be late."""
+OLDER_POLL_SECONDS = 0.1
+OLDER_WAIT_SECONDS = 8.0
+"""Longest wait for that: an origin that is away for longer has both drawn anew."""
 FIRST_BACK_OFF_SECONDS = 0.1
 LONGEST_BACK_OFF_SECONDS = 0.6
 """After failures of the origin or another hub. Few ask, and each second without the
@@ -99,6 +108,7 @@
             ),
             plan=PlanPolicy(
                 fetches=4,
+                origin_fetches=ORIGIN_FETCHES,
                 back_off_seconds=FIRST_BACK_OFF_SECONDS,
                 max_back_off_seconds=LONGEST_BACK_OFF_SECONDS,
             ),
@@ -244,6 +254,7 @@
         begun = monotonic()
         try:
             while not self._is_old(key):
+                self._wait_for_older(key)
                 if self._try_bring(key):
                     seconds = round(monotonic() - begun, 2)
                     self.events.emit(
@@ -253,6 +264,20 @@
         finally:
             self.working.pop(key, None)
 
+    def _wait_for_older(self, key: VersionKey) -> None:
+        """Wait while an older version is nearly here, but not without end."""
+        limit = monotonic() + OLDER_WAIT_SECONDS
+        while self._is_older_nearly_here(key) and monotonic() < limit:
+            eventlet.sleep(OLDER_POLL_SECONDS)
+
+    def _is_older_nearly_here(self, key: VersionKey) -> bool:
+        return any(
+            other[0] == key[0]
+            and other[1] < key[1]
+            and transfer.missing_share <= OLDER_FIRST_SHARE
+            for other, (_, transfer) in self.transfers.items()
+        )
+
     def _is_old(self, key: VersionKey) -> bool:
         return self.view.wanted_version(key[0]) > key[1] + 1
 
--- a/src/ridgecourse_standins/platform/weights.py
+++ b/src/ridgecourse_standins/platform/weights.py
@@ -153,19 +153,21 @@
     Attributes:
         versions: Chunks of each version.
         spoilt: Chunks that come wrong the next time, as version and index.
-        held_back: Whether chunks are not sent yet.
+        hold_after: Chunks sent until others are held back; None for no limit.
+        sent: Chunks sent so far.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.versions: dict[int, list[bytes]] = {}
         self.spoilt: set[tuple[int, int]] = set()
-        self.held_back = False
+        self.hold_after: int | None = None
+        self.sent = 0
 
     def release(self) -> None:
         """Send the chunks that were held back."""
         with self.changed:
-            self.held_back = False
+            self.hold_after = None
             self.changed.notify_all()
 
     def answer(
@@ -181,7 +183,10 @@
             return 200, encode({"chunk_bytes": len(chunks[0]), "digests": digests})
         if path.startswith(CHUNK_PATH):
             self.changed.notify_all()
-            self.changed.wait_for(lambda: not self.held_back)
+            self.changed.wait_for(
+                lambda: self.hold_after is None or self.sent < self.hold_after
+            )
+            self.sent += 1
             index = int(query[CHUNK_INDEX])
             if (version, index) in self.spoilt:
                 self.spoilt.discard((version, index))
--- a/tests/platform/test_hubs.py
+++ b/tests/platform/test_hubs.py
@@ -1,7 +1,9 @@
 """One hub a domain draws a version; the next in line takes over from it."""
 
 from collections.abc import Iterator
+from hashlib import sha256
 from pathlib import Path
+from time import monotonic, sleep
 
 import pytest
 from gateway_site import MODEL, make_settings
@@ -14,13 +16,12 @@
 
 from ridgecourse.core.hubs import Peer, choose_hubs, plan_hubs
 from ridgecourse.core.ids import DomainName, Seconds, TargetName
-from ridgecourse.core.planner import Member
+from ridgecourse.core.planner import Member, PlanPolicy
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse_standins.managed import Managed
 from ridgecourse_standins.ports import free_address
 
 KEY = f"('{MODEL}', 2)"
-VERSION_PATH = f"/versions/{MODEL}/2"
 
 
 @given(st.integers(1, 12), st.integers(1, 4))
@@ -48,6 +49,13 @@
     assert list(choose_hubs(KEY, left)) == [successor]
 
 
+def test_few_chunks_are_drawn_from_the_origin_at_a_time() -> None:
+    policy = PlanPolicy(origin_fetches=3)
+    planner = make_planner(HUBS[0], HUBS[:1], policy)
+    assert len(list(planner.plan(Seconds(0.1)))) == 3
+    assert list(planner.plan(Seconds(0.1))) == []
+
+
 def test_a_loader_without_a_hub_in_its_domain_follows_those_elsewhere() -> None:
     hubs = [hub for hub in HUBS if hub.domain != "a"]
     planner = make_planner(Member(TargetName("loader"), DomainName("a")), hubs)
@@ -96,9 +104,24 @@
         (hub,) = choose_hubs(KEY, peers)
         return sorted(self.places, key=lambda host: host != hub.name)
 
-    def ask(self, host: str) -> None:
-        """Ask a gateway for the second version, as a loader does."""
-        HttpClient().fetch("GET", f"{host}:{self.ports[0] + 1}", VERSION_PATH)
+    def ask(self, host: str, version: int = 2) -> None:
+        """Ask a gateway for a version, as a loader does."""
+        path = f"/versions/{MODEL}/{version}"
+        HttpClient().fetch("GET", f"{host}:{self.ports[0] + 1}", path)
+
+    def wait_holding(self, host: str, version: int, chunks: int) -> None:
+        """Wait until a gateway holds some chunks of a version."""
+        digests = [sha256(c).hexdigest() for c in self.origin.versions[version]]
+        address = f"{host}:{self.ports[0] + 1}"
+        http = HttpClient()
+        held: set[str] = set()
+        deadline = monotonic() + 20.0
+        while len(held) < chunks:
+            assert monotonic() < deadline, f"{host} holds {len(held)} chunks"
+            for digest in digests:
+                if http.fetch("GET", address, f"/chunks/{digest}")[0] == 200:
+                    held.add(digest)
+            sleep(0.02)
 
     def close(self) -> None:
         for gateway in self.places.values():
@@ -141,7 +164,7 @@
     hub_site.origin.versions[2] = make_chunks(2)
     hub_site.start()
     hub, successor = hub_site.ranked()
-    hub_site.origin.held_back = True
+    hub_site.origin.hold_after = 0
     hub_site.store.put_version(MODEL, 2)
     hub_site.loader.wait_event("rollout-phase", version="2")
     hub_site.origin.wait_until(lambda: chunk_calls(hub_site) > CHUNKS)
@@ -151,6 +174,26 @@
     hub_site.places[successor].wait_event("version-complete", version="2")
 
 
+def test_what_is_nearly_here_is_finished_before_a_newer_version(hub_site) -> None:
+    hub_site.start()
+    hub, _ = hub_site.ranked()
+    origin = hub_site.origin
+    origin.hold_after = origin.sent + CHUNKS - 4
+    hub_site.store.put_version(MODEL, 2)
+    origin.wait_until(lambda: origin.sent == origin.hold_after)
+    for host in hub_site.places:
+        hub_site.wait_holding(host, 2, CHUNKS - 4)
+    hub_site.store.put_version(MODEL, 3)
+    for host in hub_site.places:
+        hub_site.ask(host, 3)
+    hub_site.places[hub].wait_event("version-named", version="3")
+    origin.release()
+    hub_site.wait_serving(3)
+    drawn = [call for _, call in origin.calls if "/piece/" in call]
+    versions = [call.rpartition("=")[2] for call in drawn]
+    assert versions == sorted(versions)
+
+
 def test_a_gateway_that_stops_leaves_its_part_to_the_next(hub_site) -> None:
     hub_site.start()
     hub, successor = hub_site.ranked()
--- a/tests/platform/test_weights.py
+++ b/tests/platform/test_weights.py
@@ -88,17 +88,19 @@
         assert choose_hubs("m/2", [g for g in gateways if g != others[0]]) == hubs
 
 
-CHUNKS = [ChunkDigest(f"{n:064x}") for n in range(32)]
+CHUNKS = [ChunkDigest(f"{n:08x}{0:056x}") for n in range(32)]
 
 
-def make_planner(me: Member, hubs: list[Member]) -> ChunkPlanner:
+def make_planner(
+    me: Member, hubs: list[Member], policy: PlanPolicy | None = None
+) -> ChunkPlanner:
     return ChunkPlanner(
         me,
         RootDigest("r"),
         CHUNKS,
         [],
         hubs,
-        PlanPolicy(),
+        policy or PlanPolicy(),
         Seconds(0.0),
         hubs=[hub.target for hub in hubs],
     )
