Processes that the store turns away learn its records from others

Seen by a test: the second store of test_relay.py answers 503 or not at all.

Change: every process keeps the newest record of each key and serves them beside its chunks; while the store is lost, a process asks two others each half second, its own domain's first, then the rest and the instances that the settings name as seeds (for which the gateway's role now serves control as well).

Ruled out: pushing each record to all, whose bytes between regions would cost more than the reads (a storm of 40 configurations of 15 KB to 40 pairs across a border).

--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -6,6 +6,7 @@
 from returns.result import Failure
 
 from ridgecourse.cluster.decoder import RecordDecoder
+from ridgecourse.cluster.share import RecordShare
 from ridgecourse.core.ids import ModelName, Seconds, ServiceName, WeightsVersion
 from ridgecourse.core.routes import RoutingConfig
 from ridgecourse.core.targets import ListedTarget, TargetList
@@ -43,6 +44,7 @@
         histories: The named versions of each model.
         targets: The list of targets.
         listed: Whether the list has been read.
+        share: The records read, for processes that cannot read the store.
         changed: Notified after each change.
     """
 
@@ -64,6 +66,7 @@
         self.targets = TargetList()
         self.listed = False
         self.changed = Broadcast()
+        self.share = RecordShare()
         self.decisions_reader = RecordFollower(
             source,
             Topic.DECISIONS,
@@ -121,10 +124,24 @@
                     EventKind.TARGET_GONE, target=target, why="not back after outage"
                 )
 
+    def lost_topics(self) -> Iterator[Topic]:
+        """Yield what cannot be read from the store now."""
+        for reader in (self.decisions_reader, self.targets_reader):
+            if reader.lost_since is not None:
+                yield reader.topic
+
+    def take(self, topic: Topic, batch: RecordBatch, whole: bool) -> None:
+        """Take in records of a topic, from the store or another process."""
+        if topic is Topic.DECISIONS:
+            self.take_decisions(batch, whole)
+        else:
+            self.take_targets(batch, whole)
+
     # Decisions.
 
     def take_decisions(self, batch: RecordBatch, whole: bool) -> None:
         """Take in operators' decisions; an older one never replaces a newer."""
+        self.share.topics[Topic.DECISIONS].take(batch)
         for record in batch.records:
             self._take_decision(record)
         self.changed.notify()
@@ -173,6 +190,7 @@
 
     def take_targets(self, batch: RecordBatch, whole: bool) -> None:
         """Take in changes of the list of targets, or the whole of it."""
+        self.share.topics[Topic.TARGETS].take(batch)
         records, findings = self.decoder.targets(batch.records)
         for finding in findings:
             self.events.emit(EventKind.BAD_INPUT, error=str(finding))
--- a/src/ridgecourse/core/hubs.py
+++ b/src/ridgecourse/core/hubs.py
@@ -87,6 +87,22 @@
     }
 
 
+def seed_peers(seeds: Iterable[str], chunk_port: int) -> Sequence[str]:
+    """Return HOST:PORT for records of the processes on some instances.
+
+    Args:
+        seeds: HOST:PORT of instances, for whatever purpose.
+        chunk_port: Port for chunks and records of every process.
+    """
+    return [f"{seed.rpartition(':')[0]}:{chunk_port}" for seed in seeds]
+
+
+def nearest_first(peers: Iterable[Peer], me: Peer) -> Sequence[str]:
+    """Return the addresses of other processes, those of the own domain first."""
+    others = {peer.address: peer for peer in peers if peer.name != me.name}
+    return sorted(others, key=lambda address: others[address].domain != me.domain)
+
+
 class HubPlan(Struct, frozen=True):
     """Who takes part in bringing a version in, as one gateway sees it.
 
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -1,11 +1,21 @@
 """A gateway's part in the exchange of weights."""
 
+from collections.abc import Sequence
 from time import monotonic
 
 import eventlet
 
+from ridgecourse.cluster.relay import RecordRelay
 from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.hubs import HubPlan, Peer, choose_hubs, loader_peers, plan_hubs
+from ridgecourse.core.hubs import (
+    HubPlan,
+    Peer,
+    choose_hubs,
+    loader_peers,
+    nearest_first,
+    plan_hubs,
+    seed_peers,
+)
 from ridgecourse.core.ids import TargetName
 from ridgecourse.core.planner import Member, PlanPolicy
 from ridgecourse.core.routes import Service
@@ -124,6 +134,8 @@
         router = HttpRouter()
         self.exchange.add_routes(router)
         self.catalogue.add_routes(router)
+        self.view.share.add_routes(router)
+        self.relay = RecordRelay(view, http, self.record_peers, events)
         self.http_server = HttpServer(Address(site.host, control_port + 1), router)
         self.control_server = ControlServer(
             Address(site.host, control_port), "", self.handle_channel
@@ -133,6 +145,7 @@
         """Open both servers."""
         self.http_server.start()
         self.control_server.start()
+        self.relay.start()
         if self.site.first_start:
             self.warming = eventlet.spawn(self._warm_up)
 
@@ -199,6 +212,7 @@
             self.warming.kill()
         for thread in self.working.values():
             thread.kill()
+        self.relay.close()
         self.control_server.close()
         self.http_server.close()
 
@@ -234,6 +248,19 @@
             for gateway in self._known()
         )
 
+    def record_peers(self) -> Sequence[str]:
+        """Return whom to ask for the store's records, the nearest first."""
+        control_port = self.site.peer_ports[0]
+        engines = [
+            target
+            for target in self.view.targets.targets.values()
+            if target.address in self.told
+        ]
+        loaders = loader_peers(engines, (control_port + 1, control_port))
+        known = nearest_first([*loaders.values(), *self._known()], self.place)
+        seeds = seed_peers(self.site.seeds, control_port + 1)
+        return list(dict.fromkeys([*known, *seeds]))
+
     def plan(self, key: VersionKey) -> HubPlan:
         """Return who brings a version in.
 
--- a/src/ridgecourse/loader/loader.py
+++ b/src/ridgecourse/loader/loader.py
@@ -1,10 +1,12 @@
 """The loader process: ties engine, exchange of weights and store together."""
 
 from collections import Counter
+from collections.abc import Sequence
 
 from ridgecourse.cluster.decoder import RecordDecoder
+from ridgecourse.cluster.relay import RecordRelay
 from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.hubs import Peer
+from ridgecourse.core.hubs import Peer, nearest_first, seed_peers
 from ridgecourse.core.ids import TargetName
 from ridgecourse.core.planner import Member, PlanPolicy
 from ridgecourse.core.site import Site
@@ -99,6 +101,8 @@
         self.router = HttpRouter()
         self.exchange.add_routes(self.router)
         self.rollout.catalogue.add_routes(self.router)
+        self.view.share.add_routes(self.router)
+        self.relay = RecordRelay(self.view, http, self.record_peers, self.events)
         self.http_server = HttpServer(Address(site.host, chunk_port), self.router)
         self.figures = FiguresServer(site.host, self.events.figures)
         self.control_server = ControlServer(
@@ -111,6 +115,7 @@
         self.figures.start()
         self.control_server.start()
         self.view.start()
+        self.relay.start()
         self.rollout.start()
         self.feed.start()
         self.events.emit(EventKind.STARTED, http=str(self.http_server.address))
@@ -129,6 +134,15 @@
         else:
             self.feed.tell(channel, first)
 
+    def record_peers(self) -> Sequence[str]:
+        """Return whom to ask for the store's records, the nearest first."""
+        ports = self.rollout.chunk_port, self.rollout.control_port
+        me = Peer(self.context.me.target, self.site.domain, "", "")
+        loaders = self.rollout.other_loaders()
+        known = nearest_first([*self.gateways, *loaders.values()], me)
+        seeds = seed_peers(self.site.seeds, ports[0])
+        return list(dict.fromkeys([*known, *seeds]))
+
     def drain(self) -> None:
         """Stop; other loaders have what this one held, or fetch it anew."""
         self.events.emit(EventKind.STOPPING)
@@ -137,6 +151,7 @@
         """Release everything."""
         self.feed.close()
         self.rollout.close()
+        self.relay.close()
         self.view.close()
         self.control_server.close()
         self.http_server.close()
--- a/src/ridgecourse/net/events.py
+++ b/src/ridgecourse/net/events.py
@@ -32,6 +32,7 @@
     CONFIG_FROM_PEER = "config-from-peer"
     CHANGE_DECIDED = "change-decided"
     CHECKPOINT_WRITTEN = "checkpoint-written"
+    RECORDS_FROM_PEER = "records-from-peer"
     LOG_LOST = "log-lost"
     LOG_BACK = "log-back"
     REQUEST_DISPATCHED = "request-dispatched"
