A refused caller is told to come back once it is likely to be served

Change: the time to come back is five times the excess, at most a third of the time that the caller has left, spread over 30 in 100 of itself; where no target can serve, that third. The answer itself is still given at once.

--- a/src/ridgecourse/core/retry.py
+++ b/src/ridgecourse/core/retry.py
@@ -1,5 +1,34 @@
 """Retry budget: retries stay a fraction of fresh requests."""
 
+from random import Random
+
+SHORTEST_COME_BACK_SECONDS = 0.25
+"""After which a refused caller may come back: about the time in which an engine
+frees a slot or a list of targets is read again."""
+EXCESS_FACTOR = 5.0
+"""Seconds after which a caller may come back for each second by which its wait was
+too long. Engines that change weights or restart together leave the others with some
+0.3 s too much for about 2 s; who came back sooner was refused again."""
+PATIENCE_SHARE = 0.32
+"""Share of its time for which a caller waits as told: a third, less the way back."""
+SPREAD = 0.3
+"""Share by which callers' returns are spread, so that they don't come together."""
+
+
+def come_back_seconds(excess: float | None, left: float, random: Random) -> float:
+    """Return after how many seconds a refused caller may come back.
+
+    Args:
+        excess: Seconds by which its wait would have been too long; None where no
+            target can serve at all.
+        left: Seconds that the caller has left.
+        random: Source of the spread.
+    """
+    longest = left * PATIENCE_SHARE
+    wanted = longest if excess is None else EXCESS_FACTOR * excess
+    spread = 1.0 - SPREAD * random.random()
+    return max(SHORTEST_COME_BACK_SECONDS, min(longest, wanted) * spread)
+
 
 class RetryBudget:
     """A token bucket that fresh requests fill and retries drain.
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -13,7 +13,11 @@
 from ridgecourse.core.ids import Seconds, ServiceName, TargetId
 from ridgecourse.core.outcome import Outcome, Reason
 from ridgecourse.core.placement import FIRST_EVENT_SECONDS
-from ridgecourse.core.retry import RetryBudget
+from ridgecourse.core.retry import (
+    SHORTEST_COME_BACK_SECONDS,
+    RetryBudget,
+    come_back_seconds,
+)
 from ridgecourse.core.routes import Account, Route, RoutingConfig, Service
 from ridgecourse.core.site import Site
 from ridgecourse.core.targets import ListedTarget
@@ -45,12 +49,6 @@
 """Deadline of a request without one, on a route without a limit."""
 SHORTEST_ATTEMPT_SECONDS = 0.05
 """A request is not sent once more with less time left than this."""
-COME_BACK_SECONDS = 0.25
-"""After which a refused caller may come back: about the time in which an engine
-frees a slot or a list of targets is read again."""
-LONGEST_COME_BACK_SECONDS = 1.5
-"""Callers wait as told for at most a third of their time, some 2 s. Where no target
-has the weights that are required, a change takes about as long."""
 SHORTEST_QUEUE_SECONDS = 0.05
 """A wait this short never refuses a request, however long its prompt."""
 RETRY_SAFETY = 0.9
@@ -171,7 +169,7 @@
             version=None,
             begin_by=None,
             last_event=call.last_event,
-            come_back=COME_BACK_SECONDS,
+            excess=0.0,
             is_abandoned=request.is_abandoned,
         )
 
@@ -194,12 +192,7 @@
             body = self._relay(request, order, terms, tried, result, target)
             return FrontReply(head.status, head.reason, head.headers, body)
         if isinstance(result, NotRun):
-            come_back = order.come_back
-            if result.reason in (Reason.NO_TARGET, Reason.WRONG_TARGET):
-                come_back = LONGEST_COME_BACK_SECONDS
-            return self._refuse(
-                call.request_id, result.reason, result.detail, come_back
-            )
+            return self._refuse_not_run(order, result)
         self._note_end(call, Outcome.UNKNOWN, result.detail)
         return FrontReply(504 if result.late else 502)
 
@@ -246,9 +239,7 @@
         allowed = terms.route.objective - choice.reading - FIRST_EVENT_SECONDS
         if choice.wait <= max(allowed, SHORTEST_QUEUE_SECONDS):
             return None
-        order.come_back = min(
-            LONGEST_COME_BACK_SECONDS, COME_BACK_SECONDS + choice.wait - allowed
-        )
+        order.excess = choice.wait - allowed
         detail = f"would wait {choice.wait:.2f} s at {choice.target.target}"
         return NotRun(Reason.OVERLOADED, detail, arrived=False)
 
@@ -349,12 +340,21 @@
 
     # Answers of the gateway's own, and the log.
 
+    def _refuse_not_run(self, order: Order, result: NotRun) -> FrontReply:
+        """Refuse what no target has run, and tell when to come back."""
+        nowhere = result.reason in (Reason.NO_TARGET, Reason.WRONG_TARGET)
+        excess = None if nowhere else order.excess
+        left = time_left(order.deadline)
+        come_back = come_back_seconds(excess, left, self.random)
+        request_id = order.call.request_id
+        return self._refuse(request_id, result.reason, result.detail, come_back)
+
     def _refuse(
         self,
         request_id: str,
         reason: Reason,
         detail: str = "",
-        come_back: float = COME_BACK_SECONDS,
+        come_back: float = SHORTEST_COME_BACK_SECONDS,
     ) -> FrontReply:
         """Answer that a request has not run and will not."""
         self.events.emit(
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -32,7 +32,7 @@
         version: The only version of weights that may run it; None for any.
         begin_by: When it must have begun; None for any time.
         last_event: Event after which its stream goes on.
-        come_back: Seconds after which its caller may come back if it is refused.
+        excess: Seconds by which its wait would be too long, if it is refused.
         is_abandoned: Tells whether the caller has gone.
     """
 
@@ -43,7 +43,7 @@
     version: WeightsVersion | None
     begin_by: Seconds | None
     last_event: int | None
-    come_back: float
+    excess: float
     is_abandoned: Callable[[], bool]
 
 
--- a/tests/platform/test_load.py
+++ b/tests/platform/test_load.py
@@ -1,5 +1,7 @@
 """Estimates of an engine's load, and what is refused by them."""
 
+from random import Random
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -14,6 +16,7 @@
     seconds_per_request,
 )
 from ridgecourse.core.ids import ModelName, Seconds, WeightsVersion
+from ridgecourse.core.retry import SHORTEST_COME_BACK_SECONDS, come_back_seconds
 from ridgecourse.core.routes import EngineModel
 
 MODEL = EngineModel(
@@ -137,3 +140,20 @@
         now += 0.1
         left = estimate.look(MODEL, 0, Seconds(now))
     assert left == 0.0
+
+
+@given(st.one_of(st.none(), st.floats(0.0, 5.0)), st.floats(0.3, 8.0), st.randoms())
+def test_a_refused_caller_is_told_a_time_that_it_waits(excess, left, random) -> None:
+    seconds = come_back_seconds(excess, left, random)
+    assert SHORTEST_COME_BACK_SECONDS <= seconds
+    assert seconds <= max(SHORTEST_COME_BACK_SECONDS, left / 3)
+
+
+def test_the_longer_the_wait_the_later_a_caller_comes_back() -> None:
+    random = Random(1)
+    short = [come_back_seconds(0.05, 6.0, random) for _ in range(50)]
+    long = [come_back_seconds(0.3, 6.0, random) for _ in range(50)]
+    nowhere = [come_back_seconds(None, 6.0, random) for _ in range(50)]
+    assert max(short) < min(long) < min(nowhere)
+    # Not all at once.
+    assert max(nowhere) - min(nowhere) > 0.3
