Settings that change while a process runs are taken in

Bounds, seeds and regions take effect at once, with SIGHUP or without (a look each 2 s); addresses and the like are named as left to the next start. Settings that do not fit leave those in force, with one line on what is wrong. Before, SIGHUP was only logged.

--- a/src/ridgecourse/agent/context.py
+++ b/src/ridgecourse/agent/context.py
@@ -1,6 +1,7 @@
 """What the parts of an agent share."""
 
 from ridgecourse.agent.settings import AgentSettings
+from ridgecourse.core.fetches import Member, PlanPolicy
 from ridgecourse.core.ids import (
     DomainName,
     FleetName,
@@ -8,7 +9,6 @@
     ProcessName,
     TargetName,
 )
-from ridgecourse.core.planner import Member, PlanPolicy
 from ridgecourse.exchange.context import ExchangeContext, LinkPolicy
 from ridgecourse.exchange.store import ChunkStore
 from ridgecourse.native.engine import EngineClient
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -85,6 +85,12 @@
         )
         self.threads: list = []
 
+    def take_version_bound(self, seconds: float) -> None:
+        """Use another time from a version's name until it is required."""
+        self.version_seconds = seconds
+        for history in self.histories.values():
+            history.bound = seconds
+
     def start(self) -> None:
         """Begin to read."""
         self.decisions_reader.start()
--- a/src/ridgecourse/core/site.py
+++ b/src/ridgecourse/core/site.py
@@ -45,7 +45,11 @@
     service: ServiceName
 
 
-class Site(Struct, frozen=True):
+ADOPTED = ("bounds", "seeds", "regions")
+"""Settings that are taken in while a process runs."""
+
+
+class Site(Struct):
     """The settings of one process on a platform.
 
     Attributes:
@@ -78,6 +82,22 @@
     upload_bytes_per_s: float
     first_start: bool = False
 
+    def adopt(self, new: "Site") -> tuple[list[str], list[str]]:
+        """Take in what may change while the process runs.
+
+        Returns:
+            The names of what changed: taken in, and left to the next start.
+        """
+        changed = [
+            name
+            for name in self.__struct_fields__
+            if getattr(self, name) != getattr(new, name)
+        ]
+        adopted = [name for name in changed if name in ADOPTED]
+        for name in adopted:
+            setattr(self, name, getattr(new, name))
+        return adopted, [name for name in changed if name not in ADOPTED]
+
     def region(self, domain: DomainName) -> RegionName:
         """Return a domain's region; an unknown domain is its own."""
         return self.regions.get(domain, RegionName(domain))
--- a/src/ridgecourse/exchange/context.py
+++ b/src/ridgecourse/exchange/context.py
@@ -5,9 +5,9 @@
 
 from msgspec import Struct
 
+from ridgecourse.core.fetches import Member, PlanPolicy
 from ridgecourse.core.ids import ChunkDigest
 from ridgecourse.core.manifest import chunk_digest
-from ridgecourse.core.planner import Member, PlanPolicy
 from ridgecourse.exchange.store import ChunkStore
 from ridgecourse.net.events import EventStream
 from ridgecourse.net.http_client import HttpClient
--- a/src/ridgecourse/exchange/transfer.py
+++ b/src/ridgecourse/exchange/transfer.py
@@ -9,15 +9,10 @@
 
 import eventlet
 
+from ridgecourse.core.fetches import ORIGIN, Fetch, FetchFailure, Member
 from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import ChunkDigest, DomainName, Seconds, TargetName
-from ridgecourse.core.planner import (
-    ORIGIN,
-    ChunkPlanner,
-    Fetch,
-    FetchFailure,
-    Member,
-)
+from ridgecourse.core.planner import ChunkPlanner
 from ridgecourse.exchange.context import ExchangeContext
 from ridgecourse.exchange.holding import Holding
 from ridgecourse.exchange.origin import (
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -19,8 +19,9 @@
 from ridgecourse.net.front_server import FrontReply, FrontRequest, FrontServer
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter, HttpServer
-from ridgecourse.net.process import Process, new_incarnation
+from ridgecourse.net.process import new_incarnation
 from ridgecourse.net.record_source import RecordSource
+from ridgecourse.net.site_process import SiteProcess
 from ridgecourse.net.threads import spawn_loop
 
 UNREADY_SECONDS = 3.0
@@ -31,7 +32,7 @@
 DRAIN_POLL_SECONDS = 0.05
 
 
-class Gateway(Process):
+class Gateway(SiteProcess):
     """One gateway.
 
     Attributes:
@@ -48,8 +49,8 @@
         http: HttpClient,
         ready_path: str,
     ) -> None:
-        self.site = site
-        self.events = EventStream(site.process, new_incarnation(), site.domain)
+        events = EventStream(site.process, new_incarnation(), site.domain)
+        super().__init__(site, events)
         version_seconds = site.bounds.version_seconds
         self.view = ClusterView(source, decoder, self.events, version_seconds)
         self.hub = Hub(site, self.view, self.events, origin, http)
@@ -93,6 +94,11 @@
         ready = self.view.ready() and not self.stopping
         return HttpReply(200 if ready else 503)
 
+    def take_bounds(self) -> None:
+        """Use the operators' limits as they stand in the settings now."""
+        self.view.take_version_bound(self.site.bounds.version_seconds)
+        self.forwarder.budgets.clear()
+
     def drain(self) -> None:
         """End readiness, serve what still comes, then finish and close."""
         begun = monotonic()
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -7,6 +7,7 @@
 
 from ridgecourse.cluster.relay import RecordRelay
 from ridgecourse.cluster.view import ClusterView
+from ridgecourse.core.fetches import Member, PlanPolicy
 from ridgecourse.core.hubs import (
     HubPlan,
     Peer,
@@ -17,7 +18,6 @@
     seed_peers,
 )
 from ridgecourse.core.ids import TargetName
-from ridgecourse.core.planner import Member, PlanPolicy
 from ridgecourse.core.routes import Service
 from ridgecourse.core.site import Site
 from ridgecourse.exchange.catalogue import Catalogue, VersionKey
--- a/src/ridgecourse/loader/loader.py
+++ b/src/ridgecourse/loader/loader.py
@@ -6,9 +6,9 @@
 from ridgecourse.cluster.decoder import RecordDecoder
 from ridgecourse.cluster.relay import RecordRelay
 from ridgecourse.cluster.view import ClusterView
+from ridgecourse.core.fetches import Member, PlanPolicy
 from ridgecourse.core.hubs import Peer, nearest_first, seed_peers
 from ridgecourse.core.ids import TargetName
-from ridgecourse.core.planner import Member, PlanPolicy
 from ridgecourse.core.site import Site
 from ridgecourse.exchange.context import ExchangeContext, LinkPolicy, sha256_digest
 from ridgecourse.exchange.origin import WeightsOrigin
@@ -24,8 +24,9 @@
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.http_server import HttpRouter, HttpServer
 from ridgecourse.net.metrics import Metrics
-from ridgecourse.net.process import Process, new_incarnation
+from ridgecourse.net.process import new_incarnation
 from ridgecourse.net.record_source import RecordSource
+from ridgecourse.net.site_process import SiteProcess
 from ridgecourse.net.throttle import AdaptiveRate
 from ridgecourse.net.websocket import ChannelClosed, ControlChannel, ControlServer
 from ridgecourse.wire.control import Follow, LoaderMessage
@@ -48,7 +49,7 @@
 FIRST_MESSAGE_SECONDS = 2.0
 
 
-class Loader(Process):
+class Loader(SiteProcess):
     """One loader, beside one engine."""
 
     def __init__(
@@ -60,8 +61,8 @@
         origin: WeightsOrigin,
         http: HttpClient,
     ) -> None:
-        self.site = site
-        self.events = EventStream(site.process, new_incarnation(), site.domain)
+        events = EventStream(site.process, new_incarnation(), site.domain)
+        super().__init__(site, events)
         self.view = ClusterView(
             source,
             decoder,
@@ -146,6 +147,10 @@
         seeds = seed_peers(self.site.seeds, ports[0])
         return list(dict.fromkeys([*known, *seeds]))
 
+    def take_bounds(self) -> None:
+        """Use the operators' limits as they stand in the settings now."""
+        self.view.take_version_bound(self.site.bounds.version_seconds)
+
     def drain(self) -> None:
         """Stop; other loaders have what this one held, or fetch it anew."""
         self.events.emit(EventKind.STOPPING)
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -8,7 +8,6 @@
 import eventlet
 
 from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.engine_load import EngineStatus, UnreadEstimate
 from ridgecourse.core.hubs import Peer, choose_hubs, loader_peers
 from ridgecourse.core.ids import Seconds, TargetName, WeightsVersion
 from ridgecourse.core.rendezvous import rendezvous_rank
@@ -101,7 +100,6 @@
         self.gateways = gateways
         self.chunk_port, self.control_port = peer_address
         self.catalogue = Catalogue(context, origin, self.offer)
-        self.unread = UnreadEstimate()
         self.phase = Phase.WAITING
         self.version = WeightsVersion(0)
         self.error = ""
@@ -134,7 +132,7 @@
 
     def _step(self) -> float:
         """Do what is next; return the longest wait until the step after."""
-        found = self._find_model()
+        found = self.find_model()
         if found is None:
             self._set(Phase.WAITING, "no configuration")
             return IDLE_SECONDS
@@ -148,7 +146,8 @@
             return IDLE_SECONDS
         return self._bring((model.model, wanted), model, place, report)
 
-    def _find_model(self) -> tuple[EngineModel, OriginPlace] | None:
+    def find_model(self) -> tuple[EngineModel, OriginPlace] | None:
+        """Return the engine's model and its origin, None before they are known."""
         config = self.view.config
         if config is None or config.origin is None:
             return None
@@ -172,42 +171,6 @@
             error=error,
         )
 
-    def describe(self, report: EngineReport) -> EngineStatus:
-        """Return what gateways are told of the engine."""
-        held = report.layers
-        found = self._find_model()
-        layers = found[0].layers if found else 0
-        whole = held is not None and report.serves(held.version, layers)
-        return EngineStatus(
-            version=held.version if held and whole else WeightsVersion(0),
-            busy=report.busy,
-            queued=report.queued,
-            active=report.active,
-            cache_used=report.cache_used,
-            cache_total=report.cache_total,
-            pace=report.pace,
-            link=self._link_share(),
-            unread=self._unread(report),
-        )
-
-    def slots(self) -> int:
-        """Return how many requests the engine runs at once."""
-        found = self._find_model()
-        return found[0].slots if found else 1
-
-    def _unread(self, report: EngineReport) -> float:
-        found = self._find_model()
-        if found is None:
-            return 0.0
-        requests = report.queued + report.active
-        return self.unread.look(found[0], requests, Seconds(monotonic()))
-
-    def _link_share(self) -> float:
-        rate = self.context.rate
-        if rate is None or self.transfer is None or not self.transfer.peer_fetches():
-            return 1.0
-        return round(rate.current / rate.limit, 1)
-
     def _transfer_seconds(self, transfer: Transfer, model: EngineModel) -> float:
         """Return the seconds that a transfer still takes at the link's speed."""
         missing = len(transfer.planner.missing) * model.chunk_bytes
@@ -264,7 +227,7 @@
             eventlet.spawn(self._offer_staged, key)
 
     def _offer_staged(self, key: VersionKey) -> None:
-        found = self._find_model()
+        found = self.find_model()
         if found is None:
             return
         holding = self.catalogue.find(key, found[1].address, [], 0.0)
@@ -383,7 +346,7 @@
         """Drop a transfer where its successor had better go first."""
         while True:
             self.view.changed.wait(IDLE_SECONDS)
-            transfer, found = self.transfer, self._find_model()
+            transfer, found = self.transfer, self.find_model()
             if transfer is None or found is None:
                 continue
             model = found[0]
--- a/src/ridgecourse/loader/status.py
+++ b/src/ridgecourse/loader/status.py
@@ -7,9 +7,11 @@
 import eventlet
 from msgspec import Struct
 
-from ridgecourse.core.engine_load import EngineStatus
+from ridgecourse.core.engine_load import EngineStatus, UnreadEstimate
 from ridgecourse.core.hubs import Peer
+from ridgecourse.core.ids import Seconds, WeightsVersion
 from ridgecourse.loader.protocol import EngineControl, EngineUnavailable
+from ridgecourse.loader.protocol import EngineReport as LocalReport
 from ridgecourse.loader.rollout import Rollout
 from ridgecourse.net.address import Address, parse_address
 from ridgecourse.net.broadcast import Broadcast
@@ -72,6 +74,7 @@
         self.gateways = gateways
         self.reports = reports
         self.watchers: list[Watcher] = []
+        self.unread = UnreadEstimate()
         self.number = 0
         self.thread: eventlet.greenthread.GreenThread | None = None
 
@@ -93,7 +96,7 @@
         if not self.watchers:
             return IDLE_SECONDS
         try:
-            status = self.rollout.describe(self.engine.report())
+            status = self.describe(self.engine.report())
         except EngineUnavailable:
             # The rollout logs it; those who watch hear nothing new.
             self.status = None
@@ -101,10 +104,47 @@
         if status != self.status:
             self.status = status
             self._report(status)
-        if status.active + status.queued >= CROWDED_SHARE * self.rollout.slots():
+        if status.active + status.queued >= CROWDED_SHARE * self._slots():
             return CROWDED_SECONDS
         return BUSY_SECONDS if status.active or status.busy else IDLE_SECONDS
 
+    def describe(self, report: LocalReport) -> EngineStatus:
+        """Return what gateways are told of the engine."""
+        held = report.layers
+        found = self.rollout.find_model()
+        layers = found[0].layers if found else 0
+        whole = held is not None and report.serves(held.version, layers)
+        return EngineStatus(
+            version=held.version if held and whole else WeightsVersion(0),
+            busy=report.busy,
+            queued=report.queued,
+            active=report.active,
+            cache_used=report.cache_used,
+            cache_total=report.cache_total,
+            pace=report.pace,
+            link=self._link_share(),
+            unread=self._unread(report),
+        )
+
+    def _slots(self) -> int:
+        """Return how many requests the engine runs at once."""
+        found = self.rollout.find_model()
+        return found[0].slots if found else 1
+
+    def _unread(self, report: LocalReport) -> float:
+        found = self.rollout.find_model()
+        if found is None:
+            return 0.0
+        requests = report.queued + report.active
+        return self.unread.look(found[0], requests, Seconds(monotonic()))
+
+    def _link_share(self) -> float:
+        """Return the share of its usual rate that the instance's link brings."""
+        rate, transfer = self.rollout.context.rate, self.rollout.transfer
+        if rate is None or transfer is None or not transfer.peer_fetches():
+            return 1.0
+        return round(rate.current / rate.limit, 1)
+
     def _report(self, status: EngineStatus) -> None:
         """Tell all whose interval is over."""
         self.number += 1
--- a/src/ridgecourse/net/events.py
+++ b/src/ridgecourse/net/events.py
@@ -25,6 +25,7 @@
     """Everything that a process reports."""
 
     STARTED = "started"
+    SETTINGS_CHANGED = "settings-changed"
     STOPPING = "stopping"
     STOPPED = "stopped"
     READY = "ready"
--- a/src/ridgecourse/net/front_server.py
+++ b/src/ridgecourse/net/front_server.py
@@ -23,6 +23,7 @@
     STATUS_TEXT,
     BodyTooLarge,
     HeaderList,
+    HttpServer,
 )
 
 logger = logging.getLogger(__name__)
@@ -210,7 +211,7 @@
                 self.connection.shutdown(2)
 
 
-class FrontServer:
+class FrontServer(HttpServer):
     """Serves callers on one address.
 
     Attributes:
@@ -221,25 +222,13 @@
     """
 
     def __init__(self, address: Address, handler: FrontHandler) -> None:
-        self.address = address
+        super().__init__(address, self.answer)
         self.handler = handler
         self.limits = CallerLimits()
         self.closing = False
         self.connections: set[FrontProtocol] = set()
         self.in_flight = 0
         self.pool = eventlet.GreenPool(MAX_CONNECTIONS)
-        self.listener: Any = None
-        self.thread: Any = None
-
-    def start(self) -> None:
-        """Listen and begin to serve.
-
-        Raises:
-            OSError: The address cannot be listened on.
-        """
-        self.listener = eventlet.listen(self.address, reuse_port=False, backlog=512)
-        self.address = Address(*self.listener.getsockname()[:2])
-        self.thread = eventlet.spawn(self._serve)
 
     def _serve(self) -> None:
         front = self
@@ -254,7 +243,7 @@
         with suppress(OSError, eventlet.greenlet.GreenletExit):
             eventlet.wsgi.server(
                 self.listener,
-                self.answer,
+                self.app,
                 protocol=BoundProtocol,
                 custom_pool=self.pool,
                 log=eventlet.wsgi.LoggerNull(),
@@ -319,18 +308,3 @@
         """Close the connections that wait for a request."""
         for protocol in list(self.connections):
             protocol.end_if_idle()
-
-    def stop_listening(self) -> None:
-        """Accept no further connections; those open go on."""
-        if self.thread is not None:
-            self.thread.kill()
-            self.thread = None
-        if self.listener is not None:
-            self.listener.close()
-            self.listener = None
-
-    def close(self) -> None:
-        """Stop listening and end what is open."""
-        self.stop_listening()
-        for worker in list(self.pool.coroutines_running):
-            worker.kill()
--- a/src/ridgecourse/platform/process.py
+++ b/src/ridgecourse/platform/process.py
@@ -13,14 +13,15 @@
 from ridgecourse.core.site import Site
 from ridgecourse.net.exit_code import EXIT_OK, EXIT_USAGE
 from ridgecourse.net.logs import set_up_logging
-from ridgecourse.net.process import Process, run_until_signal
+from ridgecourse.net.process import run_until_signal
+from ridgecourse.net.site_process import SiteProcess
 from ridgecourse.platform.names import SETTINGS_VARIABLE
-from ridgecourse.platform.settings import load_site
+from ridgecourse.platform.settings import SettingsFile
 
 
 def run_on_platform(
     program: str,
-    make: Callable[[Site], Process],
+    make: Callable[[Site], SiteProcess],
     arguments: list[str] | None = None,
 ) -> int:
     """Check the settings and run a process until it is told to stop.
@@ -42,7 +43,8 @@
     parser.add_argument("--log-level", default="info", help="default: info")
     parser.add_argument("--version", action="version", version=__version__)
     options = parser.parse_args(arguments)
-    loaded = load_site(Path(options.settings))
+    settings = SettingsFile(Path(options.settings))
+    loaded = settings.read()
     if isinstance(loaded, Failure):
         print(render_findings(loaded.failure()), file=sys.stderr)
         return EXIT_USAGE
@@ -51,4 +53,6 @@
         print(f"{options.settings}: ok")
         return EXIT_OK
     set_up_logging(site.process, site.domain, options.log_level)
-    return run_until_signal(make(site))
+    process = make(site)
+    process.watch_settings(settings)
+    return run_until_signal(process)
--- a/src/ridgecourse/platform/settings.py
+++ b/src/ridgecourse/platform/settings.py
@@ -1,5 +1,6 @@
 """The platform's settings file, decoded into a ``Site``."""
 
+import logging
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -11,6 +12,9 @@
 from ridgecourse.core.finding import Finding, Findings
 from ridgecourse.core.ids import DomainName, ProcessName, RegionName, ServiceName
 from ridgecourse.core.site import Bounds, LocalTarget, Site
+from ridgecourse.net.site_process import SettingsSource
+
+logger = logging.getLogger(__name__)
 
 MILLISECOND = 0.001
 BYTES_PER_MBIT = 125_000
@@ -72,15 +76,45 @@
     service: str | None = field(default=None)
 
 
-def load_site(path: Path) -> Result[Site, Findings]:
-    """Read and check the settings file.
+class SettingsFile(SettingsSource):
+    """The settings file.
 
-    Returns:
-        The settings, or everything that is wrong with the file.
+    Attributes:
+        path: Where it lies.
+        content: Its bytes when it was read last.
     """
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self.content: bytes | None = None
+
+    def changed(self) -> bool:
+        """Tell whether the file differs from what was read last."""
+        try:
+            return self.path.read_bytes() != self.content
+        except OSError as error:
+            # It is being replaced; the next look finds the new one.
+            logger.debug("%s: %s", self.path, error)
+            return False
+
+    def read(self) -> Result[Site, Findings]:
+        """Read and check the file.
+
+        Returns:
+            The settings, or everything that is wrong with the file.
+        """
+        try:
+            self.content = self.path.read_bytes()
+        except OSError as error:
+            return Failure((Finding(str(self.path), f"cannot be read: {error}"),))
+        return parse_site(self.content, self.path)
+
+
+def parse_site(content: bytes, path: Path) -> Result[Site, Findings]:
+    """Return the settings in a file's content, or everything wrong with them."""
     try:
-        raw = decode(path.read_bytes())
-    except (OSError, DecodeError) as error:
+        raw = decode(content)
+    except DecodeError as error:
         return Failure((Finding(str(path), f"cannot be read: {error}"),))
     if not isinstance(raw, dict):
         return Failure((Finding(str(path), "expected an object"),))
--- a/tests/platform/test_hubs.py
+++ b/tests/platform/test_hubs.py
@@ -14,9 +14,9 @@
 from test_weights import CHUNKS as DIGESTS
 from test_weights import HUBS, make_gateways, make_planner
 
+from ridgecourse.core.fetches import Member, PlanPolicy
 from ridgecourse.core.hubs import Peer, choose_hubs, plan_hubs
 from ridgecourse.core.ids import DomainName, Seconds, TargetName
-from ridgecourse.core.planner import Member, PlanPolicy
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse_standins.managed import Managed
 from ridgecourse_standins.ports import free_address
--- a/tests/platform/test_weights.py
+++ b/tests/platform/test_weights.py
@@ -3,6 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ridgecourse.core.fetches import ORIGIN, Member, PlanPolicy
 from ridgecourse.core.hubs import Peer, choose_hubs
 from ridgecourse.core.ids import (
     ChunkDigest,
@@ -12,7 +13,7 @@
     TargetName,
     WeightsVersion,
 )
-from ridgecourse.core.planner import ORIGIN, ChunkPlanner, Member, PlanPolicy
+from ridgecourse.core.planner import ChunkPlanner
 from ridgecourse.core.supersession import TransferPlan, should_finish
 from ridgecourse.core.weights import FIRST_VERSION, VersionHistory
 from ridgecourse.net.throttle import AdaptiveRate
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from ridgecourse.core.fetches import ORIGIN, Fetch, FetchFailure, Member, PlanPolicy
 from ridgecourse.core.ids import (
     ChunkDigest,
     DomainName,
@@ -11,14 +12,7 @@
     Seconds,
     TargetName,
 )
-from ridgecourse.core.planner import (
-    ORIGIN,
-    ChunkPlanner,
-    Fetch,
-    FetchFailure,
-    Member,
-    PlanPolicy,
-)
+from ridgecourse.core.planner import ChunkPlanner
 
 CHUNKS = [ChunkDigest(f"{number:08x}" + "0" * 56) for number in range(12)]
 MEMBERS = [
