The retry budget is shared by the gateways there are

Cause: the slack was divided by twelve, so that 40 gateways of a grown site could have passed it three times over. Change: by the gateways that loaders tell of, twelve at least. Origin and other hubs are asked again within 0.25 s of a failure in place of 0.6.

--- a/src/ridgecourse/core/retry.py
+++ b/src/ridgecourse/core/retry.py
@@ -48,6 +48,11 @@
         """Count a fresh request."""
         self.balance = min(self.ceiling, self.balance + self.ratio)
 
+    def limit(self, ceiling: float) -> None:
+        """Let no more than so many retries be saved up from now on."""
+        self.ceiling = ceiling
+        self.balance = min(self.balance, ceiling)
+
     def take_retry(self) -> bool:
         """Spend one retry if the budget has one."""
         if self.balance < 1.0:
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -1,6 +1,6 @@
 """Callers' requests: routed, sent, repeated where allowed, answered."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from random import Random
 from time import monotonic
 from typing import Any
@@ -53,9 +53,9 @@
 """A wait this short never refuses a request, however long its prompt."""
 RETRY_SAFETY = 0.9
 """Share of the allowed repeats that is used: entries count apart."""
-ASSUMED_ENTRIES = 12
-"""Entries among which the slack of the retry budget is divided. More than any
-deployment of today has, so that the sum stays below the bound."""
+FEWEST_GATEWAYS = 12
+"""Gateways among which the slack of the retry budget is divided at least, for some
+may not be known yet; with more the known ones count."""
 
 
 class AnswerTorn(Exception):
@@ -85,24 +85,31 @@
         watcher: LoadWatcher,
         events: EventStream,
         random: Random,
+        count_gateways: Callable[[], int],
     ) -> None:
         self.site = site
         self.view = view
         self.protocol = protocol
         self.events = events
         self.random = random
+        self.count_gateways = count_gateways
         self.selector = TargetSelector(site, view, watcher, random)
         self.sender = Sender(protocol)
         self.budgets: dict[ServiceName, RetryBudget] = {}
 
     def budget(self, service: ServiceName) -> RetryBudget:
-        """Return the bound on a service's repeated sends."""
+        """Return the bound on a service's repeated sends.
+
+        Each gateway has its share of what all may send together.
+        """
+        bounds = self.site.bounds
+        share = bounds.retry_slack / max(FEWEST_GATEWAYS, self.count_gateways())
         if service not in self.budgets:
-            bounds = self.site.bounds
-            self.budgets[service] = RetryBudget(
-                bounds.retry_ratio * RETRY_SAFETY, bounds.retry_slack / ASSUMED_ENTRIES
-            )
-        return self.budgets[service]
+            ratio = bounds.retry_ratio * RETRY_SAFETY
+            self.budgets[service] = RetryBudget(ratio, share)
+        budget = self.budgets[service]
+        budget.limit(share)
+        return budget
 
     def handle(self, request: FrontRequest) -> FrontReply:
         """Answer a request."""
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -56,7 +56,13 @@
         self.hub = Hub(site, self.view, self.events, origin, http)
         self.watcher = LoadWatcher(site, self.view, self.hub, self.events)
         self.forwarder = Forwarder(
-            site, self.view, protocol, self.watcher, self.events, Random()
+            site,
+            self.view,
+            protocol,
+            self.watcher,
+            self.events,
+            Random(),
+            self.hub.count_gateways,
         )
         assert site.callers is not None and site.readiness is not None
         self.front = FrontServer(parse_address(site.callers), self.handle)
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -57,7 +57,7 @@
 OLDER_WAIT_SECONDS = 8.0
 """Longest wait for that: an origin that is away for longer has both drawn anew."""
 FIRST_BACK_OFF_SECONDS = 0.1
-LONGEST_BACK_OFF_SECONDS = 0.6
+LONGEST_BACK_OFF_SECONDS = 0.25
 """After failures of the origin or another hub. Few ask, and each second without the
 weights after their bound is one without service."""
 WARM_UP_SECONDS = 6.0
@@ -241,6 +241,10 @@
     def _known(self) -> list[Peer]:
         return [gateway for told in self.told.values() for gateway in told]
 
+    def count_gateways(self) -> int:
+        """Return how many gateways there are, as far as loaders tell."""
+        return len({gateway.name for gateway in self._known()} | {self.place.name})
+
     def has_successor(self) -> bool:
         """Tell whether another gateway of the domain can take this one's place."""
         return any(
