Weights are fetched before the engine is there

Change: such a loader asks the seeds of its settings for the gateways and takes the version in force from its domain's hub; once the engine is there with chunks staged, what lies there is not fetched.

Tests: the two named ...the_engine..., red without the change (a loader without a listed engine fetched nothing; one at the first start drew a copy).

--- a/src/ridgecourse/core/hubs.py
+++ b/src/ridgecourse/core/hubs.py
@@ -15,6 +15,8 @@
 from ridgecourse.core.rendezvous import rendezvous_rank
 from ridgecourse.core.targets import ListedTarget
 
+GATEWAYS_PATH = "/gateways"
+"""Where a gateway tells which gateways there are."""
 NEIGHBOURS = 3
 """Gateways of a domain that may hold a version: the hub, the next in line, and the
 one that was pushed back by a gateway that came later."""
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -9,6 +9,7 @@
 from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.fetches import Member, PlanPolicy
 from ridgecourse.core.hubs import (
+    GATEWAYS_PATH,
     HubPlan,
     Peer,
     choose_hubs,
@@ -34,10 +35,16 @@
 from ridgecourse.net.address import Address
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.http_client import HttpClient
-from ridgecourse.net.http_server import HttpRouter, HttpServer
+from ridgecourse.net.http_server import (
+    HttpReply,
+    HttpRequest,
+    HttpRouter,
+    HttpServer,
+)
 from ridgecourse.net.metrics import Metrics
 from ridgecourse.net.throttle import AdaptiveRate
 from ridgecourse.net.websocket import ChannelClosed, ControlChannel, ControlServer
+from ridgecourse.wire.codec import encode_message
 from ridgecourse.wire.control import Follow
 
 STORE_BYTES = 64 * 1024 * 1024
@@ -135,6 +142,7 @@
         self.exchange.add_routes(router)
         self.catalogue.add_routes(router)
         self.view.share.add_routes(router)
+        router.add("GET", GATEWAYS_PATH, self.serve_gateways)
         self.relay = RecordRelay(view, http, self.record_peers, events)
         self.http_server = HttpServer(Address(site.host, control_port + 1), router)
         self.control_server = ControlServer(
@@ -164,6 +172,8 @@
                 continue
             model = service.engine.model
             key = (model, self.view.wanted_version(model))
+            if self._has(key) or key in self.working:
+                continue
             if self.place in choose_hubs(str(key), [*self._known(), self.place]):
                 self.working[key] = eventlet.spawn(self._bring_staged, key, service)
 
@@ -252,6 +262,11 @@
             for gateway in self._known()
         )
 
+    def serve_gateways(self, request: HttpRequest) -> HttpReply:
+        """Tell a loader that nobody watches yet which gateways there are."""
+        gateways = {peer.name: peer for peer in [*self._known(), self.place]}
+        return HttpReply(200, encode_message(list(gateways.values())))
+
     def record_peers(self) -> Sequence[str]:
         """Return whom to ask for the store's records, the nearest first."""
         control_port = self.site.peer_ports[0]
@@ -275,11 +290,14 @@
 
     def want(self, key: VersionKey) -> None:
         """Bring a version in, if that has not begun."""
-        holding = self.catalogue.holdings.get(key)
-        if key in self.working or (holding is not None and holding.complete):
+        if self._has(key) or key in self.working:
             return
         self.working[key] = eventlet.spawn(self._bring, key)
 
+    def _has(self, key: VersionKey) -> bool:
+        holding = self.catalogue.holdings.get(key)
+        return holding is not None and holding.complete
+
     def _bring(self, key: VersionKey) -> None:
         """Bring a version in for others, until it is whole or out of date."""
         begun = monotonic()
--- a/src/ridgecourse/loader/loader.py
+++ b/src/ridgecourse/loader/loader.py
@@ -1,6 +1,5 @@
 """The loader process: ties engine, exchange of weights and store together."""
 
-from collections import Counter
 from collections.abc import Sequence
 
 from ridgecourse.cluster.decoder import RecordDecoder
@@ -14,6 +13,7 @@
 from ridgecourse.exchange.origin import WeightsOrigin
 from ridgecourse.exchange.server import Exchange
 from ridgecourse.exchange.store import ChunkStore
+from ridgecourse.loader.gateways import KnownGateways
 from ridgecourse.loader.protocol import EngineControl
 from ridgecourse.loader.rollout import Rollout
 from ridgecourse.loader.status import StatusFeed
@@ -87,8 +87,9 @@
             digest=sha256_digest,
         )
         self.exchange = Exchange(self.context)
-        self.gateways: Counter[Peer] = Counter()
         control_port, chunk_port = site.peer_ports[0], site.peer_ports[0] + 1
+        seeds = seed_peers(site.seeds, chunk_port)
+        self.gateways = KnownGateways(seeds, http, self.events)
         self.rollout = Rollout(
             site,
             self.view,
@@ -120,6 +121,7 @@
         self.reports.start()
         self.view.start()
         self.relay.start()
+        self.gateways.start()
         self.rollout.start()
         self.feed.start()
         self.events.emit(EventKind.STARTED, http=str(self.http_server.address))
@@ -160,6 +162,7 @@
         self.feed.close()
         self.rollout.close()
         self.relay.close()
+        self.gateways.close()
         self.view.close()
         self.control_server.close()
         self.reports.close()
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Iterator, Mapping, Sequence
 from enum import Enum
+from math import inf
 from time import monotonic
 
 import eventlet
@@ -21,6 +22,7 @@
 from ridgecourse.exchange.origin import WeightsOrigin
 from ridgecourse.exchange.server import Exchange
 from ridgecourse.exchange.transfer import Transfer, TransferError
+from ridgecourse.loader.gateways import KnownGateways
 from ridgecourse.loader.protocol import (
     EngineControl,
     EngineReport,
@@ -51,6 +53,9 @@
 SETTLE_SECONDS = 3.0
 """From its start on, how long a loader without any gateway waits for one before it
 turns to other loaders: gateways read the list of targets each 1.1 s."""
+ENGINE_SECONDS = 0.6
+"""From its start on, how long a loader waits for its engine before it fetches weights
+without it. An engine that was restarted beside it is there sooner, and has them."""
 MANIFEST_PATIENCE_SECONDS = 1.0
 """How long hubs are asked for a manifest before the origin is: theirs takes some
 round trips."""
@@ -76,6 +81,7 @@
         error: What stands in the way; empty for nothing.
         ordered: The version of the last order.
         hubs: Where the transfer in progress takes chunks from.
+        prefetching: Whether it goes on without the engine.
     """
 
     def __init__(
@@ -86,7 +92,7 @@
         exchange: Exchange,
         engine: EngineControl,
         origin: WeightsOrigin,
-        gateways: Mapping[Peer, int],
+        gateways: KnownGateways,
         peer_address: tuple[int, int],
     ) -> None:
         assert site.target is not None
@@ -104,6 +110,9 @@
         self.version = WeightsVersion(0)
         self.error = ""
         self.alone_until = monotonic() + SETTLE_SECONDS
+        self.prefetching = False
+        # At the first start of all, engines come up with the first version staged.
+        self.prefetch_at = inf if site.first_start else monotonic() + ENGINE_SECONDS
         self.ordered = WeightsVersion(0)
         self.transfer: Transfer | None = None
         self.hubs: Sequence[Peer] = []
@@ -138,13 +147,36 @@
             return IDLE_SECONDS
         model, place = found
         wanted = self.view.wanted_version(model.model)
-        report = self.engine.report()
+        try:
+            report = self.engine.report()
+        except EngineUnavailable as error:
+            return self._prefetch((model.model, wanted), place, str(error))
         if report.busy and self.ordered == wanted:
             return WORK_SECONDS
         if report.serves(wanted, model.layers):
             self._set(Phase.SERVING, "", wanted)
             return IDLE_SECONDS
-        return self._bring((model.model, wanted), model, place, report)
+        return self._bring((model.model, wanted), place, report)
+
+    def _prefetch(self, key: VersionKey, place: OriginPlace, error: str) -> float:
+        """Fetch a version's chunks while the engine is not there yet."""
+        holding = self.catalogue.holdings.get(key)
+        if monotonic() < self.prefetch_at or (holding and holding.complete):
+            self._set(Phase.WAITING, f"engine: {error}")
+        else:
+            self.prefetching = True
+            self._obtain(key, place, None)
+            self.prefetching = False
+        return WORK_SECONDS
+
+    def _is_engine_back(self) -> bool:
+        """Tell whether an engine that was waited for is there now."""
+        try:
+            self.engine.report()
+        except EngineUnavailable:
+            # Still away, as the phase says.
+            return False
+        return True
 
     def find_model(self) -> tuple[EngineModel, OriginPlace] | None:
         """Return the engine's model and its origin, None before they are known."""
@@ -187,11 +219,6 @@
         peers = {hub.name: hub for hub in self.hubs}
         return peers, list(peers)
 
-    def note_gateways(self) -> None:
-        """Log which gateways bring weights in, after one came or went."""
-        names = sorted(gateway.name for gateway in self.gateways)
-        self.context.events.emit(EventKind.GATEWAYS_KNOWN, gateways=names)
-
     def other_loaders(self) -> Mapping[TargetName, Peer]:
         """Return the loaders of the service's other engines, by instance."""
         others = [t for t in self._engines() if t.host != self.site.host]
@@ -251,15 +278,27 @@
             self.exchange.join(holding)
 
     def _bring(
-        self,
-        key: VersionKey,
-        model: EngineModel,
-        place: OriginPlace,
-        report: EngineReport,
+        self, key: VersionKey, place: OriginPlace, report: EngineReport
     ) -> float:
         """Bring a version in and start it."""
-        if not self.gateways and monotonic() < self.alone_until:
+        staging = Staging(self.context, self.engine, key[0])
+        holding = self._obtain(key, place, staging)
+        if holding is None:
             return WORK_SECONDS
+        return self._take(key, holding, staging, report)
+
+    def _obtain(
+        self, key: VersionKey, place: OriginPlace, staging: Staging | None
+    ) -> Holding | None:
+        """Return a version's holding once all its chunks are here, else None.
+
+        Args:
+            key: The version.
+            place: Where its origin stands.
+            staging: Where some of it may lie; None while the engine is away.
+        """
+        if not self.gateways and monotonic() < self.alone_until:
+            return None
         self._set(Phase.MANIFEST, "", key[1])
         peers, hubs = self.sources(key)
         near = sorted(peers.values(), key=lambda peer: peer.domain != self.site.domain)
@@ -269,22 +308,18 @@
         )
         if holding is None:
             self._set(Phase.MANIFEST, "no manifest", key[1])
-            return WORK_SECONDS
-        staging = Staging(self.context, self.engine, key[0])
-        if len(holding.held) < len(holding.places):
+            return None
+        if staging is not None and not holding.complete:
             staging.take_in(holding.manifest)
         self._join(key, holding)
-        if len(holding.held) < len(holding.places):
-            if hubs:
-                # Known or not, the hub may be a new one that has not begun.
-                eventlet.spawn(self.catalogue.ask, near[0].address, key)
-            origin = self.origin.chunks(place.address, *key)
-            transfer = Transfer(
-                self.context, origin, holding, peers, 1, hubs, place.domain
-            )
-            if not self._run_transfer(key, transfer):
-                return WORK_SECONDS
-        return self._take(key, holding, staging, report)
+        if holding.complete:
+            return holding
+        if hubs:
+            # Known or not, the hub may be a new one that has not begun.
+            eventlet.spawn(self.catalogue.ask, near[0].address, key)
+        origin = self.origin.chunks(place.address, *key)
+        transfer = Transfer(self.context, origin, holding, peers, 1, hubs, place.domain)
+        return holding if self._run_transfer(key, transfer) else None
 
     def _run_transfer(self, key: VersionKey, transfer: Transfer) -> bool:
         """Fetch the missing chunks; tell whether all are held."""
@@ -354,6 +389,9 @@
             if self.hubs != choose_hubs(str(self._key(model)), self.gateways):
                 # A hub came or went: begin again with those that are there now.
                 transfer.cancel()
+            elif self.prefetching and self._is_engine_back():
+                # What lies staged there need not be fetched.
+                transfer.cancel()
             elif (
                 wanted > self.version
                 and not self._should_finish(transfer, model)
--- a/src/ridgecourse/loader/status.py
+++ b/src/ridgecourse/loader/status.py
@@ -1,6 +1,5 @@
 """Tells gateways the load of the engine."""
 
-from collections import Counter
 from collections.abc import Iterator
 from time import monotonic
 
@@ -10,6 +9,7 @@
 from ridgecourse.core.engine_load import EngineStatus, UnreadEstimate
 from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import Seconds, WeightsVersion
+from ridgecourse.loader.gateways import KnownGateways
 from ridgecourse.loader.protocol import EngineControl, EngineUnavailable
 from ridgecourse.loader.protocol import EngineReport as LocalReport
 from ridgecourse.loader.rollout import Rollout
@@ -55,7 +55,7 @@
 
     Attributes:
         status: The newest load; None while the engine does not answer.
-        gateways: Those that bring weights in, with the number of their connections.
+        gateways: Those that bring weights in.
         watchers: Those that are told the load, one for each connection.
         number: Of the newest report.
     """
@@ -64,7 +64,7 @@
         self,
         engine: EngineControl,
         rollout: Rollout,
-        gateways: Counter[Peer],
+        gateways: KnownGateways,
         reports: DatagramSocket,
     ) -> None:
         self.engine = engine
@@ -173,8 +173,8 @@
         told: list[Peer] = []
         try:
             while True:
-                if told != list(self.gateways):
-                    told = list(self.gateways)
+                if told != list(self.gateways.connected):
+                    told = list(self.gateways.connected)
                     channel.send(Gateways(told))
                 if self.status is not None:
                     channel.send(EngineReport(self.status))
@@ -185,12 +185,5 @@
 
     def _count(self, gateway: Peer | None, change: int) -> None:
         """Note that a gateway connected or went away."""
-        if gateway is None:
-            return
-        before = len(self.gateways)
-        self.gateways[gateway] += change
-        if self.gateways[gateway] <= 0:
-            del self.gateways[gateway]
-        if len(self.gateways) != before:
-            self.rollout.note_gateways()
+        if self.gateways.count(gateway, change):
             self.changed.notify()
--- a/src/ridgecourse/net/events.py
+++ b/src/ridgecourse/net/events.py
@@ -44,6 +44,7 @@
     KEY_CLAIMED = "key-claimed"
     KEY_FENCED = "key-fenced"
     GATEWAYS_KNOWN = "gateways-known"
+    SEED_LOST = "seed-lost"
     TARGET_EJECTED = "target-ejected"
     TARGET_LEAVING = "target-leaving"
     TARGET_LISTED = "target-listed"
--- a/src/ridgecourse_standins/platform/weights.py
+++ b/src/ridgecourse_standins/platform/weights.py
@@ -48,7 +48,8 @@
 
     def close(self) -> None:
         """Stop."""
-        self.server.shutdown()
+        if self.thread.is_alive():
+            self.server.shutdown()
         self.server.server_close()
 
     def answer(self, method: str, path: str, query: dict[str, str], body: bytes) -> Any:
--- a/tests/platform/test_hubs.py
+++ b/tests/platform/test_hubs.py
@@ -68,8 +68,10 @@
 class HubSite(LoaderSite):
     """A loader site with two gateways of the loader's domain."""
 
-    def __init__(self, directory: Path) -> None:
-        super().__init__(directory)
+    seeds = ("127.0.0.9:1", "127.0.0.2:1", "127.0.0.3:1")
+
+    def __init__(self, directory: Path, **more: bool) -> None:
+        super().__init__(directory, **more)
         self.places: dict[str, Managed] = {}
         for number in (2, 3):
             host = f"127.0.0.{number}"
@@ -109,9 +111,18 @@
         path = f"/versions/{MODEL}/{version}"
         HttpClient().fetch("GET", f"{host}:{self.ports[0] + 1}", path)
 
+    def wait_whole(self, version: int) -> None:
+        """Wait until the loader holds all chunks of a version."""
+        digests = [sha256(c).hexdigest() for c in self.origin.versions[version]]
+        self.wait_chunks("127.0.0.1", digests, CHUNKS)
+
     def wait_holding(self, host: str, version: int, chunks: int) -> None:
         """Wait until a gateway holds some chunks of a version."""
         digests = [sha256(c).hexdigest() for c in self.origin.versions[version]]
+        self.wait_chunks(host, digests, chunks)
+
+    def wait_chunks(self, host: str, digests: list[str], chunks: int) -> None:
+        """Wait until a process holds some of the chunks with these digests."""
         address = f"{host}:{self.ports[0] + 1}"
         http = HttpClient()
         held: set[str] = set()
@@ -214,3 +225,21 @@
     for gateway in hub_site.places.values():
         gateway.wait_event("version-complete", version="1")
     assert chunk_calls(hub_site) == 0
+
+
+def test_weights_are_on_their_way_before_the_engine_is_there(tmp_path) -> None:
+    site = HubSite(tmp_path, engine_started=False)
+    try:
+        site.store.put_config(site.config())
+        for gateway in site.places.values():
+            gateway.start()
+            gateway.wait_event("config-folded")
+        site.loader.start()
+        transfer = {"phase": "transfer", "error": ""}
+        site.loader.wait_event("rollout-phase", 20, version="1", detail=transfer)
+        site.wait_whole(1)
+        assert site.engine.calls == []
+        site.engine.start()
+        site.wait_serving(1)
+    finally:
+        site.close()
--- a/tests/platform/test_loader.py
+++ b/tests/platform/test_loader.py
@@ -26,13 +26,22 @@
 class LoaderSite:
     """A loader process with its engine, the store and the origin."""
 
-    def __init__(self, directory: Path) -> None:
+    seeds: tuple[str, ...] = ()
+
+    def __init__(
+        self,
+        directory: Path,
+        engine_started: bool = True,
+        first_start: bool = False,
+    ) -> None:
         self.store = StoreStandIn()
         self.engine = StagingEngine(LAYERS)
         self.origin = OriginStandIn()
         self.origin.versions = {n: make_chunks(n) for n in (1, 2, 3)}
-        for stand_in in (self.store, self.engine, self.origin):
-            stand_in.start()
+        self.store.start()
+        self.origin.start()
+        if engine_started:
+            self.engine.start()
         port = free_port()
         self.ports = [port, port + 9]
         settings = make_settings(
@@ -40,6 +49,8 @@
             node_name="side-a-1",
             listen={},
             internal_port_range=self.ports,
+            seed_nodes=self.seeds,
+            bootstrap=first_start,
             app=self.engine.address,
             service="llm",
         )
@@ -171,3 +182,19 @@
     loader_site.store.put_version(MODEL, 2)
     loader_site.store.put_version(MODEL, 3)
     loader_site.wait_serving(3)
+
+
+def test_at_the_first_start_of_all_the_engine_is_waited_for(tmp_path) -> None:
+    site = LoaderSite(tmp_path, engine_started=False, first_start=True)
+    try:
+        site.start()
+        # Each look at the engine that is not there ends after a second; a loader
+        # that waited for no engine would have begun with the origin after three.
+        site.loader.wait_event("rollout-phase", 20, after=5, version="0")
+        assert chunk_calls(site) == 0
+        site.engine.staged = dict(enumerate(site.origin.versions[1]))
+        site.engine.start()
+        site.wait_serving(1)
+        assert chunk_calls(site) == 0
+    finally:
+        site.close()
