Terms of a request, and which of two versions goes on, stand by themselves

No change of behaviour; one test more for the half of the engines that finishes the first of two versions.

--- a/src/ridgecourse/core/supersession.py
+++ b/src/ridgecourse/core/supersession.py
@@ -4,6 +4,13 @@
 
 from ridgecourse.core.ids import Seconds
 
+START_SECONDS = 0.5
+"""From the last chunk to the order: staging and checking."""
+APART_SECONDS = 2.5
+"""Between the bounds of two versions from which on the early half finishes the
+first: less, and it would be late for both."""
+NEARLY_SECONDS = 0.7
+"""A transfer this close to its end is always finished."""
 FINISH_BIAS_SECONDS = 0.5
 """By how much longer the engine may be idle for a first version to be finished all
 the same: its chunks are there for the most part, and those of the newer one may be
@@ -41,3 +48,22 @@
     )
     idle_jumping = max(0.0, now + newer.ready_after - current.bound)
     return idle_finishing <= idle_jumping + FINISH_BIAS_SECONDS
+
+
+def goes_on(
+    current: TransferPlan, newer: TransferPlan, now: Seconds, early: bool
+) -> bool:
+    """Tell whether a transfer goes on though a newer version is named.
+
+    Args:
+        current: The version in transfer.
+        newer: The version named meanwhile, as if begun now.
+        now: The present time.
+        early: Whether the engine is of the half that takes new weights first; that
+            half serves the first version until the second is there.
+    """
+    if current.ready_after < START_SECONDS + NEARLY_SECONDS:
+        return True
+    if newer.bound - current.bound < APART_SECONDS:
+        return should_finish(current, newer, now)
+    return early
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -5,7 +5,7 @@
 from time import monotonic
 from typing import Any
 
-from msgspec import Struct, structs
+from msgspec import structs
 from returns.result import Failure
 
 from ridgecourse.cluster.view import ClusterView
@@ -18,7 +18,7 @@
     RetryBudget,
     come_back_seconds,
 )
-from ridgecourse.core.routes import Account, Route, RoutingConfig, Service
+from ridgecourse.core.routes import RoutingConfig
 from ridgecourse.core.site import Site
 from ridgecourse.core.targets import ListedTarget
 from ridgecourse.gateway.loads import LoadWatcher
@@ -41,6 +41,7 @@
     Whole,
     time_left,
 )
+from ridgecourse.gateway.terms import UNKNOWN_SERVICE, Rejection, Terms, find_terms
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.exchange import Broken, TooLate
 from ridgecourse.net.front_server import CallerGone, FrontReply, FrontRequest
@@ -62,14 +63,6 @@
     """A stream broke off; its connection ends without the final chunk."""
 
 
-class Terms(Struct, frozen=True):
-    """What the configuration says of a request."""
-
-    route: Route
-    service: Service
-    account: Account | None
-
-
 class Forwarder:
     """Answers callers.
 
@@ -124,9 +117,10 @@
             text = "; ".join(map(str, decoded.failure()))
             return self._reject("", 400, text)
         call = decoded.unwrap()
-        terms = self._find_terms(call, config)
-        if isinstance(terms, FrontReply):
-            return terms
+        found = find_terms(call, config, self.random)
+        if isinstance(found, Failure):
+            return self._decline(call, found.failure(), config)
+        terms = found.unwrap()
         body = request.read_body(config.limits.body_bytes)
         order = self._make_order(request, call, terms, body, arrived)
         try:
@@ -136,28 +130,6 @@
             self._note_end(call, Outcome.UNKNOWN, "caller gone")
             raise
 
-    def _find_terms(
-        self, call: CallerRequest, config: RoutingConfig
-    ) -> Terms | FrontReply:
-        route = config.find_route(call.host, call.path)
-        if route is None:
-            return self._reject(call.request_id, 404, "no route", config.version)
-        account = None
-        if config.keyed and not route.public:
-            account = config.accounts.get(call.key)
-            if account is None:
-                return self._reject(call.request_id, 401, "key", config.version)
-        service = config.services.get(self._pick_service(route))
-        if service is None:
-            return self._refuse(call.request_id, Reason.UNKNOWN_SERVICE)
-        return Terms(route, service, account)
-
-    def _pick_service(self, route: Route) -> ServiceName:
-        if len(route.services) == 1:
-            return route.services[0].service
-        weights = [share.weight for share in route.services]
-        return self.random.choices(route.services, weights)[0].service
-
     def _make_order(
         self,
         request: FrontRequest,
@@ -347,6 +319,14 @@
 
     # Answers of the gateway's own, and the log.
 
+    def _decline(
+        self, call: CallerRequest, why: Rejection, config: RoutingConfig
+    ) -> FrontReply:
+        """Answer a request that the configuration has no terms for."""
+        if why is UNKNOWN_SERVICE:
+            return self._refuse(call.request_id, Reason.UNKNOWN_SERVICE)
+        return self._reject(call.request_id, why.status, why.why, config.version)
+
     def _refuse_not_run(self, order: Order, result: NotRun) -> FrontReply:
         """Refuse what no target has run, and tell when to come back."""
         nowhere = result.reason in (Reason.NO_TARGET, Reason.WRONG_TARGET)
--- a/src/ridgecourse/loader/protocol.py
+++ b/src/ridgecourse/loader/protocol.py
@@ -59,6 +59,17 @@
     UNKNOWN = "unknown"
 
 
+class Phase(Enum):
+    """What a loader is doing."""
+
+    WAITING = "waiting"
+    MANIFEST = "manifest"
+    TRANSFER = "transfer"
+    STAGING = "staging"
+    STARTING = "starting"
+    SERVING = "serving"
+
+
 class EngineControl(ABC):
     """Orders to the engine on the own instance, and its staging area."""
 
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -2,7 +2,6 @@
 
 import logging
 from collections.abc import Iterator, Mapping, Sequence
-from enum import Enum
 from math import inf
 from time import monotonic
 
@@ -14,7 +13,7 @@
 from ridgecourse.core.rendezvous import rendezvous_rank
 from ridgecourse.core.routes import EngineModel, OriginPlace
 from ridgecourse.core.site import Site
-from ridgecourse.core.supersession import TransferPlan, should_finish
+from ridgecourse.core.supersession import START_SECONDS, TransferPlan, goes_on
 from ridgecourse.core.targets import ListedTarget
 from ridgecourse.exchange.catalogue import Catalogue, VersionKey
 from ridgecourse.exchange.context import ExchangeContext
@@ -28,6 +27,7 @@
     EngineReport,
     EngineUnavailable,
     OrderOutcome,
+    Phase,
 )
 from ridgecourse.loader.staging import Staging
 from ridgecourse.net.events import EventKind
@@ -40,16 +40,9 @@
 engine is noticed within this."""
 WORK_SECONDS = 0.1
 """Between two looks at an engine that carries out an order."""
-START_SECONDS = 0.5
-"""From the last chunk to the order: staging and checking."""
 LATE_START_SECONDS = 0.4
 """Before requests may no longer begin on an engine's weights, when an engine of
 the late half takes new ones: what begins later would not be allowed to."""
-APART_SECONDS = 2.5
-"""Between the bounds of two versions from which on the early half finishes the
-first: less, and it would be late for both."""
-NEARLY_SECONDS = 0.7
-"""A transfer this close to its end is always finished."""
 SETTLE_SECONDS = 3.0
 """From its start on, how long a loader without any gateway waits for one before it
 turns to other loaders: gateways read the list of targets each 1.1 s."""
@@ -61,17 +54,6 @@
 round trips."""
 
 
-class Phase(Enum):
-    """What a loader is doing."""
-
-    WAITING = "waiting"
-    MANIFEST = "manifest"
-    TRANSFER = "transfer"
-    STAGING = "staging"
-    STARTING = "starting"
-    SERVING = "serving"
-
-
 class Rollout:
     """Drives one engine.
 
@@ -428,12 +410,8 @@
             self._transfer_seconds(transfer, model) + START_SECONDS,
             history.begin_by(older) or now,
         )
-        if current.ready_after < START_SECONDS + NEARLY_SECONDS:
-            return True
-        if newer.bound - current.bound < APART_SECONDS:
-            return should_finish(current, newer, now)
-        # Half of the engines serve the first version until the second is there.
-        return self.starts_early(self._key(model))
+        early = self.starts_early(self._key(model))
+        return goes_on(current, newer, now, early)
 
     def _key(self, model: EngineModel) -> VersionKey:
         return model.model, self.version
--- a/tests/platform/test_load.py
+++ b/tests/platform/test_load.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from msgspec import structs
 
+from bench.placement import MODEL
 from ridgecourse.core.engine_load import (
     EngineLoad,
     EngineStatus,
@@ -15,25 +16,8 @@
     prompt_seconds,
     seconds_per_request,
 )
-from ridgecourse.core.ids import ModelName, Seconds, WeightsVersion
+from ridgecourse.core.ids import Seconds, WeightsVersion
 from ridgecourse.core.retry import SHORTEST_COME_BACK_SECONDS, come_back_seconds
-from ridgecourse.core.routes import EngineModel
-
-MODEL = EngineModel(
-    model=ModelName("m"),
-    slots=16,
-    cache_tokens=317_000,
-    step=0.00927,
-    step_per_request=0.0000232,
-    step_per_token=0.0000000322,
-    prompt_rate=20_700,
-    pair_seconds=1.18e-9,
-    prompt_tokens=979,
-    answer_tokens=92,
-    layers=16,
-    chunks=96,
-    chunk_bytes=24_576,
-)
 
 
 def make_status(queued: int, active: int, pace: float = 1.0) -> EngineStatus:
--- a/tests/platform/test_weights.py
+++ b/tests/platform/test_weights.py
@@ -14,7 +14,7 @@
     WeightsVersion,
 )
 from ridgecourse.core.planner import ChunkPlanner
-from ridgecourse.core.supersession import TransferPlan, should_finish
+from ridgecourse.core.supersession import TransferPlan, goes_on, should_finish
 from ridgecourse.core.weights import FIRST_VERSION, VersionHistory
 from ridgecourse.net.throttle import AdaptiveRate
 
@@ -161,3 +161,13 @@
     # Begun beside another one that ended halfway.
     rate.observe(24_576, 1.5 * 24_576 / rate.limit, (2, 1))
     assert rate.current == rate.limit
+
+
+def test_half_of_the_engines_finish_the_first_of_two_versions_far_apart() -> None:
+    current = TransferPlan(3.0, Seconds(8.0))
+    newer = TransferPlan(5.7, Seconds(12.0))
+    assert goes_on(current, newer, Seconds(4.0), early=True)
+    assert not goes_on(current, newer, Seconds(4.0), early=False)
+    # Nearly here: all do.
+    nearly = TransferPlan(1.0, Seconds(8.0))
+    assert goes_on(nearly, newer, Seconds(4.0), early=False)
