A gateway that comes while a version is brought in is asked as well

A hub made its plan, fetched the manifest, and took part by that plan; a gateway of which it heard in between was not asked, for changes were looked for in transfers only.

Change: the plan is compared once more before the transfer. The test asks both gateways for the version, for what it is about is which version is drawn first.

--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -341,6 +341,9 @@
         if holding is None:
             self._note_failure(key, "no manifest")
             return False
+        if plan != self.plan(key):
+            # A gateway came or went meanwhile: ask anew, those that are there now.
+            return False
         self._join(key, holding)
         chunks = self.origin.chunks(config.origin.address, *key)
         names = [hub.name for hub in plan.hubs]
--- a/src/ridgecourse_standins/platform/weights.py
+++ b/src/ridgecourse_standins/platform/weights.py
@@ -27,10 +27,14 @@
 
     Attributes:
         calls: Method and target of each call so far.
+        away: Whether connections end without an answer.
+        turned_away: Connections that ended so.
     """
 
     def __init__(self) -> None:
         self.calls: list[tuple[str, str]] = []
+        self.away = False
+        self.turned_away = 0
         self.changed = Condition()
         self.server = ThreadingHTTPServer(("127.0.0.1", 0), self._make_handler())
         self.server.daemon_threads = True
@@ -73,6 +77,12 @@
             def _answer(self) -> None:
                 length = int(self.headers.get("Content-Length") or 0)
                 body = self.rfile.read(length)
+                if stand_in.away:
+                    with stand_in.changed:
+                        stand_in.turned_away += 1
+                        stand_in.changed.notify_all()
+                    self.close_connection = True
+                    return
                 parts = urlsplit(self.path)
                 query = {name: v[0] for name, v in parse_qs(parts.query).items()}
                 with stand_in.changed:
--- a/tests/platform/test_hubs.py
+++ b/tests/platform/test_hubs.py
@@ -1,24 +1,43 @@
 """One hub a domain draws a version; the next in line takes over from it."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from hashlib import sha256
 from pathlib import Path
 from time import monotonic, sleep
+from typing import Any
+from unittest.mock import Mock
 
+import eventlet
 import pytest
 from gateway_site import MODEL, make_settings
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec import convert
 from msgspec.json import encode
 from test_loader import CHUNKS, LoaderSite, chunk_calls, make_chunks
 from test_weights import CHUNKS as DIGESTS
 from test_weights import HUBS, make_gateways, make_planner
 
+from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.fetches import Member, PlanPolicy
 from ridgecourse.core.hubs import Peer, choose_hubs, plan_hubs
-from ridgecourse.core.ids import DomainName, Seconds, TargetName
+from ridgecourse.core.ids import (
+    ChunkDigest,
+    DomainName,
+    ModelName,
+    Seconds,
+    TargetName,
+    WeightsVersion,
+)
+from ridgecourse.core.manifest import FileEntry, Manifest
+from ridgecourse.exchange.origin import OriginUnavailable, WeightsOrigin
+from ridgecourse.gateway.hub import Hub
+from ridgecourse.net.events import EventStream
 from ridgecourse.net.http_client import HttpClient
+from ridgecourse.net.process import new_incarnation
+from ridgecourse.platform.settings import SiteFields, make_site
 from ridgecourse_standins.managed import Managed
+from ridgecourse_standins.platform.weights import HttpStandIn
 from ridgecourse_standins.ports import free_address
 
 KEY = f"('{MODEL}', 2)"
@@ -65,6 +84,50 @@
     assert {fetch.source for fetch in fetches} == {TargetName("hub-b")}
 
 
+class MeddlingOrigin(WeightsOrigin):
+    """An origin in whose calls something else happens."""
+
+    def __init__(self, happens: Callable[[], None]) -> None:
+        self.happens = happens
+
+    def manifest(self, address, model, version) -> Manifest:
+        self.happens()
+        digests = tuple(ChunkDigest(f"{n:064x}") for n in range(4))
+        return Manifest(8, (FileEntry("weights", 32, digests),))
+
+    def chunks(self, address, model, version) -> Any:
+        raise OriginUnavailable("not asked in this test")
+
+
+class Newcomer(HttpStandIn):
+    """A gateway that comes while another one brings a version in."""
+
+    def answer(self, method: str, path: str, query: dict[str, str], body: bytes) -> Any:
+        return 404, b""
+
+
+def test_a_gateway_that_comes_meanwhile_is_asked_as_well() -> None:
+    newcomer = Newcomer()
+    newcomer.start()
+    peer = Peer(TargetName("127.0.0.9"), DomainName("a"), newcomer.address, "x:1")
+    site = make_site(convert(make_settings("127.0.0.1:1"), SiteFields))
+    events = EventStream(site.process, new_incarnation(), site.domain)
+    view = ClusterView(Mock(), Mock(), events, 8.0)
+    view.config = Mock(origin=Mock(address="127.0.0.1:1", domain="a"))
+    origin = MeddlingOrigin(lambda: hub.learn("loader", [peer]))
+    hub = Hub(site, view, events, origin, HttpClient())
+    hub.want((ModelName(MODEL), WeightsVersion(2)))
+    try:
+        with eventlet.Timeout(10):
+            while not newcomer.calls:
+                eventlet.sleep(0.01)
+    finally:
+        for thread in hub.working.values():
+            thread.kill()
+        newcomer.close()
+    assert newcomer.calls[0] == ("GET", f"/versions/{MODEL}/2")
+
+
 class HubSite(LoaderSite):
     """A loader site with two gateways of the loader's domain."""
 
@@ -191,6 +254,8 @@
     origin = hub_site.origin
     origin.hold_after = origin.sent + CHUNKS - 4
     hub_site.store.put_version(MODEL, 2)
+    for host in hub_site.places:
+        hub_site.ask(host)
     origin.wait_until(lambda: origin.sent == origin.hold_after)
     for host in hub_site.places:
         hub_site.wait_holding(host, 2, CHUNKS - 4)
@@ -205,6 +270,22 @@
     assert versions == sorted(versions)
 
 
+def test_an_origin_that_goes_away_halfway_sends_each_chunk_once(hub_site) -> None:
+    hub_site.start()
+    origin = hub_site.origin
+    sent = origin.sent
+    origin.hold_after = sent + CHUNKS - 4
+    hub_site.store.put_version(MODEL, 2)
+    origin.wait_until(lambda: origin.sent == sent + CHUNKS - 4)
+    origin.away = True
+    # What was under way when it went away still comes.
+    origin.release()
+    origin.wait_until(lambda: origin.turned_away > 2)
+    origin.away = False
+    hub_site.wait_serving(2)
+    assert origin.sent == sent + CHUNKS
+
+
 def test_a_gateway_that_stops_leaves_its_part_to_the_next(hub_site) -> None:
     hub_site.start()
     hub, successor = hub_site.ranked()
