Logs tell decisions that come late or out of order, and each loss of the store

To tell the incident's hypotheses apart: decision-outdated for a record that is no newer than what is believed, log-lost with its reason as an event (a plain log line before), the time since the answer before with each decision, the age of the configuration with each rejection, a counter of reads that failed.

--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -74,6 +74,7 @@
             0.0,
             self.take_decisions,
             self._note_decisions_back,
+            events,
         )
         self.targets_reader = RecordFollower(
             source,
@@ -82,6 +83,7 @@
             targets_pause,
             self.take_targets,
             self._note_targets_back,
+            events,
         )
         self.threads: list = []
 
@@ -165,21 +167,36 @@
 
     def _take_config(self, config: RoutingConfig, offset: int) -> None:
         if self.config is not None and config.version <= self.config.version:
+            self._note_outdated("configuration", config.version, offset)
             return
         self.config = config
         self.events.emit(
-            EventKind.CONFIG_FOLDED, offset=offset, version=str(config.version)
+            EventKind.CONFIG_FOLDED,
+            offset=offset,
+            version=str(config.version),
+            unheard=round(self.decisions_reader.unheard, 3),
         )
 
     def _take_version(self, named: NamedVersion, offset: int) -> None:
         history = self.history(named.model)
         if not history.name(named.version, Seconds(monotonic())):
+            self._note_outdated(named.model, named.version, offset)
             return
         self.events.emit(
             EventKind.VERSION_NAMED,
             offset=offset,
             version=str(named.version),
             model=named.model,
+            unheard=round(self.decisions_reader.unheard, 3),
+        )
+
+    def _note_outdated(self, subject: str, version: int, offset: int) -> None:
+        """Note a record that is no newer than what is believed."""
+        self.events.emit(
+            EventKind.DECISION_OUTDATED,
+            offset=offset,
+            version=str(version),
+            subject=subject,
         )
 
     def history(self, model: ModelName) -> VersionHistory:
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -363,6 +363,7 @@
             status=status,
             why=why,
             config=version,
+            config_age=round(monotonic() - self.view.decisions_reader.read_at, 2),
         )
         return FrontReply(status, body=f"{why}\n".encode())
 
--- a/src/ridgecourse/net/record_follower.py
+++ b/src/ridgecourse/net/record_follower.py
@@ -1,6 +1,5 @@
 """Follows a topic of the platform's store through its outages."""
 
-import logging
 from collections.abc import Callable
 from random import random
 from time import monotonic
@@ -8,6 +7,7 @@
 import eventlet
 
 from ridgecourse.core.ids import Offset, Seconds
+from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.record_source import (
     RecordBatch,
     RecordsGone,
@@ -17,8 +17,6 @@
 )
 from ridgecourse.net.threads import spawn_loop
 
-logger = logging.getLogger(__name__)
-
 FIRST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 0.6
 """Between two tries while the store is away; a bound of two seconds must hold
@@ -34,7 +32,9 @@
         pause: Between two reads, in seconds.
         offset: Where to read next; None before the first read.
         lost_since: When the store could last be read, while it cannot.
-        read_at: When the store last answered.
+        read_at: When the store last answered; 0 for never.
+        unheard: Seconds between the last two answers: a record of the newest may be
+            that old.
     """
 
     def __init__(
@@ -45,6 +45,7 @@
         pause: float,
         take: Callable[[RecordBatch, bool], None],
         outage_ended: Callable[[float], None],
+        events: EventStream,
     ) -> None:
         self.source = source
         self.topic = topic
@@ -52,9 +53,11 @@
         self.pause = pause
         self.take = take
         self.outage_ended = outage_ended
+        self.events = events
         self.offset: Offset | None = None
         self.lost_since: Seconds | None = None
         self.read_at = Seconds(0.0)
+        self.unheard = 0.0
         self.failures = 0
         self.thread: eventlet.greenthread.GreenThread | None = None
 
@@ -78,7 +81,9 @@
             try:
                 batch, whole = self._read()
             except RecordsGone as error:
-                logger.info("%s: records gone: %s", self.topic.value, error)
+                self.events.emit(
+                    EventKind.RECORDS_GONE, topic=self.topic.value, error=str(error)
+                )
                 self.offset = None
                 continue
             except SourceUnavailable as error:
@@ -103,15 +108,19 @@
 
     def _note_loss(self, error: SourceUnavailable) -> None:
         self.failures += 1
+        self.events.figures.count(f"read_failed_{self.topic.value}")
         if self.lost_since is None:
             self.lost_since = Seconds(monotonic())
-            logger.warning("%s: the store is lost: %s", self.topic.value, error)
+            self.events.emit(
+                EventKind.LOG_LOST, topic=self.topic.value, error=str(error)
+            )
 
     def _note_answer(self) -> None:
         self.failures = 0
-        self.read_at = Seconds(monotonic())
+        now = Seconds(monotonic())
+        self.unheard = now - self.read_at if self.read_at else 0.0
+        self.read_at = now
         if self.lost_since is not None:
-            away = monotonic() - self.lost_since
+            away = now - self.lost_since
             self.lost_since = None
-            logger.warning("%s: the store is back after %.1f s", self.topic.value, away)
             self.outage_ended(away)
