Red test: a decision that was replaced comes back with a restart

Three cases: a configuration, a version of weights at a gateway, one at a loader. All fail on the code as it is: 404 for a route of the newer configuration; a request sent to an engine with version 2 without a bound; an engine brought from version 3 to 2. The stand-in of the store takes records of the system's own.

--- a/src/ridgecourse/platform/names.py
+++ b/src/ridgecourse/platform/names.py
@@ -34,6 +34,7 @@
 STAGE_PUT_PATH = "/ridgecourse/stage-put/"
 STAGE_GET_PATH = "/ridgecourse/stage-get/"
 LOG_READ_PATH = "/ridgecourse/log-read"
+LOG_APPEND_PATH = "/ridgecourse/log-append"
 LOG_NEWEST_PATH = "/ridgecourse/log-newest"
 
 CHUNK_INDEX = "sample_count"
--- a/src/ridgecourse_standins/platform/store.py
+++ b/src/ridgecourse_standins/platform/store.py
@@ -1,11 +1,11 @@
 """A stand-in for the platform's store, with the failures that tests ask for."""
 
 from base64 import b64encode
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from contextlib import suppress
 from enum import Enum
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
-from struct import pack
+from struct import pack, unpack_from
 from threading import Condition, Thread
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -15,6 +15,7 @@
 from ridgecourse.platform.names import (
     CONFIG_KEY,
     DECISIONS_TOPIC,
+    LOG_APPEND_PATH,
     LOG_NEWEST_PATH,
     LOG_READ_PATH,
     TARGETS_TOPIC,
@@ -43,6 +44,7 @@
         topics: Records of each topic, as key and value.
         first_kept: Offsets below this answer 410.
         calls: Calls so far.
+        appended: Records that the system wrote, as topic, key and value.
     """
 
     def __init__(self) -> None:
@@ -52,6 +54,7 @@
             TARGETS_TOPIC: [],
         }
         self.first_kept = dict.fromkeys(self.topics, 0)
+        self.appended: list[tuple[str, str, bytes]] = []
         self.calls = 0
         self.condition = Condition()
         self.closed = False
@@ -97,6 +100,24 @@
         """List a target; None takes it off the list."""
         self.put(TARGETS_TOPIC, target, entry)
 
+    def append(self, topic: str, data: bytes) -> bytes | None:
+        """Take records of the system's own, None where it may not write."""
+        if topic in (DECISIONS_TOPIC, TARGETS_TOPIC):
+            return None
+        records = list(split_records(data))
+        with self.condition:
+            kept = self.topics.setdefault(topic, [])
+            offset = len(kept)
+            kept.extend(records)
+            self.appended.extend((topic, *record) for record in records)
+            self.condition.notify_all()
+        return encode({"offset": offset, "end_offset": offset + len(records)})
+
+    def wait_appended(self, count: int, seconds: float = 3.0) -> bool:
+        """Tell whether the system wrote so many records in time."""
+        with self.condition:
+            return self.condition.wait_for(lambda: len(self.appended) >= count, seconds)
+
     def forget_history(self, topic: str) -> None:
         """Drop all records but the newest of each key."""
         with self.condition:
@@ -111,13 +132,13 @@
     def newest(self, topic: str) -> bytes:
         """Return the newest records as the store encodes them."""
         newest: dict[str, dict[str, Any]] = {}
-        for offset, (key, value) in enumerate(self.topics[topic]):
+        records = self.topics.get(topic, [])
+        for offset, (key, value) in enumerate(records):
             newest.pop(key, None)
             if value:
                 text = b64encode(value).decode()
                 newest[key] = {"key_file": key, "value": text, "offset": offset}
-        end = len(self.topics[topic])
-        return encode({"items": list(newest.values()), "end_offset": end})
+        return encode({"items": list(newest.values()), "end_offset": len(records)})
 
     def read(self, topic: str, start: int, wait: float) -> bytes | None:
         """Return records from an offset on, None where they are gone."""
@@ -149,6 +170,10 @@
                 """Answer a read."""
                 store.answer(self)
 
+            def do_POST(self) -> None:  # noqa: N802
+                """Answer a write."""
+                store.answer(self)
+
             def log_message(self, *_: Any) -> None:
                 """Log nothing."""
 
@@ -164,7 +189,8 @@
                 )
             handler.close_connection = True
             return
-        status, body = self._find(handler.path)
+        length = int(handler.headers.get("Content-Length", "0"))
+        status, body = self._find(handler.path, handler.rfile.read(length))
         if self.mode is StoreMode.DOWN:
             status, body = 503, b""
         with suppress(BrokenPipeError, ConnectionResetError):
@@ -173,13 +199,27 @@
             handler.end_headers()
             handler.wfile.write(body)
 
-    def _find(self, target: str) -> tuple[int, bytes]:
+    def _find(self, target: str, data: bytes) -> tuple[int, bytes]:
         parts = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         if parts.path == LOG_NEWEST_PATH:
             return 200, self.newest(query["topic"])
         if parts.path == LOG_READ_PATH:
             wait = int(query.get("wait_ms", "0")) / 1000
-            data = self.read(query["topic"], int(query["from"]), wait)
-            return (410, b"{}") if data is None else (200, data)
+            found = self.read(query["topic"], int(query["from"]), wait)
+            return (410, b"{}") if found is None else (200, found)
+        if parts.path == LOG_APPEND_PATH:
+            done = self.append(query["topic"], data)
+            return (403, b"{}") if done is None else (200, done)
         return 404, b""
+
+
+def split_records(data: bytes) -> Iterator[tuple[str, bytes]]:
+    """Yield the keys and values of appended records."""
+    position = 0
+    while position < len(data):
+        (length,) = unpack_from(">I", data, position)
+        record = data[position + 4 : position + 4 + length]
+        key_end = 1 + record[0]
+        yield record[1:key_end].decode(), record[key_end:]
+        position += 4 + length
--- /dev/null
+++ b/tests/platform/test_old_decisions.py
@@ -0,0 +1,88 @@
+"""Decisions that were replaced must not come back.
+
+What happened: some seconds after all processes had been killed and started again,
+engines that served version 3 of a model were brought back to version 2, and requests
+began on it 32 s after version 3 had been acknowledged.
+
+Sequence: version 2 was named (offset 13 of the decisions), version 3 (offset 14),
+then version 2 once more (offset 15): a write without an answer had been done again,
+and the first one was carried out late. Processes that ran kept version 3. Those that
+started read the newest record of each key, and that is version 2.
+
+What settled it: before the restart `version-named` 2 and 3 with offsets 13 and 14;
+after it `version-named` 2 with offset 15, at every process, and none with 3.
+"""
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from gateway_site import MODEL, GatewaySite, make_config, make_route
+from msgspec.json import encode
+from test_loader import LoaderSite
+
+
+def use_bounds(front: GatewaySite, **bounds: int) -> None:
+    front.settings["bounds"].update(bounds)
+    front.path.write_bytes(encode(front.settings))
+
+
+def restart(front: GatewaySite) -> None:
+    front.gateway.kill()
+    front.gateway.start()
+    front.wait_until(lambda: front.ready() == 200)
+
+
+def test_a_configuration_written_late_does_not_come_back_with_a_restart(front) -> None:
+    front.add_engine("app")
+    newer = make_config(6)
+    newer["routes"].append(make_route("/new/", "safe", "app"))
+    front.start(make_config(5))
+    front.store.put_config(newer)
+    front.gateway.wait_event("config-folded", version="6")
+    front.store.put_config(make_config(5))
+    front.gateway.wait_event("decision-outdated", version="5")
+    front.store.wait_appended(1)
+    restart(front)
+    assert front.ask("/new/x")[0] == 200
+
+
+def test_a_version_named_late_does_not_come_back_with_a_restart(front) -> None:
+    old = front.add_engine("llm", version=2)
+    new = front.add_engine("llm", version=3)
+    # So short that nothing may begin on older weights once newer ones are named.
+    use_bounds(front, version_ms=300)
+    front.start()
+    for version in (2, 3, 2):
+        front.store.put_version(MODEL, version)
+    front.gateway.wait_event("decision-outdated", version="2")
+    front.store.wait_appended(1)
+    restart(front)
+    for _ in range(8):
+        front.ask("/once-stream/x", extra=(f"Model: {MODEL}",))
+    assert len(new.requests) > 0
+    versions = {request.header("Expected-Version") for request in old.requests}
+    assert versions <= {"3"}
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[LoaderSite]:
+    loader_site = LoaderSite(tmp_path)
+    yield loader_site
+    loader_site.close()
+
+
+def test_an_engine_is_not_brought_back_to_an_older_version(site) -> None:
+    site.start()
+    for version in (2, 3):
+        site.store.put_version(MODEL, version)
+    site.wait_serving(3)
+    site.store.put_version(MODEL, 2)
+    site.loader.wait_event("decision-outdated", version="2")
+    site.store.wait_appended(1)
+    site.loader.kill()
+    site.loader.start()
+    site.loader.wait_event(
+        "rollout-phase", after=1, detail={"phase": "serving", "error": ""}
+    )
+    assert site.engine.version == 3
