Decisions that the newest records no longer tell are kept

Cause: the newest record of a key was taken for the highest revision. An operator's write without an answer is done again, and the first one may be carried out seconds later, behind a higher revision. Running processes ignored it; one that started believed it: a version of weights, and a configuration, went back with each restart.

Who reads a record that is lower than what it holds now writes the higher one into a topic of the system's own; a start reads that topic too. What other processes are told is what holds, not what came last.

Ruled out: reading the history at each start (up to 20 configurations for each process over the links between regions); writing into the operator's topic.

--- /dev/null
+++ b/src/ridgecourse/cluster/keeper.py
@@ -0,0 +1,112 @@
+"""Keeps decisions that the store's newest records no longer tell.
+
+The newest record of a key need not be the highest revision: a write that had no answer
+is done again, and the first one may be carried out seconds later, after others. Who
+has read all records knows the highest. So that a process that starts knows it as well,
+it is written into a topic of the system's own.
+"""
+
+from collections.abc import Iterator, Sequence
+from random import random
+
+import eventlet
+
+from ridgecourse.core.ids import Offset
+from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.events import EventKind, EventStream
+from ridgecourse.net.record_source import (
+    KeyedRecord,
+    RecordBatch,
+    RecordSource,
+    SourceUnavailable,
+    Topic,
+)
+from ridgecourse.net.threads import spawn_loop
+
+RETRY_SECONDS = 0.5
+"""Between two tries to write. Writes fail while the store is away; until then only a
+start of all processes at once would forget the decision."""
+
+
+class DecisionKeeper(RecordSource):
+    """Reads records of the store, and decisions that were kept with the newest.
+
+    Attributes:
+        store: The store.
+        kept: What is known to be kept, by key.
+        pending: Records still to be written, by key.
+    """
+
+    def __init__(self, store: RecordSource, events: EventStream) -> None:
+        self.store = store
+        self.events = events
+        self.kept: dict[str, bytes] = {}
+        self.pending: dict[str, KeyedRecord] = {}
+        self.changed = Broadcast()
+        self.thread: eventlet.greenthread.GreenThread | None = None
+
+    def start(self) -> None:
+        """Begin to write what is to be kept."""
+        self.thread = spawn_loop(self._run)
+
+    def close(self) -> None:
+        """Stop."""
+        if self.thread is not None:
+            self.thread.kill()
+
+    def newest(self, topic: Topic) -> RecordBatch:
+        """Return the newest record of each key, and the kept decisions behind them."""
+        batch = self.store.newest(topic)
+        if topic is not Topic.DECISIONS:
+            return batch
+        kept = self.store.newest(Topic.KEPT).records
+        self.kept = {record.key: record.value for record in kept}
+        return RecordBatch([*batch.records, *place_kept(batch, kept)], batch.end)
+
+    def read(self, topic: Topic, start: Offset, wait: float) -> RecordBatch:
+        """Return records from an offset on; see ``RecordSource``."""
+        return self.store.read(topic, start, wait)
+
+    def append(self, topic: Topic, key: str, value: bytes) -> None:
+        """Write a record; see ``RecordSource``."""
+        self.store.append(topic, key, value)
+
+    def keep(self, record: KeyedRecord) -> None:
+        """Keep a decision that is higher than the newest record of its key."""
+        if self.kept.get(record.key) == record.value:
+            return
+        self.pending[record.key] = record
+        self.changed.notify()
+
+    def _run(self) -> None:
+        while True:
+            if not self.pending:
+                self.changed.wait()
+            for record in list(self.pending.values()):
+                self._write(record)
+            if self.pending:
+                eventlet.sleep(RETRY_SECONDS * (0.5 + random()))
+
+    def _write(self, record: KeyedRecord) -> None:
+        try:
+            self.append(Topic.KEPT, record.key, record.value)
+        except SourceUnavailable as error:
+            self.events.emit(EventKind.LOG_LOST, topic="kept", error=str(error))
+            return
+        self.kept[record.key] = record.value
+        if self.pending.get(record.key) == record:
+            del self.pending[record.key]
+        self.events.emit(EventKind.DECISION_KEPT, offset=record.offset, key=record.key)
+
+
+def place_kept(
+    batch: RecordBatch, kept: Sequence[KeyedRecord]
+) -> Iterator[KeyedRecord]:
+    """Yield kept records with the offsets of the records that they go before.
+
+    Their own offsets count in another topic.
+    """
+    offsets = {record.key: record.offset for record in batch.records}
+    for record in kept:
+        offset = offsets.get(record.key, Offset(0))
+        yield KeyedRecord(record.key, record.value, offset)
--- a/src/ridgecourse/cluster/share.py
+++ b/src/ridgecourse/cluster/share.py
@@ -43,9 +43,16 @@
         for record in batch.records:
             known = self.records.get(record.key)
             if known is None or known.offset < record.offset:
-                self.records.pop(record.key, None)
-                self.records[record.key] = record
+                self.put(record)
         self.end = max(self.end, batch.end)
+        self._forget_dropped()
+
+    def put(self, record: KeyedRecord) -> None:
+        """Take in a record that is known to hold."""
+        self.records.pop(record.key, None)
+        self.records[record.key] = record
+
+    def _forget_dropped(self) -> None:
         dropped = [key for key, record in self.records.items() if not record.value]
         for key in dropped[:-KEPT_DROPPED]:
             del self.records[key]
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -6,6 +6,7 @@
 from returns.result import Failure
 
 from ridgecourse.cluster.decoder import RecordDecoder
+from ridgecourse.cluster.keeper import DecisionKeeper
 from ridgecourse.cluster.share import RecordShare
 from ridgecourse.core.ids import ModelName, Seconds, ServiceName, WeightsVersion
 from ridgecourse.core.routes import RoutingConfig
@@ -45,6 +46,7 @@
         targets: The list of targets.
         listed: Whether the list has been read.
         share: The records read, for processes that cannot read the store.
+        keeper: Keeps decisions that the store's newest records no longer tell.
         changed: Notified after each change.
     """
 
@@ -67,8 +69,9 @@
         self.listed = False
         self.changed = Broadcast()
         self.share = RecordShare()
+        self.keeper = DecisionKeeper(source, events)
         self.decisions_reader = RecordFollower(
-            source,
+            self.keeper,
             Topic.DECISIONS,
             decision_wait,
             0.0,
@@ -95,6 +98,7 @@
 
     def start(self) -> None:
         """Begin to read."""
+        self.keeper.start()
         self.decisions_reader.start()
         self.targets_reader.start()
         self.threads.append(spawn_loop(self._expire))
@@ -103,6 +107,7 @@
         """Stop reading."""
         self.decisions_reader.close()
         self.targets_reader.close()
+        self.keeper.close()
         for thread in self.threads:
             thread.kill()
 
@@ -149,26 +154,33 @@
 
     def take_decisions(self, batch: RecordBatch, whole: bool) -> None:
         """Take in operators' decisions; an older one never replaces a newer."""
-        self.share.topics[Topic.DECISIONS].take(batch)
+        shared = self.share.topics[Topic.DECISIONS]
         for record in batch.records:
-            self._take_decision(record)
+            if self._take_decision(record):
+                shared.put(record)
+        shared.end = max(shared.end, batch.end)
         self.changed.notify()
 
-    def _take_decision(self, record: KeyedRecord) -> None:
+    def _take_decision(self, record: KeyedRecord) -> bool:
+        """Take in one decision; tell whether it is in force now."""
         decoded = self.decoder.decision(record)
         if isinstance(decoded, Failure):
             self.events.emit(EventKind.BAD_INPUT, error=str(decoded.failure()))
-            return
+            return False
         decision = decoded.unwrap()
         if isinstance(decision, RoutingConfig):
-            self._take_config(decision, record.offset)
+            newer = self._take_config(decision, record.offset)
         elif isinstance(decision, NamedVersion):
-            self._take_version(decision, record.offset)
+            newer = self._take_version(decision, record.offset)
+        else:
+            return False
+        if not newer:
+            self._note_outdated(record, decision.version)
+        return newer
 
-    def _take_config(self, config: RoutingConfig, offset: int) -> None:
+    def _take_config(self, config: RoutingConfig, offset: int) -> bool:
         if self.config is not None and config.version <= self.config.version:
-            self._note_outdated("configuration", config.version, offset)
-            return
+            return False
         self.config = config
         self.events.emit(
             EventKind.CONFIG_FOLDED,
@@ -176,12 +188,12 @@
             version=str(config.version),
             unheard=round(self.decisions_reader.unheard, 3),
         )
+        return True
 
-    def _take_version(self, named: NamedVersion, offset: int) -> None:
+    def _take_version(self, named: NamedVersion, offset: int) -> bool:
         history = self.history(named.model)
         if not history.name(named.version, Seconds(monotonic())):
-            self._note_outdated(named.model, named.version, offset)
-            return
+            return False
         self.events.emit(
             EventKind.VERSION_NAMED,
             offset=offset,
@@ -189,15 +201,25 @@
             model=named.model,
             unheard=round(self.decisions_reader.unheard, 3),
         )
+        return True
 
-    def _note_outdated(self, subject: str, version: int, offset: int) -> None:
-        """Note a record that is no newer than what is believed."""
+    def _note_outdated(self, record: KeyedRecord, version: int) -> None:
+        """Note a record that is no newer than what is believed.
+
+        Where it is the newest of its key, who starts would believe it: what holds is
+        kept elsewhere.
+        """
         self.events.emit(
             EventKind.DECISION_OUTDATED,
-            offset=offset,
+            offset=record.offset,
             version=str(version),
-            subject=subject,
+            key=record.key,
         )
+        known = self.share.topics[Topic.DECISIONS].records.get(record.key)
+        if known is None or known.value == record.value:
+            return
+        if known.offset < record.offset:
+            self.keeper.keep(known)
 
     def history(self, model: ModelName) -> VersionHistory:
         """Return the named versions of a model."""
--- a/src/ridgecourse/net/events.py
+++ b/src/ridgecourse/net/events.py
@@ -32,6 +32,7 @@
     CONFIG_FOLDED = "config-folded"
     CONFIG_FROM_PEER = "config-from-peer"
     DECISION_OUTDATED = "decision-outdated"
+    DECISION_KEPT = "decision-kept"
     CHANGE_DECIDED = "change-decided"
     CHECKPOINT_WRITTEN = "checkpoint-written"
     RECORDS_GONE = "records-gone"
--- a/src/ridgecourse/net/record_source.py
+++ b/src/ridgecourse/net/record_source.py
@@ -14,10 +14,12 @@
 
     DECISIONS: What operators decided: configurations and versions of weights.
     TARGETS: The list of targets.
+    KEPT: Decisions that the system keeps itself; see ``cluster.keeper``.
     """
 
     DECISIONS = "decisions"
     TARGETS = "targets"
+    KEPT = "kept"
 
 
 class KeyedRecord(Struct, frozen=True):
@@ -78,3 +80,11 @@
             RecordsGone: They are no longer kept; ``newest`` has what holds.
             SourceUnavailable: The store gave no usable answer.
         """
+
+    @abstractmethod
+    def append(self, topic: Topic, key: str, value: bytes) -> None:
+        """Write a record of the system's own.
+
+        Raises:
+            SourceUnavailable: It may not have been written.
+        """
--- a/src/ridgecourse/platform/names.py
+++ b/src/ridgecourse/platform/names.py
@@ -42,5 +42,7 @@
 
 DECISIONS_TOPIC = "keyed.op"
 TARGETS_TOPIC = "keyed.servers"
+KEPT_TOPIC = "keyed.ridgecourse-kept"
+"""The system's own: decisions higher than the newest record of their key."""
 CONFIG_KEY = "config"
 VERSION_KEY_PREFIX = "version/"
--- a/src/ridgecourse/platform/store.py
+++ b/src/ridgecourse/platform/store.py
@@ -3,7 +3,7 @@
 from base64 import b64decode
 from collections.abc import Iterator
 from struct import error as StructError
-from struct import unpack_from
+from struct import pack, unpack_from
 from typing import Any
 from urllib.parse import urlencode
 
@@ -22,12 +22,18 @@
 )
 from ridgecourse.platform.names import (
     DECISIONS_TOPIC,
+    KEPT_TOPIC,
+    LOG_APPEND_PATH,
     LOG_NEWEST_PATH,
     LOG_READ_PATH,
     TARGETS_TOPIC,
 )
 
-TOPICS = {Topic.DECISIONS: DECISIONS_TOPIC, Topic.TARGETS: TARGETS_TOPIC}
+TOPICS = {
+    Topic.DECISIONS: DECISIONS_TOPIC,
+    Topic.TARGETS: TARGETS_TOPIC,
+    Topic.KEPT: KEPT_TOPIC,
+}
 ANSWER_SECONDS = 1.0
 """Longest wait for an answer beyond a requested one: the store answers in 4 ms,
 in some hundred when slow."""
@@ -92,7 +98,7 @@
             query: dict[str, Any] = {"topic": topic, "part": 0}
             if after:
                 query["after_revision"] = after
-            status, data = self._get(LOG_NEWEST_PATH, query, 0.0)
+            status, data = self._call("GET", LOG_NEWEST_PATH, query)
             if status != 200:
                 raise SourceUnavailable(f"status {status}")
             try:
@@ -112,7 +118,7 @@
             "from": start,
             "wait_ms": int(wait * 1000),
         }
-        status, data = self._get(LOG_READ_PATH, query, wait)
+        status, data = self._call("GET", LOG_READ_PATH, query, wait)
         if status == 410:
             raise RecordsGone(f"from {start}")
         if status != 200:
@@ -122,14 +128,30 @@
         except (StructError, UnicodeDecodeError, IndexError) as error:
             raise SourceUnavailable(f"no records: {error}") from error
 
-    def _get(self, path: str, query: dict[str, Any], wait: float) -> tuple[int, bytes]:
+    def append(self, topic: Topic, key: str, value: bytes) -> None:
+        """Write a record; see ``RecordSource``."""
+        query = {"topic": TOPICS[topic], "part": 0}
+        body = encode_record(key, value)
+        status, _ = self._call("POST", LOG_APPEND_PATH, query, body=body)
+        if status != 200:
+            raise SourceUnavailable(f"status {status}")
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, Any],
+        wait: float = 0.0,
+        body: bytes | None = None,
+    ) -> tuple[int, bytes]:
         self.calls += 1
         target = f"{path}?{urlencode(query)}"
         try:
             status, data, _ = self.http.fetch(
-                "GET",
+                method,
                 self.address,
                 target,
+                body,
                 timeout=wait + ANSWER_SECONDS,
                 limit=MAX_ANSWER_BYTES,
             )
@@ -138,6 +160,13 @@
         return status, data
 
 
+def encode_record(key: str, value: bytes) -> bytes:
+    """Encode a record of a keyed topic."""
+    name = key.encode()
+    record = bytes([len(name)]) + name + value
+    return pack(">I", len(record)) + record
+
+
 def decode_records(data: bytes, start: Offset) -> RecordBatch:
     """Decode the records of a keyed topic.
 
