One gateway of a domain reads decisions from the store for all

Cause: the number of copies of a configuration that crossed the link between two regions was the number of processes behind it. At 24 Mbit/s for all traffic a burst queued up; who was behind then read all versions in between, up to 1 MB an answer, and kept the link full.

Gateways of a domain form a tree of fan-out 4 by rendezvous; the first reads the store, loaders read from a gateway. An answer carries how long ago the store was heard; older than 1.2 s, or not in time, and the store is read instead and the parent left alone for 5 s. Who is behind reads the newest record of each key. A process that starts asks a seed first. Answers over 4 KB are compressed.

Ruled out: the slow store (it breaks the same without), decoding (the same when processor time is not counted), lost waiting reads (1.5 s at most).

--- /dev/null
+++ b/src/ridgecourse/cluster/domain_source.py
@@ -0,0 +1,127 @@
+"""Reads decisions from another process of the domain while that has them in time."""
+
+from collections.abc import Callable, Collection
+from contextlib import suppress
+from time import monotonic
+
+import eventlet
+
+from ridgecourse.cluster.peer_records import ask_records
+from ridgecourse.cluster.share import STALE_SECONDS
+from ridgecourse.core.hubs import Peer
+from ridgecourse.core.ids import Offset, Seconds, TargetName
+from ridgecourse.net.events import EventKind, EventStream
+from ridgecourse.net.http_client import HttpClient
+from ridgecourse.net.record_source import (
+    RecordBatch,
+    RecordSource,
+    SourceUnavailable,
+    Topic,
+)
+
+WAIT_SECONDS = 1.0
+"""Longest wait of one question: below what makes an answer stale."""
+ANSWER_SECONDS = 0.3
+"""For the answer beyond that. A parent that is frozen is noticed after both together;
+then the store is read, which leaves half a second of the 2 s allowed."""
+CONNECT_SECONDS = 0.3
+AVOID_SECONDS = 5.0
+"""How long a process is left alone that did not answer, or had not heard of the store:
+by then most of what freezes or cuts off a machine is over."""
+SEED_PATIENCE_SECONDS = 1.0
+SEED_RETRY_SECONDS = 0.1
+"""How long, and how often, a process that starts asks a seed before the store: when all
+start at once each seed reads the store for many, and has read it after 0.6 s."""
+
+ParentChooser = Callable[[Collection[TargetName]], Peer | None]
+
+
+class DomainSource(RecordSource):
+    """Reads decisions from a parent in the domain's tree, else from the store.
+
+    Attributes:
+        store: The store.
+        seed: HOST:PORT of a process to ask at the start; None for none.
+        choose_parent: Returns whom to ask, given whom to leave alone; None for the
+            store.
+        avoided: Processes left alone, and until when.
+        parent: Whom the last read came from; None for the store.
+    """
+
+    def __init__(
+        self,
+        store: RecordSource,
+        source_host: str,
+        seed: str | None,
+        choose_parent: ParentChooser,
+        events: EventStream,
+    ) -> None:
+        self.store = store
+        self.http = HttpClient(CONNECT_SECONDS, source=source_host)
+        self.seed = seed
+        self.choose_parent = choose_parent
+        self.events = events
+        self.avoided: dict[TargetName, Seconds] = {}
+        self.parent: Peer | None = None
+
+    def newest(self, topic: Topic) -> RecordBatch:
+        """Return the newest record of each key; see ``RecordSource``."""
+        batch = self._ask_parent(topic, Offset(0)) or self._ask_seed(topic)
+        return batch or self.store.newest(topic)
+
+    def read(self, topic: Topic, start: Offset, wait: float) -> RecordBatch:
+        """Return records from an offset on; see ``RecordSource``."""
+        return self._ask_parent(topic, start) or self.store.read(topic, start, wait)
+
+    def append(self, topic: Topic, key: str, value: bytes) -> None:
+        """Write a record; see ``RecordSource``."""
+        self.store.append(topic, key, value)
+
+    def _ask_parent(self, topic: Topic, start: Offset) -> RecordBatch | None:
+        """Return what the parent tells; None where the store is to be read."""
+        parent = self._find_parent(topic)
+        if parent is None:
+            return None
+        try:
+            shared = ask_records(
+                self.http, parent.address, topic, start, ANSWER_SECONDS, WAIT_SECONDS
+            )
+            if shared.age > STALE_SECONDS:
+                raise SourceUnavailable(f"heard of the store {shared.age:.2f} s ago")
+        except SourceUnavailable as error:
+            self._avoid(parent, error)
+            return None
+        return RecordBatch(shared.records, shared.end, age=shared.age)
+
+    def _ask_seed(self, topic: Topic) -> RecordBatch | None:
+        """Return what a seed tells, the first time; None where it does not."""
+        if self.seed is None or topic is not Topic.DECISIONS:
+            return None
+        seed, self.seed = self.seed, None
+        limit = monotonic() + SEED_PATIENCE_SECONDS
+        while monotonic() < limit:
+            with suppress(SourceUnavailable):
+                # It may be starting as well.
+                shared = ask_records(self.http, seed, topic, Offset(0), ANSWER_SECONDS)
+                if shared.age <= STALE_SECONDS:
+                    self.events.emit(EventKind.READS_FROM, parent=seed)
+                    return RecordBatch(shared.records, shared.end, age=shared.age)
+            eventlet.sleep(SEED_RETRY_SECONDS)
+        return None
+
+    def _find_parent(self, topic: Topic) -> Peer | None:
+        if topic is not Topic.DECISIONS:
+            return None
+        now = monotonic()
+        self.avoided = {name: end for name, end in self.avoided.items() if end > now}
+        parent = self.choose_parent(self.avoided)
+        if parent != self.parent:
+            self.parent = parent
+            name = parent.name if parent else "store"
+            self.events.emit(EventKind.READS_FROM, parent=name)
+        return parent
+
+    def _avoid(self, parent: Peer, error: SourceUnavailable) -> None:
+        self.avoided[parent.name] = Seconds(monotonic() + AVOID_SECONDS)
+        self.events.figures.count("parent_avoided")
+        self.events.emit(EventKind.PARENT_AVOIDED, parent=parent.name, error=str(error))
--- /dev/null
+++ b/src/ridgecourse/cluster/peer_records.py
@@ -0,0 +1,43 @@
+"""Asks another process for the store's records."""
+
+from returns.result import Failure
+
+from ridgecourse.cluster.share import RECORDS_PATH, WAIT_PARAMETER, SharedRecords
+from ridgecourse.core.ids import Offset
+from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
+from ridgecourse.net.record_source import SourceUnavailable, Topic
+from ridgecourse.wire.codec import decode_message
+
+
+def ask_records(
+    http: HttpClient,
+    address: str,
+    topic: Topic,
+    start: Offset,
+    timeout: float,
+    wait: float = 0.0,
+) -> SharedRecords:
+    """Return the records that a process holds.
+
+    Args:
+        http: The client.
+        address: HOST:PORT of the process.
+        topic: The stream.
+        start: The first offset wanted.
+        timeout: Longest wait for the answer beyond ``wait``, in seconds.
+        wait: How long the process may wait for a first record, in seconds.
+
+    Raises:
+        SourceUnavailable: It gave no usable answer.
+    """
+    path = f"{RECORDS_PATH}{topic.value}/{start}?{WAIT_PARAMETER}={wait}"
+    try:
+        status, data, _ = http.fetch("GET", address, path, timeout=wait + timeout)
+    except (NoConnection, ExchangeFailed) as error:
+        raise SourceUnavailable(f"{address}: {error}") from error
+    if status != 200:
+        raise SourceUnavailable(f"{address}: status {status}")
+    decoded = decode_message(data, SharedRecords)
+    if isinstance(decoded, Failure):
+        raise SourceUnavailable(f"{address}: {decoded.failure()}")
+    return decoded.unwrap()
--- a/src/ridgecourse/cluster/relay.py
+++ b/src/ridgecourse/cluster/relay.py
@@ -8,15 +8,13 @@
 from itertools import count
 
 import eventlet
-from returns.result import Failure
 
-from ridgecourse.cluster.share import RECORDS_PATH, SharedRecords
+from ridgecourse.cluster.peer_records import ask_records
 from ridgecourse.cluster.view import ClusterView
 from ridgecourse.net.events import EventKind, EventStream
-from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
-from ridgecourse.net.record_source import RecordBatch, Topic
+from ridgecourse.net.http_client import HttpClient
+from ridgecourse.net.record_source import RecordBatch, SourceUnavailable, Topic
 from ridgecourse.net.threads import spawn_loop
-from ridgecourse.wire.codec import decode_message
 
 POLL_SECONDS = 0.5
 """Between two questions while the store is lost: decisions must be in force within
@@ -68,22 +66,15 @@
             self._ask(topic, peers[next(self.turns) % len(peers)])
 
     def _ask(self, topic: Topic, address: str) -> None:
-        path = f"{RECORDS_PATH}{topic.value}/{self.view.share.topics[topic].end}"
+        start = self.view.share.topics[topic].end
         try:
-            status, data, _ = self.http.fetch(
-                "GET", address, path, timeout=ANSWER_SECONDS
-            )
-        except (NoConnection, ExchangeFailed):
+            shared = ask_records(self.http, address, topic, start, ANSWER_SECONDS)
+        except SourceUnavailable:
             # It may be cut off as well, or gone; the next one is asked.
             self.events.figures.count("relay_unanswered")
             return
-        if status != 200:
+        if not shared.records:
             return
-        decoded = decode_message(data, SharedRecords)
-        if isinstance(decoded, Failure):
-            self.events.emit(EventKind.BAD_INPUT, error=str(decoded.failure()))
-            return
-        shared = decoded.unwrap()
         self.events.emit(
             EventKind.RECORDS_FROM_PEER,
             offset=shared.end,
@@ -91,4 +82,5 @@
             records=len(shared.records),
             peer=address,
         )
-        self.view.take(topic, RecordBatch(shared.records, shared.end), False)
+        batch = RecordBatch(shared.records, shared.end, age=shared.age)
+        self.view.take(topic, batch, False)
--- a/src/ridgecourse/cluster/share.py
+++ b/src/ridgecourse/cluster/share.py
@@ -1,17 +1,29 @@
-"""Records of the platform's store, kept for processes that cannot read it."""
+"""Records of the platform's store, told to other processes."""
 
 from collections.abc import Sequence
+from gzip import compress
+from time import monotonic
 
 from msgspec import Struct
 
-from ridgecourse.core.ids import Offset
+from ridgecourse.core.ids import Offset, Seconds
+from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
 from ridgecourse.net.record_source import KeyedRecord, RecordBatch, Topic
 from ridgecourse.wire.codec import encode_message
 
 RECORDS_PATH = "/records/"
+WAIT_PARAMETER = "wait"
+LONGEST_WAIT_SECONDS = 2.0
+STALE_SECONDS = 1.2
+"""Age from which on nobody relies on what another process last heard of the store: with
+the own read that follows, a decision is in force in less than the 2 s allowed."""
 KEPT_DROPPED = 1000
 """Dropped keys that are still told: far more than targets leave within an outage."""
+COMPRESSED_BYTES = 4096
+"""Longer answers are compressed: a configuration of 54 KB is a tenth of that then, on
+links of loaders that carry 450 KB/s."""
+COMPRESSION_LEVEL = 1
 
 
 class SharedRecords(Struct, frozen=True):
@@ -20,23 +32,27 @@
     Attributes:
         records: The newest of each key from the offset asked for on.
         end: Where the answering process goes on reading.
+        age: Seconds since the store told that there is nothing newer.
     """
 
     records: Sequence[KeyedRecord]
     end: Offset
+    age: float
 
 
 class TopicRecords:
-    """The newest records of one topic.
+    """What holds of one topic.
 
     Attributes:
         records: By key, dropped keys included.
         end: Where to go on reading.
+        heard_at: When the store told that there is nothing newer; 0 for never.
     """
 
     def __init__(self) -> None:
         self.records: dict[str, KeyedRecord] = {}
         self.end = Offset(0)
+        self.heard_at = Seconds(0.0)
 
     def take(self, batch: RecordBatch) -> None:
         """Take in records; an older one never replaces a newer."""
@@ -44,7 +60,7 @@
             known = self.records.get(record.key)
             if known is None or known.offset < record.offset:
                 self.put(record)
-        self.end = max(self.end, batch.end)
+        self.note_read(batch)
         self._forget_dropped()
 
     def put(self, record: KeyedRecord) -> None:
@@ -52,6 +68,17 @@
         self.records.pop(record.key, None)
         self.records[record.key] = record
 
+    def note_read(self, batch: RecordBatch) -> None:
+        """Note how far the topic has been read, and when."""
+        self.end = max(self.end, batch.end)
+        if not batch.behind:
+            self.heard_at = max(self.heard_at, Seconds(monotonic() - batch.age))
+
+    @property
+    def age(self) -> float:
+        """Seconds since the store told that there is nothing newer."""
+        return monotonic() - self.heard_at
+
     def _forget_dropped(self) -> None:
         dropped = [key for key, record in self.records.items() if not record.value]
         for key in dropped[:-KEPT_DROPPED]:
@@ -60,7 +87,8 @@
     def since(self, start: Offset) -> SharedRecords:
         """Return the records from an offset on."""
         records = [r for r in self.records.values() if r.offset >= start]
-        return SharedRecords(sorted(records, key=lambda r: r.offset), self.end)
+        records.sort(key=lambda record: record.offset)
+        return SharedRecords(records, self.end, self.age)
 
 
 class RecordShare:
@@ -68,22 +96,52 @@
 
     Attributes:
         topics: The records of each topic.
+        changed: Notified when something was read.
     """
 
     def __init__(self) -> None:
         self.topics = {topic: TopicRecords() for topic in Topic}
+        self.changed = Broadcast()
 
     def add_routes(self, router: HttpRouter) -> None:
         """Serve records on a router."""
         router.add("GET", RECORDS_PATH, self.serve)
 
     def serve(self, request: HttpRequest) -> HttpReply:
-        """Answer with a topic's records, or 204 where there are none."""
+        """Answer with a topic's records, or 204 where nothing has been read."""
         name, _, start = request.path.removeprefix(RECORDS_PATH).partition("/")
         found = [topic for topic in Topic if topic.value == name]
-        if not found or not start.isdecimal():
+        wait = parse_wait(request.query.get(WAIT_PARAMETER, "0"))
+        if not found or not start.isdecimal() or wait is None:
             return HttpReply(400)
-        shared = self.topics[found[0]].since(Offset(int(start)))
-        if not shared.records:
+        topic = self.topics[found[0]]
+        self._wait_for_news(topic, Offset(int(start)), wait)
+        if not topic.records and not topic.heard_at:
             return HttpReply(204)
-        return HttpReply(200, encode_message(shared))
+        return reply(encode_message(topic.since(Offset(int(start)))))
+
+    def _wait_for_news(self, topic: TopicRecords, start: Offset, wait: float) -> None:
+        """Wait for a record, but not beyond the time for which we can be relied on."""
+        limit = monotonic() + wait
+        while topic.end <= start:
+            left = min(limit - monotonic(), STALE_SECONDS - topic.age)
+            if left <= 0.0:
+                return
+            self.changed.wait(left)
+
+
+def parse_wait(text: str) -> float | None:
+    """Return a wait in seconds, None where the text is none."""
+    try:
+        wait = float(text)
+    except ValueError:
+        return None
+    return wait if 0.0 <= wait <= LONGEST_WAIT_SECONDS else None
+
+
+def reply(body: bytes) -> HttpReply:
+    """Return an answer, compressed where that pays."""
+    if len(body) < COMPRESSED_BYTES:
+        return HttpReply(200, body)
+    packed = compress(body, COMPRESSION_LEVEL)
+    return HttpReply(200, packed, [("Content-Encoding", "gzip")])
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -23,11 +23,10 @@
 )
 from ridgecourse.net.threads import spawn_loop
 
-DECISION_WAIT_SECONDS = 1.4
-"""Longest wait of one read for an operator's decision, which must be in force
-within 2 s. Longer saves calls, but a connection that died unseen is noticed only
-after it, and a waiting read was seen to miss a record (CONFIG on scale-1 of
-sereno-ridge, seed 866421815420)."""
+DECISION_WAIT_SECONDS = 0.6
+"""Longest wait of one read of the store for an operator's decision. A waiting read was
+seen to miss a record, and a connection that died unseen is noticed only after it. With
+a slow store's 0.35 s it leaves what is heard fresh enough for others to rely on."""
 TARGETS_PAUSE_SECONDS = 1.1
 """Between two reads of the list: a leaving target may get requests for 2 s more,
 and its heartbeats would end a waiting read ten times a second."""
@@ -158,7 +157,8 @@
         for record in batch.records:
             if self._take_decision(record):
                 shared.put(record)
-        shared.end = max(shared.end, batch.end)
+        shared.note_read(batch)
+        self.share.changed.notify()
         self.changed.notify()
 
     def _take_decision(self, record: KeyedRecord) -> bool:
@@ -236,6 +236,7 @@
     def take_targets(self, batch: RecordBatch, whole: bool) -> None:
         """Take in changes of the list of targets, or the whole of it."""
         self.share.topics[Topic.TARGETS].take(batch)
+        self.share.changed.notify()
         records, findings = self.decoder.targets(batch.records)
         for finding in findings:
             self.events.emit(EventKind.BAD_INPUT, error=str(finding))
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -1,12 +1,17 @@
 """The gateway process: ties callers, store and targets together."""
 
+from collections.abc import Collection
 from random import Random
 from time import monotonic
 
 import eventlet
 
 from ridgecourse.cluster.decoder import RecordDecoder
+from ridgecourse.cluster.domain_source import DomainSource
 from ridgecourse.cluster.view import ClusterView
+from ridgecourse.core.hubs import Peer, seed_peers
+from ridgecourse.core.ids import TargetName
+from ridgecourse.core.read_tree import choose_seed, gateway_parent
 from ridgecourse.core.site import Site
 from ridgecourse.exchange.origin import WeightsOrigin
 from ridgecourse.gateway.forwarder import Forwarder
@@ -52,7 +57,15 @@
         events = EventStream(site.process, new_incarnation(), site.domain)
         super().__init__(site, events)
         version_seconds = site.bounds.version_seconds
-        self.view = ClusterView(source, decoder, self.events, version_seconds)
+        seeds = seed_peers(site.seeds, site.peer_ports[0] + 1)
+        self.source = DomainSource(
+            source,
+            site.host,
+            choose_seed(site.host, seeds),
+            self.choose_parent,
+            self.events,
+        )
+        self.view = ClusterView(self.source, decoder, self.events, version_seconds)
         self.hub = Hub(site, self.view, self.events, origin, http)
         self.watcher = LoadWatcher(site, self.view, self.hub, self.events)
         self.forwarder = Forwarder(
@@ -91,6 +104,11 @@
             self.forwarder.selector.forget_gone()
             self.view.changed.wait()
 
+    def choose_parent(self, avoided: Collection[TargetName]) -> Peer | None:
+        """Return whom to read decisions from; None for the store."""
+        gateways = [g for g in self.hub.known() if g.name not in avoided]
+        return gateway_parent(self.hub.place, gateways)
+
     def handle(self, request: FrontRequest) -> FrontReply:
         """Answer a caller."""
         return self.forwarder.handle(request)
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -174,7 +174,7 @@
             key = (model, self.view.wanted_version(model))
             if self._has(key) or key in self.working:
                 continue
-            if self.place in choose_hubs(str(key), [*self._known(), self.place]):
+            if self.place in choose_hubs(str(key), [*self.known(), self.place]):
                 self.working[key] = eventlet.spawn(self._bring_staged, key, service)
 
     def _knows_loaders(self) -> bool:
@@ -248,23 +248,24 @@
                 # A gateway came or went: go on with those that are there now.
                 transfer.cancel()
 
-    def _known(self) -> list[Peer]:
+    def known(self) -> list[Peer]:
+        """Return the gateways that loaders tell of, some more than once."""
         return [gateway for told in self.told.values() for gateway in told]
 
     def count_gateways(self) -> int:
         """Return how many gateways there are, as far as loaders tell."""
-        return len({gateway.name for gateway in self._known()} | {self.place.name})
+        return len({gateway.name for gateway in self.known()} | {self.place.name})
 
     def has_successor(self) -> bool:
         """Tell whether another gateway of the domain can take this one's place."""
         return any(
             gateway.domain == self.place.domain and gateway != self.place
-            for gateway in self._known()
+            for gateway in self.known()
         )
 
     def serve_gateways(self, request: HttpRequest) -> HttpReply:
         """Tell a loader that nobody watches yet which gateways there are."""
-        gateways = {peer.name: peer for peer in [*self._known(), self.place]}
+        gateways = {peer.name: peer for peer in [*self.known(), self.place]}
         return HttpReply(200, encode_message(list(gateways.values())))
 
     def record_peers(self) -> Sequence[str]:
@@ -276,7 +277,7 @@
             if target.address in self.told
         ]
         loaders = loader_peers(engines, (control_port + 1, control_port))
-        known = nearest_first([*loaders.values(), *self._known()], self.place)
+        known = nearest_first([*loaders.values(), *self.known()], self.place)
         seeds = seed_peers(self.site.seeds, control_port + 1)
         return list(dict.fromkeys([*known, *seeds]))
 
@@ -286,7 +287,7 @@
         A gateway that is asked and is not its domain's hub copies the version
         from there, so that no second one draws it from the origin.
         """
-        return plan_hubs(str(key), self._known(), self.place)
+        return plan_hubs(str(key), self.known(), self.place)
 
     def want(self, key: VersionKey) -> None:
         """Bring a version in, if that has not begun."""
--- a/src/ridgecourse/loader/loader.py
+++ b/src/ridgecourse/loader/loader.py
@@ -1,13 +1,15 @@
 """The loader process: ties engine, exchange of weights and store together."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from ridgecourse.cluster.decoder import RecordDecoder
+from ridgecourse.cluster.domain_source import DomainSource
 from ridgecourse.cluster.relay import RecordRelay
 from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.fetches import Member, PlanPolicy
 from ridgecourse.core.hubs import Peer, nearest_first, seed_peers
 from ridgecourse.core.ids import TargetName
+from ridgecourse.core.read_tree import choose_seed, loader_parent
 from ridgecourse.core.site import Site
 from ridgecourse.exchange.context import ExchangeContext, LinkPolicy, sha256_digest
 from ridgecourse.exchange.origin import WeightsOrigin
@@ -63,8 +65,18 @@
     ) -> None:
         events = EventStream(site.process, new_incarnation(), site.domain)
         super().__init__(site, events)
-        self.view = ClusterView(
+        control_port, chunk_port = site.peer_ports[0], site.peer_ports[0] + 1
+        seeds = seed_peers(site.seeds, chunk_port)
+        self.place = Peer(TargetName(site.host), site.domain, "", "")
+        self.source = DomainSource(
             source,
+            site.host,
+            choose_seed(site.host, seeds),
+            self.choose_parent,
+            self.events,
+        )
+        self.view = ClusterView(
+            self.source,
             decoder,
             self.events,
             site.bounds.version_seconds,
@@ -87,8 +99,6 @@
             digest=sha256_digest,
         )
         self.exchange = Exchange(self.context)
-        control_port, chunk_port = site.peer_ports[0], site.peer_ports[0] + 1
-        seeds = seed_peers(site.seeds, chunk_port)
         self.gateways = KnownGateways(seeds, http, self.events)
         self.rollout = Rollout(
             site,
@@ -140,12 +150,16 @@
         else:
             self.feed.tell(channel, first)
 
+    def choose_parent(self, avoided: Collection[TargetName]) -> Peer | None:
+        """Return whom to read decisions from; None for the store."""
+        gateways = [g for g in self.gateways if g.name not in avoided]
+        return loader_parent(self.place, gateways)
+
     def record_peers(self) -> Sequence[str]:
         """Return whom to ask for the store's records, the nearest first."""
         ports = self.rollout.chunk_port, self.rollout.control_port
-        me = Peer(self.context.me.target, self.site.domain, "", "")
         loaders = self.rollout.other_loaders()
-        known = nearest_first([*self.gateways, *loaders.values()], me)
+        known = nearest_first([*self.gateways, *loaders.values()], self.place)
         seeds = seed_peers(self.site.seeds, ports[0])
         return list(dict.fromkeys([*known, *seeds]))
 
--- a/src/ridgecourse/net/events.py
+++ b/src/ridgecourse/net/events.py
@@ -36,6 +36,8 @@
     CHANGE_DECIDED = "change-decided"
     CHECKPOINT_WRITTEN = "checkpoint-written"
     RECORDS_GONE = "records-gone"
+    READS_FROM = "reads-from"
+    PARENT_AVOIDED = "parent-avoided"
     RECORDS_FROM_PEER = "records-from-peer"
     LOG_LOST = "log-lost"
     LOG_BACK = "log-back"
--- a/src/ridgecourse/net/record_follower.py
+++ b/src/ridgecourse/net/record_follower.py
@@ -90,10 +90,14 @@
                 self._note_loss(error)
                 eventlet.sleep(self._retry_wait())
                 continue
-            self._note_answer()
-            self.offset = batch.end
+            self._note_answer(batch)
+            # Who is behind needs what holds now, not all that held in between.
+            self.offset = None if batch.behind else self._next_offset(batch)
             self.take(batch, whole)
-            eventlet.sleep(self.pause)
+            eventlet.sleep(0.0 if batch.behind else self.pause)
+
+    def _next_offset(self, batch: RecordBatch) -> Offset:
+        return batch.end if self.offset is None else max(self.offset, batch.end)
 
     def _read(self) -> tuple[RecordBatch, bool]:
         if self.offset is None:
@@ -115,9 +119,9 @@
                 EventKind.LOG_LOST, topic=self.topic.value, error=str(error)
             )
 
-    def _note_answer(self) -> None:
+    def _note_answer(self, batch: RecordBatch) -> None:
         self.failures = 0
-        now = Seconds(monotonic())
+        now = Seconds(monotonic() - batch.age)
         self.unheard = now - self.read_at if self.read_at else 0.0
         self.read_at = now
         if self.lost_since is not None:
--- a/src/ridgecourse/net/record_source.py
+++ b/src/ridgecourse/net/record_source.py
@@ -42,10 +42,14 @@
     Attributes:
         records: In order of their offsets.
         end: Where to go on reading.
+        behind: Records beyond that which are there already.
+        age: Seconds since the store told this; 0 if it did itself.
     """
 
     records: Sequence[KeyedRecord]
     end: Offset
+    behind: int = 0
+    age: float = 0.0
 
 
 class SourceUnavailable(Exception):
--- a/src/ridgecourse/platform/store.py
+++ b/src/ridgecourse/platform/store.py
@@ -38,6 +38,9 @@
 """Longest wait for an answer beyond a requested one: the store answers in 4 ms,
 in some hundred when slow."""
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
+MAX_READ_KB = 128
+"""Records in one answer: some configurations, or the heartbeats of many seconds. Who
+is further behind reads the newest record of each key, which takes less."""
 
 
 class NewestItem(Struct):
@@ -117,6 +120,7 @@
             "part": 0,
             "from": start,
             "wait_ms": int(wait * 1000),
+            "max_kb": MAX_READ_KB,
         }
         status, data = self._call("GET", LOG_READ_PATH, query, wait)
         if status == 410:
@@ -189,4 +193,6 @@
         records.append(KeyedRecord(key, record[key_end:], offset))
         position += 4 + length
         offset = Offset(offset + 1)
-    return RecordBatch(records, offset if records else Offset(max(start, end)))
+    if not records:
+        return RecordBatch(records, Offset(max(start, end)))
+    return RecordBatch(records, offset, behind=max(0, end - offset))
--- a/src/ridgecourse_standins/platform/store.py
+++ b/src/ridgecourse_standins/platform/store.py
@@ -46,6 +46,7 @@
         calls: Calls so far.
         appended: Records that the system wrote, as topic, key and value.
         told: The records told to each host, as topic, key and value.
+        newest_asked: Who asked for the newest records, as host and topic.
     """
 
     def __init__(self) -> None:
@@ -56,6 +57,7 @@
         }
         self.first_kept = dict.fromkeys(self.topics, 0)
         self.appended: list[tuple[str, str, bytes]] = []
+        self.newest_asked: list[tuple[str, str]] = []
         self.told: dict[str, list[tuple[str, str, bytes]]] = {}
         self.calls = 0
         self.condition = Condition()
@@ -222,6 +224,7 @@
         parts = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         if parts.path == LOG_NEWEST_PATH:
+            self.newest_asked.append((host, query["topic"]))
             return 200, self.newest(query["topic"])
         if parts.path == LOG_READ_PATH:
             wait = int(query.get("wait_ms", "0")) / 1000
--- a/tests/platform/test_domain_reads.py
+++ b/tests/platform/test_domain_reads.py
@@ -15,8 +15,9 @@
 without; other regions with smaller configurations kept up.
 """
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from pathlib import Path
+from time import monotonic
 from typing import Any
 
 import pytest
@@ -32,6 +33,8 @@
 LOADER = "127.0.0.9"
 LISTENED = ("frontend", "readiness")
 VERSIONS = 40
+CONFIG_SECONDS = 2.0
+"""In which a configuration must be in force."""
 
 
 class DomainSite(GatewaySite):
@@ -56,6 +59,7 @@
         # After all others: the port that follows is used as well.
         self.settings["internal_port_range"] = [free_port(), LAST_PORT]
         self.path.write_bytes(encode(self.settings))
+        self.paths: dict[str, Path] = {}
         self.processes = {
             host: self.make_process(directory, host, settings)
             for host, settings in more.items()
@@ -70,10 +74,16 @@
         )
         path = directory / f"{host}.json"
         path.write_bytes(encode(settings))
+        self.paths[host] = path
         program = "loader_main" if host == LOADER else "gateway_main"
         command = ["-m", f"ridgecourse.platform.{program}", str(path)]
         return Managed(host, command, directory)
 
+    def rewrite(self, host: str, **more: Any) -> None:
+        """Change a process's settings."""
+        path = self.paths[host]
+        path.write_bytes(encode({**decode(path.read_bytes()), **more}))
+
     def start(self, config=None) -> None:
         entry = {
             "service": "llm",
@@ -101,16 +111,16 @@
             if topic == DECISIONS_TOPIC and decode(value).get("version") == version
         }
 
-    def wait_folded(self, version: int, hosts=None) -> None:
+    def wait_folded(self, version: int, hosts: Collection[str] | None = None) -> None:
         for host, process in self.processes.items():
             if hosts is None or host in hosts:
                 process.wait_event("config-folded", version=str(version))
 
-    def settle(self) -> int:
+    def settle(self, first: int = 2, hosts: Collection[str] | None = None) -> int:
         """Publish until one process reads for all; return the last version."""
-        for version in range(2, VERSIONS):
+        for version in range(first, first + VERSIONS):
             self.store.put_config(make_config(version))
-            self.wait_folded(version)
+            self.wait_folded(version, hosts)
             if len(self.told(version)) == 1:
                 return version
         raise AssertionError("each process reads each configuration itself")
@@ -134,6 +144,46 @@
     domain.settle()
 
 
+def test_the_others_go_on_when_the_one_that_reads_for_them_is_frozen(domain) -> None:
+    domain.start()
+    version = domain.settle() + 1
+    reader = domain.told(version - 1).pop()
+    others = set(GATEWAYS) - {reader}
+    domain.processes[reader].freeze()
+    begun = monotonic()
+    domain.store.put_config(make_config(version))
+    domain.wait_folded(version, others)
+    assert monotonic() - begun < CONFIG_SECONDS
+    # One of them reads for the others now.
+    domain.settle(version + 1, others)
+    domain.processes[reader].wake()
+    domain.wait_folded(version, {reader})
+
+
+def test_the_others_go_on_when_the_one_that_reads_for_them_ends(domain) -> None:
+    domain.start()
+    version = domain.settle() + 1
+    reader = domain.told(version - 1).pop()
+    others = set(GATEWAYS) - {reader}
+    domain.processes[reader].kill()
+    begun = monotonic()
+    domain.store.put_config(make_config(version))
+    domain.wait_folded(version, others)
+    assert monotonic() - begun < CONFIG_SECONDS
+
+
+def test_a_process_that_starts_asks_a_seed_before_the_store(domain) -> None:
+    domain.start()
+    newcomer = domain.processes[GATEWAYS[1]]
+    newcomer.kill()
+    domain.rewrite(GATEWAYS[1], seed_nodes=[f"{GATEWAYS[0]}:1"])
+    asked = len(domain.store.newest_asked)
+    newcomer.start()
+    newcomer.wait_event("config-folded", after=1)
+    hosts = domain.store.newest_asked[asked:]
+    assert (GATEWAYS[1], DECISIONS_TOPIC) not in hosts
+
+
 def test_who_is_behind_reads_what_holds_and_not_what_held(front) -> None:
     front.add_engine("app")
     front.start()
--- /dev/null
+++ b/tests/platform/test_read_tree.py
@@ -0,0 +1,64 @@
+"""Who reads the store for whom: no circles, few readers, little to send."""
+
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ridgecourse.core.hubs import Peer
+from ridgecourse.core.ids import DomainName, TargetName
+from ridgecourse.core.read_tree import (
+    FAN_OUT,
+    choose_seed,
+    gateway_parent,
+    loader_parent,
+)
+
+
+def make_peer(number: int, domain: str = "a") -> Peer:
+    name = TargetName(f"10.0.0.{number}")
+    return Peer(name, DomainName(domain), f"{name}:1", f"{name}:2")
+
+
+@given(st.integers(1, 90))
+def test_one_gateway_reads_the_store_and_none_sends_to_many(count: int) -> None:
+    gateways = [make_peer(number) for number in range(count)]
+    parents = {peer.name: gateway_parent(peer, gateways) for peer in gateways}
+    assert sum(parent is None for parent in parents.values()) == 1
+    children = Counter(parent.name for parent in parents.values() if parent)
+    assert all(number <= FAN_OUT for number in children.values())
+    levels = []
+    for peer in gateways:
+        level, parent = 0, parents[peer.name]
+        while parent is not None:
+            level, parent = level + 1, parents[parent.name]
+        levels.append(level)
+    assert max(levels) <= 4
+
+
+@given(st.lists(st.sets(st.integers(0, 9)), min_size=10, max_size=10))
+def test_there_is_no_circle_whoever_knows_whom(known: list[set[int]]) -> None:
+    parents = {}
+    for number, others in enumerate(known):
+        me = make_peer(number)
+        parents[me.name] = gateway_parent(me, [make_peer(other) for other in others])
+    for name in parents:
+        seen = set()
+        while (parent := parents[name]) is not None:
+            assert name not in seen
+            seen.add(name)
+            name = parent.name
+
+
+def test_parents_are_of_the_own_domain() -> None:
+    me, other = make_peer(1), make_peer(2, "b")
+    assert gateway_parent(me, [other]) is None
+    assert loader_parent(me, [other]) is None
+    assert loader_parent(me, [other, make_peer(3)]) == make_peer(3)
+
+
+@given(st.integers(1, 40), st.integers(1, 3))
+def test_a_seed_asks_no_seed(host: int, seeds: int) -> None:
+    addresses = [f"10.0.0.{number}:7" for number in range(1, seeds + 1)]
+    seed = choose_seed(f"10.0.0.{host}", addresses)
+    assert seed is None if host <= seeds else seed in addresses
