Red test: a restart puts a version's bound off

A gateway that starts sends a request to an engine with older weights, without a bound, for all of the time that is allowed after a name, whenever that was given.

--- a/tests/platform/test_old_decisions.py
+++ b/tests/platform/test_old_decisions.py
@@ -65,6 +65,22 @@
     assert versions <= {"3"}
 
 
+def test_a_restart_does_not_put_a_versions_bound_off(front) -> None:
+    """A gateway that starts does not know since when a version is named.
+
+    It counted the time in which requests may still begin on older weights from its own
+    start, so that each restart added all of that time once more.
+    """
+    old = front.add_engine("llm", version=1)
+    front.start()
+    front.store.put_version(MODEL, 2)
+    front.gateway.wait_event("version-named", version="2")
+    restart(front)
+    front.ask("/once-stream/x", extra=(f"Model: {MODEL}",))
+    versions = {request.header("Expected-Version") for request in old.requests}
+    assert versions <= {"2"}
+
+
 @pytest.fixture
 def site(tmp_path: Path) -> Iterator[LoaderSite]:
     loader_site = LoaderSite(tmp_path)
