A version's bound runs from its name, also across restarts

Cause: a process counted the time in which requests may begin on older weights from when it learned of the newer version. One that starts reads names that were given before it; each restart added all of that time once more.

What is read before the store was heard at all has no date, and nothing begins on older weights then. Loaders tell gateways that connect since when versions are named, so that a restart of gateways alone costs no service. Names read after a gap count from the last time the store was heard.

Ruled out: the time of day in a record (clocks of instances jump). Not covered: a start of all processes at once within the bound; then engines with older weights wait for the new ones.

--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -11,7 +11,7 @@
 from ridgecourse.core.ids import ModelName, Seconds, ServiceName, WeightsVersion
 from ridgecourse.core.routes import RoutingConfig
 from ridgecourse.core.targets import ListedTarget, TargetList
-from ridgecourse.core.weights import NamedVersion, VersionHistory
+from ridgecourse.core.weights import NamedVersion, VersionAge, VersionHistory
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.record_follower import RecordFollower
@@ -42,6 +42,8 @@
         config: The newest configuration; None before the first is known.
         version_seconds: From a version's name until it is required.
         histories: The named versions of each model.
+        named_at: When the versions in the batch being read were named at the
+            earliest; None if that is not known.
         targets: The list of targets.
         listed: Whether the list has been read.
         share: The records read, for processes that cannot read the store.
@@ -64,6 +66,7 @@
         self.version_seconds = version_seconds
         self.targets_pause = targets_pause
         self.histories: dict[ModelName, VersionHistory] = {}
+        self.named_at: Seconds | None = None
         self.targets = TargetList()
         self.listed = False
         self.changed = Broadcast()
@@ -154,6 +157,7 @@
     def take_decisions(self, batch: RecordBatch, whole: bool) -> None:
         """Take in operators' decisions; an older one never replaces a newer."""
         shared = self.share.topics[Topic.DECISIONS]
+        self.named_at = self._date_names(whole)
         for record in batch.records:
             if self._take_decision(record):
                 shared.put(record)
@@ -161,6 +165,17 @@
         self.share.changed.notify()
         self.changed.notify()
 
+    def _date_names(self, whole: bool) -> Seconds | None:
+        """Return when versions in a batch were named at the earliest.
+
+        None for what was named before this process heard of the store: that may be
+        long ago.
+        """
+        heard_at = self.share.topics[Topic.DECISIONS].heard_at
+        if not heard_at:
+            return None
+        return heard_at if whole else Seconds(monotonic())
+
     def _take_decision(self, record: KeyedRecord) -> bool:
         """Take in one decision; tell whether it is in force now."""
         decoded = self.decoder.decision(record)
@@ -192,7 +207,8 @@
 
     def _take_version(self, named: NamedVersion, offset: int) -> bool:
         history = self.history(named.model)
-        if not history.name(named.version, Seconds(monotonic())):
+        now = Seconds(monotonic())
+        if not history.name(named.version, now, self.named_at):
             return False
         self.events.emit(
             EventKind.VERSION_NAMED,
@@ -200,9 +216,27 @@
             version=str(named.version),
             model=named.model,
             unheard=round(self.decisions_reader.unheard, 3),
+            dated=self.named_at is not None,
         )
         return True
 
+    def date_versions(self, ages: Iterable[VersionAge]) -> None:
+        """Take in since when versions are named, as another process tells."""
+        for told in ages:
+            named_at = Seconds(monotonic() - told.age)
+            if self.history(told.model).date(told.version, named_at):
+                self.events.emit(
+                    EventKind.VERSION_DATED,
+                    version=str(told.version),
+                    model=told.model,
+                    age=round(told.age, 2),
+                )
+
+    def version_ages(self) -> Iterator[VersionAge]:
+        """Yield the versions of which it is known when they were named."""
+        for model, history in self.histories.items():
+            yield from history.ages(model, Seconds(monotonic()))
+
     def _note_outdated(self, record: KeyedRecord, version: int) -> None:
         """Note a record that is no newer than what is believed.
 
--- a/src/ridgecourse/core/weights.py
+++ b/src/ridgecourse/core/weights.py
@@ -1,5 +1,7 @@
 """Versions of weights that operators name, and from when on each is required."""
 
+from collections.abc import Iterator
+
 from msgspec import Struct
 
 from ridgecourse.core.ids import ModelName, Seconds, WeightsVersion
@@ -20,11 +22,33 @@
     version: WeightsVersion
 
 
-class VersionNotice(Struct, frozen=True):
-    """A named version and when this process learned of it."""
+class VersionNotice(Struct):
+    """A named version.
+
+    Attributes:
+        version: The version.
+        named_at: When it was named; if that is not known, so long ago that its bound
+            was over when this process learned of it.
+        dated: Whether it is known.
+    """
+
+    version: WeightsVersion
+    named_at: Seconds
+    dated: bool
+
+
+class VersionAge(Struct, frozen=True):
+    """What one process tells others of a named version.
 
+    Attributes:
+        model: The model.
+        version: Its version.
+        age: Seconds since it was named.
+    """
+
+    model: ModelName
     version: WeightsVersion
-    learned_at: Seconds
+    age: float
 
 
 class VersionHistory:
@@ -42,13 +66,40 @@
         self.bound = bound
         self.notices: list[VersionNotice] = []
 
-    def name(self, version: WeightsVersion, now: Seconds) -> bool:
-        """Take in a named version; tell whether it is newer than all others."""
+    def name(
+        self, version: WeightsVersion, now: Seconds, named_at: Seconds | None
+    ) -> bool:
+        """Take in a named version; tell whether it is newer than all others.
+
+        Args:
+            version: The version.
+            now: The present time.
+            named_at: When it was named; None if that is not known. Then nothing may
+                begin on older weights: its bound may be over.
+        """
         if version <= self.newest:
             return False
-        self.notices.append(VersionNotice(version, now))
+        if named_at is None:
+            notice = VersionNotice(version, Seconds(now - self.bound), dated=False)
+        else:
+            notice = VersionNotice(version, named_at, dated=True)
+        self.notices.append(notice)
         return True
 
+    def date(self, version: WeightsVersion, named_at: Seconds) -> bool:
+        """Take in when a version was named; tell whether that was not known."""
+        for notice in self.notices:
+            if notice.version == version and not notice.dated:
+                notice.named_at, notice.dated = named_at, True
+                return True
+        return False
+
+    def ages(self, model: ModelName, now: Seconds) -> Iterator[VersionAge]:
+        """Yield the versions of which it is known when they were named."""
+        for notice in self.notices:
+            if notice.dated:
+                yield VersionAge(model, notice.version, now - notice.named_at)
+
     @property
     def newest(self) -> WeightsVersion:
         """The version that is to be served."""
@@ -56,12 +107,10 @@
 
     def required(self, now: Seconds) -> WeightsVersion:
         """Return the oldest version on which a request may begin now."""
-        past = [n.version for n in self.notices if n.learned_at + self.bound <= now]
+        past = [n.version for n in self.notices if n.named_at + self.bound <= now]
         return max(past, default=FIRST_VERSION)
 
     def begin_by(self, version: WeightsVersion) -> Seconds | None:
         """Return until when requests may begin on a version; None for any time."""
-        bounds = [
-            n.learned_at + self.bound for n in self.notices if n.version > version
-        ]
+        bounds = [n.named_at + self.bound for n in self.notices if n.version > version]
         return Seconds(min(bounds)) if bounds else None
--- a/src/ridgecourse/gateway/loads.py
+++ b/src/ridgecourse/gateway/loads.py
@@ -22,6 +22,7 @@
     PROTOCOL_VERSION,
     EngineReport,
     LoaderReport,
+    Named,
     Watch,
 )
 
@@ -145,6 +146,8 @@
                     raise ChannelClosed("silent")
                 if isinstance(report, EngineReport):
                     self._take(target, report)
+                elif isinstance(report, Named):
+                    self.view.date_versions(report.versions)
                 else:
                     self.hub.learn(target.address, report.gateways)
 
--- a/src/ridgecourse/loader/status.py
+++ b/src/ridgecourse/loader/status.py
@@ -18,7 +18,7 @@
 from ridgecourse.net.datagrams import DatagramSocket
 from ridgecourse.net.threads import spawn_loop
 from ridgecourse.net.websocket import ChannelClosed, ControlChannel
-from ridgecourse.wire.control import EngineReport, Gateways, Watch
+from ridgecourse.wire.control import EngineReport, Gateways, Named, Watch
 
 CROWDED_SECONDS = 0.05
 """Between two looks at an engine whose batch is half full. By ``python -m bench
@@ -171,6 +171,7 @@
         self.watchers.append(watcher)
         self._count(watch.gateway, +1)
         told: list[Peer] = []
+        channel.send(Named(list(self.rollout.view.version_ages())))
         try:
             while True:
                 if told != list(self.gateways.connected):
--- a/src/ridgecourse/net/events.py
+++ b/src/ridgecourse/net/events.py
@@ -56,6 +56,7 @@
     TARGET_WEIGHTS = "target-weights"
     TARGET_GONE = "target-gone"
     VERSION_NAMED = "version-named"
+    VERSION_DATED = "version-dated"
     ROLLOUT_STARTED = "rollout-started"
     ROLLOUT_DROPPED = "rollout-dropped"
     ROLLOUT_PHASE = "rollout-phase"
--- a/src/ridgecourse/wire/control.py
+++ b/src/ridgecourse/wire/control.py
@@ -13,6 +13,7 @@
     RootDigest,
     TargetName,
 )
+from ridgecourse.core.weights import VersionAge
 
 PROTOCOL_VERSION = 1
 MAX_CONTROL_BYTES = 16 * 1024 * 1024
@@ -152,7 +153,13 @@
     gateways: list[Peer]
 
 
-LoaderReport = EngineReport | Gateways
+class Named(ControlMessage, frozen=True, tag="named"):
+    """Since when versions of weights are named, for gateways that start."""
+
+    versions: list[VersionAge]
+
+
+LoaderReport = EngineReport | Gateways | Named
 EntryMessage = Hello | ConfigRecords | ConfigFull | WantRecords
 AgentMessage = Hello | ConfigRecords | ConfigFull | AgentReport | WantRecords
 FirstMessage = Hello | Follow
--- a/tests/platform/test_domain_reads.py
+++ b/tests/platform/test_domain_reads.py
@@ -21,7 +21,14 @@
 from typing import Any
 
 import pytest
-from gateway_site import LAYERS, GatewaySite, make_config, make_route, make_settings
+from gateway_site import (
+    LAYERS,
+    MODEL,
+    GatewaySite,
+    make_config,
+    make_route,
+    make_settings,
+)
 from msgspec.json import decode, encode
 
 from ridgecourse.platform.names import DECISIONS_TOPIC
@@ -184,6 +191,19 @@
     assert (GATEWAYS[1], DECISIONS_TOPIC) not in hosts
 
 
+def test_a_gateway_that_starts_is_told_since_when_a_version_is_named(domain) -> None:
+    domain.start()
+    gateway = domain.processes[GATEWAYS[1]]
+    domain.store.put_version(MODEL, 2)
+    named = domain.processes[LOADER].wait_event("version-named", version="2")
+    gateway.kill()
+    gateway.start()
+    dated = gateway.wait_event("version-dated", version="2")
+    assert dated["detail"]["age"] == pytest.approx(
+        dated["wall"] - named["wall"], abs=0.3
+    )
+
+
 def test_who_is_behind_reads_what_holds_and_not_what_held(front) -> None:
     front.add_engine("app")
     front.start()
--- a/tests/platform/test_weights.py
+++ b/tests/platform/test_weights.py
@@ -8,6 +8,7 @@
 from ridgecourse.core.ids import (
     ChunkDigest,
     DomainName,
+    ModelName,
     RootDigest,
     Seconds,
     TargetName,
@@ -15,12 +16,16 @@
 )
 from ridgecourse.core.planner import ChunkPlanner
 from ridgecourse.core.supersession import TransferPlan, goes_on, should_finish
-from ridgecourse.core.weights import FIRST_VERSION, VersionHistory
+from ridgecourse.core.weights import FIRST_VERSION, VersionAge, VersionHistory
 from ridgecourse.net.throttle import AdaptiveRate
 
 BOUND = 8.0
 
 
+def name(history: VersionHistory, version: int, now: float) -> bool:
+    return history.name(WeightsVersion(version), Seconds(now), Seconds(now))
+
+
 @given(st.lists(st.tuples(st.integers(1, 9), st.floats(0.0, 5.0)), max_size=8))
 def test_each_version_keeps_its_own_bound(names: list[tuple[int, float]]) -> None:
     history = VersionHistory(BOUND)
@@ -29,7 +34,7 @@
     for number, pause in names:
         now += pause
         newer = number > max([FIRST_VERSION, *(n for n, _ in accepted)])
-        assert history.name(WeightsVersion(number), Seconds(now)) is newer
+        assert name(history, number, now) is newer
         if newer:
             accepted.append((number, now))
     for time in (now, now + BOUND / 2, now + BOUND + 5):
@@ -43,13 +48,28 @@
 
 def test_a_second_name_does_not_put_the_first_bound_off() -> None:
     history = VersionHistory(BOUND)
-    history.name(WeightsVersion(2), Seconds(0.0))
-    history.name(WeightsVersion(3), Seconds(4.0))
+    name(history, 2, 0.0)
+    name(history, 3, 4.0)
     assert history.begin_by(WeightsVersion(1)) == BOUND
     assert history.begin_by(WeightsVersion(2)) == 4.0 + BOUND
     assert history.begin_by(WeightsVersion(3)) is None
 
 
+def test_nothing_begins_on_older_weights_while_a_name_is_not_dated() -> None:
+    history = VersionHistory(BOUND)
+    assert history.name(WeightsVersion(2), Seconds(100.0), None)
+    assert history.required(Seconds(100.0)) == 2
+    assert history.begin_by(WeightsVersion(1)) == 100.0
+    assert list(history.ages(ModelName("m"), Seconds(100.0))) == []
+    # Another process knows when it was named.
+    assert history.date(WeightsVersion(2), Seconds(97.0))
+    assert history.begin_by(WeightsVersion(1)) == 97.0 + BOUND
+    assert not history.date(WeightsVersion(2), Seconds(99.0))
+    assert not history.date(WeightsVersion(3), Seconds(99.0))
+    ages = list(history.ages(ModelName("m"), Seconds(100.0)))
+    assert ages == [VersionAge(ModelName("m"), WeightsVersion(2), 3.0)]
+
+
 def test_a_transfer_near_its_end_is_finished() -> None:
     newer = TransferPlan(6.0, Seconds(12.0))
     assert should_finish(TransferPlan(1.0, Seconds(8.0)), newer, Seconds(4.0))
