--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -103,6 +103,26 @@
     front.wait_until(lambda: front.ask("/safe/x")[0] == 401, 2.0)
 
 
+def test_who_may_be_behind_sends_callers_elsewhere_and_does_not_reject(front) -> None:
+    """A rejection is final for a caller, and callers of new routes and keys got it.
+
+    Gateways that had not heard of the store for long answered 404 and 401 for what they
+    did not know; another one might have known it.
+    """
+    front.add_engine("app")
+    front.start()
+    assert front.ask("/new/x")[0] == 404
+    assert front.ask("/safe/x", key="new")[0] == 401
+    front.store.set_mode(StoreMode.DOWN)
+    front.wait_until(lambda: front.ask("/new/x")[0] == 503, 6.0)
+    status, headers, _, _ = front.ask("/safe/x", key="new")
+    assert status == 503
+    assert float(headers["retry-after"]) > 0
+    assert front.ask("/safe/x")[0] == 200
+    front.store.set_mode(StoreMode.UP)
+    front.wait_until(lambda: front.ask("/new/x")[0] == 404, 5.0)
+
+
 def test_a_gateway_starts_where_the_port_of_the_figures_is_taken(front) -> None:
     taken = socket.create_server(("127.0.0.1", FIGURES_PORT))
     with taken:
