The test of figures has an address of its own

It failed once in a run beside another: the figures' port is fixed, and a process of the other run answered (its body had rollouts, which this gateway has none of; the same with the port taken on purpose). The gateway now has a loopback address of its own; what is checked is the same.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,9 +1,11 @@
 """What a gateway believes while its store fails in one way or another."""
 
 import socket
+from os import getpid
 from time import monotonic, sleep
 
 from gateway_site import make_config, make_route, receive_answer
+from msgspec.json import encode
 
 from ridgecourse.net.figures import FIGURES_PORT
 from ridgecourse.platform.names import DECISIONS_TOPIC, TARGETS_TOPIC
@@ -132,10 +134,14 @@
 
 
 def test_figures_are_served_as_text(front) -> None:
+    # The port is fixed: an address of its own keeps other test runs' figures away.
+    host = f"127.{1 + getpid() % 250}.{1 + getpid() // 250 % 250}.1"
+    front.settings["ip"] = host
+    front.path.write_bytes(encode(front.settings))
     front.add_engine("app")
     front.start()
     assert front.ask("/safe/x")[0] == 200
-    address = ("127.0.0.1", FIGURES_PORT)
+    address = (host, FIGURES_PORT)
     with socket.create_connection(address, 5.0) as connection:
         connection.sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
         status, _, body, _ = receive_answer(connection)
