A gateway that may be behind sends callers elsewhere instead of rejecting them

Cause: a rejection (401, 404) is final for a caller, and was given on a configuration that might be out of date: with the store unheard for longer than a configuration may take, a key or route may be new. Such a caller now gets 503 and when to come back; another gateway may know. What the configuration allows is served on as before.

--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -255,6 +255,11 @@
         if known.offset < record.offset:
             self.keeper.keep(known)
 
+    @property
+    def decisions_age(self) -> float:
+        """Seconds since the store told that no decision is newer."""
+        return self.share.topics[Topic.DECISIONS].age
+
     def history(self, model: ModelName) -> VersionHistory:
         """Return the named versions of a model."""
         if model not in self.histories:
--- a/src/ridgecourse/core/outcome.py
+++ b/src/ridgecourse/core/outcome.py
@@ -26,6 +26,7 @@
     UNKNOWN_SERVICE = "unknown-service"
     NO_TARGET = "no-target"
     NOT_READY = "not-ready"
+    MAY_BE_BEHIND = "may-be-behind"
     LEAVING = "leaving"
     OVERLOADED = "overloaded"
     ACCOUNT_LIMIT = "account-limit"
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -325,6 +325,9 @@
         """Answer a request that the configuration has no terms for."""
         if why is UNKNOWN_SERVICE:
             return self._refuse(call.request_id, Reason.UNKNOWN_SERVICE)
+        if self.view.decisions_age > self.site.bounds.config_seconds:
+            # A rejection is final, and another gateway may know a newer configuration.
+            return self._refuse(call.request_id, Reason.MAY_BE_BEHIND, why.why)
         return self._reject(call.request_id, why.status, why.why, config.version)
 
     def _refuse_not_run(self, order: Order, result: NotRun) -> FrontReply:
@@ -363,7 +366,7 @@
             status=status,
             why=why,
             config=version,
-            config_age=round(monotonic() - self.view.decisions_reader.read_at, 2),
+            config_age=round(self.view.decisions_age, 2),
         )
         return FrontReply(status, body=f"{why}\n".encode())
 
