A parent that was behind is asked again after half a second

Cause: when the gateway that reads for a domain froze, those that read from it had not heard of the store for 1.3 s; the next in the tree took that for a reason to leave them alone for 5 s, and read the store.

Red first: test_a_parent_that_was_behind_is_asked_again_soon asked the store after the half second; now the parent.

--- a/src/ridgecourse/cluster/domain_source.py
+++ b/src/ridgecourse/cluster/domain_source.py
@@ -25,9 +25,12 @@
 """For the answer beyond that. A parent that is frozen is noticed after both together;
 then the store is read, which leaves half a second of the 2 s allowed."""
 CONNECT_SECONDS = 0.3
-AVOID_SECONDS = 5.0
-"""How long a process is left alone that did not answer, or had not heard of the store:
-by then most of what freezes or cuts off a machine is over."""
+SILENT_SECONDS = 5.0
+"""How long a process is left alone that did not answer: by then most of what freezes or
+cuts off a machine is over."""
+BEHIND_SECONDS = 0.5
+"""How long one that had not heard of the store is: its own parent may have been silent,
+and it reads the store by then. Left alone for longer, all would read the store."""
 SEED_PATIENCE_SECONDS = 1.0
 SEED_RETRY_SECONDS = 0.1
 """How long, and how often, a process that starts asks a seed before the store: when all
@@ -86,10 +89,12 @@
             shared = ask_records(
                 self.http, parent.address, topic, start, ANSWER_SECONDS, WAIT_SECONDS
             )
-            if shared.age > STALE_SECONDS:
-                raise SourceUnavailable(f"heard of the store {shared.age:.2f} s ago")
         except SourceUnavailable as error:
-            self._avoid(parent, error)
+            self._avoid(parent, SILENT_SECONDS, str(error))
+            return None
+        if shared.age > STALE_SECONDS:
+            why = f"heard of the store {shared.age:.2f} s ago"
+            self._avoid(parent, BEHIND_SECONDS, why)
             return None
         return RecordBatch(shared.records, shared.end, age=shared.age)
 
@@ -121,7 +126,8 @@
             self.events.emit(EventKind.READS_FROM, parent=name)
         return parent
 
-    def _avoid(self, parent: Peer, error: SourceUnavailable) -> None:
-        self.avoided[parent.name] = Seconds(monotonic() + AVOID_SECONDS)
+    def _avoid(self, parent: Peer, seconds: float, why: str) -> None:
+        """Leave a parent alone for a while."""
+        self.avoided[parent.name] = Seconds(monotonic() + seconds)
         self.events.figures.count("parent_avoided")
-        self.events.emit(EventKind.PARENT_AVOIDED, parent=parent.name, error=str(error))
+        self.events.emit(EventKind.PARENT_AVOIDED, parent=parent.name, why=why)
--- /dev/null
+++ b/tests/platform/test_domain_source.py
@@ -0,0 +1,127 @@
+"""Whom a process reads decisions from, as its parents answer or not."""
+
+from collections.abc import Collection
+
+import pytest
+
+from ridgecourse.cluster import domain_source
+from ridgecourse.cluster.domain_source import (
+    BEHIND_SECONDS,
+    SILENT_SECONDS,
+    DomainSource,
+)
+from ridgecourse.cluster.share import STALE_SECONDS, SharedRecords
+from ridgecourse.core.hubs import Peer
+from ridgecourse.core.ids import (
+    DomainName,
+    Incarnation,
+    Offset,
+    ProcessName,
+    TargetName,
+)
+from ridgecourse.net.events import EventStream
+from ridgecourse.net.record_source import (
+    RecordBatch,
+    RecordSource,
+    SourceUnavailable,
+    Topic,
+)
+
+FIRST, SECOND = (
+    Peer(TargetName(name), DomainName("a"), f"{name}:1", f"{name}:2")
+    for name in ("first", "second")
+)
+STORE = "store"
+
+
+class CountingStore(RecordSource):
+    """A store that tells nothing."""
+
+    def __init__(self, asked: list[str]) -> None:
+        self.asked = asked
+
+    def newest(self, topic: Topic) -> RecordBatch:
+        return self.read(topic, Offset(0), 0.0)
+
+    def read(self, topic: Topic, start: Offset, wait: float) -> RecordBatch:
+        self.asked.append(STORE)
+        return RecordBatch([], start)
+
+    def append(self, topic: Topic, key: str, value: bytes) -> None:
+        raise AssertionError("nothing is to be written")
+
+
+class Domain:
+    """Two parents, of which the first is preferred.
+
+    Attributes:
+        asked: Who was asked, in order.
+        ages: How old the answer of each parent is; None where it does not answer.
+    """
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.now = 100.0
+        self.asked: list[str] = []
+        self.ages: dict[str, float | None] = {"first": 0.0, "second": 0.0}
+        monkeypatch.setattr(domain_source, "ask_records", self.answer)
+        monkeypatch.setattr(domain_source, "monotonic", lambda: self.now)
+        events = EventStream(ProcessName("p"), Incarnation("i"), DomainName("a"))
+        self.source = DomainSource(
+            CountingStore(self.asked), "127.0.0.1", None, self.choose, events
+        )
+
+    def choose(self, avoided: Collection[TargetName]) -> Peer | None:
+        return next((p for p in (FIRST, SECOND) if p.name not in avoided), None)
+
+    def answer(self, http, address: str, *_: object) -> SharedRecords:
+        name = address.partition(":")[0]
+        self.asked.append(name)
+        age = self.ages[name]
+        if age is None:
+            raise SourceUnavailable(name)
+        return SharedRecords([], Offset(0), age)
+
+    def read(self, after: float = 0.0) -> list[str]:
+        """Read once; return who was asked."""
+        self.now += after
+        self.asked.clear()
+        self.source.read(Topic.DECISIONS, Offset(0), 0.0)
+        return list(self.asked)
+
+
+@pytest.fixture
+def domain(monkeypatch: pytest.MonkeyPatch) -> Domain:
+    return Domain(monkeypatch)
+
+
+def test_the_store_is_not_asked_while_a_parent_is_up_to_date(domain: Domain) -> None:
+    assert domain.read() == ["first"]
+    domain.ages["first"] = STALE_SECONDS
+    assert domain.read() == ["first"]
+
+
+def test_a_silent_parent_is_left_alone_for_long(domain: Domain) -> None:
+    domain.ages["first"] = None
+    assert domain.read() == ["first", STORE]
+    assert domain.read() == ["second"]
+    assert domain.read(SILENT_SECONDS - 0.1) == ["second"]
+    domain.ages["first"] = 0.0
+    assert domain.read(0.2) == ["first"]
+
+
+def test_a_parent_that_was_behind_is_asked_again_soon(domain: Domain) -> None:
+    """When the first of the tree froze, all others read the store for seconds.
+
+    Whoever read from it had not heard of the store for 1.3 s when the next were told
+    so, and these left it alone for 5 s, though it read the store itself by then.
+    """
+    domain.ages = {"first": None, "second": STALE_SECONDS + 0.1}
+    assert domain.read() == ["first", STORE]
+    assert domain.read() == ["second", STORE]
+    domain.ages["second"] = 0.0
+    assert domain.read(BEHIND_SECONDS) == ["second"]
+
+
+def test_targets_are_read_from_the_store(domain: Domain) -> None:
+    domain.source.read(Topic.TARGETS, Offset(0), 0.0)
+    assert domain.asked == [STORE]
