Transfers of versions that cannot be had or are not needed end

Cause: a transfer took 404 and 410 of the origin for failures that pass, and whether a version is still needed was looked at between two transfers only; so one that was nearly here held each newer version back for 8 s. A failed transfer also counted as in progress during the wait after it. Now the transfer itself asks, in hubs and in loaders, whether its version is needed, and ends where the origin lacks a chunk that no neighbour holds. A hub does not begin it again once a newer version is named.

Found on the way: a loader finishes what is nearly here whatever happens, and asks the origin only after its hub's stall, so it stayed 4.6 s on a version that the hub had given up; the same held for a gateway that is not the hub. A loader now leaves a stalled transfer for a newer version that can be had; such a gateway waits no longer for an older version than its hub does.

Ruled out: the catalogue's look for a manifest, which is bounded, and the store: all gateways had learned of versions 4 and 5 within 10 ms.

--- a/src/ridgecourse/exchange/transfer.py
+++ b/src/ridgecourse/exchange/transfer.py
@@ -1,7 +1,7 @@
 """The fetching side of the exchange: brings one version in."""
 
 import logging
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from contextlib import closing
 from itertools import chain
 from math import inf
@@ -41,6 +41,9 @@
 REFOLLOW_SECONDS = 0.5
 MAX_CORRUPT_FROM_ORIGIN = 3
 """Times in a row a chunk may come wrong from the origin before it is an error."""
+TOLD_SECONDS = 1.0
+"""From a transfer's start on, until neighbours have told what they hold: a connection
+and some round trips, as for a manifest."""
 LAST_RESORT_REFERRALS = 8
 """Referrals to others after which a holder is asked to exceed its share."""
 
@@ -56,6 +59,8 @@
         origin: Where the chunks come from first; None to take them from peers alone.
         planner: Decides what to fetch and from whom.
         holding: Grows with each chunk.
+        is_needed: Tells whether the version still is; once not, the transfer ends.
+        lacking: What the origin answered for chunks that it does not have.
         cancelled: Set when the version is no longer wanted.
         error: Named error that stands in the way, empty if none.
         rate: Rate at which peers are asked to send; None for as they like.
@@ -71,6 +76,7 @@
         hubs: Iterable[TargetName] = (),
         origin_domain: DomainName | None = None,
         paced: bool = True,
+        is_needed: Callable[[], bool] = lambda: True,
     ) -> None:
         self.context = context
         self.origin = origin
@@ -94,12 +100,16 @@
         self.progress = Broadcast()
         self.referred: dict[ChunkDigest, int] = {}
         self.corrupt: dict[ChunkDigest, int] = {}
+        self.lacking: dict[ChunkDigest, str] = {}
+        self.is_needed = is_needed
+        self.told_at = monotonic() + TOLD_SECONDS
+        self.last_progress = monotonic()
         self.cancelled = False
         self.error = ""
         self.threads: list[eventlet.greenthread.GreenThread] = []
 
     def run(self) -> bool:
-        """Fetch until all is held; tell whether it is, or was cancelled.
+        """Fetch until all is held or no longer needed; tell whether all is held.
 
         Raises:
             TransferError: The version cannot be brought in.
@@ -108,7 +118,11 @@
             self.threads.append(spawn_loop(self._follow, neighbour))
         try:
             while not self.planner.complete() and not self.cancelled:
+                # The origin may be away, and then never says that it is outdated.
+                if not self.is_needed():
+                    break
                 self._check_origin()
+                self._check_lacking()
                 for fetch in self.planner.plan(Seconds(monotonic())):
                     self.threads.append(eventlet.spawn(self._fetch, fetch))
                 self.progress.wait(self.planner.wake_after())
@@ -122,6 +136,11 @@
         """Share of the version's chunks that are still missing."""
         return len(self.planner.missing) / max(1, len(self.holding.places))
 
+    @property
+    def stalled(self) -> bool:
+        """Whether no chunk has come for a while."""
+        return monotonic() - self.last_progress > self.context.plan.stall_seconds
+
     def cancel(self) -> None:
         """Stop at once: what is in flight costs no more bytes."""
         self.cancelled = True
@@ -143,6 +162,17 @@
                     f"match the manifest"
                 )
 
+    def _check_lacking(self) -> None:
+        """End where the origin does not have a chunk and no neighbour holds it.
+
+        Asked on and on, a version that the origin gave up holds newer ones back.
+        """
+        if monotonic() < self.told_at:
+            return
+        for digest, answer in self.lacking.items():
+            if digest in self.planner.missing and not self.planner.rarity.get(digest):
+                raise TransferError(answer)
+
     def _follow(self, neighbour: TargetName) -> None:
         """Keep track of what a neighbour holds."""
         while True:
@@ -224,7 +254,7 @@
         except OriginBusy:
             return FetchFailure.BUSY
         except OriginMissing as error:
-            self.error = f"origin-missing: {error}"
+            self.error = self.lacking[fetch.digest] = f"origin-missing: {error}"
             return FetchFailure.MISSING
         except OriginUnavailable as error:
             self.error = f"origin-unavailable: {error}"
@@ -299,6 +329,7 @@
         if not self.planner.arrived(fetch.digest, fetch.source, now):
             self.context.counts.fetched_twice += len(data)
             return
+        self.last_progress = now
         self.context.store.put(fetch.digest, data)
         self.holding.add_held(fetch.digest)
         self.context.metrics.count(Metric.CHUNKS_FETCHED)
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -1,6 +1,7 @@
 """A gateway's part in the exchange of weights."""
 
 from collections.abc import Sequence
+from functools import partial
 from time import monotonic
 
 import eventlet
@@ -214,7 +215,10 @@
         for peer in peers.values():
             self.catalogue.ask(peer.address, key)
         me = [self.place.name]
-        Transfer(self.context, None, holding, peers, 1, me, paced=False).run()
+        needed = partial(self._is_needed, key)
+        Transfer(
+            self.context, None, holding, peers, 1, me, paced=False, is_needed=needed
+        ).run()
 
     def close(self) -> None:
         """Close them and end all transfers."""
@@ -303,12 +307,21 @@
         """Bring a version in for others, until it is whole or out of date."""
         begun = monotonic()
         try:
-            while not self._is_old(key):
+            while self._is_needed(key):
                 self._wait_for_older(key)
-                if self._try_bring(key):
-                    seconds = round(monotonic() - begun, 2)
+                try:
+                    whole = self._try_bring(key)
+                except TransferError as error:
+                    self._note_failure(key, str(error))
+                    if self.view.wanted_version(key[0]) > key[1]:
+                        # Tried again, it would hold newer versions back.
+                        return
+                    continue
+                if whole:
+                    took = round(monotonic() - begun, 2)
+                    version = str(key[1])
                     self.events.emit(
-                        EventKind.VERSION_COMPLETE, version=str(key[1]), took=seconds
+                        EventKind.VERSION_COMPLETE, version=version, took=took
                     )
                     return
         finally:
@@ -318,18 +331,31 @@
         """Wait while an older version is nearly here, but not without end."""
         limit = monotonic() + OLDER_WAIT_SECONDS
         while self._is_older_nearly_here(key) and monotonic() < limit:
+            if not self._is_needed(key) or self._has_begun_near(key):
+                return
             eventlet.sleep(OLDER_POLL_SECONDS)
 
+    def _has_begun_near(self, key: VersionKey) -> bool:
+        """Tell whether the domain's hub, if that is another, brings a version in.
+
+        It gave up what was older, or has it; waiting on would only be late.
+        """
+        plan = self.plan(key)
+        if self.place in plan.hubs or not plan.near:
+            return False
+        return self.catalogue.ask(plan.near[0].address, key) is not None
+
     def _is_older_nearly_here(self, key: VersionKey) -> bool:
         return any(
             other[0] == key[0]
             and other[1] < key[1]
             and transfer.missing_share <= OLDER_FIRST_SHARE
+            and not transfer.lacking
             for other, (_, transfer) in self.transfers.items()
         )
 
-    def _is_old(self, key: VersionKey) -> bool:
-        return self.view.wanted_version(key[0]) > key[1] + 1
+    def _is_needed(self, key: VersionKey) -> bool:
+        return not self.catalogue.is_outdated(key, self.view.wanted_version(key[0]))
 
     def _try_bring(self, key: VersionKey) -> bool:
         config = self.view.config
@@ -342,22 +368,21 @@
         if holding is None:
             self._note_failure(key, "no manifest")
             return False
-        if plan != self.plan(key):
+        if plan != self.plan(key) or not self._is_needed(key):
             # A gateway came or went meanwhile: ask anew, those that are there now.
             return False
         self._join(key, holding)
         chunks = self.origin.chunks(config.origin.address, *key)
         names = [hub.name for hub in plan.hubs]
         peers = plan.sources(self.place)
+        domain = config.origin.domain
+        needed = partial(self._is_needed, key)
         transfer = Transfer(
-            self.context, chunks, holding, peers, 1, names, config.origin.domain
+            self.context, chunks, holding, peers, 1, names, domain, is_needed=needed
         )
         self.transfers[key] = plan, transfer
         try:
             return transfer.run()
-        except TransferError as error:
-            self._note_failure(key, str(error))
-            return False
         finally:
             del self.transfers[key]
 
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Iterator, Mapping, Sequence
+from functools import partial
 from math import inf
 from time import monotonic
 
@@ -300,7 +301,10 @@
             # Known or not, the hub may be a new one that has not begun.
             eventlet.spawn(self.catalogue.ask, near[0].address, key)
         origin = self.origin.chunks(place.address, *key)
-        transfer = Transfer(self.context, origin, holding, peers, 1, hubs, place.domain)
+        needed, domain = partial(self._is_needed, key), place.domain
+        transfer = Transfer(
+            self.context, origin, holding, peers, 1, hubs, domain, is_needed=needed
+        )
         return holding if self._run_transfer(key, transfer) else None
 
     def _run_transfer(self, key: VersionKey, transfer: Transfer) -> bool:
@@ -387,6 +391,10 @@
                 )
                 transfer.cancel()
 
+    def _is_needed(self, key: VersionKey) -> bool:
+        """Tell whether a version is still worth its transfer, nearly here or not."""
+        return not self.catalogue.is_outdated(key, self.view.wanted_version(key[0]))
+
     def _is_available(self, key: VersionKey) -> bool:
         """Tell whether a version can be had by now.
 
@@ -399,6 +407,9 @@
         return self.catalogue.ask(near[0].address, key) is not None
 
     def _should_finish(self, transfer: Transfer, model: EngineModel) -> bool:
+        if transfer.stalled:
+            # The hub may have given it up: then it is never done, however near.
+            return False
         now = Seconds(monotonic())
         copy = model.chunks * model.chunk_bytes / self.site.upload_bytes_per_s
         history = self.view.history(model.model)
