Kept decisions are written on a condition

Cause: a write of the system's own that had no answer was done seconds later, after a higher decision had been kept, and replaced it as the newest of its key.

A decision is kept only if the topic still ends where it was read: a late write finds its condition gone. What is there already decides: a decision as high is not written again, so that one process writes and not each that reads the store.

Ruled out: a key for each revision (all that were ever kept are read at each start).

--- a/src/ridgecourse/cluster/domain_source.py
+++ b/src/ridgecourse/cluster/domain_source.py
@@ -76,9 +76,9 @@
         """Return records from an offset on; see ``RecordSource``."""
         return self._ask_parent(topic, start) or self.store.read(topic, start, wait)
 
-    def append(self, topic: Topic, key: str, value: bytes) -> None:
+    def append(self, topic: Topic, key: str, value: bytes, end: Offset) -> None:
         """Write a record; see ``RecordSource``."""
-        self.store.append(topic, key, value)
+        self.store.append(topic, key, value, end)
 
     def _ask_parent(self, topic: Topic, start: Offset) -> RecordBatch | None:
         """Return what the parent tells; None where the store is to be read."""
--- a/src/ridgecourse/cluster/keeper.py
+++ b/src/ridgecourse/cluster/keeper.py
@@ -6,7 +6,7 @@
 it is written into a topic of the system's own.
 """
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from random import random
 
 import eventlet
@@ -20,6 +20,7 @@
     RecordSource,
     SourceUnavailable,
     Topic,
+    TopicGrown,
 )
 from ridgecourse.net.threads import spawn_loop
 
@@ -33,14 +34,19 @@
 
     Attributes:
         store: The store.
-        kept: What is known to be kept, by key.
+        revision: Returns the revision of a decision.
         pending: Records still to be written, by key.
     """
 
-    def __init__(self, store: RecordSource, events: EventStream) -> None:
+    def __init__(
+        self,
+        store: RecordSource,
+        revision: Callable[[KeyedRecord], int],
+        events: EventStream,
+    ) -> None:
         self.store = store
+        self.revision = revision
         self.events = events
-        self.kept: dict[str, bytes] = {}
         self.pending: dict[str, KeyedRecord] = {}
         self.changed = Broadcast()
         self.thread: eventlet.greenthread.GreenThread | None = None
@@ -60,21 +66,18 @@
         if topic is not Topic.DECISIONS:
             return batch
         kept = self.store.newest(Topic.KEPT).records
-        self.kept = {record.key: record.value for record in kept}
         return RecordBatch([*batch.records, *place_kept(batch, kept)], batch.end)
 
     def read(self, topic: Topic, start: Offset, wait: float) -> RecordBatch:
         """Return records from an offset on; see ``RecordSource``."""
         return self.store.read(topic, start, wait)
 
-    def append(self, topic: Topic, key: str, value: bytes) -> None:
+    def append(self, topic: Topic, key: str, value: bytes, end: Offset) -> None:
         """Write a record; see ``RecordSource``."""
-        self.store.append(topic, key, value)
+        self.store.append(topic, key, value, end)
 
     def keep(self, record: KeyedRecord) -> None:
         """Keep a decision that is higher than the newest record of its key."""
-        if self.kept.get(record.key) == record.value:
-            return
         self.pending[record.key] = record
         self.changed.notify()
 
@@ -83,19 +86,29 @@
             if not self.pending:
                 self.changed.wait()
             for record in list(self.pending.values()):
-                self._write(record)
+                self._try_keep(record)
             if self.pending:
                 eventlet.sleep(RETRY_SECONDS * (0.5 + random()))
 
-    def _write(self, record: KeyedRecord) -> None:
+    def _try_keep(self, record: KeyedRecord) -> None:
         try:
-            self.append(Topic.KEPT, record.key, record.value)
+            self._keep_once(record)
         except SourceUnavailable as error:
             self.events.emit(EventKind.LOG_LOST, topic="kept", error=str(error))
-            return
-        self.kept[record.key] = record.value
-        if self.pending.get(record.key) == record:
-            del self.pending[record.key]
+        except TopicGrown:
+            # Another process has kept something; what it is decides whether to write.
+            self.events.figures.count("kept_elsewhere")
+        else:
+            if self.pending.get(record.key) == record:
+                del self.pending[record.key]
+
+    def _keep_once(self, record: KeyedRecord) -> None:
+        """Write a record unless one as high is kept already."""
+        batch = self.store.newest(Topic.KEPT)
+        for kept in batch.records:
+            if kept.key == record.key and self.revision(kept) >= self.revision(record):
+                return
+        self.append(Topic.KEPT, record.key, record.value, batch.end)
         self.events.emit(EventKind.DECISION_KEPT, offset=record.offset, key=record.key)
 
 
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -71,7 +71,7 @@
         self.listed = False
         self.changed = Broadcast()
         self.share = RecordShare()
-        self.keeper = DecisionKeeper(source, events)
+        self.keeper = DecisionKeeper(source, self.revision, events)
         self.decisions_reader = RecordFollower(
             self.keeper,
             Topic.DECISIONS,
@@ -237,6 +237,11 @@
         for model, history in self.histories.items():
             yield from history.ages(model, Seconds(monotonic()))
 
+    def revision(self, record: KeyedRecord) -> int:
+        """Return the revision that a decision's record has; -1 where it is none."""
+        decision = self.decoder.decision(record).value_or(None)
+        return -1 if decision is None else decision.version
+
     def _note_outdated(self, record: KeyedRecord, version: int) -> None:
         """Note a record that is no newer than what is believed.
 
--- a/src/ridgecourse/net/record_source.py
+++ b/src/ridgecourse/net/record_source.py
@@ -60,6 +60,10 @@
     """The records asked for are no longer kept."""
 
 
+class TopicGrown(Exception):
+    """A conditional write was not done: the topic ends elsewhere by now."""
+
+
 class RecordSource(ABC):
     """Reads records."""
 
@@ -86,9 +90,13 @@
         """
 
     @abstractmethod
-    def append(self, topic: Topic, key: str, value: bytes) -> None:
-        """Write a record of the system's own.
+    def append(self, topic: Topic, key: str, value: bytes, end: Offset) -> None:
+        """Write a record of the system's own, if the topic still ends there.
+
+        A write without an answer may be done seconds later. The condition keeps it
+        from replacing what was written in between.
 
         Raises:
-            SourceUnavailable: It may not have been written.
+            TopicGrown: The topic has other records by now; nothing was written.
+            SourceUnavailable: It may or may not be written, now or later.
         """
--- a/src/ridgecourse/platform/store.py
+++ b/src/ridgecourse/platform/store.py
@@ -19,6 +19,7 @@
     RecordSource,
     SourceUnavailable,
     Topic,
+    TopicGrown,
 )
 from ridgecourse.platform.names import (
     DECISIONS_TOPIC,
@@ -132,11 +133,13 @@
         except (StructError, UnicodeDecodeError, IndexError) as error:
             raise SourceUnavailable(f"no records: {error}") from error
 
-    def append(self, topic: Topic, key: str, value: bytes) -> None:
+    def append(self, topic: Topic, key: str, value: bytes, end: Offset) -> None:
         """Write a record; see ``RecordSource``."""
-        query = {"topic": TOPICS[topic], "part": 0}
+        query = {"topic": TOPICS[topic], "part": 0, "current_rev": end}
         body = encode_record(key, value)
         status, _ = self._call("POST", LOG_APPEND_PATH, query, body=body)
+        if status == 412:
+            raise TopicGrown(f"not at {end}")
         if status != 200:
             raise SourceUnavailable(f"status {status}")
 
--- a/tests/platform/test_domain_source.py
+++ b/tests/platform/test_domain_source.py
@@ -47,7 +47,7 @@
         self.asked.append(STORE)
         return RecordBatch([], start)
 
-    def append(self, topic: Topic, key: str, value: bytes) -> None:
+    def append(self, topic: Topic, key: str, value: bytes, end: Offset) -> None:
         raise AssertionError("nothing is to be written")
 
 
