--- a/src/ridgecourse/exchange/transfer.py
+++ b/src/ridgecourse/exchange/transfer.py
@@ -1,6 +1,7 @@
 """The fetching side of the exchange: brings one version in."""
 
 import logging
+from collections import Counter
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from contextlib import closing
 from itertools import chain
@@ -44,6 +45,8 @@
 TOLD_SECONDS = 1.0
 """From a transfer's start on, until neighbours have told what they hold: a connection
 and some round trips, as for a manifest."""
+PROGRESS_SECONDS = 1.0
+"""Between two events that tell how far a transfer is."""
 LAST_RESORT_REFERRALS = 8
 """Referrals to others after which a holder is asked to exceed its share."""
 
@@ -104,6 +107,7 @@
         self.is_needed = is_needed
         self.told_at = monotonic() + TOLD_SECONDS
         self.last_progress = monotonic()
+        self.next_report = monotonic() + PROGRESS_SECONDS
         self.cancelled = False
         self.error = ""
         self.threads: list[eventlet.greenthread.GreenThread] = []
@@ -123,6 +127,7 @@
                     break
                 self._check_origin()
                 self._check_lacking()
+                self._tell_progress()
                 for fetch in self.planner.plan(Seconds(monotonic())):
                     self.threads.append(eventlet.spawn(self._fetch, fetch))
                 self.progress.wait(self.planner.wake_after())
@@ -162,6 +167,27 @@
                     f"match the manifest"
                 )
 
+    def _tell_progress(self) -> None:
+        now = monotonic()
+        if now < self.next_report:
+            return
+        self.next_report = now + PROGRESS_SECONDS
+        counts = self.context.counts
+        self.context.events.emit(
+            EventKind.TRANSFER_PROGRESS,
+            version=self.holding.root,
+            missing=len(self.planner.missing),
+            in_flight=dict(
+                Counter(chain.from_iterable(self.planner.in_flight.values()))
+            ),
+            from_origin=counts.from_origin,
+            from_domain=counts.from_domain,
+            across_domains=counts.across_domains,
+            fetched_twice=counts.fetched_twice,
+            rate=int(self.rate.current) if self.rate else 0,
+            error=self.error,
+        )
+
     def _check_lacking(self) -> None:
         """End where the origin does not have a chunk and no neighbour holds it.
 
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -212,13 +212,22 @@
         ]
         control_port = self.site.peer_ports[0]
         peers = loader_peers(near, (control_port + 1, control_port))
-        for peer in peers.values():
-            self.catalogue.ask(peer.address, key)
+        asking = eventlet.spawn(self._ask_on, key, list(peers.values()))
         me = [self.place.name]
         needed = partial(self._is_needed, key)
-        Transfer(
-            self.context, None, holding, peers, 1, me, paced=False, is_needed=needed
-        ).run()
+        try:
+            Transfer(
+                self.context, None, holding, peers, 1, me, paced=False, is_needed=needed
+            ).run()
+        finally:
+            asking.kill()
+
+    def _ask_on(self, key: VersionKey, loaders: Sequence[Peer]) -> None:
+        """Ask loaders for a version again and again: one that starts has none yet."""
+        while True:
+            for loader in loaders:
+                self.catalogue.ask(loader.address, key)
+            eventlet.sleep(RETRY_SECONDS)
 
     def close(self) -> None:
         """Close them and end all transfers."""
