The widest gateways of a domain bring weights in, and only two of them

Cause of a return that took too long at size (24 loaders and 35 gateways; power lost by all): hubs were chosen whatever their links, most of them 20 Mbit/s, and each gateway that was asked before all knew each other drew a copy of its own from the hub, seven of nine in a domain. The hub's link carried ten loaders and seven gateways: 0.14 MB/s left for the origin's copy, one copy 11 to 16 s.

Gateways are ranked by the capacity of their links, then by rendezvous. Who is neither hub nor next in line leaves it to those that are, unless still asked after 3 s. A hub waits for staged chunks 3 s, not 7, if none comes. A seed that is down costs a start 0.6 s, not 1 s. Why a manifest cannot be had is told.

--- a/src/ridgecourse/cluster/domain_source.py
+++ b/src/ridgecourse/cluster/domain_source.py
@@ -31,10 +31,11 @@
 BEHIND_SECONDS = 0.5
 """How long one that had not heard of the store is: its own parent may have been silent,
 and it reads the store by then. Left alone for longer, all would read the store."""
-SEED_PATIENCE_SECONDS = 1.0
+SEED_PATIENCE_SECONDS = 0.6
 SEED_RETRY_SECONDS = 0.1
 """How long, and how often, a process that starts asks a seed before the store: when all
-start at once each seed reads the store for many, and has read it after 0.6 s."""
+start at once, within 0.3 s, each seed reads the store for many and has it 0.3 s later.
+A seed that is down costs a start this much."""
 
 ParentChooser = Callable[[Collection[TargetName]], Peer | None]
 
--- a/src/ridgecourse/core/hubs.py
+++ b/src/ridgecourse/core/hubs.py
@@ -17,6 +17,8 @@
 
 GATEWAYS_PATH = "/gateways"
 """Where a gateway tells which gateways there are."""
+HOLDERS = 2
+"""Gateways of a domain that bring a version in: the hub and the next in line."""
 NEIGHBOURS = 3
 """Gateways of a domain that may hold a version: the hub, the next in line, and the
 one that was pushed back by a gateway that came later."""
@@ -30,12 +32,14 @@
         domain: Its failure domain.
         address: HOST:PORT for chunks.
         control_address: HOST:PORT for control connections.
+        link: Capacity of its instance's link, in bytes a second; 0 if not known.
     """
 
     name: TargetName
     domain: DomainName
     address: str
     control_address: str
+    link: float = 0.0
 
 
 def rank_gateways(
@@ -43,6 +47,9 @@
 ) -> Mapping[DomainName, Sequence[Peer]]:
     """Return the gateways of each domain, its hub first, then who follows it.
 
+    Those with the widest links go first: a hub sends a copy to each loader of its
+    domain, and one with 20 Mbit/s takes some 15 s for ten copies of 2.4 MB.
+
     Args:
         key: Names the version; each has an order of its own.
         gateways: All known ones; who knows the same ones gets the same order.
@@ -52,8 +59,9 @@
     """
     by_name = {gateway.name: gateway for gateway in gateways}
     ranked: dict[DomainName, list[Peer]] = {}
-    for name in rendezvous_rank(key, by_name):
-        gateway = by_name[TargetName(name)]
+    names = rendezvous_rank(key, by_name)
+    placed = [by_name[TargetName(name)] for name in names]
+    for gateway in sorted(placed, key=lambda gateway: -gateway.link):
         ranked.setdefault(gateway.domain, []).append(gateway)
     return ranked
 
@@ -111,10 +119,12 @@
     Attributes:
         hubs: The hub of each domain.
         near: Gateways of the own domain that may hold it, this one excluded.
+        holds: Whether this gateway is one that brings it in.
     """
 
     hubs: Sequence[Peer]
     near: Sequence[Peer]
+    holds: bool
 
     def sources(self, me: Peer) -> Mapping[TargetName, Peer]:
         """Return whom the gateway takes chunks from."""
@@ -132,5 +142,7 @@
         me: The gateway that asks.
     """
     ranked = rank_gateways(key, [*gateways, me])
-    near = [peer for peer in ranked[me.domain][:NEIGHBOURS] if peer != me]
-    return HubPlan([domain[0] for domain in ranked.values()], near)
+    order = ranked[me.domain]
+    near = [peer for peer in order[:NEIGHBOURS] if peer != me]
+    hubs = [domain[0] for domain in ranked.values()]
+    return HubPlan(hubs, near, me in order[:HOLDERS])
--- a/src/ridgecourse/exchange/catalogue.py
+++ b/src/ridgecourse/exchange/catalogue.py
@@ -17,6 +17,7 @@
 from ridgecourse.exchange.context import ExchangeContext
 from ridgecourse.exchange.holding import Holding
 from ridgecourse.exchange.origin import OriginUnavailable, WeightsOrigin
+from ridgecourse.net.events import EventKind
 from ridgecourse.net.http_client import ExchangeFailed, NoConnection
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
 
@@ -95,6 +96,8 @@
                 "GET", address, path, timeout=PEER_SECONDS
             )
         except (NoConnection, ExchangeFailed):
+            # It may be starting, or gone; who asks goes on to others.
+            self.context.events.figures.count("manifest_unanswered")
             return None
         if status != 200:
             return None
@@ -104,7 +107,10 @@
     def _ask_origin(self, key: VersionKey, address: str) -> Holding | None:
         try:
             return self._keep(key, self.origin.manifest(address, *key))
-        except OriginUnavailable:
+        except OriginUnavailable as error:
+            self.context.events.emit(
+                EventKind.MANIFEST_UNAVAILABLE, version=str(key[1]), error=str(error)
+            )
             return None
 
     def _keep(self, key: VersionKey, manifest: Manifest) -> Holding:
--- a/src/ridgecourse/exchange/transfer.py
+++ b/src/ridgecourse/exchange/transfer.py
@@ -144,7 +144,12 @@
     @property
     def stalled(self) -> bool:
         """Whether no chunk has come for a while."""
-        return monotonic() - self.last_progress > self.context.plan.stall_seconds
+        return self.silent_seconds > self.context.plan.stall_seconds
+
+    @property
+    def silent_seconds(self) -> float:
+        """Seconds since the last chunk came, or since the start."""
+        return monotonic() - self.last_progress
 
     def cancel(self) -> None:
         """Stop at once: what is in flight costs no more bytes."""
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -72,6 +72,8 @@
 """From the start of a gateway until it brings in the version in force even if no
 loader of its domain is known: engines are listed some 5 s after the start."""
 WARM_UP_POLL_SECONDS = 0.5
+STAGED_STALL_SECONDS = 3.0
+"""How long loaders that send nothing are waited for, while engines wait for weights."""
 STAGED_SECONDS = 7.0
 """How long loaders are given to send it: one copy over one loader's link takes 5.2 s
 on the sites of today, and a domain has two."""
@@ -79,6 +81,9 @@
 """A hub that is not the first waits so long before it asks the origin itself."""
 MANIFEST_PATIENCE_SECONDS = 1.0
 """How long the next in line asks its domain's hub: some round trips are enough."""
+ASKED_ON_SECONDS = 3.0
+"""How long gateways that are no holders leave it to those that are: all know of each
+other within some 2 s of a start."""
 RETRY_SECONDS = 0.5
 FIRST_MESSAGE_SECONDS = 2.0
 
@@ -91,6 +96,7 @@
         told: Gateways that each loader knows, by the loader's address.
         working: Versions that are being brought in.
         transfers: Their transfers in progress, with the plan of each.
+        asked_at: When each was asked for first, if this gateway is no holder.
     """
 
     def __init__(
@@ -111,6 +117,7 @@
             site.domain,
             f"{site.host}:{control_port + 1}",
             f"{site.host}:{control_port}",
+            site.upload_bytes_per_s,
         )
         self.told: dict[str, list[Peer]] = {}
         self.context = ExchangeContext(
@@ -138,6 +145,7 @@
         self.catalogue = Catalogue(self.context, origin, self.want)
         self.working: dict[VersionKey, eventlet.greenthread.GreenThread] = {}
         self.transfers: dict[VersionKey, tuple[HubPlan, Transfer]] = {}
+        self.asked_at: dict[VersionKey, float] = {}
         self.warming: eventlet.greenthread.GreenThread | None = None
         router = HttpRouter()
         self.exchange.add_routes(router)
@@ -214,11 +222,12 @@
         peers = loader_peers(near, (control_port + 1, control_port))
         asking = eventlet.spawn(self._ask_on, key, list(peers.values()))
         me = [self.place.name]
-        needed = partial(self._is_needed, key)
+        transfer = Transfer(self.context, None, holding, peers, 1, me, paced=False)
+        transfer.is_needed = lambda: (
+            self._is_needed(key) and transfer.silent_seconds < STAGED_STALL_SECONDS
+        )
         try:
-            Transfer(
-                self.context, None, holding, peers, 1, me, paced=False, is_needed=needed
-            ).run()
+            transfer.run()
         finally:
             asking.kill()
 
@@ -304,10 +313,23 @@
 
     def want(self, key: VersionKey) -> None:
         """Bring a version in, if that has not begun."""
-        if self._has(key) or key in self.working:
+        if self._has(key) or key in self.working or not self._has_part(key):
             return
         self.working[key] = eventlet.spawn(self._bring, key)
 
+    def _has_part(self, key: VersionKey) -> bool:
+        """Tell whether this gateway is one that brings a version in.
+
+        Others were asked while not all gateways were known. Copies of their own kept
+        the hub's link busy: after a start of all, seven of nine drew one each.
+        """
+        return self.plan(key).holds or self._is_asked_on(key)
+
+    def _is_asked_on(self, key: VersionKey) -> bool:
+        """Tell whether a version is asked for still, by who knows no better gateway."""
+        first = self.asked_at.setdefault(key, monotonic())
+        return monotonic() - first > ASKED_ON_SECONDS
+
     def _has(self, key: VersionKey) -> bool:
         holding = self.catalogue.holdings.get(key)
         return holding is not None and holding.complete
@@ -316,7 +338,7 @@
         """Bring a version in for others, until it is whole or out of date."""
         begun = monotonic()
         try:
-            while self._is_needed(key):
+            while self._is_needed(key) and self._has_part(key):
                 self._wait_for_older(key)
                 try:
                     whole = self._try_bring(key)
