--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -13,14 +13,12 @@
     GATEWAYS_PATH,
     HubPlan,
     Peer,
-    choose_hubs,
     loader_peers,
     nearest_first,
     plan_hubs,
     seed_peers,
 )
 from ridgecourse.core.ids import TargetName
-from ridgecourse.core.routes import Service
 from ridgecourse.core.site import Site
 from ridgecourse.exchange.catalogue import Catalogue, VersionKey
 from ridgecourse.exchange.context import (
@@ -33,6 +31,7 @@
 from ridgecourse.exchange.server import Exchange
 from ridgecourse.exchange.store import ChunkStore
 from ridgecourse.exchange.transfer import Transfer, TransferError
+from ridgecourse.gateway.warm_up import WarmUp
 from ridgecourse.net.address import Address
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.http_client import HttpClient
@@ -68,15 +67,6 @@
 LONGEST_BACK_OFF_SECONDS = 0.25
 """After failures of the origin or another hub. Few ask, and each second without the
 weights after their bound is one without service."""
-WARM_UP_SECONDS = 6.0
-"""From the start of a gateway until it brings in the version in force even if no
-loader of its domain is known: engines are listed some 5 s after the start."""
-WARM_UP_POLL_SECONDS = 0.5
-STAGED_STALL_SECONDS = 3.0
-"""How long loaders that send nothing are waited for, while engines wait for weights."""
-STAGED_SECONDS = 7.0
-"""How long loaders are given to send it: one copy over one loader's link takes 5.2 s
-on the sites of today, and a domain has two."""
 MANIFEST_STAGGER_SECONDS = 0.3
 """A hub that is not the first waits so long before it asks the origin itself."""
 MANIFEST_PATIENCE_SECONDS = 1.0
@@ -146,7 +136,7 @@
         self.working: dict[VersionKey, eventlet.greenthread.GreenThread] = {}
         self.transfers: dict[VersionKey, tuple[HubPlan, Transfer]] = {}
         self.asked_at: dict[VersionKey, float] = {}
-        self.warming: eventlet.greenthread.GreenThread | None = None
+        self.warm_up = WarmUp(self)
         router = HttpRouter()
         self.exchange.add_routes(router)
         self.catalogue.add_routes(router)
@@ -164,84 +154,11 @@
         self.control_server.start()
         self.relay.start()
         if self.site.first_start:
-            self.warming = eventlet.spawn(self._warm_up)
-
-    def _warm_up(self) -> None:
-        """Hold the versions in force, if this is the hub of its domain.
-
-        Engines that join later are filled from here at once, even while the
-        origin is away.
-        """
-        begun = monotonic()
-        while not self._knows_loaders() and monotonic() < begun + WARM_UP_SECONDS:
-            eventlet.sleep(WARM_UP_POLL_SECONDS)
-        config = self.view.config
-        for service in config.services.values() if config else ():
-            if service.engine is None or not service.engine.chunks:
-                continue
-            model = service.engine.model
-            key = (model, self.view.wanted_version(model))
-            if self._has(key) or key in self.working:
-                continue
-            if self.place in choose_hubs(str(key), [*self.known(), self.place]):
-                self.working[key] = eventlet.spawn(self._bring_staged, key, service)
-
-    def _knows_loaders(self) -> bool:
-        """Tell whether the loaders of all listed engines of the domain are known."""
-        config = self.view.config
-        if config is None:
-            return False
-        models = {s.name for s in config.services.values() if s.engine is not None}
-        near = [
-            target.address
-            for target in self.view.targets.targets.values()
-            if target.domain == self.site.domain and target.service in models
-        ]
-        return bool(near) and all(address in self.told for address in near)
-
-    def _bring_staged(self, key: VersionKey, service: Service) -> None:
-        """Take a version from the domain's engines, what is missing as usual."""
-        with eventlet.Timeout(STAGED_SECONDS, False):
-            self._take_staged(key, service)
-        self._bring(key)
-
-    def _take_staged(self, key: VersionKey, service: Service) -> None:
-        config = self.view.config
-        if config is None or config.origin is None:
-            return
-        holding = self.catalogue.find(key, config.origin.address, [], 0.0)
-        if holding is None:
-            return
-        self._join(key, holding)
-        near = [
-            target
-            for target in self.view.serving(service.name)
-            if target.domain == self.site.domain and key[0] in target.models
-        ]
-        control_port = self.site.peer_ports[0]
-        peers = loader_peers(near, (control_port + 1, control_port))
-        asking = eventlet.spawn(self._ask_on, key, list(peers.values()))
-        me = [self.place.name]
-        transfer = Transfer(self.context, None, holding, peers, 1, me, paced=False)
-        transfer.is_needed = lambda: (
-            self._is_needed(key) and transfer.silent_seconds < STAGED_STALL_SECONDS
-        )
-        try:
-            transfer.run()
-        finally:
-            asking.kill()
-
-    def _ask_on(self, key: VersionKey, loaders: Sequence[Peer]) -> None:
-        """Ask loaders for a version again and again: one that starts has none yet."""
-        while True:
-            for loader in loaders:
-                self.catalogue.ask(loader.address, key)
-            eventlet.sleep(RETRY_SECONDS)
+            self.warm_up.start()
 
     def close(self) -> None:
         """Close them and end all transfers."""
-        if self.warming is not None:
-            self.warming.kill()
+        self.warm_up.close()
         for thread in self.working.values():
             thread.kill()
         self.relay.close()
@@ -313,9 +230,9 @@
 
     def want(self, key: VersionKey) -> None:
         """Bring a version in, if that has not begun."""
-        if self._has(key) or key in self.working or not self._has_part(key):
+        if self.has(key) or key in self.working or not self._has_part(key):
             return
-        self.working[key] = eventlet.spawn(self._bring, key)
+        self.working[key] = eventlet.spawn(self.bring, key)
 
     def _has_part(self, key: VersionKey) -> bool:
         """Tell whether this gateway is one that brings a version in.
@@ -330,15 +247,16 @@
         first = self.asked_at.setdefault(key, monotonic())
         return monotonic() - first > ASKED_ON_SECONDS
 
-    def _has(self, key: VersionKey) -> bool:
+    def has(self, key: VersionKey) -> bool:
+        """Tell whether a version is held whole."""
         holding = self.catalogue.holdings.get(key)
         return holding is not None and holding.complete
 
-    def _bring(self, key: VersionKey) -> None:
+    def bring(self, key: VersionKey) -> None:
         """Bring a version in for others, until it is whole or out of date."""
         begun = monotonic()
         try:
-            while self._is_needed(key) and self._has_part(key):
+            while self.is_needed(key) and self._has_part(key):
                 self._wait_for_older(key)
                 try:
                     whole = self._try_bring(key)
@@ -362,7 +280,7 @@
         """Wait while an older version is nearly here, but not without end."""
         limit = monotonic() + OLDER_WAIT_SECONDS
         while self._is_older_nearly_here(key) and monotonic() < limit:
-            if not self._is_needed(key) or self._has_begun_near(key):
+            if not self.is_needed(key) or self._has_begun_near(key):
                 return
             eventlet.sleep(OLDER_POLL_SECONDS)
 
@@ -385,7 +303,8 @@
             for other, (_, transfer) in self.transfers.items()
         )
 
-    def _is_needed(self, key: VersionKey) -> bool:
+    def is_needed(self, key: VersionKey) -> bool:
+        """Tell whether a version is new enough for others to use."""
         return not self.catalogue.is_outdated(key, self.view.wanted_version(key[0]))
 
     def _try_bring(self, key: VersionKey) -> bool:
@@ -399,15 +318,15 @@
         if holding is None:
             self._note_failure(key, "no manifest")
             return False
-        if plan != self.plan(key) or not self._is_needed(key):
+        if plan != self.plan(key) or not self.is_needed(key):
             # A gateway came or went meanwhile: ask anew, those that are there now.
             return False
-        self._join(key, holding)
+        self.join(key, holding)
         chunks = self.origin.chunks(config.origin.address, *key)
         names = [hub.name for hub in plan.hubs]
         peers = plan.sources(self.place)
         domain = config.origin.domain
-        needed = partial(self._is_needed, key)
+        needed = partial(self.is_needed, key)
         transfer = Transfer(
             self.context, chunks, holding, peers, 1, names, domain, is_needed=needed
         )
@@ -438,7 +357,8 @@
             return self.catalogue.find(key, origin, plan.hubs[:rank], patience)
         return self.catalogue.find(key, origin, plan.near, MANIFEST_PATIENCE_SECONDS)
 
-    def _join(self, key: VersionKey, holding: Holding) -> None:
+    def join(self, key: VersionKey, holding: Holding) -> None:
+        """Take part in a version's exchange; drop what is older than needed."""
         for old in self.catalogue.drop_old(key[0]):
             self.exchange.leave(old.root)
         self.catalogue.retain_chunks()
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -10,11 +10,10 @@
 
 from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.hubs import Peer, choose_hubs, loader_peers
-from ridgecourse.core.ids import Seconds, TargetName, WeightsVersion
+from ridgecourse.core.ids import TargetName, WeightsVersion
 from ridgecourse.core.rendezvous import rendezvous_rank
 from ridgecourse.core.routes import EngineModel, OriginPlace
 from ridgecourse.core.site import Site
-from ridgecourse.core.supersession import START_SECONDS, TransferPlan, goes_on
 from ridgecourse.core.targets import ListedTarget
 from ridgecourse.exchange.catalogue import Catalogue, VersionKey
 from ridgecourse.exchange.context import ExchangeContext
@@ -31,6 +30,7 @@
     Phase,
 )
 from ridgecourse.loader.staging import Staging
+from ridgecourse.loader.transfer_watch import TransferWatch
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.threads import spawn_loop
 
@@ -99,15 +99,17 @@
         self.ordered = WeightsVersion(0)
         self.transfer: Transfer | None = None
         self.hubs: Sequence[Peer] = []
+        self.watch = TransferWatch(self)
         self.threads: list = []
 
     def start(self) -> None:
         """Begin to drive the engine."""
         self.threads.append(spawn_loop(self._run))
-        self.threads.append(spawn_loop(self._watch_versions))
+        self.watch.start()
 
     def close(self) -> None:
         """Stop."""
+        self.watch.close()
         for thread in self.threads:
             thread.kill()
         if self.transfer is not None:
@@ -152,15 +154,6 @@
             self.prefetching = False
         return WORK_SECONDS
 
-    def _is_engine_back(self) -> bool:
-        """Tell whether an engine that was waited for is there now."""
-        try:
-            self.engine.report()
-        except EngineUnavailable:
-            # Still away, as the phase says.
-            return False
-        return True
-
     def find_model(self) -> tuple[EngineModel, OriginPlace] | None:
         """Return the engine's model and its origin, None before they are known."""
         config = self.view.config
@@ -186,7 +179,7 @@
             error=error,
         )
 
-    def _transfer_seconds(self, transfer: Transfer, model: EngineModel) -> float:
+    def transfer_seconds(self, transfer: Transfer, model: EngineModel) -> float:
         """Return the seconds that a transfer still takes at the link's speed."""
         missing = len(transfer.planner.missing) * model.chunk_bytes
         return missing / self.site.upload_bytes_per_s
@@ -301,7 +294,7 @@
             # Known or not, the hub may be a new one that has not begun.
             eventlet.spawn(self.catalogue.ask, near[0].address, key)
         origin = self.origin.chunks(place.address, *key)
-        needed, domain = partial(self._is_needed, key), place.domain
+        needed, domain = partial(self.is_needed, key), place.domain
         transfer = Transfer(
             self.context, origin, holding, peers, 1, hubs, domain, is_needed=needed
         )
@@ -361,68 +354,15 @@
         else:
             self._set(Phase.STARTING, f"order {outcome.value}", key[1])
 
-    # Supersession.
-
-    def _watch_versions(self) -> None:
-        """Drop a transfer where its successor had better go first."""
-        while True:
-            self.view.changed.wait(IDLE_SECONDS)
-            transfer, found = self.transfer, self.find_model()
-            if transfer is None or found is None:
-                continue
-            model = found[0]
-            wanted = self.view.wanted_version(model.model)
-            if self.hubs != choose_hubs(str(self._key(model)), self.gateways):
-                # A hub came or went: begin again with those that are there now.
-                transfer.cancel()
-            elif self.prefetching and self._is_engine_back():
-                # What lies staged there need not be fetched.
-                transfer.cancel()
-            elif (
-                wanted > self.version
-                and not self._should_finish(transfer, model)
-                and self._is_available((model.model, wanted))
-            ):
-                self.context.events.emit(
-                    EventKind.ROLLOUT_DROPPED,
-                    version=str(self.version),
-                    newer=str(wanted),
-                    missing=len(transfer.planner.missing),
-                )
-                transfer.cancel()
-
-    def _is_needed(self, key: VersionKey) -> bool:
+    def is_needed(self, key: VersionKey) -> bool:
         """Tell whether a version is still worth its transfer, nearly here or not."""
         return not self.catalogue.is_outdated(key, self.view.wanted_version(key[0]))
 
-    def _is_available(self, key: VersionKey) -> bool:
-        """Tell whether a version can be had by now.
-
-        While its origin is away a newer version must not stop an older one.
-        """
-        hubs = choose_hubs(str(key), self.gateways)
-        if key in self.catalogue.holdings or not hubs:
-            return True
-        near = sorted(hubs, key=lambda hub: hub.domain != self.site.domain)
-        return self.catalogue.ask(near[0].address, key) is not None
-
-    def _should_finish(self, transfer: Transfer, model: EngineModel) -> bool:
-        if transfer.stalled:
-            # The hub may have given it up: then it is never done, however near.
+    def is_engine_back(self) -> bool:
+        """Tell whether an engine that was waited for is there now."""
+        try:
+            self.engine.report()
+        except EngineUnavailable:
+            # Still away, as the phase says.
             return False
-        now = Seconds(monotonic())
-        copy = model.chunks * model.chunk_bytes / self.site.upload_bytes_per_s
-        history = self.view.history(model.model)
-        older = WeightsVersion(self.version - 1)
-        newer = TransferPlan(
-            copy + START_SECONDS, history.begin_by(self.version) or now
-        )
-        current = TransferPlan(
-            self._transfer_seconds(transfer, model) + START_SECONDS,
-            history.begin_by(older) or now,
-        )
-        early = self.starts_early(self._key(model))
-        return goes_on(current, newer, now, early)
-
-    def _key(self, model: EngineModel) -> VersionKey:
-        return model.model, self.version
+        return True
