--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -24,9 +24,9 @@
 from ridgecourse.net.threads import spawn_loop
 
 DECISION_WAIT_SECONDS = 0.6
-"""Longest wait of one read of the store for an operator's decision. A waiting read was
-seen to miss a record, and a connection that died unseen is noticed only after it. With
-a slow store's 0.35 s it leaves what is heard fresh enough for others to rely on."""
+"""Longest wait of one read of the store for an operator's decision. A waiting read can
+miss a record, and a connection that died unseen is noticed only after it. With a slow
+store's 0.35 s it leaves what is heard fresh enough for others to rely on."""
 TARGETS_PAUSE_SECONDS = 1.1
 """Between two reads of the list: a leaving target may get requests for 2 s more,
 and its heartbeats would end a waiting read ten times a second."""
@@ -42,8 +42,6 @@
         config: The newest configuration; None before the first is known.
         version_seconds: From a version's name until it is required.
         histories: The named versions of each model.
-        named_at: When the versions in the batch being read were named at the
-            earliest; None if that is not known.
         targets: The list of targets.
         listed: Whether the list has been read.
         share: The records read, for processes that cannot read the store.
@@ -67,7 +65,6 @@
         self.version_seconds = version_seconds
         self.targets_pause = targets_pause
         self.histories: dict[ModelName, VersionHistory] = {}
-        self.named_at: Seconds | None = None
         self.targets = TargetList()
         self.listed = False
         self.changed = Broadcast()
@@ -160,9 +157,9 @@
     def take_decisions(self, batch: RecordBatch, whole: bool) -> None:
         """Take in operators' decisions; an older one never replaces a newer."""
         shared = self.share.topics[Topic.DECISIONS]
-        self.named_at = self._date_names(whole)
+        named_at = self._date_names(whole)
         for record in batch.records:
-            if self._take_decision(record):
+            if self._take_decision(record, named_at):
                 shared.put(record)
         shared.note_read(batch)
         self.share.changed.notify()
@@ -171,12 +168,11 @@
     def take_kept(self, records: Sequence[KeyedRecord]) -> None:
         """Take in decisions that were kept, where they are higher than those known."""
         shared = self.share.topics[Topic.DECISIONS]
-        self.named_at = None
         for record in records:
             known = shared.records.get(record.key)
             offset = known.offset if known else Offset(0)
             placed = KeyedRecord(record.key, record.value, offset)
-            if self._take_decision(placed):
+            if self._take_decision(placed, None):
                 shared.put(placed)
         self.changed.notify()
 
@@ -191,8 +187,13 @@
             return None
         return heard_at if whole else Seconds(monotonic())
 
-    def _take_decision(self, record: KeyedRecord) -> bool:
-        """Take in one decision; tell whether it is in force now."""
+    def _take_decision(self, record: KeyedRecord, named_at: Seconds | None) -> bool:
+        """Take in one decision; tell whether it is in force now.
+
+        Args:
+            record: The decision.
+            named_at: When it was taken at the earliest; None if that is not known.
+        """
         decoded = self.decoder.decision(record)
         if isinstance(decoded, Failure):
             self.events.emit(EventKind.BAD_INPUT, error=str(decoded.failure()))
@@ -201,7 +202,7 @@
         if isinstance(decision, RoutingConfig):
             newer = self._take_config(decision, record.offset)
         elif isinstance(decision, NamedVersion):
-            newer = self._take_version(decision, record.offset)
+            newer = self._take_version(decision, record.offset, named_at)
         else:
             return False
         if not newer:
@@ -220,10 +221,12 @@
         )
         return True
 
-    def _take_version(self, named: NamedVersion, offset: int) -> bool:
+    def _take_version(
+        self, named: NamedVersion, offset: int, named_at: Seconds | None
+    ) -> bool:
         history = self.history(named.model)
         now = Seconds(monotonic())
-        if not history.name(named.version, now, self.named_at):
+        if not history.name(named.version, now, named_at):
             return False
         self.events.emit(
             EventKind.VERSION_NAMED,
@@ -231,7 +234,7 @@
             version=str(named.version),
             model=named.model,
             unheard=round(self.decisions_reader.unheard, 3),
-            dated=self.named_at is not None,
+            dated=named_at is not None,
         )
         return True
 
