--- a/src/ridgecourse/cluster/keeper.py
+++ b/src/ridgecourse/cluster/keeper.py
@@ -72,7 +72,7 @@
             self.thread.kill()
 
     def newest(self, topic: Topic) -> RecordBatch:
-        """Return the newest record of each key, and the kept decisions behind them."""
+        """Return the newest record of each key, and the decisions that are kept."""
         batch = self.store.newest(topic)
         if topic is not Topic.DECISIONS:
             return batch
@@ -153,7 +153,7 @@
 def place_kept(
     batch: RecordBatch, kept: Sequence[KeyedRecord]
 ) -> Iterator[KeyedRecord]:
-    """Yield kept records with the offsets of the records that they go before.
+    """Yield kept decisions at the offsets of the records that they stand in for.
 
     Their own offsets count in another topic.
     """
--- a/src/ridgecourse/net/record_follower.py
+++ b/src/ridgecourse/net/record_follower.py
@@ -135,7 +135,8 @@
             return
         past = not batch.records or batch.end >= self.skipped.end
         self.skipped = None if past else SkippedRange(batch.end, self.skipped.end)
-        self.take(RecordBatch(batch.records, batch.end, 1), False)
+        # Taken as behind, for it tells nothing of what holds now.
+        self.take(RecordBatch(batch.records, batch.end, behind=1), False)
 
     def _next_offset(self, batch: RecordBatch) -> Offset:
         return batch.end if self.offset is None else max(self.offset, batch.end)
