--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -1,6 +1,6 @@
 """A gateway's part in the exchange of weights."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from functools import partial
 from time import monotonic
 
@@ -83,7 +83,8 @@
 
     Attributes:
         place: Where others find it.
-        told: Gateways that each loader knows, by the loader's address.
+        told: Gateways that each connected loader told of, by the loader's address and
+            the gateways' names.
         working: Versions that are being brought in.
         transfers: Their transfers in progress, with the plan of each.
         asked_at: When each was asked for first, if this gateway is no holder.
@@ -109,7 +110,7 @@
             f"{site.host}:{control_port}",
             site.upload_bytes_per_s,
         )
-        self.told: dict[str, list[Peer]] = {}
+        self.told: dict[str, dict[TargetName, Peer]] = {}
         self.context = ExchangeContext(
             me=Member(self.place.name, site.domain),
             events=events,
@@ -176,20 +177,36 @@
             raise ChannelClosed("no first message")
         self.exchange.tell_holdings(channel, follow)
 
-    def learn(self, loader: str, gateways: list[Peer]) -> None:
-        """Take in the gateways that a loader knows; none once it is lost."""
-        if gateways:
-            self.told[loader] = gateways
-        else:
-            self.told.pop(loader, None)
+    def learn(
+        self, loader: str, came: Iterable[Peer], gone: Iterable[TargetName] = ()
+    ) -> None:
+        """Take in a loader that is connected, and which gateways came and went."""
+        known = self.told.setdefault(loader, {})
+        known.update((peer.name, peer) for peer in came)
+        for name in gone:
+            known.pop(name, None)
+        self._review_plans()
+
+    def forget(self, loader: str) -> None:
+        """Drop what a loader told, which is lost or will tell it anew."""
+        self.told.pop(loader, None)
+        self._review_plans()
+
+    def _review_plans(self) -> None:
+        """End the transfers whose plan is another one now."""
         for key, (plan, transfer) in list(self.transfers.items()):
             if plan != self.plan(key):
                 # A gateway came or went: go on with those that are there now.
                 transfer.cancel()
 
     def known(self) -> list[Peer]:
-        """Return the gateways that loaders tell of, some more than once."""
-        return [gateway for told in self.told.values() for gateway in told]
+        """Return the gateways that loaders tell of."""
+        by_name = {
+            gateway.name: gateway
+            for told in self.told.values()
+            for gateway in told.values()
+        }
+        return list(by_name.values())
 
     def count_gateways(self) -> int:
         """Return how many gateways there are, as far as loaders tell."""
--- a/src/ridgecourse/gateway/loads.py
+++ b/src/ridgecourse/gateway/loads.py
@@ -123,7 +123,7 @@
             except ChannelClosed as error:
                 logger.debug("no reports of %s: %s", target.target, error)
             finally:
-                self.hub.learn(target.address, [])
+                self.hub.forget(target.address)
             eventlet.sleep(RECONNECT_SECONDS * (0.5 + random()))
 
     def _take_reports(self, target: ListedTarget, control_address: str) -> None:
@@ -138,6 +138,7 @@
                     self._interval(target),
                     self.hub.place if self.brings_weights else None,
                     str(self.reports.address),
+                    hears_gateways=self._tells_gateways(target),
                 )
             )
             while True:
@@ -148,8 +149,9 @@
                     self._take(target, report)
                 elif isinstance(report, Named):
                     self.view.date_versions(report.versions)
+                    self.hub.learn(target.address, ())
                 else:
-                    self.hub.learn(target.address, report.gateways)
+                    self.hub.learn(target.address, report.came, report.gone)
 
     def _take(self, target: ListedTarget, report: EngineReport) -> None:
         load = self.load(target.address)
@@ -171,6 +173,16 @@
                 active=status.active,
             )
 
+    def _tells_gateways(self, target: ListedTarget) -> bool:
+        """Tell whether a loader is to tell which gateways there are.
+
+        All loaders know the same ones. Those of the own domain tell it without the
+        links between regions; where there is none, the others have to.
+        """
+        domains = {engine.domain for engine in self.engines.values()}
+        own = self.site.domain
+        return target.domain == own or own not in domains
+
     def _interval(self, target: ListedTarget) -> float:
         near = self.site.region(target.domain) == self.site.region(self.site.domain)
         return NEAR_INTERVAL_SECONDS if near else FAR_INTERVAL_SECONDS
--- a/src/ridgecourse/loader/status.py
+++ b/src/ridgecourse/loader/status.py
@@ -18,7 +18,7 @@
 from ridgecourse.net.datagrams import DatagramSocket
 from ridgecourse.net.threads import spawn_loop
 from ridgecourse.net.websocket import ChannelClosed, ControlChannel
-from ridgecourse.wire.control import EngineReport, Gateways, Named, Watch
+from ridgecourse.wire.control import EngineReport, GatewaysChanged, Named, Watch
 
 CROWDED_SECONDS = 0.05
 """Between two looks at an engine whose batch is half full. By ``python -m bench
@@ -31,6 +31,9 @@
 HEARTBEAT_SECONDS = 1.0
 """Between two reports on the channel, which shows that both sides live; what changes
 goes in datagrams."""
+GATHER_SECONDS = 0.25
+"""For which gateways that come and go are gathered before others are told: a start of
+all brings 39 of them within a second."""
 EARLY_SHARE = 0.9
 """Share of a watcher's interval after which a report is due: looks are as far apart
 as the interval and do not come to the millisecond."""
@@ -170,21 +173,49 @@
         watcher = Watcher(address, watch.interval)
         self.watchers.append(watcher)
         self._count(watch.gateway, +1)
-        told: list[Peer] = []
         channel.send(Named(list(self.rollout.view.version_ages())))
         try:
+            if watch.hears_gateways:
+                self._tell_gateways(channel)
             while True:
-                if told != list(self.gateways.connected):
-                    told = list(self.gateways.connected)
-                    channel.send(Gateways(told))
-                if self.status is not None:
-                    channel.send(EngineReport(self.status))
-                self.changed.wait(HEARTBEAT_SECONDS)
+                self._send_heartbeat(channel)
+                eventlet.sleep(HEARTBEAT_SECONDS)
         finally:
             self.watchers.remove(watcher)
             self._count(watch.gateway, -1)
 
+    def _tell_gateways(self, channel: ControlChannel) -> None:
+        """Tell a gateway of the others, and go on with heartbeats meanwhile.
+
+        Each change is told once, not the whole list: with the list, a start of 39
+        gateways put 150 MB on the links between regions, and requests waited there.
+        """
+        told: frozenset[Peer] = frozenset()
+        beat_at = 0.0
+        while True:
+            connected = frozenset(self.gateways.connected)
+            if connected != told:
+                channel.send(list_changes(told, connected))
+                told = connected
+            if monotonic() >= beat_at:
+                self._send_heartbeat(channel)
+                beat_at = monotonic() + HEARTBEAT_SECONDS
+            if self.changed.wait(max(0.0, beat_at - monotonic())):
+                eventlet.sleep(GATHER_SECONDS)
+
+    def _send_heartbeat(self, channel: ControlChannel) -> None:
+        if self.status is not None:
+            channel.send(EngineReport(self.status))
+
     def _count(self, gateway: Peer | None, change: int) -> None:
         """Note that a gateway connected or went away."""
         if self.gateways.count(gateway, change):
             self.changed.notify()
+
+
+def list_changes(before: frozenset[Peer], after: frozenset[Peer]) -> GatewaysChanged:
+    """Return how the gateways that watch a loader changed."""
+    names = {peer.name for peer in after}
+    gone = sorted({peer.name for peer in before} - names)
+    came = sorted(after - before, key=lambda peer: peer.name)
+    return GatewaysChanged(came, gone)
--- a/src/ridgecourse/wire/control.py
+++ b/src/ridgecourse/wire/control.py
@@ -126,6 +126,7 @@
         gateway: Where the sender takes part in the exchange of weights; None
             once it is about to stop.
         reports_to: HOST:PORT where it takes reports as datagrams.
+        hears_gateways: Whether it is to be told which gateways watch the loader.
     """
 
     protocol: int
@@ -133,6 +134,7 @@
     interval: float
     gateway: Peer | None
     reports_to: str
+    hears_gateways: bool = True
 
 
 class EngineReport(ControlMessage, frozen=True, tag="engine"):
@@ -147,10 +149,17 @@
     number: int = 0
 
 
-class Gateways(ControlMessage, frozen=True, tag="gateways"):
-    """The gateways that watch the sender: so they learn of each other."""
+class GatewaysChanged(ControlMessage, frozen=True, tag="gateways"):
+    """Which gateways watch the sender, as a difference: so they learn of each other.
 
-    gateways: list[Peer]
+    Attributes:
+        came: Those that the receiver has not been told of on this connection, or not
+            as they are now.
+        gone: Those that watch no more.
+    """
+
+    came: list[Peer]
+    gone: list[TargetName]
 
 
 class Named(ControlMessage, frozen=True, tag="named"):
@@ -159,7 +168,7 @@
     versions: list[VersionAge]
 
 
-LoaderReport = EngineReport | Gateways | Named
+LoaderReport = EngineReport | GatewaysChanged | Named
 EntryMessage = Hello | ConfigRecords | ConfigFull | WantRecords
 AgentMessage = Hello | ConfigRecords | ConfigFull | AgentReport | WantRecords
 FirstMessage = Hello | Follow
