--- a/src/ridgecourse/core/weights.py
+++ b/src/ridgecourse/core/weights.py
@@ -104,6 +104,12 @@
                 return True
         return False
 
+    def is_recent(self, now: Seconds) -> bool:
+        """Tell whether the newest version was named within the bound, as is known."""
+        if not self.notices or not self.notices[-1].dated:
+            return False
+        return now - self.notices[-1].named_at < self.bound
+
     def count_newer(self, version: WeightsVersion) -> int:
         """Return how many newer versions are named, as far as is known."""
         return sum(notice.version > version for notice in self.notices)
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -18,7 +18,7 @@
     plan_hubs,
     seed_peers,
 )
-from ridgecourse.core.ids import TargetName
+from ridgecourse.core.ids import Seconds, TargetName
 from ridgecourse.core.site import Site
 from ridgecourse.exchange.catalogue import Catalogue, VersionKey
 from ridgecourse.exchange.context import (
@@ -42,6 +42,7 @@
     HttpServer,
 )
 from ridgecourse.net.metrics import Metrics
+from ridgecourse.net.threads import spawn_loop
 from ridgecourse.net.throttle import AdaptiveRate
 from ridgecourse.net.websocket import ChannelClosed, ControlChannel, ControlServer
 from ridgecourse.wire.codec import encode_message
@@ -138,6 +139,7 @@
         self.transfers: dict[VersionKey, tuple[HubPlan, Transfer]] = {}
         self.asked_at: dict[VersionKey, float] = {}
         self.warm_up = WarmUp(self)
+        self.following: eventlet.greenthread.GreenThread | None = None
         router = HttpRouter()
         self.exchange.add_routes(router)
         self.catalogue.add_routes(router)
@@ -154,12 +156,15 @@
         self.http_server.start()
         self.control_server.start()
         self.relay.start()
+        self.following = spawn_loop(self._follow_names)
         if self.site.first_start:
             self.warm_up.start()
 
     def close(self) -> None:
         """Close them and end all transfers."""
         self.warm_up.close()
+        if self.following is not None:
+            self.following.kill()
         for thread in self.working.values():
             thread.kill()
         self.relay.close()
@@ -245,6 +250,26 @@
         """
         return plan_hubs(str(key), self.known(), self.place)
 
+    def _follow_names(self) -> None:
+        while True:
+            self.bring_named()
+            self.view.changed.wait()
+
+    def bring_named(self) -> None:
+        """Bring in what was named lately, if that is this gateway's part.
+
+        Loaders ask for it once they have an older version whole; with two names 2 s
+        apart the newer one then came to the hubs 3 s later than it could, and engines
+        were without weights for that long.
+        """
+        if not self.told:
+            # Alone, or the others are not known yet: loaders ask who is to draw.
+            return
+        for model, history in self.view.histories.items():
+            key = (model, history.newest)
+            if history.is_recent(Seconds(monotonic())) and self.plan(key).holds:
+                self.want(key)
+
     def want(self, key: VersionKey) -> None:
         """Bring a version in, if that has not begun."""
         if self.has(key) or key in self.working or not self._has_part(key):
--- a/tests/platform/test_hubs.py
+++ b/tests/platform/test_hubs.py
@@ -128,6 +128,54 @@
     assert newcomer.calls[0] == ("GET", f"/versions/{MODEL}/2")
 
 
+def make_hub(*gateways: Peer) -> Hub:
+    """Return a hub of domain "a" that a loader told of other gateways."""
+    site = make_site(convert(make_settings("127.0.0.1:1"), SiteFields))
+    events = EventStream(site.process, new_incarnation(), site.domain)
+    view = ClusterView(Mock(), Mock(), Mock(), events, 8.0)
+    hub = Hub(site, view, events, Mock(), HttpClient())
+    hub.learn("loader", gateways)
+    return hub
+
+
+def end_work(hub: Hub) -> None:
+    for thread in list(hub.working.values()):
+        thread.kill()
+
+
+def test_a_named_version_is_drawn_before_any_loader_asks() -> None:
+    hub = make_hub()
+    model, now = ModelName(MODEL), Seconds(monotonic())
+    hub.view.history(model).name(WeightsVersion(2), now, now)
+    hub.bring_named()
+    assert list(hub.working) == [(model, 2)]
+    hub.view.history(model).name(WeightsVersion(3), now, now)
+    hub.bring_named()
+    assert list(hub.working) == [(model, 2), (model, 3)]
+    end_work(hub)
+
+
+def test_a_named_version_is_left_to_the_widest_gateways() -> None:
+    wide = [
+        Peer(TargetName(f"127.0.0.{n}"), DomainName("a"), "x:1", "x:2", 1e12)
+        for n in (8, 9)
+    ]
+    hub = make_hub(*wide)
+    model, now = ModelName(MODEL), Seconds(monotonic())
+    hub.view.history(model).name(WeightsVersion(2), now, now)
+    hub.bring_named()
+    assert not hub.working
+
+
+def test_a_version_named_long_ago_waits_until_it_is_asked_for() -> None:
+    hub = make_hub()
+    model, now = ModelName(MODEL), Seconds(monotonic())
+    hub.view.history(model).name(WeightsVersion(2), now, Seconds(now - 9.0))
+    hub.view.history(ModelName("other")).name(WeightsVersion(2), now, None)
+    hub.bring_named()
+    assert not hub.working
+
+
 class HubSite(LoaderSite):
     """A loader site with two gateways of the loader's domain."""
 
