--- a/src/ridgecourse/core/letting_in.py
+++ b/src/ridgecourse/core/letting_in.py
@@ -57,13 +57,20 @@
         return self.waited >= self.objective
 
 
+def has_spare(wait: float, fill: float) -> bool:
+    """Tell whether an engine takes one more request without making others wait.
+
+    Args:
+        wait: Estimated seconds until the request would begin.
+        fill: Requests at the engine as a share of its slots.
+    """
+    return wait <= SPARE_WAIT_SECONDS and fill < SPARE_FILL
+
+
 def excess_wait(prospect: Prospect) -> float | None:
     """Return by how many seconds a wait is too long; None for a request to let in."""
     if prospect.is_late:
-        spare = prospect.fill < SPARE_FILL
-        if spare and prospect.wait <= SPARE_WAIT_SECONDS:
-            return None
-        return prospect.wait
+        return None if has_spare(prospect.wait, prospect.fill) else prospect.wait
     allowed = prospect.allowed_wait
     if prospect.wait <= max(allowed, SHORTEST_QUEUE_SECONDS):
         return None
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -6,6 +6,7 @@
 from time import monotonic
 from typing import Any
 
+import eventlet
 from msgspec import structs
 from returns.result import Failure
 
@@ -13,7 +14,7 @@
 from ridgecourse.core.engine_load import Pending
 from ridgecourse.core.first_events import FirstEventDelay
 from ridgecourse.core.ids import Seconds, ServiceName, TargetId
-from ridgecourse.core.letting_in import Prospect, excess_wait
+from ridgecourse.core.letting_in import Prospect, excess_wait, has_spare
 from ridgecourse.core.outcome import Outcome, Reason
 from ridgecourse.core.patience import UsualPatience
 from ridgecourse.core.placement import FIRST_EVENT_SECONDS
@@ -27,6 +28,7 @@
 from ridgecourse.core.targets import ListedTarget
 from ridgecourse.gateway.loads import LoadWatcher
 from ridgecourse.gateway.messages import CallerRequest
+from ridgecourse.gateway.open_streams import OpenStream, OpenStreams
 from ridgecourse.gateway.protocol import RequestProtocol
 from ridgecourse.gateway.relay import StreamEvent
 from ridgecourse.gateway.selection import (
@@ -54,6 +56,12 @@
 """Deadline of a request without one, on a route without a limit."""
 SHORTEST_ATTEMPT_SECONDS = 0.05
 """A request is not sent once more with less time left than this."""
+MOVE_AFTER_SECONDS = 0.5
+"""After an engine began to leave, when its streams go on elsewhere. Until then half of
+them end by themselves; the longest would take 2 s more, in which the engine serves a
+few streams and takes nothing new."""
+MOVE_APART_SECONDS = 0.04
+"""Longest time between two streams that move, so that the next report tells of them."""
 RETRY_SAFETY = 0.9
 """Share of the allowed repeats that is used: entries count apart."""
 FEWEST_GATEWAYS = 12
@@ -71,6 +79,7 @@
     Attributes:
         budgets: Bounds repeated sends, by service.
         delays: By how much first events are late against the estimates, by service.
+        streams: Streams in progress.
         patience: Time that callers have at their first try, by route.
     """
 
@@ -95,6 +104,8 @@
         self.budgets: dict[ServiceName, RetryBudget] = {}
         self.delays: dict[ServiceName, FirstEventDelay] = defaultdict(FirstEventDelay)
         self.patience: dict[str, UsualPatience] = defaultdict(UsualPatience)
+        self.streams = OpenStreams()
+        watcher.engine_leaves = self.move_streams
 
     def budget(self, service: ServiceName) -> RetryBudget:
         """Return the bound on a service's repeated sends.
@@ -298,7 +309,8 @@
             with request.watched():
                 while True:
                     try:
-                        for event in self._events(order, stream, target):
+                        opened = OpenStream(order, terms, stream, tried)
+                        for event in self._events(opened, target):
                             yield event.data
                         outcome, why = Outcome.COMPLETED, "stream whole"
                         return
@@ -312,10 +324,12 @@
             self._note_end(call, outcome, why, last_event=order.last_event)
 
     def _events(
-        self, order: Order, stream: Stream, target: ListedTarget
+        self, opened: OpenStream, target: ListedTarget
     ) -> Iterator[StreamEvent]:
         """Yield a target's events that the caller has not had yet."""
+        order, stream = opened.order, opened.stream
         load = self.selector.load(target)
+        self.streams.add(target.target, opened)
         try:
             for event in stream.events:
                 last = order.last_event
@@ -325,9 +339,38 @@
                     order.last_event = event.number
                 yield event
         finally:
+            self.streams.discard(target.target, opened)
             load.outstanding -= 1
             stream.exchange.close()
 
+    def move_streams(self, target: ListedTarget) -> None:
+        """Let other engines go on with what keeps one from taking new weights."""
+        if self.streams.movable(target.target):
+            eventlet.spawn_after(MOVE_AFTER_SECONDS, self._move_streams, target)
+
+    def _move_streams(self, target: ListedTarget) -> None:
+        for opened in self.streams.movable(target.target):
+            eventlet.sleep(self.random.random() * MOVE_APART_SECONDS)
+            still_open = self.streams.is_open(target.target, opened)
+            if still_open and self._has_room_elsewhere(opened):
+                self.events.figures.count("streams_moved")
+                self.events.emit(
+                    EventKind.STREAM_MOVED,
+                    request=opened.order.call.request_id,
+                    target=target.target,
+                )
+                opened.stream.exchange.interrupt()
+
+    def _has_room_elsewhere(self, opened: OpenStream) -> bool:
+        """Tell whether another engine would go on with a stream at once."""
+        service, call = opened.terms.service, opened.order.call
+        choice = self.selector.choose(service, call, opened.tried)
+        if choice is None or choice.terms.version is not None:
+            return False
+        now = Seconds(monotonic())
+        wait = choice.wait + self.delays[service.name].expect(now)
+        return has_spare(wait, self.selector.fill(choice.target, now))
+
     def _resume(
         self, order: Order, terms: Terms, tried: set[TargetId], error: Broken
     ) -> tuple[Stream, ListedTarget] | None:
--- a/src/ridgecourse/net/exchange.py
+++ b/src/ridgecourse/net/exchange.py
@@ -176,11 +176,15 @@
         self.connection.timeout = wait
         self.sock.settimeout(wait)
 
-    def close(self) -> None:
-        """End the connection; the target sees that nobody waits any more."""
+    def interrupt(self) -> None:
+        """Let whoever reads the answer find that it broke off."""
         if self.sock is not None:
             with suppress(OSError):
                 self.sock.shutdown(SHUT_RDWR)
+
+    def close(self) -> None:
+        """End the connection; the target sees that nobody waits any more."""
+        self.interrupt()
         if self.response is not None:
             with suppress(OSError, HTTPError):
                 self.response.close()
--- a/src/ridgecourse_standins/platform/engine.py
+++ b/src/ridgecourse_standins/platform/engine.py
@@ -59,11 +59,11 @@
         behaviour: Writes the answer; replaced by tests at any time.
     """
 
-    def __init__(self, behaviour: Behaviour) -> None:
+    def __init__(self, behaviour: Behaviour, host: str = "127.0.0.1") -> None:
         self.behaviour = behaviour
         self.requests: list[ReceivedRequest] = []
         self.changed = Condition()
-        self.listener = create_server(("127.0.0.1", 0))
+        self.listener = create_server((host, 0))
         self.thread = Thread(target=self._accept, daemon=True)
 
     @property
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -161,8 +161,9 @@
         target: str = "",
         zone: str = "a",
         version: int = 1,
+        host: str = "127.0.0.1",
     ) -> EngineStandIn:
-        engine = EngineStandIn(behaviour)
+        engine = EngineStandIn(behaviour, host)
         engine.start()
         self.engines.append(engine)
         self.list_engine(engine, service, target, zone=zone, version=version)
