--- a/src/ridgecourse/platform/gateway_main.py
+++ b/src/ridgecourse/platform/gateway_main.py
@@ -29,5 +29,10 @@
     )
 
 
+def main() -> int:
+    """Run a gateway; return its exit code."""
+    return run_on_platform("ridgecourse-gateway", make_gateway)
+
+
 if __name__ == "__main__":
-    sys.exit(run_on_platform("ridgecourse-gateway", make_gateway))
+    sys.exit(main())
--- a/src/ridgecourse/platform/loader_main.py
+++ b/src/ridgecourse/platform/loader_main.py
@@ -28,5 +28,10 @@
     )
 
 
+def main() -> int:
+    """Run a loader; return its exit code."""
+    return run_on_platform("ridgecourse-loader", make_loader)
+
+
 if __name__ == "__main__":
-    sys.exit(run_on_platform("ridgecourse-loader", make_loader))
+    sys.exit(main())
