--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -119,8 +119,10 @@
         except Broken as error:
             result = Unknown(str(error), late=False)
         finally:
-            if not isinstance(result, Stream):
+            if isinstance(result, (NotRun, Whole)):
                 exchange.close()
+            elif not isinstance(result, Stream):
+                exchange.abandon()
         return result
 
     def _exchange(
--- a/src/ridgecourse/net/exchange.py
+++ b/src/ridgecourse/net/exchange.py
@@ -7,7 +7,8 @@
 
 from collections.abc import Iterator
 from contextlib import suppress
-from socket import SHUT_RDWR
+from socket import SHUT_RDWR, SO_LINGER, SOL_SOCKET
+from struct import pack
 from time import monotonic
 from typing import Any
 
@@ -22,6 +23,8 @@
 from ridgecourse.net.http_server import HeaderList
 
 READ_BYTES = 16 * 1024
+RESET_AT_CLOSE = pack("ii", 1, 0)
+"""Value of SO_LINGER: linger for no time at all."""
 SHORTEST_WAIT = 0.001
 """Seconds; a socket cannot wait for no time at all."""
 
@@ -182,9 +185,23 @@
             with suppress(OSError):
                 self.sock.shutdown(SHUT_RDWR)
 
+    def abandon(self) -> None:
+        """End the connection by a reset: what is still on its way is not sent.
+
+        A closed connection would bring it to the target first, on a slow link seconds
+        after whoever asked has gone.
+        """
+        if self.sock is not None:
+            with suppress(OSError):
+                self.sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET_AT_CLOSE)
+        self._release()
+
     def close(self) -> None:
         """End the connection; the target sees that nobody waits any more."""
         self.interrupt()
+        self._release()
+
+    def _release(self) -> None:
         if self.response is not None:
             with suppress(OSError, HTTPError):
                 self.response.close()
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -370,3 +370,29 @@
         lambda: front.gateway.events_path.read_text().count("caller gone") == 8
     )
     assert sum(len(engine.requests) for engine in engines) == 8
+
+
+def test_what_is_stuck_on_the_way_is_taken_back_once_the_caller_leaves(front) -> None:
+    """A slow link between gateway and engine: a small buffer that is read late."""
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    engine = front.add_engine("app")
+    engine.listener.close()
+    engine.listener = listener
+    front.list_engine(engine, "app")
+    front.start()
+    caller = front.open()
+    body = bytes(90_000)
+    front.send(caller, "/safe/x", body, method="POST")
+    connection, _ = listener.accept()
+    front.wait_until(lambda: len(connection.recv(100, socket.MSG_PEEK)) == 100)
+    caller.close()
+    front.gateway.wait_event("request-ended")
+    connection.settimeout(5.0)
+    received = b""
+    with pytest.raises(ConnectionResetError):
+        while piece := connection.recv(65536):
+            received += piece
+    assert len(received) < len(body)
