--- a/src/bench/placement.py
+++ b/src/bench/placement.py
@@ -3,9 +3,11 @@
 Engines join one after the other, as after new weights, while gateways see reports
 that are up to 0.2 s old. A refused caller comes back once, as told. The policies: any
 engine by chance; the one with the fewest requests; the one with the shortest wait;
-the same with observed delays; and callers that are late in any case only where there
-is room to spare. Compared are, by policy, the share of requests whose first event
-comes within its objective, and the credit of all: 1 for those, less for what came late.
+the same with observed delays; also callers that are late in any case only where there
+is room to spare; also the queue kept to the shortest objective and prompts taken as of
+usual length, so that no kind is put behind. Compared are, by policy, the share of
+requests whose first event comes within its objective, and the credit of all: 1 for
+those, less for what came late.
 """
 
 from argparse import ArgumentParser
@@ -50,6 +52,8 @@
     chunk_bytes=24_576,
 )
 OBJECTIVE_SECONDS = 0.4
+SHORT_OBJECTIVE_SECONDS = 0.3
+"""Objectives of the two kinds of requests."""
 LOOK_SECONDS = 0.1
 PATIENCE_SECONDS = 6.0
 """For which a caller waits in all."""
@@ -58,7 +62,7 @@
 """Worth of an answer that is late, also after a refusal, or of being refused again, as
 the users reckon it."""
 DOMAINS = 3
-POLICIES = ("random", "count", "unread", "observed", "spare")
+POLICIES = ("random", "count", "unread", "observed", "spare", "even")
 
 
 @dataclass
@@ -79,6 +83,7 @@
         engines: The engines.
         gateways: The gateways.
         done: All requests.
+        short_share: Share of requests with the shorter objective.
         senders: The gateway that sent each request, by the request's identity.
     """
 
@@ -93,6 +98,7 @@
     )
     order: Iterator[int] = field(default_factory=count)
     senders: dict[int, Gateway] = field(default_factory=dict)
+    short_share: float = 0.0
 
     def at(self, time: float, action: Callable[[float], None]) -> None:
         """Let something happen at a time."""
@@ -116,7 +122,9 @@
         """Let a caller send a new request."""
         prompt = min(3880, int(self.random.lognormvariate(6.5, 0.8)) + 40)
         answer = min(250, 5 * int(self.random.lognormvariate(2.7, 0.7)) + 5)
-        request = SimulatedRequest(now, prompt, answer, OBJECTIVE_SECONDS)
+        short = self.random.random() < self.short_share
+        objective = SHORT_OBJECTIVE_SECONDS if short else OBJECTIVE_SECONDS
+        request = SimulatedRequest(now, prompt, answer, objective)
         self.done.append(request)
         self.send(request, now)
 
@@ -126,13 +134,13 @@
         index, wait = self.choose(gateway, Seconds(now))
         reading = prompt_seconds(MODEL, request.prompt)
         delay, waited = 0.0, 0.0
-        if self.policy in ("observed", "spare"):
+        if self.policy in ("observed", "spare", "even"):
             delay = gateway.delay.expect(Seconds(now))
-        if self.policy == "spare":
+        if self.policy in ("spare", "even"):
             waited = now - request.arrived
         fill = gateway.loads[index].requests(now, SENDERS) / MODEL.slots
         wait += delay
-        prospect = Prospect(request.objective, waited, wait, reading, fill)
+        prospect = self.describe(request, waited, wait, fill)
         excess = excess_wait(prospect)
         if self.policy != "random" and excess is not None:
             request.refusals += 1
@@ -152,6 +160,17 @@
         if idle:
             self.schedule_pass(index)
 
+    def describe(
+        self, request: SimulatedRequest, waited: float, wait: float, fill: float
+    ) -> Prospect:
+        """Return what a request would meet."""
+        bound = request.objective
+        reading = prompt_seconds(MODEL, request.prompt)
+        if self.policy == "even":
+            bound = SHORT_OBJECTIVE_SECONDS
+            reading = min(reading, prompt_seconds(MODEL, MODEL.prompt_tokens))
+        return Prospect(request.objective, bound, waited, wait, reading, fill)
+
     def choose(self, gateway: Gateway, now: Seconds) -> tuple[int, float]:
         """Return an engine and the wait expected there."""
         able = [i for i, engine in enumerate(self.engines) if engine.open_at <= now]
@@ -212,7 +231,7 @@
         return look
 
 
-def measure(policy: str, arguments: Any) -> dict[str, Any]:
+def measure(policy: str, arguments: Any, short_share: float = 0.0) -> dict[str, Any]:
     """Return what callers got under one policy."""
     random = Random(arguments.seed)
     openings = [0.0, 0.0, *(1.0 + 0.4 * n for n in range(arguments.engines - 2))]
@@ -221,7 +240,7 @@
         Gateway(n % DOMAINS, [EngineLoad() for _ in engines])
         for n in range(arguments.gateways)
     ]
-    simulation = Simulation(policy, engines, gateways, random)
+    simulation = Simulation(policy, engines, gateways, random, short_share=short_share)
     simulation.run(arguments.seconds, arguments.rate)
     done = simulation.done
     waits = [r.first_event - r.sent for r in done if r.first_event is not None]
@@ -229,11 +248,23 @@
         "credit": sum(map(credit, done)) / len(done),
         "in_time": sum(credit(request) == 1.0 for request in done) / len(done),
         "refused": sum(request.refusals > 1 for request in done) / len(done),
+        "worst": worst_credit(done),
         "p50_seconds": quantile(waits, 0.5),
         "p90_seconds": quantile(waits, 0.9),
     }
 
 
+def worst_credit(done: list[SimulatedRequest]) -> float:
+    """Return the credit of the kind, or the longest tenth of one, that has least."""
+    means = []
+    for objective in sorted({request.objective for request in done}):
+        kind = [request for request in done if request.objective == objective]
+        longest = sorted(kind, key=lambda request: -request.prompt)
+        for group in (kind, longest[: len(kind) // 10]):
+            means.append(sum(map(credit, group)) / max(1, len(group)))
+    return min(means)
+
+
 def credit(request: SimulatedRequest) -> float:
     """Return what an answer was worth."""
     if request.refusals > 1:
@@ -252,13 +283,21 @@
     parser.add_argument("--rate", type=float, default=55.0, help="requests a second")
     parser.add_argument("--seconds", type=float, default=20.0, help="virtual time")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--short-share", type=float, default=0.0, help="of requests with 0.3 s"
+    )
     arguments = parser.parse_args(argv)
     print_result(
         {
             "rate": arguments.rate,
             "engines": arguments.engines,
             **{
-                policy: {k: round(v, 3) for k, v in measure(policy, arguments).items()}
+                policy: {
+                    name: round(value, 3)
+                    for name, value in measure(
+                        policy, arguments, arguments.short_share
+                    ).items()
+                }
                 for policy in POLICIES
             },
         }
--- a/src/ridgecourse/core/letting_in.py
+++ b/src/ridgecourse/core/letting_in.py
@@ -34,13 +34,16 @@
 
     Attributes:
         objective: Seconds from a caller's first try to the first event of its answer.
+        queue_objective: The same for the kind that is to bound the queue.
         waited: Seconds that the caller has waited already.
         wait: Estimated seconds until the request would begin.
-        reading: Seconds that the engine reads its prompt for.
+        reading: Seconds that the engine reads its prompt for, at most those for a
+            prompt of usual length: none is to be refused for its length.
         fill: Requests at the engine as a share of its slots.
     """
 
     objective: float
+    queue_objective: float
     waited: float
     wait: float
     reading: float
@@ -48,8 +51,9 @@
 
     @property
     def allowed_wait(self) -> float:
-        """Longest wait with which the answer is in time; may be less than none."""
-        return self.objective - self.waited - self.reading - FIRST_EVENT_SECONDS
+        """Longest wait with which answers are in time; may be less than none."""
+        objective = min(self.objective, self.queue_objective)
+        return objective - self.waited - self.reading - FIRST_EVENT_SECONDS
 
     @property
     def is_late(self) -> bool:
--- /dev/null
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -0,0 +1,222 @@
+"""Sends requests to targets, within their attempts, the retry budget and their time."""
+
+from collections import defaultdict
+from collections.abc import Callable
+from random import Random
+from time import monotonic
+from typing import Any
+
+from msgspec import structs
+
+from ridgecourse.cluster.view import ClusterView
+from ridgecourse.core.engine_load import Pending, prompt_seconds
+from ridgecourse.core.first_events import FirstEventDelay
+from ridgecourse.core.ids import Seconds, ServiceName, TargetId
+from ridgecourse.core.letting_in import Prospect, excess_wait, has_spare
+from ridgecourse.core.outcome import Reason
+from ridgecourse.core.placement import FIRST_EVENT_SECONDS
+from ridgecourse.core.retry import RetryBudget
+from ridgecourse.core.routes import Service
+from ridgecourse.core.site import Site
+from ridgecourse.core.targets import ListedTarget
+from ridgecourse.gateway.loads import LoadWatcher
+from ridgecourse.gateway.messages import CallerRequest
+from ridgecourse.gateway.protocol import RequestProtocol
+from ridgecourse.gateway.selection import (
+    MISSING_WEIGHTS_SECONDS,
+    REFUSED_SECONDS,
+    Choice,
+    TargetSelector,
+)
+from ridgecourse.gateway.sender import (
+    NotRun,
+    Order,
+    Sender,
+    SendResult,
+    Stream,
+    Unknown,
+    Whole,
+    time_left,
+)
+from ridgecourse.gateway.terms import Terms
+from ridgecourse.net.events import EventKind, EventStream
+from ridgecourse.net.front_server import CallerGone
+
+SHORTEST_ATTEMPT_SECONDS = 0.05
+"""A request is not sent once more with less time left than this."""
+RETRY_SAFETY = 0.9
+"""Share of the allowed repeats that is used: entries count apart."""
+FEWEST_GATEWAYS = 12
+"""Gateways among which the slack of the retry budget is divided at least, for some
+may not be known yet; with more the known ones count."""
+
+
+class Dispatcher:
+    """Sends requests.
+
+    Attributes:
+        budgets: Bounds repeated sends, by service.
+        delays: By how much first events are late against the estimates, by service.
+    """
+
+    def __init__(
+        self,
+        site: Site,
+        view: ClusterView,
+        protocol: RequestProtocol,
+        watcher: LoadWatcher,
+        events: EventStream,
+        random: Random,
+        count_gateways: Callable[[], int],
+    ) -> None:
+        self.site = site
+        self.events = events
+        self.count_gateways = count_gateways
+        self.selector = TargetSelector(site, view, watcher, random)
+        self.sender = Sender(protocol)
+        self.budgets: dict[ServiceName, RetryBudget] = {}
+        self.delays: dict[ServiceName, FirstEventDelay] = defaultdict(FirstEventDelay)
+
+    def budget(self, service: ServiceName) -> RetryBudget:
+        """Return the bound on a service's repeated sends.
+
+        Each gateway has its share of what all may send together.
+        """
+        bounds = self.site.bounds
+        share = bounds.retry_slack / max(FEWEST_GATEWAYS, self.count_gateways())
+        if service not in self.budgets:
+            ratio = bounds.retry_ratio * RETRY_SAFETY
+            self.budgets[service] = RetryBudget(ratio, share)
+        budget = self.budgets[service]
+        budget.limit(share)
+        return budget
+
+    def try_targets(
+        self, order: Order, terms: Terms, tried: set[TargetId]
+    ) -> tuple[SendResult, ListedTarget | None]:
+        """Send until a target answers, within attempts, budget and deadline.
+
+        A proof that nothing ran lets any request go on to another target; after
+        a loss only one that may be repeated goes on.
+        """
+        result: SendResult = NotRun(Reason.NO_TARGET, "no target", arrived=False)
+        sends = len(tried)
+        while time_left(order.deadline) > SHORTEST_ATTEMPT_SECONDS:
+            choice = self.selector.choose(terms.service, order.call, tried)
+            if choice is None or sends >= terms.route.max_attempts:
+                break
+            if order.is_abandoned():
+                raise CallerGone("the connection ended before a send")
+            if not tried and (hopeless := self._hopeless(order, terms, choice)):
+                return hopeless, None
+            if sends and not self.budget(terms.service.name).take_retry():
+                break
+            result = self._send_once(order, choice, tried)
+            if isinstance(result, (Whole, Stream)):
+                return result, choice.target
+            if isinstance(result, Unknown):
+                if result.late or not terms.route.repeatable:
+                    break
+                sends += 1
+            elif result.arrived:
+                sends += 1
+        return result, None
+
+    def _hopeless(self, order: Order, terms: Terms, choice: Choice) -> NotRun | None:
+        """Refuse what is not to be let in even where it would begin soonest."""
+        engine = terms.service.engine
+        if engine is None or not terms.route.objective:
+            return None
+        now = Seconds(monotonic())
+        delay = self.delays[terms.service.name].expect(now)
+        prospect = Prospect(
+            objective=terms.route.objective,
+            queue_objective=order.queue_objective,
+            waited=order.waited,
+            wait=choice.wait + delay,
+            reading=min(choice.reading, prompt_seconds(engine, engine.prompt_tokens)),
+            fill=self.selector.fill(choice.target, now),
+        )
+        excess = excess_wait(prospect)
+        if excess is None:
+            return None
+        order.excess = excess
+        detail = (
+            f"would wait {choice.wait:.2f} s and {delay:.2f} s at "
+            f"{choice.target.target}, filled to {prospect.fill:.2f}, after "
+            f"{order.waited:.2f} s"
+        )
+        return NotRun(Reason.OVERLOADED, detail, arrived=False)
+
+    def has_room(
+        self, service: Service, call: CallerRequest, tried: set[TargetId]
+    ) -> bool:
+        """Tell whether a target that was not tried would begin a request at once."""
+        choice = self.selector.choose(service, call, tried)
+        if choice is None or choice.terms.version is not None:
+            return False
+        now = Seconds(monotonic())
+        wait = choice.wait + self.delays[service.name].expect(now)
+        return has_spare(wait, self.selector.fill(choice.target, now))
+
+    def _send_once(
+        self, order: Order, choice: Choice, tried: set[TargetId]
+    ) -> SendResult:
+        target = choice.target
+        tried.add(target.target)
+        order.version, order.begin_by = choice.terms.version, choice.terms.begin_by
+        load = self.selector.load(target)
+        begun = Seconds(monotonic())
+        load.outstanding += 1
+        load.waiting[order.call.request_id] = Pending(begun, choice.reading)
+        result: SendResult | None = None
+        try:
+            result = self.sender.send(order, target)
+        finally:
+            load.waiting.pop(order.call.request_id, None)
+            if not isinstance(result, Stream):
+                load.outstanding -= 1
+        self._learn(result, target)
+        if isinstance(result, Stream):
+            now = Seconds(monotonic())
+            expected = choice.wait + choice.reading + FIRST_EVENT_SECONDS
+            self.delays[target.service].observe(now - begun - expected, now)
+        self._note_send(order, choice, result, monotonic() - begun)
+        return result
+
+    def _learn(self, result: SendResult, target: ListedTarget) -> None:
+        """Take in what a result says of the target's health."""
+        state = self.selector.state(target.target)
+        now = Seconds(monotonic())
+        if isinstance(result, NotRun) and result.reason is Reason.WRONG_TARGET:
+            state.not_before = Seconds(now + MISSING_WEIGHTS_SECONDS)
+            return
+        if isinstance(result, NotRun) and result.arrived:
+            state.not_before = Seconds(now + REFUSED_SECONDS)
+            return
+        if isinstance(result, (Whole, Stream)):
+            state.succeeded()
+        elif state.failed(now):
+            self.events.emit(EventKind.TARGET_EJECTED, target=target.target)
+
+    def _note_send(
+        self, order: Order, choice: Choice, result: SendResult, seconds: float
+    ) -> None:
+        target = choice.target
+        load = self.selector.load(target)
+        self.events.figures.observe("first_answer", seconds)
+        detail: dict[str, Any] = (
+            structs.asdict(result) if isinstance(result, (NotRun, Unknown)) else {}
+        )
+        self.events.emit(
+            EventKind.REQUEST_DISPATCHED,
+            request=order.call.request_id,
+            target=target.target,
+            took=round(seconds, 4),
+            expected_wait=round(choice.wait, 3),
+            load_age=round(monotonic() - load.reported_at, 2),
+            outstanding=load.outstanding,
+            result=type(result).__name__,
+            only_version=order.version,
+            detail={name: str(value) for name, value in detail.items()},
+        )
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -15,6 +15,7 @@
 from ridgecourse.core.read_tree import choose_seed, gateway_parent
 from ridgecourse.core.site import Site
 from ridgecourse.exchange.origin import WeightsOrigin
+from ridgecourse.gateway.dispatcher import Dispatcher
 from ridgecourse.gateway.forwarder import Forwarder
 from ridgecourse.gateway.hub import Hub
 from ridgecourse.gateway.loads import LoadWatcher
@@ -72,15 +73,20 @@
         )
         self.hub = Hub(site, self.view, self.events, origin, http)
         self.watcher = LoadWatcher(site, self.view, self.hub, self.events)
-        self.forwarder = Forwarder(
+        random = Random()
+        self.dispatcher = Dispatcher(
             site,
             self.view,
             protocol,
             self.watcher,
             self.events,
-            Random(),
+            random,
             self.hub.count_gateways,
         )
+        self.forwarder = Forwarder(
+            site, self.view, protocol, self.dispatcher, self.events, random
+        )
+        self.watcher.engine_leaves = self.forwarder.relay.move_streams
         assert site.callers is not None and site.readiness is not None
         self.front = FrontServer(parse_address(site.callers), self.handle)
         self.router = HttpRouter()
@@ -105,7 +111,7 @@
         while True:
             if self.view.config is not None:
                 self.front.limits = self.view.config.limits
-            self.forwarder.selector.forget_gone()
+            self.dispatcher.selector.forget_gone()
             self.view.changed.wait()
 
     def choose_parent(self, avoided: Collection[TargetName]) -> Peer | None:
@@ -125,7 +131,7 @@
     def take_bounds(self) -> None:
         """Use the operators' limits as they stand in the settings now."""
         self.view.take_version_bound(self.site.bounds.version_seconds)
-        self.forwarder.budgets.clear()
+        self.dispatcher.budgets.clear()
 
     def drain(self) -> None:
         """End readiness, serve what still comes, then finish and close."""
--- a/tests/platform/test_retry_budget.py
+++ b/tests/platform/test_retry_budget.py
@@ -10,7 +10,7 @@
 )
 
 from ridgecourse.core.retry import RetryBudget
-from ridgecourse.gateway.forwarder import FEWEST_GATEWAYS
+from ridgecourse.gateway.dispatcher import FEWEST_GATEWAYS
 
 RATIO = 0.2
 SLACK = 100.0
