--- a/src/ridgecourse/core/objectives.py
+++ b/src/ridgecourse/core/objectives.py
@@ -7,9 +7,9 @@
 never runs empty, and all kinds have their share.
 
 By ``python -m bench placement --short-share 0.33`` on 6 engines at 55 requests a
-second, five seeds: credit of the kind or longest tenth that has least 0.46 with objectives of
-their own, 0.66 with this and with no prompt refused for its length; credit of all 0.86
-and 0.81.
+second, five seeds: credit of the kind or longest tenth that has least 0.46 with
+objectives of their own, 0.66 with this and with no prompt refused for its length;
+credit of all 0.86 and 0.81.
 """
 
 from collections import Counter, deque
--- a/src/ridgecourse/gateway/stream_relay.py
+++ b/src/ridgecourse/gateway/stream_relay.py
@@ -120,9 +120,9 @@
                 opened.stream.exchange.interrupt()
 
     def _has_room_elsewhere(self, opened: OpenStream) -> bool:
-        """Tell whether another engine would go on with a stream at once."""
-        service, call = opened.terms.service, opened.order.call
-        return self.dispatcher.has_room(service, call, opened.tried)
+        """Tell whether another engine can go on with a stream."""
+        call = opened.order.call
+        return self.dispatcher.can_go_on(opened.terms, call, opened.tried)
 
     def _resume(
         self, order: Order, terms: Terms, tried: set[TargetId], error: Broken
