--- a/src/ridgecourse/core/letting_in.py
+++ b/src/ridgecourse/core/letting_in.py
@@ -71,22 +71,6 @@
     return wait <= SPARE_WAIT_SECONDS and fill < SPARE_FILL
 
 
-def can_go_on(wait: float, reading: float, fill: float, longest_pause: float) -> bool:
-    """Tell whether an engine can go on with another one's stream without a long pause.
-
-    It takes less from others than the engine gives that is done sooner by it: one that
-    is to take new weights takes nothing new until its last stream has ended.
-
-    Args:
-        wait: Estimated seconds until the stream would begin there.
-        reading: Seconds that the engine reads its prompt for.
-        fill: Requests at the engine as a share of its slots.
-        longest_pause: Between two events of the stream, in seconds; 0 for no limit.
-    """
-    pause = wait + reading + FIRST_EVENT_SECONDS
-    return fill < 1.0 and (not longest_pause or pause <= longest_pause)
-
-
 def excess_wait(prospect: Prospect) -> float | None:
     """Return by how many seconds a wait is too long; None for a request to let in."""
     if prospect.is_late:
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -12,14 +12,13 @@
 from ridgecourse.core.engine_load import Pending, prompt_seconds
 from ridgecourse.core.first_events import FirstEventDelay
 from ridgecourse.core.ids import Seconds, ServiceName, TargetId
-from ridgecourse.core.letting_in import Prospect, can_go_on, excess_wait
+from ridgecourse.core.letting_in import Prospect, excess_wait
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.placement import FIRST_EVENT_SECONDS
 from ridgecourse.core.retry import RetryBudget
 from ridgecourse.core.site import Site
 from ridgecourse.core.targets import ListedTarget
 from ridgecourse.gateway.loads import LoadWatcher
-from ridgecourse.gateway.messages import CallerRequest
 from ridgecourse.gateway.protocol import RequestProtocol
 from ridgecourse.gateway.selection import (
     MISSING_WEIGHTS_SECONDS,
@@ -147,19 +146,6 @@
         )
         return NotRun(Reason.OVERLOADED, detail, arrived=False)
 
-    def can_go_on(
-        self, terms: Terms, call: CallerRequest, tried: set[TargetId]
-    ) -> bool:
-        """Tell whether a target that was not tried can go on with a stream."""
-        service = terms.service
-        choice = self.selector.choose(service, call, tried)
-        if choice is None or choice.terms.version is not None:
-            return False
-        now = Seconds(monotonic())
-        wait = choice.wait + self.delays[service.name].expect(now)
-        fill = self.selector.fill(choice.target, now)
-        return can_go_on(wait, choice.reading, fill, terms.route.longest_pause)
-
     def _send_once(
         self, order: Order, choice: Choice, tried: set[TargetId]
     ) -> SendResult:
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -52,7 +52,7 @@
         self.dispatcher = dispatcher
         self.events = events
         self.random = random
-        self.relay = StreamRelay(dispatcher, events, random, self._note_end)
+        self.relay = StreamRelay(dispatcher, self._note_end)
         self.patience: dict[str, UsualPatience] = defaultdict(UsualPatience)
         self.objectives: dict[ServiceName, ObjectivesInUse] = defaultdict(
             ObjectivesInUse
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -86,7 +86,6 @@
         self.forwarder = Forwarder(
             site, self.view, protocol, self.dispatcher, self.events, random
         )
-        self.watcher.engine_leaves = self.forwarder.relay.move_streams
         assert site.callers is not None and site.readiness is not None
         self.front = FrontServer(parse_address(site.callers), self.handle)
         self.router = HttpRouter()
--- a/src/ridgecourse/gateway/loads.py
+++ b/src/ridgecourse/gateway/loads.py
@@ -1,7 +1,6 @@
 """Follows the engines' loads, as the loaders beside them tell."""
 
 import logging
-from collections.abc import Callable
 from contextlib import closing
 from random import random
 from time import monotonic
@@ -42,8 +41,6 @@
         brings_weights: Whether loaders are told to take weights from here.
         engines: The followed engines, by the host of their loader.
         reports: Takes the loaders' reports.
-        engine_leaves: Called with an engine that begins an order, and so takes no new
-            requests until it has ended those in progress.
     """
 
     def __init__(
@@ -60,7 +57,6 @@
         self.reports = DatagramSocket(Address(site.host, control_port))
         self.threads: list[eventlet.greenthread.GreenThread] = []
         self.followers: dict[str, eventlet.greenthread.GreenThread] = {}
-        self.engine_leaves: Callable[[ListedTarget], None] = lambda target: None
 
     def start(self) -> None:
         """Begin to follow."""
@@ -160,8 +156,6 @@
             return
         before, status = load.status, report.status
         load.report(status, now, report.number)
-        if status.busy and before is not None and not before.busy:
-            self.engine_leaves(target)
         if before is None or (before.version, before.busy) != (
             status.version,
             status.busy,
--- a/src/ridgecourse/net/events.py
+++ b/src/ridgecourse/net/events.py
@@ -70,7 +70,6 @@
     VERSION_SERVING = "version-serving"
     LEASE_GRANTED = "lease-granted"
     ORDER_REFUSED = "order-refused"
-    STREAM_MOVED = "stream-moved"
     BAD_INPUT = "bad-input"
     SUPPRESSED = "suppressed"
 
--- a/src/ridgecourse/net/exchange.py
+++ b/src/ridgecourse/net/exchange.py
@@ -179,12 +179,6 @@
         self.connection.timeout = wait
         self.sock.settimeout(wait)
 
-    def interrupt(self) -> None:
-        """Let whoever reads the answer find that it broke off."""
-        if self.sock is not None:
-            with suppress(OSError):
-                self.sock.shutdown(SHUT_RDWR)
-
     def abandon(self) -> None:
         """End the connection by a reset: what is still on its way is not sent.
 
@@ -198,7 +192,9 @@
 
     def close(self) -> None:
         """End the connection; the target sees that nobody waits any more."""
-        self.interrupt()
+        if self.sock is not None:
+            with suppress(OSError):
+                self.sock.shutdown(SHUT_RDWR)
         self._release()
 
     def _release(self) -> None:
