--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -262,8 +262,8 @@
         apart the newer one then came to the hubs 3 s later than it could, and engines
         were without weights for that long.
         """
-        if not self.told:
-            # Alone, or the others are not known yet: loaders ask who is to draw.
+        if not self.known():
+            # No loader has told yet who else there is; loaders ask who is to draw.
             return
         for model, history in self.view.histories.items():
             key = (model, history.newest)
--- a/tests/platform/test_hubs.py
+++ b/tests/platform/test_hubs.py
@@ -134,7 +134,7 @@
     events = EventStream(site.process, new_incarnation(), site.domain)
     view = ClusterView(Mock(), Mock(), Mock(), events, 8.0)
     hub = Hub(site, view, events, Mock(), HttpClient())
-    hub.learn("loader", gateways)
+    hub.learn("loader", [hub.place, *gateways])
     return hub
 
 
@@ -155,6 +155,16 @@
     end_work(hub)
 
 
+def test_a_gateway_that_knows_no_other_yet_waits_until_it_is_asked() -> None:
+    hub = make_hub()
+    hub.forget("loader")
+    hub.learn("a loader elsewhere", [])
+    model, now = ModelName(MODEL), Seconds(monotonic())
+    hub.view.history(model).name(WeightsVersion(2), now, now)
+    hub.bring_named()
+    assert not hub.working
+
+
 def test_a_named_version_is_left_to_the_widest_gateways() -> None:
     wide = [
         Peer(TargetName(f"127.0.0.{n}"), DomainName("a"), "x:1", "x:2", 1e12)
