--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -31,6 +31,7 @@
 from ridgecourse.exchange.server import Exchange
 from ridgecourse.exchange.store import ChunkStore
 from ridgecourse.exchange.transfer import Transfer, TransferError
+from ridgecourse.gateway.told_gateways import ToldGateways
 from ridgecourse.gateway.warm_up import WarmUp
 from ridgecourse.net.address import Address
 from ridgecourse.net.events import EventKind, EventStream
@@ -84,8 +85,7 @@
 
     Attributes:
         place: Where others find it.
-        told: Gateways that each connected loader told of, by the loader's address and
-            the gateways' names.
+        told: Gateways that connected loaders tell of.
         working: Versions that are being brought in.
         transfers: Their transfers in progress, with the plan of each.
         asked_at: When each was asked for first, if this gateway is no holder.
@@ -111,7 +111,7 @@
             f"{site.host}:{control_port}",
             site.upload_bytes_per_s,
         )
-        self.told: dict[str, dict[TargetName, Peer]] = {}
+        self.told = ToldGateways()
         self.context = ExchangeContext(
             me=Member(self.place.name, site.domain),
             events=events,
@@ -186,15 +186,12 @@
         self, loader: str, came: Iterable[Peer], gone: Iterable[TargetName] = ()
     ) -> None:
         """Take in a loader that is connected, and which gateways came and went."""
-        known = self.told.setdefault(loader, {})
-        known.update((peer.name, peer) for peer in came)
-        for name in gone:
-            known.pop(name, None)
+        self.told.learn(loader, came, gone)
         self._review_plans()
 
     def forget(self, loader: str) -> None:
         """Drop what a loader told, which is lost or will tell it anew."""
-        self.told.pop(loader, None)
+        self.told.forget(loader)
         self._review_plans()
 
     def _review_plans(self) -> None:
@@ -206,12 +203,7 @@
 
     def known(self) -> list[Peer]:
         """Return the gateways that loaders tell of."""
-        by_name = {
-            gateway.name: gateway
-            for told in self.told.values()
-            for gateway in told.values()
-        }
-        return list(by_name.values())
+        return self.told.known()
 
     def count_gateways(self) -> int:
         """Return how many gateways there are, as far as loaders tell."""
@@ -219,10 +211,7 @@
 
     def has_successor(self) -> bool:
         """Tell whether another gateway of the domain can take this one's place."""
-        return any(
-            gateway.domain == self.place.domain and gateway != self.place
-            for gateway in self.known()
-        )
+        return self.told.has_other(self.place, self.place.domain)
 
     def serve_gateways(self, request: HttpRequest) -> HttpReply:
         """Tell a loader that nobody watches yet which gateways there are."""
