--- a/src/ridgecourse/core/letting_in.py
+++ b/src/ridgecourse/core/letting_in.py
@@ -27,13 +27,6 @@
 SPARE_FILL = 0.8
 """Share of an engine's slots up to which such a request is let in. From 0.6 to 0.8 the
 benchmark's credit is the same; without the limit it is lower by 0.01 at 65 a second."""
-SPARE_PATIENCE_SECONDS = 0.5
-"""How long such a request looks for room before it is refused, in all likelihood for
-good: queues rise and fall within tenths of a second. By the benchmark the share that is
-refused again falls from 0.021 to 0.009 at 45 requests a second and from 0.045 to 0.035
-at 55, at the same credit; with 1.5 s the credit is lower by 0.01 at 55 and 65."""
-SPARE_LOOK_SECONDS = 0.05
-"""Between two looks: as often as a crowded engine reports."""
 
 
 class Prospect(Struct, frozen=True):
@@ -41,16 +34,13 @@
 
     Attributes:
         objective: Seconds from a caller's first try to the first event of its answer.
-        queue_objective: The same for the kind that is to bound the queue.
         waited: Seconds that the caller has waited already.
         wait: Estimated seconds until the request would begin.
-        reading: Seconds that the engine reads its prompt for, at most those for a
-            prompt of usual length: none is to be refused for its length.
+        reading: Seconds that the engine reads its prompt for.
         fill: Requests at the engine as a share of its slots.
     """
 
     objective: float
-    queue_objective: float
     waited: float
     wait: float
     reading: float
@@ -58,9 +48,8 @@
 
     @property
     def allowed_wait(self) -> float:
-        """Longest wait with which answers are in time; may be less than none."""
-        objective = min(self.objective, self.queue_objective)
-        return objective - self.waited - self.reading - FIRST_EVENT_SECONDS
+        """Longest wait with which the answer is in time; may be less than none."""
+        return self.objective - self.waited - self.reading - FIRST_EVENT_SECONDS
 
     @property
     def is_late(self) -> bool:
@@ -78,18 +67,6 @@
     return wait <= SPARE_WAIT_SECONDS and fill < SPARE_FILL
 
 
-def spare_patience(objective: float, waited: float) -> float:
-    """Return how many seconds a request may look for room before it is refused.
-
-    Args:
-        objective: Seconds from the caller's first try in which it is in time; 0 for
-            none.
-        waited: Seconds that the caller waited before.
-    """
-    late = objective > 0 and waited >= objective
-    return SPARE_PATIENCE_SECONDS if late else 0.0
-
-
 def excess_wait(prospect: Prospect) -> float | None:
     """Return by how many seconds a wait is too long; None for a request to let in."""
     if prospect.is_late:
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -6,19 +6,13 @@
 from time import monotonic
 from typing import Any
 
-import eventlet
 from msgspec import structs
 
 from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.engine_load import Pending, prompt_seconds
+from ridgecourse.core.engine_load import Pending
 from ridgecourse.core.first_events import FirstEventDelay
 from ridgecourse.core.ids import Seconds, ServiceName, TargetId
-from ridgecourse.core.letting_in import (
-    SPARE_LOOK_SECONDS,
-    Prospect,
-    excess_wait,
-    spare_patience,
-)
+from ridgecourse.core.letting_in import Prospect, excess_wait
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.placement import FIRST_EVENT_SECONDS
 from ridgecourse.core.retry import RetryBudget
@@ -105,8 +99,6 @@
         """
         result: SendResult = NotRun(Reason.NO_TARGET, "no target", arrived=False)
         sends = len(tried)
-        patience = spare_patience(terms.route.objective, order.waited)
-        look_until = monotonic() + patience
         while time_left(order.deadline) > SHORTEST_ATTEMPT_SECONDS:
             choice = self.selector.choose(terms.service, order.call, tried)
             if choice is None or sends >= terms.route.max_attempts:
@@ -114,10 +106,7 @@
             if order.is_abandoned():
                 raise CallerGone("the connection ended before a send")
             if not tried and (hopeless := self._hopeless(order, terms, choice)):
-                if monotonic() >= look_until:
-                    return hopeless, None
-                eventlet.sleep(SPARE_LOOK_SECONDS)
-                continue
+                return hopeless, None
             if sends and not self.budget(terms.service.name).take_retry():
                 break
             result = self._send_once(order, choice, tried)
@@ -140,10 +129,9 @@
         delay = self.delays[terms.service.name].expect(now)
         prospect = Prospect(
             objective=terms.route.objective,
-            queue_objective=order.queue_objective,
             waited=order.waited,
             wait=choice.wait + delay,
-            reading=min(choice.reading, prompt_seconds(engine, engine.prompt_tokens)),
+            reading=choice.reading,
             fill=self.selector.fill(choice.target, now),
         )
         excess = excess_wait(prospect)
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -7,8 +7,7 @@
 from returns.result import Failure
 
 from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.ids import Seconds, ServiceName, TargetId
-from ridgecourse.core.objectives import ObjectivesInUse
+from ridgecourse.core.ids import Seconds, TargetId
 from ridgecourse.core.outcome import Outcome, Reason
 from ridgecourse.core.patience import UsualPatience
 from ridgecourse.core.retry import SHORTEST_COME_BACK_SECONDS, come_back_seconds
@@ -34,7 +33,6 @@
         dispatcher: Sends their requests.
         relay: Passes streams on.
         patience: Time that callers have at their first try, by route.
-        objectives: Those of recent requests, by service.
     """
 
     def __init__(
@@ -54,9 +52,6 @@
         self.random = random
         self.relay = StreamRelay(dispatcher, self._note_end)
         self.patience: dict[str, UsualPatience] = defaultdict(UsualPatience)
-        self.objectives: dict[ServiceName, ObjectivesInUse] = defaultdict(
-            ObjectivesInUse
-        )
 
     def handle(self, request: FrontRequest) -> FrontReply:
         """Answer a request."""
@@ -105,9 +100,6 @@
             begin_by=None,
             last_event=call.last_event,
             waited=waited,
-            queue_objective=self.objectives[terms.service.name].observe(
-                terms.route.objective
-            ),
             excess=0.0,
             is_abandoned=request.is_abandoned,
         )
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -33,7 +33,6 @@
         begin_by: When it must have begun; None for any time.
         last_event: Event after which its stream goes on.
         waited: Seconds that its caller waited before it asked here.
-        queue_objective: Objective that bounds its wait, in seconds.
         excess: Seconds by which its wait would be too long, if it is refused.
         is_abandoned: Tells whether the caller has gone.
     """
@@ -46,7 +45,6 @@
     begin_by: Seconds | None
     last_event: int | None
     waited: float
-    queue_objective: float
     excess: float
     is_abandoned: Callable[[], bool]
 
