--- a/src/ridgecourse/cluster/peer_records.py
+++ b/src/ridgecourse/cluster/peer_records.py
@@ -1,7 +1,9 @@
 """Asks another process for the store's records."""
 
 from math import inf
+from time import monotonic
 
+from msgspec.structs import replace
 from returns.result import Failure
 
 from ridgecourse.cluster.share import RECORDS_PATH, WAIT_PARAMETER, SharedRecords
@@ -32,6 +34,7 @@
     Raises:
         SourceUnavailable: It gave no usable answer.
     """
+    sent_at = monotonic()
     path = f"{RECORDS_PATH}{topic.value}/{start}?{WAIT_PARAMETER}={wait}"
     try:
         status, data, _ = http.fetch("GET", address, path, timeout=wait + timeout)
@@ -44,4 +47,8 @@
     decoded = decode_message(data, SharedRecords)
     if isinstance(decoded, Failure):
         raise SourceUnavailable(f"{address}: {decoded.failure()}")
-    return decoded.unwrap()
+    shared = decoded.unwrap()
+    # On a slow link an answer is older than it says: taken for new, it let a gateway
+    # that was behind reject what a newer configuration allows.
+    way = max(0.0, monotonic() - sent_at - shared.waited)
+    return replace(shared, age=shared.age + way)
--- a/src/ridgecourse/cluster/share.py
+++ b/src/ridgecourse/cluster/share.py
@@ -5,6 +5,7 @@
 from time import monotonic
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from ridgecourse.core.ids import Offset, Seconds
 from ridgecourse.net.broadcast import Broadcast
@@ -33,11 +34,13 @@
         records: The newest of each key from the offset asked for on.
         end: Where the answering process goes on reading.
         age: Seconds since the store told that there is nothing newer.
+        waited: Seconds for which the process waited for news before it answered.
     """
 
     records: Sequence[KeyedRecord]
     end: Offset
     age: float
+    waited: float = 0.0
 
 
 class TopicRecords:
@@ -115,10 +118,12 @@
         if not found or not start.isdecimal() or wait is None:
             return HttpReply(400)
         topic = self.topics[found[0]]
+        begun = monotonic()
         self._wait_for_news(topic, Offset(int(start)), wait)
         if not topic.records and not topic.heard_at:
             return HttpReply(204)
-        return reply(encode_message(topic.since(Offset(int(start)))))
+        shared = topic.since(Offset(int(start)))
+        return reply(encode_message(replace(shared, waited=monotonic() - begun)))
 
     def _wait_for_news(self, topic: TopicRecords, start: Offset, wait: float) -> None:
         """Wait for a record, or until the store was heard again.
--- /dev/null
+++ b/tests/platform/test_record_age.py
@@ -0,0 +1,57 @@
+"""What another process told of the store is as old as the way made it."""
+
+from time import sleep
+from typing import Any
+
+from ridgecourse.cluster.peer_records import ask_records
+from ridgecourse.cluster.share import RecordShare, SharedRecords
+from ridgecourse.core.ids import Offset
+from ridgecourse.net.http_client import HttpClient
+from ridgecourse.net.http_server import HttpRequest
+from ridgecourse.net.record_source import RecordBatch, Topic
+from ridgecourse.wire.codec import decode_message, encode_message
+from ridgecourse_standins.platform.weights import HttpStandIn
+
+DELAY = 0.4
+
+
+class SlowPeer(HttpStandIn):
+    """A process that has just heard of the store, behind a slow link."""
+
+    def __init__(self, waited: float) -> None:
+        super().__init__()
+        self.waited = waited
+
+    def answer(self, method: str, path: str, query: dict[str, str], body: bytes) -> Any:
+        sleep(DELAY)
+        shared = SharedRecords([], Offset(7), 0.1, self.waited)
+        return 200, encode_message(shared)
+
+
+def ask_slow_peer(waited: float) -> float:
+    peer = SlowPeer(waited)
+    peer.start()
+    try:
+        topic = Topic.DECISIONS
+        return ask_records(HttpClient(), peer.address, topic, Offset(0), 2.0).age
+    finally:
+        peer.close()
+
+
+def test_the_way_of_an_answer_makes_it_older() -> None:
+    assert ask_slow_peer(waited=0.0) >= 0.1 + DELAY
+
+
+def test_what_the_other_process_waited_for_does_not() -> None:
+    assert ask_slow_peer(waited=DELAY) < 0.1 + DELAY
+
+
+def test_a_process_tells_how_long_it_waited() -> None:
+    share = RecordShare()
+    share.topics[Topic.DECISIONS].take(RecordBatch([], Offset(7)))
+    path = f"/records/{Topic.DECISIONS.value}/7"
+    request = HttpRequest(
+        {"REQUEST_METHOD": "GET", "PATH_INFO": path, "QUERY_STRING": "wait=0.2"}
+    )
+    shared = decode_message(share.serve(request).body, SharedRecords).unwrap()
+    assert 0.15 < shared.waited < 1.0
