--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -89,8 +89,6 @@
     ) -> Order:
         waits = [call.wait, terms.route.timeout or None]
         wait = min((w for w in waits if w is not None), default=DEFAULT_WAIT_SECONDS)
-        patience = self.patience[terms.route.name]
-        waited = 0.0 if call.wait is None else patience.observe(call.wait)
         return Order(
             call=call,
             body=body or None,
@@ -99,11 +97,21 @@
             version=None,
             begin_by=None,
             last_event=call.last_event,
-            waited=waited,
+            waited=self._time_waited(call, terms),
             excess=0.0,
             is_abandoned=request.is_abandoned,
         )
 
+    def _time_waited(self, call: CallerRequest, terms: Terms) -> float:
+        """Return the seconds that a caller has waited for its first event.
+
+        Who goes on with a stream has had that; turned away, it would lose the rest.
+        """
+        if call.wait is None:
+            return 0.0
+        waited = self.patience[terms.route.name].observe(call.wait)
+        return 0.0 if call.last_event is not None else waited
+
     def _answer(self, request: FrontRequest, order: Order, terms: Terms) -> FrontReply:
         self.dispatcher.budget(terms.service.name).record_request()
         self.events.figures.count("requests")
--- a/tests/platform/test_late_callers.py
+++ b/tests/platform/test_late_callers.py
@@ -36,9 +36,12 @@
         for _ in range(FEWEST):
             assert self.call(6000)[0] == 200
 
-    def call(self, deadline_ms: int) -> Answer:
+    def call(self, deadline_ms: int, *more: str) -> Answer:
         return self.ask(
-            "/stream/x", method="POST", extra=STREAM, deadline_ms=deadline_ms
+            "/stream/x",
+            method="POST",
+            extra=(*STREAM, *more),
+            deadline_ms=deadline_ms,
         )
 
     def set_load(self, **more: int) -> None:
@@ -77,3 +80,10 @@
 def test_who_is_late_in_any_case_is_served_where_there_is_room(loaded) -> None:
     loaded.start()
     assert loaded.call(4000)[0] == 200
+
+
+def test_who_goes_on_with_a_stream_is_not_late(loaded) -> None:
+    loaded.start()
+    loaded.set_load(**FULL)
+    assert loaded.call(4000)[0] == 503
+    assert loaded.call(4000, "Last-Event-Id: 1")[0] == 200
