--- a/src/ridgecourse/loader/status.py
+++ b/src/ridgecourse/loader/status.py
@@ -33,8 +33,9 @@
 """Between two reports on the channel, which shows that both sides live; what changes
 goes in datagrams."""
 GATHER_SECONDS = 0.25
-"""For which gateways that come and go are gathered before others are told: a start of
-all brings 39 of them within a second."""
+"""Shortest time between two changes that one gateway is told, apart from the list that
+it gets first: a start of all brings 39 gateways within a second. A single change is
+told at once, for until then two gateways may each take themselves for the hub."""
 EARLY_SHARE = 0.9
 """Share of a watcher's interval after which a report is due: looks are as far apart
 as the interval and do not come to the millisecond."""
@@ -193,18 +194,19 @@
         Each change is told once, not the whole list: with the list, a start of 39
         gateways put 150 MB on the links between regions, and requests waited there.
         """
-        told: frozenset[Peer] = frozenset()
-        beat_at = 0.0
+        told = frozenset(self.gateways.connected)
+        channel.send(list_changes(frozenset(), told))
+        told_at = beat_at = 0.0
         while True:
             connected = frozenset(self.gateways.connected)
             if connected != told:
                 channel.send(list_changes(told, connected))
-                told = connected
+                told, told_at = connected, monotonic()
             if monotonic() >= beat_at:
                 self._send_heartbeat(channel)
                 beat_at = monotonic() + HEARTBEAT_SECONDS
             if self.changed.wait(max(0.0, beat_at - monotonic())):
-                eventlet.sleep(GATHER_SECONDS)
+                eventlet.sleep(max(0.0, told_at + GATHER_SECONDS - monotonic()))
 
     def _send_heartbeat(self, channel: ControlChannel) -> None:
         if self.status is not None:
--- a/tests/platform/test_gateway_lists.py
+++ b/tests/platform/test_gateway_lists.py
@@ -108,3 +108,13 @@
         site.watch(number)
     settle()
     assert stays.bytes - before <= ENTRIES * PEER_BYTES * count
+
+
+def test_a_single_change_is_told_at_once(site: Site) -> None:
+    first = site.watch(1)
+    eventlet.sleep(0.01)
+    before = len(first.messages)
+    site.watch(2)
+    eventlet.sleep(0.05)
+    assert [peer.name for peer in first.messages[-1].came] == ["10.1.0.2"]
+    assert len(first.messages) == before + 1
