--- a/src/ridgecourse/loader/protocol.py
+++ b/src/ridgecourse/loader/protocol.py
@@ -13,6 +13,10 @@
     """The engine gave no usable answer."""
 
 
+class StagingUnanswered(EngineUnavailable):
+    """The engine may still carry out a call that put a chunk into its staging area."""
+
+
 class EngineReport(Struct, frozen=True):
     """What an engine tells of itself.
 
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -10,7 +10,7 @@
 
 from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.hubs import Peer, choose_hubs, loader_peers
-from ridgecourse.core.ids import TargetName, WeightsVersion
+from ridgecourse.core.ids import Seconds, TargetName, WeightsVersion
 from ridgecourse.core.rendezvous import rendezvous_rank
 from ridgecourse.core.routes import EngineModel, OriginPlace
 from ridgecourse.core.site import Site
@@ -28,6 +28,7 @@
     EngineUnavailable,
     OrderOutcome,
     Phase,
+    StagingUnanswered,
 )
 from ridgecourse.loader.staging import Staging
 from ridgecourse.loader.transfer_watch import TransferWatch
@@ -50,6 +51,10 @@
 ENGINE_SECONDS = 0.6
 """From its start on, how long a loader waits for its engine before it fetches weights
 without it. An engine that was restarted beside it is there sooner, and has them."""
+STRAY_SECONDS = 2.0
+"""How long after a call that put a chunk into the staging area went unanswered the
+engine is not started: carried out late, it would put a chunk of an older version among
+those just checked. Such a call has waited a second already."""
 MANIFEST_PATIENCE_SECONDS = 1.0
 """How long hubs are asked for a manifest before the origin is: theirs takes some
 round trips."""
@@ -65,6 +70,7 @@
         ordered: The version of the last order.
         hubs: Where the transfer in progress takes chunks from.
         prefetching: Whether it goes on without the engine.
+        stray_until: Until when an unanswered call may still change what lies staged.
         offering: Versions whose staged chunks are being read for others.
     """
 
@@ -94,6 +100,7 @@
         self.version = WeightsVersion(0)
         self.error = ""
         self.alone_until = monotonic() + SETTLE_SECONDS
+        self.stray_until = Seconds(0.0)
         self.prefetching = False
         # At the first start of all, engines come up with the first version staged.
         self.prefetch_at = inf if site.first_start else monotonic() + ENGINE_SECONDS
@@ -122,6 +129,8 @@
             try:
                 wait = self._step()
             except EngineUnavailable as error:
+                if isinstance(error, StagingUnanswered):
+                    self.stray_until = Seconds(monotonic() + STRAY_SECONDS)
                 self._set(Phase.WAITING, f"engine: {error}")
                 wait = WORK_SECONDS
             self.view.changed.wait(wait)
@@ -342,6 +351,11 @@
 
     def _start_wait(self, key: VersionKey, report: EngineReport) -> float:
         """Return the seconds after which to order the start; 0 for now."""
+        stray = self.stray_until - monotonic()
+        return max(stray, self._turn_wait(key, report))
+
+    def _turn_wait(self, key: VersionKey, report: EngineReport) -> float:
+        """Return the seconds until it is this engine's turn to change its weights."""
         held = report.layers
         if held is None or self.starts_early(key):
             return 0.0
--- a/src/ridgecourse/loader/staging.py
+++ b/src/ridgecourse/loader/staging.py
@@ -5,7 +5,11 @@
 from ridgecourse.core.ids import ModelName
 from ridgecourse.core.manifest import Manifest
 from ridgecourse.exchange.context import ExchangeContext
-from ridgecourse.loader.protocol import EngineControl, EngineUnavailable
+from ridgecourse.loader.protocol import (
+    EngineControl,
+    EngineUnavailable,
+    StagingUnanswered,
+)
 
 
 class Staging:
@@ -68,4 +72,7 @@
         data = self.context.store.get(digest)
         if data is None:
             raise EngineUnavailable(f"chunk {index} is not held")
-        self.engine.stage(self.model, index, data)
+        try:
+            self.engine.stage(self.model, index, data)
+        except EngineUnavailable as error:
+            raise StagingUnanswered(str(error)) from error
--- a/src/ridgecourse_standins/platform/weights.py
+++ b/src/ridgecourse_standins/platform/weights.py
@@ -4,6 +4,7 @@
 from hashlib import sha256
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from threading import Condition, Thread
+from time import monotonic
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -20,6 +21,8 @@
 )
 
 Answer = tuple[int, bytes]
+LATE_SECONDS = 1.8
+"""After which a call that was given up is carried out at the latest."""
 
 
 class HttpStandIn:
@@ -113,6 +116,8 @@
         version: Version that it serves; 0 for none.
         started: What lay staged at each start, by version.
         spoil: Called after each staged chunk; may turn others bad.
+        late: A chunk whose call is to be given up and carried out later; None for none.
+        late_until: When it is carried out at the latest.
     """
 
     def __init__(self, layers: int, host: str = "127.0.0.1") -> None:
@@ -123,6 +128,8 @@
         self.orders = 0
         self.started: dict[int, dict[int, bytes]] = {}
         self.spoil: Callable[[dict[int, bytes]], None] = lambda staged: None
+        self.late: bytes | None = None
+        self.late_until = 0.0
 
     def answer(
         self, method: str, path: str, query: dict[str, str], body: bytes
@@ -132,6 +139,9 @@
             return 200, self._report()
         if path == ORDER_PATH:
             return self._start(decode(body))
+        if path.startswith(STAGE_PUT_PATH) and body == self.late:
+            self.late_until = monotonic() + LATE_SECONDS
+            return 504, b""
         if path.startswith(STAGE_PUT_PATH):
             self.staged[int(query[CHUNK_INDEX])] = body
             self.spoil(self.staged)
@@ -153,6 +163,9 @@
 
     def _start(self, order: dict[str, Any]) -> Answer:
         self.orders += 1
+        if self.late is not None and monotonic() < self.late_until:
+            # At the worst moment: after the last look at what lies staged.
+            self.staged[0] = self.late
         self.version = order["version"]
         self.started[self.version] = dict(self.staged)
         return 202, b""
--- a/tests/platform/test_loader.py
+++ b/tests/platform/test_loader.py
@@ -198,3 +198,15 @@
         assert chunk_calls(site) == 0
     finally:
         site.close()
+
+
+def test_a_call_that_is_carried_out_late_spoils_no_start(loader_site) -> None:
+    """A chunk of an older version lands on one of the newer, after the last look."""
+    loader_site.start()
+    loader_site.wait_serving(1)
+    engine = loader_site.engine
+    engine.late = loader_site.origin.versions[2][0]
+    loader_site.store.put_version(MODEL, 2)
+    engine.wait_until(lambda: engine.late_until > 0)
+    loader_site.store.put_version(MODEL, 3)
+    loader_site.wait_serving(3)
