--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -211,7 +211,7 @@
 
     def has_successor(self) -> bool:
         """Tell whether another gateway of the domain can take this one's place."""
-        return self.told.has_other(self.place, self.place.domain)
+        return self.told.has_neighbour(self.place)
 
     def serve_gateways(self, request: HttpRequest) -> HttpReply:
         """Tell a loader that nobody watches yet which gateways there are."""
--- a/src/ridgecourse/gateway/told_gateways.py
+++ b/src/ridgecourse/gateway/told_gateways.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from ridgecourse.core.hubs import Peer
-from ridgecourse.core.ids import DomainName, TargetName
+from ridgecourse.core.ids import TargetName
 
 
 class ToldGateways:
@@ -43,8 +43,8 @@
         }
         return list(by_name.values())
 
-    def has_other(self, me: Peer, domain: DomainName) -> bool:
-        """Tell whether there is another gateway than one in a domain."""
+    def has_neighbour(self, me: Peer) -> bool:
+        """Tell whether there is another gateway in a gateway's domain."""
         return any(
-            gateway.domain == domain and gateway != me for gateway in self.known()
+            gateway.domain == me.domain and gateway != me for gateway in self.known()
         )
