Sends tell what they believed of weights; the lag of the event loop is measured

Late process, late date and wrong belief could not be told apart from a request that began on old weights: its line told neither the version that its engine was taken to have nor when it had to begin, and nothing told how late a process was for its timers.

--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -190,6 +190,7 @@
     ) -> None:
         target = choice.target
         load = self.selector.load(target)
+        begin_by = choice.terms.begin_by
         self.events.figures.observe("first_answer", seconds)
         detail: dict[str, Any] = (
             structs.asdict(result) if isinstance(result, (NotRun, Unknown)) else {}
@@ -203,6 +204,8 @@
             load_age=round(monotonic() - load.reported_at, 2),
             outstanding=load.outstanding,
             result=type(result).__name__,
+            held=choice.terms.held,
             only_version=order.version,
+            begin_left=None if begin_by is None else round(begin_by - monotonic(), 3),
             detail={name: str(value) for name, value in detail.items()},
         )
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -26,6 +26,7 @@
 from ridgecourse.net.front_server import FrontReply, FrontRequest, FrontServer
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter, HttpServer
+from ridgecourse.net.loop_lag import LoopLag
 from ridgecourse.net.process import new_incarnation
 from ridgecourse.net.record_source import RecordSource
 from ridgecourse.net.site_process import SiteProcess
@@ -73,6 +74,7 @@
         )
         self.hub = Hub(site, self.view, self.events, origin, http)
         self.watcher = LoadWatcher(site, self.view, self.hub, self.events)
+        self.lag = LoopLag(self.events.figures)
         random = Random()
         self.dispatcher = Dispatcher(
             site,
@@ -103,6 +105,7 @@
         self.view.start()
         self.hub.start()
         self.watcher.start()
+        self.lag.start()
         self.threads.append(spawn_loop(self._take_limits))
         self.events.emit(EventKind.STARTED, http=str(self.front.address))
 
@@ -150,6 +153,7 @@
 
     def close(self) -> None:
         """Release everything."""
+        self.lag.close()
         self.watcher.close()
         self.hub.close()
         self.view.close()
--- a/src/ridgecourse/gateway/selection.py
+++ b/src/ridgecourse/gateway/selection.py
@@ -41,10 +41,12 @@
     """On which weights a request may run.
 
     Attributes:
+        held: The version that the engine is taken to have; None if it is not known.
         version: The only version; None for the one that the engine has.
         begin_by: When it must have begun on that; None for any time.
     """
 
+    held: WeightsVersion | None
     version: WeightsVersion | None
     begin_by: Seconds | None
 
@@ -213,15 +215,15 @@
         An engine whose weights are too old by what is known may have newer ones
         by now; it is asked for the newest and refuses if it has not.
         """
+        held = self._held_version(model, target, now)
         # Of which nothing is known may have the oldest weights.
-        held = self._held_version(model, target, now) or FIRST_VERSION
-        bound = self.view.history(model).begin_by(held)
+        bound = self.view.history(model).begin_by(held or FIRST_VERSION)
         if bound is None:
-            return VersionTerms(None, None)
+            return VersionTerms(held, None, None)
         begin_by = Seconds(bound - VERSION_MARGIN_SECONDS)
         if now + wait + BEGIN_SECONDS < begin_by:
-            return VersionTerms(None, begin_by)
-        return VersionTerms(self.view.wanted_version(model), None)
+            return VersionTerms(held, None, begin_by)
+        return VersionTerms(held, self.view.wanted_version(model), None)
 
     def forget_gone(self) -> None:
         """Drop what was seen of targets that are no longer listed."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -133,18 +133,46 @@
         assert front.ask("/safe/x")[0] == 200
 
 
-def test_figures_are_served_as_text(front) -> None:
-    # The port is fixed: an address of its own keeps other test runs' figures away.
+def use_own_figures(front) -> tuple[str, int]:
+    """Return where a gateway's figures will be, out of the way of other runs.
+
+    The port is fixed: an address of its own keeps other test runs' figures away.
+    """
     host = f"127.{1 + getpid() % 250}.{1 + getpid() // 250 % 250}.1"
     front.settings["ip"] = host
     front.path.write_bytes(encode(front.settings))
-    front.add_engine("app")
-    front.start()
-    assert front.ask("/safe/x")[0] == 200
-    address = (host, FIGURES_PORT)
+    return host, FIGURES_PORT
+
+
+def read_figures(address: tuple[str, int]) -> tuple[int, bytes]:
     with socket.create_connection(address, 5.0) as connection:
         connection.sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
         status, _, body, _ = receive_answer(connection)
+    return status, body
+
+
+def test_figures_are_served_as_text(front) -> None:
+    address = use_own_figures(front)
+    front.add_engine("app")
+    front.start()
+    assert front.ask("/safe/x")[0] == 200
+    status, body = read_figures(address)
     assert status == 200
     assert b"ridgecourse_requests_total 1\n" in body
     assert b'ridgecourse_first_answer_seconds_bucket{le="8.0"} 1\n' in body
+
+
+def test_the_lag_of_the_event_loop_is_told(front) -> None:
+    """Whether a process was late for its timers shows in its figures."""
+    address = use_own_figures(front)
+    front.start()
+    front.gateway.freeze()
+    sleep(0.7)
+    front.gateway.wake()
+
+    def lag_seconds() -> float:
+        lines = read_figures(address)[1].decode().splitlines()
+        sums = [line for line in lines if "loop_lag_seconds_sum" in line]
+        return float(sums[0].split()[1]) if sums else 0.0
+
+    front.wait_until(lambda: lag_seconds() > 0.4)
