Red test: a request in an engine's queue is taken back after the bound

A configuration of some 440 KB takes 1 s from the store, a version is named 0.1 s after it. The request is held until its deadline, 0.6 s beyond the bound of 4 s.

--- a/src/ridgecourse_standins/platform/store.py
+++ b/src/ridgecourse_standins/platform/store.py
@@ -7,6 +7,7 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from struct import pack, unpack_from
 from threading import Condition, Thread
+from time import monotonic, sleep
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -22,6 +23,9 @@
     VERSION_KEY_PREFIX,
 )
 
+LINK_STEP_SECONDS = 0.02
+"""Between two pieces of an answer on a link with a rate."""
+
 
 class StoreMode(Enum):
     """How the store answers.
@@ -50,6 +54,8 @@
         held_back: Writes that got no answer and are still to be done; None for none to
             come.
         newest_asked: Who asked for the newest records, as host and topic.
+        bytes_per_s: Rate of the link to each reader; None for no limit.
+        named_at: When each version of weights was acknowledged, by model and version.
     """
 
     def __init__(self) -> None:
@@ -64,6 +70,8 @@
         self.newest_asked: list[tuple[str, str]] = []
         self.held_back: list[tuple[str, bytes, int | None]] | None = None
         self.told: dict[str, list[tuple[str, str, bytes]]] = {}
+        self.bytes_per_s: float | None = None
+        self.named_at: dict[tuple[str, int], float] = {}
         self.calls = 0
         self.condition = Condition()
         self.closed = False
@@ -104,6 +112,7 @@
         """Name a version of a model's weights."""
         key = f"{VERSION_KEY_PREFIX}{model}"
         self.put(DECISIONS_TOPIC, key, {"model": model, "version": version})
+        self.named_at[model, version] = monotonic()
 
     def put_target(self, target: str, entry: dict[str, Any] | None) -> None:
         """List a target; None takes it off the list."""
@@ -249,7 +258,17 @@
             handler.send_response(status)
             handler.send_header("Content-Length", str(len(body)))
             handler.end_headers()
+            self._send(handler, body)
+
+    def _send(self, handler: BaseHTTPRequestHandler, body: bytes) -> None:
+        """Send a body at the rate of the link."""
+        if self.bytes_per_s is None:
             handler.wfile.write(body)
+            return
+        size = max(1, int(self.bytes_per_s * LINK_STEP_SECONDS))
+        for start in range(0, len(body), size):
+            handler.wfile.write(body[start : start + size])
+            sleep(min(size, len(body) - start) / self.bytes_per_s)
 
     def _find(self, host: str, target: str, data: bytes) -> tuple[int, bytes]:
         parts = urlsplit(target)
--- /dev/null
+++ b/tests/platform/test_name_dates.py
@@ -0,0 +1,62 @@
+"""No request begins on old weights after the bound, however late a name is heard of.
+
+What happened: two requests began on version 2 of a model 10.011 and 10.018 s after
+version 3 had been acknowledged, where 10 s are allowed. Both had waited for more than a
+second at their engine. One was taken back 9 ms after it had begun, though a request is
+taken back 0.3 s before the bound that its gateway counts with: that bound was 0.3 s
+late.
+
+Why: a version that came with an answer of the store was dated when the last byte of
+that answer had arrived. A configuration with 1,960 routes more was on its way at that
+time, in the same topic; what is named behind it is heard of after it.
+
+What settled it: in a run of that shape two gateways took in version 3 0.287 and 0.322 s
+after it had been named, with "unheard" 0.014 and -0.016: the time at which the store
+was last heard of was that of the last byte as well.
+"""
+
+from time import monotonic, sleep
+
+from gateway_site import MODEL, make_config, make_route
+from msgspec.json import encode
+
+from ridgecourse_standins.platform.engine import ReceivedRequest
+
+BOUND_SECONDS = 4.0
+TRANSFER_SECONDS = 1.0
+"""How long the configuration is on its way."""
+NAMED_AFTER_SECONDS = 0.1
+"""From the configuration's acknowledgement to the name's."""
+ASKED_BEFORE_SECONDS = 1.5
+"""Before the bound, when a caller asks."""
+
+
+def make_large_config(version: int) -> dict:
+    config = make_config(version)
+    idle = [make_route(f"/idle-{n}/", "safe", "app") for n in range(1960)]
+    config["routes"].extend(idle)
+    return config
+
+
+def stay_queued(request: ReceivedRequest) -> None:
+    """Begin nothing."""
+
+
+def test_a_request_in_a_queue_is_taken_back_before_the_bound(front) -> None:
+    engine = front.add_engine("llm", stay_queued, version=1)
+    front.settings["bounds"]["version_ms"] = int(BOUND_SECONDS * 1000)
+    front.path.write_bytes(encode(front.settings))
+    front.start()
+    large = make_large_config(2)
+    front.store.bytes_per_s = len(encode(large)) / TRANSFER_SECONDS
+    front.store.put_config(large)
+    sleep(NAMED_AFTER_SECONDS)
+    front.store.put_version(MODEL, 2)
+    named_at = front.store.named_at[MODEL, 2]
+    front.gateway.wait_event("version-named", version="2")
+    sleep(max(0.0, named_at + BOUND_SECONDS - ASKED_BEFORE_SECONDS - monotonic()))
+    front.send(front.open(), "/stream/x", extra=(f"Model: {MODEL}",))
+    request = engine.wait_for(1)[0]
+    assert request.header("Expected-Version") is None
+    assert engine.wait_closed(request, 2 * ASKED_BEFORE_SECONDS)
+    assert monotonic() < named_at + BOUND_SECONDS
