A version is dated by when the store was last heard of without it

Cause: what comes with an answer was dated at the answer's last byte, the latest time at which it may have been named; its bound was late by the whole way of the answer. Class: what was learned is dated by its arrival. The same held for when the store was last heard of (an answer that took 1 s told of the store's state 1 s ago), for ages that loaders tell gateways (late by their way), and for records that were passed over and read later (a higher version written late, dated by the later read).

Now a batch says when the store told it at the earliest: when it was asked, or, of a wait that ended without a record, its end. Names are dated by the time before the answer that brings them. A time that was heard is not replaced by a told one: loaders that ask each 5 s would date names 5 s early. A parent's answer that took long is taken in, though the parent is left alone then; else the store would send the same records once more.

Ruled out: a wider margin (no constant bounds a transfer).

Cost: a name is dated early by the wait of a read that was under way, 0.6 s at most in calm.

--- a/src/ridgecourse/cluster/domain_source.py
+++ b/src/ridgecourse/cluster/domain_source.py
@@ -6,7 +6,7 @@
 
 import eventlet
 
-from ridgecourse.cluster.peer_records import ask_records
+from ridgecourse.cluster.peer_records import ask_records, to_batch
 from ridgecourse.cluster.share import STALE_SECONDS
 from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import Offset, Seconds, TargetName
@@ -96,8 +96,9 @@
         if shared.age > STALE_SECONDS:
             why = f"heard of the store {shared.age:.2f} s ago"
             self._avoid(parent, BEHIND_SECONDS, why)
-            return None
-        return RecordBatch(shared.records, shared.end, age=shared.age)
+            # What took long on its way need not be read from the store once more.
+            return to_batch(shared) if shared.records else None
+        return to_batch(shared)
 
     def _ask_seed(self, topic: Topic) -> RecordBatch | None:
         """Return what a seed tells, the first time; None where it does not."""
@@ -111,7 +112,7 @@
                 shared = ask_records(self.http, seed, topic, Offset(0), ANSWER_SECONDS)
                 if shared.age <= STALE_SECONDS:
                     self.events.emit(EventKind.READS_FROM, parent=seed)
-                    return RecordBatch(shared.records, shared.end, age=shared.age)
+                    return to_batch(shared)
             eventlet.sleep(SEED_RETRY_SECONDS)
         return None
 
--- a/src/ridgecourse/cluster/keeper.py
+++ b/src/ridgecourse/cluster/keeper.py
@@ -12,6 +12,7 @@
 from time import monotonic
 
 import eventlet
+from msgspec.structs import replace
 
 from ridgecourse.cluster.decoder import RecordDecoder
 from ridgecourse.core.ids import Offset
@@ -79,7 +80,7 @@
         kept = self.store.newest(Topic.KEPT).records
         self._look_again()
         records = [*batch.records, *place_kept(batch, kept)]
-        return RecordBatch(records, batch.end, batch.behind, batch.age)
+        return replace(batch, records=records)
 
     def read(self, topic: Topic, start: Offset, wait: float) -> RecordBatch:
         """Return records from an offset on; see ``RecordSource``."""
--- a/src/ridgecourse/cluster/peer_records.py
+++ b/src/ridgecourse/cluster/peer_records.py
@@ -7,9 +7,9 @@
 from returns.result import Failure
 
 from ridgecourse.cluster.share import RECORDS_PATH, WAIT_PARAMETER, SharedRecords
-from ridgecourse.core.ids import Offset
+from ridgecourse.core.ids import Offset, Seconds
 from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
-from ridgecourse.net.record_source import SourceUnavailable, Topic
+from ridgecourse.net.record_source import RecordBatch, SourceUnavailable, Topic
 from ridgecourse.wire.codec import decode_message
 
 
@@ -52,3 +52,9 @@
     # that was behind reject what a newer configuration allows.
     way = max(0.0, monotonic() - sent_at - shared.waited)
     return replace(shared, age=shared.age + way)
+
+
+def to_batch(shared: SharedRecords) -> RecordBatch:
+    """Return an answer that has just come as records that were read together."""
+    heard_at = Seconds(monotonic() - shared.age)
+    return RecordBatch(shared.records, shared.end, heard_at)
--- a/src/ridgecourse/cluster/relay.py
+++ b/src/ridgecourse/cluster/relay.py
@@ -9,11 +9,11 @@
 
 import eventlet
 
-from ridgecourse.cluster.peer_records import ask_records
+from ridgecourse.cluster.peer_records import ask_records, to_batch
 from ridgecourse.cluster.view import ClusterView
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.http_client import HttpClient
-from ridgecourse.net.record_source import RecordBatch, SourceUnavailable, Topic
+from ridgecourse.net.record_source import SourceUnavailable, Topic
 from ridgecourse.net.threads import spawn_loop
 
 POLL_SECONDS = 0.5
@@ -83,5 +83,4 @@
             records=len(shared.records),
             peer=address,
         )
-        batch = RecordBatch(shared.records, shared.end, age=shared.age)
-        self.view.take(topic, batch, False)
+        self.view.take(topic, to_batch(shared), False)
--- a/src/ridgecourse/cluster/share.py
+++ b/src/ridgecourse/cluster/share.py
@@ -75,7 +75,7 @@
         """Note how far the topic has been read, and when."""
         self.end = max(self.end, batch.end)
         if not batch.behind:
-            self.heard_at = max(self.heard_at, Seconds(monotonic() - batch.age))
+            self.heard_at = max(self.heard_at, batch.heard_at)
 
     @property
     def age(self) -> float:
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -157,7 +157,7 @@
     def take_decisions(self, batch: RecordBatch, whole: bool) -> None:
         """Take in operators' decisions; an older one never replaces a newer."""
         shared = self.share.topics[Topic.DECISIONS]
-        named_at = self._date_names(whole)
+        named_at = self._date_names(batch)
         for record in batch.records:
             if self._take_decision(record, named_at):
                 shared.put(record)
@@ -176,16 +176,19 @@
                 shared.put(placed)
         self.changed.notify()
 
-    def _date_names(self, whole: bool) -> Seconds | None:
+    def _date_names(self, batch: RecordBatch) -> Seconds | None:
         """Return when versions in a batch were named at the earliest.
 
+        That is when the store was last heard of without them. Dated at their arrival,
+        behind a large configuration, they were required 0.3 s too late.
+
         None for what was named before this process heard of the store: that may be
         long ago.
         """
-        heard_at = self.share.topics[Topic.DECISIONS].heard_at
-        if not heard_at:
-            return None
-        return heard_at if whole else Seconds(monotonic())
+        since = batch.since
+        if since is None:
+            since = self.share.topics[Topic.DECISIONS].heard_at
+        return since or None
 
     def _take_decision(self, record: KeyedRecord, named_at: Seconds | None) -> bool:
         """Take in one decision; tell whether it is in force now.
@@ -234,20 +237,25 @@
             version=str(named.version),
             model=named.model,
             unheard=round(self.decisions_reader.unheard, 3),
-            dated=named_at is not None,
+            age=None if named_at is None else round(now - named_at, 3),
         )
         return True
 
-    def date_versions(self, ages: Iterable[VersionAge]) -> None:
-        """Take in since when versions are named, as another process tells."""
+    def date_versions(self, ages: Iterable[VersionAge], asked_at: Seconds) -> None:
+        """Take in since when versions are named, as another process tells.
+
+        Args:
+            ages: What it tells.
+            asked_at: When it was asked: it reckoned the ages no earlier.
+        """
         for told in ages:
-            named_at = Seconds(monotonic() - told.age)
+            named_at = Seconds(asked_at - told.age)
             if self.history(told.model).date(told.version, named_at):
                 self.events.emit(
                     EventKind.VERSION_DATED,
                     version=str(told.version),
                     model=told.model,
-                    age=round(told.age, 2),
+                    age=round(monotonic() - named_at, 2),
                 )
 
     def version_ages(self) -> Iterator[VersionAge]:
--- a/src/ridgecourse/core/weights.py
+++ b/src/ridgecourse/core/weights.py
@@ -1,13 +1,14 @@
 """Versions of weights that operators name, and from when on each is required."""
 
 from collections.abc import Iterator
+from enum import Enum
 
 from msgspec import Struct
 
 from ridgecourse.core.ids import ModelName, Seconds, WeightsVersion
 
 SAME_SECONDS = 0.05
-"""Two times of a name that differ by less are the same: the way takes some ms."""
+"""Two told times of a name that differ by less are the same: the way takes some ms."""
 FIRST_VERSION = WeightsVersion(1)
 """The version in force before an operator names one."""
 
@@ -24,19 +25,32 @@
     version: WeightsVersion
 
 
+class Dating(Enum):
+    """How it is known when a version was named.
+
+    UNKNOWN: Not at all.
+    TOLD: Another process told.
+    HEARD: The store was heard of shortly before, without the name.
+    """
+
+    UNKNOWN = "unknown"
+    TOLD = "told"
+    HEARD = "heard"
+
+
 class VersionNotice(Struct):
     """A named version.
 
     Attributes:
         version: The version.
-        named_at: When it was named; if that is not known, so long ago that its bound
-            was over when this process learned of it.
-        dated: Whether it is known.
+        named_at: When it was named at the earliest; if that is not known, so long ago
+            that its bound was over when this process learned of it.
+        dating: How it is known.
     """
 
     version: WeightsVersion
     named_at: Seconds
-    dated: bool
+    dating: Dating
 
 
 class VersionAge(Struct, frozen=True):
@@ -45,7 +59,7 @@
     Attributes:
         model: The model.
         version: Its version.
-        age: Seconds since it was named.
+        age: Seconds since it was named, at the most.
     """
 
     model: ModelName
@@ -76,37 +90,38 @@
         Args:
             version: The version.
             now: The present time.
-            named_at: When it was named; None if that is not known. Then nothing may
-                begin on older weights: its bound may be over.
+            named_at: When it was named at the earliest; None if that is not known.
+                Then nothing may begin on older weights: its bound may be over.
         """
         if version <= self.newest:
             return False
         if named_at is None:
-            notice = VersionNotice(version, Seconds(now - self.bound), dated=False)
+            long_ago = Seconds(now - self.bound)
+            notice = VersionNotice(version, long_ago, Dating.UNKNOWN)
         else:
-            notice = VersionNotice(version, named_at, dated=True)
+            notice = VersionNotice(version, named_at, Dating.HEARD)
         self.notices.append(notice)
         return True
 
     def date(self, version: WeightsVersion, named_at: Seconds) -> bool:
-        """Take in when a version was named, as another process knows.
+        """Take in when a version was named at the earliest, as another process knows.
 
-        Who was frozen or cut off learned of it late: the earliest time counts.
+        Of what several tell the earliest counts. What this process heard itself holds
+        also if it was frozen or cut off meanwhile, and is closer than what is told by
+        one that seldom asks.
 
         Returns:
             Whether that changes what was known.
         """
         for notice in self.notices:
-            if notice.version != version:
-                continue
-            if not notice.dated or named_at < notice.named_at - SAME_SECONDS:
-                notice.named_at, notice.dated = named_at, True
+            if notice.version == version and is_closer(notice, named_at):
+                notice.named_at, notice.dating = named_at, Dating.TOLD
                 return True
         return False
 
     def is_recent(self, now: Seconds) -> bool:
         """Tell whether the newest version was named within the bound, as is known."""
-        if not self.notices or not self.notices[-1].dated:
+        if not self.notices or self.notices[-1].dating is Dating.UNKNOWN:
             return False
         return now - self.notices[-1].named_at < self.bound
 
@@ -117,7 +132,7 @@
     def ages(self, model: ModelName, now: Seconds) -> Iterator[VersionAge]:
         """Yield the versions of which it is known when they were named."""
         for notice in self.notices:
-            if notice.dated:
+            if notice.dating is not Dating.UNKNOWN:
                 yield VersionAge(model, notice.version, now - notice.named_at)
 
     @property
@@ -134,3 +149,10 @@
         """Return until when requests may begin on a version; None for any time."""
         bounds = [n.named_at + self.bound for n in self.notices if n.version > version]
         return Seconds(min(bounds)) if bounds else None
+
+
+def is_closer(notice: VersionNotice, told: Seconds) -> bool:
+    """Tell whether a told time of a name is to replace what is known of it."""
+    if notice.dating is Dating.TOLD:
+        return told < notice.named_at - SAME_SECONDS
+    return notice.dating is Dating.UNKNOWN
--- a/src/ridgecourse/gateway/loads.py
+++ b/src/ridgecourse/gateway/loads.py
@@ -127,6 +127,7 @@
         with closing(channel):
             # Another life of the loader numbers its reports anew.
             self.load(target.address).number = 0
+            asked_at = Seconds(monotonic())
             channel.send(
                 Watch(
                     PROTOCOL_VERSION,
@@ -144,7 +145,7 @@
                 if isinstance(report, EngineReport):
                     self._take(target, report)
                 elif isinstance(report, Named):
-                    self.view.date_versions(report.versions)
+                    self.view.date_versions(report.versions, asked_at)
                     self.hub.learn(target.address, ())
                 else:
                     self.hub.learn(target.address, report.came, report.gone)
--- a/src/ridgecourse/net/record_follower.py
+++ b/src/ridgecourse/net/record_follower.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 import eventlet
+from msgspec.structs import replace
 
 from ridgecourse.core.ids import Offset, Seconds
 from ridgecourse.net.events import EventKind, EventStream
@@ -25,10 +26,17 @@
 
 
 class SkippedRange(NamedTuple):
-    """Records that were passed over: from an offset on to before another."""
+    """Records that were passed over.
+
+    Attributes:
+        start: Offset of the first.
+        end: Offset behind the last.
+        since: Before when none of them was written.
+    """
 
     start: Offset
     end: Offset
+    since: Seconds
 
 
 class RecordFollower:
@@ -42,9 +50,9 @@
         pause: Between two reads, in seconds.
         offset: Where to read next; None before the first read.
         lost_since: When the store could last be read, while it cannot.
-        read_at: When the store last answered; 0 for never.
-        unheard: Seconds between the last two answers: a record of the newest may be
-            that old.
+        heard_at: When the store last told that there is nothing newer; 0 for never.
+        unheard: Seconds between that and when the last answer was there: a record of
+            that answer may be that old.
     """
 
     def __init__(
@@ -69,7 +77,7 @@
         self.skipped: SkippedRange | None = None
         self.offset: Offset | None = None
         self.lost_since: Seconds | None = None
-        self.read_at = Seconds(0.0)
+        self.heard_at = Seconds(0.0)
         self.unheard = 0.0
         self.failures = 0
         self.thread: eventlet.greenthread.GreenThread | None = None
@@ -105,6 +113,8 @@
                 continue
             self._note_answer(batch)
             self._note_skipped(batch)
+            if not batch.behind:
+                self.heard_at = max(self.heard_at, batch.heard_at)
             # Who is behind needs what holds now, not all that held in between.
             self.offset = None if batch.behind else self._next_offset(batch)
             self.take(batch, whole)
@@ -114,9 +124,9 @@
 
     def _note_skipped(self, batch: RecordBatch) -> None:
         if batch.behind and self.misses_none:
-            first = self.skipped.start if self.skipped else batch.end
             end = Offset(batch.end + batch.behind)
-            self.skipped = SkippedRange(first, end)
+            skipped = self.skipped or SkippedRange(batch.end, end, self.heard_at)
+            self.skipped = skipped._replace(end=end)
 
     def _read_skipped(self) -> None:
         """Read some of what was passed over, now that nothing new comes.
@@ -133,10 +143,11 @@
             )
             self.skipped = None
             return
+        since = self.skipped.since
         past = not batch.records or batch.end >= self.skipped.end
-        self.skipped = None if past else SkippedRange(batch.end, self.skipped.end)
+        self.skipped = None if past else self.skipped._replace(start=batch.end)
         # Taken as behind, for it tells nothing of what holds now.
-        self.take(RecordBatch(batch.records, batch.end, behind=1), False)
+        self.take(replace(batch, behind=1, since=since), False)
 
     def _next_offset(self, batch: RecordBatch) -> Offset:
         return batch.end if self.offset is None else max(self.offset, batch.end)
@@ -163,9 +174,8 @@
 
     def _note_answer(self, batch: RecordBatch) -> None:
         self.failures = 0
-        now = Seconds(monotonic() - batch.age)
-        self.unheard = now - self.read_at if self.read_at else 0.0
-        self.read_at = now
+        now = Seconds(monotonic())
+        self.unheard = now - self.heard_at if self.heard_at else 0.0
         if self.lost_since is not None:
             away = now - self.lost_since
             self.lost_since = None
--- a/src/ridgecourse/net/record_source.py
+++ b/src/ridgecourse/net/record_source.py
@@ -6,7 +6,7 @@
 
 from msgspec import Struct
 
-from ridgecourse.core.ids import Offset
+from ridgecourse.core.ids import Offset, Seconds
 
 
 class Topic(Enum):
@@ -42,14 +42,17 @@
     Attributes:
         records: In order of their offsets.
         end: Where to go on reading.
+        heard_at: When the store told this at the earliest; see ``core.hearing``.
         behind: Records beyond that which are there already.
-        age: Seconds since the store told this; 0 if it did itself.
+        since: Before when none of the records was written, as is known; None if that
+            is when the store was last heard of.
     """
 
     records: Sequence[KeyedRecord]
     end: Offset
+    heard_at: Seconds
     behind: int = 0
-    age: float = 0.0
+    since: Seconds | None = None
 
 
 class SourceUnavailable(Exception):
--- a/src/ridgecourse/platform/store.py
+++ b/src/ridgecourse/platform/store.py
@@ -1,16 +1,18 @@
 """The platform's store: an append-only log with keyed topics, over HTTP."""
 
 from base64 import b64decode
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from struct import error as StructError
 from struct import pack, unpack_from
+from time import monotonic
 from typing import Any
 from urllib.parse import urlencode
 
 from msgspec import DecodeError, Struct, field
 from msgspec.json import decode
 
-from ridgecourse.core.ids import Offset
+from ridgecourse.core.hearing import heard_at
+from ridgecourse.core.ids import Offset, Seconds
 from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
 from ridgecourse.net.record_source import (
     KeyedRecord,
@@ -87,6 +89,7 @@
 
     def newest(self, topic: Topic) -> RecordBatch:
         """Return the newest record of each key; see ``RecordSource``."""
+        asked = Seconds(monotonic())
         pages = list(self._newest_pages(TOPICS[topic]))
         records = [
             KeyedRecord(item.key, b64decode(item.value), Offset(item.offset))
@@ -94,7 +97,7 @@
             for item in page.items
         ]
         # The pages are no snapshot: what changed meanwhile is read again.
-        return RecordBatch(records, Offset(pages[0].end_offset))
+        return RecordBatch(records, Offset(pages[0].end_offset), asked)
 
     def _newest_pages(self, topic: str) -> Iterator[NewestPage]:
         after = ""
@@ -123,15 +126,19 @@
             "wait_ms": int(wait * 1000),
             "max_kb": MAX_READ_KB,
         }
+        asked = Seconds(monotonic())
         status, data = self._call("GET", LOG_READ_PATH, query, wait)
         if status == 410:
             raise RecordsGone(f"from {start}")
         if status != 200:
             raise SourceUnavailable(f"status {status}")
         try:
-            return decode_records(data, start)
+            records, end = decode_records(data, start)
         except (StructError, UnicodeDecodeError, IndexError) as error:
             raise SourceUnavailable(f"no records: {error}") from error
+        heard = heard_at(asked, Seconds(monotonic()), wait, not records)
+        past = Offset(start + len(records)) if records else Offset(max(start, end))
+        return RecordBatch(records, past, heard, behind=max(0, end - past))
 
     def append(self, topic: Topic, key: str, value: bytes, end: Offset) -> None:
         """Write a record; see ``RecordSource``."""
@@ -174,8 +181,8 @@
     return pack(">I", len(record)) + record
 
 
-def decode_records(data: bytes, start: Offset) -> RecordBatch:
-    """Decode the records of a keyed topic.
+def decode_records(data: bytes, start: Offset) -> tuple[Sequence[KeyedRecord], Offset]:
+    """Return the records of a keyed topic, and its end.
 
     The bytes are the end of the topic and the first offset kept, 8 bytes each,
     then records: 4 bytes of length, 1 byte of the key's length, key, value.
@@ -196,6 +203,4 @@
         records.append(KeyedRecord(key, record[key_end:], offset))
         position += 4 + length
         offset = Offset(offset + 1)
-    if not records:
-        return RecordBatch(records, Offset(max(start, end)))
-    return RecordBatch(records, offset, behind=max(0, end - offset))
+    return records, Offset(end)
--- a/src/ridgecourse_standins/platform/store.py
+++ b/src/ridgecourse_standins/platform/store.py
@@ -27,6 +27,10 @@
 """Between two pieces of an answer on a link with a rate."""
 
 
+LINK_STEP_SECONDS = 0.02
+"""Between two pieces of an answer on a link with a rate."""
+
+
 class StoreMode(Enum):
     """How the store answers.
 
--- a/tests/platform/test_name_dates.py
+++ b/tests/platform/test_name_dates.py
@@ -17,10 +17,31 @@
 
 from time import monotonic, sleep
 
+import eventlet
+import pytest
 from gateway_site import MODEL, make_config, make_route
 from msgspec.json import encode
 
+from ridgecourse.core.ids import (
+    DomainName,
+    Incarnation,
+    Offset,
+    ProcessName,
+    Seconds,
+)
+from ridgecourse.net.events import EventStream
+from ridgecourse.net.http_client import HttpClient
+from ridgecourse.net.record_follower import RecordFollower
+from ridgecourse.net.record_source import (
+    KeyedRecord,
+    RecordBatch,
+    RecordSource,
+    SourceUnavailable,
+    Topic,
+)
+from ridgecourse.platform.store import PlatformStore
 from ridgecourse_standins.platform.engine import ReceivedRequest
+from ridgecourse_standins.platform.store import StoreStandIn
 
 BOUND_SECONDS = 4.0
 TRANSFER_SECONDS = 1.0
@@ -60,3 +81,87 @@
     assert request.header("Expected-Version") is None
     assert engine.wait_closed(request, 2 * ASKED_BEFORE_SECONDS)
     assert monotonic() < named_at + BOUND_SECONDS
+
+
+@pytest.fixture
+def slow_store():
+    store = StoreStandIn()
+    store.start()
+    yield store
+    store.close()
+
+
+def test_what_the_store_told_is_as_old_as_its_transfer(slow_store) -> None:
+    large = make_large_config(2)
+    slow_store.put_config(large)
+    slow_store.bytes_per_s = len(encode(large)) / TRANSFER_SECONDS
+    asked_at = monotonic()
+    client = PlatformStore(slow_store.address, HttpClient())
+    batch = client.read(Topic.DECISIONS, Offset(0), 0.0)
+    assert monotonic() - asked_at > TRANSFER_SECONDS / 2
+    assert asked_at <= batch.heard_at < asked_at + TRANSFER_SECONDS / 2
+    newest = client.newest(Topic.DECISIONS)
+    assert newest.heard_at < monotonic() - TRANSFER_SECONDS / 2
+
+
+def test_a_wait_that_ended_without_a_record_tells_of_its_end(slow_store) -> None:
+    wait = 0.4
+    asked_at = monotonic()
+    client = PlatformStore(slow_store.address, HttpClient())
+    batch = client.read(Topic.DECISIONS, Offset(0), wait)
+    assert asked_at + wait <= batch.heard_at <= monotonic()
+
+
+def test_a_wait_that_was_cut_short_tells_of_its_beginning(slow_store) -> None:
+    asked_at = monotonic()
+    client = PlatformStore(slow_store.address, HttpClient())
+    slow_store.closed = True
+    batch = client.read(Topic.DECISIONS, Offset(0), 5.0)
+    assert asked_at <= batch.heard_at < asked_at + 0.5
+
+
+class BehindSource(RecordSource):
+    """A store of which a process is behind, and that wrote a higher version late."""
+
+    def __init__(self, answers: list[RecordBatch]) -> None:
+        self.answers = answers
+
+    def newest(self, topic: Topic) -> RecordBatch:
+        return self.answers.pop(0)
+
+    def read(self, topic: Topic, start: Offset, wait: float) -> RecordBatch:
+        if not self.answers:
+            raise SourceUnavailable("no more")
+        return self.answers.pop(0)
+
+    def append(self, topic: Topic, key: str, value: bytes, end: Offset) -> None:
+        raise SourceUnavailable("not written")
+
+
+def test_what_was_passed_over_is_dated_by_when_that_began() -> None:
+    """Found by reading: it was dated by when it was read after all, seconds later."""
+    record = KeyedRecord("k", b"x", Offset(1))
+    answers = [
+        RecordBatch([], Offset(1), Seconds(10.0)),
+        RecordBatch([record], Offset(2), Seconds(11.0), behind=8),
+        RecordBatch([record], Offset(10), Seconds(12.0)),
+        RecordBatch([], Offset(10), Seconds(13.0)),
+        RecordBatch([record], Offset(10), Seconds(13.1)),
+    ]
+    taken: list[RecordBatch] = []
+    events = EventStream(ProcessName("p"), Incarnation("i"), DomainName("a"))
+    follower = RecordFollower(
+        BehindSource(answers),
+        Topic.DECISIONS,
+        0.0,
+        0.0,
+        lambda batch, whole: taken.append(batch),
+        lambda away: None,
+        events,
+        misses_none=True,
+    )
+    follower.start()
+    while answers:
+        eventlet.sleep(0.01)
+    follower.close()
+    assert [batch.since for batch in taken] == [None, None, None, None, 10.0]
--- a/tests/platform/test_weights.py
+++ b/tests/platform/test_weights.py
@@ -72,6 +72,14 @@
     assert ages == [VersionAge(ModelName("m"), WeightsVersion(2), 4.0)]
 
 
+def test_what_was_heard_is_not_replaced_by_what_is_told() -> None:
+    """Found by reading: who asks the store each 5 s dates a name as much too early."""
+    history = VersionHistory(BOUND)
+    name(history, 2, 100.0)
+    assert not history.date(WeightsVersion(2), Seconds(95.0))
+    assert history.begin_by(WeightsVersion(1)) == 100.0 + BOUND
+
+
 def test_a_transfer_near_its_end_is_finished() -> None:
     newer = TransferPlan(6.0, Seconds(12.0))
     assert should_finish(TransferPlan(1.0, Seconds(8.0)), newer, Seconds(4.0))
