The margin before the bound on old weights follows way, lag and delays

Now the longest recent way to the engine (from connections that came up) and the longest recent lag of the event loop are left besides, and a request is sent only if it would begin in time with the delay that few first events exceeded lately. What would not is refused at once, or goes elsewhere. After a connection that came up too late nothing is sent any more.

Test: an engine that begins 0.8 s later than its loader tells got requests until 0.8 s before the bound, less the margin, all taken back; none without its version now.

--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -1,6 +1,5 @@
 """Sends requests to targets, within their attempts, the retry budget and their time."""
 
-from collections import defaultdict
 from collections.abc import Callable
 from random import Random
 from time import monotonic
@@ -10,11 +9,11 @@
 
 from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.engine_load import Pending
-from ridgecourse.core.first_events import FirstEventDelay
 from ridgecourse.core.ids import Seconds, ServiceName, TargetId
 from ridgecourse.core.letting_in import Prospect, excess_wait
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.placement import FIRST_EVENT_SECONDS
+from ridgecourse.core.recent_peak import RecentPeak
 from ridgecourse.core.retry import RetryBudget
 from ridgecourse.core.site import Site
 from ridgecourse.core.targets import ListedTarget
@@ -54,7 +53,6 @@
 
     Attributes:
         budgets: Bounds repeated sends, by service.
-        delays: By how much first events are late against the estimates, by service.
     """
 
     def __init__(
@@ -64,16 +62,16 @@
         protocol: RequestProtocol,
         watcher: LoadWatcher,
         events: EventStream,
+        lag: RecentPeak,
         random: Random,
         count_gateways: Callable[[], int],
     ) -> None:
         self.site = site
         self.events = events
         self.count_gateways = count_gateways
-        self.selector = TargetSelector(site, view, watcher, random)
+        self.selector = TargetSelector(site, view, watcher, lag, random)
         self.sender = Sender(protocol)
         self.budgets: dict[ServiceName, RetryBudget] = {}
-        self.delays: dict[ServiceName, FirstEventDelay] = defaultdict(FirstEventDelay)
 
     def budget(self, service: ServiceName) -> RetryBudget:
         """Return the bound on a service's repeated sends.
@@ -126,7 +124,7 @@
         if engine is None or not terms.route.objective:
             return None
         now = Seconds(monotonic())
-        delay = self.delays[terms.service.name].expect(now)
+        delay = self.selector.delays[terms.service.name].expect(now)
         prospect = Prospect(
             objective=terms.route.objective,
             waited=order.waited,
@@ -157,7 +155,8 @@
         load.waiting[order.call.request_id] = Pending(begun, choice.reading)
         result: SendResult | None = None
         try:
-            result = self.sender.send(order, target)
+            ways = self.selector.state(target.target).ways
+            result = self.sender.send(order, target, ways)
         finally:
             load.waiting.pop(order.call.request_id, None)
             if not isinstance(result, Stream):
@@ -166,7 +165,7 @@
         if isinstance(result, Stream):
             now = Seconds(monotonic())
             expected = choice.wait + choice.reading + FIRST_EVENT_SECONDS
-            self.delays[target.service].observe(now - begun - expected, now)
+            self.selector.delays[target.service].observe(now - begun - expected, now)
         self._note_send(order, choice, result, monotonic() - begun)
         return result
 
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -82,6 +82,7 @@
             protocol,
             self.watcher,
             self.events,
+            self.lag.peak,
             random,
             self.hub.count_gateways,
         )
--- a/src/ridgecourse/gateway/selection.py
+++ b/src/ridgecourse/gateway/selection.py
@@ -1,5 +1,6 @@
 """Which target gets a request: where it begins soonest, near ones first."""
 
+from collections import defaultdict
 from collections.abc import Collection
 from random import Random
 from time import monotonic
@@ -8,8 +9,17 @@
 
 from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.engine_load import EngineLoad, prompt_seconds
-from ridgecourse.core.ids import ModelName, Seconds, TargetId, WeightsVersion
+from ridgecourse.core.first_events import FirstEventDelay
+from ridgecourse.core.ids import (
+    ModelName,
+    Seconds,
+    ServiceName,
+    TargetId,
+    WeightsVersion,
+)
+from ridgecourse.core.old_weights import TakeBack, may_wait
 from ridgecourse.core.placement import SENDERS, placement_cost
+from ridgecourse.core.recent_peak import RecentPeak
 from ridgecourse.core.routes import Service
 from ridgecourse.core.site import Site
 from ridgecourse.core.targets import ListedTarget
@@ -27,14 +37,6 @@
 FAILURES_IN_A_ROW = 2
 FIRST_EJECTION_SECONDS = 1.0
 LONGEST_EJECTION_SECONDS = 8.0
-VERSION_MARGIN_SECONDS = 0.3
-"""Before the bound on old weights, by when a request must have begun on them: the
-bound runs from the name, which was learned of a little later, and a request that
-is taken back must reach the engine in time."""
-BEGIN_SECONDS = 0.3
-"""From sending a request to its first event at an engine with a free slot; so much
-before it must have begun, with its expected wait, it is no longer sent to an engine
-with old weights."""
 
 
 class VersionTerms(Struct, frozen=True):
@@ -74,9 +76,11 @@
         failures: Failures in a row.
         ejections: Times in a row that it was ejected.
         not_before: When it may be chosen again.
+        ways: How long connections to it took to come up.
     """
 
     def __init__(self) -> None:
+        self.ways = RecentPeak()
         self.failures = 0
         self.ejections = 0
         self.not_before = Seconds(0.0)
@@ -104,15 +108,24 @@
     Attributes:
         states: What was seen of each target.
         watcher: Knows the engines' loads.
+        lag: By how much this process is late for its timers.
+        delays: By how much first events are late against the estimates, by service.
     """
 
     def __init__(
-        self, site: Site, view: ClusterView, watcher: LoadWatcher, random: Random
+        self,
+        site: Site,
+        view: ClusterView,
+        watcher: LoadWatcher,
+        lag: RecentPeak,
+        random: Random,
     ) -> None:
         self.site = site
         self.view = view
         self.watcher = watcher
+        self.lag = lag
         self.random = random
+        self.delays: dict[ServiceName, FirstEventDelay] = defaultdict(FirstEventDelay)
         self.states: dict[TargetId, TargetState] = {}
 
     def state(self, target: TargetId) -> TargetState:
@@ -220,8 +233,10 @@
         bound = self.view.history(model).begin_by(held or FIRST_VERSION)
         if bound is None:
             return VersionTerms(held, None, None)
-        begin_by = Seconds(bound - VERSION_MARGIN_SECONDS)
-        if now + wait + BEGIN_SECONDS < begin_by:
+        way = self.state(target.target).ways.expect(now)
+        begin_by = TakeBack(way, self.lag.expect(now)).begin_by(bound)
+        delay = self.delays[target.service].at_worst(now)
+        if may_wait(now, wait, delay, begin_by):
             return VersionTerms(held, None, begin_by)
         return VersionTerms(held, self.view.wanted_version(model), None)
 
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -7,6 +7,7 @@
 
 from ridgecourse.core.ids import AccountName, Seconds, WeightsVersion
 from ridgecourse.core.outcome import Reason
+from ridgecourse.core.recent_peak import RecentPeak
 from ridgecourse.core.targets import ListedTarget
 from ridgecourse.gateway.messages import AnswerHead, CallerRequest, SendTerms
 from ridgecourse.gateway.protocol import RequestProtocol
@@ -106,11 +107,18 @@
     def __init__(self, protocol: RequestProtocol) -> None:
         self.protocol = protocol
 
-    def send(self, order: Order, target: ListedTarget) -> SendResult:
-        """Send a request to a target and wait for its answer's beginning."""
+    def send(self, order: Order, target: ListedTarget, ways: RecentPeak) -> SendResult:
+        """Send a request to a target and wait for its answer's beginning.
+
+        Args:
+            order: The request.
+            target: The target.
+            ways: Takes how long the connection took to come up.
+        """
         exchange = Exchange(target.address, order.deadline)
         result: SendResult | None = None
         try:
+            self._connect(exchange, ways)
             result = self._exchange(exchange, order, target)
         except NotSent as error:
             result = NotRun(Reason.UNREACHABLE, str(error), arrived=False)
@@ -125,10 +133,20 @@
                 exchange.abandon()
         return result
 
+    def _connect(self, exchange: Exchange, ways: RecentPeak) -> None:
+        begun = monotonic()
+        try:
+            exchange.connect(min(CONNECT_SECONDS, exchange.remaining()))
+        finally:
+            now = Seconds(monotonic())
+            ways.observe(now - begun, now)
+
     def _exchange(
         self, exchange: Exchange, order: Order, target: ListedTarget
     ) -> SendResult:
-        exchange.connect(min(CONNECT_SECONDS, exchange.remaining()))
+        if order.begin_by is not None and monotonic() >= order.begin_by:
+            # The way took so long that the request would begin too late.
+            return NotRun(Reason.WRONG_TARGET, "not begun in time", arrived=False)
         call = order.call
         terms = SendTerms(
             target=target.target,
--- a/tests/platform/test_name_dates.py
+++ b/tests/platform/test_name_dates.py
@@ -15,12 +15,16 @@
 was last heard of was that of the last byte as well.
 """
 
+from collections.abc import Iterator
+from pathlib import Path
 from time import monotonic, sleep
 
 import eventlet
 import pytest
 from gateway_site import MODEL, make_config, make_route
 from msgspec.json import encode
+from test_late_callers import LoadedSite
+from test_requests import stream
 
 from ridgecourse.core.ids import (
     DomainName,
@@ -29,6 +33,7 @@
     ProcessName,
     Seconds,
 )
+from ridgecourse.core.old_weights import TAKE_BACK_SECONDS
 from ridgecourse.net.events import EventStream
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.record_follower import RecordFollower
@@ -48,6 +53,9 @@
 """How long the configuration is on its way."""
 NAMED_AFTER_SECONDS = 0.1
 """From the configuration's acknowledgement to the name's."""
+LATE_SECONDS = 0.8
+"""From a request to its first event at an engine that is slower than it tells."""
+ASK_EACH_SECONDS = 0.1
 ASKED_BEFORE_SECONDS = 1.5
 """Before the bound, when a caller asks."""
 
@@ -83,6 +91,13 @@
     assert monotonic() < named_at + BOUND_SECONDS
 
 
+@pytest.fixture
+def loaded(tmp_path: Path) -> Iterator[LoadedSite]:
+    site = LoadedSite(tmp_path)
+    yield site
+    site.close()
+
+
 @pytest.fixture
 def slow_store():
     store = StoreStandIn()
@@ -165,3 +180,40 @@
         eventlet.sleep(0.01)
     follower.close()
     assert [batch.since for batch in taken] == [None, None, None, None, 10.0]
+
+
+def begin_late(request: ReceivedRequest) -> None:
+    """Begin a stream later than any report tells."""
+    sleep(LATE_SECONDS)
+    stream(1, 2)(request)
+
+
+def test_what_would_begin_after_the_bound_is_not_sent(loaded) -> None:
+    """Requests waited three times as long as estimated and were taken back.
+
+    They might have been refused at once: what the gateway's own requests met lately
+    told so.
+    """
+    loaded.settings["bounds"]["version_ms"] = int(BOUND_SECONDS * 1000)
+    loaded.path.write_bytes(encode(loaded.settings))
+    config = make_config()
+    patient = make_route("/patient/", "streaming", "llm", target_latency_ms=6000)
+    config["routes"].append(patient)
+    loaded.start(config)
+    engine = loaded.engines[0]
+    engine.behaviour = begin_late
+    loaded.store.put_version(MODEL, 2)
+    bound = loaded.store.named_at[MODEL, 2] + BOUND_SECONDS
+    loaded.gateway.wait_event("version-named", version="2")
+
+    def ask_until(limit: float) -> int:
+        while monotonic() < limit:
+            loaded.send(loaded.open(), "/patient/x", extra=(f"Model: {MODEL}",))
+            sleep(ASK_EACH_SECONDS)
+        return len(engine.requests)
+
+    early = ask_until(bound - LATE_SECONDS - TAKE_BACK_SECONDS)
+    assert engine.requests[0].header("Expected-Version") is None
+    ask_until(bound)
+    late = engine.requests[early:]
+    assert {request.header("Expected-Version") for request in late} <= {"2"}
