Records of another writer are passed over one by one

Cause: the store holds what any writer left there. A record whose key is no text, or that has none, made every read of its topic fail for ever, and one item of a page of newest records did the same. A value that is no base64 could pass for an empty one, which removes a target. An answer that broke off within a record gave half a value for a whole one. Entries of unknown states counted as ready; slots of 0, names and addresses that are none were believed; a bad entry that replaced a good one left that in force. A configuration that lacked its accounts opened all routes, and shares of nothing made each request fail. Each such record was logged again with each read.

Now each record is read and checked by itself. What holds is kept for processes that start on a bad configuration. Only an answer that ends before its first whole record, or a page that is none or names no key to go on from, fails as a whole.

An unlisted target's last offset is now forgotten after a thousand others, so that memory does not grow with such entries.

Stand-ins list targets with all fields that the platform's page names, for an entry that lacks one is not a target's own.

--- a/src/ridgecourse/cluster/decoder.py
+++ b/src/ridgecourse/cluster/decoder.py
@@ -19,10 +19,17 @@
 
     @abstractmethod
     def decision(self, record: KeyedRecord) -> Result[Decision | None, Findings]:
-        """Return an operator's decision; None for kinds that are not known."""
+        """Return an operator's decision; None for kinds that are not known.
+
+        The place of a finding is the record's key.
+        """
 
     @abstractmethod
     def targets(
         self, records: Sequence[KeyedRecord]
     ) -> tuple[Sequence[TargetRecord], Findings]:
-        """Return changes of the list of targets, and what could not be read."""
+        """Return changes of the list of targets, and what could not be read.
+
+        A record that could not be read is a change as well: its target is not to be
+        used. The place of a finding is the record's key.
+        """
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -3,14 +3,17 @@
 from collections.abc import Iterable, Iterator, Sequence
 from time import monotonic
 
+from msgspec.structs import replace
 from returns.result import Failure
 
+from ridgecourse.cluster.bad_records import BadRecords
 from ridgecourse.cluster.decoder import RecordDecoder
 from ridgecourse.cluster.keeper import DecisionKeeper
 from ridgecourse.cluster.share import RecordShare
+from ridgecourse.core.finding import Finding
 from ridgecourse.core.ids import ModelName, Offset, Seconds, ServiceName, WeightsVersion
 from ridgecourse.core.routes import RoutingConfig
-from ridgecourse.core.targets import ListedTarget, TargetList
+from ridgecourse.core.targets import ListedTarget, TargetList, TargetRecord
 from ridgecourse.core.weights import NamedVersion, VersionAge, VersionHistory
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.events import EventKind, EventStream
@@ -61,6 +64,7 @@
     ) -> None:
         self.decoder = decoder
         self.events = events
+        self.bad_records = BadRecords(events)
         self.config: RoutingConfig | None = None
         self.version_seconds = version_seconds
         self.targets_pause = targets_pause
@@ -199,7 +203,9 @@
         """
         decoded = self.decoder.decision(record)
         if isinstance(decoded, Failure):
-            self.events.emit(EventKind.BAD_INPUT, error=str(decoded.failure()))
+            for finding in decoded.failure():
+                self.bad_records.note(Topic.DECISIONS, finding)
+            self._keep_known(record)
             return False
         decision = decoded.unwrap()
         if isinstance(decision, RoutingConfig):
@@ -264,17 +270,20 @@
             yield from history.ages(model, Seconds(monotonic()))
 
     def _note_outdated(self, record: KeyedRecord, version: int) -> None:
-        """Note a record that is no newer than what is believed.
-
-        Where it is the newest of its key, who starts would believe it: what holds is
-        kept elsewhere.
-        """
+        """Note a record that is no newer than what is believed."""
         self.events.emit(
             EventKind.DECISION_OUTDATED,
             offset=record.offset,
             version=str(version),
             key=record.key,
         )
+        self._keep_known(record)
+
+    def _keep_known(self, record: KeyedRecord) -> None:
+        """Keep what holds elsewhere than under the key of a record that does not.
+
+        Where that is the newest of its key, who starts would believe it, or nothing.
+        """
         known = self.share.topics[Topic.DECISIONS].records.get(record.key)
         if known is None or known.value == record.value:
             return
@@ -300,11 +309,12 @@
 
     def take_targets(self, batch: RecordBatch, whole: bool) -> None:
         """Take in changes of the list of targets, or the whole of it."""
-        self.share.topics[Topic.TARGETS].take(batch)
-        self.share.changed.notify()
         records, findings = self.decoder.targets(batch.records)
-        for finding in findings:
-            self.events.emit(EventKind.BAD_INPUT, error=str(finding))
+        told = replace(batch, records=list(tell_rejected(batch.records, records)))
+        self.share.topics[Topic.TARGETS].take(told)
+        self.share.changed.notify()
+        for finding in [*findings, *self._find_unnamed(records)]:
+            self.bad_records.note(Topic.TARGETS, finding)
         before = dict(self.targets.targets)
         now = Seconds(monotonic())
         if self.decisions_reader.lost_since is not None:
@@ -318,6 +328,16 @@
         self._note_targets(before, self.targets.targets.values())
         self.changed.notify()
 
+    def _find_unnamed(self, records: Iterable[TargetRecord]) -> Iterator[Finding]:
+        """Yield entries of services that the configuration does not name.
+
+        They stay listed, for the next configuration may name the service.
+        """
+        known = self.config.services if self.config else None
+        for entry in [record.entry for record in records]:
+            if known is not None and entry is not None and entry.service not in known:
+                yield Finding(entry.target, f"unknown service {entry.service}")
+
     def _note_targets(self, before: dict, current: Iterable[ListedTarget]) -> None:
         names = set()
         for target in current:
@@ -349,3 +369,19 @@
     def ready(self) -> bool:
         """Tell whether requests can be served."""
         return self.config is not None and self.listed
+
+
+def tell_rejected(
+    records: Iterable[KeyedRecord], changes: Iterable[TargetRecord]
+) -> Iterator[KeyedRecord]:
+    """Yield records as others are told of them.
+
+    Those that were rejected are told without their value, of which nobody has any use.
+    """
+    rejected = {(item.target, item.offset) for item in changes if item.rejected}
+    for record in records:
+        if (record.key, record.offset) in rejected:
+            why = record.broken or "rejected"
+            yield replace(record, value=b"", broken=why)
+        else:
+            yield record
--- a/src/ridgecourse/core/targets.py
+++ b/src/ridgecourse/core/targets.py
@@ -24,6 +24,9 @@
 seconds (the platform's statement). An outage's end is noticed up to half a second
 late, which leaves time to read that; longer, and requests would go to targets that
 left meanwhile."""
+OFFSETS_KEPT = 1000
+"""Targets no longer listed of which the last offset is remembered, so that no older
+record brings them back: far more than leave while such a record may arrive."""
 
 
 class HeldLayers(Struct, frozen=True):
@@ -81,11 +84,14 @@
         target: Which target.
         offset: Position in the stream; a later one wins.
         entry: The target's entry, None where it was removed.
+        rejected: Whether there is an entry that cannot be used. Unlike a removal it
+            is believed at once: it is no heartbeat missed in an outage.
     """
 
     target: TargetId
     offset: Offset
     entry: ListedTarget | None
+    rejected: bool = False
 
 
 class TargetList:
@@ -113,12 +119,22 @@
         for record in records:
             if record.offset <= self.offsets.get(record.target, -1):
                 continue
+            self.offsets.pop(record.target, None)
             self.offsets[record.target] = record.offset
-            if record.entry is None:
+            if record.rejected:
+                self.drop(record.target)
+            elif record.entry is None:
                 self._remove(record.target, now)
             else:
                 self.targets[record.target] = record.entry
                 self.removed.pop(record.target, None)
+        self._forget_offsets()
+
+    def _forget_offsets(self) -> None:
+        """Forget of the targets that are not listed all but the last offsets."""
+        unlisted = [name for name in self.offsets if name not in self.targets]
+        for name in unlisted[:-OFFSETS_KEPT]:
+            del self.offsets[name]
 
     def replace(self, records: Iterable[TargetRecord], now: Seconds) -> None:
         """Take in the whole list; what it lacks is removed."""
--- a/src/ridgecourse/net/record_source.py
+++ b/src/ridgecourse/net/record_source.py
@@ -29,11 +29,13 @@
         key: What it is about.
         value: What holds from now on; empty where the key was dropped.
         offset: Its position.
+        broken: Why it cannot be read, which leaves it without value; empty if it can.
     """
 
     key: str
     value: bytes
     offset: Offset
+    broken: str = ""
 
 
 class RecordBatch(Struct, frozen=True):
--- a/src/ridgecourse/platform/records.py
+++ b/src/ridgecourse/platform/records.py
@@ -1,11 +1,12 @@
 """Decodes the values of the store's records."""
 
 from collections.abc import Sequence
+from enum import Enum
+from re import fullmatch
 from typing import Any
 
 from msgspec import DecodeError, Struct, field
 from msgspec.json import Decoder
-from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from ridgecourse.cluster.decoder import Decision, RecordDecoder
@@ -33,21 +34,40 @@
 from ridgecourse.core.targets import HeldLayers, ListedTarget, TargetRecord
 from ridgecourse.core.weights import NamedVersion
 from ridgecourse.net.record_source import KeyedRecord
+from ridgecourse.platform.field_types import (
+    Count,
+    HeldVersion,
+    Index,
+    Name,
+    Positive,
+    Quantity,
+    SocketAddress,
+    Version,
+    check_address,
+)
 from ridgecourse.platform.names import CONFIG_KEY, VERSION_KEY_PREFIX
 from ridgecourse.platform.settings import BYTES_PER_MBIT, MILLISECOND
 
 IDEMPOTENT_TYPE = "safe"
 STREAMED_TYPE = "streaming"
-LEAVING_STATE = "draining"
 TOKENS_PER_K = 1000.0
 PAIRS_PER_M = 1e6
+TARGET_KEY = "[!-~]{1,255}"
+"""Visible ASCII: a target's identity goes into a header as it stands."""
+
+
+class TargetState(Enum):
+    """What a target tells of itself."""
+
+    READY = "ready"
+    LEAVING = "draining"
 
 
 class SplitFields(Struct):
     """A service's share of a route."""
 
-    service: str
-    weight: float
+    service: Name
+    weight: Quantity
 
 
 class RouteFields(Struct):
@@ -57,28 +77,33 @@
     hostname: str
     path_prefix: str
     type: str
-    timeout_ms: float
-    target_latency_ms: float
-    priority: int = 0
+    timeout_ms: Positive
+    target_latency_ms: Positive
+    priority: Index = 0
     service: str = ""
     backends: list[SplitFields] = []
-    max_attempts: int = 1
+    max_attempts: Count = 1
     public: bool = False
     resumable: bool = False
-    target_gap_ms: float = 0.0
+    target_gap_ms: Quantity = 0.0
+
+    def __post_init__(self) -> None:
+        """Check that somebody answers."""
+        if not self.service and not any(share.weight for share in self.backends):
+            raise ValueError("no service for the route")
 
 
 class ModelFields(Struct):
     """A model of an engine."""
 
-    name: str
+    name: Name
 
 
 class UsualFields(Struct):
     """Mean tokens of a request."""
 
-    prompt: float = 0.0
-    answer: float = 0.0
+    prompt: Quantity = 0.0
+    answer: Quantity = 0.0
 
 
 class EngineFields(Struct):
@@ -90,64 +115,73 @@
         pairs_per_m: Milliseconds for a million pairs of prompt tokens.
     """
 
-    slots: int
-    kv_capacity_tokens: int
+    slots: Count
+    kv_capacity_tokens: Count
     models: list[ModelFields]
-    step_ms: float
-    per_seq_ms: float
-    context_per_k: float
-    read_per_s: float
-    pairs_per_m: float
+    step_ms: Positive
+    per_seq_ms: Quantity
+    context_per_k: Quantity
+    read_per_s: Positive
+    pairs_per_m: Quantity
     usual: UsualFields
-    layers: int = 1
-    chunks: int = 0
-    chunk_bytes: int = 0
+    layers: Count = 1
+    chunks: Index = 0
+    chunk_bytes: Index = 0
 
 
 class ServiceFields(Struct):
     """A service; one with ``origin`` is the origin of weights."""
 
-    name: str
+    name: Name
     health_path: str = ""
-    max_connections: int = 64
+    max_connections: Count = 64
     engine: EngineFields | None = None
-    origin: str = ""
+    origin: SocketAddress | None = None
     zone: str = ""
-    bandwidth_mbps: float = 0.0
+    bandwidth_mbps: Quantity = 0.0
+
+    def __post_init__(self) -> None:
+        """Check the address."""
+        if self.origin is not None:
+            check_address(self.origin)
 
 
 class LimitFields(Struct):
     """Limits on callers."""
 
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 4 * 1024 * 1024
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15000.0
+    max_header_bytes: Count = 16 * 1024
+    max_body_bytes: Count = 4 * 1024 * 1024
+    header_timeout_ms: Positive = 3000.0
+    idle_timeout_ms: Positive = 15000.0
 
 
 class AccountFields(Struct):
     """A client account with its keys."""
 
-    name: str
+    name: Name
     api_keys: list[str]
     priority: int | None = None
 
 
 class ConfigFields(Struct):
-    """A whole configuration."""
+    """A whole configuration.
+
+    One without accounts needs no keys, so that a list that is lacking must not pass
+    for an empty one.
+    """
 
-    version: int
+    version: Version
     routes: list[RouteFields]
     services: list[ServiceFields]
-    limits: LimitFields = field(default_factory=LimitFields)
-    tenants: list[AccountFields] = []
+    limits: LimitFields
+    tenants: list[AccountFields]
 
 
 class ServedFields(Struct):
     """A model that an engine serves."""
 
-    name: str
-    version: int = 0
+    name: Name
+    version: HeldVersion
 
 
 class LayerFields(Struct):
@@ -159,28 +193,39 @@
         version: Version of their weights.
     """
 
-    first: int = field(name="from")
-    end: int = field(name="target_version")
-    version: int
+    first: Index = field(name="from")
+    end: Index = field(name="target_version")
+    version: HeldVersion
 
 
 class TargetFields(Struct):
-    """A target's entry in the list."""
+    """A target's entry in the list.
 
-    service: str
-    address: str
-    zone: str
-    slots: int = 1
-    state: str = "ready"
+    Every target writes all but the last two, which engines of models add: an entry that
+    lacks one, needed here or not, is not a target's own.
+    """
+
+    service: Name
+    address: SocketAddress
+    zone: Name
+    version: str
+    slots: Count
+    state: TargetState
+    cold_remaining_ms: float
+    sequence: int
     models: list[ServedFields] = []
     layers: LayerFields | None = None
 
+    def __post_init__(self) -> None:
+        """Check the address."""
+        check_address(self.address)
+
 
 class VersionFields(Struct):
     """New weights of a model."""
 
-    model: str
-    version: int
+    model: Name
+    version: Version
 
 
 CONFIG_DECODER = Decoder(ConfigFields)
@@ -190,29 +235,50 @@
 
 def decode_decision(record: KeyedRecord) -> Result[Decision | None, Findings]:
     """Decode an operator's decision; None for kinds that are not known."""
+    if record.key == CONFIG_KEY:
+        return decode_value(record, CONFIG_DECODER).map(make_config)
+    if record.key.startswith(VERSION_KEY_PREFIX):
+        return decode_value(record, VERSION_DECODER).bind(
+            lambda fields: make_named(record, fields)
+        )
+    return fail(record, record.broken) if record.broken else Success(None)
+
+
+def decode_value(record: KeyedRecord, decoder: Decoder) -> Result[Any, Findings]:
+    """Decode a record's value; any writer may have left it, and left anything."""
+    if record.broken:
+        return fail(record, record.broken)
     try:
-        if record.key == CONFIG_KEY and record.value:
-            return Success(make_config(CONFIG_DECODER.decode(record.value)))
-        if record.key.startswith(VERSION_KEY_PREFIX) and record.value:
-            named = VERSION_DECODER.decode(record.value)
-            model = ModelName(named.model)
-            return Success(NamedVersion(model, WeightsVersion(named.version)))
-    except DecodeError as error:
-        return Failure((Finding(f"record {record.key}", str(error)),))
-    return Success(None)
+        return Success(decoder.decode(record.value))
+    except (DecodeError, RecursionError) as error:
+        return fail(record, str(error))
+
+
+def fail(record: KeyedRecord, why: str) -> Result[Any, Findings]:
+    """Return that a record cannot be used."""
+    return Failure((Finding(record.key, why),))
+
+
+def make_named(
+    record: KeyedRecord, fields: VersionFields
+) -> Result[NamedVersion, Findings]:
+    """Return the version that a record names, of the model that its key is about."""
+    if record.key != f"{VERSION_KEY_PREFIX}{fields.model}":
+        return fail(record, f"names another model, {fields.model}")
+    model = ModelName(fields.model)
+    return Success(NamedVersion(model, WeightsVersion(fields.version)))
 
 
 def decode_target(record: KeyedRecord) -> Result[TargetRecord, Findings]:
     """Decode an entry of the list of targets, or its removal."""
     target = TargetId(record.key)
-    if not record.value:
+    if not record.value and not record.broken:
         return Success(TargetRecord(target, record.offset, None))
-    try:
-        fields = TARGET_DECODER.decode(record.value)
-    except DecodeError as error:
-        return Failure((Finding(f"target {record.key}", str(error)),))
-    entry = make_target(target, fields)
-    return Success(TargetRecord(target, record.offset, entry))
+    if not fullmatch(TARGET_KEY, record.key):
+        return fail(record, "the key is no target's")
+    return decode_value(record, TARGET_DECODER).map(
+        lambda fields: TargetRecord(target, record.offset, make_target(target, fields))
+    )
 
 
 def make_target(target: TargetId, fields: TargetFields) -> ListedTarget:
@@ -223,7 +289,7 @@
         address=fields.address,
         domain=DomainName(fields.zone),
         slots=fields.slots,
-        leaving=fields.state == LEAVING_STATE,
+        leaving=fields.state is TargetState.LEAVING,
         models={
             ModelName(model.name): WeightsVersion(model.version)
             for model in fields.models
@@ -317,7 +383,7 @@
 def make_origin(fields: ServiceFields) -> OriginPlace:
     """Return the origin of weights in the system's own terms."""
     return OriginPlace(
-        address=fields.origin,
+        address=fields.origin or "",
         domain=DomainName(fields.zone),
         bytes_per_s=fields.bandwidth_mbps * BYTES_PER_MBIT,
     )
@@ -352,7 +418,12 @@
         self, records: Sequence[KeyedRecord]
     ) -> tuple[Sequence[TargetRecord], Findings]:
         """Return changes of the list; see ``RecordDecoder``."""
-        decoded = [decode_target(record) for record in records]
-        changes = [item.unwrap() for item in decoded if is_successful(item)]
-        findings = [item.failure() for item in decoded if not is_successful(item)]
+        decoded = [(record, decode_target(record)) for record in records]
+        changes = [item.value_or(reject_target(record)) for record, item in decoded]
+        findings = [item.failure() for _, item in decoded if isinstance(item, Failure)]
         return changes, tuple(finding for group in findings for finding in group)
+
+
+def reject_target(record: KeyedRecord) -> TargetRecord:
+    """Return that a record names no target to be used."""
+    return TargetRecord(TargetId(record.key), record.offset, None, rejected=True)
--- a/src/ridgecourse/platform/store.py
+++ b/src/ridgecourse/platform/store.py
@@ -5,10 +5,10 @@
 from struct import error as StructError
 from struct import pack, unpack_from
 from time import monotonic
-from typing import Any
+from typing import Annotated, Any
 from urllib.parse import urlencode
 
-from msgspec import DecodeError, Struct, field
+from msgspec import DecodeError, Meta, Raw, Struct, field
 from msgspec.json import decode
 
 from ridgecourse.core.hearing import heard_at
@@ -44,6 +44,18 @@
 MAX_READ_KB = 128
 """Records in one answer: some configurations, or the heartbeats of many seconds. Who
 is further behind reads the newest record of each key, which takes less."""
+NO_KEY = ""
+"""Key of records whose own cannot be told; nothing has it."""
+HEAD_BYTES = 16
+"""Bytes of an answer before its first record."""
+LENGTH_BYTES = 4
+"""Bytes that tell a record's length."""
+
+
+class ItemKey(Struct):
+    """The key of a record, whatever else stands beside it."""
+
+    key: str = field(name="key_file")
 
 
 class NewestItem(Struct):
@@ -57,19 +69,19 @@
 
     key: str = field(name="key_file")
     value: str
-    offset: int
+    offset: Annotated[int, Meta(ge=0)]
 
 
 class NewestPage(Struct):
     """A page of newest records.
 
     Attributes:
-        items: The records.
+        items: The records, each read apart: one that cannot be leaves the others.
         end_offset: End of the topic.
         truncated: Whether there are more.
     """
 
-    items: list[NewestItem]
+    items: list[Raw]
     end_offset: int
     truncated: bool = False
 
@@ -92,9 +104,7 @@
         asked = Seconds(monotonic())
         pages = list(self._newest_pages(TOPICS[topic]))
         records = [
-            KeyedRecord(item.key, b64decode(item.value), Offset(item.offset))
-            for page in pages
-            for item in page.items
+            read_item(item, page.end_offset) for page in pages for item in page.items
         ]
         # The pages are no snapshot: what changed meanwhile is read again.
         return RecordBatch(records, Offset(pages[0].end_offset), asked)
@@ -110,12 +120,12 @@
                 raise SourceUnavailable(f"status {status}")
             try:
                 page = decode(data, type=NewestPage)
-            except DecodeError as error:
+            except (DecodeError, RecursionError) as error:
                 raise SourceUnavailable(str(error)) from error
             yield page
             if not page.truncated or not page.items:
                 return
-            after = page.items[-1].key
+            after = find_next_key(page, after)
 
     def read(self, topic: Topic, start: Offset, wait: float) -> RecordBatch:
         """Return records from an offset on; see ``RecordSource``."""
@@ -134,7 +144,7 @@
             raise SourceUnavailable(f"status {status}")
         try:
             records, end = decode_records(data, start)
-        except (StructError, UnicodeDecodeError, IndexError) as error:
+        except (StructError, ValueError) as error:
             raise SourceUnavailable(f"no records: {error}") from error
         heard = heard_at(asked, Seconds(monotonic()), wait, not records)
         past = Offset(start + len(records)) if records else Offset(max(start, end))
@@ -181,26 +191,84 @@
     return pack(">I", len(record)) + record
 
 
+def find_next_key(page: NewestPage, after: str) -> str:
+    """Return the key after which the next page begins.
+
+    Raises:
+        SourceUnavailable: The page names none beyond the one that it began after.
+    """
+    for item in reversed(page.items):
+        key = read_key(item)
+        if key not in (NO_KEY, after):
+            return key
+    raise SourceUnavailable("a page without a key to go on from")
+
+
+def read_item(item: Raw, end: int) -> KeyedRecord:
+    """Return a record of a page of newest records.
+
+    Args:
+        item: The record as it stands in the page.
+        end: The topic's end as the page tells it. A record that cannot be read is
+            taken for the last before it: that replaces what was known of its key, and
+            whatever is written next replaces it.
+    """
+    try:
+        fields = decode(item, type=NewestItem)
+        value = b64decode(fields.value, validate=True)
+    except (ValueError, RecursionError) as error:
+        return KeyedRecord(read_key(item), b"", Offset(max(0, end - 1)), str(error))
+    return KeyedRecord(fields.key, value, Offset(fields.offset))
+
+
+def read_key(item: Raw) -> str:
+    """Return the key of a record of a page, ``NO_KEY`` where it has none."""
+    try:
+        return decode(item, type=ItemKey).key
+    except (DecodeError, RecursionError):
+        return NO_KEY
+
+
 def decode_records(data: bytes, start: Offset) -> tuple[Sequence[KeyedRecord], Offset]:
     """Return the records of a keyed topic, and its end.
 
     The bytes are the end of the topic and the first offset kept, 8 bytes each,
-    then records: 4 bytes of length, 1 byte of the key's length, key, value.
+    then records: 4 bytes of length, 1 byte of the key's length, key, value. Of an
+    answer that breaks off, the whole records are returned.
 
     Raises:
-        struct.error: The bytes end early.
-        IndexError: Likewise.
-        UnicodeDecodeError: A key is no text.
+        struct.error: The bytes end before the first record.
+        ValueError: They end within it.
     """
     end, _first_kept = unpack_from(">QQ", data)
-    records = []
-    position, offset = 16, start
-    while position < len(data):
-        (length,) = unpack_from(">I", data, position)
-        record = data[position + 4 : position + 4 + length]
-        key_end = 1 + record[0]
-        key = record[1:key_end].decode()
-        records.append(KeyedRecord(key, record[key_end:], offset))
-        position += 4 + length
-        offset = Offset(offset + 1)
+    bodies = list(split_records(data[HEAD_BYTES:]))
+    if len(data) > HEAD_BYTES and not bodies:
+        raise ValueError("the answer ends within its first record")
+    records = [
+        read_record(body, Offset(start + index)) for index, body in enumerate(bodies)
+    ]
     return records, Offset(end)
+
+
+def split_records(data: bytes) -> Iterator[bytes]:
+    """Yield the whole records of an answer, without their lengths."""
+    position = 0
+    while position + LENGTH_BYTES <= len(data):
+        (length,) = unpack_from(">I", data, position)
+        position += LENGTH_BYTES + length
+        if position > len(data):
+            return
+        yield data[position - length : position]
+
+
+def read_record(body: bytes, offset: Offset) -> KeyedRecord:
+    """Return a record of a keyed topic, marked as broken where it has no key."""
+    key_end = 1 + body[0] if body else 1
+    name = body[1:key_end]
+    if len(body) < key_end:
+        return KeyedRecord(NO_KEY, b"", offset, "the record ends within its key")
+    try:
+        return KeyedRecord(name.decode(), body[key_end:], offset)
+    except UnicodeDecodeError as error:
+        key = name.decode(errors="backslashreplace")
+        return KeyedRecord(key, b"", offset, str(error))
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -186,6 +186,8 @@
             "version": "v1",
             "slots": 16,
             "state": state,
+            "cold_remaining_ms": 0,
+            "sequence": 1,
         }
         if service == "llm":
             entry["models"] = [{"name": MODEL, "version": version, "adapters": []}]
--- a/tests/platform/test_domain_reads.py
+++ b/tests/platform/test_domain_reads.py
@@ -103,6 +103,8 @@
             "version": "v1",
             "slots": 16,
             "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": 1,
             "models": [{"name": "m0", "version": 1, "adapters": []}],
             "layers": {"from": 0, "target_version": LAYERS, "version": 1},
         }
--- a/tests/platform/test_loader.py
+++ b/tests/platform/test_loader.py
@@ -74,6 +74,8 @@
             "version": "v1",
             "slots": 16,
             "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": 1,
         }
         if self.engine.version:
             held = {"name": MODEL, "version": self.engine.version, "adapters": []}
