Many rejected records do not push out which targets left

Cause: the records that this process tells to others keep the last 1,000 keys without a value. Rejected ones have none either, and were counted with those of targets that left, so that who cannot read the store would not hear of them. Counted apart now. Test red before: 3,000 bad entries behind a removal.

--- a/src/ridgecourse/cluster/share.py
+++ b/src/ridgecourse/cluster/share.py
@@ -20,7 +20,8 @@
 """Age from which on nobody relies on what another process last heard of the store: with
 the own read that follows, a decision is in force in less than the 2 s allowed."""
 KEPT_DROPPED = 1000
-"""Dropped keys that are still told: far more than targets leave within an outage."""
+"""Dropped or rejected keys that are still told: far more than targets leave within an
+outage."""
 COMPRESSED_BYTES = 4096
 """Longer answers are compressed: a configuration of 54 KB is a tenth of that then, on
 links of loaders that carry 450 KB/s."""
@@ -83,8 +84,14 @@
         return monotonic() - self.heard_at
 
     def _forget_dropped(self) -> None:
-        dropped = [key for key, record in self.records.items() if not record.value]
-        for key in dropped[:-KEPT_DROPPED]:
+        """Forget all but the last keys that were dropped, and that were rejected.
+
+        Counted apart: any number of rejected ones leaves it known which targets left.
+        """
+        empty = [record for record in self.records.values() if not record.value]
+        dropped = [record.key for record in empty if not record.broken]
+        rejected = [record.key for record in empty if record.broken]
+        for key in [*dropped[:-KEPT_DROPPED], *rejected[:-KEPT_DROPPED]]:
             del self.records[key]
 
     def since(self, start: Offset) -> SharedRecords:
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -174,6 +174,16 @@
     assert sum(len(record.value) for record in topic.records.values()) < 1000
 
 
+def test_others_still_hear_of_a_target_that_left_behind_many_bad_entries() -> None:
+    reader = Reader()
+    reader.list(("i-1", ENTRY))
+    reader.read(Topic.TARGETS, (b"i-1", b""))
+    for start in range(0, 3000, 1000):
+        reader.list(*((f"x-{start + number}", {}) for number in range(1000)))
+    shared = reader.view.share.topics[Topic.TARGETS].since(Offset(0))
+    assert "i-1" in {record.key for record in shared.records}
+
+
 def test_what_is_logged_of_a_value_is_short() -> None:
     reader = Reader()
     reader.list(("i-1", change(ENTRY, state="x" * 100_000)))
