Fields of an entry that are not needed here are checked too

Cause: an entry with a phase or adapters of another type is another writer's, like one with a wrong service. Test for each field of an entry.

--- a/src/ridgecourse/platform/records.py
+++ b/src/ridgecourse/platform/records.py
@@ -49,6 +49,7 @@
 
     name: Name
     version: HeldVersion
+    adapters: list[Any] = []
 
 
 class LayerFields(Struct):
@@ -68,8 +69,8 @@
 class TargetFields(Struct):
     """A target's entry in the list.
 
-    Every target writes all but the last two, which engines of models add: an entry that
-    lacks one, needed here or not, is not a target's own.
+    Every target writes all but the last three, which engines of models add: an entry
+    that lacks one, needed here or not, is not a target's own.
     """
 
     service: Name
@@ -80,6 +81,7 @@
     state: TargetState
     cold_remaining_ms: float
     sequence: int
+    phase: str = ""
     models: list[ServedFields] = []
     layers: LayerFields | None = None
 
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -87,6 +87,16 @@
     assert reader.serving() == {"i-1", "i-2"}
 
 
+@pytest.mark.parametrize("field", ENTRY)
+def test_an_entry_with_one_field_of_another_type_names_no_engine(field: str) -> None:
+    reader = Reader()
+    reader.list(("i-1", ENTRY), ("i-2", change(ENTRY, **{field: {"x": [1]}})))
+    assert reader.serving() == {"i-1"}
+    adapters = [{"name": MODEL, "version": 1, "adapters": 7}]
+    reader.list(("i-1", change(ENTRY, models=adapters)))
+    assert reader.serving() == set()
+
+
 @given(value=st.binary(min_size=1) | json_values.map(encode))
 def test_any_value_of_an_entry_leaves_the_others(value: bytes) -> None:
     reader = Reader()
