What was passed over is read up to where the newest records were read

Cause: a follower that was behind reads the newest records and later those in between, but the range in between ended where the topic had ended when it found itself behind. What was written until it read the newest records was in no read.

Ruled out: a failed read of the range (no such line there). That was a fault too, found by reading: it dropped the whole range; now it is asked for again.

--- a/src/ridgecourse/net/record_follower.py
+++ b/src/ridgecourse/net/record_follower.py
@@ -112,7 +112,7 @@
                 eventlet.sleep(self._retry_wait())
                 continue
             self._note_answer(batch)
-            self._note_skipped(batch)
+            self._note_skipped(batch, whole)
             if not batch.behind:
                 self.heard_at = max(self.heard_at, batch.heard_at)
             # Who is behind needs what holds now, not all that held in between.
@@ -122,7 +122,10 @@
                 self._read_skipped()
             eventlet.sleep(0.0 if batch.behind else self.pause)
 
-    def _note_skipped(self, batch: RecordBatch) -> None:
+    def _note_skipped(self, batch: RecordBatch, whole: bool) -> None:
+        """Note what is passed over: up to where the newest records were read."""
+        if whole and self.skipped:
+            self.skipped = self.skipped._replace(end=batch.end)
         if batch.behind and self.misses_none:
             end = Offset(batch.end + batch.behind)
             skipped = self.skipped or SkippedRange(batch.end, end, self.heard_at)
@@ -137,12 +140,16 @@
             return
         try:
             batch = self.source.read(self.topic, self.skipped.start, 0.0)
-        except (RecordsGone, SourceUnavailable) as error:
+        except RecordsGone as error:
             self.events.emit(
                 EventKind.RECORDS_GONE, topic=self.topic.value, error=str(error)
             )
             self.skipped = None
             return
+        except SourceUnavailable:
+            # Asked for again after the next read that brings nothing new.
+            self.events.figures.count("skipped_unread")
+            return
         since = self.skipped.since
         past = not batch.records or batch.end >= self.skipped.end
         self.skipped = None if past else self.skipped._replace(start=batch.end)
--- /dev/null
+++ b/tests/platform/test_passed_over.py
@@ -0,0 +1,119 @@
+"""What a process that was behind passed over is read later, all of it.
+
+What happened: a gateway woke 18 configurations behind, read the newest one, and then
+those in between, for one of them was higher than the newest. It stopped at the 14th of
+20 and refused callers of the highest one for as long as it ran.
+
+Why: the range that was passed over ended where the topic had ended when the gateway
+found itself behind. Until it read the newest records six more were written; these were
+in no range and in no later read.
+
+What settled it: "config-folded" 5 at offset 4, then 18 at offset 19;
+"decision-outdated" for the versions 6 to 13 at offsets 5 to 12 and none beyond.
+"""
+
+import eventlet
+
+from ridgecourse.core.ids import (
+    DomainName,
+    Incarnation,
+    Offset,
+    ProcessName,
+    Seconds,
+)
+from ridgecourse.net.events import EventStream
+from ridgecourse.net.record_follower import RecordFollower
+from ridgecourse.net.record_source import (
+    KeyedRecord,
+    RecordBatch,
+    RecordSource,
+    SourceUnavailable,
+    Topic,
+)
+
+
+class BehindSource(RecordSource):
+    """A store of which a process is behind, and that wrote a higher version late."""
+
+    def __init__(self, answers: list[RecordBatch | SourceUnavailable]) -> None:
+        self.answers = answers
+
+    def newest(self, topic: Topic) -> RecordBatch:
+        return self.answers.pop(0)
+
+    def read(self, topic: Topic, start: Offset, wait: float) -> RecordBatch:
+        answer = self.answers.pop(0) if self.answers else SourceUnavailable("no more")
+        if isinstance(answer, SourceUnavailable):
+            raise answer
+        return answer
+
+    def append(self, topic: Topic, key: str, value: bytes, end: Offset) -> None:
+        raise SourceUnavailable("not written")
+
+
+def follow(answers: list[RecordBatch | SourceUnavailable]) -> list[RecordBatch]:
+    """Return what a follower takes in until the store tells no more."""
+    taken: list[RecordBatch] = []
+    events = EventStream(ProcessName("p"), Incarnation("i"), DomainName("a"))
+    follower = RecordFollower(
+        BehindSource(answers),
+        Topic.DECISIONS,
+        0.0,
+        0.0,
+        lambda batch, whole: taken.append(batch),
+        lambda away: None,
+        events,
+        misses_none=True,
+    )
+    follower.start()
+    while answers:
+        eventlet.sleep(0.01)
+    follower.close()
+    return taken
+
+
+def test_what_was_passed_over_is_dated_by_when_that_began() -> None:
+    """Found by reading: it was dated by when it was read after all, seconds later."""
+    record = KeyedRecord("k", b"x", Offset(1))
+    answers = [
+        RecordBatch([], Offset(1), Seconds(10.0)),
+        RecordBatch([record], Offset(2), Seconds(11.0), behind=8),
+        RecordBatch([record], Offset(10), Seconds(12.0)),
+        RecordBatch([], Offset(10), Seconds(13.0)),
+        RecordBatch([record], Offset(10), Seconds(13.1)),
+    ]
+    taken = follow(answers)
+    assert [batch.since for batch in taken] == [None, None, None, None, 10.0]
+
+
+def test_what_was_written_until_the_newest_records_were_read_is_read_as_well() -> None:
+    record = KeyedRecord("k", b"x", Offset(1))
+    answers = [
+        RecordBatch([], Offset(1), Seconds(10.0)),
+        RecordBatch([record], Offset(2), Seconds(11.0), behind=8),
+        RecordBatch([record], Offset(14), Seconds(12.0)),
+        RecordBatch([], Offset(14), Seconds(13.0)),
+        RecordBatch([record], Offset(10), Seconds(13.1)),
+        RecordBatch([], Offset(14), Seconds(14.0)),
+        RecordBatch([record], Offset(14), Seconds(14.1)),
+    ]
+    taken = follow(answers)
+    passed_over = [batch.end for batch in taken if batch.since is not None]
+    assert passed_over == [10, 14]
+
+
+def test_a_read_of_what_was_passed_over_that_fails_is_done_again() -> None:
+    """Found by reading: an answer too late dropped the whole range."""
+    record = KeyedRecord("k", b"x", Offset(1))
+    empty = RecordBatch([], Offset(10), Seconds(13.0))
+    answers = [
+        RecordBatch([], Offset(1), Seconds(10.0)),
+        RecordBatch([record], Offset(2), Seconds(11.0), behind=8),
+        RecordBatch([record], Offset(10), Seconds(12.0)),
+        empty,
+        SourceUnavailable("too late"),
+        empty,
+        RecordBatch([record], Offset(10), Seconds(13.1)),
+    ]
+    taken = follow(answers)
+    assert [batch.end for batch in taken if batch.since is not None] == [10]
