--- a/src/ridgecourse_standins/platform/store.py
+++ b/src/ridgecourse_standins/platform/store.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from struct import pack, unpack_from
-from threading import Condition, Thread
+from threading import Condition, Lock, Thread
 from time import monotonic, sleep
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -58,7 +58,8 @@
         held_back: Writes that got no answer and are still to be done; None for none to
             come.
         newest_asked: Who asked for the newest records, as host and topic.
-        bytes_per_s: Rate of the link to each reader; None for no limit.
+        bytes_per_s: Rate of the link to all readers together; None for no limit.
+        link: Held while a piece of an answer is on that link.
         named_at: When each version of weights was acknowledged, by model and version.
     """
 
@@ -75,6 +76,7 @@
         self.held_back: list[tuple[str, bytes, int | None]] | None = None
         self.told: dict[str, list[tuple[str, str, bytes]]] = {}
         self.bytes_per_s: float | None = None
+        self.link = Lock()
         self.named_at: dict[tuple[str, int], float] = {}
         self.calls = 0
         self.condition = Condition()
@@ -271,8 +273,9 @@
             return
         size = max(1, int(self.bytes_per_s * LINK_STEP_SECONDS))
         for start in range(0, len(body), size):
-            handler.wfile.write(body[start : start + size])
-            sleep(min(size, len(body) - start) / self.bytes_per_s)
+            with self.link:
+                sleep(min(size, len(body) - start) / self.bytes_per_s)
+                handler.wfile.write(body[start : start + size])
 
     def _find(self, host: str, target: str, data: bytes) -> tuple[int, bytes]:
         parts = urlsplit(target)
