Who reads from a parent that is late keeps to it while an answer is on its way there

Cause: an answer of 440 KB takes longer than the 1.2 s after which a parent counts as late, and each process below turned to the store then, over the same link: copies over one link as many as there are processes, once more. Right after such an answer the parent still counted as late, for its next read waited 0.6 s to tell that nothing is newer.

Now a process tells whether an answer of the store is on its way to it, and who reads from it keeps to it then. Of parents that are late without that, two are passed over, and one more for each 1.5 s for which the store was not heard of. After a late answer the next read does not wait.

Ruled out: passing over by time alone (with three readers of one link each answer takes 4.8 s, and all joined in).

--- a/src/ridgecourse/cluster/domain_source.py
+++ b/src/ridgecourse/cluster/domain_source.py
@@ -7,9 +7,10 @@
 import eventlet
 
 from ridgecourse.cluster.peer_records import ask_records, to_batch
-from ridgecourse.cluster.share import STALE_SECONDS
+from ridgecourse.cluster.share import STALE_SECONDS, SharedRecords
 from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import Offset, Seconds, TargetName
+from ridgecourse.core.read_tree import may_pass_over
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.record_source import (
@@ -31,6 +32,8 @@
 BEHIND_SECONDS = 0.5
 """How long one that had not heard of the store is: its own parent may have been silent,
 and it reads the store by then. Left alone for longer, all would read the store."""
+BEHIND_PAUSE_SECONDS = 0.2
+"""Between two questions to a parent that is behind and answers at once."""
 SEED_PATIENCE_SECONDS = 0.6
 SEED_RETRY_SECONDS = 0.1
 """How long, and how often, a process that starts asks a seed before the store: when all
@@ -49,6 +52,8 @@
         choose_parent: Returns whom to ask, given whom to leave alone; None for the
             store.
         avoided: Processes left alone, and until when.
+        behind: Of these, who had not heard of the store.
+        told_receiving: Whether an answer of the store is on its way to the parent.
         parent: Whom the last read came from; None for the store.
     """
 
@@ -66,6 +71,8 @@
         self.choose_parent = choose_parent
         self.events = events
         self.avoided: dict[TargetName, Seconds] = {}
+        self.behind: set[TargetName] = set()
+        self.told_receiving = False
         self.parent: Peer | None = None
 
     def newest(self, topic: Topic) -> RecordBatch:
@@ -77,28 +84,47 @@
         """Return records from an offset on; see ``RecordSource``."""
         return self._ask_parent(topic, start) or self.store.read(topic, start, wait)
 
+    def is_receiving(self, topic: Topic) -> bool:
+        """Tell whether an answer is on its way here, or to the parent."""
+        return self.store.is_receiving(topic) or (
+            self.parent is not None and self.told_receiving
+        )
+
     def append(self, topic: Topic, key: str, value: bytes, end: Offset) -> None:
         """Write a record; see ``RecordSource``."""
         self.store.append(topic, key, value, end)
 
     def _ask_parent(self, topic: Topic, start: Offset) -> RecordBatch | None:
-        """Return what the parent tells; None where the store is to be read."""
-        parent = self._find_parent(topic)
-        if parent is None:
-            return None
-        try:
-            shared = ask_records(
-                self.http, parent.address, topic, start, ANSWER_SECONDS, WAIT_SECONDS
-            )
-        except SourceUnavailable as error:
-            self._avoid(parent, SILENT_SECONDS, str(error))
-            return None
-        if shared.age > STALE_SECONDS:
+        """Return what a parent tells; None where the store is to be read."""
+        wait = WAIT_SECONDS
+        while True:
+            parent = self._find_parent(topic)
+            if parent is None:
+                return None
+            try:
+                shared = ask_records(
+                    self.http, parent.address, topic, start, ANSWER_SECONDS, wait
+                )
+            except SourceUnavailable as error:
+                self._avoid(parent, SILENT_SECONDS, str(error))
+                return None
+            self.told_receiving = shared.receiving
+            if shared.records or shared.age <= STALE_SECONDS:
+                # What was long on its way need not be read from the store once more.
+                return to_batch(shared)
+            if not may_pass_over(len(self.behind), shared.age, shared.receiving):
+                return self._keep_to(shared)
             why = f"heard of the store {shared.age:.2f} s ago"
             self._avoid(parent, BEHIND_SECONDS, why)
-            # What took long on its way need not be read from the store once more.
-            return to_batch(shared) if shared.records else None
-        return to_batch(shared)
+            self.behind.add(parent.name)
+            # The next one may be frozen, and time has passed already.
+            wait = 0.0
+
+    def _keep_to(self, shared: SharedRecords) -> RecordBatch:
+        """Take what a parent that is behind tells, and ask again soon."""
+        batch = to_batch(shared)
+        eventlet.sleep(BEHIND_PAUSE_SECONDS)
+        return batch
 
     def _ask_seed(self, topic: Topic) -> RecordBatch | None:
         """Return what a seed tells, the first time; None where it does not."""
@@ -121,6 +147,7 @@
             return None
         now = monotonic()
         self.avoided = {name: end for name, end in self.avoided.items() if end > now}
+        self.behind &= self.avoided.keys()
         parent = self.choose_parent(self.avoided)
         if parent != self.parent:
             self.parent = parent
--- a/src/ridgecourse/cluster/keeper.py
+++ b/src/ridgecourse/cluster/keeper.py
@@ -86,6 +86,10 @@
         """Return records from an offset on; see ``RecordSource``."""
         return self.store.read(topic, start, wait)
 
+    def is_receiving(self, topic: Topic) -> bool:
+        """Tell whether an answer is on its way here; see ``RecordSource``."""
+        return self.store.is_receiving(topic)
+
     def append(self, topic: Topic, key: str, value: bytes, end: Offset) -> None:
         """Write a record; see ``RecordSource``."""
         self.store.append(topic, key, value, end)
--- a/src/ridgecourse/cluster/share.py
+++ b/src/ridgecourse/cluster/share.py
@@ -1,6 +1,6 @@
 """Records of the platform's store, told to other processes."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from gzip import compress
 from time import monotonic
 
@@ -35,12 +35,14 @@
         end: Where the answering process goes on reading.
         age: Seconds since the store told that there is nothing newer.
         waited: Seconds for which the process waited for news before it answered.
+        receiving: Whether an answer of the store is on its way to it.
     """
 
     records: Sequence[KeyedRecord]
     end: Offset
     age: float
     waited: float = 0.0
+    receiving: bool = False
 
 
 class TopicRecords:
@@ -100,9 +102,13 @@
     Attributes:
         topics: The records of each topic.
         changed: Notified when something was read.
+        is_receiving: Tells whether an answer of the store is on its way here.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, is_receiving: Callable[[Topic], bool] = lambda topic: False
+    ) -> None:
+        self.is_receiving = is_receiving
         self.topics = {topic: TopicRecords() for topic in Topic}
         self.changed = Broadcast()
 
@@ -123,7 +129,11 @@
         if not topic.records and not topic.heard_at:
             return HttpReply(204)
         shared = topic.since(Offset(int(start)))
-        return reply(encode_message(replace(shared, waited=monotonic() - begun)))
+        receiving = self.is_receiving(found[0])
+        waited = monotonic() - begun
+        return reply(
+            encode_message(replace(shared, waited=waited, receiving=receiving))
+        )
 
     def _wait_for_news(self, topic: TopicRecords, start: Offset, wait: float) -> None:
         """Wait for a record, or until the store was heard again.
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -68,7 +68,7 @@
         self.targets = TargetList()
         self.listed = False
         self.changed = Broadcast()
-        self.share = RecordShare()
+        self.share = RecordShare(source.is_receiving)
         self.keeper = keeper
         keeper.recalled = self.take_kept
         self.decisions_reader = RecordFollower(
--- a/src/ridgecourse/core/read_tree.py
+++ b/src/ridgecourse/core/read_tree.py
@@ -3,7 +3,10 @@
 A decision crosses the link between two regions once for each process that reads it
 from the store. So the gateways of a failure domain form a tree: the first of them reads
 the store, each other one a gateway before it, and loaders one of the gateways. Whoever
-hears nothing from there in time reads the store itself.
+hears nothing from there in time reads the store itself. Load pattern: large
+configurations in a burst, while many processes have just started; an answer of the
+store takes longer than anybody waits for it. If all turned to the store then, the link
+would carry as many copies as there are processes, and each of them later still.
 """
 
 from collections.abc import Collection, Sequence
@@ -16,6 +19,13 @@
 """Gateways that read from one: on an instance with 20 Mbit/s, four copies of a
 configuration of 54 KB take 90 ms. Three levels hold 85 gateways."""
 TREE_KEY = "records"
+PASSED_OVER = 2
+"""Processes that are late with what the store tells which another one passes over, one
+after the other, before it keeps to the last: with the first of the tree three read the
+store then, of which one may be out of its reach and one frozen."""
+LATE_SECONDS = 1.5
+"""With each of which that the store has not been heard of for, one more is passed over:
+all of the three may be out of its reach."""
 
 
 def gateway_parent(me: Peer, gateways: Collection[Peer]) -> Peer | None:
@@ -50,3 +60,15 @@
         return None
     ranked = rendezvous_rank(f"{TREE_KEY}/{host}", seeds)
     return ranked[0] if ranked else None
+
+
+def may_pass_over(passed_over: int, age: float, receiving: bool) -> bool:
+    """Tell whether one more process that is late is passed over.
+
+    Args:
+        passed_over: How many are, just now.
+        age: Seconds since the next one heard of the store.
+        receiving: Whether an answer of the store is on its way to that one: nobody
+            would have one sooner over the same link.
+    """
+    return not receiving and passed_over < PASSED_OVER + int(age / LATE_SECONDS)
--- a/src/ridgecourse/net/http_client.py
+++ b/src/ridgecourse/net/http_client.py
@@ -1,6 +1,6 @@
 """HTTP clients on ``urllib3``."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import closing
 
 from urllib3 import BaseHTTPResponse, HTTPConnectionPool, PoolManager, Timeout
@@ -13,7 +13,7 @@
 
 from ridgecourse.net.address import parse_address
 
-READ_BYTES = 64 * 1024
+READ_BYTES = 16 * 1024
 
 
 class NoConnection(Exception):
@@ -108,16 +108,27 @@
         headers: dict[str, str] | None = None,
         timeout: float = 10.0,
         limit: int = 64 * 1024 * 1024,
+        on_piece: Callable[[], None] | None = None,
     ) -> tuple[int, bytes, dict[str, str]]:
         """Send a request and return status, whole body and headers.
 
+        Args:
+            method: Its method.
+            address: HOST:PORT.
+            path: Its path and query.
+            body: Its body; None for none.
+            headers: Its headers; None for none.
+            timeout: Longest wait for each read, in seconds.
+            limit: Most bytes of the answer's body.
+            on_piece: Called with each piece of the body that has come.
+
         Raises:
             NoConnection: Nothing was sent.
             ExchangeFailed: The request may have been received.
         """
         response = self.send(method, address, path, body, headers, timeout)
         with closing(response):
-            data = b"".join(read_pieces(response, limit))
+            data = b"".join(noting(read_pieces(response, limit), on_piece))
             response.release_conn()
             return response.status, data, dict(response.headers)
 
@@ -143,6 +154,16 @@
         raise ExchangeFailed(str(error)) from error
 
 
+def noting(
+    pieces: Iterator[bytes], on_piece: Callable[[], None] | None
+) -> Iterator[bytes]:
+    """Yield pieces, and note that each has come."""
+    for piece in pieces:
+        if on_piece is not None:
+            on_piece()
+        yield piece
+
+
 def read_lines(response: BaseHTTPResponse, limit: int) -> Iterator[bytes]:
     """Yield the lines of a streamed body as they come, ends stripped.
 
--- a/src/ridgecourse/net/record_follower.py
+++ b/src/ridgecourse/net/record_follower.py
@@ -24,6 +24,10 @@
 """Between two tries while the store is away; a bound of two seconds must hold
 soon after it is back."""
 
+LATE_ANSWER_SECONDS = 0.8
+"""Age of what was heard from which on the next read does not wait: those who read from
+here would take it for out of date, though nothing is newer."""
+
 
 class SkippedRange(NamedTuple):
     """Records that were passed over.
@@ -162,8 +166,10 @@
     def _read(self) -> tuple[RecordBatch, bool]:
         if self.offset is None:
             return self.source.newest(self.topic), True
-        # A read that waits would tell only at its end that the store is back.
-        wait = self.wait if self.lost_since is None else 0.0
+        # A read that waits would tell only at its end that the store is back, or that
+        # nothing is newer than what was long on its way.
+        late = monotonic() - self.heard_at > LATE_ANSWER_SECONDS
+        wait = 0.0 if late or self.lost_since is not None else self.wait
         return self.source.read(self.topic, self.offset, wait), False
 
     def _retry_wait(self) -> float:
--- a/src/ridgecourse/net/record_source.py
+++ b/src/ridgecourse/net/record_source.py
@@ -92,6 +92,10 @@
             SourceUnavailable: The store gave no usable answer.
         """
 
+    def is_receiving(self, topic: Topic) -> bool:
+        """Tell whether an answer of the store is on its way here, piece by piece."""
+        return False
+
     @abstractmethod
     def append(self, topic: Topic, key: str, value: bytes, end: Offset) -> None:
         """Write a record of the system's own, if the topic still ends there.
--- a/src/ridgecourse/platform/store.py
+++ b/src/ridgecourse/platform/store.py
@@ -1,7 +1,7 @@
 """The platform's store: an append-only log with keyed topics, over HTTP."""
 
 from base64 import b64decode
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from struct import error as StructError
 from struct import pack, unpack_from
 from time import monotonic
@@ -40,6 +40,9 @@
 ANSWER_SECONDS = 1.0
 """Longest wait for an answer beyond a requested one: the store answers in 4 ms,
 in some hundred when slow."""
+RECEIVING_SECONDS = 0.7
+"""Since a piece of 16 KB of an answer came, within which more is expected: so slow a
+link brings 23 KB a second."""
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 MAX_READ_KB = 128
 """Records in one answer: some configurations, or the heartbeats of many seconds. Who
@@ -80,17 +83,19 @@
     Attributes:
         address: HOST:PORT.
         calls: Calls made so far; each has a price.
+        received_at: When a piece of the answer in progress came, by topic.
     """
 
     def __init__(self, address: str, http: HttpClient) -> None:
         self.address = address
         self.http = http
         self.calls = 0
+        self.received_at: dict[Topic, float] = {}
 
     def newest(self, topic: Topic) -> RecordBatch:
         """Return the newest record of each key; see ``RecordSource``."""
         asked = Seconds(monotonic())
-        pages = list(self._newest_pages(TOPICS[topic]))
+        pages = list(self._newest_pages(topic))
         records = [
             KeyedRecord(item.key, b64decode(item.value), Offset(item.offset))
             for page in pages
@@ -99,13 +104,13 @@
         # The pages are no snapshot: what changed meanwhile is read again.
         return RecordBatch(records, Offset(pages[0].end_offset), asked)
 
-    def _newest_pages(self, topic: str) -> Iterator[NewestPage]:
+    def _newest_pages(self, topic: Topic) -> Iterator[NewestPage]:
         after = ""
         while True:
-            query: dict[str, Any] = {"topic": topic, "part": 0}
+            query: dict[str, Any] = {"topic": TOPICS[topic], "part": 0}
             if after:
                 query["after_revision"] = after
-            status, data = self._call("GET", LOG_NEWEST_PATH, query)
+            status, data = self._receive(topic, LOG_NEWEST_PATH, query)
             if status != 200:
                 raise SourceUnavailable(f"status {status}")
             try:
@@ -127,7 +132,7 @@
             "max_kb": MAX_READ_KB,
         }
         asked = Seconds(monotonic())
-        status, data = self._call("GET", LOG_READ_PATH, query, wait)
+        status, data = self._receive(topic, LOG_READ_PATH, query, wait)
         if status == 410:
             raise RecordsGone(f"from {start}")
         if status != 200:
@@ -140,6 +145,24 @@
         past = Offset(start + len(records)) if records else Offset(max(start, end))
         return RecordBatch(records, past, heard, behind=max(0, end - past))
 
+    def is_receiving(self, topic: Topic) -> bool:
+        """Tell whether an answer is on its way here; see ``RecordSource``."""
+        received_at = self.received_at.get(topic)
+        return received_at is not None and monotonic() - received_at < RECEIVING_SECONDS
+
+    def _receive(
+        self, topic: Topic, path: str, query: dict[str, Any], wait: float = 0.0
+    ) -> tuple[int, bytes]:
+        """Read from a topic, and note what comes of the answer meanwhile."""
+
+        def note() -> None:
+            self.received_at[topic] = monotonic()
+
+        try:
+            return self._call("GET", path, query, wait, on_piece=note)
+        finally:
+            self.received_at.pop(topic, None)
+
     def append(self, topic: Topic, key: str, value: bytes, end: Offset) -> None:
         """Write a record; see ``RecordSource``."""
         query = {"topic": TOPICS[topic], "part": 0, "current_rev": end}
@@ -157,6 +180,7 @@
         query: dict[str, Any],
         wait: float = 0.0,
         body: bytes | None = None,
+        on_piece: Callable[[], None] | None = None,
     ) -> tuple[int, bytes]:
         self.calls += 1
         target = f"{path}?{urlencode(query)}"
@@ -168,6 +192,7 @@
                 body,
                 timeout=wait + ANSWER_SECONDS,
                 limit=MAX_ANSWER_BYTES,
+                on_piece=on_piece,
             )
         except (NoConnection, ExchangeFailed) as error:
             raise SourceUnavailable(str(error)) from error
--- a/tests/platform/test_read_tree.py
+++ b/tests/platform/test_read_tree.py
@@ -5,13 +5,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ridgecourse.cluster.share import STALE_SECONDS
 from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import DomainName, TargetName
 from ridgecourse.core.read_tree import (
     FAN_OUT,
+    LATE_SECONDS,
+    PASSED_OVER,
     choose_seed,
     gateway_parent,
     loader_parent,
+    may_pass_over,
 )
 
 
@@ -62,3 +66,16 @@
     addresses = [f"10.0.0.{number}:7" for number in range(1, seeds + 1)]
     seed = choose_seed(f"10.0.0.{host}", addresses)
     assert seed is None if host <= seeds else seed in addresses
+
+
+@given(st.floats(0.0, 20.0), st.integers(0, 20))
+def test_nobody_is_passed_over_while_an_answer_is_on_its_way(age, passed_over) -> None:
+    assert not may_pass_over(passed_over, age, receiving=True)
+
+
+@given(st.floats(STALE_SECONDS, 20.0))
+def test_one_more_reads_the_store_the_longer_none_has_heard_of_it(age) -> None:
+    passed_over = 0
+    while may_pass_over(passed_over, age, receiving=False):
+        passed_over += 1
+    assert PASSED_OVER <= passed_over <= PASSED_OVER + age / LATE_SECONDS
