A refusal after a lost send does not tell that nothing ran

Cause: the result of the last send was the request's. One that was lost (taken back after its engine had begun it, 9 ms in the record) and then refused by the next engine was told to its caller as not run (503). Now it is unknown (502 or 504) once a send was lost, unless a later one brings an answer.

Test: one engine resets, another refuses: 502 six times of six; 503 before where the refusal came last.

--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -93,9 +93,11 @@
         """Send until a target answers, within attempts, budget and deadline.
 
         A proof that nothing ran lets any request go on to another target; after
-        a loss only one that may be repeated goes on.
+        a loss only one that may be repeated goes on. It may have run then, whatever
+        later targets prove of themselves.
         """
         result: SendResult = NotRun(Reason.NO_TARGET, "no target", arrived=False)
+        lost: Unknown | None = None
         sends = len(tried)
         while time_left(order.deadline) > SHORTEST_ATTEMPT_SECONDS:
             choice = self.selector.choose(terms.service, order.call, tried)
@@ -113,10 +115,11 @@
             if isinstance(result, Unknown):
                 if result.late or not terms.route.repeatable:
                     break
+                lost = result
                 sends += 1
             elif result.arrived:
                 sends += 1
-        return result, None
+        return lost or result, None
 
     def _hopeless(self, order: Order, terms: Terms, choice: Choice) -> NotRun | None:
         """Refuse what is not to be let in even where it would begin soonest."""
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -151,6 +151,19 @@
     assert broken.requests and sound.requests
 
 
+def test_a_refusal_after_a_lost_send_does_not_tell_that_nothing_ran(front) -> None:
+    """A request was taken back 9 ms after its engine had begun it.
+
+    The next engine refused it, and its caller was told that it had not run and never
+    would.
+    """
+    front.add_engine("app", reset)
+    front.add_engine("app", refuse)
+    front.start()
+    for _ in range(6):
+        assert front.ask("/safe/x")[0] == 502
+
+
 def answer_of_another(request: ReceivedRequest) -> None:
     index = [name for name, _ in request.headers].index("Attempt-Id")
     request.headers[index] = ("Attempt-Id", "of-an-earlier-request")
