Engines with old weights get requests by the expected delay, not the worst

Part is that an engine got no request for as long before the bound as its first events were late at worst: it stood idle so that one in a hundred would not be taken back, and taking back is what keeps the rule.

Now the delay is the expected one, and 0.2 s are left for taking back beyond the observed way and lag, not 0.3: a name is dated early rather than late now.

--- a/src/ridgecourse/core/first_events.py
+++ b/src/ridgecourse/core/first_events.py
@@ -20,10 +20,6 @@
 """Share of the mean deviation that is added to the mean, so that more than half of what
 is let in is in time."""
 
-WORST_DEVIATIONS = 3.0
-"""Mean deviations above the mean that few delays exceed: some one in a hundred where
-they are spread evenly about it."""
-
 
 class FirstEventDelay:
     """Averages by how much first events were later than estimated.
@@ -54,10 +50,5 @@
         delay = self.mean + DEVIATION_SHARE * self.deviation
         return max(0.0, delay) * min(1.0, self._faded(now))
 
-    def at_worst(self, now: Seconds) -> float:
-        """Return the delay that few of the requests now under way will exceed."""
-        delay = self.mean + WORST_DEVIATIONS * self.deviation
-        return max(0.0, delay) * min(1.0, self._faded(now))
-
     def _faded(self, now: Seconds) -> float:
         return self.weight * exp(-max(0.0, now - self.observed_at) / MEMORY_SECONDS)
--- a/src/ridgecourse/core/old_weights.py
+++ b/src/ridgecourse/core/old_weights.py
@@ -10,9 +10,10 @@
 
 from ridgecourse.core.ids import Seconds
 
-TAKE_BACK_SECONDS = 0.3
-"""Before the bound, by when a request must have begun, on an idle link and in an idle
-process: some 30 round trips between the farthest domains."""
+TAKE_BACK_SECONDS = 0.2
+"""Before the bound, by when a request must have begun, beyond what way and process are
+late by: they may be later than lately. Some 20 round trips between the farthest
+domains."""
 BEGIN_SECONDS = 0.3
 """From sending a request to its first event at an engine with a free slot."""
 
@@ -39,7 +40,7 @@
     Args:
         now: The present time.
         wait: Estimated seconds until it would begin.
-        delay: By how much first events were later than estimated lately, at worst.
+        delay: By how much first events were later than estimated lately.
         begin_by: When it must have begun.
     """
     return now + wait + delay + BEGIN_SECONDS < begin_by
--- a/src/ridgecourse/gateway/selection.py
+++ b/src/ridgecourse/gateway/selection.py
@@ -235,7 +235,7 @@
             return VersionTerms(held, None, None)
         way = self.state(target.target).ways.expect(now)
         begin_by = TakeBack(way, self.lag.expect(now)).begin_by(bound)
-        delay = self.delays[target.service].at_worst(now)
+        delay = self.delays[target.service].expect(now)
         if may_wait(now, wait, delay, begin_by):
             return VersionTerms(held, None, begin_by)
         return VersionTerms(held, self.view.wanted_version(model), None)
