A decision found among what was passed over is told to those below, and kept

Cause: who was behind read the newest records and found a higher decision in between later. It took that in itself; those who read from it stood beyond that offset and were never told, and who started read the newest record. Found by review.

Now such a decision is told to all who ask for 3 s, whatever they have read, and kept in the system's own topic.

Test: test_what_was_passed_over_is_told_to_those_below_and_kept, red before.

--- a/src/ridgecourse/cluster/share.py
+++ b/src/ridgecourse/cluster/share.py
@@ -22,6 +22,9 @@
 the store takes 0.35 s to answer, what is heard is up to 1.1 s old."""
 KEPT_DROPPED = 1000
 """Dropped keys that are still told: far more than targets leave within an outage."""
+TOLD_LATE_SECONDS = 3.0
+"""How long a decision that was found late is told to all who ask, whatever they have
+read: each asks some times in that."""
 COMPRESSED_BYTES = 4096
 """Longer answers are compressed: a configuration of 54 KB is a tenth of that then, on
 links of loaders that carry 450 KB/s."""
@@ -55,9 +58,12 @@
         records: By key, dropped keys included.
         end: Where to go on reading.
         heard_at: When the store told that there is nothing newer; 0 for never.
+        found_late: Records that hold though newer ones of their key were known, and
+            until when they are told.
     """
 
     def __init__(self) -> None:
+        self.found_late: dict[str, tuple[KeyedRecord, float]] = {}
         self.records: dict[str, KeyedRecord] = {}
         self.end = Offset(0)
         self.heard_at = Seconds(0.0)
@@ -76,6 +82,11 @@
         self.records.pop(record.key, None)
         self.records[record.key] = record
 
+    def put_late(self, record: KeyedRecord) -> None:
+        """Take in a record that holds in place of a newer one of its key."""
+        self.put(record)
+        self.found_late[record.key] = record, monotonic() + TOLD_LATE_SECONDS
+
     def note_read(self, batch: RecordBatch) -> None:
         """Note how far the topic has been read, and when."""
         self.end = max(self.end, batch.end)
@@ -94,7 +105,10 @@
 
     def since(self, start: Offset) -> SharedRecords:
         """Return the records from an offset on."""
-        records = [r for r in self.records.values() if r.offset >= start]
+        now = monotonic()
+        late = [record for record, end in self.found_late.values() if now < end]
+        newer = [r for r in self.records.values() if r.offset >= start]
+        records = [*newer, *(r for r in late if r.offset < start)]
         records.sort(key=lambda record: record.offset)
         return SharedRecords(records, self.end, self.age)
 
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -163,7 +163,14 @@
         shared = self.share.topics[Topic.DECISIONS]
         named_at = self._date_names(batch)
         for record in batch.records:
-            if self._take_decision(record, named_at):
+            known = shared.records.get(record.key)
+            if not self._take_decision(record, named_at):
+                continue
+            if known is not None and known.offset >= record.offset:
+                # It was passed over: those who read from here and who start did so too.
+                shared.put_late(record)
+                self.keeper.keep(record)
+            else:
                 shared.put(record)
         shared.note_read(batch)
         self.share.changed.notify()
@@ -177,7 +184,7 @@
             offset = known.offset if known else Offset(0)
             placed = KeyedRecord(record.key, record.value, offset)
             if self._take_decision(placed, None):
-                shared.put(placed)
+                shared.put_late(placed)
         self.changed.notify()
 
     def _date_names(self, batch: RecordBatch) -> Seconds | None:
--- a/tests/platform/test_passed_over.py
+++ b/tests/platform/test_passed_over.py
@@ -12,8 +12,15 @@
 "decision-outdated" for the versions 6 to 13 at offsets 5 to 12 and none beyond.
 """
 
+from time import monotonic
+from unittest.mock import Mock
+
 import eventlet
+from gateway_site import MODEL
+from msgspec.json import encode
 
+from ridgecourse.cluster.share import TOLD_LATE_SECONDS
+from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.ids import (
     DomainName,
     Incarnation,
@@ -30,6 +37,8 @@
     SourceUnavailable,
     Topic,
 )
+from ridgecourse.platform.names import VERSION_KEY_PREFIX
+from ridgecourse.platform.records import PlatformRecords
 
 
 class BehindSource(RecordSource):
@@ -117,3 +126,26 @@
     ]
     taken = follow(answers)
     assert [batch.end for batch in taken if batch.since is not None] == [10]
+
+
+def name_version(version: int, offset: int) -> KeyedRecord:
+    value = encode({"model": MODEL, "version": version})
+    return KeyedRecord(f"{VERSION_KEY_PREFIX}{MODEL}", value, Offset(offset))
+
+
+def test_what_was_passed_over_is_told_to_those_below_and_kept() -> None:
+    """Found by review: who read from here, and who started, never learned of it."""
+    events = EventStream(ProcessName("p"), Incarnation("i"), DomainName("a"))
+    keeper = Mock()
+    view = ClusterView(Mock(), keeper, PlatformRecords(), events, 10.0)
+    now = Seconds(monotonic())
+    view.take_decisions(RecordBatch([name_version(2, 1)], Offset(2), now), True)
+    view.take_decisions(RecordBatch([name_version(3, 13)], Offset(14), now), True)
+    child_at = view.share.topics[Topic.DECISIONS].end
+    higher = name_version(5, 8)
+    view.take_decisions(RecordBatch([higher], Offset(9), now, behind=1), False)
+    assert view.share.topics[Topic.DECISIONS].since(child_at).records == [higher]
+    keeper.keep.assert_called_once_with(higher)
+    # Those below that already have it are not told again and again.
+    eventlet.sleep(TOLD_LATE_SECONDS)
+    assert not view.share.topics[Topic.DECISIONS].since(child_at).records
