Engine stand-ins can start again under their identity

Cause: an engine may come back with the identity that it had. The stand-ins had one life, so that no test could tell what a gateway or a loader takes over from the life before. They are killed, frozen and woken beside a new life, started again at the same or another address, with or without their staging area, and tell when they started.

Ruled out: one stand-in that changes its state in place for targets. A frozen life has to answer what it holds while the next one serves.

--- a/src/ridgecourse_standins/platform/engine.py
+++ b/src/ridgecourse_standins/platform/engine.py
@@ -13,7 +13,8 @@
     socket,
 )
 from struct import pack
-from threading import Condition, Thread
+from threading import Condition, Event, Thread
+from time import time_ns
 
 from ridgecourse.platform.names import ATTEMPT_ID, NOT_RUN, SIGNATURE
 
@@ -49,21 +50,41 @@
 
 
 Behaviour = Callable[[ReceivedRequest], None]
+NANOSECONDS_PER_MILLISECOND = 1_000_000
+ANY_PORT = 0
+
+
+def now_ms() -> int:
+    """Return the Unix millisecond."""
+    return time_ns() // NANOSECONDS_PER_MILLISECOND
 
 
 class EngineStandIn:
-    """A target on loopback.
+    """One life of a target on loopback.
 
     Attributes:
         requests: What arrived, health checks included.
         behaviour: Writes the answer; replaced by tests at any time.
+        born: Unix millisecond of its start; None for an engine that does not tell.
+        awake: Cleared while it is frozen.
+        bound: Where it listens; its next life may listen there once it is killed.
     """
 
-    def __init__(self, behaviour: Behaviour, host: str = "127.0.0.1") -> None:
+    def __init__(
+        self,
+        behaviour: Behaviour,
+        host: str = "127.0.0.1",
+        port: int = ANY_PORT,
+        born: int | None = None,
+    ) -> None:
         self.behaviour = behaviour
+        self.born = born
         self.requests: list[ReceivedRequest] = []
         self.changed = Condition()
-        self.listener = create_server((host, 0))
+        self.awake = Event()
+        self.awake.set()
+        self.listener = create_server((host, port))
+        self.bound: tuple[str, int] = self.listener.getsockname()[:2]
         self.thread = Thread(target=self._accept, daemon=True)
 
     @property
@@ -83,6 +104,34 @@
             self.listener.shutdown(SHUT_RDWR)
         self.listener.close()
 
+    def kill(self) -> None:
+        """End at once: callers see a reset."""
+        self.close()
+        self.thread.join()
+        for request in self.requests:
+            with suppress(OSError):
+                reset(request)
+
+    def restart(self, moved: bool = False) -> "EngineStandIn":
+        """Return the next life, not started yet: it knows nothing of this one.
+
+        Args:
+            moved: Whether it stands at another address, as it must while this one
+                is only frozen.
+        """
+        host, port = self.bound
+        next_port = ANY_PORT if moved else port
+        born = max(now_ms(), (self.born or 0) + 1)
+        return EngineStandIn(self.behaviour, host, next_port, born)
+
+    def freeze(self) -> None:
+        """Stop answering; connections stay open."""
+        self.awake.clear()
+
+    def wake(self) -> None:
+        """Go on, also with what came meanwhile."""
+        self.awake.set()
+
     def wait_for(self, count: int, seconds: float = 10.0) -> list[ReceivedRequest]:
         """Return the requests once there are so many."""
         with self.changed:
@@ -110,6 +159,7 @@
                 self.requests.append(request)
                 self.changed.notify_all()
             Thread(target=self._watch, args=(request,), daemon=True).start()
+            self.awake.wait()
             self.behaviour(request)
 
     def _watch(self, request: ReceivedRequest) -> None:
--- a/src/ridgecourse_standins/platform/weights.py
+++ b/src/ridgecourse_standins/platform/weights.py
@@ -19,6 +19,7 @@
     STAGE_GET_PATH,
     STAGE_PUT_PATH,
 )
+from ridgecourse_standins.platform.engine import now_ms
 
 Answer = tuple[int, bytes]
 LATE_SECONDS = 1.8
@@ -118,6 +119,10 @@
         spoil: Called after each staged chunk; may turn others bad.
         late: A chunk whose call is to be given up and carried out later; None for none.
         late_until: When it is carried out at the latest.
+        born: Unix millisecond of its start, or whatever else it tells for that; None
+            for an engine that does not tell.
+        busy: Whether it tells that an order is under way.
+        looked_at: Called after each look at the staging area, with the index.
     """
 
     def __init__(self, layers: int, host: str = "127.0.0.1") -> None:
@@ -130,6 +135,26 @@
         self.spoil: Callable[[dict[int, bytes]], None] = lambda staged: None
         self.late: bytes | None = None
         self.late_until = 0.0
+        self.born: Any = None
+        self.busy = False
+        self.looked_at: Callable[[int], None] = lambda index: None
+
+    def restart(self, keeps_staged: bool = True, busy: bool = False) -> None:
+        """Begin a new life under the same identity: it serves and knows nothing.
+
+        Args:
+            keeps_staged: Whether the staging area is left, as after a crash; a loss of
+                power clears it.
+            busy: Whether the new life tells that an order is under way.
+        """
+        with self.changed:
+            self.version = self.orders = 0
+            self.busy = busy
+            self.started.clear()
+            self.born = max(now_ms(), (self.born or 0) + 1)
+            if not keeps_staged:
+                self.staged.clear()
+            self.changed.notify_all()
 
     def answer(
         self, method: str, path: str, query: dict[str, str], body: bytes
@@ -148,11 +173,14 @@
             return 200, b""
         if path.startswith(STAGE_GET_PATH):
             data = self.staged.get(int(query[CHUNK_INDEX]))
+            self.looked_at(int(query[CHUNK_INDEX]))
             return (404, b"") if data is None else (200, data)
         return 404, b""
 
     def _report(self) -> bytes:
-        report: dict[str, Any] = {"utilization": False, "sequence": self.orders}
+        report: dict[str, Any] = {"utilization": self.busy, "sequence": self.orders}
+        if self.born is not None:
+            report["born"] = self.born
         if self.version:
             report["layers"] = {
                 "from": 0,
@@ -166,6 +194,7 @@
         if self.late is not None and monotonic() < self.late_until:
             # At the worst moment: after the last look at what lies staged.
             self.staged[0] = self.late
+        self.busy = False
         self.version = order["version"]
         self.started[self.version] = dict(self.staged)
         return 202, b""
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -179,7 +179,7 @@
         version: int = 1,
     ) -> str:
         target = target or f"i-{self.engines.index(engine)}"
-        entry = {
+        entry: dict[str, Any] = {
             "service": service,
             "address": engine.address,
             "zone": zone,
@@ -187,6 +187,8 @@
             "slots": 16,
             "state": state,
         }
+        if engine.born is not None:
+            entry["born"] = engine.born
         if service == "llm":
             entry["models"] = [{"name": MODEL, "version": version, "adapters": []}]
             if version:
