What a gateway remembers of an engine holds for one life of it

Cause: an engine that starts again may keep its identity. The list went by the offset of an entry alone, so that the heartbeat of an earlier life, frozen and woken beside the new one, replaced the new life's entry, and requests went there. Loads were kept by address and failures by identity: requests that the earlier life still had were counted at the new one, and what became of them ejected it.

An engine's life is its identity and its start together. The list takes entries of the latest life heard of, by their offsets within it, in whatever order they arrive. Loads and what was seen of a target begin anew with a life; a send holds on to those of the life that got it, also while its stream lasts. A request that had one life may go to the next, within its attempts, and a new life is not taken to hold what the list says of the one before. The time that connections took to come up stays, for the way is the same.

An engine or a loader that tells no start goes on as before. A start that is no whole number, or negative, or beyond the year 2286, is bad input: believed, one that is too high would shut out all later lives.

Ruled out: dropping the earlier life's state when the list changes. Reports come before the list, and the list's newest record may be the earlier life's.

--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -323,13 +323,15 @@
         for target in current:
             names.add(target.target)
             known = before.get(target.target)
-            if known is None or known.leaving != target.leaving:
+            place = target.life, target.leaving
+            if known is None or (known.life, known.leaving) != place:
                 self.events.emit(
                     EventKind.TARGET_LISTED,
                     target=target.target,
                     service=target.service,
                     address=target.address,
                     leaving=target.leaving,
+                    started=target.started,
                     models=dict(target.models),
                 )
             elif known.models != target.models or known.layers != target.layers:
--- a/src/ridgecourse/core/engine_load.py
+++ b/src/ridgecourse/core/engine_load.py
@@ -14,7 +14,7 @@
 
 from msgspec import Struct, field
 
-from ridgecourse.core.ids import Seconds, WeightsVersion
+from ridgecourse.core.ids import EngineStart, Seconds, WeightsVersion
 from ridgecourse.core.routes import EngineModel
 
 FRESH_SECONDS = 1.5
@@ -57,6 +57,7 @@
         link: Share of its usual rate that its instance's link was last seen to
             bring, while weights came over it.
         unread: Seconds that it still reads prompts for, as estimated beside it.
+        started: When it started; None if it does not tell.
     """
 
     version: WeightsVersion
@@ -68,6 +69,7 @@
     pace: float = 1.0
     link: float = 1.0
     unread: float = 0.0
+    started: EngineStart | None = None
 
 
 class UnreadEstimate:
--- a/src/ridgecourse/core/ids.py
+++ b/src/ridgecourse/core/ids.py
@@ -15,7 +15,9 @@
 ChangeId = NewType("ChangeId", str)
 RequestId = NewType("RequestId", str)
 TargetId = NewType("TargetId", str)
-"""Names one life of a target, as the platform lists it."""
+"""Names a target, as the platform lists it; see ``EngineLife`` for its lives."""
+EngineStart = NewType("EngineStart", int)
+"""When an engine started, in Unix milliseconds by its own clock: orders its lives."""
 IdempotencyKey = NewType("IdempotencyKey", str)
 Incarnation = NewType("Incarnation", str)
 """Names one life of a process; a restart gives a new one."""
--- a/src/ridgecourse/core/targets.py
+++ b/src/ridgecourse/core/targets.py
@@ -9,8 +9,10 @@
 
 from msgspec import Struct
 
+from ridgecourse.core.engine_life import EngineLife, is_before
 from ridgecourse.core.ids import (
     DomainName,
+    EngineStart,
     ModelName,
     Offset,
     Seconds,
@@ -52,6 +54,7 @@
         leaving: Whether it is about to stop.
         models: Models that it serves, with the version of their weights.
         layers: Layers that it holds; None for none.
+        started: When it started; None if it does not tell.
     """
 
     target: TargetId
@@ -62,6 +65,12 @@
     leaving: bool
     models: Mapping[ModelName, WeightsVersion]
     layers: HeldLayers | None
+    started: EngineStart | None = None
+
+    @property
+    def life(self) -> EngineLife:
+        """Which life of the target this is."""
+        return EngineLife(self.target, self.started)
 
     def holds_model(self, layers: int) -> bool:
         """Tell whether it holds every layer of a model of so many."""
@@ -88,21 +97,40 @@
     entry: ListedTarget | None
 
 
+class Heard(Struct):
+    """What was heard of one identity.
+
+    Attributes:
+        started: Start of its latest life; None if none was told.
+        listed_at: Offset of the newest entry taken in; of a later life it may be lower.
+        removed_at: Offset of the newest removal.
+    """
+
+    started: EngineStart | None = None
+    listed_at: int = -1
+    removed_at: int = -1
+
+
 class TargetList:
     """Targets by identity.
 
+    A later life of a target goes before an earlier one wherever their entries stand in
+    the stream: an engine that was frozen goes on to write its entry beside the new
+    life's. Entries of one life, and those that tell no start, go by their offsets.
+
     Attributes:
         targets: All listed ones, leaving ones included.
         removed: Those no longer listed that may come back, and until when they
             are kept.
         kept_until: End of the time in which removals are not believed.
+        heard: What was heard of each identity, listed or not.
     """
 
     def __init__(self) -> None:
         self.targets: dict[TargetId, ListedTarget] = {}
         self.removed: dict[TargetId, Seconds] = {}
         self.kept_until = Seconds(0.0)
-        self.offsets: dict[TargetId, Offset] = {}
+        self.heard: dict[TargetId, Heard] = {}
 
     def outage_ended(self, now: Seconds) -> None:
         """Note that the store can be read again after it could not."""
@@ -111,14 +139,34 @@
     def apply(self, records: Iterable[TargetRecord], now: Seconds) -> None:
         """Take in changes in any order."""
         for record in records:
-            if record.offset <= self.offsets.get(record.target, -1):
-                continue
-            self.offsets[record.target] = record.offset
+            heard = self.heard.setdefault(record.target, Heard())
             if record.entry is None:
-                self._remove(record.target, now)
+                self._take_removal(record, heard, now)
             else:
-                self.targets[record.target] = record.entry
-                self.removed.pop(record.target, None)
+                self._take_entry(record, record.entry, heard)
+
+    def _take_removal(self, record: TargetRecord, heard: Heard, now: Seconds) -> None:
+        if record.offset <= max(heard.removed_at, heard.listed_at):
+            heard.removed_at = max(heard.removed_at, record.offset)
+            return
+        heard.removed_at = record.offset
+        self._remove(record.target, now)
+
+    def _take_entry(
+        self, record: TargetRecord, entry: ListedTarget, heard: Heard
+    ) -> None:
+        if is_before(entry.started, heard.started):
+            return
+        if is_before(heard.started, entry.started):
+            # What was listed is the entry of a life that has ended.
+            heard.listed_at = -1
+            self.drop(record.target)
+        if entry.started is not None:
+            heard.started = entry.started
+        if record.offset > max(heard.removed_at, heard.listed_at):
+            heard.listed_at = record.offset
+            self.targets[record.target] = entry
+            self.removed.pop(record.target, None)
 
     def replace(self, records: Iterable[TargetRecord], now: Seconds) -> None:
         """Take in the whole list; what it lacks is removed."""
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -8,14 +8,16 @@
 from msgspec import structs
 
 from ridgecourse.cluster.view import ClusterView
+from ridgecourse.core.engine_life import EngineLife
 from ridgecourse.core.engine_load import Pending
-from ridgecourse.core.ids import Seconds, ServiceName, TargetId
+from ridgecourse.core.ids import Seconds, ServiceName
 from ridgecourse.core.letting_in import Prospect, excess_wait
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.placement import FIRST_EVENT_SECONDS
 from ridgecourse.core.recent_peak import RecentPeak
 from ridgecourse.core.retry import RetryBudget
 from ridgecourse.core.site import Site
+from ridgecourse.core.target_states import TargetState
 from ridgecourse.core.targets import ListedTarget
 from ridgecourse.gateway.loads import LoadWatcher
 from ridgecourse.gateway.protocol import RequestProtocol
@@ -88,8 +90,8 @@
         return budget
 
     def try_targets(
-        self, order: Order, terms: Terms, tried: set[TargetId]
-    ) -> tuple[SendResult, ListedTarget | None]:
+        self, order: Order, terms: Terms, tried: set[EngineLife]
+    ) -> SendResult:
         """Send until a target answers, within attempts, budget and deadline.
 
         A proof that nothing ran lets any request go on to another target; after
@@ -104,19 +106,19 @@
             if order.is_abandoned():
                 raise CallerGone("the connection ended before a send")
             if not tried and (hopeless := self._hopeless(order, terms, choice)):
-                return hopeless, None
+                return hopeless
             if sends and not self.budget(terms.service.name).take_retry():
                 break
             result = self._send_once(order, choice, tried)
             if isinstance(result, (Whole, Stream)):
-                return result, choice.target
+                return result
             if isinstance(result, Unknown):
                 if result.late or not terms.route.repeatable:
                     break
                 sends += 1
             elif result.arrived:
                 sends += 1
-        return result, None
+        return result
 
     def _hopeless(self, order: Order, terms: Terms, choice: Choice) -> NotRun | None:
         """Refuse what is not to be let in even where it would begin soonest."""
@@ -144,24 +146,26 @@
         return NotRun(Reason.OVERLOADED, detail, arrived=False)
 
     def _send_once(
-        self, order: Order, choice: Choice, tried: set[TargetId]
+        self, order: Order, choice: Choice, tried: set[EngineLife]
     ) -> SendResult:
         target = choice.target
-        tried.add(target.target)
+        tried.add(self.selector.life(target))
         order.version, order.begin_by = choice.terms.version, choice.terms.begin_by
-        load = self.selector.load(target)
+        # Of the life that gets the request: what becomes of it concerns no later one.
+        load, state = self.selector.load(target), self.selector.state(target)
         begun = Seconds(monotonic())
         load.outstanding += 1
         load.waiting[order.call.request_id] = Pending(begun, choice.reading)
         result: SendResult | None = None
         try:
-            ways = self.selector.state(target.target).ways
-            result = self.sender.send(order, target, ways)
+            result = self.sender.send(order, target, state.ways)
         finally:
             load.waiting.pop(order.call.request_id, None)
-            if not isinstance(result, Stream):
+            if isinstance(result, Stream):
+                result.load = load
+            else:
                 load.outstanding -= 1
-        self._learn(result, target)
+        self._learn(result, target, state)
         if isinstance(result, Stream):
             now = Seconds(monotonic())
             expected = choice.wait + choice.reading + FIRST_EVENT_SECONDS
@@ -169,9 +173,10 @@
         self._note_send(order, choice, result, monotonic() - begun)
         return result
 
-    def _learn(self, result: SendResult, target: ListedTarget) -> None:
+    def _learn(
+        self, result: SendResult, target: ListedTarget, state: TargetState
+    ) -> None:
         """Take in what a result says of the target's health."""
-        state = self.selector.state(target.target)
         now = Seconds(monotonic())
         if isinstance(result, NotRun) and result.reason is Reason.WRONG_TARGET:
             state.not_before = Seconds(now + MISSING_WEIGHTS_SECONDS)
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -7,7 +7,8 @@
 from returns.result import Failure
 
 from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.ids import Seconds, TargetId
+from ridgecourse.core.engine_life import EngineLife
+from ridgecourse.core.ids import Seconds
 from ridgecourse.core.outcome import Outcome, Reason
 from ridgecourse.core.patience import UsualPatience
 from ridgecourse.core.retry import SHORTEST_COME_BACK_SECONDS, come_back_seconds
@@ -115,8 +116,8 @@
     def _answer(self, request: FrontRequest, order: Order, terms: Terms) -> FrontReply:
         self.dispatcher.budget(terms.service.name).record_request()
         self.events.figures.count("requests")
-        tried: set[TargetId] = set()
-        result, target = self.dispatcher.try_targets(order, terms, tried)
+        tried: set[EngineLife] = set()
+        result = self.dispatcher.try_targets(order, terms, tried)
         call = order.call
         if isinstance(result, Whole):
             outcome = Outcome.COMPLETED if result.head.success else Outcome.UNKNOWN
@@ -124,9 +125,8 @@
             head = result.head
             return FrontReply(head.status, head.reason, head.headers, result.body)
         if isinstance(result, Stream):
-            assert target is not None
             head = result.head
-            body = self.relay.relay(request, order, terms, tried, result, target)
+            body = self.relay.relay(request, order, terms, tried, result)
             return FrontReply(head.status, head.reason, head.headers, body)
         if isinstance(result, NotRun):
             return self._refuse_not_run(order, result)
--- a/src/ridgecourse/gateway/loads.py
+++ b/src/ridgecourse/gateway/loads.py
@@ -8,8 +8,10 @@
 import eventlet
 
 from ridgecourse.cluster.view import ClusterView
+from ridgecourse.core.engine_life import EngineLife
 from ridgecourse.core.engine_load import EngineLoad
 from ridgecourse.core.ids import Seconds
+from ridgecourse.core.known_loads import KnownLoads
 from ridgecourse.core.site import Site
 from ridgecourse.core.targets import ListedTarget
 from ridgecourse.gateway.hub import Hub
@@ -37,7 +39,7 @@
     """Keeps a connection to the loader beside each listed engine.
 
     Attributes:
-        loads: What is known of each engine, by its address.
+        loads: What is known of each engine's load.
         brings_weights: Whether loaders are told to take weights from here.
         engines: The followed engines, by the host of their loader.
         reports: Takes the loaders' reports.
@@ -50,7 +52,7 @@
         self.hub = hub
         self.view = view
         self.events = events
-        self.loads: dict[str, EngineLoad] = {}
+        self.loads = KnownLoads()
         self.brings_weights = True
         self.engines: dict[str, ListedTarget] = {}
         control_port = site.peer_ports[0]
@@ -78,21 +80,26 @@
             follower.kill()
         self.view.changed.notify()
 
-    def load(self, address: str) -> EngineLoad:
-        """Return what is known of an engine's load."""
-        return self.loads.setdefault(address, EngineLoad())
+    def load(self, target: ListedTarget) -> EngineLoad:
+        """Return what is known of the load of an engine's latest life."""
+        return self.loads.of(target.life)
+
+    def life(self, target: ListedTarget) -> EngineLife:
+        """Return the latest life of an engine, by the list and by its reports."""
+        return self.loads.latest(target.life)
 
     def _keep_followers(self) -> None:
         while True:
+            listed = self.view.targets.targets
+            self.loads.retain(listed)
+            # Of two at one address the later one is there.
+            by_start = sorted(listed.values(), key=lambda target: target.started or 0)
             engines = {
-                target.address: target
-                for target in self.view.targets.targets.values()
-                if self._is_engine(target)
+                target.address: target for target in by_start if self._is_engine(target)
             }
             self.engines = {target.host: target for target in engines.values()}
             for address in [a for a in self.followers if a not in engines]:
                 self.followers.pop(address).kill()
-                self.loads.pop(address, None)
             for address, target in engines.items():
                 if address not in self.followers:
                     self.followers[address] = spawn_loop(self._follow, target)
@@ -126,7 +133,7 @@
         channel = open_channel(control_address, "", self.site.host)
         with closing(channel):
             # Another life of the loader numbers its reports anew.
-            self.load(target.address).number = 0
+            self.load(target).number = 0
             asked_at = Seconds(monotonic())
             channel.send(
                 Watch(
@@ -143,7 +150,7 @@
                 if report is None:
                     raise ChannelClosed("silent")
                 if isinstance(report, EngineReport):
-                    self._take(target, report)
+                    self._take(self.engines.get(target.host, target), report)
                 elif isinstance(report, Named):
                     self.view.date_versions(report.versions, asked_at)
                     self.hub.learn(target.address, ())
@@ -151,12 +158,11 @@
                     self.hub.learn(target.address, report.came, report.gone)
 
     def _take(self, target: ListedTarget, report: EngineReport) -> None:
-        load = self.load(target.address)
-        now = Seconds(monotonic())
-        if not load.is_newer(report.number, now):
+        status, now = report.status, Seconds(monotonic())
+        life = EngineLife(target.target, status.started)
+        before = self.loads.of(life).status
+        if not self.loads.report(life, status, now, report.number):
             return
-        before, status = load.status, report.status
-        load.report(status, now, report.number)
         if before is None or (before.version, before.busy) != (
             status.version,
             status.busy,
--- a/src/ridgecourse/gateway/selection.py
+++ b/src/ridgecourse/gateway/selection.py
@@ -8,13 +8,13 @@
 from msgspec import Struct
 
 from ridgecourse.cluster.view import ClusterView
+from ridgecourse.core.engine_life import EngineLife
 from ridgecourse.core.engine_load import EngineLoad, prompt_seconds
 from ridgecourse.core.first_events import FirstEventDelay
 from ridgecourse.core.ids import (
     ModelName,
     Seconds,
     ServiceName,
-    TargetId,
     WeightsVersion,
 )
 from ridgecourse.core.old_weights import TakeBack, may_wait
@@ -22,6 +22,7 @@
 from ridgecourse.core.recent_peak import RecentPeak
 from ridgecourse.core.routes import Service
 from ridgecourse.core.site import Site
+from ridgecourse.core.target_states import TargetState, TargetStates
 from ridgecourse.core.targets import ListedTarget
 from ridgecourse.core.weights import FIRST_VERSION
 from ridgecourse.gateway.loads import LoadWatcher
@@ -34,9 +35,6 @@
 entry in the list lags by about a heartbeat."""
 REFUSED_SECONDS = 0.15
 """How long a target is left alone after it refused a request, unless it reports."""
-FAILURES_IN_A_ROW = 2
-FIRST_EJECTION_SECONDS = 1.0
-LONGEST_EJECTION_SECONDS = 8.0
 
 
 class VersionTerms(Struct, frozen=True):
@@ -69,39 +67,6 @@
     terms: VersionTerms
 
 
-class TargetState:
-    """What this gateway has seen of a target.
-
-    Attributes:
-        failures: Failures in a row.
-        ejections: Times in a row that it was ejected.
-        not_before: When it may be chosen again.
-        ways: How long connections to it took to come up.
-    """
-
-    def __init__(self) -> None:
-        self.ways = RecentPeak()
-        self.failures = 0
-        self.ejections = 0
-        self.not_before = Seconds(0.0)
-
-    def succeeded(self) -> None:
-        """Take in a request that was served."""
-        self.failures = 0
-        self.ejections = 0
-
-    def failed(self, now: Seconds) -> bool:
-        """Take in a failure; tell whether the target is ejected by it."""
-        self.failures += 1
-        if self.failures < FAILURES_IN_A_ROW:
-            return False
-        span = FIRST_EJECTION_SECONDS * 2.0**self.ejections
-        self.not_before = Seconds(now + min(LONGEST_EJECTION_SECONDS, span))
-        self.ejections += 1
-        self.failures = 0
-        return True
-
-
 class TargetSelector:
     """Chooses targets.
 
@@ -126,46 +91,50 @@
         self.lag = lag
         self.random = random
         self.delays: dict[ServiceName, FirstEventDelay] = defaultdict(FirstEventDelay)
-        self.states: dict[TargetId, TargetState] = {}
+        self.states = TargetStates()
+
+    def state(self, target: ListedTarget) -> TargetState:
+        """Return what was seen of the latest life of a target."""
+        return self.states.of(self.life(target))
 
-    def state(self, target: TargetId) -> TargetState:
-        """Return what was seen of a target."""
-        return self.states.setdefault(target, TargetState())
+    def life(self, target: ListedTarget) -> EngineLife:
+        """Return the latest life of a target."""
+        return self.watcher.life(target)
 
     def load(self, target: ListedTarget) -> EngineLoad:
         """Return what is known of a target's load."""
-        return self.watcher.load(target.address)
+        return self.watcher.load(target)
 
     def fill(self, target: ListedTarget, now: Seconds) -> float:
         """Return the requests at a target as a share of its slots."""
         return self.load(target).requests(now, SENDERS) / max(1, target.slots)
 
     def choose(
-        self, service: Service, call: CallerRequest, tried: Collection[TargetId]
+        self, service: Service, call: CallerRequest, tried: Collection[EngineLife]
     ) -> Choice | None:
         """Return the target for a request, or None where there is none.
 
         Args:
             service: The service that answers.
             call: The request.
-            tried: Targets that have had the request.
+            tried: Lives of targets that have had the request.
         """
         now = Seconds(monotonic())
         able = [
             target
             for target in self.view.serving(service.name)
-            if target.target not in tried and self._is_able(service, target, now)
+            if self.life(target) not in tried and self._is_able(service, target, now)
         ]
         choices = [self._weigh(service, call, target, now) for target in able]
         choices = [choice for choice in choices if not self._is_outdated(choice, now)]
         # Those with weights that may serve now go before those that may have them.
         current = [choice for choice in choices if choice.terms.version is None]
         choices = current or choices
-        free = [c for c in choices if self.state(c.target.target).not_before <= now]
+        free = [c for c in choices if self.state(c.target).not_before <= now]
         if not free:
             return min(
                 choices,
-                key=lambda choice: self.state(choice.target.target).not_before,
+                key=lambda choice: self.state(choice.target).not_before,
                 default=None,
             )
         return min(free, key=self._cost)
@@ -177,7 +146,10 @@
         load = self.load(target)
         if load.status is not None and load.is_fresh(now):
             return load.status.version > 0 and not load.status.busy
-        return target.holds_model(service.engine.layers)
+        # A new life holds nothing of what the list says of the one before.
+        return not target.life.is_before(self.life(target)) and target.holds_model(
+            service.engine.layers
+        )
 
     def _is_outdated(self, choice: Choice, now: Seconds) -> bool:
         """Tell whether an engine has just reported weights that are too old.
@@ -218,6 +190,8 @@
         load = self.load(target)
         if load.status is not None and load.is_fresh(now):
             return load.status.version
+        if target.life.is_before(self.life(target)):
+            return None
         return target.models.get(model)
 
     def _version_terms(
@@ -233,7 +207,7 @@
         bound = self.view.history(model).begin_by(held or FIRST_VERSION)
         if bound is None:
             return VersionTerms(held, None, None)
-        way = self.state(target.target).ways.expect(now)
+        way = self.state(target).ways.expect(now)
         begin_by = TakeBack(way, self.lag.expect(now)).begin_by(bound)
         delay = self.delays[target.service].at_worst(now)
         if may_wait(now, wait, delay, begin_by):
@@ -242,6 +216,4 @@
 
     def forget_gone(self) -> None:
         """Drop what was seen of targets that are no longer listed."""
-        for name in list(self.states):
-            if name not in self.view.targets.targets:
-                del self.states[name]
+        self.states.retain(self.view.targets.targets)
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -5,6 +5,7 @@
 
 from msgspec import Struct
 
+from ridgecourse.core.engine_load import EngineLoad
 from ridgecourse.core.ids import AccountName, Seconds, WeightsVersion
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.recent_peak import RecentPeak
@@ -91,11 +92,13 @@
         events: Its events, the first included; raises ``Broken`` where the
             stream breaks off.
         exchange: Its connection, closed by whoever reads the events.
+        load: Load that it counts to until it ends; of the life that sends it.
     """
 
     head: AnswerHead
     events: Iterator[StreamEvent]
     exchange: Exchange
+    load: EngineLoad | None = None
 
 
 SendResult = NotRun | Unknown | Whole | Stream
--- a/src/ridgecourse/gateway/stream_relay.py
+++ b/src/ridgecourse/gateway/stream_relay.py
@@ -2,9 +2,8 @@
 
 from collections.abc import Callable, Iterator
 
-from ridgecourse.core.ids import TargetId
+from ridgecourse.core.engine_life import EngineLife
 from ridgecourse.core.outcome import Outcome
-from ridgecourse.core.targets import ListedTarget
 from ridgecourse.gateway.dispatcher import Dispatcher
 from ridgecourse.gateway.messages import CallerRequest
 from ridgecourse.gateway.relay import StreamEvent
@@ -38,9 +37,8 @@
         request: FrontRequest,
         order: Order,
         terms: Terms,
-        tried: set[TargetId],
+        tried: set[EngineLife],
         stream: Stream,
-        target: ListedTarget,
     ) -> Iterator[bytes]:
         """Yield a stream's events, resumed at another target if one is lost."""
         call = order.call
@@ -49,7 +47,7 @@
             with request.watched():
                 while True:
                     try:
-                        for event in self._events(order, stream, target):
+                        for event in self._events(order, stream):
                             yield event.data
                         outcome, why = Outcome.COMPLETED, "stream whole"
                         return
@@ -58,15 +56,12 @@
                         resumed = self._resume(order, terms, tried, error)
                     if resumed is None:
                         raise AnswerTorn(why)
-                    stream, target = resumed
+                    stream = resumed
         finally:
             self.note_end(call, outcome, why, order.last_event)
 
-    def _events(
-        self, order: Order, stream: Stream, target: ListedTarget
-    ) -> Iterator[StreamEvent]:
+    def _events(self, order: Order, stream: Stream) -> Iterator[StreamEvent]:
         """Yield a target's events that the caller has not had yet."""
-        load = self.dispatcher.selector.load(target)
         try:
             for event in stream.events:
                 last = order.last_event
@@ -76,16 +71,15 @@
                     order.last_event = event.number
                 yield event
         finally:
-            load.outstanding -= 1
+            if stream.load is not None:
+                stream.load.outstanding -= 1
             stream.exchange.close()
 
     def _resume(
-        self, order: Order, terms: Terms, tried: set[TargetId], error: Broken
-    ) -> tuple[Stream, ListedTarget] | None:
+        self, order: Order, terms: Terms, tried: set[EngineLife], error: Broken
+    ) -> Stream | None:
         """Let another target go on with a stream; None where that can't be."""
         if not terms.route.resumable or isinstance(error, TooLate):
             return None
-        result, target = self.dispatcher.try_targets(order, terms, tried)
-        if isinstance(result, Stream) and target is not None:
-            return result, target
-        return None
+        result = self.dispatcher.try_targets(order, terms, tried)
+        return result if isinstance(result, Stream) else None
--- a/src/ridgecourse/platform/records.py
+++ b/src/ridgecourse/platform/records.py
@@ -1,9 +1,9 @@
 """Decodes the values of the store's records."""
 
 from collections.abc import Sequence
-from typing import Any
+from typing import Annotated, Any
 
-from msgspec import DecodeError, Struct, field
+from msgspec import UNSET, DecodeError, Meta, Struct, UnsetType, field
 from msgspec.json import Decoder
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
@@ -13,6 +13,7 @@
 from ridgecourse.core.ids import (
     AccountName,
     DomainName,
+    EngineStart,
     ModelName,
     ServiceName,
     TargetId,
@@ -164,6 +165,11 @@
     version: int
 
 
+StartMillisecond = Annotated[int, Meta(ge=0, lt=10**13)]
+"""A Unix millisecond before the year 2286. What is negative or higher, as microseconds
+are, is no start: believed, a higher one would shut out the engine's later lives."""
+
+
 class TargetFields(Struct):
     """A target's entry in the list."""
 
@@ -174,6 +180,7 @@
     state: str = "ready"
     models: list[ServedFields] = []
     layers: LayerFields | None = None
+    born: StartMillisecond | UnsetType = UNSET
 
 
 class VersionFields(Struct):
@@ -229,9 +236,15 @@
             for model in fields.models
         },
         layers=make_layers(fields.layers),
+        started=make_start(fields.born),
     )
 
 
+def make_start(millisecond: int | UnsetType) -> EngineStart | None:
+    """Return when an engine started; None if it does not tell."""
+    return None if millisecond is UNSET else EngineStart(millisecond)
+
+
 def make_layers(fields: LayerFields | None) -> HeldLayers | None:
     """Return held layers in the system's own terms; None for none."""
     if fields is None or fields.end <= fields.first:
--- /dev/null
+++ b/tests/platform/test_engine_lives.py
@@ -0,0 +1,141 @@
+"""Engines that start again under the identity that they had.
+
+An engine crashed and came back with its identity, its address or another one, and
+nothing in its memory. A frozen earlier life that woke beside the new one took its place
+in the list, for its heartbeats were the newest records, and requests went there.
+"""
+
+import pytest
+from gateway_site import GatewaySite
+
+from ridgecourse_standins.platform.engine import (
+    EngineStandIn,
+    ReceivedRequest,
+    refuse,
+    reset,
+    send_whole,
+)
+
+BORN = 1_790_000_000_000
+SAFE, ONCE = "/safe/a", "/once/a"
+
+
+def answering(text: str):  # type: ignore[no-untyped-def]
+    def behave(request: ReceivedRequest) -> None:
+        send_whole(request, text.encode())
+
+    return behave
+
+
+def answering_as(target: str, text: str):  # type: ignore[no-untyped-def]
+    def behave(request: ReceivedRequest) -> None:
+        if request.header("Expected-Instance") == target:
+            send_whole(request, text.encode())
+        else:
+            refuse(request, "421 Misdirected Request")
+
+    return behave
+
+
+def add_life(
+    site: GatewaySite, text: str, born: int, service: str = "app"
+) -> EngineStandIn:
+    """List the first life of the engine ``i-0``."""
+    engine = EngineStandIn(answering(text), born=born)
+    engine.start()
+    site.engines.append(engine)
+    site.list_engine(engine, service, "i-0")
+    return engine
+
+
+def add_next_life(
+    site: GatewaySite, before: EngineStandIn, text: str, moved: bool = False
+) -> EngineStandIn:
+    """List the life that follows another one of the engine ``i-0``."""
+    engine = before.restart(moved)
+    engine.behaviour = answering(text)
+    engine.start()
+    site.engines.append(engine)
+    site.list_engine(engine, "app", "i-0")
+    return engine
+
+
+def wait_answer(site: GatewaySite, body: bytes) -> None:
+    site.wait_until(lambda: site.ask(SAFE)[2] == body)
+
+
+def test_a_killed_engine_that_is_back_does_not_answer_for_its_earlier_life(
+    front: GatewaySite,
+) -> None:
+    first = add_life(front, "first", BORN)
+    front.start()
+    wait_answer(front, b"first")
+    first.behaviour = lambda request: None
+    seen = len(first.requests)
+    connection = front.open()
+    front.send(connection, ONCE)
+    first.wait_for(seen + 1)
+    first.kill()
+    second = add_next_life(front, first, "second")
+    answer = connection.makefile("rb").readline()
+    # It may have run in the earlier life: neither an answer nor a refusal.
+    assert answer.split()[1] == b"502"
+    wait_answer(front, b"second")
+    assert not [r for r in second.requests if "/once/" in r.line]
+
+
+def test_a_frozen_earlier_life_that_wakes_does_not_replace_the_new_one(
+    front: GatewaySite,
+) -> None:
+    first = add_life(front, "first", BORN)
+    front.start()
+    wait_answer(front, b"first")
+    first.freeze()
+    add_next_life(front, first, "second", moved=True)
+    wait_answer(front, b"second")
+    first.wake()
+    # Its heartbeat is the newest record of the identity; the next entry shows that
+    # it was read.
+    front.list_engine(first, "app", "i-0")
+    front.add_engine("other", answering("other"), "i-1")
+    front.gateway.wait_event("target-listed", target="i-1")
+    seen = len(first.requests)
+    assert {front.ask(SAFE)[2] for _ in range(10)} == {b"second"}
+    assert len(first.requests) == seen
+
+
+def test_an_address_that_another_service_took_over_stands_for_that_one_only(
+    front: GatewaySite,
+) -> None:
+    """What was meant for the earlier engine is refused there; its new life gets it."""
+    first = add_life(front, "first", BORN)
+    front.start()
+    wait_answer(front, b"first")
+    first.behaviour = reset
+    for _ in range(4):
+        front.ask(ONCE)
+    first.kill()
+    taker = first.restart()
+    taker.behaviour = answering_as("i-7", "taker")
+    taker.start()
+    front.engines.append(taker)
+    front.list_engine(taker, "other", "i-7")
+    add_next_life(front, first, "second", moved=True)
+    front.wait_until(lambda: front.ask("/safe/deep/a")[2] == b"taker")
+    bodies = set()
+    while b"second" not in bodies:
+        bodies.add(front.ask(SAFE)[2])
+    assert bodies <= {b"", b"second"}
+
+
+@pytest.mark.parametrize("born", [True, 1.0, "7", None, -1, 10**13])
+def test_an_entry_whose_start_is_no_whole_number_is_bad_input(
+    front: GatewaySite, born: object
+) -> None:
+    add_life(front, "first", BORN)
+    front.start()
+    wait_answer(front, b"first")
+    bad = {"service": "app", "address": "127.0.0.1:1", "zone": "a", "born": born}
+    front.store.put_target("i-1", bad)
+    front.gateway.wait_event("bad-input", 10)
+    assert front.ask(SAFE)[2] == b"first"
