A loader believes nothing of the life that its engine had before

Cause: the loader went by its last order whatever the engine did since. An engine that was busy when it came back was left without weights, for the order to the life before counted as under way. Between the look that found the staging area whole and the order, an engine that lost power came back with an empty area and was started from that. A report that a frozen process gave late was believed.

Reports of earlier lives are left out, an order counts for the life that took it, the life is looked at once more between the last look at the staging area and the order, and the estimate of prompts not read yet begins anew. A report whose start is no whole number is counted, logged once and not believed.

Ruled out: keeping which chunks were staged in which life. Nothing is remembered of the area, and all of it is read back by digest from the first chunk on; a test holds that.

Tests: red on the code before, but for the engine that lost its staging area.

--- a/src/ridgecourse/loader/loader.py
+++ b/src/ridgecourse/loader/loader.py
@@ -17,6 +17,7 @@
 from ridgecourse.exchange.server import Exchange
 from ridgecourse.exchange.store import ChunkStore
 from ridgecourse.loader.gateways import KnownGateways
+from ridgecourse.loader.latest_life import LatestLife
 from ridgecourse.loader.protocol import EngineControl
 from ridgecourse.loader.rollout import Rollout
 from ridgecourse.loader.status import StatusFeed
@@ -102,6 +103,7 @@
             digest=sha256_digest,
         )
         self.exchange = Exchange(self.context)
+        engine = LatestLife(engine, self.events)
         self.gateways = KnownGateways(seeds, http, self.events)
         self.rollout = Rollout(
             site,
--- a/src/ridgecourse/loader/protocol.py
+++ b/src/ridgecourse/loader/protocol.py
@@ -5,7 +5,7 @@
 
 from msgspec import Struct
 
-from ridgecourse.core.ids import ModelName, WeightsVersion
+from ridgecourse.core.ids import EngineStart, ModelName, WeightsVersion
 from ridgecourse.core.targets import HeldLayers
 
 
@@ -13,6 +13,10 @@
     """The engine gave no usable answer."""
 
 
+class InvalidReport(EngineUnavailable):
+    """The engine's report cannot be read."""
+
+
 class StagingUnanswered(EngineUnavailable):
     """The engine may still carry out a call that put a chunk into its staging area."""
 
@@ -29,6 +33,7 @@
         cache_used: Tokens of context in memory that cannot give way.
         cache_total: Tokens of context that fit.
         pace: How much slower than usual it is; 1 for usual.
+        started: When it started; None if it does not tell.
     """
 
     layers: HeldLayers | None
@@ -39,6 +44,7 @@
     cache_used: int
     cache_total: int
     pace: float = 1.0
+    started: EngineStart | None = None
 
     def serves(self, version: WeightsVersion, layers: int) -> bool:
         """Tell whether it serves a whole model of a version."""
@@ -63,6 +69,18 @@
     UNKNOWN = "unknown"
 
 
+class StartOrder(Struct, frozen=True):
+    """An order to start that one life of the engine took.
+
+    Attributes:
+        version: What is to be served.
+        started: When that life started; None if it does not tell.
+    """
+
+    version: WeightsVersion
+    started: EngineStart | None
+
+
 class Phase(Enum):
     """What a loader is doing."""
 
@@ -82,6 +100,7 @@
         """Return what it tells of itself.
 
         Raises:
+            InvalidReport: The answer cannot be read.
             EngineUnavailable: It gave no usable answer.
         """
 
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -29,6 +29,7 @@
     OrderOutcome,
     Phase,
     StagingUnanswered,
+    StartOrder,
 )
 from ridgecourse.loader.staging import Staging
 from ridgecourse.loader.transfer_watch import TransferWatch
@@ -67,7 +68,7 @@
         phase: What is being done.
         version: The version it is done for.
         error: What stands in the way; empty for nothing.
-        ordered: The version of the last order.
+        ordered: The last order; None for none.
         hubs: Where the transfer in progress takes chunks from.
         prefetching: Whether it goes on without the engine.
         stray_until: Until when an unanswered call may still change what lies staged.
@@ -104,7 +105,7 @@
         self.prefetching = False
         # At the first start of all, engines come up with the first version staged.
         self.prefetch_at = inf if site.first_start else monotonic() + ENGINE_SECONDS
-        self.ordered = WeightsVersion(0)
+        self.ordered: StartOrder | None = None
         self.transfer: Transfer | None = None
         self.hubs: Sequence[Peer] = []
         self.offering: set[VersionKey] = set()
@@ -147,7 +148,7 @@
             report = self.engine.report()
         except EngineUnavailable as error:
             return self._prefetch((model.model, wanted), place, str(error))
-        if report.busy and self.ordered == wanted:
+        if report.busy and self.ordered == StartOrder(wanted, report.started):
             return WORK_SECONDS
         if report.serves(wanted, model.layers):
             self._set(Phase.SERVING, "", wanted)
@@ -346,7 +347,9 @@
             return min(wait, IDLE_SECONDS)
         # Once more, shortly before it is taken: chunks turn bad where they lie.
         repaired = staging.fill(holding.manifest)
-        self._start(key, repaired)
+        if self.engine.report().started == report.started:
+            self._start(key, repaired, report)
+        # Else what was found whole may have gone with the engine's earlier life.
         return WORK_SECONDS
 
     def _start_wait(self, key: VersionKey, report: EngineReport) -> float:
@@ -364,7 +367,7 @@
             return 0.0
         return max(0.0, bound - LATE_START_SECONDS - monotonic())
 
-    def _start(self, key: VersionKey, repaired: int) -> None:
+    def _start(self, key: VersionKey, repaired: int, report: EngineReport) -> None:
         outcome = self.engine.start(*key)
         self.context.events.emit(
             EventKind.VERSION_STARTED,
@@ -373,7 +376,7 @@
             repaired=repaired,
         )
         if outcome in (OrderOutcome.BEGUN, OrderOutcome.HELD):
-            self.ordered = key[1]
+            self.ordered = StartOrder(key[1], report.started)
             self._set(Phase.STARTING, "", key[1])
         else:
             self._set(Phase.STARTING, f"order {outcome.value}", key[1])
--- a/src/ridgecourse/loader/status.py
+++ b/src/ridgecourse/loader/status.py
@@ -8,7 +8,7 @@
 
 from ridgecourse.core.engine_load import EngineStatus, UnreadEstimate
 from ridgecourse.core.hubs import Peer
-from ridgecourse.core.ids import Seconds, WeightsVersion
+from ridgecourse.core.ids import EngineStart, Seconds, WeightsVersion
 from ridgecourse.core.report_rate import NEAR_INTERVAL_SECONDS, report_interval
 from ridgecourse.loader.gateways import KnownGateways
 from ridgecourse.loader.protocol import EngineControl, EngineUnavailable
@@ -62,6 +62,8 @@
         status: The newest load; None while the engine does not answer.
         gateways: Those that bring weights in.
         watchers: Those that are told the load, one for each connection.
+        unread: Of the engine's latest life.
+        started: When that started; None if it does not tell.
         number: Of the newest report.
     """
 
@@ -80,6 +82,7 @@
         self.reports = reports
         self.watchers: list[Watcher] = []
         self.unread = UnreadEstimate()
+        self.started: EngineStart | None = None
         self.number = 0
         self.thread: eventlet.greenthread.GreenThread | None = None
 
@@ -129,6 +132,7 @@
             pace=report.pace,
             link=self._link_share(),
             unread=self._unread(report),
+            started=report.started,
         )
 
     def _slots(self) -> int:
@@ -140,6 +144,9 @@
         found = self.rollout.find_model()
         if found is None:
             return 0.0
+        if report.started != self.started:
+            # The prompts went with the engine's earlier life.
+            self.started, self.unread = report.started, UnreadEstimate()
         requests = report.queued + report.active
         return self.unread.look(found[0], requests, Seconds(monotonic()))
 
--- a/src/ridgecourse/net/events.py
+++ b/src/ridgecourse/net/events.py
@@ -69,6 +69,7 @@
     VERSION_LOADED = "version-loaded"
     VERSION_SERVING = "version-serving"
     LEASE_GRANTED = "lease-granted"
+    ENGINE_RESTARTED = "engine-restarted"
     ORDER_REFUSED = "order-refused"
     BAD_INPUT = "bad-input"
     SUPPRESSED = "suppressed"
--- a/src/ridgecourse/platform/engine.py
+++ b/src/ridgecourse/platform/engine.py
@@ -2,7 +2,7 @@
 
 from urllib.parse import quote
 
-from msgspec import Struct
+from msgspec import UNSET, Struct, UnsetType
 from msgspec.json import encode
 from returns.result import Failure
 
@@ -11,6 +11,7 @@
     EngineControl,
     EngineReport,
     EngineUnavailable,
+    InvalidReport,
     OrderOutcome,
 )
 from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
@@ -21,7 +22,13 @@
     STAGE_GET_PATH,
     STAGE_PUT_PATH,
 )
-from ridgecourse.platform.records import LayerFields, decode_json, make_layers
+from ridgecourse.platform.records import (
+    LayerFields,
+    StartMillisecond,
+    decode_json,
+    make_layers,
+    make_start,
+)
 
 CALL_SECONDS = 1.0
 """Longest wait for an answer of the engine on the own machine."""
@@ -54,6 +61,7 @@
     kv_total: int = 0
     layers: LayerFields | None = None
     pace: float = 1.0
+    born: StartMillisecond | UnsetType = UNSET
 
 
 class StartFields(Struct):
@@ -79,7 +87,7 @@
             raise EngineUnavailable(f"report: status {status}")
         decoded = decode_json(data, ReportFields, "report")
         if isinstance(decoded, Failure):
-            raise EngineUnavailable(str(decoded.failure()))
+            raise InvalidReport("; ".join(map(str, decoded.failure())))
         fields: ReportFields = decoded.unwrap()
         return EngineReport(
             layers=make_layers(fields.layers),
@@ -90,6 +98,7 @@
             cache_used=fields.kv_used,
             cache_total=fields.kv_total,
             pace=fields.pace,
+            started=make_start(fields.born),
         )
 
     def start(self, model: ModelName, version: WeightsVersion) -> OrderOutcome:
