Test: a stream of an earlier life goes on at the next one

Cause: a request counts as sent to a life of an engine. The identity alone kept a stream that broke off from going on at the engine's next life, which may hold the weights. On the code before, the stream ended torn.

--- a/tests/platform/test_engine_lives.py
+++ b/tests/platform/test_engine_lives.py
@@ -5,14 +5,20 @@
 in the list, for its heartbeats were the newest records, and requests went there.
 """
 
+from threading import Event
+
 import pytest
-from gateway_site import GatewaySite
+from gateway_site import GatewaySite, receive_answer
 
 from ridgecourse_standins.platform.engine import (
     EngineStandIn,
     ReceivedRequest,
+    event,
     refuse,
     reset,
+    send_chunk,
+    send_events,
+    send_stream_head,
     send_whole,
 )
 
@@ -49,14 +55,18 @@
 
 
 def add_next_life(
-    site: GatewaySite, before: EngineStandIn, text: str, moved: bool = False
+    site: GatewaySite,
+    before: EngineStandIn,
+    text: str,
+    moved: bool = False,
+    service: str = "app",
 ) -> EngineStandIn:
     """List the life that follows another one of the engine ``i-0``."""
     engine = before.restart(moved)
     engine.behaviour = answering(text)
     engine.start()
     site.engines.append(engine)
-    site.list_engine(engine, "app", "i-0")
+    site.list_engine(engine, service, "i-0")
     return engine
 
 
@@ -128,6 +138,39 @@
     assert bodies <= {b"", b"second"}
 
 
+def test_a_stream_of_an_earlier_life_goes_on_at_the_next_one(
+    front: GatewaySite,
+) -> None:
+    """The new life has not had the request, though it has the identity that had it."""
+    first = add_life(front, "first", BORN, "llm")
+    broken = Event()
+
+    def break_off(request: ReceivedRequest) -> None:
+        send_stream_head(request)
+        send_events(request, 1, 2)
+        broken.wait(20.0)
+        reset(request)
+
+    def go_on(request: ReceivedRequest) -> None:
+        send_stream_head(request)
+        send_events(request, 3, 4)
+        send_chunk(request, b"")
+
+    first.behaviour = break_off
+    front.start()
+    front.gateway.wait_event("target-listed", target="i-0")
+    connection = front.open()
+    front.send(connection, "/stream/a", deadline_ms=8000)
+    first.wait_for(1)
+    second = add_next_life(front, first, "second", moved=True, service="llm")
+    second.behaviour = go_on
+    front.gateway.wait_event("target-listed", after=1, target="i-0")
+    broken.set()
+    _, _, body, whole = receive_answer(connection)
+    assert (body, whole) == (b"".join(event(n) for n in range(1, 5)), True)
+    assert second.requests[0].header("Last-Event-Id") == "2"
+
+
 @pytest.mark.parametrize("born", [True, 1.0, "7", None, -1, 10**13])
 def test_an_entry_whose_start_is_no_whole_number_is_bad_input(
     front: GatewaySite, born: object
