Test: a loader's late report of an earlier life is left out

Cause: loaders number their reports over all lives of their engine, so that the number alone lets a report of an earlier life replace that of the new one. With lives not compared, the gateway took the engine for one without weights.

--- a/tests/platform/test_engine_lives.py
+++ b/tests/platform/test_engine_lives.py
@@ -6,10 +6,13 @@
 """
 
 from threading import Event
+from typing import Any
 
 import pytest
 from gateway_site import GatewaySite, receive_answer
+from msgspec import structs
 
+from ridgecourse.core.ids import EngineStart, WeightsVersion
 from ridgecourse_standins.platform.engine import (
     EngineStandIn,
     ReceivedRequest,
@@ -21,8 +24,10 @@
     send_stream_head,
     send_whole,
 )
+from ridgecourse_standins.platform.loader import IDLE, LoaderStandIn
 
 BORN = 1_790_000_000_000
+ENGINE_HOST = "127.0.0.5"
 SAFE, ONCE = "/safe/a", "/once/a"
 
 
@@ -70,6 +75,15 @@
     return engine
 
 
+def weights_told(site: GatewaySite) -> list[str]:
+    """Return version and whether it is busy of each change of an engine's weights."""
+    return [
+        f"{event['version']} {str(event['detail']['busy']).lower()}"
+        for event in site.gateway.events()
+        if event["kind"] == "target-weights"
+    ]
+
+
 def wait_answer(site: GatewaySite, body: bytes) -> None:
     site.wait_until(lambda: site.ask(SAFE)[2] == body)
 
@@ -171,6 +185,32 @@
     assert second.requests[0].header("Last-Event-Id") == "2"
 
 
+def test_a_loaders_report_of_an_earlier_life_does_not_replace_the_new_ones(
+    front: GatewaySite,
+) -> None:
+    """The earlier life had no weights; believed, its engine would get no requests."""
+    loader = LoaderStandIn(ENGINE_HOST, front.settings["internal_port_range"][0])
+
+    def tell(started: int, **more: Any) -> None:
+        status = structs.replace(IDLE, started=EngineStart(started), **more)
+        loader.status = status
+        front.wait_until(lambda: loader.told is status)
+
+    front.add_engine("llm", host=ENGINE_HOST)
+    loader.start()
+    try:
+        front.start()
+        tell(BORN + 5)
+        front.gateway.wait_event("target-weights", version="1")
+        tell(BORN, version=WeightsVersion(0))
+        # A later life yet, busy: what was told before it has been taken in by then.
+        tell(BORN + 9, busy=True)
+        front.wait_until(lambda: "true" in weights_told(front)[-1])
+        assert weights_told(front) == ["1 false", "1 true"]
+    finally:
+        loader.close()
+
+
 @pytest.mark.parametrize("born", [True, 1.0, "7", None, -1, 10**13])
 def test_an_entry_whose_start_is_no_whole_number_is_bad_input(
     front: GatewaySite, born: object
