--- a/src/ridgecourse/cluster/share.py
+++ b/src/ridgecourse/cluster/share.py
@@ -16,12 +16,16 @@
 RECORDS_PATH = "/records/"
 WAIT_PARAMETER = "wait"
 LONGEST_WAIT_SECONDS = 2.0
-STALE_SECONDS = 1.2
+STALE_SECONDS = 1.4
 """Age from which on nobody relies on what another process last heard of the store: with
-the own read that follows, a decision is in force in less than the 2 s allowed."""
+the own read that follows, a decision is in force in less than the 2 s allowed. Where
+the store takes 0.35 s to answer, what is heard is up to 1.1 s old."""
 KEPT_DROPPED = 1000
 """Dropped or rejected keys that are still told: far more than targets leave within an
 outage."""
+TOLD_LATE_SECONDS = 3.0
+"""How long a decision that was found late is told to all who ask, whatever they have
+read: each asks some times in that."""
 COMPRESSED_BYTES = 4096
 """Longer answers are compressed: a configuration of 54 KB is a tenth of that then, on
 links of loaders that carry 450 KB/s."""
@@ -37,6 +41,7 @@
         age: Seconds since the store told that there is nothing newer.
         waited: Seconds for which the process waited for news before it answered.
         receiving: Whether an answer of the store is on its way to it.
+        lost: Whether it cannot read the store now.
     """
 
     records: Sequence[KeyedRecord]
@@ -44,6 +49,7 @@
     age: float
     waited: float = 0.0
     receiving: bool = False
+    lost: bool = False
 
 
 class TopicRecords:
@@ -53,9 +59,12 @@
         records: By key, dropped keys included.
         end: Where to go on reading.
         heard_at: When the store told that there is nothing newer; 0 for never.
+        found_late: Records that hold though newer ones of their key were known, and
+            until when they are told.
     """
 
     def __init__(self) -> None:
+        self.found_late: dict[str, tuple[KeyedRecord, float]] = {}
         self.records: dict[str, KeyedRecord] = {}
         self.end = Offset(0)
         self.heard_at = Seconds(0.0)
@@ -74,6 +83,11 @@
         self.records.pop(record.key, None)
         self.records[record.key] = record
 
+    def put_late(self, record: KeyedRecord) -> None:
+        """Take in a record that holds in place of a newer one of its key."""
+        self.put(record)
+        self.found_late[record.key] = record, monotonic() + TOLD_LATE_SECONDS
+
     def note_read(self, batch: RecordBatch) -> None:
         """Note how far the topic has been read, and when."""
         self.end = max(self.end, batch.end)
@@ -98,7 +112,10 @@
 
     def since(self, start: Offset) -> SharedRecords:
         """Return the records from an offset on."""
-        records = [r for r in self.records.values() if r.offset >= start]
+        now = monotonic()
+        late = [record for record, end in self.found_late.values() if now < end]
+        newer = [r for r in self.records.values() if r.offset >= start]
+        records = [*newer, *(r for r in late if r.offset < start)]
         records.sort(key=lambda record: record.offset)
         return SharedRecords(records, self.end, self.age)
 
@@ -110,12 +127,16 @@
         topics: The records of each topic.
         changed: Notified when something was read.
         is_receiving: Tells whether an answer of the store is on its way here.
+        is_lost: Tells whether the store cannot be read from here.
     """
 
     def __init__(
-        self, is_receiving: Callable[[Topic], bool] = lambda topic: False
+        self,
+        is_receiving: Callable[[Topic], bool] = lambda topic: False,
+        is_lost: Callable[[Topic], bool] = lambda topic: False,
     ) -> None:
         self.is_receiving = is_receiving
+        self.is_lost = is_lost
         self.topics = {topic: TopicRecords() for topic in Topic}
         self.changed = Broadcast()
 
@@ -133,14 +154,16 @@
         topic = self.topics[found[0]]
         begun = monotonic()
         self._wait_for_news(topic, Offset(int(start)), wait)
-        if not topic.records and not topic.heard_at:
-            return HttpReply(204)
-        shared = topic.since(Offset(int(start)))
         receiving = self.is_receiving(found[0])
-        waited = monotonic() - begun
-        return reply(
-            encode_message(replace(shared, waited=waited, receiving=receiving))
+        if not topic.records and not topic.heard_at and not receiving:
+            return HttpReply(204)
+        shared = replace(
+            topic.since(Offset(int(start))),
+            waited=monotonic() - begun,
+            receiving=receiving,
+            lost=self.is_lost(found[0]),
         )
+        return reply(encode_message(shared))
 
     def _wait_for_news(self, topic: TopicRecords, start: Offset, wait: float) -> None:
         """Wait for a record, or until the store was heard again.
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -26,10 +26,11 @@
 )
 from ridgecourse.net.threads import spawn_loop
 
-DECISION_WAIT_SECONDS = 0.6
+DECISION_WAIT_SECONDS = 0.4
 """Longest wait of one read of the store for an operator's decision. A waiting read can
-miss a record, and a connection that died unseen is noticed only after it. With a slow
-store's 0.35 s it leaves what is heard fresh enough for others to rely on."""
+miss a record, and a connection that died unseen is noticed only after it. With twice a
+slow store's 0.35 s it leaves what is heard fresh enough for others to rely on; with
+0.6 s a domain of seven processes left its reader 65 times in 6 s."""
 TARGETS_PAUSE_SECONDS = 1.1
 """Between two reads of the list: a leaving target may get requests for 2 s more,
 and its heartbeats would end a waiting read ten times a second."""
@@ -72,7 +73,7 @@
         self.targets = TargetList()
         self.listed = False
         self.changed = Broadcast()
-        self.share = RecordShare(source.is_receiving)
+        self.share = RecordShare(source.is_receiving, self._is_lost)
         self.keeper = keeper
         keeper.recalled = self.take_kept
         self.decisions_reader = RecordFollower(
@@ -149,6 +150,9 @@
             if reader.lost_since is not None:
                 yield reader.topic
 
+    def _is_lost(self, topic: Topic) -> bool:
+        return topic in self.lost_topics()
+
     def take(self, topic: Topic, batch: RecordBatch, whole: bool) -> None:
         """Take in records of a topic, from the store or another process."""
         if topic is Topic.DECISIONS:
@@ -163,7 +167,14 @@
         shared = self.share.topics[Topic.DECISIONS]
         named_at = self._date_names(batch)
         for record in batch.records:
-            if self._take_decision(record, named_at):
+            known = shared.records.get(record.key)
+            if not self._take_decision(record, named_at):
+                continue
+            if known is not None and known.offset >= record.offset:
+                # It was passed over: those who read from here and who start did so too.
+                shared.put_late(record)
+                self.keeper.keep(record)
+            else:
                 shared.put(record)
         shared.note_read(batch)
         self.share.changed.notify()
@@ -177,7 +188,7 @@
             offset = known.offset if known else Offset(0)
             placed = KeyedRecord(record.key, record.value, offset)
             if self._take_decision(placed, None):
-                shared.put(placed)
+                shared.put_late(placed)
         self.changed.notify()
 
     def _date_names(self, batch: RecordBatch) -> Seconds | None:
@@ -343,13 +354,15 @@
         for target in current:
             names.add(target.target)
             known = before.get(target.target)
-            if known is None or known.leaving != target.leaving:
+            place = target.life, target.leaving
+            if known is None or (known.life, known.leaving) != place:
                 self.events.emit(
                     EventKind.TARGET_LISTED,
                     target=target.target,
                     service=target.service,
                     address=target.address,
                     leaving=target.leaving,
+                    started=target.started,
                     models=dict(target.models),
                 )
             elif known.models != target.models or known.layers != target.layers:
