An entry of an earlier life stands in its test with all its fields

Cause: the test's entries had four fields alone. An entry that lacks fields that every target writes is another writer's and is rejected, so that the first step of the test failed for that. What it asserts is unchanged.

--- a/tests/platform/test_known_lives.py
+++ b/tests/platform/test_known_lives.py
@@ -265,7 +265,17 @@
     view = ClusterView(Mock(), Mock(), PlatformRecords(), Mock(), 8.0)
 
     def take(offset: int, born: int, address: str) -> str:
-        entry = {"service": "llm", "address": address, "zone": "a", "born": born}
+        entry = {
+            "service": "llm",
+            "address": address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 16,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": born,
+        }
         record = KeyedRecord(ENGINE, encode(entry), Offset(offset))
         heard_at = Seconds(monotonic())
         batch = RecordBatch([record], Offset(offset + 1), heard_at)
