The way to an engine that comes back, or tells nothing, is reckoned with

Cause: an engine behind a link of 0.5 Mbit/s lapsed from the list and was listed again 1 s later.

Now ways outlast an entry (8 s to a third), an engine whose loader tells nothing counts as 1.2 s away, one behind a narrowed link 0.8 s, and a send whose own connection took longer than that is taken back earlier by as much.

--- a/src/ridgecourse/core/engine_load.py
+++ b/src/ridgecourse/core/engine_load.py
@@ -36,6 +36,9 @@
 NARROW_SECONDS = 0.8
 """Wait that a narrowed link counts for: requests to its engine, and the ends of
 connections by which they are taken back, took up to a second there."""
+UNTOLD_WAY_SECONDS = 1.2
+"""Way that an engine counts for whose loader tells nothing: bytes took so long to one
+behind a link of 0.5 Mbit/s that had just come back."""
 SHORTEST_ANSWER_SECONDS = 0.3
 """What reading its own prompt and those of others adds to a request's stay."""
 UNANSWERED_SECONDS = 0.6
@@ -217,6 +220,10 @@
             return SILENT_SECONDS
         return self._link_delay(now)
 
+    def way(self, now: Seconds) -> float:
+        """Return the seconds to reckon with for what is on its way to the engine."""
+        return self._link_delay(now) if self.is_fresh(now) else UNTOLD_WAY_SECONDS
+
     def _link_delay(self, now: Seconds) -> float:
         status = self.status
         if status is None or not self.is_fresh(now) or status.link >= NARROW_LINK:
--- a/src/ridgecourse/core/recent_peak.py
+++ b/src/ridgecourse/core/recent_peak.py
@@ -14,11 +14,13 @@
     """The largest recent span; a span counts for less the longer it is ago.
 
     Attributes:
+        memory: In which a span falls to some third of itself, in seconds.
         span: The largest when it was seen, in seconds.
         seen_at: When that was.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, memory: float = MEMORY_SECONDS) -> None:
+        self.memory = memory
         self.span = 0.0
         self.seen_at = Seconds(0.0)
 
@@ -29,4 +31,4 @@
 
     def expect(self, now: Seconds) -> float:
         """Return the span to reckon with now, in seconds."""
-        return self.span * exp(-max(0.0, now - self.seen_at) / MEMORY_SECONDS)
+        return self.span * exp(-max(0.0, now - self.seen_at) / self.memory)
--- a/src/ridgecourse/core/target_states.py
+++ b/src/ridgecourse/core/target_states.py
@@ -9,6 +9,10 @@
 FAILURES_IN_A_ROW = 2
 FIRST_EJECTION_SECONDS = 1.0
 LONGEST_EJECTION_SECONDS = 8.0
+WAY_MEMORY_SECONDS = 8.0
+"""Memory of the ways to a target: a link that was narrowed stays so for seconds."""
+FADED_WAY_SECONDS = 0.005
+"""A way that counts for less than this is forgotten."""
 
 
 class TargetState:
@@ -55,6 +59,7 @@
 
     def __init__(self) -> None:
         self.states: dict[TargetId, TargetState] = {}
+        self.ways: dict[TargetId, RecentPeak] = {}
 
     def of(self, life: EngineLife) -> TargetState:
         """Return what was seen of the latest life of a target.
@@ -64,14 +69,24 @@
         """
         known = self.states.get(life.target)
         if known is None:
-            known = self.states[life.target] = TargetState(life, RecentPeak())
+            fresh = RecentPeak(WAY_MEMORY_SECONDS)
+            ways = self.ways.setdefault(life.target, fresh)
+            known = self.states[life.target] = TargetState(life, ways)
         elif known.life.is_before(life):
             # The way there is as long as it was.
             known = self.states[life.target] = TargetState(life, known.ways)
         known.life = known.life.join(life)
         return known
 
-    def retain(self, listed: Container[TargetId]) -> None:
-        """Drop what was seen of targets that are no longer listed."""
+    def retain(self, listed: Container[TargetId], now: Seconds) -> None:
+        """Drop what was seen of targets that are no longer listed.
+
+        The ways to them stay until they have faded: a target behind a narrowed link
+        lapses from the list and comes back, and requests were sent there as if the
+        link were wide.
+        """
         for name in [name for name in self.states if name not in listed]:
             del self.states[name]
+        for name in [name for name in self.ways if name not in self.states]:
+            if self.ways[name].expect(now) < FADED_WAY_SECONDS:
+                del self.ways[name]
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -121,7 +121,9 @@
         exchange = Exchange(target.address, order.deadline)
         result: SendResult | None = None
         try:
-            self._connect(exchange, ways)
+            longer = self._connect(exchange, ways)
+            if order.begin_by is not None:
+                order.begin_by = Seconds(order.begin_by - longer)
             result = self._exchange(exchange, order, target)
         except NotSent as error:
             result = NotRun(Reason.UNREACHABLE, str(error), arrived=False)
@@ -136,13 +138,16 @@
                 exchange.abandon()
         return result
 
-    def _connect(self, exchange: Exchange, ways: RecentPeak) -> None:
-        begun = monotonic()
+    def _connect(self, exchange: Exchange, ways: RecentPeak) -> float:
+        """Connect; return by how many seconds the way is longer than reckoned."""
+        begun = Seconds(monotonic())
+        known = ways.expect(begun)
         try:
             exchange.connect(min(CONNECT_SECONDS, exchange.remaining()))
         finally:
             now = Seconds(monotonic())
             ways.observe(now - begun, now)
+        return max(0.0, now - begun - known)
 
     def _exchange(
         self, exchange: Exchange, order: Order, target: ListedTarget
