bench start: what the import of each program costs

Cause: a start was said to cost 1.05 to 1.15 s of processor time; nothing in the repository told it, nor under which conditions.

--- a/src/bench/__main__.py
+++ b/src/bench/__main__.py
@@ -11,6 +11,7 @@
     "fairness",
     "overload",
     "placement",
+    "start",
 )
 
 
