No resolver, no asyncio and no subprocess in a start

Cause: eventlet imports a resolver of names, though all addresses are numbers, and asyncio for a hub of that kind alone; monkey_patch() without names patches subprocess and looks for psycopg too, which no program uses.

Now the program itself switches greendns off (the deploy file alone did, so that entries, agents, the demo and the tests paid for it), asyncio stands in as a module that loads when it is asked for, and the patched modules are named. os stays patched, since the writing of log lines waits in it.

--- a/src/ridgecourse/net/patch.py
+++ b/src/ridgecourse/net/patch.py
@@ -6,14 +6,23 @@
 """
 
 import errno
+import os
 import warnings
 
+from ridgecourse.net.deferred import deferred
+
 warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
 
-import eventlet  # noqa: E402
+# All addresses are numbers; the resolver takes a quarter of a second to import.
+os.environ["EVENTLET_NO_GREENDNS"] = "yes"
+
+# Eventlet needs asyncio for a hub of that kind alone.
+with deferred({"asyncio": ()}):
+    import eventlet  # noqa: E402
 from eventlet.greenio import base as greenio_base  # noqa: E402
 
-eventlet.monkey_patch()
+# Not subprocess: no program starts another one.
+eventlet.monkey_patch(os=True, select=True, socket=True, thread=True, time=True)
 
 # Eventlet reads a reset connection as one that ended well. An answer without a
 # length ends with its connection, so that a reset one would look whole.
