Archives, metadata, JSON, pages and proxies are not imported at a start

Cause: urllib3 imports importlib.metadata for HTTP/2 (and with it csv, tempfile, zipfile) and json; http.server imports html, mimetypes and shutil (and with it bz2, lzma) to serve files; websockets imports urllib.request for proxies. None of it is used; each loads now when it is asked for.

--- a/src/ridgecourse/net/patch.py
+++ b/src/ridgecourse/net/patch.py
@@ -24,6 +24,22 @@
 # Not subprocess: no program starts another one.
 eventlet.monkey_patch(os=True, select=True, socket=True, thread=True, time=True)
 
+# What the libraries import for files, forms, proxies, HTTP/2 and pages of errors.
+with deferred(
+    {
+        "html": (),
+        "importlib.metadata": ("version",),
+        "json": (),
+        "mimetypes": (),
+        "shutil": (),
+        "urllib.request": (),
+    }
+):
+    import eventlet.wsgi  # noqa: E402
+    import urllib3  # noqa: E402, F401
+    import websockets.sync.client  # noqa: E402, F401
+    import websockets.sync.server  # noqa: E402, F401
+
 # Eventlet reads a reset connection as one that ended well. An answer without a
 # length ends with its connection, so that a reset one would look whole.
 greenio_base.SOCKET_CLOSED.discard(errno.ECONNRESET)
