--- a/src/ridgecourse/net/metrics.py
+++ b/src/ridgecourse/net/metrics.py
@@ -4,12 +4,14 @@
 """
 
 from enum import Enum
-
-from statsd import StatsClient
+from typing import TYPE_CHECKING
 
 from ridgecourse.core.ids import ProcessName
 from ridgecourse.net.address import parse_address
 
+if TYPE_CHECKING:
+    from statsd import StatsClient
+
 
 class Metric(Enum):
     """The names of all metrics, below ``ridgecourse.PROCESS``."""
@@ -31,15 +33,24 @@
     BAD_INPUT = "bad_input"
 
 
+def open_client(process: ProcessName, address: str) -> "StatsClient":
+    """Return a client that sends to an address.
+
+    Its library is imported here, since most processes send nothing.
+    """
+    from statsd import StatsClient
+
+    host, port = parse_address(address)
+    return StatsClient(host, port, prefix=f"ridgecourse.{process}")
+
+
 class Metrics:
     """Sends metrics over UDP."""
 
     def __init__(self, process: ProcessName, address: str | None) -> None:
         self.client: StatsClient | None = None
         if address is not None:
-            host, port = parse_address(address)
-            prefix = f"ridgecourse.{process}"
-            self.client = StatsClient(host, port, prefix=prefix)
+            self.client = open_client(process, address)
 
     def count(self, metric: Metric, value: int = 1) -> None:
         """Add to a counter."""
