No garbage is collected while a program imports

Cause: the collector looks through all that was imported again and again, although nothing of it becomes garbage.

Now it rests during the imports of gateway, loader, entry and agent, and what has been imported is left out of every later look, which costs less therefore too.

--- a/src/ridgecourse/agent/main.py
+++ b/src/ridgecourse/agent/main.py
@@ -1,13 +1,17 @@
 """Command ``ridgecourse-agent``."""
 
-import ridgecourse.net.patch  # noqa: F401, I001
+import ridgecourse.net.import_pause  # noqa: F401, I001
+import ridgecourse.net.patch  # noqa: F401
 
 import sys
 
 from ridgecourse.agent.agent import Agent
 from ridgecourse.agent.settings import AgentSettings
+from ridgecourse.net.import_pause import end_import_pause
 from ridgecourse.net.program import make_parser, run_process
 
+end_import_pause()
+
 DESCRIPTION = "Gate before one target, and its part in the exchange of weights."
 
 
--- a/src/ridgecourse/entry/main.py
+++ b/src/ridgecourse/entry/main.py
@@ -1,13 +1,17 @@
 """Command ``ridgecourse-entry``."""
 
-import ridgecourse.net.patch  # noqa: F401, I001
+import ridgecourse.net.import_pause  # noqa: F401, I001
+import ridgecourse.net.patch  # noqa: F401
 
 import sys
 
 from ridgecourse.entry.entry import Entry
 from ridgecourse.entry.settings import EntrySettings
+from ridgecourse.net.import_pause import end_import_pause
 from ridgecourse.net.program import make_parser, run_process
 
+end_import_pause()
+
 DESCRIPTION = "Takes callers' requests and operators' decisions."
 
 
--- a/src/ridgecourse/platform/gateway_main.py
+++ b/src/ridgecourse/platform/gateway_main.py
@@ -1,12 +1,14 @@
 """Starts a gateway from the platform's settings."""
 
-import ridgecourse.net.patch  # noqa: F401, I001
+import ridgecourse.net.import_pause  # noqa: F401, I001
+import ridgecourse.net.patch  # noqa: F401
 
 import sys
 
 from ridgecourse.core.site import Site
 from ridgecourse.gateway.gateway import Gateway
 from ridgecourse.net.http_client import HttpClient
+from ridgecourse.net.import_pause import end_import_pause
 from ridgecourse.platform.names import READY_PATH
 from ridgecourse.platform.origin import PlatformOrigin
 from ridgecourse.platform.process import run_on_platform
@@ -14,6 +16,8 @@
 from ridgecourse.platform.requests import PlatformRequests
 from ridgecourse.platform.store import PlatformStore
 
+end_import_pause()
+
 
 def make_gateway(site: Site) -> Gateway:
     """Return a gateway that speaks the platform's protocols."""
--- a/src/ridgecourse/platform/loader_main.py
+++ b/src/ridgecourse/platform/loader_main.py
@@ -1,18 +1,22 @@
 """Starts a loader from the platform's settings."""
 
-import ridgecourse.net.patch  # noqa: F401, I001
+import ridgecourse.net.import_pause  # noqa: F401, I001
+import ridgecourse.net.patch  # noqa: F401
 
 import sys
 
 from ridgecourse.core.site import Site
 from ridgecourse.loader.loader import Loader
 from ridgecourse.net.http_client import HttpClient
+from ridgecourse.net.import_pause import end_import_pause
 from ridgecourse.platform.engine import PlatformEngine
 from ridgecourse.platform.origin import PlatformOrigin
 from ridgecourse.platform.process import run_on_platform
 from ridgecourse.platform.records import PlatformRecords
 from ridgecourse.platform.store import PlatformStore
 
+end_import_pause()
+
 
 def make_loader(site: Site) -> Loader:
     """Return a loader that speaks the platform's protocols."""
