The configuration's objects stand apart from the fold of changes

Who only reads objects, such as the control messages, imports no fold any more.

Run: tests/test_config.py, test_boundaries.py, test_input.py, mypy.

--- a/src/ridgecourse/agent/rollout.py
+++ b/src/ridgecourse/agent/rollout.py
@@ -15,7 +15,7 @@
 
 from ridgecourse.agent.context import AgentContext
 from ridgecourse.agent.lease import LeaseKeeper
-from ridgecourse.core.config import Service, Target, Version
+from ridgecourse.core.config_objects import Service, Target, Version
 from ridgecourse.core.finding import render_findings
 from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import Offset, RootDigest, TargetName
--- a/src/ridgecourse/entry/admin.py
+++ b/src/ridgecourse/entry/admin.py
@@ -26,7 +26,8 @@
     ServiceKind,
     SetTraffic,
 )
-from ridgecourse.core.config import AnyObject, ConfigState, Target
+from ridgecourse.core.config import ConfigState
+from ridgecourse.core.config_objects import AnyObject, Target
 from ridgecourse.core.ids import (
     AccountName,
     ChangeId,
--- a/src/ridgecourse/entry/attempt.py
+++ b/src/ridgecourse/entry/attempt.py
@@ -7,7 +7,7 @@
 from returns.result import Failure
 from urllib3 import BaseHTTPResponse
 
-from ridgecourse.core.config import Target
+from ridgecourse.core.config_objects import Target
 from ridgecourse.core.ids import Incarnation, RequestId
 from ridgecourse.core.outcome import Outcome, Reason
 from ridgecourse.entry.call import Call
--- a/src/ridgecourse/entry/call.py
+++ b/src/ridgecourse/entry/call.py
@@ -6,7 +6,8 @@
 from returns.result import Failure, Result, Success
 
 from ridgecourse.core.change import ServiceKind
-from ridgecourse.core.config import Account, ConfigState, Service
+from ridgecourse.core.config import ConfigState
+from ridgecourse.core.config_objects import Account, Service
 from ridgecourse.core.ids import FleetName, IdempotencyKey, RequestId, ServiceName
 from ridgecourse.core.outcome import Reason
 from ridgecourse.net.auth import bearer_token, token_digest
--- a/src/ridgecourse/entry/chooser.py
+++ b/src/ridgecourse/entry/chooser.py
@@ -4,7 +4,7 @@
 from time import monotonic
 from typing import NamedTuple
 
-from ridgecourse.core.config import Service, Target
+from ridgecourse.core.config_objects import Service, Target
 from ridgecourse.core.ids import DomainName, Seconds, TargetName
 from ridgecourse.core.rendezvous import rendezvous_rank
 from ridgecourse.core.routing import Router, TargetLoad
--- a/src/ridgecourse/entry/config_follower.py
+++ b/src/ridgecourse/entry/config_follower.py
@@ -11,7 +11,7 @@
 from returns.result import Failure
 
 from ridgecourse.core.change import CheckpointNotice
-from ridgecourse.core.config import ConfigSnapshot
+from ridgecourse.core.config_objects import ConfigSnapshot
 from ridgecourse.core.ids import Offset
 from ridgecourse.entry.context import EntryContext
 from ridgecourse.native.log import LogUnavailable, Stream
--- a/src/ridgecourse/entry/dispatch.py
+++ b/src/ridgecourse/entry/dispatch.py
@@ -12,7 +12,7 @@
 from returns.result import Failure
 
 from ridgecourse.core.claim import Claim
-from ridgecourse.core.config import Target
+from ridgecourse.core.config_objects import Target
 from ridgecourse.core.ids import AccountName, RequestId, Seconds, TargetName
 from ridgecourse.core.outcome import Outcome, Reason
 from ridgecourse.core.retry import RetryBudget
--- a/src/ridgecourse/entry/links.py
+++ b/src/ridgecourse/entry/links.py
@@ -13,7 +13,7 @@
 import eventlet
 from msgspec import Struct
 
-from ridgecourse.core.config import Target
+from ridgecourse.core.config_objects import Target
 from ridgecourse.core.ids import Incarnation, Seconds, TargetName
 from ridgecourse.core.rendezvous import rendezvous_rank
 from ridgecourse.core.routing import TargetLoad
--- a/src/ridgecourse/entry/reports.py
+++ b/src/ridgecourse/entry/reports.py
@@ -5,7 +5,7 @@
 
 from returns.result import Failure
 
-from ridgecourse.core.config import Target
+from ridgecourse.core.config_objects import Target
 from ridgecourse.core.ids import FleetName, ServiceName, TargetName
 from ridgecourse.entry.context import EntryContext
 from ridgecourse.entry.links import AgentLinks
--- a/src/ridgecourse/net/config_store.py
+++ b/src/ridgecourse/net/config_store.py
@@ -12,7 +12,8 @@
     CheckpointNotice,
     ConfigRecord,
 )
-from ridgecourse.core.config import ConfigSnapshot, ConfigState
+from ridgecourse.core.config import ConfigState
+from ridgecourse.core.config_objects import ConfigSnapshot
 from ridgecourse.core.ids import ChangeId, Offset
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.wire.codec import decode_message
--- a/src/ridgecourse/wire/control.py
+++ b/src/ridgecourse/wire/control.py
@@ -2,7 +2,7 @@
 
 from msgspec import Struct
 
-from ridgecourse.core.config import ConfigSnapshot
+from ridgecourse.core.config_objects import ConfigSnapshot
 from ridgecourse.core.engine_load import EngineStatus
 from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import (
--- a/tests/test_input.py
+++ b/tests/test_input.py
@@ -14,7 +14,7 @@
 from ridgecourse.agent.settings import AgentSettings
 from ridgecourse.core.change import ConfigRecord
 from ridgecourse.core.claim import Claim
-from ridgecourse.core.config import ConfigSnapshot
+from ridgecourse.core.config_objects import ConfigSnapshot
 from ridgecourse.core.lease import LeaseRecord
 from ridgecourse.core.manifest import parse_manifest
 from ridgecourse.entry.settings import EntrySettings
