An agent's place in an exchange stands apart from the chunk planner

Cause: core/planner.py had 402 lines and two concepts: what to fetch next, and where an agent stands among those that exchange a version (the domains of a copy from the origin, the slots of those who draw and import, whom it follows).

Run: tests/test_planner.py, tests/platform/test_weights.py, test_hubs.py, tests/test_boundaries.py, mypy.

--- a/src/ridgecourse/core/planner.py
+++ b/src/ridgecourse/core/planner.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable, Iterator, Sequence
 from random import Random
 
+from ridgecourse.core.exchange_place import ExchangePlace
 from ridgecourse.core.fetches import (
     ORIGIN,
     Fetch,
@@ -24,18 +25,11 @@
     Seconds,
     TargetName,
 )
-from ridgecourse.core.rendezvous import rendezvous_rank, rendezvous_score
-from ridgecourse.core.slots import (
-    DrawSlot,
-    chunk_class,
-    origin_candidates,
-    slot_candidates,
-)
+from ridgecourse.core.rendezvous import rendezvous_score
+from ridgecourse.core.slots import chunk_class
 
 LOST_FAILURES = 2
 """Failures in a row after which a source counts as gone."""
-STANDBY = 2
-"""Candidates of a class that follow what the others of it hold."""
 
 
 class ChunkPlanner:
@@ -46,10 +40,7 @@
         root: The version.
         missing: Chunks not yet held.
         in_flight: Fetches in progress, by chunk.
-        hubs: Members that draw and import before all others.
-        origin_domain: Where the origin stands; its members draw from it first,
-            for across a border a chunk is brought in once anyway.
-        group: Domains that share one copy from the origin.
+        place: This agent among those that exchange the version.
         seen: Chunks that some agent of the fleet holds, as far as known.
         seen_in_group: The same for the domains that share a copy from the origin.
         seen_in_domain: The same for the own domain.
@@ -70,8 +61,9 @@
         hubs: Iterable[TargetName] = (),
         origin_domain: DomainName | None = None,
     ) -> None:
-        self.hubs = frozenset(hubs)
-        self.origin_domain = origin_domain
+        self.place = ExchangePlace(
+            me, root, members, policy, origin_copies, hubs, origin_domain
+        )
         self.me = me
         self.root = root
         self.policy = policy
@@ -84,73 +76,18 @@
         self.seen_in_group = set(self.held)
         self.seen_in_domain = set(self.held)
         self.rarity: dict[ChunkDigest, int] = {}
-        self.members = {member.target: member.domain for member in members}
-        self.members[me.target] = me.domain
-        self.origin_copies = origin_copies
-        self.group = self._origin_group()
+        self.members = self.place.members
         self.sources: dict[TargetName, SourceState] = {}
         self.origin = SourceState(set(self.chunks))
-        self.origin_slots = [self._origin_slot(c, now) for c in range(policy.classes)]
-        self.import_slots = [self._import_slot(c, now) for c in range(policy.classes)]
+        classes = range(policy.classes)
+        self.origin_slots = [self.place.origin_slot(c, now) for c in classes]
+        self.import_slots = [self.place.import_slot(c, now) for c in classes]
         for target in self.neighbours():
             self.sources[target] = SourceState(set())
 
-    def _origin_slot(self, number: int, now: Seconds) -> DrawSlot:
-        candidates = origin_candidates(
-            self.root, self.members, self.group, number, self.hubs
-        )
-        # Hubs first, also for a member of a domain that has none now.
-        ranked = sorted(
-            candidates,
-            key=lambda name: (
-                name not in self.hubs,
-                self.members[name] != self.origin_domain,
-            ),
-        )
-        return DrawSlot(ranked, now, self.policy.stall_seconds)
-
-    def _origin_group(self) -> frozenset[DomainName]:
-        """Return the domains that share one copy from the origin with this one."""
-        ranked = rendezvous_rank(str(self.root), set(self.members.values()))
-        copies = min(self.origin_copies, len(ranked))
-        mine = ranked.index(self.me.domain) % copies
-        return frozenset(DomainName(name) for name in ranked[mine::copies])
-
-    def _import_slot(self, number: int, now: Seconds) -> DrawSlot:
-        domain = self.me.domain
-        candidates = slot_candidates(self.root, self.members, domain, number, self.hubs)
-        return DrawSlot(candidates, now, self.policy.stall_seconds)
-
     def neighbours(self) -> Sequence[TargetName]:
-        """Return the agents whose holdings this one follows.
-
-        Some of the own domain; and for an agent among a class's first
-        candidates, the first candidates of that class in every domain.
-        """
-        local = slot_candidates(
-            f"{self.root}/{self.me.target}", self.members, self.me.domain, 0
-        )
-        others = [target for target in local if target != self.me.target]
-        followed = others[: self.policy.neighbours]
-        for number, slot in enumerate(self.import_slots):
-            if self._is_fed_by_hub():
-                break
-            if self.me.target in slot.candidates[:STANDBY]:
-                followed.extend(self._first_candidates(number))
-        unique = dict.fromkeys(followed)
-        unique.pop(self.me.target, None)
-        return list(unique)
-
-    def _is_fed_by_hub(self) -> bool:
-        """Tell whether another member brings chunks into the own domain."""
-        if self.me.target in self.hubs:
-            return False
-        return any(self.members.get(hub) == self.me.domain for hub in self.hubs)
-
-    def _first_candidates(self, number: int) -> Iterator[TargetName]:
-        for domain in sorted(set(self.members.values())):
-            ranked = slot_candidates(self.root, self.members, domain, number, self.hubs)
-            yield from ranked[:STANDBY]
+        """Return the agents whose holdings this one follows."""
+        return self.place.neighbours(self.import_slots)
 
     def peer_holds(
         self, peer: TargetName, chunks: Iterable[ChunkDigest], now: Seconds
@@ -179,7 +116,7 @@
         """Note that a chunk is held in a domain, or somewhere not known."""
         number = chunk_class(digest, self.policy.classes)
         self.seen.add(digest)
-        in_group = domain in self.group or self.origin_copies == 1
+        in_group = domain in self.place.group or self.place.origin_copies == 1
         if in_group and digest not in self.seen_in_group:
             self.seen_in_group.add(digest)
             self.origin_slots[number].progress(now)
@@ -334,7 +271,8 @@
         overdue = self.import_slots[number].overdue(now) > 0
         if digest in self.seen_in_domain and not self._is_lost(digest, overdue, True):
             return False
-        if domain not in self.group and not self.origin_slots[number].overdue(now):
+        in_group = domain in self.place.group
+        if not in_group and not self.origin_slots[number].overdue(now):
             return False
         return self.me.target in self.import_slots[number].drawers(now)
 
