Fences stand apart from the gate

The longest body, which both read, is named once, in agent/context.py.

Run: tests/test_gate.py, test_outcomes.py, test_boundaries.py, mypy.

--- a/src/ridgecourse/agent/context.py
+++ b/src/ridgecourse/agent/context.py
@@ -19,6 +19,10 @@
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.metrics import Metrics
 from ridgecourse.net.process import new_incarnation
+from ridgecourse.wire.request import MAX_REQUEST_BYTES
+
+MAX_BODY_BYTES = MAX_REQUEST_BYTES + 64 * 1024
+"""Longest body that an entry sends: a caller's, and what stands around it."""
 
 
 class AgentContext:
--- a/src/ridgecourse/agent/gate.py
+++ b/src/ridgecourse/agent/gate.py
@@ -16,7 +16,8 @@
 from returns.result import Failure
 from urllib3 import BaseHTTPResponse
 
-from ridgecourse.agent.context import AgentContext
+from ridgecourse.agent.context import MAX_BODY_BYTES, AgentContext
+from ridgecourse.agent.fences import Fences
 from ridgecourse.agent.rollout import Rollout
 from ridgecourse.core.admission import AdmissionQueue, Ticket
 from ridgecourse.core.change import ServiceKind
@@ -35,27 +36,20 @@
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
 from ridgecourse.net.metrics import Metric
 from ridgecourse.net.threads import spawn_loop
-from ridgecourse.wire.codec import decode_message, encode_message
+from ridgecourse.wire.codec import decode_message
 from ridgecourse.wire.request import (
-    FENCE_PATH,
-    IDENTITY_PATH,
     LOAD_HEADER,
     MAX_ANSWER_BYTES,
-    MAX_REQUEST_BYTES,
     OUTCOME_HEADER,
     REASON_HEADER,
     RETRY_AFTER_HEADER,
     VERSION_HEADER,
     WORK_PATH,
-    FenceReply,
-    FenceRequest,
-    Identity,
     StreamEnd,
     TokenEvent,
     Work,
 )
 
-MAX_WORK_BYTES = MAX_REQUEST_BYTES + 64 * 1024
 MAX_LINE_BYTES = 64 * 1024
 MAX_KEPT_ANSWER_BYTES = 64 * 1024
 EXPIRY_SECONDS = 0.05
@@ -72,6 +66,7 @@
     Attributes:
         queue: Decides who is next.
         register: Requests that were started or fenced.
+        fences: Answers entries that ask what became of a request.
         stopping: Set at a planned stop; nothing new is admitted.
         changed: Notified when the number of requests changes.
     """
@@ -82,6 +77,7 @@
         self.kind = context.settings.engine.kind
         self.queue = AdmissionQueue(context.settings.engine.slots)
         self.register = KeyRegister()
+        self.fences = Fences(context, self.register)
         self.waiting: dict[RequestId, Signal] = {}
         self.in_flight = 0
         self.stopping = False
@@ -100,8 +96,7 @@
     def add_routes(self, router: HttpRouter) -> None:
         """Serve work and fences on a router."""
         router.add("POST", WORK_PATH, self.handle_work)
-        router.add("POST", FENCE_PATH, self.handle_fence)
-        router.add("GET", IDENTITY_PATH, self.handle_identity)
+        self.fences.add_routes(router)
 
     def ready(self) -> bool:
         """Tell whether the target takes requests."""
@@ -124,7 +119,7 @@
 
     def handle_work(self, request: HttpRequest) -> HttpReply:
         """Answer an entry's request."""
-        body = request.read_body(MAX_WORK_BYTES)
+        body = request.read_body(MAX_BODY_BYTES)
         if not request.is_signed(self.context.settings.shared_key, body):
             return self._refuse(Reason.UNAUTHENTICATED, status=401)
         decoded = decode_message(body, Work)
@@ -362,33 +357,6 @@
         headers = self._headers(Outcome.UNKNOWN, reason)
         return HttpReply(502, f"{detail}\n".encode(), headers)
 
-    def handle_fence(self, request: HttpRequest) -> HttpReply:
-        """Make sure that a request is never started here, or tell that it was."""
-        body = request.read_body(MAX_WORK_BYTES)
-        if not request.is_signed(self.context.settings.shared_key, body):
-            return HttpReply(401)
-        decoded = decode_message(body, FenceRequest)
-        if isinstance(decoded, Failure):
-            return HttpReply(400, str(decoded.failure()).encode())
-        return HttpReply(200, encode_message(self._fence(decoded.unwrap())))
-
-    def handle_identity(self, request: HttpRequest) -> HttpReply:
-        """Tell which life of the agent this is."""
-        identity = Identity(self.context.incarnation)
-        return HttpReply(200, encode_message(identity))
-
-    def _fence(self, fence: FenceRequest) -> FenceReply:
-        known = fence.incarnation == self.context.incarnation
-        if not known or (
-            self.register.forgotten and fence.request_id not in self.register.states
-        ):
-            return FenceReply(known=False)
-        state = self.register.fence(fence.request_id)
-        self.context.events.emit(
-            EventKind.KEY_FENCED, request=fence.request_id, started=state.started
-        )
-        return FenceReply(True, state.started, state.answer, state.version)
-
     def drain(self) -> None:
         """Admit nothing new and wait until all requests have ended."""
         self.stopping = True
