--- a/src/ridgecourse/agent/rollout.py
+++ b/src/ridgecourse/agent/rollout.py
@@ -8,22 +8,22 @@
 import logging
 from enum import Enum
 from secrets import token_hex
-from time import monotonic
 
 import eventlet
 from returns.result import Failure, Result, Success
 
 from ridgecourse.agent.context import AgentContext
 from ridgecourse.agent.lease import LeaseKeeper
+from ridgecourse.agent.manifest_fetch import (
+    RETRY_SECONDS,
+    ManifestFetch,
+    RolloutStopped,
+)
 from ridgecourse.core.config_objects import Service, Target, Version
-from ridgecourse.core.finding import render_findings
 from ridgecourse.core.hubs import Peer
-from ridgecourse.core.ids import Offset, RootDigest, TargetName
-from ridgecourse.core.manifest import parse_manifest
-from ridgecourse.core.rendezvous import rendezvous_rank
+from ridgecourse.core.ids import Offset, TargetName
 from ridgecourse.exchange.holding import Holding
-from ridgecourse.exchange.origin import OriginUnavailable
-from ridgecourse.exchange.server import MANIFEST_PATH, Exchange
+from ridgecourse.exchange.server import Exchange
 from ridgecourse.exchange.store import OutOfBudget
 from ridgecourse.exchange.transfer import Transfer, TransferError
 from ridgecourse.native.engine import (
@@ -33,19 +33,13 @@
     OrderResult,
 )
 from ridgecourse.native.log import LogUnavailable
-from ridgecourse.net.auth import AUTH_HEADER, sign_request
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.events import EventKind
-from ridgecourse.net.http_client import ExchangeFailed, NoConnection
 from ridgecourse.net.threads import spawn_loop
 
 logger = logging.getLogger(__name__)
 
-RETRY_SECONDS = 1.0
 ENGINE_POLL_SECONDS = 1.0
-MANIFEST_STAGGER_SECONDS = 0.5
-"""Each further agent waits this much longer before it asks the origin itself."""
-MANIFEST_MAX_WAIT_SECONDS = 5.0
 
 
 class Phase(Enum):
@@ -60,10 +54,6 @@
     FAILED = "failed"
 
 
-class RolloutStopped(Exception):
-    """The attempt ended: superseded, or a named error."""
-
-
 class Rollout:
     """Runs rollouts one after another.
 
@@ -78,6 +68,9 @@
         self.context = context
         self.exchange = exchange
         self.leases = LeaseKeeper(context)
+        self.manifests = ManifestFetch(
+            context, self._still_wanted, self._note_no_manifest
+        )
         self.phase = Phase.IDLE
         self.serving = ""
         self.error = ""
@@ -216,6 +209,10 @@
                 error=error,
             )
 
+    def _note_no_manifest(self, version: Version, error: str) -> None:
+        self._note_failure(version, error)
+        self._set(Phase.MANIFEST, error)
+
     def _bring_in(self, version: Version) -> None:
         self._emit(EventKind.ROLLOUT_STARTED, version)
         holding = self._hold(version)
@@ -243,7 +240,7 @@
         holding = self.exchange.holdings.get(version.root_digest)
         if holding is None:
             self._set(Phase.MANIFEST, self.error)
-            holding = self._fetch_manifest(version)
+            holding = self.manifests.fetch(version, self._peers())
         kept = [
             other.manifest
             for root, other in reversed(self.exchange.holdings.items())
@@ -262,35 +259,6 @@
         held = self.context.store.held_of(holding.places)
         return len(held) == len(holding.places)
 
-    def _fetch_manifest(self, version: Version) -> Holding:
-        """Get the manifest from another agent, or from the origin.
-
-        The agents ask the origin one after another, so that as a rule one does.
-        """
-        root = version.root_digest
-        peers = self._peers()
-        order = rendezvous_rank(f"{root}/manifest", [*peers, self.context.target])
-        rank = order.index(self.context.target)
-        patience = min(rank * MANIFEST_STAGGER_SECONDS, MANIFEST_MAX_WAIT_SECONDS)
-        ask_origin = monotonic() + patience
-        asked = 0
-        while self._still_wanted(version):
-            data = None
-            if monotonic() >= ask_origin:
-                data = self._manifest_from_origin(version)
-                ask_origin = monotonic() + RETRY_SECONDS
-            elif peers:
-                # The first ones are likely to have it; the others spread it.
-                near = order[: max(4, rank)]
-                name = TargetName(near[asked % len(near)])
-                asked += 1
-                if name != self.context.target:
-                    data = self._manifest_from_peer(peers[name], root)
-            if data is not None:
-                return self._check_manifest(root, data)
-            eventlet.sleep(0.05)
-        raise RolloutStopped("superseded")
-
     def _peers(self) -> dict[TargetName, Target]:
         target = self.target()
         if target is None:
@@ -298,37 +266,6 @@
         found = self.context.config.state.service_targets(target.fleet, target.service)
         return {t.target: t for t in found if t.target != self.context.target}
 
-    def _manifest_from_origin(self, version: Version) -> bytes | None:
-        """Ask the origin; without an answer the others are asked meanwhile."""
-        before = self.context.origin.drawn
-        try:
-            data = self.context.origin.manifest(version.origin_path)
-        except OriginUnavailable as error:
-            self._note_failure(version, f"origin-unavailable: {error}")
-            self._set(Phase.MANIFEST, f"origin-unavailable: {error}")
-            return None
-        self.context.counts.from_origin += self.context.origin.drawn - before
-        return data
-
-    def _manifest_from_peer(self, peer: Target, root: RootDigest) -> bytes | None:
-        path = f"{MANIFEST_PATH}{root}"
-        headers = {
-            AUTH_HEADER: sign_request(self.context.settings.shared_key, "GET", path)
-        }
-        try:
-            status, data, _ = self.context.http.fetch(
-                "GET", peer.address, path, headers=headers, timeout=2.0
-            )
-        except (NoConnection, ExchangeFailed):
-            return None
-        return data if status == 200 else None
-
-    def _check_manifest(self, root: RootDigest, data: bytes) -> Holding:
-        parsed = parse_manifest(data, root)
-        if isinstance(parsed, Failure):
-            raise RolloutStopped(f"bad-manifest: {render_findings(parsed.failure())}")
-        return Holding(root, parsed.unwrap(), data)
-
     def _transfer(self, version: Version, holding: Holding) -> None:
         self._set(Phase.TRANSFER, self.error)
         fleet = self.context.config.state.fleets[self.context.fleet]
