--- a/src/ridgecourse/cluster/share.py
+++ b/src/ridgecourse/cluster/share.py
@@ -21,7 +21,8 @@
 the own read that follows, a decision is in force in less than the 2 s allowed. Where
 the store takes 0.35 s to answer, what is heard is up to 1.1 s old."""
 KEPT_DROPPED = 1000
-"""Dropped keys that are still told: far more than targets leave within an outage."""
+"""Dropped or rejected keys that are still told: far more than targets leave within an
+outage."""
 TOLD_LATE_SECONDS = 3.0
 """How long a decision that was found late is told to all who ask, whatever they have
 read: each asks some times in that."""
@@ -99,8 +100,14 @@
         return monotonic() - self.heard_at
 
     def _forget_dropped(self) -> None:
-        dropped = [key for key, record in self.records.items() if not record.value]
-        for key in dropped[:-KEPT_DROPPED]:
+        """Forget all but the last keys that were dropped, and that were rejected.
+
+        Counted apart: any number of rejected ones leaves it known which targets left.
+        """
+        empty = [record for record in self.records.values() if not record.value]
+        dropped = [record.key for record in empty if not record.broken]
+        rejected = [record.key for record in empty if record.broken]
+        for key in [*dropped[:-KEPT_DROPPED], *rejected[:-KEPT_DROPPED]]:
             del self.records[key]
 
     def since(self, start: Offset) -> SharedRecords:
--- a/src/ridgecourse/core/targets.py
+++ b/src/ridgecourse/core/targets.py
@@ -26,6 +26,9 @@
 seconds (the platform's statement). An outage's end is noticed up to half a second
 late, which leaves time to read that; longer, and requests would go to targets that
 left meanwhile."""
+UNLISTED_KEPT = 1000
+"""Targets no longer listed of which offsets and start are remembered, so that no older
+record brings them back: far more than leave while such a record may arrive."""
 
 
 class HeldLayers(Struct, frozen=True):
@@ -90,11 +93,14 @@
         target: Which target.
         offset: Position in the stream; a later one wins.
         entry: The target's entry, None where it was removed.
+        rejected: Whether there is an entry that cannot be used. Unlike a removal it
+            is believed at once: it is no heartbeat missed in an outage.
     """
 
     target: TargetId
     offset: Offset
     entry: ListedTarget | None
+    rejected: bool = False
 
 
 class Heard(Struct):
@@ -139,11 +145,21 @@
     def apply(self, records: Iterable[TargetRecord], now: Seconds) -> None:
         """Take in changes in any order."""
         for record in records:
-            heard = self.heard.setdefault(record.target, Heard())
-            if record.entry is None:
+            heard = self.heard.pop(record.target, None) or Heard()
+            self.heard[record.target] = heard
+            if record.rejected:
+                self._take_rejected(record, heard)
+            elif record.entry is None:
                 self._take_removal(record, heard, now)
             else:
                 self._take_entry(record, record.entry, heard)
+        self._forget_unlisted()
+
+    def _take_rejected(self, record: TargetRecord, heard: Heard) -> None:
+        """Drop a target whose newest entry cannot be used."""
+        if record.offset > max(heard.removed_at, heard.listed_at):
+            heard.removed_at = record.offset
+            self.drop(record.target)
 
     def _take_removal(self, record: TargetRecord, heard: Heard, now: Seconds) -> None:
         if record.offset <= max(heard.removed_at, heard.listed_at):
@@ -168,6 +184,12 @@
             self.targets[record.target] = entry
             self.removed.pop(record.target, None)
 
+    def _forget_unlisted(self) -> None:
+        """Forget what was heard of all but the last targets that are not listed."""
+        unlisted = [name for name in self.heard if name not in self.targets]
+        for name in unlisted[:-UNLISTED_KEPT]:
+            del self.heard[name]
+
     def replace(self, records: Iterable[TargetRecord], now: Seconds) -> None:
         """Take in the whole list; what it lacks is removed."""
         listed = list(records)
