--- a/src/ridgecourse/platform/config_records.py
+++ b/src/ridgecourse/platform/config_records.py
@@ -47,7 +47,7 @@
     hostname: str
     path_prefix: str
     type: str
-    timeout_ms: Quantity
+    timeout_ms: Positive
     target_latency_ms: Quantity
     priority: Index = 0
     service: str = ""
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -180,7 +180,7 @@
     assert reader.serving() == {"i-good"}
     topic = reader.view.share.topics[Topic.TARGETS]
     assert len(topic.records) <= 1001
-    assert len(reader.view.targets.offsets) <= 1001
+    assert len(reader.view.targets.heard) <= 1001
     assert sum(len(record.value) for record in topic.records.values()) < 1000
 
 
--- a/tests/platform/test_known_lives.py
+++ b/tests/platform/test_known_lives.py
@@ -12,6 +12,7 @@
 from typing import Any
 from unittest.mock import Mock
 
+from foreign_reader import ENTRY
 from hypothesis import given
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
@@ -265,7 +266,7 @@
     view = ClusterView(Mock(), Mock(), PlatformRecords(), Mock(), 8.0)
 
     def take(offset: int, born: int, address: str) -> str:
-        entry = {"service": "llm", "address": address, "zone": "a", "born": born}
+        entry = {**ENTRY, "address": address, "born": born}
         record = KeyedRecord(ENGINE, encode(entry), Offset(offset))
         heard_at = Seconds(monotonic())
         batch = RecordBatch([record], Offset(offset + 1), heard_at)
