--- a/tests/platform/foreign_reader.py
+++ b/tests/platform/foreign_reader.py
@@ -34,6 +34,7 @@
     "models": [{"name": MODEL, "version": 1, "adapters": []}],
     "layers": {"from": 0, "target_version": LAYERS, "version": 1},
     "sequence": 4,
+    "born": 1_796_000_000_000,
 }
 json_values = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(),
