--- a/src/ridgecourse/core/targets.py
+++ b/src/ridgecourse/core/targets.py
@@ -26,9 +26,9 @@
 seconds (the platform's statement). An outage's end is noticed up to half a second
 late, which leaves time to read that; longer, and requests would go to targets that
 left meanwhile."""
-HEARD_KEPT = 1000
-"""Targets no longer listed of which it is remembered what was heard last, so that no
-older record brings them back: far more than leave while such a record may arrive."""
+UNLISTED_KEPT = 1000
+"""Targets no longer listed of which offsets and start are remembered, so that no older
+record brings them back: far more than leave while such a record may arrive."""
 
 
 class HeldLayers(Struct, frozen=True):
@@ -147,27 +147,26 @@
         for record in records:
             heard = self.heard.pop(record.target, None) or Heard()
             self.heard[record.target] = heard
-            if record.entry is None:
+            if record.rejected:
+                self._take_rejected(record, heard)
+            elif record.entry is None:
                 self._take_removal(record, heard, now)
             else:
                 self._take_entry(record, record.entry, heard)
         self._forget_unlisted()
 
-    def _forget_unlisted(self) -> None:
-        """Forget what was heard of all but the last targets that are not listed."""
-        unlisted = [name for name in self.heard if name not in self.targets]
-        for name in unlisted[:-HEARD_KEPT]:
-            del self.heard[name]
+    def _take_rejected(self, record: TargetRecord, heard: Heard) -> None:
+        """Drop a target whose newest entry cannot be used."""
+        if record.offset > max(heard.removed_at, heard.listed_at):
+            heard.removed_at = record.offset
+            self.drop(record.target)
 
     def _take_removal(self, record: TargetRecord, heard: Heard, now: Seconds) -> None:
         if record.offset <= max(heard.removed_at, heard.listed_at):
             heard.removed_at = max(heard.removed_at, record.offset)
             return
         heard.removed_at = record.offset
-        if record.rejected:
-            self.drop(record.target)
-        else:
-            self._remove(record.target, now)
+        self._remove(record.target, now)
 
     def _take_entry(
         self, record: TargetRecord, entry: ListedTarget, heard: Heard
@@ -185,6 +184,12 @@
             self.targets[record.target] = entry
             self.removed.pop(record.target, None)
 
+    def _forget_unlisted(self) -> None:
+        """Forget what was heard of all but the last targets that are not listed."""
+        unlisted = [name for name in self.heard if name not in self.targets]
+        for name in unlisted[:-UNLISTED_KEPT]:
+            del self.heard[name]
+
     def replace(self, records: Iterable[TargetRecord], now: Seconds) -> None:
         """Take in the whole list; what it lacks is removed."""
         listed = list(records)
--- a/src/ridgecourse/platform/config_records.py
+++ b/src/ridgecourse/platform/config_records.py
@@ -48,7 +48,7 @@
     path_prefix: str
     type: str
     timeout_ms: Positive
-    target_latency_ms: Positive
+    target_latency_ms: Quantity
     priority: Index = 0
     service: str = ""
     backends: list[SplitFields] = []
