Bytes of weights and manifests are counted by link

Cause: an engine without weights could not be explained from figures. Processes told bytes from the origin, their own failure domain and all others together, in events of a transfer; whether a link between regions was full could not be told.

Each process now counts received bytes of weights and of manifests by the link they came over (own domain, region, another region, origin), at /metrics. Two counters are added to for each chunk. Records and load reports are not counted by link yet.

Checked: test_weight_figures.py; the tests of hubs, loaders and outdated transfers pass.

--- a/src/ridgecourse/exchange/catalogue.py
+++ b/src/ridgecourse/exchange/catalogue.py
@@ -8,6 +8,7 @@
 
 from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import ModelName, WeightsVersion
+from ridgecourse.core.links import Cargo
 from ridgecourse.core.manifest import (
     Manifest,
     encode_manifest,
@@ -83,17 +84,17 @@
         ask_origin = monotonic() + patience
         while peers and monotonic() < ask_origin:
             for peer in peers:
-                if holding := self.ask(peer.address, key):
+                if holding := self.ask(peer, key):
                     return holding
             eventlet.sleep(POLL_SECONDS)
         return self._ask_origin(key, address)
 
-    def ask(self, address: str, key: VersionKey) -> Holding | None:
+    def ask(self, peer: Peer, key: VersionKey) -> Holding | None:
         """Ask another process for a manifest; it brings the version in if it can."""
         path = f"{VERSIONS_PATH}{key[0]}/{key[1]}"
         try:
             status, data, _ = self.context.http.fetch(
-                "GET", address, path, timeout=PEER_SECONDS
+                "GET", peer.address, path, timeout=PEER_SECONDS
             )
         except (NoConnection, ExchangeFailed):
             # It may be starting, or gone; who asks goes on to others.
@@ -101,17 +102,20 @@
             return None
         if status != 200:
             return None
+        self.context.count_received(Cargo.MANIFEST, len(data), peer.domain)
         parsed = parse_manifest(data)
         return self._keep(key, parsed.unwrap()) if isinstance(parsed, Success) else None
 
     def _ask_origin(self, key: VersionKey, address: str) -> Holding | None:
         try:
-            return self._keep(key, self.origin.manifest(address, *key))
+            holding = self._keep(key, self.origin.manifest(address, *key))
         except OriginUnavailable as error:
             self.context.events.emit(
                 EventKind.MANIFEST_UNAVAILABLE, version=str(key[1]), error=str(error)
             )
             return None
+        self.context.count_drawn(Cargo.MANIFEST, len(holding.manifest_bytes))
+        return holding
 
     def _keep(self, key: VersionKey, manifest: Manifest) -> Holding:
         if key not in self.holdings:
--- a/src/ridgecourse/exchange/context.py
+++ b/src/ridgecourse/exchange/context.py
@@ -6,7 +6,8 @@
 from msgspec import Struct
 
 from ridgecourse.core.fetches import Member, PlanPolicy
-from ridgecourse.core.ids import ChunkDigest
+from ridgecourse.core.ids import ChunkDigest, DomainName, RegionName
+from ridgecourse.core.links import Cargo, Link, byte_counter
 from ridgecourse.core.manifest import chunk_digest
 from ridgecourse.exchange.store import ChunkStore
 from ridgecourse.net.events import EventStream
@@ -55,6 +56,7 @@
         rate: Rate at which others are asked to send; None for as they like.
         chunk_stall_seconds: Longest wait for bytes of a chunk.
         digest: Returns the digest of a chunk's bytes.
+        region: Returns the region of a failure domain.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         rate: AdaptiveRate | None = None,
         chunk_stall_seconds: float = 3.0,
         digest: Callable[[bytes], ChunkDigest] = chunk_digest,
+        region: Callable[[DomainName], RegionName] = RegionName,
     ) -> None:
         self.me = me
         self.events = events
@@ -86,8 +89,23 @@
         self.rate = rate
         self.chunk_stall_seconds = chunk_stall_seconds
         self.digest = digest
+        self.region = region
         self.counts = TransferCounts()
 
+    def count_received(self, cargo: Cargo, size: int, sender: DomainName) -> None:
+        """Count bytes that another process sent."""
+        if sender == self.me.domain:
+            link = Link.DOMAIN
+        elif self.region(sender) == self.region(self.me.domain):
+            link = Link.REGION
+        else:
+            link = Link.ABROAD
+        self.events.figures.count(byte_counter(cargo, link), size)
+
+    def count_drawn(self, cargo: Cargo, size: int) -> None:
+        """Count bytes that the origin sent."""
+        self.events.figures.count(byte_counter(cargo, Link.ORIGIN), size)
+
 
 def sha256_digest(data: bytes) -> ChunkDigest:
     """Return the digest of a chunk's bytes where the origin uses SHA-256."""
--- a/src/ridgecourse/exchange/transfer.py
+++ b/src/ridgecourse/exchange/transfer.py
@@ -13,6 +13,7 @@
 from ridgecourse.core.fetches import ORIGIN, Fetch, FetchFailure, Member
 from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import ChunkDigest, DomainName, Seconds, TargetName
+from ridgecourse.core.links import Cargo
 from ridgecourse.core.planner import ChunkPlanner
 from ridgecourse.exchange.context import ExchangeContext
 from ridgecourse.exchange.holding import Holding
@@ -292,6 +293,7 @@
             return FetchFailure.STALLED
         self.error = ""
         self.context.counts.from_origin += self.origin.drawn - before
+        self.context.count_drawn(Cargo.WEIGHTS, len(data))
         self.context.metrics.count(Metric.BYTES_FROM_ORIGIN, len(data))
         if len(data) != place.length:
             self.error = f"chunk-length: {place.path} at byte {place.start}"
@@ -350,6 +352,7 @@
         return FetchFailure.BUSY
 
     def _count_peer_bytes(self, source: TargetName, size: int) -> None:
+        self.context.count_received(Cargo.WEIGHTS, size, self.peers[source].domain)
         if self.peers[source].domain == self.planner.me.domain:
             self.context.counts.from_domain += size
         else:
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -132,6 +132,7 @@
             rate=AdaptiveRate(REGION_BYTES_PER_S),
             source=site.host,
             digest=sha256_digest,
+            region=site.region,
         )
         self.exchange = Exchange(self.context)
         self.catalogue = Catalogue(self.context, origin, self.want)
@@ -323,7 +324,7 @@
         plan = self.plan(key)
         if self.place in plan.hubs or not plan.near:
             return False
-        return self.catalogue.ask(plan.near[0].address, key) is not None
+        return self.catalogue.ask(plan.near[0], key) is not None
 
     def _is_older_nearly_here(self, key: VersionKey) -> bool:
         return any(
@@ -378,7 +379,7 @@
         woken = [*plan.hubs, *plan.near[:1]]
         for peer in woken if self.place in plan.hubs else plan.hubs:
             if peer != self.place:
-                eventlet.spawn(self.catalogue.ask, peer.address, key)
+                eventlet.spawn(self.catalogue.ask, peer, key)
 
     def _find_manifest(
         self, key: VersionKey, origin: str, plan: HubPlan
--- a/src/ridgecourse/gateway/warm_up.py
+++ b/src/ridgecourse/gateway/warm_up.py
@@ -118,5 +118,5 @@
         """Ask loaders for a version again and again: one that starts has none yet."""
         while True:
             for loader in loaders:
-                self.hub.catalogue.ask(loader.address, key)
+                self.hub.catalogue.ask(loader, key)
             eventlet.sleep(ASK_SECONDS)
--- a/src/ridgecourse/loader/loader.py
+++ b/src/ridgecourse/loader/loader.py
@@ -100,6 +100,7 @@
             rate=AdaptiveRate(site.upload_bytes_per_s * LINK_SHARE),
             source=site.host,
             digest=sha256_digest,
+            region=site.region,
         )
         self.exchange = Exchange(self.context)
         self.gateways = KnownGateways(seeds, http, self.events)
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -311,7 +311,7 @@
             return holding
         if hubs:
             # Known or not, the hub may be a new one that has not begun.
-            eventlet.spawn(self.catalogue.ask, near[0].address, key)
+            eventlet.spawn(self.catalogue.ask, near[0], key)
         origin = self.origin.chunks(place.address, *key)
         needed, domain = partial(self.is_needed, key), place.domain
         transfer = Transfer(
--- a/src/ridgecourse/loader/transfer_watch.py
+++ b/src/ridgecourse/loader/transfer_watch.py
@@ -75,7 +75,7 @@
             self.rollout.hubs, key=lambda hub: hub.domain != self.rollout.site.domain
         )
         for hub in hubs[:1]:
-            eventlet.spawn(self.rollout.catalogue.ask, hub.address, key)
+            eventlet.spawn(self.rollout.catalogue.ask, hub, key)
 
     def _is_available(self, key: VersionKey) -> bool:
         """Tell whether a version can be had by now.
@@ -86,7 +86,7 @@
         if key in self.rollout.catalogue.holdings or not hubs:
             return True
         near = sorted(hubs, key=lambda hub: hub.domain != self.rollout.site.domain)
-        return self.rollout.catalogue.ask(near[0].address, key) is not None
+        return self.rollout.catalogue.ask(near[0], key) is not None
 
     def _should_finish(self, transfer: Transfer, model: EngineModel) -> bool:
         if transfer.stalled:
--- a/src/ridgecourse/net/figures.py
+++ b/src/ridgecourse/net/figures.py
@@ -48,9 +48,9 @@
         self.counters: Counter[str] = Counter()
         self.histograms: dict[str, Histogram] = {}
 
-    def count(self, name: str) -> None:
-        """Add one to a counter."""
-        self.counters[name] += 1
+    def count(self, name: str, value: int = 1) -> None:
+        """Add to a counter."""
+        self.counters[name] += value
 
     def observe(self, name: str, seconds: float) -> None:
         """Take a span into a histogram."""
--- /dev/null
+++ b/tests/platform/test_weight_figures.py
@@ -0,0 +1,76 @@
+"""Nothing told which link had carried weights while engines waited for them.
+
+Processes counted what came from the origin, from their failure domain and from all
+others together, and told it in an event that lived with a transfer. Whether the
+link between two regions or the one of the own domain was full could not be told.
+"""
+
+from unittest.mock import Mock
+
+import pytest
+
+from ridgecourse.core.fetches import Member, PlanPolicy
+from ridgecourse.core.hubs import Peer
+from ridgecourse.core.ids import (
+    ChunkDigest,
+    DomainName,
+    ModelName,
+    RegionName,
+    TargetName,
+    WeightsVersion,
+)
+from ridgecourse.core.links import Cargo
+from ridgecourse.core.manifest import FileEntry, Manifest, encode_manifest
+from ridgecourse.exchange.catalogue import Catalogue
+from ridgecourse.exchange.context import ExchangeContext, LinkPolicy
+from ridgecourse.exchange.store import ChunkStore
+from ridgecourse.net.figures import Figures
+
+REGIONS = {"hall-a": "north", "hall-b": "north", "hall-c": "south"}
+
+
+def make_context(http: Mock) -> tuple[ExchangeContext, Figures]:
+    events = Mock()
+    events.figures = Figures()
+    context = ExchangeContext(
+        Member(TargetName("10.0.0.1"), DomainName("hall-a")),
+        events,
+        Mock(),
+        http,
+        ChunkStore(1000),
+        LinkPolicy(),
+        PlanPolicy(),
+        region=lambda domain: RegionName(REGIONS[domain]),
+    )
+    return context, events.figures
+
+
+@pytest.mark.parametrize(
+    ("sender", "link"),
+    [("hall-a", "domain"), ("hall-b", "region"), ("hall-c", "abroad")],
+)
+def test_bytes_of_weights_are_counted_by_link(sender: str, link: str) -> None:
+    context, figures = make_context(Mock())
+    context.count_received(Cargo.WEIGHTS, 700, DomainName(sender))
+    context.count_received(Cargo.WEIGHTS, 50, DomainName(sender))
+    context.count_drawn(Cargo.WEIGHTS, 11)
+    assert list(figures.lines()) == sorted(
+        [
+            f"ridgecourse_bytes_weights_{link}_total 750",
+            "ridgecourse_bytes_weights_origin_total 11",
+        ]
+    )
+
+
+def test_manifests_are_counted_by_who_sent_them() -> None:
+    manifest = Manifest(1024, (FileEntry("weights", 4, (ChunkDigest("0" * 64),)),))
+    data = encode_manifest(manifest)
+    http = Mock()
+    http.fetch.return_value = 200, data, {}
+    context, figures = make_context(http)
+    catalogue = Catalogue(context, Mock())
+    peer = Peer(TargetName("10.0.0.9"), DomainName("hall-c"), "10.0.0.9:1", "")
+    catalogue.ask(peer, (ModelName("m"), WeightsVersion(2)))
+    assert list(figures.lines()) == [
+        f"ridgecourse_bytes_manifest_abroad_total {len(data)}"
+    ]
