A loader goes on with what it has begun while a newer version is not there

Cause: each time a hub came or went, a loader began its transfer anew, and then with the newest version, whether that could be had or not. The rule that an older version is finished where that serves, and never left for one that no hub has, held only for a transfer in progress.

Ruled out: chunks lost with a loader (none of the 41 was stopped), the links between regions (hubs elsewhere were level with the drawing one all the time).

A loader now asks, before it begins, whether an older version that it has some of comes first: while the newest cannot be had, as long as the older one can be there before the newest is required; else by the same rule as in a transfer, which also no longer finishes what would be there too late. A whole older version whose turn is later gives way, as before.

Checked: test_left_versions.py, which failed before: the engine never got the version that was nearly here.

--- a/src/ridgecourse/core/supersession.py
+++ b/src/ridgecourse/core/supersession.py
@@ -50,6 +50,17 @@
     return idle_finishing <= idle_jumping + FINISH_BIAS_SECONDS
 
 
+def is_of_use(ready_after: float, bound: Seconds | None, now: Seconds) -> bool:
+    """Tell whether requests may still begin on a version once it is there.
+
+    Args:
+        ready_after: Seconds until an engine can serve it, at the least.
+        bound: When a newer version is required; None for not known, or none named.
+        now: The present time.
+    """
+    return bound is None or now + ready_after + START_SECONDS < bound
+
+
 def goes_on(
     current: TransferPlan, newer: TransferPlan, now: Seconds, early: bool
 ) -> bool:
@@ -62,8 +73,31 @@
         early: Whether the engine is of the half that takes new weights first; that
             half serves the first version until the second is there.
     """
+    if not is_of_use(current.ready_after - START_SECONDS, newer.bound, now):
+        return False
     if current.ready_after < START_SECONDS + NEARLY_SECONDS:
         return True
     if newer.bound - current.bound < APART_SECONDS:
         return should_finish(current, newer, now)
     return early
+
+
+def comes_first(
+    current: TransferPlan,
+    newer: TransferPlan,
+    now: Seconds,
+    early: bool,
+    newer_here: bool,
+) -> bool:
+    """Tell whether a version that was begun is gone on with before a newer one.
+
+    Args:
+        current: The version that was begun.
+        newer: The newest one.
+        now: The present time.
+        early: As for ``goes_on``.
+        newer_here: Whether the newest one can be had by now.
+    """
+    if newer_here:
+        return goes_on(current, newer, now, early)
+    return is_of_use(current.ready_after - START_SECONDS, newer.bound, now)
--- a/src/ridgecourse/exchange/holding.py
+++ b/src/ridgecourse/exchange/holding.py
@@ -56,6 +56,10 @@
         """Whether every chunk is held."""
         return len(self.held) == len(self.places)
 
+    def missing_bytes(self) -> int:
+        """Return the bytes missing, as if all chunks were whole."""
+        return (len(self.places) - len(self.held)) * self.manifest.chunk_size
+
     def held_bytes(self) -> int:
         """Return the bytes held."""
         return sum(self.places[index].length for index in self.held)
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -152,7 +152,7 @@
         if report.serves(wanted, model.layers):
             self._set(Phase.SERVING, "", wanted)
             return IDLE_SECONDS
-        return self._bring((model.model, wanted), place, report)
+        return self._bring(self.watch.choose(model, wanted, report), place, report)
 
     def _prefetch(self, key: VersionKey, place: OriginPlace, error: str) -> float:
         """Fetch a version's chunks while the engine is not there yet."""
@@ -190,10 +190,9 @@
             error=error,
         )
 
-    def transfer_seconds(self, transfer: Transfer, model: EngineModel) -> float:
+    def transfer_seconds(self, holding: Holding) -> float:
         """Return the seconds that a transfer still takes at the link's speed."""
-        missing = len(transfer.planner.missing) * model.chunk_bytes
-        return missing / self.site.upload_bytes_per_s
+        return holding.missing_bytes() / self.site.upload_bytes_per_s
 
     def sources(self, key: VersionKey) -> tuple[Mapping[TargetName, Peer], list]:
         """Return whom to take a version from, and which of them are hubs.
@@ -327,6 +326,7 @@
             return transfer.run()
         except TransferError as error:
             self._set(Phase.TRANSFER, str(error), key[1])
+            self.watch.given_up.add(key)
             return False
         finally:
             self.transfer = None
@@ -352,9 +352,9 @@
     def _start_wait(self, key: VersionKey, report: EngineReport) -> float:
         """Return the seconds after which to order the start; 0 for now."""
         stray = self.stray_until - monotonic()
-        return max(stray, self._turn_wait(key, report))
+        return max(stray, self.turn_wait(key, report))
 
-    def _turn_wait(self, key: VersionKey, report: EngineReport) -> float:
+    def turn_wait(self, key: VersionKey, report: EngineReport) -> float:
         """Return the seconds until it is this engine's turn to change its weights."""
         held = report.layers
         if held is None or self.starts_early(key):
--- a/src/ridgecourse/loader/transfer_watch.py
+++ b/src/ridgecourse/loader/transfer_watch.py
@@ -8,9 +8,17 @@
 from ridgecourse.core.hubs import choose_hubs
 from ridgecourse.core.ids import Seconds, WeightsVersion
 from ridgecourse.core.routes import EngineModel
-from ridgecourse.core.supersession import START_SECONDS, TransferPlan, goes_on
+from ridgecourse.core.supersession import (
+    START_SECONDS,
+    TransferPlan,
+    comes_first,
+    goes_on,
+)
+from ridgecourse.core.weights import FIRST_VERSION
 from ridgecourse.exchange.catalogue import VersionKey
+from ridgecourse.exchange.holding import Holding
 from ridgecourse.exchange.transfer import Transfer
+from ridgecourse.loader.protocol import EngineReport
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.threads import spawn_loop
 
@@ -22,10 +30,15 @@
 
 
 class TransferWatch:
-    """Watches the transfer of one loader."""
+    """Watches the transfer of one loader, and says which version goes first.
+
+    Attributes:
+        given_up: Versions that gave way to a newer one, or cannot be had.
+    """
 
     def __init__(self, rollout: "Rollout") -> None:
         self.rollout = rollout
+        self.given_up: set[VersionKey] = set()
         self.thread: eventlet.greenthread.GreenThread | None = None
 
     def start(self) -> None:
@@ -58,7 +71,7 @@
                 transfer.cancel()
             elif (
                 wanted > self.rollout.version
-                and not self._should_finish(transfer, model)
+                and not self._should_finish(transfer, model, wanted)
                 and self._is_available((model.model, wanted))
             ):
                 self.rollout.context.events.emit(
@@ -67,8 +80,50 @@
                     newer=str(wanted),
                     missing=len(transfer.planner.missing),
                 )
+                self.given_up.add(self._key(model))
                 transfer.cancel()
 
+    def choose(
+        self, model: EngineModel, wanted: WeightsVersion, report: EngineReport
+    ) -> VersionKey:
+        """Return the version to bring in: what was begun may still come first.
+
+        A transfer also ends because a hub came or went. Turned to a newer version that
+        no hub has, the loader would wait with most of the older one here.
+        """
+        newest = model.model, wanted
+        served = report.layers.version if report.layers else FIRST_VERSION
+        begun = sorted(
+            key
+            for key in self.rollout.catalogue.holdings
+            if key[0] == model.model
+            and max(served, self.rollout.ordered) < key[1] < wanted
+            and key not in self.given_up
+        )
+        for key in reversed(begun):
+            if self._comes_first(key, newest, model, report):
+                return key
+        return newest
+
+    def _comes_first(
+        self,
+        key: VersionKey,
+        newest: VersionKey,
+        model: EngineModel,
+        report: EngineReport,
+    ) -> bool:
+        holding = self.rollout.catalogue.holdings[key]
+        if not holding.held or not self.rollout.is_needed(key):
+            return False
+        current, newer, now, early = self._weigh(key, holding, model, newest[1])
+        if not comes_first(current, newer, now, early, newer_here=False):
+            return False
+        newer_here = self._is_available(newest)
+        if holding.complete and newer_here and self.rollout.turn_wait(key, report) > 0:
+            # It would lie there until its turn, and nothing would be drawn meanwhile.
+            return False
+        return comes_first(current, newer, now, early, newer_here)
+
     def _ask_again(self, key: VersionKey) -> None:
         """Ask the hub once more: one that takes no part waits until asked on."""
         hubs = sorted(
@@ -88,23 +143,32 @@
         near = sorted(hubs, key=lambda hub: hub.domain != self.rollout.site.domain)
         return self.rollout.catalogue.ask(near[0], key) is not None
 
-    def _should_finish(self, transfer: Transfer, model: EngineModel) -> bool:
+    def _should_finish(
+        self, transfer: Transfer, model: EngineModel, wanted: WeightsVersion
+    ) -> bool:
         if transfer.stalled:
             # The hub may have given it up: then it is never done, however near.
             return False
+        return goes_on(*self._weigh(self._key(model), transfer.holding, model, wanted))
+
+    def _weigh(
+        self,
+        key: VersionKey,
+        holding: Holding,
+        model: EngineModel,
+        wanted: WeightsVersion,
+    ) -> tuple[TransferPlan, TransferPlan, Seconds, bool]:
+        """Return what is known of a version that was begun and of the newest one."""
         now = Seconds(monotonic())
         copy = model.chunks * model.chunk_bytes / self.rollout.site.upload_bytes_per_s
         history = self.rollout.view.history(model.model)
-        older = WeightsVersion(self.rollout.version - 1)
-        newer = TransferPlan(
-            copy + START_SECONDS, history.begin_by(self.rollout.version) or now
-        )
+        older = WeightsVersion(key[1] - 1)
+        newer = TransferPlan(copy + START_SECONDS, history.begin_by(key[1]) or now)
         current = TransferPlan(
-            self.rollout.transfer_seconds(transfer, model) + START_SECONDS,
+            self.rollout.transfer_seconds(holding) + START_SECONDS,
             history.begin_by(older) or now,
         )
-        early = self.rollout.starts_early(self._key(model))
-        return goes_on(current, newer, now, early)
+        return current, newer, now, self.rollout.starts_early(key)
 
     def _key(self, model: EngineModel) -> VersionKey:
         return model.model, self.rollout.version
--- /dev/null
+++ b/tests/platform/test_left_versions.py
@@ -0,0 +1,79 @@
+"""Engines without weights for 6 s, though a version was nine tenths there all along.
+
+Version 2 was named at 18.0 s, version 3 at 21.0 s, each required 10 s later. The origin
+was away from 20.5 to 26.5 s. Of version 2 hubs had 87 of 96 chunks by 21.2 s, and each
+of 41 loaders 69 or more. Gateways stopped in turn from 22.4 s on. Each time one of them
+was a hub all loaders began their transfer anew, and at 22.8 s they began with version
+3 instead, of which there was no chunk before 27.9 s. What they had of version 2 was
+used for nothing: no engine ever took it, and from 28.0 s on, when version 1 could no
+longer be used, until 34.7 s no engine served.
+
+What settled it: `rollout-phase` names version 3 at 22.84 to 23.48 s in 33 loaders, at
+25 to 27 missing chunks of version 2 (9 in three of them), with no `rollout-dropped` in
+between; `manifest-unavailable` for version 3 follows in all of them until 27.2 s.
+"""
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from gateway_site import MODEL
+from test_hubs import HubSite
+from test_loader import CHUNKS
+from test_outdated_transfers import LEFT_CHUNKS, strand_second_version
+
+from ridgecourse.core.ids import (
+    Seconds,
+)
+from ridgecourse.core.supersession import TransferPlan, comes_first, goes_on, is_of_use
+
+
+@pytest.fixture
+def hub_site(tmp_path: Path) -> Iterator[HubSite]:
+    site = HubSite(tmp_path)
+    yield site
+    site.close()
+
+
+def test_a_version_nearly_here_is_gone_on_with_when_its_hub_goes(hub_site) -> None:
+    hub_site.start()
+    hub, successor = hub_site.ranked()
+    strand_second_version(hub_site)
+    for host in ("127.0.0.1", hub, successor):
+        hub_site.wait_holding(host, 2, CHUNKS - LEFT_CHUNKS)
+    third = hub_site.origin.versions.pop(3)
+    hub_site.store.put_version(MODEL, 3)
+    hub_site.loader.wait_event("version-named", version="3")
+    hub_site.places[hub].kill()
+    hub_site.loader.wait_event("gateways-known", detail={"gateways": [successor]})
+    hub_site.origin.away = False
+    hub_site.wait_serving(2)
+    hub_site.origin.versions[3] = third
+    hub_site.wait_serving(3)
+
+
+def test_a_version_that_comes_after_its_successor_is_required_is_of_no_use() -> None:
+    now = Seconds(100.0)
+    assert is_of_use(2.0, Seconds(103.5), now)
+    assert not is_of_use(4.0, Seconds(103.5), now)
+    assert is_of_use(4.0, None, now)
+
+
+def test_not_even_the_early_half_finishes_what_is_of_no_use() -> None:
+    now = Seconds(100.0)
+    newer = TransferPlan(5.5, Seconds(103.5))
+    assert goes_on(TransferPlan(3.0, Seconds(100.0)), newer, now, early=True)
+    assert not goes_on(TransferPlan(4.0, Seconds(100.0)), newer, now, early=True)
+    late = TransferPlan(5.5, Seconds(100.8))
+    assert not goes_on(TransferPlan(1.0, Seconds(97.0)), late, now, early=True)
+
+
+def test_what_was_left_off_comes_first_while_the_newer_version_is_not_there() -> None:
+    now = Seconds(100.0)
+    current = TransferPlan(3.0, Seconds(104.0))
+    newer = TransferPlan(5.5, Seconds(107.0))
+    assert comes_first(current, newer, now, early=False, newer_here=False)
+    assert not comes_first(current, newer, now, early=False, newer_here=True)
+    assert comes_first(current, newer, now, early=True, newer_here=True)
+    useless = TransferPlan(7.5, Seconds(104.0))
+    assert not comes_first(useless, newer, now, early=True, newer_here=False)
