Gateways draw only what can be used, and nothing once they have withdrawn

Cause: a gateway that was told to stop went on drawing beside the one that took its place, and any gateway that was asked drew an older version up to the end, whatever was required by then. After an outage of the origin three gateways of a domain drew the same chunks from it; later one drew a version for 4.7 s that was whole 2.1 s after its successor was required, on the link that the successor needed.

A gateway that withdraws ends its transfers. A version is brought in only while what is missing can be drawn, over the origin's link, before a newer one is required, as far as that is dated. The bound is a lower one on purpose: loaders, which know their links and what they have, decide the rest.

--- a/src/ridgecourse/core/weights.py
+++ b/src/ridgecourse/core/weights.py
@@ -150,6 +150,15 @@
         bounds = [n.named_at + self.bound for n in self.notices if n.version > version]
         return Seconds(min(bounds)) if bounds else None
 
+    def dated_bound(self, version: WeightsVersion) -> Seconds | None:
+        """Return the same as far as names are dated; None also where none is."""
+        bounds = [
+            notice.named_at + self.bound
+            for notice in self.notices
+            if notice.version > version and notice.dating is not Dating.UNKNOWN
+        ]
+        return Seconds(min(bounds)) if bounds else None
+
 
 def is_closer(notice: VersionNotice, told: Seconds) -> bool:
     """Tell whether a told time of a name is to replace what is known of it."""
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -143,6 +143,7 @@
         self.events.emit(EventKind.STOPPING, in_flight=self.front.in_flight)
         if self.hub.has_successor():
             self.watcher.withdraw()
+            self.hub.withdraw()
         eventlet.sleep(UNREADY_SECONDS)
         self.front.stop_listening()
         self.front.closing = True
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -20,6 +20,7 @@
 )
 from ridgecourse.core.ids import Seconds, TargetName
 from ridgecourse.core.site import Site
+from ridgecourse.core.supersession import is_of_use
 from ridgecourse.exchange.catalogue import Catalogue, VersionKey
 from ridgecourse.exchange.context import (
     ExchangeContext,
@@ -89,6 +90,7 @@
         working: Versions that are being brought in.
         transfers: Their transfers in progress, with the plan of each.
         asked_at: When each was asked for first, if this gateway is no holder.
+        withdrawn: Whether the domain's other gateways have taken its place.
     """
 
     def __init__(
@@ -139,6 +141,7 @@
         self.working: dict[VersionKey, eventlet.greenthread.GreenThread] = {}
         self.transfers: dict[VersionKey, tuple[HubPlan, Transfer]] = {}
         self.asked_at: dict[VersionKey, float] = {}
+        self.withdrawn = False
         self.warm_up = WarmUp(self)
         self.following: eventlet.greenthread.GreenThread | None = None
         router = HttpRouter()
@@ -172,6 +175,17 @@
         self.control_server.close()
         self.http_server.close()
 
+    def withdraw(self) -> None:
+        """Leave what is being brought in to the domain's other gateways.
+
+        Loaders turn to these at once; drawn here as well, it would keep the origin's
+        link busy for nothing.
+        """
+        self.withdrawn = True
+        for thread in self.working.values():
+            thread.kill()
+        self.working.clear()
+
     def handle_channel(self, channel: ControlChannel) -> None:
         """Tell another process what is held here, until it goes away.
 
@@ -262,7 +276,9 @@
 
     def want(self, key: VersionKey) -> None:
         """Bring a version in, if that has not begun."""
-        if self.has(key) or key in self.working or not self._has_part(key):
+        if self.withdrawn or self.has(key) or key in self.working:
+            return
+        if not self.is_needed(key) or not self._has_part(key):
             return
         self.working[key] = eventlet.spawn(self.bring, key)
 
@@ -337,9 +353,19 @@
 
     def is_needed(self, key: VersionKey) -> bool:
         """Tell whether a version is new enough for others to use."""
-        return not self.catalogue.is_outdated(
-            key, self.view.history(key[0]).count_newer(key[1])
-        )
+        history = self.view.history(key[0])
+        if self.catalogue.is_outdated(key, history.count_newer(key[1])):
+            return False
+        bound = history.dated_bound(key[1])
+        return is_of_use(self._draw_seconds(key), bound, Seconds(monotonic()))
+
+    def _draw_seconds(self, key: VersionKey) -> float:
+        """Return the least time that drawing what is missing takes, if known."""
+        holding, config = self.catalogue.holdings.get(key), self.view.config
+        origin = config.origin if config is not None else None
+        if holding is None or origin is None or not origin.bytes_per_s:
+            return 0.0
+        return holding.missing_bytes() / origin.bytes_per_s
 
     def _try_bring(self, key: VersionKey) -> bool:
         config = self.view.config
