--- a/tests/platform/test_hubs.py
+++ b/tests/platform/test_hubs.py
@@ -113,7 +113,7 @@
     site = make_site(convert(make_settings("127.0.0.1:1"), SiteFields))
     events = EventStream(site.process, new_incarnation(), site.domain)
     view = ClusterView(Mock(), Mock(), Mock(), events, 8.0)
-    view.config = Mock(origin=Mock(address="127.0.0.1:1", domain="a"))
+    view.config = Mock(origin=Mock(address="127.0.0.1:1", domain="a", bytes_per_s=0.0))
     origin = MeddlingOrigin(lambda: hub.learn("loader", [peer]))
     hub = Hub(site, view, events, origin, HttpClient())
     hub.want((ModelName(MODEL), WeightsVersion(2)))
--- a/tests/platform/test_needless_draws.py
+++ b/tests/platform/test_needless_draws.py
@@ -1,14 +1,14 @@
 """Gateways drew weights that nobody could use any more, or that others drew too.
 
-An origin that had been away came back at 26.5 s. Three gateways of its domain drew the
-same chunks of version 2 from it at once, two of which had been told to stop 4.1 and 2.5 s
-before, and had left their part to others. A gateway that had started again at 28.3 s
-drew version 2 anew: whole at 33.1 s, 2.1 s after version 3 was required, and all the
-time beside version 3, which engines were waiting for.
+An origin that had been away came back at 26.5 s. Three gateways of its domain drew
+the same chunks of version 2 from it at once, two of which had been told to stop 4.1
+and 2.5 s before, and had left their part to others. A gateway that had started again
+at 28.3 s drew version 2 anew: whole at 33.1 s, 2.1 s after version 3 was required,
+and all the time beside version 3, which engines were waiting for.
 
 What settled it: `transfer-progress` of the three names version 2, their origin and 9
-missing chunks until 26.1 s, 2 to 6 at 27.6 s; `version-complete` of version 2 follows at
-33.13, 33.16 and 33.78 s.
+missing chunks until 26.1 s, 2 to 6 at 27.6 s; `version-complete` of version 2 follows
+at 33.13, 33.16 and 33.78 s.
 """
 
 from collections.abc import Iterator
