Bytes drawn beside each other are counted once

Cause: each chunk from the origin was counted as what its transfer drew from its begin to its end, which is the bytes of all chunks under way; transfer-progress told up to three times what was drawn.

--- a/src/ridgecourse/exchange/transfer.py
+++ b/src/ridgecourse/exchange/transfer.py
@@ -68,6 +68,7 @@
         cancelled: Set when the version is no longer wanted.
         error: Named error that stands in the way, empty if none.
         rate: Rate at which peers are asked to send; None for as they like.
+        counted: What of the origin's bytes has been counted.
     """
 
     def __init__(
@@ -100,6 +101,7 @@
         )
         if origin is None:
             self.planner.origin.not_before = Seconds(inf)
+        self.counted = origin.drawn if origin is not None else 0
         self.rate = context.rate if paced else None
         self.progress = Broadcast()
         self.referred: dict[ChunkDigest, int] = {}
@@ -280,7 +282,6 @@
         assert self.origin is not None
         place = self.holding.places[self.holding.index[fetch.digest]]
         stall = self.context.chunk_stall_seconds
-        before = self.origin.drawn
         try:
             data = self.origin.chunk(place, stall)
         except OriginBusy:
@@ -292,7 +293,9 @@
             self.error = f"origin-unavailable: {error}"
             return FetchFailure.STALLED
         self.error = ""
-        self.context.counts.from_origin += self.origin.drawn - before
+        # Others are drawn beside it: what came since the last one ended, counted once.
+        self.context.counts.from_origin += self.origin.drawn - self.counted
+        self.counted = self.origin.drawn
         self.context.count_drawn(Cargo.WEIGHTS, len(data))
         self.context.metrics.count(Metric.BYTES_FROM_ORIGIN, len(data))
         if len(data) != place.length:
--- a/tests/platform/test_weight_figures.py
+++ b/tests/platform/test_weight_figures.py
@@ -7,23 +7,28 @@
 
 from unittest.mock import Mock
 
+import eventlet
 import pytest
 
-from ridgecourse.core.fetches import Member, PlanPolicy
+from ridgecourse.core.fetches import ORIGIN, Fetch, Member, PlanPolicy
 from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import (
     ChunkDigest,
     DomainName,
     ModelName,
     RegionName,
+    RootDigest,
     TargetName,
     WeightsVersion,
 )
 from ridgecourse.core.links import Cargo
-from ridgecourse.core.manifest import FileEntry, Manifest, encode_manifest
+from ridgecourse.core.manifest import ChunkPlace, FileEntry, Manifest, encode_manifest
 from ridgecourse.exchange.catalogue import Catalogue
 from ridgecourse.exchange.context import ExchangeContext, LinkPolicy
+from ridgecourse.exchange.holding import Holding
+from ridgecourse.exchange.origin import ChunkOrigin
 from ridgecourse.exchange.store import ChunkStore
+from ridgecourse.exchange.transfer import Transfer
 from ridgecourse.net.figures import Figures
 
 REGIONS = {"hall-a": "north", "hall-b": "north", "hall-c": "south"}
@@ -74,3 +79,32 @@
     assert list(figures.lines()) == [
         f"ridgecourse_bytes_manifest_abroad_total {len(data)}"
     ]
+
+
+class SlowOrigin(ChunkOrigin):
+    """Sends each chunk in two pieces, beside others."""
+
+    def __init__(self) -> None:
+        self.drawn = 0
+
+    def chunk(self, place: ChunkPlace, stall: float) -> bytes:
+        for _ in range(2):
+            eventlet.sleep(0)
+            self.drawn += place.length // 2
+        return place.digest.encode()
+
+
+def test_chunks_drawn_beside_each_other_count_once() -> None:
+    """Of 3 chunks under way at a time each counted the bytes of all three."""
+    context, _ = make_context(Mock())
+    context.digest = lambda data: ChunkDigest(data.decode())
+    digests = tuple(ChunkDigest(f"{n:064x}") for n in range(6))
+    manifest = Manifest(64, (FileEntry("weights", 6 * 64, digests),))
+    holding = Holding(RootDigest("root"), manifest, b"")
+    transfer = Transfer(context, SlowOrigin(), holding, {}, 1)
+    fetches = [
+        eventlet.spawn(transfer._get_chunk, Fetch(digest, ORIGIN)) for digest in digests
+    ]
+    with eventlet.Timeout(10):
+        assert [fetch.wait().decode() for fetch in fetches] == list(digests)
+    assert context.counts.from_origin == 6 * 64
