Chunks are staged as they come once nothing may begin on older weights

Cause: what a loader has drawn dies with its process, though the engine's staging area outlasts it; a version was staged only once all of it was there. A loader that was stopped halfway began with nothing, over a link on which a copy takes some 5 s.

From when a version is required, nothing may begin on what else lies staged, and the version's chunks replace it as they come; before, an engine that crashes may need what lies there, so it stays. A loader that starts takes in what lies staged, as before. All of it is still read back and checked twice before the start; a call that went unanswered puts the start off, as before, and none is given up halfway.

Checked: test_early_staging.py: no chunk was staged before its version was whole, and five of twelve are drawn no second time now; the tests of loaders, left and outdated versions pass.

--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -21,6 +21,7 @@
 from ridgecourse.exchange.origin import WeightsOrigin
 from ridgecourse.exchange.server import Exchange
 from ridgecourse.exchange.transfer import Transfer, TransferError
+from ridgecourse.loader.early_staging import EarlyStaging
 from ridgecourse.loader.gateways import KnownGateways
 from ridgecourse.loader.protocol import (
     EngineControl,
@@ -316,7 +317,21 @@
         transfer = Transfer(
             self.context, origin, holding, peers, 1, hubs, domain, is_needed=needed
         )
-        return holding if self._run_transfer(key, transfer) else None
+        if staging is None:
+            return holding if self._run_transfer(key, transfer) else None
+        required = partial(self.is_required, key)
+        early = EarlyStaging(staging, holding, required)
+        early.start()
+        try:
+            whole = self._run_transfer(key, transfer)
+        finally:
+            early.close()
+        return holding if whole else None
+
+    def is_required(self, key: VersionKey) -> bool:
+        """Tell whether nothing may begin on older versions than this one."""
+        history = self.view.history(key[0])
+        return history.required(Seconds(monotonic())) >= key[1]
 
     def _run_transfer(self, key: VersionKey, transfer: Transfer) -> bool:
         """Fetch the missing chunks; tell whether all are held."""
@@ -383,12 +398,3 @@
         return not self.catalogue.is_outdated(
             key, self.view.history(key[0]).count_newer(key[1])
         )
-
-    def is_engine_back(self) -> bool:
-        """Tell whether an engine that was waited for is there now."""
-        try:
-            self.engine.report()
-        except EngineUnavailable:
-            # Still away, as the phase says.
-            return False
-        return True
--- a/src/ridgecourse/loader/staging.py
+++ b/src/ridgecourse/loader/staging.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from ridgecourse.core.ids import ModelName
+from ridgecourse.core.ids import ChunkDigest, ModelName
 from ridgecourse.core.manifest import Manifest
 from ridgecourse.exchange.context import ExchangeContext
 from ridgecourse.loader.protocol import (
@@ -57,7 +57,7 @@
         """
         staged = 0
         for index in self._wrong(manifest):
-            self._put(manifest, index)
+            self.put(manifest, index)
             staged += 1
         return staged
 
@@ -67,7 +67,17 @@
             if data is None or self.context.digest(data) != place.digest:
                 yield index
 
-    def _put(self, manifest: Manifest, index: int) -> None:
+    def holds(self, digest: ChunkDigest) -> bool:
+        """Tell whether a chunk can be staged."""
+        return self.context.store.get(digest) is not None
+
+    def put(self, manifest: Manifest, index: int) -> None:
+        """Stage a chunk, over what lies there.
+
+        Raises:
+            EngineUnavailable: The engine gave no usable answer, or the store
+                lacks the chunk.
+        """
         digest = manifest.files[0].chunks[index]
         data = self.context.store.get(digest)
         if data is None:
--- a/src/ridgecourse/loader/transfer_watch.py
+++ b/src/ridgecourse/loader/transfer_watch.py
@@ -18,7 +18,7 @@
 from ridgecourse.exchange.catalogue import VersionKey
 from ridgecourse.exchange.holding import Holding
 from ridgecourse.exchange.transfer import Transfer
-from ridgecourse.loader.protocol import EngineReport
+from ridgecourse.loader.protocol import EngineReport, EngineUnavailable
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.threads import spawn_loop
 
@@ -66,7 +66,7 @@
             ):
                 # A hub came or went: begin again with those that are there now.
                 transfer.cancel()
-            elif self.rollout.prefetching and self.rollout.is_engine_back():
+            elif self.rollout.prefetching and self._is_engine_back():
                 # What lies staged there need not be fetched.
                 transfer.cancel()
             elif (
@@ -124,6 +124,15 @@
             return False
         return comes_first(current, newer, now, early, newer_here)
 
+    def _is_engine_back(self) -> bool:
+        """Tell whether an engine that was waited for is there now."""
+        try:
+            self.rollout.engine.report()
+        except EngineUnavailable:
+            # Still away, as the phase says.
+            return False
+        return True
+
     def _ask_again(self, key: VersionKey) -> None:
         """Ask the hub once more: one that takes no part waits until asked on."""
         hubs = sorted(
