An engine that crashes starts from what it has while a newer version is not there

Cause: a loader brought in the newest version alone, so that an engine that had lost its weights stayed empty until that came, with an older one staged that requests might still begin on.

An older version counts as done only while the engine serves it or carries out its order. Not looked at while a newer version is in transfer: open.

Checked: the last test of test_left_versions.py, which failed before (the engine did not serve again); the tests of loaders and hubs pass.

--- a/src/ridgecourse/loader/transfer_watch.py
+++ b/src/ridgecourse/loader/transfer_watch.py
@@ -14,7 +14,6 @@
     comes_first,
     goes_on,
 )
-from ridgecourse.core.weights import FIRST_VERSION
 from ridgecourse.exchange.catalogue import VersionKey
 from ridgecourse.exchange.holding import Holding
 from ridgecourse.exchange.transfer import Transfer
@@ -92,12 +91,14 @@
         no hub has, the loader would wait with most of the older one here.
         """
         newest = model.model, wanted
-        served = report.layers.version if report.layers else FIRST_VERSION
+        served = report.layers.version if report.layers else WeightsVersion(0)
+        if report.busy:
+            served = max(served, self.rollout.ordered)
         begun = sorted(
             key
             for key in self.rollout.catalogue.holdings
             if key[0] == model.model
-            and max(served, self.rollout.ordered) < key[1] < wanted
+            and served < key[1] < wanted
             and key not in self.given_up
         )
         for key in reversed(begun):
--- a/tests/platform/test_left_versions.py
+++ b/tests/platform/test_left_versions.py
@@ -77,3 +77,22 @@
     assert comes_first(current, newer, now, early=True, newer_here=True)
     useless = TransferPlan(7.5, Seconds(104.0))
     assert not comes_first(useless, newer, now, early=True, newer_here=False)
+
+
+def test_an_engine_that_crashes_starts_again_while_the_newer_version_is_not_there(
+    hub_site,
+) -> None:
+    """It stayed without weights until the newer version came, with one staged."""
+    hub_site.start()
+    hub_site.store.put_version(MODEL, 2)
+    hub_site.wait_serving(2)
+    third = hub_site.origin.versions.pop(3)
+    hub_site.store.put_version(MODEL, 3)
+    phase = {"phase": "manifest", "error": ""}
+    hub_site.loader.wait_event("rollout-phase", version="3", detail=phase)
+    with hub_site.engine.changed:
+        hub_site.engine.version = 0
+        hub_site.engine.started.clear()
+    hub_site.wait_serving(2)
+    hub_site.origin.versions[3] = third
+    hub_site.wait_serving(3)
