--- a/src/ridgecourse/exchange/transfer.py
+++ b/src/ridgecourse/exchange/transfer.py
@@ -13,6 +13,7 @@
 from ridgecourse.core.fetches import ORIGIN, Fetch, FetchFailure, Member
 from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import ChunkDigest, DomainName, Seconds, TargetName
+from ridgecourse.core.links import Cargo
 from ridgecourse.core.planner import ChunkPlanner
 from ridgecourse.exchange.context import ExchangeContext
 from ridgecourse.exchange.holding import Holding
@@ -67,6 +68,7 @@
         cancelled: Set when the version is no longer wanted.
         error: Named error that stands in the way, empty if none.
         rate: Rate at which peers are asked to send; None for as they like.
+        counted: What of the origin's bytes has been counted.
     """
 
     def __init__(
@@ -99,6 +101,7 @@
         )
         if origin is None:
             self.planner.origin.not_before = Seconds(inf)
+        self.counted = origin.drawn if origin is not None else 0
         self.rate = context.rate if paced else None
         self.progress = Broadcast()
         self.referred: dict[ChunkDigest, int] = {}
@@ -279,7 +282,6 @@
         assert self.origin is not None
         place = self.holding.places[self.holding.index[fetch.digest]]
         stall = self.context.chunk_stall_seconds
-        before = self.origin.drawn
         try:
             data = self.origin.chunk(place, stall)
         except OriginBusy:
@@ -291,7 +293,10 @@
             self.error = f"origin-unavailable: {error}"
             return FetchFailure.STALLED
         self.error = ""
-        self.context.counts.from_origin += self.origin.drawn - before
+        # Others are drawn beside it: what came since the last one ended, counted once.
+        self.context.counts.from_origin += self.origin.drawn - self.counted
+        self.counted = self.origin.drawn
+        self.context.count_drawn(Cargo.WEIGHTS, len(data))
         self.context.metrics.count(Metric.BYTES_FROM_ORIGIN, len(data))
         if len(data) != place.length:
             self.error = f"chunk-length: {place.path} at byte {place.start}"
@@ -350,6 +355,7 @@
         return FetchFailure.BUSY
 
     def _count_peer_bytes(self, source: TargetName, size: int) -> None:
+        self.context.count_received(Cargo.WEIGHTS, size, self.peers[source].domain)
         if self.peers[source].domain == self.planner.me.domain:
             self.context.counts.from_domain += size
         else:
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -20,6 +20,7 @@
 )
 from ridgecourse.core.ids import Seconds, TargetName
 from ridgecourse.core.site import Site
+from ridgecourse.core.supersession import is_of_use
 from ridgecourse.exchange.catalogue import Catalogue, VersionKey
 from ridgecourse.exchange.context import (
     ExchangeContext,
@@ -89,6 +90,7 @@
         working: Versions that are being brought in.
         transfers: Their transfers in progress, with the plan of each.
         asked_at: When each was asked for first, if this gateway is no holder.
+        withdrawn: Whether the domain's other gateways have taken its place.
     """
 
     def __init__(
@@ -132,12 +134,14 @@
             rate=AdaptiveRate(REGION_BYTES_PER_S),
             source=site.host,
             digest=sha256_digest,
+            region=site.region,
         )
         self.exchange = Exchange(self.context)
         self.catalogue = Catalogue(self.context, origin, self.want)
         self.working: dict[VersionKey, eventlet.greenthread.GreenThread] = {}
         self.transfers: dict[VersionKey, tuple[HubPlan, Transfer]] = {}
         self.asked_at: dict[VersionKey, float] = {}
+        self.withdrawn = False
         self.warm_up = WarmUp(self)
         self.following: eventlet.greenthread.GreenThread | None = None
         router = HttpRouter()
@@ -171,6 +175,17 @@
         self.control_server.close()
         self.http_server.close()
 
+    def withdraw(self) -> None:
+        """Leave what is being brought in to the domain's other gateways.
+
+        Loaders turn to these at once; drawn here as well, it would keep the origin's
+        link busy for nothing.
+        """
+        self.withdrawn = True
+        for thread in self.working.values():
+            thread.kill()
+        self.working.clear()
+
     def handle_channel(self, channel: ControlChannel) -> None:
         """Tell another process what is held here, until it goes away.
 
@@ -261,7 +276,9 @@
 
     def want(self, key: VersionKey) -> None:
         """Bring a version in, if that has not begun."""
-        if self.has(key) or key in self.working or not self._has_part(key):
+        if self.withdrawn or self.has(key) or key in self.working:
+            return
+        if not self.is_needed(key) or not self._has_part(key):
             return
         self.working[key] = eventlet.spawn(self.bring, key)
 
@@ -323,7 +340,7 @@
         plan = self.plan(key)
         if self.place in plan.hubs or not plan.near:
             return False
-        return self.catalogue.ask(plan.near[0].address, key) is not None
+        return self.catalogue.ask(plan.near[0], key) is not None
 
     def _is_older_nearly_here(self, key: VersionKey) -> bool:
         return any(
@@ -336,9 +353,19 @@
 
     def is_needed(self, key: VersionKey) -> bool:
         """Tell whether a version is new enough for others to use."""
-        return not self.catalogue.is_outdated(
-            key, self.view.history(key[0]).count_newer(key[1])
-        )
+        history = self.view.history(key[0])
+        if self.catalogue.is_outdated(key, history.count_newer(key[1])):
+            return False
+        bound = history.dated_bound(key[1])
+        return is_of_use(self._draw_seconds(key), bound, Seconds(monotonic()))
+
+    def _draw_seconds(self, key: VersionKey) -> float:
+        """Return the least time that drawing what is missing takes, if known."""
+        holding, config = self.catalogue.holdings.get(key), self.view.config
+        origin = config.origin if config is not None else None
+        if holding is None or origin is None or not origin.bytes_per_s:
+            return 0.0
+        return holding.missing_bytes() / origin.bytes_per_s
 
     def _try_bring(self, key: VersionKey) -> bool:
         config = self.view.config
@@ -378,7 +405,7 @@
         woken = [*plan.hubs, *plan.near[:1]]
         for peer in woken if self.place in plan.hubs else plan.hubs:
             if peer != self.place:
-                eventlet.spawn(self.catalogue.ask, peer.address, key)
+                eventlet.spawn(self.catalogue.ask, peer, key)
 
     def _find_manifest(
         self, key: VersionKey, origin: str, plan: HubPlan
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -21,6 +21,7 @@
 from ridgecourse.exchange.origin import WeightsOrigin
 from ridgecourse.exchange.server import Exchange
 from ridgecourse.exchange.transfer import Transfer, TransferError
+from ridgecourse.loader.early_staging import EarlyStaging
 from ridgecourse.loader.gateways import KnownGateways
 from ridgecourse.loader.protocol import (
     EngineControl,
@@ -153,7 +154,7 @@
         if report.serves(wanted, model.layers):
             self._set(Phase.SERVING, "", wanted)
             return IDLE_SECONDS
-        return self._bring((model.model, wanted), place, report)
+        return self._bring(self.watch.choose(model, wanted, report), place, report)
 
     def _prefetch(self, key: VersionKey, place: OriginPlace, error: str) -> float:
         """Fetch a version's chunks while the engine is not there yet."""
@@ -191,10 +192,9 @@
             error=error,
         )
 
-    def transfer_seconds(self, transfer: Transfer, model: EngineModel) -> float:
+    def transfer_seconds(self, holding: Holding) -> float:
         """Return the seconds that a transfer still takes at the link's speed."""
-        missing = len(transfer.planner.missing) * model.chunk_bytes
-        return missing / self.site.upload_bytes_per_s
+        return holding.missing_bytes() / self.site.upload_bytes_per_s
 
     def sources(self, key: VersionKey) -> tuple[Mapping[TargetName, Peer], list]:
         """Return whom to take a version from, and which of them are hubs.
@@ -312,13 +312,27 @@
             return holding
         if hubs:
             # Known or not, the hub may be a new one that has not begun.
-            eventlet.spawn(self.catalogue.ask, near[0].address, key)
+            eventlet.spawn(self.catalogue.ask, near[0], key)
         origin = self.origin.chunks(place.address, *key)
         needed, domain = partial(self.is_needed, key), place.domain
         transfer = Transfer(
             self.context, origin, holding, peers, 1, hubs, domain, is_needed=needed
         )
-        return holding if self._run_transfer(key, transfer) else None
+        if staging is None:
+            return holding if self._run_transfer(key, transfer) else None
+        required = partial(self.is_required, key)
+        early = EarlyStaging(staging, holding, required)
+        early.start()
+        try:
+            whole = self._run_transfer(key, transfer)
+        finally:
+            early.close()
+        return holding if whole else None
+
+    def is_required(self, key: VersionKey) -> bool:
+        """Tell whether nothing may begin on older versions than this one."""
+        history = self.view.history(key[0])
+        return history.required(Seconds(monotonic())) >= key[1]
 
     def _run_transfer(self, key: VersionKey, transfer: Transfer) -> bool:
         """Fetch the missing chunks; tell whether all are held."""
@@ -328,6 +342,7 @@
             return transfer.run()
         except TransferError as error:
             self._set(Phase.TRANSFER, str(error), key[1])
+            self.watch.given_up.add(key)
             return False
         finally:
             self.transfer = None
@@ -355,9 +370,9 @@
     def _start_wait(self, key: VersionKey, report: EngineReport) -> float:
         """Return the seconds after which to order the start; 0 for now."""
         stray = self.stray_until - monotonic()
-        return max(stray, self._turn_wait(key, report))
+        return max(stray, self.turn_wait(key, report))
 
-    def _turn_wait(self, key: VersionKey, report: EngineReport) -> float:
+    def turn_wait(self, key: VersionKey, report: EngineReport) -> float:
         """Return the seconds until it is this engine's turn to change its weights."""
         held = report.layers
         if held is None or self.starts_early(key):
@@ -386,12 +401,3 @@
         return not self.catalogue.is_outdated(
             key, self.view.history(key[0]).count_newer(key[1])
         )
-
-    def is_engine_back(self) -> bool:
-        """Tell whether an engine that was waited for is there now."""
-        try:
-            self.engine.report()
-        except EngineUnavailable:
-            # Still away, as the phase says.
-            return False
-        return True
