--- a/src/ridgecourse/loader/transfer_watch.py
+++ b/src/ridgecourse/loader/transfer_watch.py
@@ -92,8 +92,9 @@
         """
         newest = model.model, wanted
         served = report.layers.version if report.layers else WeightsVersion(0)
-        if report.busy:
-            served = max(served, self.rollout.ordered)
+        ordered = self.rollout.ordered
+        if report.busy and ordered and ordered.started == report.started:
+            served = max(served, ordered.version)
         begun = sorted(
             key
             for key in self.rollout.catalogue.holdings
