--- a/src/ridgecourse/cluster/domain_source.py
+++ b/src/ridgecourse/cluster/domain_source.py
@@ -29,11 +29,11 @@
 SILENT_SECONDS = 5.0
 """How long a process is left alone that did not answer: by then most of what freezes or
 cuts off a machine is over."""
-BEHIND_SECONDS = 0.5
-"""How long one that had not heard of the store is: its own parent may have been silent,
-and it reads the store by then. Left alone for longer, all would read the store."""
-BEHIND_PAUSE_SECONDS = 0.2
-"""Between two questions to a parent that is behind and answers at once."""
+LATE_SECONDS = 0.5
+"""The same for one that had not heard of the store: its own parent may have been
+silent, and it reads the store by then. Left alone for longer, all would read it."""
+LATE_PAUSE_SECONDS = 0.2
+"""Between two questions to a parent that is late and answers at once."""
 SEED_PATIENCE_SECONDS = 0.6
 SEED_RETRY_SECONDS = 0.1
 """How long, and how often, a process that starts asks a seed before the store: when all
@@ -107,7 +107,7 @@
                 # What was long on its way need not be read from the store once more.
                 return to_batch(shared)
             if not self._pass_over(parent, shared):
-                eventlet.sleep(BEHIND_PAUSE_SECONDS)
+                eventlet.sleep(LATE_PAUSE_SECONDS)
                 return to_batch(shared)
             # The next one may be frozen, and time has passed already.
             wait = 0.0
@@ -129,7 +129,7 @@
         return shared
 
     def _pass_over(self, parent: Peer, shared: SharedRecords) -> bool:
-        """Leave a parent that is late alone, unless too many are; tell which."""
+        """Leave a parent that is late alone, if not too many are; tell if it is."""
         # Who cannot read the store, or has read nothing, never has news sooner.
         is_lost = shared.lost or not shared.end
         receiving = shared.receiving or any(self.late.values())
@@ -138,7 +138,7 @@
         if not is_lost:
             self.late[parent.name] = shared.receiving
         why = f"heard of the store {shared.age:.2f} s ago"
-        self._avoid(parent, BEHIND_SECONDS, why)
+        self._avoid(parent, LATE_SECONDS, why)
         return True
 
     def _ask_seed(self, topic: Topic) -> RecordBatch | None:
--- a/src/ridgecourse/core/read_tree.py
+++ b/src/ridgecourse/core/read_tree.py
@@ -3,10 +3,9 @@
 A decision crosses the link between two regions once for each process that reads it
 from the store. So the gateways of a failure domain form a tree: the first of them reads
 the store, each other one a gateway before it, and loaders one of the gateways. Whoever
-hears nothing from there in time reads the store itself. Load pattern: large
-configurations in a burst, while many processes have just started; an answer of the
-store takes longer than anybody waits for it. If all turned to the store then, the link
-would carry as many copies as there are processes, and each of them later still.
+hears nothing from there in time reads the store itself, but not all at once: where an
+answer of the store takes longer than anybody waits, as with large configurations in a
+burst, the link would carry a copy for each process, and all of them later still.
 """
 
 from collections.abc import Collection, Sequence
@@ -23,9 +22,9 @@
 """Processes that are late with what the store tells which another one passes over, one
 after the other, before it keeps to the last: with the first of the tree three read the
 store then, of which one may be out of its reach and one frozen."""
-LATE_SECONDS = 1.5
-"""With each of which that the store has not been heard of for, one more is passed over:
-all of the three may be out of its reach."""
+READER_EACH_SECONDS = 1.5
+"""For each of which without word of the store one more is passed over, and so one more
+reads the store: all of the three may be out of its reach."""
 LONGEST_AGE_SECONDS = 30.0
 """More says no more; who has heard nothing is infinitely late."""
 
@@ -76,4 +75,6 @@
     """
     if receiving:
         return not passed_over
-    return passed_over < PASSED_OVER + int(min(age, LONGEST_AGE_SECONDS) / LATE_SECONDS)
+    return passed_over < PASSED_OVER + int(
+        min(age, LONGEST_AGE_SECONDS) / READER_EACH_SECONDS
+    )
--- a/tests/platform/test_domain_source.py
+++ b/tests/platform/test_domain_source.py
@@ -8,7 +8,7 @@
 
 from ridgecourse.cluster import domain_source
 from ridgecourse.cluster.domain_source import (
-    BEHIND_SECONDS,
+    LATE_SECONDS,
     SILENT_SECONDS,
     DomainSource,
 )
@@ -124,7 +124,7 @@
     assert domain.read() == ["first", STORE]
     assert domain.read() == ["second", STORE]
     domain.ages["second"] = 0.0
-    assert domain.read(BEHIND_SECONDS) == ["second"]
+    assert domain.read(LATE_SECONDS) == ["second"]
 
 
 def test_targets_are_read_from_the_store(domain: Domain) -> None:
--- a/tests/platform/test_read_tree.py
+++ b/tests/platform/test_read_tree.py
@@ -11,8 +11,8 @@
 from ridgecourse.core.ids import DomainName, TargetName
 from ridgecourse.core.read_tree import (
     FAN_OUT,
-    LATE_SECONDS,
     PASSED_OVER,
+    READER_EACH_SECONDS,
     choose_seed,
     gateway_parent,
     loader_parent,
@@ -81,7 +81,7 @@
     passed_over = 0
     while may_pass_over(passed_over, age, receiving=False):
         passed_over += 1
-    assert PASSED_OVER <= passed_over <= PASSED_OVER + age / LATE_SECONDS
+    assert PASSED_OVER <= passed_over <= PASSED_OVER + age / READER_EACH_SECONDS
 
 
 def test_who_has_heard_nothing_is_late_like_any_other() -> None:
