--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -8,7 +8,6 @@
 
 from ridgecourse.cluster.relay import RecordRelay
 from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.fetches import Member, PlanPolicy
 from ridgecourse.core.hubs import (
     GATEWAYS_PATH,
     HubPlan,
@@ -22,16 +21,11 @@
 from ridgecourse.core.site import Site
 from ridgecourse.core.supersession import is_of_use
 from ridgecourse.exchange.catalogue import Catalogue, VersionKey
-from ridgecourse.exchange.context import (
-    ExchangeContext,
-    LinkPolicy,
-    sha256_digest,
-)
 from ridgecourse.exchange.holding import Holding
 from ridgecourse.exchange.origin import WeightsOrigin
 from ridgecourse.exchange.server import Exchange
-from ridgecourse.exchange.store import ChunkStore
 from ridgecourse.exchange.transfer import Transfer, TransferError
+from ridgecourse.gateway.hub_context import make_hub_context
 from ridgecourse.gateway.told_gateways import ToldGateways
 from ridgecourse.gateway.warm_up import WarmUp
 from ridgecourse.net.address import Address
@@ -43,33 +37,17 @@
     HttpRouter,
     HttpServer,
 )
-from ridgecourse.net.metrics import Metrics
 from ridgecourse.net.threads import spawn_loop
-from ridgecourse.net.throttle import AdaptiveRate
 from ridgecourse.net.websocket import ChannelClosed, ControlChannel, ControlServer
 from ridgecourse.wire.codec import encode_message
 from ridgecourse.wire.control import Follow
 
-STORE_BYTES = 64 * 1024 * 1024
-"""Memory for chunks: some versions of a few MB."""
-REGION_BYTES_PER_S = 1_000_000.0
-"""Asked of hubs elsewhere: two fifths of the 20 Mbit/s between two regions, which
-requests share."""
-UPLOAD_SLOTS = 64
-"""Chunks sent at a time: each loader of the domain asks for some."""
-ORIGIN_FETCHES = 3
-"""Chunks drawn from the origin at a time: enough to keep its link busy, and few, for
-what is under way is lost when the origin goes away."""
 OLDER_FIRST_SHARE = 0.5
 """Share of an older version's chunks up to which it is finished before a newer one
 is drawn: both would share the origin's link, and be late."""
 OLDER_POLL_SECONDS = 0.1
 OLDER_WAIT_SECONDS = 8.0
 """Longest wait for that: an origin that is away for longer has both drawn anew."""
-FIRST_BACK_OFF_SECONDS = 0.1
-LONGEST_BACK_OFF_SECONDS = 0.25
-"""After failures of the origin or another hub. Few ask, and each second without the
-weights after their bound is one without service."""
 MANIFEST_STAGGER_SECONDS = 0.3
 """A hub that is not the first waits so long before it asks the origin itself."""
 MANIFEST_PATIENCE_SECONDS = 1.0
@@ -114,28 +92,7 @@
             site.upload_bytes_per_s,
         )
         self.told = ToldGateways()
-        self.context = ExchangeContext(
-            me=Member(self.place.name, site.domain),
-            events=events,
-            metrics=Metrics(site.process, None),
-            http=http,
-            store=ChunkStore(STORE_BYTES),
-            link=LinkPolicy(
-                upload_slots=UPLOAD_SLOTS,
-                upload_queue=UPLOAD_SLOTS,
-                uploads_per_chunk=1_000_000,
-            ),
-            plan=PlanPolicy(
-                fetches=4,
-                origin_fetches=ORIGIN_FETCHES,
-                back_off_seconds=FIRST_BACK_OFF_SECONDS,
-                max_back_off_seconds=LONGEST_BACK_OFF_SECONDS,
-            ),
-            rate=AdaptiveRate(REGION_BYTES_PER_S),
-            source=site.host,
-            digest=sha256_digest,
-            region=site.region,
-        )
+        self.context = make_hub_context(site, events, http)
         self.exchange = Exchange(self.context)
         self.catalogue = Catalogue(self.context, origin, self.want)
         self.working: dict[VersionKey, eventlet.greenthread.GreenThread] = {}
--- a/tests/platform/test_needless_draws.py
+++ b/tests/platform/test_needless_draws.py
@@ -32,7 +32,8 @@
 )
 from ridgecourse.core.manifest import FileEntry, Manifest
 from ridgecourse.exchange.holding import Holding
-from ridgecourse.gateway.hub import ORIGIN_FETCHES, Hub
+from ridgecourse.gateway.hub import Hub
+from ridgecourse.gateway.hub_context import ORIGIN_FETCHES
 
 SECOND = (ModelName(MODEL), WeightsVersion(2))
 
