--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -27,7 +27,7 @@
 from ridgecourse.exchange.transfer import Transfer, TransferError
 from ridgecourse.gateway.hub_context import make_hub_context
 from ridgecourse.gateway.told_gateways import ToldGateways
-from ridgecourse.gateway.warm_up import WarmUp
+from ridgecourse.gateway.warm_up import VersionHolder, WarmUp
 from ridgecourse.net.address import Address
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.http_client import HttpClient
@@ -59,7 +59,7 @@
 FIRST_MESSAGE_SECONDS = 2.0
 
 
-class Hub:
+class Hub(VersionHolder):
     """Brings versions in for the loaders of the domain.
 
     Attributes:
--- a/src/ridgecourse/gateway/warm_up.py
+++ b/src/ridgecourse/gateway/warm_up.py
@@ -4,19 +4,21 @@
 """
 
 import logging
+from abc import ABC, abstractmethod
 from collections.abc import Sequence
 from time import monotonic
-from typing import TYPE_CHECKING
 
 import eventlet
 
+from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.hubs import Peer, choose_hubs, loader_peers
 from ridgecourse.core.routes import Service
-from ridgecourse.exchange.catalogue import VersionKey
+from ridgecourse.core.site import Site
+from ridgecourse.exchange.catalogue import Catalogue, VersionKey
+from ridgecourse.exchange.context import ExchangeContext
+from ridgecourse.exchange.holding import Holding
 from ridgecourse.exchange.transfer import Transfer, TransferError
-
-if TYPE_CHECKING:
-    from ridgecourse.gateway.hub import Hub
+from ridgecourse.gateway.told_gateways import ToldGateways
 
 logger = logging.getLogger(__name__)
 
@@ -33,10 +35,52 @@
 """Between two questions to a loader for what its engine has staged."""
 
 
+class VersionHolder(ABC):
+    """Who holds versions for the domain, as the warm-up needs it.
+
+    Attributes:
+        site: The settings in force.
+        view: What is known of configuration, versions and targets.
+        place: Where others find it.
+        told: Gateways that connected loaders tell of.
+        context: What its transfers share.
+        catalogue: Manifests of the versions that it takes part in.
+        working: Versions that are being brought in.
+    """
+
+    site: Site
+    view: ClusterView
+    place: Peer
+    told: ToldGateways
+    context: ExchangeContext
+    catalogue: Catalogue
+    working: dict[VersionKey, eventlet.greenthread.GreenThread]
+
+    @abstractmethod
+    def known(self) -> list[Peer]:
+        """Return the gateways that loaders tell of."""
+
+    @abstractmethod
+    def has(self, key: VersionKey) -> bool:
+        """Tell whether a version is held whole."""
+
+    @abstractmethod
+    def is_needed(self, key: VersionKey) -> bool:
+        """Tell whether a version is new enough for others to use."""
+
+    @abstractmethod
+    def join(self, key: VersionKey, holding: Holding) -> None:
+        """Take part in a version's exchange; drop what is older than needed."""
+
+    @abstractmethod
+    def bring(self, key: VersionKey) -> None:
+        """Bring a version in for others, until it is whole or out of date."""
+
+
 class WarmUp:
     """Takes the first versions from the domain's engines, where they lie staged."""
 
-    def __init__(self, hub: "Hub") -> None:
+    def __init__(self, hub: VersionHolder) -> None:
         self.hub = hub
         self.thread: eventlet.greenthread.GreenThread | None = None
 
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -33,7 +33,7 @@
     StartOrder,
 )
 from ridgecourse.loader.staging import Staging
-from ridgecourse.loader.transfer_watch import TransferWatch
+from ridgecourse.loader.transfer_watch import TransferOwner, TransferWatch
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.threads import spawn_loop
 
@@ -62,7 +62,7 @@
 round trips."""
 
 
-class Rollout:
+class Rollout(TransferOwner):
     """Drives one engine.
 
     Attributes:
--- a/src/ridgecourse/loader/transfer_watch.py
+++ b/src/ridgecourse/loader/transfer_watch.py
@@ -1,33 +1,90 @@
 """Drops a transfer of weights where something better can be done."""
 
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
 from time import monotonic
-from typing import TYPE_CHECKING
 
 import eventlet
 
-from ridgecourse.core.hubs import choose_hubs
+from ridgecourse.cluster.view import ClusterView
+from ridgecourse.core.hubs import Peer, choose_hubs
 from ridgecourse.core.ids import Seconds, WeightsVersion
-from ridgecourse.core.routes import EngineModel
+from ridgecourse.core.routes import EngineModel, OriginPlace
+from ridgecourse.core.site import Site
 from ridgecourse.core.supersession import (
     START_SECONDS,
     TransferPlan,
     comes_first,
     goes_on,
 )
-from ridgecourse.exchange.catalogue import VersionKey
+from ridgecourse.exchange.catalogue import Catalogue, VersionKey
+from ridgecourse.exchange.context import ExchangeContext
 from ridgecourse.exchange.holding import Holding
 from ridgecourse.exchange.transfer import Transfer
-from ridgecourse.loader.protocol import EngineReport, EngineUnavailable
+from ridgecourse.loader.gateways import KnownGateways
+from ridgecourse.loader.protocol import (
+    EngineControl,
+    EngineReport,
+    EngineUnavailable,
+    StartOrder,
+)
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.threads import spawn_loop
 
-if TYPE_CHECKING:
-    from ridgecourse.loader.rollout import Rollout
-
 LOOK_SECONDS = 0.5
 """Longest time between two looks, if nothing changes."""
 
 
+class TransferOwner(ABC):
+    """Who drives an engine, as the watch over its transfers needs it.
+
+    Attributes:
+        site: The settings in force.
+        view: What is known of configuration, versions and targets.
+        context: What its transfers share.
+        engine: The engine.
+        gateways: Those that bring weights in.
+        catalogue: Manifests of the versions that it takes part in.
+        transfer: The one in progress; None for none.
+        version: Which version is being worked on.
+        hubs: Where the transfer in progress takes chunks from.
+        prefetching: Whether it goes on without the engine.
+        ordered: The last order that the engine took; None for none.
+    """
+
+    site: Site
+    view: ClusterView
+    context: ExchangeContext
+    engine: EngineControl
+    gateways: KnownGateways
+    catalogue: Catalogue
+    transfer: Transfer | None
+    version: WeightsVersion
+    hubs: Sequence[Peer]
+    prefetching: bool
+    ordered: StartOrder | None
+
+    @abstractmethod
+    def find_model(self) -> tuple[EngineModel, OriginPlace] | None:
+        """Return the engine's model and its origin, None before they are known."""
+
+    @abstractmethod
+    def transfer_seconds(self, holding: Holding) -> float:
+        """Return the seconds that a transfer still takes at the link's speed."""
+
+    @abstractmethod
+    def starts_early(self, key: VersionKey) -> bool:
+        """Tell whether this engine is in the half that takes new weights first."""
+
+    @abstractmethod
+    def turn_wait(self, key: VersionKey, report: EngineReport) -> float:
+        """Return the seconds until it is this engine's turn to change its weights."""
+
+    @abstractmethod
+    def is_needed(self, key: VersionKey) -> bool:
+        """Tell whether a version is still worth its transfer, nearly here or not."""
+
+
 class TransferWatch:
     """Watches the transfer of one loader, and says which version goes first.
 
@@ -35,7 +92,7 @@
         given_up: Versions that gave way to a newer one, or cannot be had.
     """
 
-    def __init__(self, rollout: "Rollout") -> None:
+    def __init__(self, rollout: TransferOwner) -> None:
         self.rollout = rollout
         self.given_up: set[VersionKey] = set()
         self.thread: eventlet.greenthread.GreenThread | None = None
