--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -20,6 +20,7 @@
 KEY = "key-of-shop"
 MODEL = "m0"
 LAYERS = 16
+LARGE_ROUTES = 1960
 
 Answer = tuple[int, dict[str, str], bytes, bool]
 
@@ -83,6 +84,14 @@
     return {**config, **more}
 
 
+def make_large_config(version: int) -> dict[str, Any]:
+    """Return a configuration that takes a second on a slow link."""
+    config = make_config(version)
+    idle = [make_route(f"/idle-{n}/", "safe", "app") for n in range(LARGE_ROUTES)]
+    config["routes"].extend(idle)
+    return config
+
+
 def make_settings(store: str, **more: Any) -> dict[str, Any]:
     settings = {
         "node_name": "edge-a-1",
