--- a/src/ridgecourse/core/weights.py
+++ b/src/ridgecourse/core/weights.py
@@ -1,6 +1,6 @@
 """Versions of weights that operators name, and from when on each is required."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from enum import Enum
 
 from msgspec import Struct
@@ -155,16 +155,15 @@
 
     def begin_by(self, version: WeightsVersion) -> Seconds | None:
         """Return until when requests may begin on a version; None for any time."""
-        bounds = [n.named_at + self.bound for n in self.notices if n.version > version]
-        return Seconds(min(bounds)) if bounds else None
+        return self._earliest_bound(n for n in self.notices if n.version > version)
 
     def dated_bound(self, version: WeightsVersion) -> Seconds | None:
         """Return the same as far as names are dated; None also where none is."""
-        bounds = [
-            notice.named_at + self.bound
-            for notice in self.notices
-            if notice.version > version and notice.dating is not Dating.UNKNOWN
-        ]
+        dated = (n for n in self.notices if n.dating is not Dating.UNKNOWN)
+        return self._earliest_bound(n for n in dated if n.version > version)
+
+    def _earliest_bound(self, notices: Iterable[VersionNotice]) -> Seconds | None:
+        bounds = [notice.named_at + self.bound for notice in notices]
         return Seconds(min(bounds)) if bounds else None
 
 
