What is remembered of an engine's latest life stands in one class

KnownLoads and TargetStates each kept values by the latest life, with the same joining of lives and the same forgetting. Both build on LatestLives now, and a target's state no longer holds its life once more. No change of behaviour; one test names the attribute and the method as they are called now.

--- a/src/ridgecourse/core/target_states.py
+++ b/src/ridgecourse/core/target_states.py
@@ -4,6 +4,7 @@
 
 from ridgecourse.core.engine_life import EngineLife
 from ridgecourse.core.ids import Seconds, TargetId
+from ridgecourse.core.latest_lives import LatestLives
 from ridgecourse.core.recent_peak import RecentPeak
 
 FAILURES_IN_A_ROW = 2
@@ -19,15 +20,13 @@
     """What this gateway has seen of one life of a target.
 
     Attributes:
-        life: Which life.
         failures: Failures in a row.
         ejections: Times in a row that it was ejected.
         not_before: When it may be chosen again.
         ways: How long connections to it took to come up.
     """
 
-    def __init__(self, life: EngineLife, ways: RecentPeak) -> None:
-        self.life = life
+    def __init__(self, ways: RecentPeak) -> None:
         self.ways = ways
         self.failures = 0
         self.ejections = 0
@@ -50,33 +49,20 @@
         return True
 
 
-class TargetStates:
+class TargetStates(LatestLives[TargetState]):
     """What this gateway has seen of the targets' latest lives.
 
-    Who waits for an answer of an earlier life holds on to that life's state: what
-    becomes of it says nothing of the new life.
+    Attributes:
+        ways: Ways to targets, the same for all their lives.
     """
 
     def __init__(self) -> None:
-        self.states: dict[TargetId, TargetState] = {}
+        super().__init__(self._make)
         self.ways: dict[TargetId, RecentPeak] = {}
 
-    def of(self, life: EngineLife) -> TargetState:
-        """Return what was seen of the latest life of a target.
-
-        Args:
-            life: A life that was heard of; an earlier one stands for the latest.
-        """
-        known = self.states.get(life.target)
-        if known is None:
-            fresh = RecentPeak(WAY_MEMORY_SECONDS)
-            ways = self.ways.setdefault(life.target, fresh)
-            known = self.states[life.target] = TargetState(life, ways)
-        elif known.life.is_before(life):
-            # The way there is as long as it was.
-            known = self.states[life.target] = TargetState(life, known.ways)
-        known.life = known.life.join(life)
-        return known
+    def _make(self, life: EngineLife) -> TargetState:
+        fresh = RecentPeak(WAY_MEMORY_SECONDS)
+        return TargetState(self.ways.setdefault(life.target, fresh))
 
     def retain(self, listed: Container[TargetId], now: Seconds) -> None:
         """Drop what was seen of targets that are no longer listed.
@@ -85,8 +71,7 @@
         lapses from the list and comes back, and requests were sent there as if the
         link were wide.
         """
-        for name in [name for name in self.states if name not in listed]:
-            del self.states[name]
-        for name in [name for name in self.ways if name not in self.states]:
+        self.forget_unlisted(listed)
+        for name in [name for name in self.ways if name not in self.lives]:
             if self.ways[name].expect(now) < FADED_WAY_SECONDS:
                 del self.ways[name]
--- a/src/ridgecourse/gateway/loads.py
+++ b/src/ridgecourse/gateway/loads.py
@@ -91,7 +91,7 @@
     def _keep_followers(self) -> None:
         while True:
             listed = self.view.targets.targets
-            self.loads.retain(listed)
+            self.loads.forget_unlisted(listed)
             # Of two at one address the later one is there.
             by_start = sorted(listed.values(), key=lambda target: target.started or 0)
             engines = {
--- a/tests/platform/test_known_lives.py
+++ b/tests/platform/test_known_lives.py
@@ -145,8 +145,8 @@
 def test_unlisted_engines_are_dropped() -> None:
     loads = KnownLoads()
     loads.report(life(5), make_status(5), NOW, 1)
-    loads.retain({TargetId("i-1")})
-    assert (loads.loads, loads.lives) == ({}, {})
+    loads.forget_unlisted({TargetId("i-1")})
+    assert (loads.values, loads.lives) == ({}, {})
 
 
 # Ejection.
