bench idle: processor time of gateways and loaders, idle and at their load

What each process takes by itself was known from plays only, which mix starts, requests and reports.

--- a/src/bench/__main__.py
+++ b/src/bench/__main__.py
@@ -12,6 +12,7 @@
     "overload",
     "placement",
     "start",
+    "idle",
 )
 
 
--- a/src/ridgecourse_standins/platform/weights.py
+++ b/src/ridgecourse_standins/platform/weights.py
@@ -161,7 +161,7 @@
     ) -> Answer:
         """Answer a report, an order, or a call of the staging area."""
         if path == REPORT_PATH:
-            return 200, self._report()
+            return 200, encode(self.describe())
         if path == ORDER_PATH:
             return self._start(decode(body))
         if path.startswith(STAGE_PUT_PATH) and body == self.late:
@@ -177,7 +177,8 @@
             return (404, b"") if data is None else (200, data)
         return 404, b""
 
-    def _report(self) -> bytes:
+    def describe(self) -> dict[str, Any]:
+        """Return the fields of its report."""
         report: dict[str, Any] = {"utilization": self.busy, "sequence": self.orders}
         if self.born is not None:
             report["born"] = self.born
@@ -187,7 +188,7 @@
                 "target_version": self.layers,
                 "version": self.version,
             }
-        return encode(report)
+        return report
 
     def _start(self, order: dict[str, Any]) -> Answer:
         self.orders += 1
