Reports that come close together are taken in together

Cause: each report of load woke a gateway's loop by itself, with four calls of the system for the wait besides the two for the datagram: 2,307 wake-ups and 11,200 calls in 10 s for 2,000 reports (strace). Ruled out: decoding (3 us a report), starts (0.3 s a life).

Gateways gather reports for 20 ms while some come, so that a report is 10 ms older in mean, of the 50 ms between two of one engine. Reports are arrays on the wire: 156 to some 90 bytes.

--- a/src/ridgecourse/core/engine_load.py
+++ b/src/ridgecourse/core/engine_load.py
@@ -46,7 +46,7 @@
 is slower than it tells; the usual is 0.1 to 0.3 s."""
 
 
-class EngineStatus(Struct, frozen=True):
+class EngineStatus(Struct, frozen=True, array_like=True):
     """An engine's load, as its loader tells it.
 
     Attributes:
--- a/src/ridgecourse/net/datagrams.py
+++ b/src/ridgecourse/net/datagrams.py
@@ -12,6 +12,7 @@
 
 import eventlet
 from eventlet.green import socket as green_socket
+from eventlet.hubs import trampoline
 from returns.result import Failure
 
 from ridgecourse.net.address import Address
@@ -21,6 +22,12 @@
 
 MAX_BYTES = 1400
 """Longest datagram: fits into one packet of every usual link."""
+GATHER_SECONDS = 0.02
+"""How long datagrams gather while some come. A wake-up for each took a gateway three
+times as long as all else at 200 reports a second; a report gets 10 ms older in mean, of
+the 50 ms between two of one engine."""
+MOST_AT_ONCE = 256
+"""Datagrams taken in before others have their turn: some 10 ms of work."""
 
 
 class Datagram(NamedTuple):
@@ -68,16 +75,33 @@
 
     def messages(self, expected: Any) -> Iterator[Datagram]:
         """Yield messages as they come; what is none is counted and passed over."""
+        for data, host in self._datagrams():
+            decoded = decode_message(data, expected)
+            if isinstance(decoded, Failure):
+                self.refused += 1
+                continue
+            yield Datagram(host, decoded.unwrap())
+
+    def _datagrams(self) -> Iterator[tuple[bytes, str]]:
+        """Yield datagrams, gathered for a moment while there are some."""
         while True:
+            waiting = list(self._waiting())
+            yield from waiting
+            if waiting:
+                eventlet.sleep(GATHER_SECONDS)
+            else:
+                trampoline(self.socket.fileno(), read=True)
+
+    def _waiting(self) -> Iterator[tuple[bytes, str]]:
+        """Yield the datagrams that are there, at most as many as are taken at once."""
+        for _ in range(MOST_AT_ONCE):
             try:
-                data, (host, _) = self.socket.recvfrom(MAX_BYTES)
+                # Of the socket below: the green one would wait for the next datagram.
+                data, (host, _port) = self.socket.fd.recvfrom(MAX_BYTES)
+            except BlockingIOError:
+                return
             except ConnectionError as error:
                 # An earlier datagram reached nobody.
                 logger.debug("%s: %s", self.address, error)
-                eventlet.sleep(0)
                 continue
-            decoded = decode_message(data, expected)
-            if isinstance(decoded, Failure):
-                self.refused += 1
-                continue
-            yield Datagram(host, decoded.unwrap())
+            yield data, host
