One gateway of a domain reads the list of targets; the others are told what changed

The list goes the way of decisions: one reader a domain, each 0.6 s, the others and the loaders from those above them in the tree, which wait for news. Heartbeats are not told on. A removal that was passed over is told; removals that are not believed above, after an outage, are not believed below for as long. Who is behind never takes the whole list from a process that may be further behind.

Replaced: test_targets_are_read_from_the_store said the opposite of what is wanted now; in its place test_targets_are_read_from_a_parent_too and three more.

--- a/src/ridgecourse/cluster/peer_records.py
+++ b/src/ridgecourse/cluster/peer_records.py
@@ -57,4 +57,6 @@
 def to_batch(shared: SharedRecords) -> RecordBatch:
     """Return an answer that has just come as records that were read together."""
     heard_at = Seconds(monotonic() - shared.age)
-    return RecordBatch(shared.records, shared.end, heard_at)
+    return RecordBatch(
+        shared.records, shared.end, heard_at, told=True, kept=shared.kept
+    )
--- a/src/ridgecourse/cluster/share.py
+++ b/src/ridgecourse/cluster/share.py
@@ -1,6 +1,6 @@
 """Records of the platform's store, told to other processes."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from gzip import compress
 from time import monotonic
 
@@ -42,6 +42,7 @@
         waited: Seconds for which the process waited for news before it answered.
         receiving: Whether an answer of the store is on its way to it.
         lost: Whether it cannot read the store now.
+        kept: Seconds for which it does not believe removals, after an outage.
     """
 
     records: Sequence[KeyedRecord]
@@ -50,6 +51,7 @@
     waited: float = 0.0
     receiving: bool = False
     lost: bool = False
+    kept: float = 0.0
 
 
 class TopicRecords:
@@ -99,6 +101,15 @@
         """Seconds since the store told that there is nothing newer."""
         return monotonic() - self.heard_at
 
+    def drop_unlisted(self, listed: Collection[str], end: Offset) -> None:
+        """Note that keys were dropped meanwhile: the whole topic, read up to an end.
+
+        Their removals were passed over, and those who read from here have to be told.
+        """
+        for key, known in list(self.records.items()):
+            if known.value and key not in listed and known.offset < end:
+                self.put(KeyedRecord(key, b"", Offset(end - 1)))
+
     def _forget_dropped(self) -> None:
         """Forget all but the last keys that were dropped, and that were rejected.
 
@@ -128,15 +139,18 @@
         changed: Notified when something was read.
         is_receiving: Tells whether an answer of the store is on its way here.
         is_lost: Tells whether the store cannot be read from here.
+        kept_seconds: Tells for how long removals are not believed here.
     """
 
     def __init__(
         self,
         is_receiving: Callable[[Topic], bool] = lambda topic: False,
         is_lost: Callable[[Topic], bool] = lambda topic: False,
+        kept_seconds: Callable[[Topic], float] = lambda topic: 0.0,
     ) -> None:
         self.is_receiving = is_receiving
         self.is_lost = is_lost
+        self.kept_seconds = kept_seconds
         self.topics = {topic: TopicRecords() for topic in Topic}
         self.changed = Broadcast()
 
@@ -162,6 +176,7 @@
             waited=monotonic() - begun,
             receiving=receiving,
             lost=self.is_lost(found[0]),
+            kept=self.kept_seconds(found[0]),
         )
         return reply(encode_message(shared))
 
--- /dev/null
+++ b/src/ridgecourse/cluster/tree_reader.py
@@ -0,0 +1,128 @@
+"""Asks another process of the domain for one topic's records."""
+
+from collections.abc import Callable, Collection
+from time import monotonic
+
+import eventlet
+
+from ridgecourse.cluster.peer_records import ask_records, to_batch
+from ridgecourse.cluster.share import STALE_SECONDS, SharedRecords
+from ridgecourse.core.hubs import Peer
+from ridgecourse.core.ids import Offset, Seconds, TargetName
+from ridgecourse.core.read_tree import may_pass_over
+from ridgecourse.net.events import EventKind, EventStream
+from ridgecourse.net.http_client import HttpClient
+from ridgecourse.net.record_source import RecordBatch, SourceUnavailable, Topic
+
+WAIT_SECONDS = 0.8
+"""Longest wait of one question: below what makes an answer stale."""
+ANSWER_SECONDS = 0.3
+"""For the answer beyond that. A parent that is frozen is noticed after both together;
+then the store is read, which leaves 0.8 s of the 2 s allowed."""
+SILENT_SECONDS = 5.0
+"""How long a process is left alone that did not answer: by then most of what freezes or
+cuts off a machine is over."""
+LATE_SECONDS = 0.5
+"""The same for one that had not heard of the store: its own parent may have been
+silent, and it reads the store by then. Left alone for longer, all would read it."""
+LATE_PAUSE_SECONDS = 0.2
+"""Between two questions to a parent that is late and answers at once."""
+
+ParentChooser = Callable[[Collection[TargetName]], Peer | None]
+
+
+class TreeReader:
+    """Reads one topic from a parent in the domain's tree.
+
+    Attributes:
+        topic: The topic.
+        choose_parent: Returns whom to ask, given whom to leave alone; None for the
+            store.
+        avoided: Processes left alone, and until when.
+        late: Of these, who had not heard of the store though it can read it, and
+            whether an answer was on its way there.
+        told_receiving: Whether an answer of the store is on its way to the parent.
+        parent: Whom the last read came from; None for the store.
+    """
+
+    def __init__(
+        self,
+        topic: Topic,
+        http: HttpClient,
+        choose_parent: ParentChooser,
+        events: EventStream,
+    ) -> None:
+        self.topic = topic
+        self.http = http
+        self.choose_parent = choose_parent
+        self.events = events
+        self.avoided: dict[TargetName, Seconds] = {}
+        self.late: dict[TargetName, bool] = {}
+        self.told_receiving = False
+        self.parent: Peer | None = None
+
+    def ask(self, start: Offset) -> RecordBatch | None:
+        """Return what a parent tells; None where the store is to be read."""
+        wait = WAIT_SECONDS
+        while (parent := self._find_parent()) is not None:
+            shared = self._ask(parent, start, wait)
+            if shared is None:
+                return None
+            if shared.records or shared.age <= STALE_SECONDS:
+                # What was long on its way need not be read from the store once more.
+                return to_batch(shared)
+            if not self._pass_over(parent, shared):
+                eventlet.sleep(LATE_PAUSE_SECONDS)
+                return to_batch(shared)
+            # The next one may be frozen, and time has passed already.
+            wait = 0.0
+        return None
+
+    def _ask(self, parent: Peer, start: Offset, wait: float) -> SharedRecords | None:
+        """Return what a parent tells; None where it is silent."""
+        try:
+            shared = ask_records(
+                self.http, parent.address, self.topic, start, ANSWER_SECONDS, wait
+            )
+        except SourceUnavailable as error:
+            self.told_receiving = False
+            self._avoid(parent, SILENT_SECONDS, str(error))
+            return None
+        self.told_receiving = shared.receiving
+        return shared
+
+    def _pass_over(self, parent: Peer, shared: SharedRecords) -> bool:
+        """Leave a parent that is late alone, if not too many are; tell if it is."""
+        # Who cannot read the store, or has read nothing, never has news sooner.
+        is_lost = shared.lost or not shared.end
+        receiving = shared.receiving or any(self.late.values())
+        if not is_lost and not may_pass_over(len(self.late), shared.age, receiving):
+            return False
+        if not is_lost:
+            self.late[parent.name] = shared.receiving
+        why = f"heard of the store {shared.age:.2f} s ago"
+        self._avoid(parent, LATE_SECONDS, why)
+        return True
+
+    def _find_parent(self) -> Peer | None:
+        now = monotonic()
+        self.avoided = {name: end for name, end in self.avoided.items() if end > now}
+        self.late = {n: state for n, state in self.late.items() if n in self.avoided}
+        parent = self.choose_parent(self.avoided)
+        if parent != self.parent:
+            self.parent = parent
+            self.told_receiving = False
+            name = parent.name if parent else "store"
+            self.events.emit(EventKind.READS_FROM, parent=name, topic=self.topic.value)
+        return parent
+
+    def _avoid(self, parent: Peer, seconds: float, why: str) -> None:
+        """Leave a parent alone for a while."""
+        self.avoided[parent.name] = Seconds(monotonic() + seconds)
+        self.events.figures.count("parent_avoided")
+        self.events.emit(
+            EventKind.PARENT_AVOIDED,
+            parent=parent.name,
+            topic=self.topic.value,
+            why=why,
+        )
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -3,13 +3,13 @@
 from collections.abc import Iterable, Iterator, Sequence
 from time import monotonic
 
-from msgspec.structs import replace
 from returns.result import Failure
 
 from ridgecourse.cluster.bad_records import BadRecords
 from ridgecourse.cluster.decoder import RecordDecoder
 from ridgecourse.cluster.keeper import DecisionKeeper
 from ridgecourse.cluster.share import RecordShare
+from ridgecourse.cluster.told_targets import ToldTargets
 from ridgecourse.core.finding import Finding
 from ridgecourse.core.ids import ModelName, Offset, Seconds, ServiceName, WeightsVersion
 from ridgecourse.core.routes import RoutingConfig
@@ -31,9 +31,11 @@
 miss a record, and a connection that died unseen is noticed only after it. With twice a
 slow store's 0.35 s it leaves what is heard fresh enough for others to rely on; with
 0.6 s a domain of seven processes left its reader 65 times in 6 s."""
-TARGETS_PAUSE_SECONDS = 1.1
-"""Between two reads of the list: a leaving target may get requests for 2 s more,
-and its heartbeats would end a waiting read ten times a second."""
+TARGETS_PAUSE_SECONDS = 0.6
+"""Between two reads of the list by the one that reads it for a domain: heartbeats would
+end a waiting read ten times a second. A leaving target may get requests for 2 s more.
+Those below ask with a wait; if the one above is frozen they notice it 1.1 s after it
+last heard of the store, and read it themselves then."""
 
 RETURN_PAUSE_SECONDS = 0.4
 """The same while targets that lapsed in an outage may return."""
@@ -48,7 +50,8 @@
         histories: The named versions of each model.
         targets: The list of targets.
         listed: Whether the list has been read.
-        share: The records read, for processes that cannot read the store.
+        share: The records read, for other processes.
+        told_targets: The list as others are told it.
         keeper: Keeps decisions that the store's newest records no longer tell.
         changed: Notified after each change.
     """
@@ -62,6 +65,7 @@
         version_seconds: float,
         decision_wait: float = DECISION_WAIT_SECONDS,
         targets_pause: float = TARGETS_PAUSE_SECONDS,
+        told_pause: float = 0.0,
     ) -> None:
         self.decoder = decoder
         self.events = events
@@ -73,7 +77,8 @@
         self.targets = TargetList()
         self.listed = False
         self.changed = Broadcast()
-        self.share = RecordShare(source.is_receiving, self._is_lost)
+        self.share = RecordShare(source.is_receiving, self._is_lost, self._kept_seconds)
+        self.told_targets = ToldTargets(self.share.topics[Topic.TARGETS])
         self.keeper = keeper
         keeper.recalled = self.take_kept
         self.decisions_reader = RecordFollower(
@@ -94,6 +99,7 @@
             self.take_targets,
             self._note_targets_back,
             events,
+            told_pause=told_pause,
         )
         self.threads: list = []
 
@@ -153,6 +159,12 @@
     def _is_lost(self, topic: Topic) -> bool:
         return topic in self.lost_topics()
 
+    def _kept_seconds(self, topic: Topic) -> float:
+        """Return for how long removals of a topic are not believed."""
+        if topic is not Topic.TARGETS:
+            return 0.0
+        return max(0.0, self.targets.kept_until - monotonic())
+
     def take(self, topic: Topic, batch: RecordBatch, whole: bool) -> None:
         """Take in records of a topic, from the store or another process."""
         if topic is Topic.DECISIONS:
@@ -321,8 +333,7 @@
     def take_targets(self, batch: RecordBatch, whole: bool) -> None:
         """Take in changes of the list of targets, or the whole of it."""
         records, findings = self.decoder.targets(batch.records)
-        told = replace(batch, records=list(tell_rejected(batch.records, records)))
-        self.share.topics[Topic.TARGETS].take(told)
+        self.told_targets.take(batch, records, whole)
         self.share.changed.notify()
         for finding in [*findings, *self._find_unnamed(records)]:
             self.bad_records.note(Topic.TARGETS, finding)
@@ -331,6 +342,7 @@
         if self.decisions_reader.lost_since is not None:
             # The store was away too shortly for this reader to notice.
             self.targets.outage_ended(now)
+        self.targets.keep_removed(Seconds(now + batch.kept))
         if whole:
             self.targets.replace(records, now)
         else:
@@ -382,19 +394,3 @@
     def ready(self) -> bool:
         """Tell whether requests can be served."""
         return self.config is not None and self.listed
-
-
-def tell_rejected(
-    records: Iterable[KeyedRecord], changes: Iterable[TargetRecord]
-) -> Iterator[KeyedRecord]:
-    """Yield records as others are told of them.
-
-    Those that were rejected are told without their value, of which nobody has any use.
-    """
-    rejected = {(item.target, item.offset) for item in changes if item.rejected}
-    for record in records:
-        if (record.key, record.offset) in rejected:
-            why = record.broken or "rejected"
-            yield replace(record, value=b"", broken=why)
-        else:
-            yield record
--- a/src/ridgecourse/core/targets.py
+++ b/src/ridgecourse/core/targets.py
@@ -140,7 +140,11 @@
 
     def outage_ended(self, now: Seconds) -> None:
         """Note that the store can be read again after it could not."""
-        self.kept_until = Seconds(now + RETURN_SECONDS)
+        self.keep_removed(Seconds(now + RETURN_SECONDS))
+
+    def keep_removed(self, end: Seconds) -> None:
+        """Believe no removal until then: who told of them had lost the store."""
+        self.kept_until = max(self.kept_until, end)
 
     def apply(self, records: Iterable[TargetRecord], now: Seconds) -> None:
         """Take in changes in any order."""
--- a/src/ridgecourse/loader/loader.py
+++ b/src/ridgecourse/loader/loader.py
@@ -86,6 +86,7 @@
             site.bounds.version_seconds,
             DECISION_WAIT_SECONDS,
             TARGETS_PAUSE_SECONDS,
+            TARGETS_PAUSE_SECONDS,
         )
         self.context = ExchangeContext(
             me=Member(TargetName(site.host), site.domain),
--- a/src/ridgecourse/net/record_follower.py
+++ b/src/ridgecourse/net/record_follower.py
@@ -52,6 +52,8 @@
         topic: What is followed.
         wait: Longest wait of a read for a first record, in seconds.
         pause: Between two reads, in seconds.
+        told_pause: The same after an answer of another process, which waits for news
+            itself; None for the same.
         offset: Where to read next; None before the first read.
         lost_since: When the store could last be read, while it cannot.
         heard_at: When the store last told that there is nothing newer; 0 for never.
@@ -69,11 +71,13 @@
         outage_ended: Callable[[float], None],
         events: EventStream,
         misses_none: bool = False,
+        told_pause: float | None = None,
     ) -> None:
         self.source = source
         self.topic = topic
         self.wait = wait
         self.pause = pause
+        self.told_pause = told_pause
         self.take = take
         self.outage_ended = outage_ended
         self.events = events
@@ -124,7 +128,14 @@
             self.take(batch, whole)
             if not whole and not batch.records:
                 self._read_skipped()
-            eventlet.sleep(0.0 if batch.behind else self.pause)
+            eventlet.sleep(self._pause_after(batch))
+
+    def _pause_after(self, batch: RecordBatch) -> float:
+        if batch.behind:
+            return 0.0
+        if batch.told and self.told_pause is not None:
+            return self.told_pause
+        return self.pause
 
     def _note_skipped(self, batch: RecordBatch, whole: bool) -> None:
         """Note what is passed over: up to where the newest records were read."""
--- a/src/ridgecourse/net/record_source.py
+++ b/src/ridgecourse/net/record_source.py
@@ -48,6 +48,9 @@
         behind: Records beyond that which are there already.
         since: Before when none of the records was written, as is known; None if that
             is when the store was last heard of.
+        told: Whether another process told them, once it had news or had waited.
+        kept: Seconds for which removals are not believed there, after an outage of
+            the store.
     """
 
     records: Sequence[KeyedRecord]
@@ -55,6 +58,8 @@
     heard_at: Seconds
     behind: int = 0
     since: Seconds | None = None
+    told: bool = False
+    kept: float = 0.0
 
 
 class SourceUnavailable(Exception):
--- a/src/ridgecourse_standins/platform/store.py
+++ b/src/ridgecourse_standins/platform/store.py
@@ -73,6 +73,7 @@
         held_back: Writes that got no answer and are still to be done; None for none to
             come.
         newest_asked: Who asked for the newest records, as host and topic.
+        asked: Who asked for records from an offset on, as host and topic.
         bytes_per_s: Rate of the link to all readers together; None for no limit.
         link: What answers share where it has a rate.
         narrow: Rates of links that single readers have of their own.
@@ -91,6 +92,7 @@
         self.first_kept = dict.fromkeys(self.topics, 0)
         self.appended: list[tuple[str, str, bytes]] = []
         self.newest_asked: list[tuple[str, str]] = []
+        self.asked: list[tuple[str, str]] = []
         self.held_back: list[tuple[str, bytes, int | None]] | None = None
         self.told: dict[str, list[tuple[str, str, bytes]]] = {}
         self.bytes_per_s: float | None = None
@@ -309,6 +311,7 @@
             self.newest_asked.append((host, query["topic"]))
             return 200, self.newest(query["topic"])
         if parts.path == LOG_READ_PATH:
+            self.asked.append((host, query["topic"]))
             wait = int(query.get("wait_ms", "0")) / 1000
             most = int(query.get("max_kb", "1024")) * 1024
             found = self.read(query["topic"], int(query["from"]), wait, most)
--- a/tests/platform/test_domain_source.py
+++ b/tests/platform/test_domain_source.py
@@ -6,13 +6,10 @@
 
 import pytest
 
-from ridgecourse.cluster import domain_source
-from ridgecourse.cluster.domain_source import (
-    LATE_SECONDS,
-    SILENT_SECONDS,
-    DomainSource,
-)
+from ridgecourse.cluster import tree_reader
+from ridgecourse.cluster.domain_source import DomainSource
 from ridgecourse.cluster.share import STALE_SECONDS, SharedRecords
+from ridgecourse.cluster.tree_reader import LATE_SECONDS, SILENT_SECONDS
 from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import (
     DomainName,
@@ -68,8 +65,8 @@
         self.receiving = False
         self.asked: list[str] = []
         self.ages: dict[str, float | None] = {"first": 0.0, "second": 0.0}
-        monkeypatch.setattr(domain_source, "ask_records", self.answer)
-        monkeypatch.setattr(domain_source, "monotonic", lambda: self.now)
+        monkeypatch.setattr(tree_reader, "ask_records", self.answer)
+        monkeypatch.setattr(tree_reader, "monotonic", lambda: self.now)
         events = EventStream(ProcessName("p"), Incarnation("i"), DomainName("a"))
         self.source = DomainSource(
             CountingStore(self.asked), "127.0.0.1", None, self.choose, events
@@ -127,11 +124,34 @@
     assert domain.read(LATE_SECONDS) == ["second"]
 
 
-def test_targets_are_read_from_the_store(domain: Domain) -> None:
+def test_targets_are_read_from_a_parent_too(domain: Domain) -> None:
     domain.source.read(Topic.TARGETS, Offset(0), 0.0)
+    assert domain.asked == ["first"]
+
+
+def test_what_is_kept_is_read_from_the_store(domain: Domain) -> None:
+    domain.source.read(Topic.KEPT, Offset(0), 0.0)
     assert domain.asked == [STORE]
 
 
+def test_a_whole_list_is_taken_from_a_parent_once(domain: Domain) -> None:
+    """A parent that is behind would take out what was listed meanwhile."""
+    domain.source.newest(Topic.TARGETS)
+    domain.source.newest(Topic.TARGETS)
+    assert domain.asked == ["first", STORE]
+
+
+def test_a_parent_that_is_late_with_one_topic_is_asked_for_the_other(
+    domain: Domain,
+) -> None:
+    domain.ages["first"] = STALE_SECONDS + 0.1
+    assert domain.read() == ["first", "second"]
+    domain.ages["first"] = 0.0
+    domain.asked.clear()
+    domain.source.read(Topic.TARGETS, Offset(0), 0.0)
+    assert domain.asked == ["first"]
+
+
 def test_what_a_parent_receives_ends_with_its_silence(
     domain: Domain,
 ) -> None:
