Few read the store over a border, also when most of a domain starts again

Cause: whoever lost the process that it read from read the store itself, loaders too; and whoever started had no parent yet and read each next configuration itself, though a seed had told it the first. At a kill of two thirds of a domain 14 of 18 processes had an answer of 390 KB under way over one link within 0.1 s, 19 at once. The one that reads for all also filled the link alone: each answer that was one of many to come was read for nothing, and the next question followed at once.

A silent parent is followed by the next one, not by the store, for as long as the 2 s of a decision allow. While a domain has gateways, two of its loaders turn to the store. Who starts asks seeds and those it learns of in turn, and goes on to ask the one that answered until it knows a gateway. A reader leaves the link to others for as long as its last answer took, and in a storm reads what holds until the topic rests. An answer that took long counts as on its way in that pause.

--- a/src/ridgecourse/cluster/domain_source.py
+++ b/src/ridgecourse/cluster/domain_source.py
@@ -1,6 +1,8 @@
 """Reads the store's records from another process of the domain, else from the store."""
 
+from collections.abc import Callable, Sequence
 from contextlib import suppress
+from itertools import count
 from time import monotonic
 
 import eventlet
@@ -9,6 +11,8 @@
 from ridgecourse.cluster.share import STALE_SECONDS
 from ridgecourse.cluster.tree_reader import (
     ANSWER_SECONDS,
+    PATIENCE_SECONDS,
+    WAIT_SECONDS,
     ParentChooser,
     TreeReader,
 )
@@ -23,11 +27,15 @@
 )
 
 CONNECT_SECONDS = 0.3
-SEED_PATIENCE_SECONDS = 0.6
+SEED_PATIENCE_SECONDS = 1.0
 SEED_RETRY_SECONDS = 0.1
-"""How long, and how often, a process that starts asks a seed before the store: when all
+"""How long, and how often, a process that starts asks others before the store: when all
 start at once, within 0.3 s, each seed reads the store for many and has it 0.3 s later.
-A seed that is down costs a start this much."""
+When many start again with their seed, loaders tell; the list of targets and a
+connection to them come first. Where nobody answers a start costs this much."""
+ALONE_SECONDS = 5.0
+"""From a start until gateways are known at the latest: the list of targets and a
+connection to a loader take some 0.5 s, beside a busy start of all 2 s and more."""
 SEED_RECEIVING_SECONDS = 5.0
 """How long a seed is asked to which an answer of the store is on its way: all who start
 would ask for the same 590 KB over the same link else."""
@@ -39,8 +47,12 @@
     Attributes:
         store: The store.
         seed: HOST:PORT of a process to ask at the start; None for none.
+        peers: Returns HOST:PORT of others to ask at the start, the nearest first.
         readers: Who asks the parent, by topic that is told on.
+        is_alone: Tells whether no gateway is known yet.
         begun: Topics that have been read once.
+        tellers: HOST:PORT of who told the first records, by topic.
+        alone_until: Until when these are asked on.
     """
 
     def __init__(
@@ -49,9 +61,13 @@
         source_host: str,
         seed: str | None,
         choose_parent: ParentChooser,
+        peers: Callable[[], Sequence[str]],
+        is_alone: Callable[[], bool],
         events: EventStream,
     ) -> None:
         self.store = store
+        self.is_alone = is_alone
+        self.peers = peers
         self.http = HttpClient(CONNECT_SECONDS, source=source_host)
         self.seed = seed
         self.events = events
@@ -60,6 +76,8 @@
             for topic in (Topic.DECISIONS, Topic.TARGETS)
         }
         self.begun: set[Topic] = set()
+        self.tellers: dict[Topic, str] = {}
+        self.alone_until = monotonic() + ALONE_SECONDS
 
     def newest(self, topic: Topic) -> RecordBatch:
         """Return the newest record of each key; see ``RecordSource``."""
@@ -70,12 +88,13 @@
             return self.store.newest(topic)
         batch = self._ask_parent(topic, Offset(0))
         if batch is None and first:
-            batch = self._ask_seed(topic)
+            batch = self._ask_others(topic)
         return batch or self.store.newest(topic)
 
     def read(self, topic: Topic, start: Offset, wait: float) -> RecordBatch:
         """Return records from an offset on; see ``RecordSource``."""
-        return self._ask_parent(topic, start) or self.store.read(topic, start, wait)
+        batch = self._ask_parent(topic, start) or self._ask_teller(topic, start)
+        return batch or self.store.read(topic, start, wait)
 
     def is_receiving(self, topic: Topic) -> bool:
         """Tell whether an answer is on its way here, or to the parent."""
@@ -92,24 +111,66 @@
         reader = self.readers.get(topic)
         return reader.ask(start) if reader is not None else None
 
-    def _ask_seed(self, topic: Topic) -> RecordBatch | None:
-        """Return what a seed tells; None where it does not."""
+    def _ask_teller(self, topic: Topic, start: Offset) -> RecordBatch | None:
+        """Return what the process tells that told the first records.
+
+        It is asked on while no gateway is known yet: a third of the gateways started
+        again at once, and each read the next large configuration from the store.
+        """
+        if topic not in self.tellers:
+            return None
+        limit = min(self.alone_until, monotonic() + PATIENCE_SECONDS)
+        for turn in count(1):
+            if not self.is_alone():
+                del self.tellers[topic]
+                return self._ask_parent(topic, start)
+            if monotonic() > limit:
+                break
+            with suppress(SourceUnavailable):
+                # It has gone, or is busy with its own start; others are asked then.
+                asked = self.tellers[topic]
+                shared = ask_records(
+                    self.http, asked, topic, start, ANSWER_SECONDS, WAIT_SECONDS
+                )
+                if shared.receiving or shared.age <= STALE_SECONDS:
+                    return to_batch(shared)
+            eventlet.sleep(SEED_RETRY_SECONDS)
+            self.tellers[topic] = self._choose_asked(turn)
+        del self.tellers[topic]
+        return None
+
+    def _ask_others(self, topic: Topic) -> RecordBatch | None:
+        """Return what a seed or another process tells; None where none does.
+
+        The seeds may be starting as well; those that a process learns of meanwhile,
+        loaders of its domain first, may not.
+        """
         if self.seed is None or topic not in self.readers:
             return None
         limit = monotonic() + SEED_PATIENCE_SECONDS
         longest = monotonic() + SEED_RECEIVING_SECONDS
-        while monotonic() < limit:
+        for turn in count():
+            if monotonic() > limit:
+                return None
+            asked = self._choose_asked(turn)
             with suppress(SourceUnavailable):
                 # It may be starting as well.
-                shared = ask_records(
-                    self.http, self.seed, topic, Offset(0), ANSWER_SECONDS
-                )
+                shared = ask_records(self.http, asked, topic, Offset(0), ANSWER_SECONDS)
                 if shared.age <= STALE_SECONDS:
+                    self.tellers[topic] = asked
                     self.events.emit(
-                        EventKind.READS_FROM, parent=self.seed, topic=topic.value
+                        EventKind.READS_FROM, parent=asked, topic=topic.value
                     )
                     return to_batch(shared)
                 if shared.receiving:
                     limit = min(longest, monotonic() + SEED_PATIENCE_SECONDS)
             eventlet.sleep(SEED_RETRY_SECONDS)
         return None
+
+    def _choose_asked(self, turn: int) -> str:
+        """Return HOST:PORT of whom to ask: the seed and the others in turn."""
+        assert self.seed is not None
+        others = [peer for peer in self.peers() if peer != self.seed]
+        if turn % 2 == 0 or not others:
+            return self.seed
+        return others[turn // 2 % len(others)]
--- a/src/ridgecourse/cluster/tree_reader.py
+++ b/src/ridgecourse/cluster/tree_reader.py
@@ -18,7 +18,10 @@
 """Longest wait of one question: below what makes an answer stale."""
 ANSWER_SECONDS = 0.3
 """For the answer beyond that. A parent that is frozen is noticed after both together;
-then the store is read, which leaves 0.8 s of the 2 s allowed."""
+then the next one is asked, which reads the store by then if it is the first now."""
+PATIENCE_SECONDS = 1.3
+"""After which nobody else is asked, but the store: with two that are frozen that is
+after 1.4 s, of the 2 s allowed."""
 SILENT_SECONDS = 5.0
 """How long a process is left alone that did not answer: by then most of what freezes or
 cuts off a machine is over."""
@@ -62,20 +65,31 @@
         self.parent: Peer | None = None
 
     def ask(self, start: Offset) -> RecordBatch | None:
-        """Return what a parent tells; None where the store is to be read."""
+        """Return what a parent tells; None where the store is to be read.
+
+        Raises:
+            SourceUnavailable: The parent is silent, there is no other one, and the
+                store is left to others.
+        """
+        limit = monotonic() + PATIENCE_SECONDS
         wait = WAIT_SECONDS
         while (parent := self._find_parent()) is not None:
+            is_last = parent.name in self.avoided
             shared = self._ask(parent, start, wait)
+            # The next one may be frozen, and time has passed already.
+            wait = 0.0
             if shared is None:
-                return None
+                if is_last:
+                    raise SourceUnavailable(f"no answer of {parent.name}")
+                if monotonic() > limit:
+                    return None
+                continue
             if shared.records or shared.age <= STALE_SECONDS:
                 # What was long on its way need not be read from the store once more.
                 return to_batch(shared)
-            if not self._pass_over(parent, shared):
+            if is_last or not self._pass_over(parent, shared):
                 eventlet.sleep(LATE_PAUSE_SECONDS)
                 return to_batch(shared)
-            # The next one may be frozen, and time has passed already.
-            wait = 0.0
         return None
 
     def _ask(self, parent: Peer, start: Offset, wait: float) -> SharedRecords | None:
--- a/src/ridgecourse/core/read_tree.py
+++ b/src/ridgecourse/core/read_tree.py
@@ -25,6 +25,9 @@
 READER_EACH_SECONDS = 1.5
 """For each of which without word of the store one more is passed over, and so one more
 reads the store: all of the three may be out of its reach."""
+LOADERS_THAT_READ = 2
+"""Loaders of a domain that turn to the store when all gateways are out of date, so that
+those have somebody to ask where the store turns them away: one may be frozen."""
 LONGEST_AGE_SECONDS = 30.0
 """More says no more; who has heard nothing is infinitely late."""
 
@@ -43,11 +46,33 @@
     return near[TargetName(ranked[(place - 1) // FAN_OUT])] if place else None
 
 
-def loader_parent(me: Peer, gateways: Collection[Peer]) -> Peer | None:
-    """Return whom a loader reads decisions from; None for the store."""
+def loader_parent(
+    me: Peer,
+    gateways: Collection[Peer],
+    avoided: Collection[TargetName] = (),
+    loaders: Collection[TargetName] = (),
+) -> Peer | None:
+    """Return whom a loader reads decisions from; None for the store.
+
+    While the domain has gateways, two of its loaders read the store when none of those
+    is up to date; the others go on asking. All of them at once kept the link between
+    two regions so full that nobody had an answer in time.
+
+    Args:
+        me: The loader.
+        gateways: The known ones.
+        avoided: Gateways that are left alone for now.
+        loaders: The domain's loaders, as far as they are listed.
+    """
     near = {peer.name: peer for peer in gateways if peer.domain == me.domain}
     ranked = rendezvous_rank(f"{TREE_KEY}/{me.name}", near)
-    return near[TargetName(ranked[0])] if ranked else None
+    for name in ranked:
+        if name not in avoided:
+            return near[TargetName(name)]
+    readers = rendezvous_rank(f"{TREE_KEY}/loaders", {*loaders, me.name})
+    if not ranked or me.name in readers[:LOADERS_THAT_READ]:
+        return None
+    return near[TargetName(ranked[0])]
 
 
 def choose_seed(host: str, seeds: Sequence[str]) -> str | None:
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -67,6 +67,8 @@
             site.host,
             choose_seed(site.host, seeds),
             self.choose_parent,
+            lambda: self.hub.record_peers(),
+            lambda: not self.hub.known(),
             self.events,
         )
         self.view = ClusterView(
--- a/src/ridgecourse/loader/loader.py
+++ b/src/ridgecourse/loader/loader.py
@@ -76,6 +76,8 @@
             site.host,
             choose_seed(site.host, seeds),
             self.choose_parent,
+            self.record_peers,
+            lambda: not self.gateways,
             self.events,
         )
         self.view = ClusterView(
@@ -159,8 +161,12 @@
 
     def choose_parent(self, avoided: Collection[TargetName]) -> Peer | None:
         """Return whom to read decisions from; None for the store."""
-        gateways = [g for g in self.gateways if g.name not in avoided]
-        return loader_parent(self.place, gateways)
+        loaders = [
+            peer.name
+            for peer in self.rollout.other_loaders().values()
+            if peer.domain == self.place.domain
+        ]
+        return loader_parent(self.place, list(self.gateways), avoided, loaders)
 
     def record_peers(self) -> Sequence[str]:
         """Return whom to ask for the store's records, the nearest first."""
--- a/src/ridgecourse/net/record_follower.py
+++ b/src/ridgecourse/net/record_follower.py
@@ -24,6 +24,13 @@
 """Between two tries while the store is away; a bound of two seconds must hold
 soon after it is back."""
 
+LONGEST_YIELD_SECONDS = 1.0
+"""For which a link is left to others at most. Where answers take that long, decisions
+are to be in force in 3 s and more."""
+
+LONG_ANSWER_SECONDS = 0.1
+"""From which on the way of an answer matters: others wait for it or for their link."""
+
 LATE_ANSWER_SECONDS = 0.8
 """Age of what was heard from which on the next read does not wait: those who read from
 here would take it for out of date, though nothing is newer."""
@@ -55,6 +62,8 @@
         told_pause: The same after an answer of another process, which waits for news
             itself; None for the same.
         offset: Where to read next; None before the first read.
+        behind: Whether the topic grows faster than it can be read.
+        known_end: End of the topic, as far as the last answer told.
         lost_since: When the store could last be read, while it cannot.
         heard_at: When the store last told that there is nothing newer; 0 for never.
         unheard: Seconds between that and when the last answer was there: a record of
@@ -84,6 +93,8 @@
         self.misses_none = misses_none
         self.skipped: SkippedRange | None = None
         self.offset: Offset | None = None
+        self.behind = False
+        self.known_end = 0
         self.lost_since: Seconds | None = None
         self.heard_at = Seconds(0.0)
         self.unheard = 0.0
@@ -124,18 +135,37 @@
             if not batch.behind:
                 self.heard_at = max(self.heard_at, batch.heard_at)
             # Who is behind needs what holds now, not all that held in between.
-            self.offset = None if batch.behind else self._next_offset(batch)
+            self.behind = self._is_behind(batch, whole)
+            self.offset = None if self.behind else self._next_offset(batch)
             self.take(batch, whole)
             if not whole and not batch.records:
                 self._read_skipped()
             eventlet.sleep(self._pause_after(batch))
 
+    def _is_behind(self, batch: RecordBatch, whole: bool) -> bool:
+        """Tell whether there is more than was read, or was still coming just now.
+
+        A record that is one of many to come is read for nothing: in a storm of large
+        configurations each took as long as what holds did.
+        """
+        end = batch.end + batch.behind
+        moved, self.known_end = end != self.known_end, end
+        if whole:
+            return self.behind and moved and batch.took >= LONG_ANSWER_SECONDS
+        return batch.behind > 0
+
     def _pause_after(self, batch: RecordBatch) -> float:
-        if batch.behind:
-            return 0.0
-        if batch.told and self.told_pause is not None:
-            return self.told_pause
-        return self.pause
+        """Return how long to wait before the next read.
+
+        A link that answers take long to cross is left to others for as long as the
+        last one took: in a storm of large configurations a reader filled it alone.
+        """
+        pause = self.pause
+        if self.behind:
+            pause = 0.0
+        elif batch.told and self.told_pause is not None:
+            pause = self.told_pause
+        return max(pause, min(LONGEST_YIELD_SECONDS, batch.took))
 
     def _note_skipped(self, batch: RecordBatch, whole: bool) -> None:
         """Note what is passed over: up to where the newest records were read."""
--- a/src/ridgecourse/net/record_source.py
+++ b/src/ridgecourse/net/record_source.py
@@ -49,6 +49,7 @@
         since: Before when none of the records was written, as is known; None if that
             is when the store was last heard of.
         told: Whether another process told them, once it had news or had waited.
+        took: Seconds for which the answer was on its way, from its first piece on.
         kept: Seconds for which removals are not believed there, after an outage of
             the store.
     """
@@ -60,6 +61,7 @@
     since: Seconds | None = None
     told: bool = False
     kept: float = 0.0
+    took: float = 0.0
 
 
 class SourceUnavailable(Exception):
--- a/src/ridgecourse/platform/store.py
+++ b/src/ridgecourse/platform/store.py
@@ -5,7 +5,7 @@
 from struct import error as StructError
 from struct import pack, unpack_from
 from time import monotonic
-from typing import Annotated, Any
+from typing import Annotated, Any, NamedTuple
 from urllib.parse import urlencode
 
 from msgspec import DecodeError, Meta, Raw, Struct, field
@@ -14,6 +14,7 @@
 from ridgecourse.core.hearing import heard_at
 from ridgecourse.core.ids import Offset, Seconds
 from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
+from ridgecourse.net.record_follower import LONG_ANSWER_SECONDS
 from ridgecourse.net.record_source import (
     KeyedRecord,
     RecordBatch,
@@ -89,6 +90,20 @@
     truncated: bool = False
 
 
+class StoreAnswer(NamedTuple):
+    """An answer of the store.
+
+    Attributes:
+        status: Its status.
+        data: Its body.
+        took: Seconds from the first piece of the body to the last.
+    """
+
+    status: int
+    data: bytes
+    took: float
+
+
 class PlatformStore(RecordSource):
     """Client of the store.
 
@@ -109,25 +124,27 @@
         asked = Seconds(monotonic())
         pages = list(self._newest_pages(topic))
         records = [
-            read_item(item, page.end_offset) for page in pages for item in page.items
+            read_item(item, page.end_offset) for page, _ in pages for item in page.items
         ]
+        took = sum(took for _, took in pages)
         # The pages are no snapshot: what changed meanwhile is read again.
-        return RecordBatch(records, Offset(pages[0].end_offset), asked)
+        return RecordBatch(records, Offset(pages[0][0].end_offset), asked, took=took)
 
-    def _newest_pages(self, topic: Topic) -> Iterator[NewestPage]:
+    def _newest_pages(self, topic: Topic) -> Iterator[tuple[NewestPage, float]]:
+        """Yield the pages, and the seconds for which each was on its way."""
         after = ""
         while True:
             query: dict[str, Any] = {"topic": TOPICS[topic], "part": 0}
             if after:
                 query["after_revision"] = after
-            status, data = self._receive(topic, LOG_NEWEST_PATH, query)
+            status, data, took = self._receive(topic, LOG_NEWEST_PATH, query)
             if status != 200:
                 raise SourceUnavailable(f"status {status}")
             try:
                 page = decode(data, type=NewestPage)
             except (DecodeError, RecursionError) as error:
                 raise SourceUnavailable(str(error)) from error
-            yield page
+            yield page, took
             if not page.truncated or not page.items:
                 return
             after = find_next_key(page, after)
@@ -142,7 +159,7 @@
             "max_kb": MAX_READ_KB,
         }
         asked = Seconds(monotonic())
-        status, data = self._receive(topic, LOG_READ_PATH, query, wait)
+        status, data, took = self._receive(topic, LOG_READ_PATH, query, wait)
         if status == 410:
             raise RecordsGone(f"from {start}")
         if status != 200:
@@ -153,7 +170,8 @@
             raise SourceUnavailable(f"no records: {error}") from error
         heard = heard_at(asked, Seconds(monotonic()), wait, not records)
         past = Offset(start + len(records)) if records else Offset(max(start, end))
-        return RecordBatch(records, past, heard, behind=max(0, end - past))
+        behind = max(0, end - past)
+        return RecordBatch(records, past, heard, behind=behind, took=took)
 
     def is_receiving(self, topic: Topic) -> bool:
         """Tell whether an answer is on its way here; see ``RecordSource``."""
@@ -162,16 +180,24 @@
 
     def _receive(
         self, topic: Topic, path: str, query: dict[str, Any], wait: float = 0.0
-    ) -> tuple[int, bytes]:
+    ) -> StoreAnswer:
         """Read from a topic, and note what comes of the answer meanwhile."""
+        began_at = None
 
         def note() -> None:
+            nonlocal began_at
             self.received_at[topic] = monotonic()
+            began_at = began_at or monotonic()
 
+        took = 0.0
         try:
-            return self._call("GET", path, query, wait, on_piece=note)
+            status, data = self._call("GET", path, query, wait, on_piece=note)
+            took = 0.0 if began_at is None else monotonic() - began_at
         finally:
-            self.received_at.pop(topic, None)
+            # The next long one, after a pause for others, counts as on its way already.
+            if took < LONG_ANSWER_SECONDS:
+                self.received_at.pop(topic, None)
+        return StoreAnswer(status, data, took)
 
     def append(self, topic: Topic, key: str, value: bytes, end: Offset) -> None:
         """Write a record; see ``RecordSource``."""
--- a/src/ridgecourse_standins/platform/store.py
+++ b/src/ridgecourse_standins/platform/store.py
@@ -76,6 +76,8 @@
         asked: Who asked for records from an offset on, as host and topic.
         bytes_per_s: Rate of the link to all readers together; None for no limit.
         link: What answers share where it has a rate.
+        sending: Answers that are on their way over it.
+        most_sending: Most of them at once.
         narrow: Rates of links that single readers have of their own.
         turned_away: Readers that are answered 503.
         answer_seconds: From a call to its answer, beyond any wait.
@@ -97,6 +99,8 @@
         self.told: dict[str, list[tuple[str, str, bytes]]] = {}
         self.bytes_per_s: float | None = None
         self.link = Link()
+        self.sending = 0
+        self.most_sending = 0
         self.narrow: dict[str, float] = {}
         self.turned_away: set[str] = set()
         self.answer_seconds = 0.0
@@ -299,10 +303,19 @@
             return
         link = Link() if own else self.link
         size = max(1, int(rate * LINK_STEP_SECONDS))
-        for start in range(0, len(body), size):
-            piece = body[start : start + size]
-            sleep(link.reserve(len(piece) / rate))
-            handler.wfile.write(piece)
+        self._count_sending(+1)
+        try:
+            for start in range(0, len(body), size):
+                piece = body[start : start + size]
+                sleep(link.reserve(len(piece) / rate))
+                handler.wfile.write(piece)
+        finally:
+            self._count_sending(-1)
+
+    def _count_sending(self, change: int) -> None:
+        with self.condition:
+            self.sending += change
+            self.most_sending = max(self.most_sending, self.sending)
 
     def _find(self, host: str, target: str, data: bytes) -> tuple[int, bytes]:
         parts = urlsplit(target)
--- a/tests/platform/test_read_tree.py
+++ b/tests/platform/test_read_tree.py
@@ -11,6 +11,7 @@
 from ridgecourse.core.ids import DomainName, TargetName
 from ridgecourse.core.read_tree import (
     FAN_OUT,
+    LOADERS_THAT_READ,
     PASSED_OVER,
     READER_EACH_SECONDS,
     choose_seed,
@@ -62,6 +63,27 @@
     assert loader_parent(me, [other, make_peer(3)]) == make_peer(3)
 
 
+@given(st.integers(1, 60), st.integers(1, 20))
+def test_two_loaders_read_the_store_while_no_gateway_is_up_to_date(
+    loaders: int, gateways: int
+) -> None:
+    near = [make_peer(100 + number) for number in range(gateways)]
+    avoided = {peer.name for peer in near}
+    names = [make_peer(number).name for number in range(loaders)]
+    parents = [
+        loader_parent(make_peer(number), near, avoided, names)
+        for number in range(loaders)
+    ]
+    assert parents.count(None) == min(loaders, LOADERS_THAT_READ)
+    assert {parent for parent in parents if parent} <= set(near)
+
+
+def test_loaders_without_gateways_read_the_store() -> None:
+    names = [make_peer(number).name for number in range(9)]
+    parents = [loader_parent(make_peer(n), [], (), names) for n in range(9)]
+    assert parents == [None] * 9
+
+
 @given(st.integers(1, 40), st.integers(1, 3))
 def test_a_seed_asks_no_seed(host: int, seeds: int) -> None:
     addresses = [f"10.0.0.{number}:7" for number in range(1, seeds + 1)]
