A hub that starts late takes what the loaders of its domain hold

Cause: a hub followed other hubs alone, and drew from the origin only what nobody was known ever to have held. Killed with its successor, it waited for chunks that lay at the loaders beside it: none of 64 for 6 s, loaders 20 short all that time.

A version that was named 3 s ago or more may be at loaders: a hub follows those of its domain as well, and asks three of them for the manifest before the origin. What comes from within the domain is not paced to the link between regions: beside it the rate fell to its floor, 2 chunks a second, as a successor copied from its hub while loaders drew.

test_late_hubs.py was red before (the new hub held 0 chunks after 20 s) and passes.

--- a/src/ridgecourse/core/weights.py
+++ b/src/ridgecourse/core/weights.py
@@ -133,6 +133,15 @@
             return False
         return now - self.notices[-1].named_at < self.bound
 
+    def was_named_before(self, version: WeightsVersion, then: Seconds) -> bool:
+        """Tell whether a version was named before a time, or it is not known when."""
+        return not any(
+            notice.version == version
+            and notice.dating is not Dating.UNKNOWN
+            and notice.named_at > then
+            for notice in self.notices
+        )
+
     def count_newer(self, version: WeightsVersion) -> int:
         """Return how many newer versions are named, as far as is known."""
         return sum(notice.version > version for notice in self.notices)
--- a/src/ridgecourse/exchange/transfer.py
+++ b/src/ridgecourse/exchange/transfer.py
@@ -68,6 +68,7 @@
         cancelled: Set when the version is no longer wanted.
         error: Named error that stands in the way, empty if none.
         rate: Rate at which peers are asked to send; None for as they like.
+        unpaced_domain: Domain whose peers send as they like all the same.
         counted: What of the origin's bytes has been counted.
     """
 
@@ -82,6 +83,7 @@
         origin_domain: DomainName | None = None,
         paced: bool = True,
         is_needed: Callable[[], bool] = lambda: True,
+        unpaced_domain: DomainName | None = None,
     ) -> None:
         self.context = context
         self.origin = origin
@@ -103,6 +105,7 @@
             self.planner.origin.not_before = Seconds(inf)
         self.counted = origin.drawn if origin is not None else 0
         self.rate = context.rate if paced else None
+        self.unpaced_domain = unpaced_domain
         self.progress = Broadcast()
         self.referred: dict[ChunkDigest, int] = {}
         self.corrupt: dict[ChunkDigest, int] = {}
@@ -309,7 +312,7 @@
             AUTH_HEADER: sign_request(self.context.key, "GET", path),
             DOMAIN_HEADER: self.context.me.domain,
         }
-        rate = self.rate
+        rate = None if peer.domain == self.unpaced_domain else self.rate
         if rate is not None:
             headers[RATE_HEADER] = str(int(rate.current))
         sharing = self.peer_fetches()
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -1,6 +1,6 @@
 """A gateway's part in the exchange of weights."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from functools import partial
 from time import monotonic
 
@@ -50,11 +50,16 @@
 """Longest wait for that: an origin that is away for longer has both drawn anew."""
 MANIFEST_STAGGER_SECONDS = 0.3
 """A hub that is not the first waits so long before it asks the origin itself."""
+MANIFEST_LOADERS = 3
+"""Loaders that a hub asks for a manifest before the origin, which may be away."""
 MANIFEST_PATIENCE_SECONDS = 1.0
 """How long the next in line asks its domain's hub: some round trips are enough."""
 ASKED_ON_SECONDS = 3.0
 """How long gateways that are no holders leave it to those that are: all know of each
 other within some 2 s of a start."""
+AT_LOADERS_SECONDS = 3.0
+"""From a version's name until loaders hold enough of it to be worth following: until
+then all of it comes from the origin by way of the hubs."""
 RETRY_SECONDS = 0.5
 FIRST_MESSAGE_SECONDS = 2.0
 
@@ -192,15 +197,8 @@
 
     def record_peers(self) -> Sequence[str]:
         """Return whom to ask for the store's records, the nearest first."""
-        control_port = self.site.peer_ports[0]
-        engines = [
-            target
-            for target in self.view.targets.targets.values()
-            if target.address in self.told
-        ]
-        loaders = loader_peers(engines, (control_port + 1, control_port))
-        known = nearest_first([*loaders.values(), *self.known()], self.place)
-        seeds = seed_peers(self.site.seeds, control_port + 1)
+        known = nearest_first([*self._loaders(), *self.known()], self.place)
+        seeds = seed_peers(self.site.seeds, self.site.peer_ports[0] + 1)
         return list(dict.fromkeys([*known, *seeds]))
 
     def plan(self, key: VersionKey) -> HubPlan:
@@ -341,11 +339,17 @@
         self.join(key, holding)
         chunks = self.origin.chunks(config.origin.address, *key)
         names = [hub.name for hub in plan.hubs]
-        peers = plan.sources(self.place)
-        domain = config.origin.domain
-        needed = partial(self.is_needed, key)
         transfer = Transfer(
-            self.context, chunks, holding, peers, 1, names, domain, is_needed=needed
+            self.context,
+            chunks,
+            holding,
+            self._sources(key, plan),
+            1,
+            names,
+            config.origin.domain,
+            is_needed=partial(self.is_needed, key),
+            # The rate is that of the link between regions.
+            unpaced_domain=self.site.domain,
         )
         self.transfers[key] = plan, transfer
         try:
@@ -353,6 +357,35 @@
         finally:
             del self.transfers[key]
 
+    def _sources(self, key: VersionKey, plan: HubPlan) -> Mapping[TargetName, Peer]:
+        """Return whom to take a version from.
+
+        A hub that starts late takes what the loaders of its domain have already. With
+        nothing but other hubs to follow, one that was killed with its successor waited
+        for 6 s beside loaders that held two thirds of the version.
+        """
+        if self.place not in plan.hubs:
+            return plan.sources(self.place)
+        loaders = self._loaders_that_may_hold(key)
+        return {**{peer.name: peer for peer in loaders}, **plan.sources(self.place)}
+
+    def _loaders_that_may_hold(self, key: VersionKey) -> Sequence[Peer]:
+        """Return the loaders of the domain if they may hold chunks of a version."""
+        then = Seconds(monotonic() - AT_LOADERS_SECONDS)
+        if not self.view.history(key[0]).was_named_before(key[1], then):
+            return []
+        return [peer for peer in self._loaders() if peer.domain == self.site.domain]
+
+    def _loaders(self) -> Iterable[Peer]:
+        """Return the loaders that this gateway is connected to."""
+        control_port = self.site.peer_ports[0]
+        engines = [
+            target
+            for target in self.view.targets.targets.values()
+            if target.address in self.told
+        ]
+        return loader_peers(engines, (control_port + 1, control_port)).values()
+
     def _note_failure(self, key: VersionKey, error: str) -> None:
         self.events.emit(EventKind.ROLLOUT_FAILED, version=str(key[1]), error=error)
         eventlet.sleep(RETRY_SECONDS)
@@ -370,8 +403,10 @@
         """Return a version's holding; the hub first in line asks the origin."""
         if self.place in plan.hubs:
             rank = plan.hubs.index(self.place)
-            patience = MANIFEST_STAGGER_SECONDS * rank
-            return self.catalogue.find(key, origin, plan.hubs[:rank], patience)
+            loaders = self._loaders_that_may_hold(key)[:MANIFEST_LOADERS]
+            patience = MANIFEST_STAGGER_SECONDS * (rank + bool(loaders))
+            asked = [*plan.hubs[:rank], *loaders]
+            return self.catalogue.find(key, origin, asked, patience)
         return self.catalogue.find(key, origin, plan.near, MANIFEST_PATIENCE_SECONDS)
 
     def join(self, key: VersionKey, holding: Holding) -> None:
--- /dev/null
+++ b/tests/platform/test_late_hubs.py
@@ -0,0 +1,52 @@
+"""A hub that starts with nothing takes what the loaders of its domain hold.
+
+What happened: two thirds of the gateways were killed at 29.6 s, the hubs of two domains
+and their successors among them. Each of 28 loaders there held 41 to 44 of 64 chunks of
+the version that was required. The new hub of one domain had none of 64 and nothing in
+flight from 31.7 to 37.2 s and more; the loaders lacked the same 20 to 23 all that time.
+
+Why: a hub followed other hubs alone. Those told which chunks anybody had ever held, so
+that it drew none of them from the origin, and none of the living held them but the
+loaders beside it.
+"""
+
+from collections.abc import Iterator
+from pathlib import Path
+from time import sleep
+
+import pytest
+from gateway_site import MODEL
+from test_hubs import HubSite
+from test_loader import CHUNKS
+
+LEFT_CHUNKS = 4
+AGED_SECONDS = 3.2
+"""For which a version is named before loaders are asked for it."""
+
+
+@pytest.fixture
+def hub_site(tmp_path: Path) -> Iterator[HubSite]:
+    site = HubSite(tmp_path)
+    yield site
+    site.close()
+
+
+def test_new_hubs_have_what_loaders_hold_while_the_origin_is_away(hub_site) -> None:
+    hub_site.start()
+    origin = hub_site.origin
+    origin.hold_after = origin.sent + CHUNKS - LEFT_CHUNKS
+    hub_site.store.put_version(MODEL, 2)
+    hub_site.wait_holding("127.0.0.1", 2, CHUNKS - LEFT_CHUNKS)
+    origin.away = True
+    origin.release()
+    for gateway in hub_site.places.values():
+        gateway.kill()
+    # No event tells that a version is old enough: it is the time itself that matters.
+    sleep(AGED_SECONDS)
+    for gateway in hub_site.places.values():
+        gateway.start()
+        gateway.wait_event("started", after=1)
+    hub, _ = hub_site.ranked()
+    hub_site.wait_holding(hub, 2, CHUNKS - LEFT_CHUNKS)
+    origin.away = False
+    hub_site.wait_serving(2)
