What loaders saw at a hub that is gone does not keep its successor from drawing it

Cause: whoever follows a member of the exchange is told what that one holds and what it knows that anybody holds. Loaders tell a new hub all that the one before had; it took those chunks for held somewhere and drew none of them until their class had stalled for 4.5 s. Hubs follow each other, so that they need no such second hand.

--- a/src/ridgecourse/exchange/transfer.py
+++ b/src/ridgecourse/exchange/transfer.py
@@ -239,9 +239,12 @@
             return
         now = Seconds(monotonic())
         held = self.holding.add_seen(holds.chunks)
-        seen = self.holding.add_seen(holds.seen)
         self.planner.peer_holds(neighbour, held, now)
-        self.planner.fleet_holds(seen, now)
+        if not self.planner.place.hubs:
+            # Hubs hear from each other. What loaders had seen at one that is gone kept
+            # its successor from drawing it for 4.5 s, as if it were still to be had.
+            seen = self.holding.add_seen(holds.seen)
+            self.planner.fleet_holds(seen, now)
         self.progress.notify()
 
     def _fetch(self, fetch: Fetch) -> None:
--- a/tests/platform/test_late_hubs.py
+++ b/tests/platform/test_late_hubs.py
@@ -7,16 +7,18 @@
 
 Why: a hub followed other hubs alone. Those told which chunks anybody had ever held, so
 that it drew none of them from the origin, and none of the living held them but the
-loaders beside it.
+loaders beside it. With loaders followed as well the same happened once more: they told
+what they had seen at the hub that was gone.
 """
 
 from collections.abc import Iterator
 from pathlib import Path
-from time import sleep
+from time import monotonic, sleep
 
 import pytest
 from gateway_site import MODEL
 from test_hubs import HubSite
+from test_kept_transfers import NarrowSite
 from test_loader import CHUNKS
 
 LEFT_CHUNKS = 4
@@ -24,6 +26,20 @@
 """For which a version is named before loaders are asked for it."""
 
 
+HELD_CHUNKS = 4
+"""At a loader behind a narrow link when the hub is whole and killed."""
+DRAWN_SECONDS = 3.0
+"""For new hubs to be whole once the origin answers. With the fault they wait 4.5 s
+before they draw anything."""
+
+
+@pytest.fixture
+def narrow(tmp_path: Path) -> Iterator[NarrowSite]:
+    site = NarrowSite(tmp_path)
+    yield site
+    site.close()
+
+
 @pytest.fixture
 def hub_site(tmp_path: Path) -> Iterator[HubSite]:
     site = HubSite(tmp_path)
@@ -50,3 +66,24 @@
     hub_site.wait_holding(hub, 2, CHUNKS - LEFT_CHUNKS)
     origin.away = False
     hub_site.wait_serving(2)
+
+
+def test_what_loaders_saw_at_a_lost_hub_is_drawn_again_at_once(narrow) -> None:
+    narrow.start()
+    narrow.store.put_version(MODEL, 2)
+    for host in narrow.places:
+        narrow.wait_holding(host, 2, CHUNKS)
+    narrow.wait_holding("127.0.0.1", 2, HELD_CHUNKS)
+    origin = narrow.origin
+    origin.away = True
+    for gateway in narrow.places.values():
+        gateway.kill()
+    sleep(AGED_SECONDS)
+    for gateway in narrow.places.values():
+        gateway.start()
+        gateway.wait_event("target-listed", after=1)
+    origin.away = False
+    begun = monotonic()
+    hub, _ = narrow.ranked()
+    narrow.wait_holding(hub, 2, CHUNKS)
+    assert monotonic() - begun < DRAWN_SECONDS
