--- a/src/ridgecourse/exchange/catalogue.py
+++ b/src/ridgecourse/exchange/catalogue.py
@@ -1,8 +1,10 @@
 """Manifests of versions: served to others, fetched from them or the origin."""
 
 from collections.abc import Callable, Sequence
+from math import floor
 from re import compile as compile_pattern
 from time import monotonic
+from typing import NamedTuple
 
 import eventlet
 from returns.result import Success
@@ -37,6 +39,18 @@
 VersionKey = tuple[ModelName, WeightsVersion]
 
 
+class PeerAnswer(NamedTuple):
+    """What another process tells of a version that it takes part in.
+
+    Attributes:
+        data: The manifest, if that was asked for.
+        headers: Of the answer.
+    """
+
+    data: bytes
+    headers: dict[str, str]
+
+
 class Catalogue:
     """The versions whose manifest is known.
 
@@ -72,7 +86,9 @@
             self.asked(key)
         if holding is None:
             return HttpReply(404)
-        headers = [(SHARE_HEADER, f"{holding.share:.4f}")]
+        # Rounded down: only what is whole is told as 1.
+        share = floor(holding.share * 10_000) / 10_000
+        headers = [(SHARE_HEADER, f"{share:.4f}")]
         body = b"" if SHARE_PARAMETER in request.query else holding.manifest_bytes
         return HttpReply(200, body, headers)
 
@@ -83,16 +99,9 @@
             A share from 0 to 1; None where it takes no part in the version, or does
             not answer.
         """
-        path = f"{VERSIONS_PATH}{key[0]}/{key[1]}?{SHARE_PARAMETER}=1"
-        try:
-            status, _, headers = self.context.http.fetch(
-                "GET", peer.address, path, timeout=PEER_SECONDS
-            )
-        except (NoConnection, ExchangeFailed):
-            self.context.events.figures.count("share_unanswered")
-            return None
-        share = headers.get(SHARE_HEADER, "")
-        return float(share) if status == 200 and SHARE.fullmatch(share) else None
+        answer = self._ask_peer(peer, key, f"?{SHARE_PARAMETER}=1")
+        share = answer.headers.get(SHARE_HEADER, "") if answer is not None else ""
+        return float(share) if SHARE.fullmatch(share) else None
 
     def find(
         self, key: VersionKey, address: str, peers: Sequence[Peer], patience: float
@@ -117,20 +126,27 @@
 
     def ask(self, peer: Peer, key: VersionKey) -> Holding | None:
         """Ask another process for a manifest; it brings the version in if it can."""
-        path = f"{VERSIONS_PATH}{key[0]}/{key[1]}"
+        answer = self._ask_peer(peer, key)
+        if answer is None:
+            return None
+        self.context.count_received(Cargo.MANIFEST, len(answer.data), peer.domain)
+        parsed = parse_manifest(answer.data)
+        return self._keep(key, parsed.unwrap()) if isinstance(parsed, Success) else None
+
+    def _ask_peer(
+        self, peer: Peer, key: VersionKey, query: str = ""
+    ) -> PeerAnswer | None:
+        """Return what another process tells of a version; None where it does not."""
+        path = f"{VERSIONS_PATH}{key[0]}/{key[1]}{query}"
         try:
-            status, data, _ = self.context.http.fetch(
+            status, data, headers = self.context.http.fetch(
                 "GET", peer.address, path, timeout=PEER_SECONDS
             )
         except (NoConnection, ExchangeFailed):
             # It may be starting, or gone; who asks goes on to others.
             self.context.events.figures.count("manifest_unanswered")
             return None
-        if status != 200:
-            return None
-        self.context.count_received(Cargo.MANIFEST, len(data), peer.domain)
-        parsed = parse_manifest(data)
-        return self._keep(key, parsed.unwrap()) if isinstance(parsed, Success) else None
+        return PeerAnswer(data, headers) if status == 200 else None
 
     def _ask_origin(self, key: VersionKey, address: str) -> Holding | None:
         try:
