Of two versions required far apart half of the engines go for the second

Cause: that an older version goes on until the newer one is whole at the hub held for all engines.

Where bounds lie 2.5 s apart or more a newer version counts as to be had once its hub has begun it, as before. Closer, it does once it is whole there.

--- a/src/ridgecourse/core/supersession.py
+++ b/src/ridgecourse/core/supersession.py
@@ -99,16 +99,34 @@
         newer: The newest one.
         now: The present time.
         early: As for ``goes_on``.
-        newer_here: Whether the newest one can be had by now, to its last chunk. Until
-            then its origin may go away: all engines of a site gave up a version that
-            lay whole at their hubs, 2.3 s before it was there, for one of which a
-            quarter could be had for the next 6 s, and served neither in time.
+        newer_here: Whether the newest one can be had by now; see ``counts_as_here``.
     """
     if newer_here:
         return goes_on(current, newer, now, early)
     return is_of_use(current.ready_after - START_SECONDS, newer.bound, now)
 
 
+def counts_as_here(
+    current: TransferPlan, newer: TransferPlan, share: float | None
+) -> bool:
+    """Tell whether a newer version can be had by now.
+
+    Until all of it lies at the hub its origin may go away: all engines of a site gave
+    up a version that lay whole at their hubs, 2.3 s before it was there, for one of
+    which a quarter could be had for the next 6 s, and served neither in time. Where the
+    bounds lie far enough apart for both, half of the engines wait for each version as
+    it is; all of them waiting for the first had the second 1 to 2 s late everywhere.
+
+    Args:
+        current: The version that was begun.
+        newer: The newest one.
+        share: How much of the newest one lies at the hub; None for no part in it.
+    """
+    if share is None:
+        return False
+    return share == 1.0 or newer.bound - current.bound >= APART_SECONDS
+
+
 def start_wait(
     bound: Seconds | None, newer_bound: Seconds | None, now: Seconds, early: bool
 ) -> float:
--- a/src/ridgecourse/loader/transfer_watch.py
+++ b/src/ridgecourse/loader/transfer_watch.py
@@ -15,6 +15,7 @@
     START_SECONDS,
     TransferPlan,
     comes_first,
+    counts_as_here,
 )
 from ridgecourse.exchange.catalogue import Catalogue, VersionKey
 from ridgecourse.exchange.context import ExchangeContext
@@ -138,7 +139,8 @@
     ) -> bool:
         """Tell whether a transfer is dropped for a newer version."""
         newest = model.model, wanted
-        if self._should_finish(transfer, model, newest) or not self._is_begun(newest):
+        share = self._share_at_hub(newest)
+        if share is None or self._should_finish(transfer, model, newest, share):
             return False
         self.rollout.context.events.emit(
             EventKind.ROLLOUT_DROPPED,
@@ -204,14 +206,17 @@
         current, newer, now, early = self._weigh(key, holding, model, newest[1])
         if not comes_first(current, newer, now, early, newer_here=False):
             return False
+        share = self._share_at_hub(newest)
         waits = holding.complete and self.rollout.turn_wait(key, report) > 0
-        if waits and self._is_begun(newest):
+        if waits and share is not None:
             # It would lie there until its turn, and nothing would be drawn meanwhile.
             return False
         if not holding.complete and not self._has_more(key, holding):
             # Of the older one nothing more can be had either.
-            return not self._is_begun(newest)
-        return comes_first(current, newer, now, early, self._is_whole(newest))
+            return share is None
+        return comes_first(
+            current, newer, now, early, counts_as_here(current, newer, share)
+        )
 
     def _find_report(self) -> EngineReport | None:
         """Return what the engine tells; None while it is away."""
@@ -229,14 +234,6 @@
         for hub in hubs[:1]:
             eventlet.spawn(self.rollout.catalogue.ask, hub, key)
 
-    def _is_begun(self, key: VersionKey) -> bool:
-        """Tell whether a hub has begun to bring a version in."""
-        return self._share_at_hub(key) is not None
-
-    def _is_whole(self, key: VersionKey) -> bool:
-        """Tell whether a version can be had now, to its last chunk."""
-        return self._share_at_hub(key) == 1.0
-
     def _has_more(self, key: VersionKey, holding: Holding) -> bool:
         """Tell whether the nearest hub holds more of a version than is here."""
         share = self._share_at_hub(key)
@@ -255,15 +252,20 @@
         return self.rollout.catalogue.ask_share(near[0], key)
 
     def _should_finish(
-        self, transfer: Transfer, model: EngineModel, newest: VersionKey
+        self,
+        transfer: Transfer,
+        model: EngineModel,
+        newest: VersionKey,
+        share: float,
     ) -> bool:
         if transfer.stalled:
             # The hub may have given it up: then it is never done, however near.
             return False
-        weighed = self._weigh(self._key(model), transfer.holding, model, newest[1])
-        if not comes_first(*weighed, newer_here=False):
-            return False
-        return comes_first(*weighed, self._is_whole(newest))
+        current, newer, now, early = self._weigh(
+            self._key(model), transfer.holding, model, newest[1]
+        )
+        newer_here = counts_as_here(current, newer, share)
+        return comes_first(current, newer, now, early, newer_here)
 
     def _weigh(
         self,
--- a/tests/platform/test_kept_transfers.py
+++ b/tests/platform/test_kept_transfers.py
@@ -21,7 +21,13 @@
 from test_loader import CHUNKS
 
 from ridgecourse.core.ids import Seconds
-from ridgecourse.core.supersession import LATE_START_SECONDS, start_wait
+from ridgecourse.core.supersession import (
+    LATE_START_SECONDS,
+    TransferPlan,
+    comes_first,
+    counts_as_here,
+    start_wait,
+)
 
 NOW = Seconds(100.0)
 LINK_MBIT_PER_S = 0.064
@@ -89,3 +95,29 @@
 
 def test_an_engine_without_weights_takes_what_there_is() -> None:
     assert start_wait(None, Seconds(101.0), NOW, early=False) == 0.0
+
+
+def test_half_of_the_engines_go_for_the_second_of_two_versions_far_apart() -> None:
+    """All of them finished the first, and each had the second 1 to 2 s late.
+
+    Versions required 4 s apart, 5.2 s for a copy: in the window of 2 s from the second
+    bound on 0.3 to 0.5 of the load was served, 0.9 with half of them going ahead.
+    """
+    current, newer = (
+        TransferPlan(3.0, Seconds(106.0)),
+        TransferPlan(5.7, Seconds(110.0)),
+    )
+    here = counts_as_here(current, newer, 0.1)
+    assert here
+    assert comes_first(current, newer, NOW, early=True, newer_here=here)
+    assert not comes_first(current, newer, NOW, early=False, newer_here=here)
+
+
+def test_a_version_close_behind_counts_as_here_once_it_is_whole() -> None:
+    current, newer = (
+        TransferPlan(2.5, Seconds(106.0)),
+        TransferPlan(4.9, Seconds(108.0)),
+    )
+    assert not counts_as_here(current, newer, 0.9)
+    assert counts_as_here(current, newer, 1.0)
+    assert not counts_as_here(current, newer, None)
