A transfer without the engine gives way to a newer version as any other

Found in reading the change: while its engine was away a loader no longer looked whether a newer version goes first.

--- a/src/ridgecourse/loader/transfer_watch.py
+++ b/src/ridgecourse/loader/transfer_watch.py
@@ -127,9 +127,9 @@
         ):
             # A hub came or went: begin again with those that are there now.
             return True
-        if self.rollout.prefetching:
+        if self.rollout.prefetching and self._find_report() is not None:
             # What lies staged at an engine that is back need not be fetched.
-            return self._find_report() is not None
+            return True
         if wanted > self.rollout.version:
             return self._gives_way(transfer, model, wanted)
         return self._turns_back(model, wanted)
