--- a/src/ridgecourse/core/supersession.py
+++ b/src/ridgecourse/core/supersession.py
@@ -134,8 +134,9 @@
 
     To change its weights takes an engine some 2 s, for which it ends its streams. A
     version that may be served for no longer than that before the next one is required
-    is worth no change while what the engine has may still be served: 41 engines that
-    changed all the same were missing for 0.4 of the load of 4 s, and gained 0.2 of 2 s.
+    is worth no change while what the engine has may still be served. 41 engines that
+    changed all the same served 0.80, 0.50 and 0.33 of the worth of 2 s each up to the
+    next bound, 0.97, 0.64 and 0.06 without (one play each).
 
     Args:
         bound: When requests may no longer begin on what it has; None for not known.
