--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -9,6 +9,7 @@
 from ridgecourse.cluster.decoder import RecordDecoder
 from ridgecourse.cluster.keeper import DecisionKeeper
 from ridgecourse.cluster.share import RecordShare, ToldTargets
+from ridgecourse.cluster.target_events import note_targets
 from ridgecourse.core.finding import Finding
 from ridgecourse.core.ids import ModelName, Offset, Seconds, ServiceName, WeightsVersion
 from ridgecourse.core.routes import RoutingConfig
@@ -347,7 +348,7 @@
         else:
             self.targets.apply(records, now)
         self.listed = True
-        self._note_targets(before, self.targets.targets.values())
+        note_targets(self.events, before, self.targets.targets)
         self.changed.notify()
 
     def _find_unnamed(self, records: Iterable[TargetRecord]) -> Iterator[Finding]:
@@ -360,32 +361,6 @@
             if known is not None and entry is not None and entry.service not in known:
                 yield Finding(entry.target, f"unknown service {entry.service}")
 
-    def _note_targets(self, before: dict, current: Iterable[ListedTarget]) -> None:
-        names = set()
-        for target in current:
-            names.add(target.target)
-            known = before.get(target.target)
-            place = target.life, target.leaving
-            if known is None or (known.life, known.leaving) != place:
-                self.events.emit(
-                    EventKind.TARGET_LISTED,
-                    target=target.target,
-                    service=target.service,
-                    address=target.address,
-                    leaving=target.leaving,
-                    started=target.started,
-                    models=dict(target.models),
-                )
-            elif known.models != target.models or known.layers != target.layers:
-                self.events.emit(
-                    EventKind.TARGET_WEIGHTS,
-                    target=target.target,
-                    models=dict(target.models),
-                )
-        for name in before:
-            if name not in names:
-                self.events.emit(EventKind.TARGET_GONE, target=name, why="not listed")
-
     def serving(self, service: ServiceName) -> Iterator[ListedTarget]:
         """Yield the targets of a service that may get requests."""
         return self.targets.of_service(service)
