Each process tells how late a decision came to it, and through how many others

Sight for decisions that are in force too late: `unheard` bounds the lag of a decision from above only, and nothing told by how many processes it came. A record carries since when any process knows it, and the level; both stand in the event of a configuration or version, the lag as the histogram decision_lag as well.

--- a/src/ridgecourse/cluster/peer_records.py
+++ b/src/ridgecourse/cluster/peer_records.py
@@ -51,12 +51,18 @@
     # On a slow link an answer is older than it says: taken for new, it let a gateway
     # that was behind reject what a newer configuration allows.
     way = max(0.0, monotonic() - sent_at - shared.waited)
-    return replace(shared, age=shared.age + way)
+    return replace(shared, age=shared.age + way, read_age=shared.read_age + way)
 
 
 def to_batch(shared: SharedRecords) -> RecordBatch:
     """Return an answer that has just come as records that were read together."""
-    heard_at = Seconds(monotonic() - shared.age)
+    now = monotonic()
     return RecordBatch(
-        shared.records, shared.end, heard_at, told=True, kept=shared.kept
+        shared.records,
+        shared.end,
+        Seconds(now - shared.age),
+        told=True,
+        kept=shared.kept,
+        read_at=Seconds(now - shared.read_age),
+        level=shared.level + 1,
     )
--- a/src/ridgecourse/cluster/share.py
+++ b/src/ridgecourse/cluster/share.py
@@ -44,6 +44,8 @@
         receiving: Whether an answer of the store is on its way to it.
         lost: Whether it cannot read the store now.
         kept: Seconds for which it does not believe removals, after an outage.
+        read_age: Seconds since the newest record was first read from the store.
+        level: Processes through which that record came to it.
     """
 
     records: Sequence[KeyedRecord]
@@ -53,6 +55,8 @@
     receiving: bool = False
     lost: bool = False
     kept: float = 0.0
+    read_age: float = 0.0
+    level: int = 0
 
 
 class TopicRecords:
@@ -64,9 +68,13 @@
         heard_at: When the store told that there is nothing newer; 0 for never.
         found_late: Records that hold though newer ones of their key were known, and
             until when they are told.
+        read_at: When the newest record was first read from the store, by anybody.
+        level: Processes through which that record came here.
     """
 
     def __init__(self) -> None:
+        self.read_at = Seconds(0.0)
+        self.level = 0
         self.found_late: dict[str, tuple[KeyedRecord, float]] = {}
         self.records: dict[str, KeyedRecord] = {}
         self.end = Offset(0)
@@ -74,6 +82,7 @@
 
     def take(self, batch: RecordBatch) -> None:
         """Take in records; an older one never replaces a newer."""
+        self.note_way(batch)
         for record in batch.records:
             known = self.records.get(record.key)
             if known is None or known.offset < record.offset:
@@ -91,6 +100,12 @@
         self.put(record)
         self.found_late[record.key] = record, monotonic() + TOLD_LATE_SECONDS
 
+    def note_way(self, batch: RecordBatch) -> None:
+        """Note when what is new in a batch was first read, and by which way it came."""
+        if batch.records and batch.end > self.end:
+            self.read_at = batch.read_at
+            self.level = batch.level
+
     def note_read(self, batch: RecordBatch) -> None:
         """Note how far the topic has been read, and when."""
         self.end = max(self.end, batch.end)
@@ -102,6 +117,11 @@
         """Seconds since the store told that there is nothing newer."""
         return monotonic() - self.heard_at
 
+    @property
+    def lag(self) -> float:
+        """Seconds since any process read the newest record from the store."""
+        return monotonic() - self.read_at
+
     def drop_unlisted(self, listed: Collection[str], end: Offset) -> None:
         """Note that keys were dropped meanwhile: the whole topic, read up to an end.
 
@@ -129,7 +149,9 @@
         newer = [r for r in self.records.values() if r.offset >= start]
         records = [*newer, *(r for r in late if r.offset < start)]
         records.sort(key=lambda record: record.offset)
-        return SharedRecords(records, self.end, self.age)
+        return SharedRecords(
+            records, self.end, self.age, read_age=self.lag, level=self.level
+        )
 
 
 class ToldTargets:
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Iterator, Sequence
 from time import monotonic
+from typing import Any
 
 from returns.result import Failure
 
@@ -177,6 +178,7 @@
     def take_decisions(self, batch: RecordBatch, whole: bool) -> None:
         """Take in operators' decisions; an older one never replaces a newer."""
         shared = self.share.topics[Topic.DECISIONS]
+        shared.note_way(batch)
         named_at = self._date_names(batch)
         for record in batch.records:
             known = shared.records.get(record.key)
@@ -244,12 +246,16 @@
     def _take_config(self, config: RoutingConfig, offset: int) -> bool:
         if self.config is not None and config.version <= self.config.version:
             return False
+        if self.config is not None:
+            # What was read at the start may have held for long.
+            shared = self.share.topics[Topic.DECISIONS]
+            self.events.figures.observe("decision_lag", shared.lag)
         self.config = config
         self.events.emit(
             EventKind.CONFIG_FOLDED,
             offset=offset,
             version=str(config.version),
-            unheard=round(self.decisions_reader.unheard, 3),
+            **self._way(),
         )
         return True
 
@@ -265,11 +271,20 @@
             offset=offset,
             version=str(named.version),
             model=named.model,
-            unheard=round(self.decisions_reader.unheard, 3),
             age=None if named_at is None else round(now - named_at, 3),
+            **self._way(),
         )
         return True
 
+    def _way(self) -> dict[str, Any]:
+        """Return how the newest decision came here, for an event."""
+        shared = self.share.topics[Topic.DECISIONS]
+        return {
+            "unheard": round(self.decisions_reader.unheard, 3),
+            "lag": round(shared.lag, 3),
+            "level": shared.level,
+        }
+
     def date_versions(self, ages: Iterable[VersionAge], asked_at: Seconds) -> None:
         """Take in since when versions are named, as another process tells.
 
--- a/src/ridgecourse/net/record_source.py
+++ b/src/ridgecourse/net/record_source.py
@@ -52,6 +52,9 @@
         took: Seconds for which the answer was on its way, from its first piece on.
         kept: Seconds for which removals are not believed there, after an outage of
             the store.
+        read_at: When the newest record was first read from the store, here or by
+            whoever read it for this process.
+        level: Processes that told it on since.
     """
 
     records: Sequence[KeyedRecord]
@@ -62,6 +65,8 @@
     told: bool = False
     kept: float = 0.0
     took: float = 0.0
+    read_at: Seconds = Seconds(0.0)
+    level: int = 0
 
 
 class SourceUnavailable(Exception):
--- a/src/ridgecourse/platform/store.py
+++ b/src/ridgecourse/platform/store.py
@@ -128,7 +128,9 @@
         ]
         took = sum(took for _, took in pages)
         # The pages are no snapshot: what changed meanwhile is read again.
-        return RecordBatch(records, Offset(pages[0][0].end_offset), asked, took=took)
+        end = Offset(pages[0][0].end_offset)
+        read_at = Seconds(monotonic() - took)
+        return RecordBatch(records, end, asked, took=took, read_at=read_at)
 
     def _newest_pages(self, topic: Topic) -> Iterator[tuple[NewestPage, float]]:
         """Yield the pages, and the seconds for which each was on its way."""
@@ -168,10 +170,14 @@
             records, end = decode_records(data, start)
         except (StructError, ValueError) as error:
             raise SourceUnavailable(f"no records: {error}") from error
-        heard = heard_at(asked, Seconds(monotonic()), wait, not records)
+        now = Seconds(monotonic())
+        heard = heard_at(asked, now, wait, not records)
         past = Offset(start + len(records)) if records else Offset(max(start, end))
         behind = max(0, end - past)
-        return RecordBatch(records, past, heard, behind=behind, took=took)
+        read_at = Seconds(now - took)
+        return RecordBatch(
+            records, past, heard, behind=behind, took=took, read_at=read_at
+        )
 
     def is_receiving(self, topic: Topic) -> bool:
         """Tell whether an answer is on its way here; see ``RecordSource``."""
--- a/tests/platform/test_record_age.py
+++ b/tests/platform/test_record_age.py
@@ -3,12 +3,12 @@
 from time import monotonic, sleep
 from typing import Any
 
-from ridgecourse.cluster.peer_records import ask_records
+from ridgecourse.cluster.peer_records import ask_records, to_batch
 from ridgecourse.cluster.share import RecordShare, SharedRecords
 from ridgecourse.core.ids import Offset, Seconds
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.http_server import HttpRequest
-from ridgecourse.net.record_source import RecordBatch, Topic
+from ridgecourse.net.record_source import KeyedRecord, RecordBatch, Topic
 from ridgecourse.wire.codec import decode_message, encode_message
 from ridgecourse_standins.platform.weights import HttpStandIn
 
@@ -55,3 +55,26 @@
     )
     shared = decode_message(share.serve(request).body, SharedRecords).unwrap()
     assert 0.15 < shared.waited < 1.0
+
+
+def test_a_record_tells_since_when_it_is_known_on_each_level() -> None:
+    above, below = RecordShare(), RecordShare()
+    topic = Topic.DECISIONS
+    read_at = Seconds(monotonic() - DELAY)
+    record = KeyedRecord("config", b"{}", Offset(6))
+    batch = RecordBatch([record], Offset(7), Seconds(monotonic()), read_at=read_at)
+    above.topics[topic].take(batch)
+    below.topics[topic].take(to_batch(above.topics[topic].since(Offset(0))))
+    assert above.topics[topic].level == 0
+    assert below.topics[topic].level == 1
+    assert below.topics[topic].lag >= DELAY
+
+
+def test_quiet_does_not_make_a_record_look_newly_read() -> None:
+    topic = RecordShare().topics[Topic.DECISIONS]
+    long_ago = Seconds(monotonic() - 100.0)
+    record = KeyedRecord("config", b"{}", Offset(6))
+    topic.take(RecordBatch([record], Offset(7), long_ago, read_at=long_ago))
+    now = Seconds(monotonic())
+    topic.take(RecordBatch([], Offset(7), now, read_at=now))
+    assert topic.lag >= 100.0
