--- a/tests/platform/test_border_reads.py
+++ b/tests/platform/test_border_reads.py
@@ -11,7 +11,7 @@
 none comes within its time, and each is begun again.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from itertools import count
 from pathlib import Path
 from threading import Event, Thread
@@ -45,9 +45,14 @@
         version: Of the newest configuration.
     """
 
-    def __init__(self, directory: Path) -> None:
-        super().__init__(directory, GATEWAYS, LOADERS)
-        seeds = [f"{host}:1" for host in GATEWAYS[:2]]
+    def __init__(
+        self,
+        directory: Path,
+        gateways: Sequence[str] = GATEWAYS,
+        loaders: Sequence[str] = LOADERS,
+    ) -> None:
+        super().__init__(directory, gateways, loaders)
+        seeds = [f"{host}:1" for host in gateways[:2]]
         for host in self.processes:
             if host != GATEWAYS[0]:
                 self.rewrite(host, seed_nodes=seeds)
