Loader and gateway open their view in one place; reads of the store that fail or take long are told

A process's neighbours are one object (whom it may ask) in place of four functions, and both programs put keeper, source and view together by one function. No change of behaviour there.

Sight: after a cut nothing told which reads of the store failed, after how long and why. The kept decisions are read before the newest ones: when that small read failed after the large one, 0.5 MB were thrown away and read again (seen once after a cut: "kept: read timed out" at a process that had no configuration for 9.3 s).

--- a/src/ridgecourse/cluster/domain_source.py
+++ b/src/ridgecourse/cluster/domain_source.py
@@ -1,27 +1,31 @@
 """Reads the store's records from another process of the domain, else from the store."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from contextlib import suppress
 from itertools import count
 from time import monotonic
+from typing import Any
 
 import eventlet
 from msgspec.structs import replace
 
+from ridgecourse.cluster.neighbours import Neighbours
 from ridgecourse.cluster.peer_records import ask_records, to_batch
 from ridgecourse.cluster.share import STALE_SECONDS
 from ridgecourse.cluster.tree_reader import (
     ANSWER_SECONDS,
     PATIENCE_SECONDS,
     WAIT_SECONDS,
-    ParentChooser,
     TreeReader,
 )
-from ridgecourse.core.ids import Offset, Seconds
+from ridgecourse.core.ids import DomainName, Offset, Seconds
+from ridgecourse.core.read_tree import count_readers
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.http_client import HttpClient
+from ridgecourse.net.record_follower import LONG_ANSWER_SECONDS
 from ridgecourse.net.record_source import (
     RecordBatch,
+    RecordsGone,
     RecordSource,
     SourceUnavailable,
     Topic,
@@ -47,11 +51,10 @@
 
     Attributes:
         store: The store.
+        domain: The failure domain of this process.
         seed: HOST:PORT of a process to ask at the start; None for none.
-        peers: Returns HOST:PORT of others to ask at the start, the nearest first.
+        neighbours: Who else may be asked.
         readers: Who asks the parent, by topic that is told on.
-        is_alone: Tells whether no gateway is known yet.
-        count_readers: Returns how many processes of the domain may read the store.
         begun: Topics that have been read once.
         tellers: HOST:PORT of who told the first records, by topic.
         alone_until: Until when these are asked on.
@@ -60,23 +63,20 @@
     def __init__(
         self,
         store: RecordSource,
-        source_host: str,
+        host: str,
+        domain: DomainName,
         seed: str | None,
-        choose_parent: ParentChooser,
-        peers: Callable[[], Sequence[str]],
-        is_alone: Callable[[], bool],
-        count_readers: Callable[[], int],
+        neighbours: Neighbours,
         events: EventStream,
     ) -> None:
         self.store = store
-        self.is_alone = is_alone
-        self.count_readers = count_readers
-        self.peers = peers
-        self.http = HttpClient(CONNECT_SECONDS, source=source_host)
+        self.domain = domain
+        self.neighbours = neighbours
+        self.http = HttpClient(CONNECT_SECONDS, source=host)
         self.seed = seed
         self.events = events
         self.readers = {
-            topic: TreeReader(topic, self.http, choose_parent, events)
+            topic: TreeReader(topic, self.http, neighbours, events)
             for topic in (Topic.DECISIONS, Topic.TARGETS)
         }
         self.begun: set[Topic] = set()
@@ -93,17 +93,24 @@
         batch = self._ask_parent(topic, Offset(0))
         if batch is None and first:
             batch = self._ask_others(topic)
-        return batch or self._try_store(topic, lambda: self.store.newest(topic))
+        if batch is None:
+            batch = self._try_store(topic, lambda: self.store.newest(topic))
+        self._note_answer(topic, batch)
+        return batch
 
     def read(self, topic: Topic, start: Offset, wait: float) -> RecordBatch:
         """Return records from an offset on; see ``RecordSource``."""
         batch = self._ask_parent(topic, start) or self._ask_teller(topic, start)
         if batch is None:
             batch = self._try_store(topic, lambda: self._read_on(topic, start, wait))
+        self._note_answer(topic, batch)
+        return batch
+
+    def _note_answer(self, topic: Topic, batch: RecordBatch) -> None:
+        """Take in what an answer tells of what to read after an outage."""
         if topic in self.readers:
             sizes = [len(record.value) for record in batch.records]
             self.readers[topic].tries.note_answer(batch.heard_at, sizes)
-        return batch
 
     def _read_on(self, topic: Topic, start: Offset, wait: float) -> RecordBatch:
         """Read the store on, or what holds after an outage in a series of changes."""
@@ -117,6 +124,7 @@
         """Read the store, if that is not left to others for now.
 
         Raises:
+            RecordsGone: The store keeps them no longer.
             SourceUnavailable: It is, or the store gave no usable answer.
         """
         reader = self.readers.get(topic)
@@ -124,14 +132,30 @@
             return read()
         if reader.tries.leaves_to_others(len(reader.lost), Seconds(monotonic())):
             raise SourceUnavailable("left to others while the domain is cut off")
+        begun = monotonic()
         try:
             batch = read()
-        except SourceUnavailable:
-            reader.tries.note_failure(self.count_readers(), Seconds(monotonic()))
+        except SourceUnavailable as error:
+            readers = count_readers(self.domain, self.neighbours.known_gateways())
+            reader.tries.note_failure(readers, Seconds(monotonic()))
+            self._tell_read(topic, begun, error=str(error))
+            raise
+        except RecordsGone:
+            reader.tries.note_success()
             raise
         reader.tries.note_success()
+        if batch.took >= LONG_ANSWER_SECONDS:
+            size = sum(len(record.value) for record in batch.records)
+            self._tell_read(topic, begun, took=round(batch.took, 2), bytes=size)
         return batch
 
+    def _tell_read(self, topic: Topic, begun: float, **detail: Any) -> None:
+        """Emit an event of a read that failed or took long."""
+        seconds = round(monotonic() - begun, 2)
+        self.events.emit(
+            EventKind.STORE_READ, topic=topic.value, seconds=seconds, **detail
+        )
+
     def is_receiving(self, topic: Topic) -> bool:
         """Tell whether an answer is on its way here, or to the parent."""
         reader = self.readers.get(topic)
@@ -157,7 +181,7 @@
             return None
         limit = min(self.alone_until, monotonic() + PATIENCE_SECONDS)
         for turn in count(1):
-            if not self.is_alone():
+            if self.neighbours.known_gateways():
                 del self.tellers[topic]
                 return self._ask_parent(topic, start)
             if monotonic() > limit:
@@ -206,7 +230,7 @@
     def _choose_asked(self, turn: int) -> str:
         """Return HOST:PORT of whom to ask: the seed and the others in turn."""
         assert self.seed is not None
-        others = [peer for peer in self.peers() if peer != self.seed]
+        others = [p for p in self.neighbours.record_peers() if p != self.seed]
         if turn % 2 == 0 or not others:
             return self.seed
         return others[turn // 2 % len(others)]
--- a/src/ridgecourse/cluster/keeper.py
+++ b/src/ridgecourse/cluster/keeper.py
@@ -74,10 +74,12 @@
 
     def newest(self, topic: Topic) -> RecordBatch:
         """Return the newest record of each key, and the decisions that are kept."""
-        batch = self.store.newest(topic)
         if topic is not Topic.DECISIONS:
-            return batch
+            return self.store.newest(topic)
+        # The small answer first: were it lost after the large one, both would be read
+        # again. What is kept in between is found when it is looked at once more.
         kept = self.store.newest(Topic.KEPT).records
+        batch = self.store.newest(topic)
         self._look_again()
         records = [*batch.records, *place_kept(batch, kept)]
         return replace(batch, records=records)
--- a/src/ridgecourse/cluster/tree_reader.py
+++ b/src/ridgecourse/cluster/tree_reader.py
@@ -1,11 +1,11 @@
 """Asks another process of the domain for one topic's records."""
 
-from collections.abc import Callable, Collection
 from random import Random
 from time import monotonic
 
 import eventlet
 
+from ridgecourse.cluster.neighbours import Neighbours
 from ridgecourse.cluster.peer_records import ask_records, to_batch
 from ridgecourse.cluster.share import STALE_SECONDS, SharedRecords
 from ridgecourse.core.hubs import Peer
@@ -33,16 +33,13 @@
 LATE_PAUSE_SECONDS = 0.2
 """Between two questions to a parent that is late and answers at once."""
 
-ParentChooser = Callable[[Collection[TargetName]], Peer | None]
-
 
 class TreeReader:
     """Reads one topic from a parent in the domain's tree.
 
     Attributes:
         topic: The topic.
-        choose_parent: Returns whom to ask, given whom to leave alone; None for the
-            store.
+        neighbours: Who may be asked.
         avoided: Processes left alone, and until when.
         late: Of these, who had not heard of the store though it can read it, and
             whether an answer was on its way there.
@@ -56,12 +53,12 @@
         self,
         topic: Topic,
         http: HttpClient,
-        choose_parent: ParentChooser,
+        neighbours: Neighbours,
         events: EventStream,
     ) -> None:
         self.topic = topic
         self.http = http
-        self.choose_parent = choose_parent
+        self.neighbours = neighbours
         self.events = events
         self.avoided: dict[TargetName, Seconds] = {}
         self.late: dict[TargetName, bool] = {}
@@ -132,10 +129,9 @@
         self.avoided = {name: end for name, end in self.avoided.items() if end > now}
         self.late = {n: state for n, state in self.late.items() if n in self.avoided}
         self.lost &= self.avoided.keys()
-        if self.tries.failing and len(self.lost) >= TRY_OFTEN:
-            # The whole domain seems to be cut off: asking all of it is of no use.
-            return None
-        parent = self.choose_parent(self.avoided)
+        # Where the whole domain seems to be cut off, asking all of it is of no use.
+        is_cut_off = self.tries.failing and len(self.lost) >= TRY_OFTEN
+        parent = None if is_cut_off else self.neighbours.choose_parent(self.avoided)
         if parent != self.parent:
             self.parent = parent
             self.told_receiving = False
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -9,6 +9,7 @@
 from ridgecourse.cluster.bad_records import BadRecords
 from ridgecourse.cluster.decoder import RecordDecoder
 from ridgecourse.cluster.keeper import DecisionKeeper
+from ridgecourse.cluster.read_pace import GATEWAY_PACE, ReadPace
 from ridgecourse.cluster.share import RecordShare, ToldTargets
 from ridgecourse.cluster.target_events import note_targets
 from ridgecourse.core.finding import Finding
@@ -27,19 +28,8 @@
 )
 from ridgecourse.net.threads import spawn_loop
 
-DECISION_WAIT_SECONDS = 0.4
-"""Longest wait of one read of the store for an operator's decision. A waiting read can
-miss a record, and a connection that died unseen is noticed only after it. With twice a
-slow store's 0.35 s it leaves what is heard fresh enough for others to rely on; with
-0.6 s a domain of seven processes left its reader 65 times in 6 s."""
-TARGETS_PAUSE_SECONDS = 0.6
-"""Between two reads of the list by the one that reads it for a domain: heartbeats would
-end a waiting read ten times a second. A leaving target may get requests for 2 s more.
-Those below ask with a wait; if the one above is frozen they notice it 1.1 s after it
-last heard of the store, and read it themselves then."""
-
 RETURN_PAUSE_SECONDS = 0.4
-"""The same while targets that lapsed in an outage may return."""
+"""Between two reads of the list while targets that lapsed in an outage may return."""
 
 
 class ClusterView:
@@ -64,16 +54,14 @@
         decoder: RecordDecoder,
         events: EventStream,
         version_seconds: float,
-        decision_wait: float = DECISION_WAIT_SECONDS,
-        targets_pause: float = TARGETS_PAUSE_SECONDS,
-        told_pause: float = 0.0,
+        pace: ReadPace = GATEWAY_PACE,
     ) -> None:
         self.decoder = decoder
         self.events = events
         self.bad_records = BadRecords(events)
         self.config: RoutingConfig | None = None
         self.version_seconds = version_seconds
-        self.targets_pause = targets_pause
+        self.targets_pause = pace.targets_pause
         self.histories: dict[ModelName, VersionHistory] = {}
         self.targets = TargetList()
         self.listed = False
@@ -85,7 +73,7 @@
         self.decisions_reader = RecordFollower(
             source,
             Topic.DECISIONS,
-            decision_wait,
+            pace.decision_wait,
             0.0,
             self.take_decisions,
             self._note_decisions_back,
@@ -96,11 +84,11 @@
             source,
             Topic.TARGETS,
             0.0,
-            targets_pause,
+            pace.targets_pause,
             self.take_targets,
             self._note_targets_back,
             events,
-            told_pause=told_pause,
+            told_pause=pace.told_pause,
         )
         self.threads: list = []
 
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -1,18 +1,18 @@
 """The gateway process: ties callers, store and targets together."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 from random import Random
 from time import monotonic
 
 import eventlet
 
 from ridgecourse.cluster.decoder import RecordDecoder
-from ridgecourse.cluster.domain_source import DomainSource
-from ridgecourse.cluster.keeper import DecisionKeeper
-from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.hubs import Peer, seed_peers
+from ridgecourse.cluster.domain_view import StoreRecords, open_view
+from ridgecourse.cluster.neighbours import Neighbours
+from ridgecourse.cluster.read_pace import GATEWAY_PACE
+from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import TargetName
-from ridgecourse.core.read_tree import choose_seed, count_readers, gateway_parent
+from ridgecourse.core.read_tree import gateway_parent
 from ridgecourse.core.site import Site
 from ridgecourse.exchange.origin import WeightsOrigin
 from ridgecourse.gateway.dispatcher import Dispatcher
@@ -40,7 +40,7 @@
 DRAIN_POLL_SECONDS = 0.05
 
 
-class Gateway(SiteProcess):
+class Gateway(SiteProcess, Neighbours):
     """One gateway.
 
     Attributes:
@@ -59,22 +59,8 @@
     ) -> None:
         events = EventStream(site.process, new_incarnation(), site.domain)
         super().__init__(site, events)
-        version_seconds = site.bounds.version_seconds
-        seeds = seed_peers(site.seeds, site.peer_ports[0] + 1)
-        keeper = DecisionKeeper(source, decoder, self.events)
-        self.source = DomainSource(
-            keeper,
-            site.host,
-            choose_seed(site.host, seeds),
-            self.choose_parent,
-            lambda: self.hub.peers.for_records(),
-            lambda: not self.hub.known(),
-            lambda: count_readers(site.domain, self.hub.known()),
-            self.events,
-        )
-        self.view = ClusterView(
-            self.source, keeper, decoder, self.events, version_seconds
-        )
+        store = StoreRecords(source, decoder)
+        self.view = open_view(site, store, self, self.events, GATEWAY_PACE)
         self.hub = Hub(site, self.view, self.events, origin, http)
         self.watcher = LoadWatcher(site, self.view, self.hub, self.events)
         self.lag = LoopLag(self.events.figures)
@@ -120,6 +106,14 @@
             self.dispatcher.selector.forget_gone()
             self.view.changed.wait()
 
+    def known_gateways(self) -> Collection[Peer]:
+        """Return the other gateways that are known."""
+        return self.hub.known()
+
+    def record_peers(self) -> Sequence[str]:
+        """Return whom to ask for the store's records, the nearest first."""
+        return self.hub.peers.for_records()
+
     def choose_parent(self, avoided: Collection[TargetName]) -> Peer | None:
         """Return whom to read decisions from; None for the store."""
         gateways = [g for g in self.hub.known() if g.name not in avoided]
--- a/src/ridgecourse/loader/loader.py
+++ b/src/ridgecourse/loader/loader.py
@@ -3,14 +3,14 @@
 from collections.abc import Collection, Sequence
 
 from ridgecourse.cluster.decoder import RecordDecoder
-from ridgecourse.cluster.domain_source import DomainSource
-from ridgecourse.cluster.keeper import DecisionKeeper
+from ridgecourse.cluster.domain_view import StoreRecords, open_view
+from ridgecourse.cluster.neighbours import Neighbours
+from ridgecourse.cluster.read_pace import ReadPace
 from ridgecourse.cluster.relay import RecordRelay
-from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.fetches import Member, PlanPolicy
 from ridgecourse.core.hubs import Peer, nearest_first, seed_peers
 from ridgecourse.core.ids import TargetName
-from ridgecourse.core.read_tree import choose_seed, count_readers, loader_parent
+from ridgecourse.core.read_tree import loader_parent
 from ridgecourse.core.site import Site
 from ridgecourse.exchange.context import ExchangeContext, LinkPolicy, sha256_digest
 from ridgecourse.exchange.origin import WeightsOrigin
@@ -53,7 +53,7 @@
 FIRST_MESSAGE_SECONDS = 2.0
 
 
-class Loader(SiteProcess):
+class Loader(SiteProcess, Neighbours):
     """One loader, beside one engine."""
 
     def __init__(
@@ -70,27 +70,11 @@
         control_port, chunk_port = site.peer_ports[0], site.peer_ports[0] + 1
         seeds = seed_peers(site.seeds, chunk_port)
         self.place = Peer(TargetName(site.host), site.domain, "", "")
-        keeper = DecisionKeeper(source, decoder, self.events)
-        self.source = DomainSource(
-            keeper,
-            site.host,
-            choose_seed(site.host, seeds),
-            self.choose_parent,
-            self.record_peers,
-            lambda: not self.gateways,
-            lambda: count_readers(site.domain, list(self.gateways)),
-            self.events,
-        )
-        self.view = ClusterView(
-            self.source,
-            keeper,
-            decoder,
-            self.events,
-            site.bounds.version_seconds,
-            DECISION_WAIT_SECONDS,
-            TARGETS_PAUSE_SECONDS,
-            TARGETS_PAUSE_SECONDS,
+        store = StoreRecords(source, decoder)
+        pace = ReadPace(
+            DECISION_WAIT_SECONDS, TARGETS_PAUSE_SECONDS, TARGETS_PAUSE_SECONDS
         )
+        self.view = open_view(site, store, self, self.events, pace)
         self.context = ExchangeContext(
             me=Member(TargetName(site.host), site.domain),
             events=self.events,
@@ -160,6 +144,10 @@
         else:
             self.feed.tell(channel, first)
 
+    def known_gateways(self) -> Collection[Peer]:
+        """Return the gateways that are known."""
+        return list(self.gateways)
+
     def choose_parent(self, avoided: Collection[TargetName]) -> Peer | None:
         """Return whom to read decisions from; None for the store."""
         loaders = [
--- a/src/ridgecourse/net/events.py
+++ b/src/ridgecourse/net/events.py
@@ -41,6 +41,7 @@
     RECORDS_FROM_PEER = "records-from-peer"
     LOG_LOST = "log-lost"
     LOG_BACK = "log-back"
+    STORE_READ = "store-read"
     REQUEST_DISPATCHED = "request-dispatched"
     REQUEST_RETRIED = "request-retried"
     REQUEST_ENDED = "request-ended"
--- a/tests/platform/test_domain_source.py
+++ b/tests/platform/test_domain_source.py
@@ -1,6 +1,6 @@
 """Whom a process reads decisions from, as its parents answer or not."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 from math import inf
 from time import monotonic
 
@@ -8,6 +8,7 @@
 
 from ridgecourse.cluster import tree_reader
 from ridgecourse.cluster.domain_source import DomainSource
+from ridgecourse.cluster.neighbours import Neighbours
 from ridgecourse.cluster.share import STALE_SECONDS, SharedRecords
 from ridgecourse.cluster.tree_reader import (
     ANSWER_SECONDS,
@@ -57,7 +58,7 @@
         raise AssertionError("nothing is to be written")
 
 
-class Domain:
+class Domain(Neighbours):
     """Two parents, of which the first is preferred.
 
     Attributes:
@@ -79,15 +80,19 @@
         self.source = DomainSource(
             CountingStore(self.asked),
             "127.0.0.1",
+            DomainName("a"),
             None,
-            self.choose,
-            list,
-            lambda: False,
-            lambda: 1,
+            self,
             events,
         )
 
-    def choose(self, avoided: Collection[TargetName]) -> Peer | None:
+    def known_gateways(self) -> Collection[Peer]:
+        return FIRST, SECOND
+
+    def record_peers(self) -> Sequence[str]:
+        return []
+
+    def choose_parent(self, avoided: Collection[TargetName]) -> Peer | None:
         return next((p for p in (FIRST, SECOND) if p.name not in avoided), None)
 
     def answer(self, http, address: str, *_: object) -> SharedRecords:
--- a/tests/platform/test_return_from_cut.py
+++ b/tests/platform/test_return_from_cut.py
@@ -18,11 +18,9 @@
 
 from collections.abc import Iterator
 from pathlib import Path
-from threading import Thread
 from time import sleep, time
 
 import pytest
-from gateway_site import make_large_config
 from test_storm_lag import StormSite
 
 from ridgecourse_standins.platform.store import StoreMode
@@ -43,12 +41,7 @@
 
 
 def test_a_domain_is_up_to_date_soon_after_a_cut(site) -> None:
-    site.start(make_large_config(1))
-    site.settle()
-    site.version = 100
-    site.limit_link()
-    storm = Thread(target=site.storm)
-    storm.start()
+    storm = site.begin_storm()
     sleep(CUT_AFTER_SECONDS)
     site.store.set_mode(StoreMode.SILENT)
     sleep(CUT_SECONDS)
--- a/tests/platform/test_storm_lag.py
+++ b/tests/platform/test_storm_lag.py
@@ -53,9 +53,15 @@
         self.put_at: dict[int, float] = {}
         self.started_at: dict[str, float] = {}
 
-    def limit_link(self) -> None:
-        """Let the store be read over one link from now on."""
+    def begin_storm(self) -> Thread:
+        """Start all, then a storm over one link to the store; return who writes it."""
+        self.start(make_large_config(1))
+        self.settle()
+        self.version = 100
         self.store.bytes_per_s = LINK_BYTES_PER_S
+        writer = Thread(target=self.storm)
+        writer.start()
+        return writer
 
     def storm(self) -> None:
         """Publish one large configuration after the other."""
@@ -112,12 +118,7 @@
 
 
 def test_decisions_are_in_force_in_time_through_kills_in_a_storm(site) -> None:
-    site.start(make_large_config(1))
-    site.settle()
-    site.version = 100
-    site.limit_link()
-    storm = Thread(target=site.storm)
-    storm.start()
+    storm = site.begin_storm()
     stops = Thread(target=site.stop_loaders)
     stops.start()
     sleep(KILL_AFTER_SECONDS)
