--- a/src/ridgecourse/cluster/domain_source.py
+++ b/src/ridgecourse/cluster/domain_source.py
@@ -4,25 +4,30 @@
 from contextlib import suppress
 from itertools import count
 from time import monotonic
-from typing import Any
+from typing import Any, NamedTuple
 
 import eventlet
 from msgspec.structs import replace
 
-from ridgecourse.cluster.neighbours import Neighbours
+from ridgecourse.cluster.decoder import RecordDecoder
+from ridgecourse.cluster.keeper import DecisionKeeper
 from ridgecourse.cluster.peer_records import ask_records, to_batch
 from ridgecourse.cluster.share import STALE_SECONDS
 from ridgecourse.cluster.tree_reader import (
     ANSWER_SECONDS,
     PATIENCE_SECONDS,
     WAIT_SECONDS,
+    Neighbours,
     TreeReader,
 )
+from ridgecourse.cluster.view import ClusterView
+from ridgecourse.core.hubs import seed_peers
 from ridgecourse.core.ids import DomainName, Offset, Seconds
-from ridgecourse.core.read_tree import count_readers
+from ridgecourse.core.read_tree import choose_seed, count_readers
+from ridgecourse.core.site import Site
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.http_client import HttpClient
-from ridgecourse.net.record_follower import LONG_ANSWER_SECONDS
+from ridgecourse.net.record_follower import LONG_ANSWER_SECONDS, ReadPace
 from ridgecourse.net.record_source import (
     RecordBatch,
     RecordsGone,
@@ -234,3 +239,31 @@
         if turn % 2 == 0 or not others:
             return self.seed
         return others[turn // 2 % len(others)]
+
+
+class StoreRecords(NamedTuple):
+    """The records of the platform's store, as its adapter provides them.
+
+    Attributes:
+        source: Reads them.
+        decoder: Decodes them.
+    """
+
+    source: RecordSource
+    decoder: RecordDecoder
+
+
+def open_view(
+    site: Site,
+    store: StoreRecords,
+    neighbours: Neighbours,
+    events: EventStream,
+    pace: ReadPace,
+) -> ClusterView:
+    """Return the view of a process that reads from others of its domain."""
+    seeds = seed_peers(site.seeds, site.peer_ports[0] + 1)
+    keeper = DecisionKeeper(store.source, store.decoder, events)
+    seed = choose_seed(site.host, seeds)
+    source = DomainSource(keeper, site.host, site.domain, seed, neighbours, events)
+    bound = site.bounds.version_seconds
+    return ClusterView(source, keeper, store.decoder, events, bound, pace)
--- a/src/ridgecourse/cluster/share.py
+++ b/src/ridgecourse/cluster/share.py
@@ -1,8 +1,8 @@
 """Records of the platform's store, told to other processes."""
 
 from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
-from gzip import compress
 from time import monotonic
+from zlib import MAX_WBITS, compress
 
 from msgspec import Struct
 from msgspec.structs import replace
@@ -31,6 +31,9 @@
 """Longer answers are compressed: a configuration of 54 KB is a tenth of that then, on
 links of loaders that carry 450 KB/s."""
 COMPRESSION_LEVEL = 1
+GZIP_WINDOW_BITS = MAX_WBITS + 16
+"""For ``zlib`` to write the format of gzip: the module of that name takes longer to
+import."""
 
 
 class SharedRecords(Struct, frozen=True):
@@ -294,5 +297,5 @@
     """Return an answer, compressed where that pays."""
     if len(body) < COMPRESSED_BYTES:
         return HttpReply(200, body)
-    packed = compress(body, COMPRESSION_LEVEL)
+    packed = compress(body, COMPRESSION_LEVEL, GZIP_WINDOW_BITS)
     return HttpReply(200, packed, [("Content-Encoding", "gzip")])
--- a/src/ridgecourse/cluster/tree_reader.py
+++ b/src/ridgecourse/cluster/tree_reader.py
@@ -1,11 +1,12 @@
 """Asks another process of the domain for one topic's records."""
 
+from abc import ABC, abstractmethod
+from collections.abc import Collection, Sequence
 from random import Random
 from time import monotonic
 
 import eventlet
 
-from ridgecourse.cluster.neighbours import Neighbours
 from ridgecourse.cluster.peer_records import ask_records, to_batch
 from ridgecourse.cluster.share import STALE_SECONDS, SharedRecords
 from ridgecourse.core.hubs import Peer
@@ -34,6 +35,26 @@
 """Between two questions to a parent that is late and answers at once."""
 
 
+class Neighbours(ABC):
+    """Other processes, as one process knows them at the moment."""
+
+    @abstractmethod
+    def known_gateways(self) -> Collection[Peer]:
+        """Return the other gateways that are known."""
+
+    @abstractmethod
+    def choose_parent(self, avoided: Collection[TargetName]) -> Peer | None:
+        """Return whom to read from; None for the store.
+
+        Args:
+            avoided: Processes that are left alone for now.
+        """
+
+    @abstractmethod
+    def record_peers(self) -> Sequence[str]:
+        """Return HOST:PORT for records of all that are known, the nearest first."""
+
+
 class TreeReader:
     """Reads one topic from a parent in the domain's tree.
 
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -9,7 +9,6 @@
 from ridgecourse.cluster.bad_records import BadRecords
 from ridgecourse.cluster.decoder import RecordDecoder
 from ridgecourse.cluster.keeper import DecisionKeeper
-from ridgecourse.cluster.read_pace import GATEWAY_PACE, ReadPace
 from ridgecourse.cluster.share import RecordShare, ToldTargets
 from ridgecourse.cluster.target_events import note_targets
 from ridgecourse.core.finding import Finding
@@ -19,7 +18,7 @@
 from ridgecourse.core.weights import NamedVersion, VersionAge, VersionHistory
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.events import EventKind, EventStream
-from ridgecourse.net.record_follower import RecordFollower
+from ridgecourse.net.record_follower import GATEWAY_PACE, ReadPace, RecordFollower
 from ridgecourse.net.record_source import (
     KeyedRecord,
     RecordBatch,
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -7,9 +7,8 @@
 import eventlet
 
 from ridgecourse.cluster.decoder import RecordDecoder
-from ridgecourse.cluster.domain_view import StoreRecords, open_view
-from ridgecourse.cluster.neighbours import Neighbours
-from ridgecourse.cluster.read_pace import GATEWAY_PACE
+from ridgecourse.cluster.domain_source import StoreRecords, open_view
+from ridgecourse.cluster.tree_reader import Neighbours
 from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import TargetName
 from ridgecourse.core.read_tree import gateway_parent
@@ -28,6 +27,7 @@
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter, HttpServer
 from ridgecourse.net.loop_lag import LoopLag
 from ridgecourse.net.process import new_incarnation
+from ridgecourse.net.record_follower import GATEWAY_PACE
 from ridgecourse.net.record_source import RecordSource
 from ridgecourse.net.site_process import SiteProcess
 from ridgecourse.net.threads import spawn_loop
--- a/src/ridgecourse/loader/loader.py
+++ b/src/ridgecourse/loader/loader.py
@@ -3,10 +3,9 @@
 from collections.abc import Collection, Sequence
 
 from ridgecourse.cluster.decoder import RecordDecoder
-from ridgecourse.cluster.domain_view import StoreRecords, open_view
-from ridgecourse.cluster.neighbours import Neighbours
-from ridgecourse.cluster.read_pace import ReadPace
+from ridgecourse.cluster.domain_source import StoreRecords, open_view
 from ridgecourse.cluster.relay import RecordRelay
+from ridgecourse.cluster.tree_reader import Neighbours
 from ridgecourse.core.fetches import Member, PlanPolicy
 from ridgecourse.core.hubs import Peer, nearest_first, seed_peers
 from ridgecourse.core.ids import TargetName
@@ -29,6 +28,7 @@
 from ridgecourse.net.http_server import HttpRouter, HttpServer
 from ridgecourse.net.metrics import Metrics
 from ridgecourse.net.process import new_incarnation
+from ridgecourse.net.record_follower import ReadPace
 from ridgecourse.net.record_source import RecordSource
 from ridgecourse.net.site_process import SiteProcess
 from ridgecourse.net.throttle import AdaptiveRate
--- a/tests/platform/test_domain_source.py
+++ b/tests/platform/test_domain_source.py
@@ -8,13 +8,13 @@
 
 from ridgecourse.cluster import tree_reader
 from ridgecourse.cluster.domain_source import DomainSource
-from ridgecourse.cluster.neighbours import Neighbours
 from ridgecourse.cluster.share import STALE_SECONDS, SharedRecords
 from ridgecourse.cluster.tree_reader import (
     ANSWER_SECONDS,
     LATE_SECONDS,
     SILENT_SECONDS,
     WAIT_SECONDS,
+    Neighbours,
 )
 from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import (
