--- a/tests/platform/test_passed_over.py
+++ b/tests/platform/test_passed_over.py
@@ -128,6 +128,20 @@
     assert [batch.end for batch in taken if batch.since is not None] == [10]
 
 
+def test_what_was_passed_over_after_an_outage_is_read_later_as_well() -> None:
+    record = KeyedRecord("k", b"x", Offset(8))
+    answers = [
+        RecordBatch([], Offset(4), Seconds(10.0)),
+        SourceUnavailable("cut off"),
+        RecordBatch([record], Offset(9), Seconds(15.0), passed_from=Offset(4)),
+        RecordBatch([], Offset(9), Seconds(16.0)),
+        RecordBatch([record], Offset(9), Seconds(16.1)),
+    ]
+    taken = follow(answers)
+    passed_over = [(b.end, b.since) for b in taken if b.since is not None]
+    assert passed_over == [(9, 10.0)]
+
+
 def name_version(version: int, offset: int) -> KeyedRecord:
     value = encode({"model": MODEL, "version": version})
     return KeyedRecord(f"{VERSION_KEY_PREFIX}{MODEL}", value, Offset(offset))
