A test that fails: the list of targets is taken from who cannot read the store

Of two gateways one was cut off from the store until 24.5 s; the other one went on reading the list from it ("heard of the store 1.40 s ago" at 19.96 s), and did not believe the removal until 20.84 s ("not back after outage").

--- a/tests/platform/test_domain_source.py
+++ b/tests/platform/test_domain_source.py
@@ -229,3 +229,17 @@
     assert (batch.end, batch.passed_from) == (7, 4)
     batch = domain.source.read(Topic.DECISIONS, Offset(7), 0.0)
     assert batch.passed_from is None
+
+
+def test_the_list_is_not_taken_from_a_parent_that_cannot_read_the_store(
+    domain: Domain,
+) -> None:
+    """A target that had left got requests for 2.07 s, 2 s are allowed.
+
+    One of two gateways could not reach the store. It had the list from other domains,
+    each 0.5 s, and did not believe removals meanwhile; it told both to the other one,
+    which could read the store and kept to it.
+    """
+    domain.lost = {"first", "second"}
+    domain.source.read(Topic.TARGETS, Offset(0), 0.0)
+    assert domain.asked == ["first", "second", STORE]
