The first chunk of a transfer goes alone over a link whose rate is not known

Seen: callers that left were still worked for half a second and more later, behind an engine's narrowed link (GONE).

Cause: after a pause a loader asked for two chunks at the rate of the last transfer. The link had narrowed meanwhile, and 64 KB lay before it for 2.3 s, all requests and their ends behind them. Class: what was true before a pause is taken as true after it. Since the rate follows what a whole chunk showed, one chunk goes alone until it has; a neighbour that hangs holds the others back no longer than a chunk may take.

Ruled out: a rate that stays wrong (27,731 bytes a second after the first chunks); requests sent in ignorance (the gateways had taken the engine off and back before). The same elsewhere: gateways that bring versions in over a link between regions ask for four chunks at the last rate. Left, since that link is shared by all and narrows less.

Test: 1.9 s before the narrow part, now at most one chunk's time, 1.0 s.

--- a/src/ridgecourse/core/planner.py
+++ b/src/ridgecourse/core/planner.py
@@ -210,11 +210,17 @@
         """Tell whether every chunk is held."""
         return not self.missing
 
-    def plan(self, now: Seconds) -> Iterator[Fetch]:
-        """Yield fetches to start now; each counts as in progress from then on."""
+    def plan(self, now: Seconds, one_by_one: bool = False) -> Iterator[Fetch]:
+        """Yield fetches to start now; each counts as in progress from then on.
+
+        Args:
+            now: The present time.
+            one_by_one: Whether neighbours are asked for one chunk at a time.
+        """
         for fetch in self._origin_fetches(now):
             yield self._begin(fetch)
-        room = self.policy.fetches - sum(map(len, self.in_flight.values()))
+        most = 1 if one_by_one else self.policy.fetches
+        room = most - sum(map(len, self.in_flight.values()))
         if room <= 0:
             return
         for digest in self._wanted():
--- a/src/ridgecourse/exchange/transfer.py
+++ b/src/ridgecourse/exchange/transfer.py
@@ -69,6 +69,7 @@
         error: Named error that stands in the way, empty if none.
         rate: Rate at which peers are asked to send; None for as they like.
         unpaced_domain: Domain whose peers send as they like all the same.
+        begun_at: When the transfer was made.
         counted: What of the origin's bytes has been counted.
     """
 
@@ -111,7 +112,8 @@
         self.corrupt: dict[ChunkDigest, int] = {}
         self.lacking: dict[ChunkDigest, str] = {}
         self.is_needed = is_needed
-        self.told_at = monotonic() + TOLD_SECONDS
+        self.begun_at = monotonic()
+        self.told_at = self.begun_at + TOLD_SECONDS
         self.last_progress = monotonic()
         self.next_report = monotonic() + PROGRESS_SECONDS
         self.cancelled = False
@@ -126,6 +128,8 @@
         """
         for neighbour in self.planner.sources:
             self.threads.append(spawn_loop(self._follow, neighbour))
+        if self.rate is not None:
+            self.rate.begin(monotonic())
         try:
             while not self.planner.complete() and not self.cancelled:
                 # The origin may be away, and then never says that it is outdated.
@@ -134,14 +138,29 @@
                 self._check_origin()
                 self._check_lacking()
                 self._tell_progress()
-                for fetch in self.planner.plan(Seconds(monotonic())):
+                for fetch in self.planner.plan(Seconds(monotonic()), self._probes()):
                     self.threads.append(eventlet.spawn(self._fetch, fetch))
                 self.progress.wait(self.planner.wake_after())
                 self.threads = [thread for thread in self.threads if not thread.dead]
         finally:
             self.close()
+            if self.rate is not None:
+                self.rate.end(monotonic())
         return self.planner.complete()
 
+    def _probes(self) -> bool:
+        """Tell whether the first chunk goes alone, to show what the link takes.
+
+        Two chunks at the usual rate lay before a link that had narrowed to a
+        fourteenth, and all requests to its engine behind them, for 1.9 s; one for 1 s.
+        A neighbour that hangs holds the others back no longer than a chunk may take.
+        """
+        rate = self.rate
+        if rate is None or rate.is_known or self.unpaced_domain is not None:
+            return False
+        chunk = self.holding.manifest.chunk_size
+        return monotonic() < self.begun_at + rate.longest(chunk)
+
     @property
     def missing_share(self) -> float:
         """Share of the version's chunks that are still missing."""
--- a/src/ridgecourse/net/throttle.py
+++ b/src/ridgecourse/net/throttle.py
@@ -1,6 +1,7 @@
 """Link limits: a token bucket that makes senders and receivers wait."""
 
 from collections.abc import Iterable, Iterator
+from math import inf
 from time import monotonic
 
 import eventlet
@@ -45,6 +46,8 @@
     Attributes:
         limit: Bytes a second that the link can take at best.
         current: Bytes a second that it is believed to take now.
+        is_known: Whether a transfer has shown that since the last pause.
+        used_at: When the link was last in use.
     """
 
     FLOOR = 0.05
@@ -56,10 +59,27 @@
     has queued up before it drains."""
     GROWTH = 1.1
     """Factor at which the rate grows back with each transfer in time."""
+    KNOWN_SECONDS = 2.0
+    """Pause after which the rate is not relied on: a link narrows at once."""
 
     def __init__(self, limit: float) -> None:
         self.limit = limit
         self.current = limit
+        self.is_known = False
+        self.used_at = -inf
+
+    def longest(self, size: int) -> float:
+        """Return the seconds that bytes take at the lowest rate that is believed."""
+        return size / (self.limit * self.FLOOR)
+
+    def begin(self, now: float) -> None:
+        """Take in that the link is used from now on."""
+        if now - self.used_at > self.KNOWN_SECONDS:
+            self.is_known = False
+
+    def end(self, now: float) -> None:
+        """Take in that it is not used any more."""
+        self.used_at = now
 
     def observe(self, size: int, seconds: float, sharing: tuple[int, int]) -> None:
         """Take in how long a transfer took.
@@ -75,6 +95,7 @@
         """
         if seconds <= 0 or sharing[0] != sharing[1]:
             return
+        self.is_known = True
         measured = size * sharing[1] / seconds
         if measured < self.current * self.SHORTFALL:
             self.current = max(self.limit * self.FLOOR, measured * self.BACK_OFF)
