A test waits for the engine to serve before it kills the loader

test_an_engine_is_not_brought_back_to_an_older_version failed once, beside a load of 5 to 12 on 8 processors. Its loader was killed 0.02 s after a decision was put right and before it had told that its engine served, so that the phase told by its second life was the first of two that the test counts. That life did what is asked (serving version 3, 0.06 s after its start). The test waits for the first phase now; what it asserts is as it was.

--- a/tests/platform/test_old_decisions.py
+++ b/tests/platform/test_old_decisions.py
@@ -150,12 +150,12 @@
     for version in (2, 3):
         site.store.put_version(MODEL, version)
     site.wait_serving(3)
+    serving = {"phase": "serving", "error": ""}
+    site.loader.wait_event("rollout-phase", detail=serving)
     site.store.put_version(MODEL, 2)
     site.loader.wait_event("decision-outdated", version="2")
     site.store.wait_appended(1)
     site.loader.kill()
     site.loader.start()
-    site.loader.wait_event(
-        "rollout-phase", after=1, detail={"phase": "serving", "error": ""}
-    )
+    site.loader.wait_event("rollout-phase", after=1, detail=serving)
     assert site.engine.version == 3
