--- a/tests/platform/test_staging_reads.py
+++ b/tests/platform/test_staging_reads.py
@@ -13,10 +13,9 @@
 from collections.abc import Iterator
 from itertools import count
 from pathlib import Path
-from typing import Any
 
 import pytest
-from gateway_site import MODEL
+from gateway_site import MODEL, make_engine_entry
 from msgspec.json import decode, encode
 from test_loader import CHUNKS, LoaderSite
 
@@ -50,17 +49,8 @@
         path.write_bytes(encode(settings))
 
     def list_other(self) -> None:
-        entry: dict[str, Any] = {
-            "service": "llm",
-            "address": f"{host_that_goes_first()}:1",
-            "zone": "a",
-            "version": "v1",
-            "slots": 16,
-            "state": "ready",
-            "cold_remaining_ms": 0,
-            "sequence": 1,
-        }
-        self.store.put_target("i-9", entry)
+        address = f"{host_that_goes_first()}:1"
+        self.store.put_target("i-9", make_engine_entry(address, "a"))
 
     def readings(self) -> int:
         """Return how many chunks of the staging area have been read so far."""
