Events of broken sends tell what was asked, by a digest

Two attempts for the same thing could not be told from two requests: logs had the attempt alone. The digest is of account, method, host, target and body; no text of a request stands in logs.

--- a/src/ridgecourse/core/ids.py
+++ b/src/ridgecourse/core/ids.py
@@ -14,6 +14,8 @@
 
 ChangeId = NewType("ChangeId", str)
 RequestId = NewType("RequestId", str)
+RequestSignature = NewType("RequestSignature", bytes)
+"""Digest of what a request asks, the same for each time that it comes again."""
 TargetId = NewType("TargetId", str)
 """Names a target, as the platform lists it; see ``EngineLife`` for its lives."""
 EngineStart = NewType("EngineStart", int)
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -211,6 +211,7 @@
             load_age=round(monotonic() - load.reported_at, 2),
             outstanding=load.outstanding,
             result=type(result).__name__,
+            signature=order.signature.hex() if isinstance(result, Unknown) else None,
             held=choice.terms.held,
             only_version=order.version,
             begin_left=None if begin_by is None else round(begin_by - monotonic(), 3),
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -11,6 +11,7 @@
 from ridgecourse.core.ids import Seconds
 from ridgecourse.core.outcome import Outcome, Reason
 from ridgecourse.core.patience import UsualPatience
+from ridgecourse.core.request_signature import sign_request
 from ridgecourse.core.retry import SHORTEST_COME_BACK_SECONDS, come_back_seconds
 from ridgecourse.core.routes import RoutingConfig
 from ridgecourse.core.site import Site
@@ -90,14 +91,16 @@
     ) -> Order:
         waits = [call.wait, terms.route.timeout or None]
         wait = min((w for w in waits if w is not None), default=DEFAULT_WAIT_SECONDS)
+        account = terms.account.account if terms.account else None
         return Order(
             call=call,
             body=body or None,
-            account=terms.account.account if terms.account else None,
+            account=account,
             deadline=Seconds(arrived + wait),
             version=None,
             begin_by=None,
             last_event=call.last_event,
+            signature=sign_request(account, call.method, call.host, call.target, body),
             waited=self._time_waited(call, terms),
             excess=0.0,
             is_abandoned=request.is_abandoned,
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -6,7 +6,12 @@
 from msgspec import Struct
 
 from ridgecourse.core.engine_load import EngineLoad
-from ridgecourse.core.ids import AccountName, Seconds, WeightsVersion
+from ridgecourse.core.ids import (
+    AccountName,
+    RequestSignature,
+    Seconds,
+    WeightsVersion,
+)
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.recent_peak import RecentPeak
 from ridgecourse.core.targets import ListedTarget
@@ -34,6 +39,7 @@
         version: The only version of weights that may run it; None for any.
         begin_by: When it must have begun; None for any time.
         last_event: Event after which its stream goes on.
+        signature: What it asks, the same for each time that it comes.
         waited: Seconds that its caller waited before it asked here.
         excess: Seconds by which its wait would be too long, if it is refused.
         is_abandoned: Tells whether the caller has gone.
@@ -46,6 +52,7 @@
     version: WeightsVersion | None
     begin_by: Seconds | None
     last_event: int | None
+    signature: RequestSignature
     waited: float
     excess: float
     is_abandoned: Callable[[], bool]
