--- a/src/ridgecourse/agent/control.py
+++ b/src/ridgecourse/agent/control.py
@@ -1,7 +1,6 @@
 """The agent's end of control connections: entries push, other agents follow."""
 
 from collections.abc import Callable
-from time import monotonic
 
 import eventlet
 from returns.result import Failure
@@ -9,6 +8,7 @@
 from ridgecourse.agent.context import AgentContext
 from ridgecourse.exchange.server import Exchange
 from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.websocket import ChannelClosed, ControlChannel
 from ridgecourse.wire.control import (
@@ -111,8 +111,8 @@
         try:
             while True:
                 channel.send(self.report())
-                sent = monotonic()
+                sent = boottime()
                 self.changed.wait(heartbeat)
-                eventlet.sleep(max(0.0, sent + MIN_REPORT_SECONDS - monotonic()))
+                eventlet.sleep(max(0.0, sent + MIN_REPORT_SECONDS - boottime()))
         except ChannelClosed:
             channel.close()
--- a/src/ridgecourse/agent/gate.py
+++ b/src/ridgecourse/agent/gate.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Iterator
 from contextlib import closing
-from time import monotonic
 
 import eventlet
 from eventlet.event import Event as Signal
@@ -26,6 +25,7 @@
 from ridgecourse.core.outcome import Outcome, Reason
 from ridgecourse.native.engine import GenerateOrder
 from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.http_client import (
     ExchangeFailed,
@@ -135,7 +135,7 @@
 
     def _admit(self, work: Work) -> HttpReply:
         """Queue a request, wait for its slot and run it."""
-        now = Seconds(monotonic())
+        now = boottime()
         ticket = Ticket(
             work.request_id,
             work.account,
@@ -183,7 +183,7 @@
 
     def _pump(self) -> None:
         """Give free slots to those whose turn it is."""
-        for ticket in self.queue.admit(Seconds(monotonic())):
+        for ticket in self.queue.admit(boottime()):
             signal = self.waiting.get(ticket.request_id)
             if signal is None or signal.ready():
                 self.queue.running -= 1
@@ -193,7 +193,7 @@
     def _expire(self) -> None:
         while True:
             eventlet.sleep(EXPIRY_SECONDS)
-            for ticket in self.queue.expire(Seconds(monotonic())):
+            for ticket in self.queue.expire(boottime()):
                 signal = self.waiting.get(ticket.request_id)
                 if signal is not None and not signal.ready():
                     signal.send(False)
@@ -206,7 +206,7 @@
 
     def _run(self, work: Work, ticket: Ticket) -> HttpReply:
         """Run an admitted request; its slot is given back when it ends."""
-        begun = monotonic()
+        begun = boottime()
         reason = self._why_not(work)
         if reason is None and work.once and not self.register.start(work.request_id):
             if self.register.states[work.request_id].started:
@@ -236,7 +236,7 @@
             return self._unknown(work, str(error))
 
     def _end(self, begun: float) -> None:
-        self.queue.release(monotonic() - begun)
+        self.queue.release(boottime() - begun)
         self._count(-1)
         self._pump()
 
@@ -361,8 +361,8 @@
         """Admit nothing new and wait until all requests have ended."""
         self.stopping = True
         self.changed.notify()
-        limit = monotonic() + self.context.settings.drain_seconds
-        while self.in_flight and monotonic() < limit:
+        limit = boottime() + self.context.settings.drain_seconds
+        while self.in_flight and boottime() < limit:
             self.changed.wait(1.0)
 
 
--- a/src/ridgecourse/agent/lease.py
+++ b/src/ridgecourse/agent/lease.py
@@ -1,13 +1,12 @@
 """Takes the lease on the target's engine from the platform's log."""
 
-from time import monotonic
-
 from returns.result import Failure
 
 from ridgecourse.agent.context import AgentContext
 from ridgecourse.core.ids import Offset, Seconds
 from ridgecourse.core.lease import Lease, LeaseRecord
 from ridgecourse.native.log import LogUnavailable, Stream
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind
 from ridgecourse.wire.codec import decode_message, encode_message
 
@@ -44,12 +43,12 @@
         # What was there before must be known before the own record is made, so
         # that the wait for its holder counts from a moment after its append.
         self.catch_up()
-        sent = Seconds(monotonic())
+        sent = boottime()
         token = context.log.append(Stream.LEASES, [encode_message(record)])
         self.catch_up()
         if self.offset <= token:
             raise LogUnavailable("the lease record cannot be read back")
-        self.lease.granted(token, sent, seconds, Seconds(monotonic()))
+        self.lease.granted(token, sent, seconds, boottime())
         context.events.emit(
             EventKind.LEASE_GRANTED, target=context.target, offset=token
         )
@@ -65,7 +64,7 @@
             if batch.truncated:
                 self.offset = batch.earliest
                 continue
-            now = Seconds(monotonic())
+            now = boottime()
             for data in batch.records:
                 self._observe(data, now)
             if self.offset >= batch.next:
@@ -79,8 +78,8 @@
 
     def may_order(self) -> bool:
         """Tell whether an order may be given right now."""
-        return self.lease.may_order(Seconds(monotonic()))
+        return self.lease.may_order(boottime())
 
     def seconds_to_wait(self) -> float:
         """Return how long the holder before may still give orders."""
-        return max(0.0, self.lease.usable_from - monotonic())
+        return max(0.0, self.lease.usable_from - boottime())
--- a/src/ridgecourse/agent/manifest_fetch.py
+++ b/src/ridgecourse/agent/manifest_fetch.py
@@ -1,7 +1,6 @@
 """How an agent gets the manifest of a version: from another agent, or the origin."""
 
 from collections.abc import Callable
-from time import monotonic
 
 import eventlet
 from returns.result import Failure
@@ -16,6 +15,7 @@
 from ridgecourse.exchange.origin import OriginUnavailable
 from ridgecourse.exchange.server import MANIFEST_PATH
 from ridgecourse.net.auth import AUTH_HEADER, sign_request
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_client import ExchangeFailed, NoConnection
 
 RETRY_SECONDS = 1.0
@@ -63,13 +63,13 @@
         order = rendezvous_rank(f"{root}/manifest", [*peers, self.context.target])
         rank = order.index(self.context.target)
         patience = min(rank * MANIFEST_STAGGER_SECONDS, MANIFEST_MAX_WAIT_SECONDS)
-        ask_origin = monotonic() + patience
+        ask_origin = boottime() + patience
         asked = 0
         while self.still_wanted(version):
             data = None
-            if monotonic() >= ask_origin:
+            if boottime() >= ask_origin:
                 data = self._manifest_from_origin(version)
-                ask_origin = monotonic() + RETRY_SECONDS
+                ask_origin = boottime() + RETRY_SECONDS
             elif peers:
                 # The first ones are likely to have it; the others spread it.
                 near = order[: max(4, rank)]
--- a/src/ridgecourse/cluster/domain_source.py
+++ b/src/ridgecourse/cluster/domain_source.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from contextlib import suppress
 from itertools import count
-from time import monotonic
 from typing import Any, NamedTuple
 
 import eventlet
@@ -22,9 +21,10 @@
 )
 from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.hubs import seed_peers
-from ridgecourse.core.ids import DomainName, Offset, Seconds
+from ridgecourse.core.ids import DomainName, Offset
 from ridgecourse.core.read_tree import choose_seed, count_readers
 from ridgecourse.core.site import Site
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.record_follower import LONG_ANSWER_SECONDS, ReadPace
@@ -86,7 +86,7 @@
         }
         self.begun: set[Topic] = set()
         self.tellers: dict[Topic, str] = {}
-        self.alone_until = monotonic() + ALONE_SECONDS
+        self.alone_until = boottime() + ALONE_SECONDS
 
     def newest(self, topic: Topic) -> RecordBatch:
         """Return the newest record of each key; see ``RecordSource``."""
@@ -135,14 +135,14 @@
         reader = self.readers.get(topic)
         if reader is None:
             return read()
-        if reader.tries.leaves_to_others(len(reader.lost), Seconds(monotonic())):
+        if reader.tries.leaves_to_others(len(reader.lost), boottime()):
             raise SourceUnavailable("left to others while the domain is cut off")
-        begun = monotonic()
+        begun = boottime()
         try:
             batch = read()
         except SourceUnavailable as error:
             readers = count_readers(self.domain, self.neighbours.known_gateways())
-            reader.tries.note_failure(readers, Seconds(monotonic()))
+            reader.tries.note_failure(readers, boottime())
             self._tell_read(topic, begun, error=str(error))
             raise
         except RecordsGone:
@@ -156,7 +156,7 @@
 
     def _tell_read(self, topic: Topic, begun: float, **detail: Any) -> None:
         """Emit an event of a read that failed or took long."""
-        seconds = round(monotonic() - begun, 2)
+        seconds = round(boottime() - begun, 2)
         self.events.emit(
             EventKind.STORE_READ, topic=topic.value, seconds=seconds, **detail
         )
@@ -184,12 +184,12 @@
         """
         if topic not in self.tellers:
             return None
-        limit = min(self.alone_until, monotonic() + PATIENCE_SECONDS)
+        limit = min(self.alone_until, boottime() + PATIENCE_SECONDS)
         for turn in count(1):
             if self.neighbours.known_gateways():
                 del self.tellers[topic]
                 return self._ask_parent(topic, start)
-            if monotonic() > limit:
+            if boottime() > limit:
                 break
             with suppress(SourceUnavailable):
                 # It has gone, or is busy with its own start; others are asked then.
@@ -212,10 +212,10 @@
         """
         if self.seed is None or topic not in self.readers:
             return None
-        limit = monotonic() + SEED_PATIENCE_SECONDS
-        longest = monotonic() + SEED_RECEIVING_SECONDS
+        limit = boottime() + SEED_PATIENCE_SECONDS
+        longest = boottime() + SEED_RECEIVING_SECONDS
         for turn in count():
-            if monotonic() > limit:
+            if boottime() > limit:
                 return None
             asked = self._choose_asked(turn)
             with suppress(SourceUnavailable):
@@ -228,7 +228,7 @@
                     )
                     return to_batch(shared)
                 if shared.receiving:
-                    limit = min(longest, monotonic() + SEED_PATIENCE_SECONDS)
+                    limit = min(longest, boottime() + SEED_PATIENCE_SECONDS)
             eventlet.sleep(SEED_RETRY_SECONDS)
         return None
 
--- a/src/ridgecourse/cluster/keeper.py
+++ b/src/ridgecourse/cluster/keeper.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable, Iterator, Sequence
 from math import inf
 from random import random
-from time import monotonic
 
 import eventlet
 from msgspec.structs import replace
@@ -17,6 +16,7 @@
 from ridgecourse.cluster.decoder import RecordDecoder
 from ridgecourse.core.ids import Offset
 from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.record_source import (
     KeyedRecord,
@@ -105,7 +105,7 @@
         while True:
             if not self.pending:
                 self._wait_for_work()
-            if monotonic() >= self.look_at:
+            if boottime() >= self.look_at:
                 self._look()
             for record in list(self.pending.values()):
                 self._try_keep(record)
@@ -113,11 +113,11 @@
                 eventlet.sleep(RETRY_SECONDS * (0.5 + random()))
 
     def _wait_for_work(self) -> None:
-        left = self.look_at - monotonic()
+        left = self.look_at - boottime()
         self.changed.wait(None if left == inf else max(0.0, left))
 
     def _look_again(self) -> None:
-        self.look_at = monotonic() + LOOK_SECONDS * (1.0 + random())
+        self.look_at = boottime() + LOOK_SECONDS * (1.0 + random())
         self.changed.notify()
 
     def _look(self) -> None:
--- a/src/ridgecourse/cluster/peer_records.py
+++ b/src/ridgecourse/cluster/peer_records.py
@@ -1,13 +1,13 @@
 """Asks another process for the store's records."""
 
 from math import inf
-from time import monotonic
 
 from msgspec.structs import replace
 from returns.result import Failure
 
 from ridgecourse.cluster.share import RECORDS_PATH, WAIT_PARAMETER, SharedRecords
 from ridgecourse.core.ids import Offset, Seconds
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
 from ridgecourse.net.record_source import RecordBatch, SourceUnavailable, Topic
 from ridgecourse.wire.codec import decode_message
@@ -34,7 +34,7 @@
     Raises:
         SourceUnavailable: It gave no usable answer.
     """
-    sent_at = monotonic()
+    sent_at = boottime()
     path = f"{RECORDS_PATH}{topic.value}/{start}?{WAIT_PARAMETER}={wait}"
     try:
         status, data, _ = http.fetch("GET", address, path, timeout=wait + timeout)
@@ -50,13 +50,13 @@
     shared = decoded.unwrap()
     # On a slow link an answer is older than it says: taken for new, it let a gateway
     # that was behind reject what a newer configuration allows.
-    way = max(0.0, monotonic() - sent_at - shared.waited)
+    way = max(0.0, boottime() - sent_at - shared.waited)
     return replace(shared, age=shared.age + way, read_age=shared.read_age + way)
 
 
 def to_batch(shared: SharedRecords) -> RecordBatch:
     """Return an answer that has just come as records that were read together."""
-    now = monotonic()
+    now = boottime()
     return RecordBatch(
         shared.records,
         shared.end,
--- a/src/ridgecourse/cluster/share.py
+++ b/src/ridgecourse/cluster/share.py
@@ -1,7 +1,6 @@
 """Records of the platform's store, told to other processes."""
 
 from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
-from time import monotonic
 from zlib import MAX_WBITS, compress
 
 from msgspec import Struct
@@ -10,6 +9,7 @@
 from ridgecourse.core.ids import Offset, Seconds
 from ridgecourse.core.targets import ListedTarget, TargetRecord
 from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
 from ridgecourse.net.record_source import KeyedRecord, RecordBatch, Topic
 from ridgecourse.wire.codec import encode_message
@@ -101,7 +101,7 @@
     def put_late(self, record: KeyedRecord) -> None:
         """Take in a record that holds in place of a newer one of its key."""
         self.put(record)
-        self.found_late[record.key] = record, monotonic() + TOLD_LATE_SECONDS
+        self.found_late[record.key] = record, boottime() + TOLD_LATE_SECONDS
 
     def note_way(self, batch: RecordBatch) -> None:
         """Note when what is new in a batch was first read, and by which way it came."""
@@ -118,12 +118,12 @@
     @property
     def age(self) -> float:
         """Seconds since the store told that there is nothing newer."""
-        return monotonic() - self.heard_at
+        return boottime() - self.heard_at
 
     @property
     def lag(self) -> float:
         """Seconds since any process read the newest record from the store."""
-        return monotonic() - self.read_at
+        return boottime() - self.read_at
 
     def drop_unlisted(self, listed: Collection[str], end: Offset) -> None:
         """Note that keys were dropped meanwhile: the whole topic, read up to an end.
@@ -147,7 +147,7 @@
 
     def since(self, start: Offset) -> SharedRecords:
         """Return the records from an offset on."""
-        now = monotonic()
+        now = boottime()
         late = [record for record, end in self.found_late.values() if now < end]
         newer = [r for r in self.records.values() if r.offset >= start]
         records = [*newer, *(r for r in late if r.offset < start)]
@@ -256,7 +256,7 @@
         if not found or not start.isdecimal() or wait is None:
             return HttpReply(400)
         topic = self.topics[found[0]]
-        begun = monotonic()
+        begun = boottime()
         if not self.is_lost(found[0]):
             # Who cannot read the store has no news: others are to be asked at once.
             self._wait_for_news(topic, Offset(int(start)), wait)
@@ -265,7 +265,7 @@
             return HttpReply(204)
         shared = replace(
             topic.since(Offset(int(start))),
-            waited=monotonic() - begun,
+            waited=boottime() - begun,
             receiving=receiving,
             lost=self.is_lost(found[0]),
             kept=self.kept_seconds(found[0]),
@@ -277,10 +277,10 @@
 
         So what those below have is hardly older than what is here, on each level.
         """
-        limit = monotonic() + wait
+        limit = boottime() + wait
         heard_at = topic.heard_at
         while topic.end <= start and topic.heard_at == heard_at:
-            left = min(limit - monotonic(), STALE_SECONDS - topic.age)
+            left = min(limit - boottime(), STALE_SECONDS - topic.age)
             if left <= 0.0:
                 return
             self.changed.wait(left)
--- a/src/ridgecourse/cluster/tree_reader.py
+++ b/src/ridgecourse/cluster/tree_reader.py
@@ -3,7 +3,6 @@
 from abc import ABC, abstractmethod
 from collections.abc import Collection, Sequence
 from random import Random
-from time import monotonic
 
 import eventlet
 
@@ -13,6 +12,7 @@
 from ridgecourse.core.ids import Offset, Seconds, TargetName
 from ridgecourse.core.outage_tries import TRY_OFTEN, OutageTries
 from ridgecourse.core.read_tree import may_pass_over
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.record_source import RecordBatch, SourceUnavailable, Topic
@@ -95,7 +95,7 @@
             SourceUnavailable: The parent is silent, there is no other one, and the
                 store is left to others.
         """
-        limit = monotonic() + PATIENCE_SECONDS
+        limit = boottime() + PATIENCE_SECONDS
         wait = WAIT_SECONDS
         while (parent := self._find_parent()) is not None:
             is_last = parent.name in self.avoided
@@ -105,7 +105,7 @@
             if shared is None:
                 if is_last:
                     raise SourceUnavailable(f"no answer of {parent.name}")
-                if monotonic() > limit:
+                if boottime() > limit:
                     return None
                 continue
             if self._is_good(shared):
@@ -154,7 +154,7 @@
         return True
 
     def _find_parent(self) -> Peer | None:
-        now = monotonic()
+        now = boottime()
         self.avoided = {name: end for name, end in self.avoided.items() if end > now}
         self.late = {n: state for n, state in self.late.items() if n in self.avoided}
         self.lost &= self.avoided.keys()
@@ -170,7 +170,7 @@
 
     def _avoid(self, parent: Peer, seconds: float, why: str) -> None:
         """Leave a parent alone for a while."""
-        self.avoided[parent.name] = Seconds(monotonic() + seconds)
+        self.avoided[parent.name] = Seconds(boottime() + seconds)
         self.events.figures.count("parent_avoided")
         self.events.emit(
             EventKind.PARENT_AVOIDED,
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -1,7 +1,6 @@
 """What a gateway believes: configuration, versions of weights, targets."""
 
 from collections.abc import Iterable, Iterator, Sequence
-from time import monotonic
 from typing import Any
 
 from returns.result import Failure
@@ -17,6 +16,7 @@
 from ridgecourse.core.targets import ListedTarget, TargetList, TargetRecord
 from ridgecourse.core.weights import NamedVersion, VersionAge, VersionHistory
 from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.record_follower import GATEWAY_PACE, ReadPace, RecordFollower
 from ridgecourse.net.record_source import (
@@ -113,7 +113,7 @@
             thread.kill()
 
     def _note_decisions_back(self, away: float) -> None:
-        self.targets.outage_ended(Seconds(monotonic()))
+        self.targets.outage_ended(boottime())
         self.events.emit(EventKind.LOG_BACK, topic="decisions", away=round(away, 2))
 
     def _note_targets_back(self, away: float) -> None:
@@ -124,7 +124,7 @@
         that has noticed the outage as well is not given up: each copy that is begun
         anew makes all others on the link later.
         """
-        self.targets.outage_ended(Seconds(monotonic()))
+        self.targets.outage_ended(boottime())
         self.events.emit(EventKind.LOG_BACK, topic="targets", away=round(away, 2))
         if self.decisions_reader.lost_since is None:
             self.decisions_reader.restart()
@@ -134,9 +134,9 @@
     def _expire(self) -> None:
         while True:
             self.changed.wait(0.25)
-            if monotonic() >= self.targets.kept_until:
+            if boottime() >= self.targets.kept_until:
                 self.targets_reader.pause = self.targets_pause
-            for target in self.targets.expire(Seconds(monotonic())):
+            for target in self.targets.expire(boottime()):
                 self.events.emit(
                     EventKind.TARGET_GONE, target=target, why="not back after outage"
                 )
@@ -154,7 +154,7 @@
         """Return for how long removals of a topic are not believed."""
         if topic is not Topic.TARGETS:
             return 0.0
-        return max(0.0, self.targets.kept_until - monotonic())
+        return max(0.0, self.targets.kept_until - boottime())
 
     def take(self, topic: Topic, batch: RecordBatch, whole: bool) -> None:
         """Take in records of a topic, from the store or another process."""
@@ -253,7 +253,7 @@
         self, named: NamedVersion, offset: int, named_at: Seconds | None
     ) -> bool:
         history = self.history(named.model)
-        now = Seconds(monotonic())
+        now = boottime()
         if not history.name(named.version, now, named_at):
             return False
         self.events.emit(
@@ -289,13 +289,13 @@
                     EventKind.VERSION_DATED,
                     version=str(told.version),
                     model=told.model,
-                    age=round(monotonic() - named_at, 2),
+                    age=round(boottime() - named_at, 2),
                 )
 
     def version_ages(self) -> Iterator[VersionAge]:
         """Yield the versions of which it is known when they were named."""
         for model, history in self.histories.items():
-            yield from history.ages(model, Seconds(monotonic()))
+            yield from history.ages(model, boottime())
 
     def _note_outdated(self, record: KeyedRecord, version: int) -> None:
         """Note a record that is no newer than what is believed."""
@@ -343,7 +343,7 @@
         for finding in [*findings, *self._find_unnamed(records)]:
             self.bad_records.note(Topic.TARGETS, finding)
         before = dict(self.targets.targets)
-        now = Seconds(monotonic())
+        now = boottime()
         if self.decisions_reader.lost_since is not None:
             # The store was away too shortly for this reader to notice.
             self.targets.outage_ended(now)
--- a/src/ridgecourse/core/ids.py
+++ b/src/ridgecourse/core/ids.py
@@ -34,4 +34,4 @@
 Offset = NewType("Offset", int)
 """Position of a record in a stream of the platform's log, from 0."""
 Seconds = NewType("Seconds", float)
-"""A reading of, or a span on, a process's monotonic clock."""
+"""A reading of, or a span on, the clock of ``net.clock``."""
--- a/src/ridgecourse/core/lease.py
+++ b/src/ridgecourse/core/lease.py
@@ -2,9 +2,8 @@
 
 An agent appends a lease record for its target before it orders the engine. The
 record's offset is the fencing token: the engine refuses an order with a lower
-one. For an engine that ignores tokens the holder checks its lease on its own
-monotonic clock right before each order, and a new holder waits until the lease
-before it has run out.
+one. For an engine that ignores tokens the holder checks its lease on its own clock
+right before each order, and a new holder waits until the lease before it has run out.
 """
 
 from msgspec import Struct
@@ -18,7 +17,7 @@
 )
 
 CLOCK_RATE_MARGIN = 1.05
-"""Two monotonic clocks may differ in rate by less than this factor."""
+"""Two clocks may differ in rate by less than this factor."""
 
 
 class LeaseRecord(Struct, frozen=True, forbid_unknown_fields=True):
@@ -42,7 +41,7 @@
 
     Attributes:
         token: The fencing token held, None before the first lease.
-        expires: When the lease ends on this process's monotonic clock.
+        expires: When the lease ends on this process's clock.
         usable_from: When the first order may be given.
     """
 
--- a/src/ridgecourse/ctl/commands.py
+++ b/src/ridgecourse/ctl/commands.py
@@ -2,7 +2,7 @@
 
 from argparse import Namespace
 from collections.abc import Callable
-from time import monotonic, sleep
+from time import sleep
 from uuid import uuid4
 
 from returns.result import Failure, Result, Success
@@ -12,6 +12,7 @@
 from ridgecourse.ctl.client import AdminClient, CallFailure
 from ridgecourse.ctl.output import Output
 from ridgecourse.ctl.publish import make_manifest, total_bytes, write_manifest
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.exit_code import EXIT_FAILED, EXIT_OK, EXIT_USAGE
 from ridgecourse.wire import admin_pb as pb
 
@@ -237,9 +238,9 @@
 
     def service_watch(self, arguments: Namespace) -> int:
         """Follow a rollout until every target serves the version."""
-        deadline = monotonic() + arguments.timeout
+        deadline = boottime() + arguments.timeout
         with self.output.watch() as show:
-            while monotonic() < deadline:
+            while boottime() < deadline:
                 result = self._rollout(arguments)
                 if isinstance(result, Failure):
                     return self._failed(result.failure())
--- a/src/ridgecourse/entry/attempt.py
+++ b/src/ridgecourse/entry/attempt.py
@@ -1,7 +1,6 @@
 """One try of a request at one target, and what it proves."""
 
 from contextlib import closing
-from time import monotonic
 from typing import NamedTuple
 
 from returns.result import Failure
@@ -14,6 +13,7 @@
 from ridgecourse.entry.context import EntryContext
 from ridgecourse.entry.links import AgentView
 from ridgecourse.net.auth import AUTH_HEADER, sign_request
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_client import (
     ExchangeFailed,
     NoConnection,
@@ -105,7 +105,7 @@
             start_at: Tokens the caller already has.
             version: Root digest that must answer; empty for any.
         """
-        left = call.deadline - monotonic()
+        left = call.deadline - boottime()
         if left <= 0:
             return Refused(Reason.DEADLINE)
         work = Work(
--- a/src/ridgecourse/entry/changes.py
+++ b/src/ridgecourse/entry/changes.py
@@ -1,11 +1,10 @@
 """Takes operators' changes to the log and tells their fate."""
 
-from time import monotonic
-
 from ridgecourse.core.change import ChangeOutcome, ChangeRecord, ChangeStatus
 from ridgecourse.core.ids import ChangeId
 from ridgecourse.entry.context import EntryContext
 from ridgecourse.native.log import LogClient, LogUnavailable, Stream
+from ridgecourse.net.clock import boottime
 from ridgecourse.wire.codec import encode_message
 
 APPEND_RETRY_SECONDS = 0.3
@@ -34,9 +33,9 @@
             record: The change.
             seconds: Longest wait for a definite answer.
         """
-        deadline = monotonic() + seconds
+        deadline = boottime() + seconds
         appended = False
-        while monotonic() < deadline:
+        while boottime() < deadline:
             known = self.context.config.outcome(record.change_id)
             if known is not None:
                 return known
@@ -45,7 +44,7 @@
                 if appended:
                     # It may have been folded while the append was answered.
                     continue
-            left = deadline - monotonic()
+            left = deadline - boottime()
             self.context.config.changed.wait(max(0.0, min(APPEND_RETRY_SECONDS, left)))
         return self.context.config.outcome(record.change_id) or NOT_KNOWN
 
--- a/src/ridgecourse/entry/chooser.py
+++ b/src/ridgecourse/entry/chooser.py
@@ -1,16 +1,16 @@
 """Chooses the target for each try of a request."""
 
 from collections.abc import Iterator
-from time import monotonic
 from typing import NamedTuple
 
 from ridgecourse.core.config_objects import Service, Target
-from ridgecourse.core.ids import DomainName, Seconds, TargetName
+from ridgecourse.core.ids import DomainName, TargetName
 from ridgecourse.core.rendezvous import rendezvous_rank
 from ridgecourse.core.routing import Router, TargetLoad
 from ridgecourse.entry.call import Call
 from ridgecourse.entry.context import EntryContext
 from ridgecourse.entry.links import AgentLinks, AgentView
+from ridgecourse.net.clock import boottime
 
 FAR_TARGETS = 8
 """Targets of each other failure domain that an entry considers."""
@@ -59,7 +59,7 @@
             for target in self._subset(call.service)
             if target.target not in tried
         ]
-        now = monotonic()
+        now = boottime()
         return [c for c in staying if self._seems_ready(c, now)] or staying
 
     def _subset(self, service: Service) -> list[Target]:
@@ -106,7 +106,7 @@
 
     def choose(self, call: Call, tried: set[TargetName]) -> Chosen | None:
         """Return the target for the next try."""
-        now = Seconds(monotonic())
+        now = boottime()
         chosen = {c.target.target: c for c in self._candidates(call, tried)}
         loads: list[TargetLoad] = [c.view.load for c in chosen.values()]
         load = self.router.choose(loads, call.service.traffic, call.affinity(), now)
--- a/src/ridgecourse/entry/claims.py
+++ b/src/ridgecourse/entry/claims.py
@@ -5,7 +5,6 @@
 """
 
 from enum import Enum
-from time import monotonic
 from typing import NamedTuple
 
 import eventlet
@@ -16,6 +15,7 @@
 from ridgecourse.entry.context import EntryContext
 from ridgecourse.native.log import LogClient, LogUnavailable, Stream
 from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.threads import spawn_loop
 from ridgecourse.wire.codec import decode_message, encode_message
 
@@ -76,14 +76,14 @@
             seconds: Longest wait. Without an answer by then the request must
                 not be dispatched, though the claim may yet enter the log.
         """
-        deadline = monotonic() + seconds
+        deadline = boottime() + seconds
         self.pending.append(claim)
         self.claims += 1
         self.wake.notify()
-        while monotonic() < deadline:
+        while boottime() < deadline:
             if claim not in self.pending and self._is_folded(claim):
                 return self._result(claim)
-            self.folded.wait(max(0.0, deadline - monotonic()))
+            self.folded.wait(max(0.0, deadline - boottime()))
         if claim in self.pending:
             self.pending.remove(claim)
         return Claimed(ClaimResult.NO_LOG)
--- a/src/ridgecourse/entry/config_follower.py
+++ b/src/ridgecourse/entry/config_follower.py
@@ -5,7 +5,6 @@
 """
 
 import logging
-from time import monotonic
 
 import eventlet
 from returns.result import Failure
@@ -16,6 +15,7 @@
 from ridgecourse.entry.context import EntryContext
 from ridgecourse.native.log import LogUnavailable, Stream
 from ridgecourse.net.auth import AUTH_HEADER, sign_request
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.config_store import Folded
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.http_client import ExchangeFailed, NoConnection
@@ -47,7 +47,7 @@
         self.config = context.config
         self.peer_http = context.new_client(0.5)
         self.log_lost = False
-        self.checkpoint_seen = monotonic()
+        self.checkpoint_seen = boottime()
         self.checkpoint_known: CheckpointNotice | None = None
         self.threads: list[eventlet.greenthread.GreenThread] = []
 
@@ -179,8 +179,8 @@
             notice = self.config.checkpoint
             if notice != self.checkpoint_known:
                 self.checkpoint_known = notice
-                self.checkpoint_seen = monotonic()
-            if monotonic() - self.checkpoint_seen >= seconds and self.config.offset:
+                self.checkpoint_seen = boottime()
+            if boottime() - self.checkpoint_seen >= seconds and self.config.offset:
                 self.write_checkpoint()
 
     def write_checkpoint(self) -> None:
@@ -196,7 +196,7 @@
             self.context.log.append(Stream.CONFIG, [encode_message(notice)])
         except LogUnavailable:
             return
-        self.checkpoint_seen = monotonic()
+        self.checkpoint_seen = boottime()
         self.context.events.emit(
             EventKind.CHECKPOINT_WRITTEN, offset=snapshot.offset, place=place
         )
--- a/src/ridgecourse/entry/dispatch.py
+++ b/src/ridgecourse/entry/dispatch.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterator
 from contextlib import closing
-from time import monotonic
 from typing import NamedTuple
 from uuid import uuid4
 
@@ -31,6 +30,7 @@
 from ridgecourse.entry.context import EntryContext
 from ridgecourse.entry.links import AgentLinks, AgentView
 from ridgecourse.entry.replies import DEFAULT_RETRY_AFTER, Replies
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.http_client import ExchangeFailed, read_lines
 from ridgecourse.net.http_server import HttpReply, HttpRequest
@@ -83,7 +83,7 @@
 
     def handle(self, request: HttpRequest) -> HttpReply:
         """Answer a caller's request."""
-        parsed = parse_call(request, self.context.config.state, monotonic())
+        parsed = parse_call(request, self.context.config.state, boottime())
         if isinstance(parsed, Failure):
             return self.replies.fault(parsed.failure())
         call = parsed.unwrap()
@@ -165,7 +165,7 @@
             return False
         if isinstance(last, Refused) and last.reason is Reason.BAD_REQUEST:
             return False
-        if monotonic() >= call.deadline or not self.budget.take_retry():
+        if boottime() >= call.deadline or not self.budget.take_retry():
             return False
         self.context.metrics.count(Metric.RETRIES)
         self.context.events.emit(EventKind.REQUEST_RETRIED, request=call.request_id)
@@ -180,7 +180,7 @@
         version: str = "",
     ) -> AttemptResult:
         target, view = chosen
-        begun = monotonic()
+        begun = boottime()
         self.context.events.emit(
             EventKind.REQUEST_DISPATCHED,
             request=request_id,
@@ -193,7 +193,7 @@
         if isinstance(result, Streaming):
             return result
         view.load.outstanding -= 1
-        now = Seconds(monotonic())
+        now = boottime()
         if isinstance(result, Whole):
             view.load.succeeded()
             view.load.observe(now - begun, now, REQUEST_WEIGHT)
@@ -262,7 +262,7 @@
                     if event.end is not None or event.seq != expected:
                         return
                     expected += 1
-                    now = Seconds(monotonic())
+                    now = boottime()
                     if last is not None:
                         load.observe(now - last, now, TOKEN_WEIGHT)
                     last = now
@@ -274,7 +274,7 @@
             if whole:
                 load.succeeded()
             else:
-                self._blame(chosen.view, chosen.target, Seconds(monotonic()))
+                self._blame(chosen.view, chosen.target, boottime())
 
     def _resume(
         self, call: Call, tried: set[TargetName], count: int, version: str
@@ -306,7 +306,7 @@
             if not self._identified(chosen):
                 continue
             claim = self._make_claim(call, chosen, replaces)
-            left = call.deadline - monotonic()
+            left = call.deadline - boottime()
             seconds = min(self.context.settings.claim_seconds, left)
             result, holder = self.claims.claim(claim, seconds)
             if result is ClaimResult.NO_LOG:
--- a/src/ridgecourse/entry/entry.py
+++ b/src/ridgecourse/entry/entry.py
@@ -1,7 +1,5 @@
 """The entry process: ties callers, operators and configuration together."""
 
-from time import monotonic
-
 import eventlet
 from msgspec.json import encode
 
@@ -17,6 +15,7 @@
 from ridgecourse.entry.settings import EntrySettings
 from ridgecourse.entry.strict_json import StrictJson
 from ridgecourse.net.address import parse_address
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter, HttpServer
 from ridgecourse.net.process import Process
@@ -101,8 +100,8 @@
         """Let the requests in progress finish; refuse others as not run."""
         self.context.stopping = True
         self.context.events.emit(EventKind.STOPPING)
-        limit = monotonic() + self.context.settings.drain_seconds
-        while self.dispatcher.total_in_flight() and monotonic() < limit:
+        limit = boottime() + self.context.settings.drain_seconds
+        while self.dispatcher.total_in_flight() and boottime() < limit:
             eventlet.sleep(DRAIN_POLL_SECONDS)
 
     def close(self) -> None:
--- a/src/ridgecourse/entry/links.py
+++ b/src/ridgecourse/entry/links.py
@@ -8,7 +8,6 @@
 import logging
 from collections.abc import Iterator
 from contextlib import closing
-from time import monotonic
 
 import eventlet
 from msgspec import Struct
@@ -20,6 +19,7 @@
 from ridgecourse.entry.config_follower import ConfigFollower
 from ridgecourse.entry.context import EntryContext
 from ridgecourse.native.instances import InstanceListClient, InstanceSnapshot
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.threads import spawn_loop
 from ridgecourse.net.websocket import ChannelClosed, ControlChannel, open_channel
 from ridgecourse.wire.control import (
@@ -218,7 +218,7 @@
             channel.send(config.above(message.above, self.context.events.clock))
 
     def _take_report(self, view: AgentView, report: AgentReport) -> None:
-        now = Seconds(monotonic())
+        now = boottime()
         self.context.events.merge(report.clock)
         view.report = report
         view.reported_at = now
--- a/src/ridgecourse/entry/replies.py
+++ b/src/ridgecourse/entry/replies.py
@@ -1,13 +1,12 @@
 """Answers to callers: status, outcome, reason and when to come back."""
 
-from time import monotonic
-
 from msgspec.json import encode
 
 from ridgecourse.core.outcome import Outcome, Reason
 from ridgecourse.entry.attempt import Lost, Refused, Whole
 from ridgecourse.entry.call import Call, CallFault
 from ridgecourse.entry.context import EntryContext
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.http_server import HeaderList, HttpReply
 from ridgecourse.net.metrics import Metric
@@ -52,7 +51,7 @@
             Outcome.UNKNOWN: Metric.UNKNOWN,
         }[outcome]
         self.context.metrics.count(metric)
-        self.context.metrics.time(Metric.REQUEST_TIME, monotonic() - call.received)
+        self.context.metrics.time(Metric.REQUEST_TIME, boottime() - call.received)
         self.context.events.emit(
             EventKind.REQUEST_ENDED,
             request=call.request_id,
--- a/src/ridgecourse/entry/reports.py
+++ b/src/ridgecourse/entry/reports.py
@@ -1,7 +1,6 @@
 """Reports of targets that this entry has no link to, asked of other entries."""
 
 from collections.abc import Iterable, Iterator
-from time import monotonic
 
 from returns.result import Failure
 
@@ -10,6 +9,7 @@
 from ridgecourse.entry.context import EntryContext
 from ridgecourse.entry.links import AgentLinks
 from ridgecourse.net.auth import AUTH_HEADER, sign_request
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_client import ExchangeFailed, NoConnection
 from ridgecourse.net.http_server import HttpReply, HttpRequest
 from ridgecourse.wire.codec import decode_message, encode_message
@@ -33,7 +33,7 @@
 
     def own(self, targets: Iterable[Target]) -> Iterator[TargetReport]:
         """Yield the fresh reports that came over this entry's own links."""
-        now = monotonic()
+        now = boottime()
         for target in targets:
             view = self.links.view(target)
             report = view.fresh_report(now)
--- a/src/ridgecourse/exchange/catalogue.py
+++ b/src/ridgecourse/exchange/catalogue.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Sequence
 from math import floor
 from re import compile as compile_pattern
-from time import monotonic
 from typing import NamedTuple
 
 import eventlet
@@ -21,6 +20,7 @@
 from ridgecourse.exchange.context import ExchangeContext
 from ridgecourse.exchange.holding import Holding
 from ridgecourse.exchange.origin import OriginUnavailable, WeightsOrigin
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.http_client import ExchangeFailed, NoConnection
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
@@ -116,8 +116,8 @@
         """
         if key in self.holdings:
             return self.holdings[key]
-        ask_origin = monotonic() + patience
-        while peers and monotonic() < ask_origin:
+        ask_origin = boottime() + patience
+        while peers and boottime() < ask_origin:
             for peer in peers:
                 if holding := self.ask(peer, key):
                     return holding
--- a/src/ridgecourse/exchange/server.py
+++ b/src/ridgecourse/exchange/server.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterator
 from itertools import islice
-from time import monotonic
 
 import eventlet
 
@@ -11,6 +10,7 @@
 from ridgecourse.exchange.frames import TICKET_HEADER, frame_header
 from ridgecourse.exchange.holding import Holding
 from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
 from ridgecourse.net.throttle import Throttle, in_pieces
 from ridgecourse.net.websocket import ControlChannel
@@ -113,9 +113,9 @@
         self.queued += not across
         self.queued_across += across
         try:
-            deadline = monotonic() + QUEUE_SECONDS
+            deadline = boottime() + QUEUE_SECONDS
             while self._must_wait(across):
-                left = deadline - monotonic()
+                left = deadline - boottime()
                 if left <= 0 or not self.slot_free.wait(left):
                     return False
         finally:
--- a/src/ridgecourse/exchange/transfer.py
+++ b/src/ridgecourse/exchange/transfer.py
@@ -6,7 +6,6 @@
 from contextlib import closing
 from itertools import chain
 from math import inf
-from time import monotonic
 
 import eventlet
 
@@ -31,6 +30,7 @@
 )
 from ridgecourse.net.auth import AUTH_HEADER, sign_request
 from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.http_client import ExchangeFailed, NoConnection, read_pieces
 from ridgecourse.net.metrics import Metric
@@ -97,7 +97,7 @@
             [holding.places[index].digest for index in holding.held],
             [Member(peer.name, peer.domain) for peer in peers.values()],
             context.plan,
-            Seconds(monotonic()),
+            boottime(),
             origin_copies,
             hubs=hubs,
             origin_domain=origin_domain,
@@ -112,10 +112,10 @@
         self.corrupt: dict[ChunkDigest, int] = {}
         self.lacking: dict[ChunkDigest, str] = {}
         self.is_needed = is_needed
-        self.begun_at = monotonic()
+        self.begun_at = boottime()
         self.told_at = self.begun_at + TOLD_SECONDS
-        self.last_progress = monotonic()
-        self.next_report = monotonic() + PROGRESS_SECONDS
+        self.last_progress = boottime()
+        self.next_report = boottime() + PROGRESS_SECONDS
         self.cancelled = False
         self.error = ""
         self.threads: list[eventlet.greenthread.GreenThread] = []
@@ -129,7 +129,7 @@
         for neighbour in self.planner.sources:
             self.threads.append(spawn_loop(self._follow, neighbour))
         if self.rate is not None:
-            self.rate.begin(monotonic())
+            self.rate.begin(boottime())
         try:
             while not self.planner.complete() and not self.cancelled:
                 # The origin may be away, and then never says that it is outdated.
@@ -138,14 +138,14 @@
                 self._check_origin()
                 self._check_lacking()
                 self._tell_progress()
-                for fetch in self.planner.plan(Seconds(monotonic()), self._probes()):
+                for fetch in self.planner.plan(boottime(), self._probes()):
                     self.threads.append(eventlet.spawn(self._fetch, fetch))
                 self.progress.wait(self.planner.wake_after())
                 self.threads = [thread for thread in self.threads if not thread.dead]
         finally:
             self.close()
             if self.rate is not None:
-                self.rate.end(monotonic())
+                self.rate.end(boottime())
         return self.planner.complete()
 
     def _probes(self) -> bool:
@@ -159,7 +159,7 @@
         if rate is None or rate.is_known or self.unpaced_domain is not None:
             return False
         chunk = self.holding.manifest.chunk_size
-        return monotonic() < self.begun_at + rate.longest(chunk)
+        return boottime() < self.begun_at + rate.longest(chunk)
 
     @property
     def missing_share(self) -> float:
@@ -174,7 +174,7 @@
     @property
     def silent_seconds(self) -> float:
         """Seconds since the last chunk came, or since the start."""
-        return monotonic() - self.last_progress
+        return boottime() - self.last_progress
 
     def cancel(self) -> None:
         """Stop at once: what is in flight costs no more bytes."""
@@ -198,7 +198,7 @@
                 )
 
     def _tell_progress(self) -> None:
-        now = monotonic()
+        now = boottime()
         if now < self.next_report:
             return
         self.next_report = now + PROGRESS_SECONDS
@@ -223,7 +223,7 @@
 
         Asked on and on, a version that the origin gave up holds newer ones back.
         """
-        if monotonic() < self.told_at:
+        if boottime() < self.told_at:
             return
         for digest, answer in self.lacking.items():
             if digest in self.planner.missing and not self.planner.rarity.get(digest):
@@ -256,7 +256,7 @@
     def _take_holds(self, neighbour: TargetName, holds: Holds) -> None:
         if not holds.chunks and not holds.seen:
             return
-        now = Seconds(monotonic())
+        now = boottime()
         held = self.holding.add_seen(holds.chunks)
         self.planner.peer_holds(neighbour, held, now)
         if not self.planner.place.hubs:
@@ -269,7 +269,7 @@
     def _fetch(self, fetch: Fetch) -> None:
         """Carry out one fetch and tell the planner how it went."""
         got = self._get_chunk(fetch)
-        now = Seconds(monotonic())
+        now = boottime()
         if isinstance(got, FetchFailure):
             self.planner.failed(fetch.digest, fetch.source, got, now)
         else:
@@ -338,7 +338,7 @@
         if rate is not None:
             headers[RATE_HEADER] = str(int(rate.current))
         sharing = self.peer_fetches()
-        begun = monotonic()
+        begun = boottime()
         if self.referred.get(fetch.digest, 0) >= LAST_RESORT_REFERRALS:
             headers[LAST_RESORT_HEADER] = "yes"
         limit = self.holding.places[self.holding.index[fetch.digest]].length
@@ -361,7 +361,7 @@
         except ExchangeFailed:
             return FetchFailure.STALLED
         if rate is not None:
-            seconds = monotonic() - begun
+            seconds = boottime() - begun
             rate.observe(len(data), seconds, (sharing, self.peer_fetches()))
         self._count_peer_bytes(fetch.source, len(data))
         return data
--- a/src/ridgecourse/gateway/crash_exchange.py
+++ b/src/ridgecourse/gateway/crash_exchange.py
@@ -8,7 +8,6 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 from random import Random
-from time import monotonic
 
 import eventlet
 
@@ -16,6 +15,7 @@
 from ridgecourse.core.hubs import Peer
 from ridgecourse.core.site import Site
 from ridgecourse.net.address import Address, parse_address
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.datagrams import MAX_BYTES, DatagramSocket
 from ridgecourse.net.threads import spawn_loop
 from ridgecourse.wire.codec import encode_message
@@ -140,7 +140,7 @@
             eventlet.sleep(REPEAT_SECONDS * (0.5 + self.random.random()))
             if fresh := self.knowledge.fresh_news(FRESH_SECONDS):
                 self._tell(fresh, self._some(FANOUT))
-            now = monotonic()
+            now = boottime()
             if now - self.told_lasting_at >= LASTING_SECONDS:
                 self.told_lasting_at = now
                 if lasting := self.knowledge.lasting_news():
@@ -148,9 +148,9 @@
 
     def _learn(self) -> None:
         """Ask until somebody answers, or nobody seems to be there."""
-        limit = monotonic() + LEARN_SECONDS
+        limit = boottime() + LEARN_SECONDS
         query = CrashQuery(f"{self.site.host}:{self.port}")
-        while not self.learned and monotonic() < limit:
+        while not self.learned and boottime() < limit:
             seeds = [Address(parse_address(s).host, self.port) for s in self.site.seeds]
             asked = {*self._some(FANOUT), *seeds} - {Address(self.site.host, self.port)}
             self.socket.send(query, iter(asked))
--- a/src/ridgecourse/gateway/crash_watch.py
+++ b/src/ridgecourse/gateway/crash_watch.py
@@ -3,7 +3,6 @@
 from collections import OrderedDict
 from collections.abc import Callable, Collection, Iterable, Sequence
 from random import Random
-from time import monotonic
 
 import eventlet
 
@@ -23,6 +22,7 @@
 from ridgecourse.gateway.crash_exchange import CrashExchange, SuspectKnowledge
 from ridgecourse.gateway.sender import NotRun, Order, time_left
 from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.probe import refuses_connections
 from ridgecourse.wire.control import CrashNews
@@ -74,9 +74,9 @@
     def admit(self, order: Order) -> NotRun | None:
         """Wait until a request may be sent; return why it is not to be."""
         signature = order.signature
-        limit = monotonic() + WAIT_SHARE * max(0.0, time_left(order.deadline))
+        limit = boottime() + WAIT_SHARE * max(0.0, time_left(order.deadline))
         while True:
-            now = Seconds(monotonic())
+            now = boottime()
             verdict = self.suspects.judge(signature, now)
             if verdict is Verdict.FREE:
                 return None
@@ -98,14 +98,14 @@
 
     def avoided(self, order: Order) -> Collection[EngineLife]:
         """Return the engines to which a request is better not sent."""
-        return self.suspects.avoided(order.signature, Seconds(monotonic()))
+        return self.suspects.avoided(order.signature, boottime())
 
     def begin(self, order: Order, target: ListedTarget, life: EngineLife) -> Flight:
         """Note that a request is sent to an engine."""
         signature = order.signature
         flight = Flight(order.call.request_id, signature, life, target.address)
         self.suspects.begin(signature, life)
-        marks = self.suspects.count_marks(signature, Seconds(monotonic()))
+        marks = self.suspects.count_marks(signature, boottime())
         if marks:
             self.events.figures.count("requests_suspected")
         if marks >= LONE_MARKS:
@@ -115,7 +115,7 @@
     def finish(self, flight: Flight) -> None:
         """Note that a request is no longer at an engine."""
         self.suspects.finish(flight.signature, flight.life)
-        marks = self.suspects.count_marks(flight.signature, Seconds(monotonic()))
+        marks = self.suspects.count_marks(flight.signature, boottime())
         if marks:
             self.changed.notify()
         if marks >= LONE_MARKS:
@@ -123,7 +123,7 @@
 
     def note_success(self, flight: Flight) -> None:
         """Note that an engine answered a request."""
-        if not self.suspects.note_success(flight.signature, Seconds(monotonic())):
+        if not self.suspects.note_success(flight.signature, boottime()):
             return
         self.events.emit(
             EventKind.REQUEST_CLEARED,
@@ -135,7 +135,7 @@
 
     def note_disconnect(self, flight: Flight) -> None:
         """Note that an engine broke off; look whether it has ended."""
-        broke_at = Seconds(monotonic())
+        broke_at = boottime()
         if not self._has_ended(flight):
             return
         signature, life = flight.signature, flight.life
@@ -168,7 +168,7 @@
         """Tell of requests that are blocked from now on."""
         before, self.blocked = (
             self.blocked,
-            self.suspects.find_blocked(Seconds(monotonic())),
+            self.suspects.find_blocked(boottime()),
         )
         for signature, lives in self.suspects.blocked.items():
             if signature not in before:
@@ -185,7 +185,7 @@
         self.exchange.tell_all(self._news(signatures))
 
     def _news(self, signatures: Iterable[RequestSignature]) -> Sequence[SuspectNews]:
-        now = Seconds(monotonic())
+        now = boottime()
         return [
             self.suspects.tell(signature, now)
             for signature in signatures
@@ -194,15 +194,15 @@
 
     def fresh_news(self, span: float) -> Sequence[SuspectNews]:
         """Return what changed within so many seconds; see ``SuspectKnowledge``."""
-        return self._news(self.suspects.recent(Seconds(monotonic()), span))
+        return self._news(self.suspects.recent(boottime(), span))
 
     def lasting_news(self) -> Sequence[SuspectNews]:
         """Return all that others have to know; see ``SuspectKnowledge``."""
-        return self._news(self.suspects.lasting(Seconds(monotonic())))
+        return self._news(self.suspects.lasting(boottime()))
 
     def take_news(self, news: CrashNews) -> None:
         """Take in what another gateway tells; see ``SuspectKnowledge``."""
-        now = Seconds(monotonic())
+        now = boottime()
         new = [self.suspects.take(each, news.process, now) for each in news.suspects]
         if any(new):
             self._note_blocked()
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from random import Random
-from time import monotonic
 from typing import Any
 
 from msgspec import structs
@@ -40,6 +39,7 @@
     time_left,
 )
 from ridgecourse.gateway.terms import Terms
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.front_server import CallerGone
 
@@ -137,7 +137,7 @@
         engine = terms.service.engine
         if engine is None or not terms.route.objective:
             return None
-        now = Seconds(monotonic())
+        now = boottime()
         delay = self.selector.delays[terms.service.name].expect(now)
         prospect = Prospect(
             objective=terms.route.objective,
@@ -166,7 +166,7 @@
         order.version, order.begin_by = choice.terms.version, choice.terms.begin_by
         # Of the life that gets the request: what becomes of it concerns no later one.
         load, state = self.selector.load(target), self.selector.state(target)
-        begun = Seconds(monotonic())
+        begun = boottime()
         load.outstanding += 1
         load.waiting[order.call.request_id] = Pending(begun, choice.reading)
         result: SendResult | None = None
@@ -183,10 +183,10 @@
                 self.crashes.finish(flight)
         self._learn(result, target, state)
         if isinstance(result, Stream):
-            now = Seconds(monotonic())
+            now = boottime()
             expected = choice.wait + choice.reading + FIRST_EVENT_SECONDS
             self.selector.delays[target.service].observe(now - begun - expected, now)
-        self._note_send(order, choice, result, monotonic() - begun)
+        self._note_send(order, choice, result, boottime() - begun)
         return result
 
     def _note_fate(self, flight: Flight, result: SendResult) -> None:
@@ -200,7 +200,7 @@
         self, result: SendResult, target: ListedTarget, state: TargetState
     ) -> None:
         """Take in what a result says of the target's health."""
-        now = Seconds(monotonic())
+        now = boottime()
         if isinstance(result, NotRun) and result.reason is Reason.WRONG_TARGET:
             state.not_before = Seconds(now + MISSING_WEIGHTS_SECONDS)
             return
@@ -228,12 +228,12 @@
             target=target.target,
             took=round(seconds, 4),
             expected_wait=round(choice.wait, 3),
-            load_age=round(monotonic() - load.reported_at, 2),
+            load_age=round(boottime() - load.reported_at, 2),
             outstanding=load.outstanding,
             result=type(result).__name__,
             signature=order.signature.hex() if isinstance(result, Unknown) else None,
             held=choice.terms.held,
             only_version=order.version,
-            begin_left=None if begin_by is None else round(begin_by - monotonic(), 3),
+            begin_left=None if begin_by is None else round(begin_by - boottime(), 3),
             detail={name: str(value) for name, value in detail.items()},
         )
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -2,7 +2,6 @@
 
 from collections import defaultdict
 from random import Random
-from time import monotonic
 
 from returns.result import Failure
 
@@ -21,6 +20,7 @@
 from ridgecourse.gateway.sender import NotRun, Order, Stream, Whole, time_left
 from ridgecourse.gateway.stream_relay import StreamRelay
 from ridgecourse.gateway.terms import UNKNOWN_SERVICE, Rejection, Terms, find_terms
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.front_server import CallerGone, FrontReply, FrontRequest
 
@@ -57,7 +57,7 @@
 
     def handle(self, request: FrontRequest) -> FrontReply:
         """Answer a request."""
-        arrived = Seconds(monotonic())
+        arrived = boottime()
         config = self.view.config
         if config is None:
             return self._refuse("", Reason.NOT_READY)
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Collection, Sequence
 from random import Random
-from time import monotonic
 
 import eventlet
 
@@ -21,6 +20,7 @@
 from ridgecourse.gateway.loads import LoadWatcher
 from ridgecourse.gateway.protocol import RequestProtocol
 from ridgecourse.net.address import parse_address
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.figures import FiguresServer
 from ridgecourse.net.front_server import FrontReply, FrontRequest, FrontServer
@@ -140,7 +140,7 @@
 
     def drain(self) -> None:
         """End readiness, serve what still comes, then finish and close."""
-        begun = monotonic()
+        begun = boottime()
         self.stopping = True
         self.events.emit(EventKind.STOPPING, in_flight=self.front.in_flight)
         if self.hub.has_successor():
@@ -151,7 +151,7 @@
         self.front.closing = True
         self.front.end_idle_connections()
         limit = begun + self.site.bounds.stop_seconds - STOP_MARGIN_SECONDS
-        while self.front.in_flight and monotonic() < limit:
+        while self.front.in_flight and boottime() < limit:
             eventlet.sleep(DRAIN_POLL_SECONDS)
             self.front.end_idle_connections()
 
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable
 from functools import partial
-from time import monotonic
 
 import eventlet
 
@@ -14,7 +13,7 @@
     Peer,
     plan_hubs,
 )
-from ridgecourse.core.ids import Seconds, TargetName
+from ridgecourse.core.ids import TargetName
 from ridgecourse.core.site import Site
 from ridgecourse.core.supersession import is_of_use
 from ridgecourse.exchange.catalogue import Catalogue, VersionKey
@@ -26,6 +25,7 @@
 from ridgecourse.gateway.told_gateways import HubPeers, ToldGateways
 from ridgecourse.gateway.warm_up import VersionHolder, WarmUp
 from ridgecourse.net.address import Address
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.http_server import (
@@ -216,7 +216,7 @@
             return
         for model, history in self.view.histories.items():
             key = (model, history.newest)
-            if history.is_recent(Seconds(monotonic())) and self.plan(key).holds:
+            if history.is_recent(boottime()) and self.plan(key).holds:
                 self.want(key)
 
     def want(self, key: VersionKey) -> None:
@@ -237,8 +237,8 @@
 
     def _is_asked_on(self, key: VersionKey) -> bool:
         """Tell whether a version is asked for still, by who knows no better gateway."""
-        first = self.asked_at.setdefault(key, monotonic())
-        return monotonic() - first > ASKED_ON_SECONDS
+        first = self.asked_at.setdefault(key, boottime())
+        return boottime() - first > ASKED_ON_SECONDS
 
     def has(self, key: VersionKey) -> bool:
         """Tell whether a version is held whole."""
@@ -247,7 +247,7 @@
 
     def bring(self, key: VersionKey) -> None:
         """Bring a version in for others, until it is whole or out of date."""
-        begun = monotonic()
+        begun = boottime()
         try:
             while self.is_needed(key) and self._has_part(key):
                 self._wait_for_older(key)
@@ -260,7 +260,7 @@
                         return
                     continue
                 if whole:
-                    took = round(monotonic() - begun, 2)
+                    took = round(boottime() - begun, 2)
                     version = str(key[1])
                     self.events.emit(
                         EventKind.VERSION_COMPLETE, version=version, took=took
@@ -271,8 +271,8 @@
 
     def _wait_for_older(self, key: VersionKey) -> None:
         """Wait while an older version is nearly here, but not without end."""
-        limit = monotonic() + OLDER_WAIT_SECONDS
-        while self._is_older_nearly_here(key) and monotonic() < limit:
+        limit = boottime() + OLDER_WAIT_SECONDS
+        while self._is_older_nearly_here(key) and boottime() < limit:
             if not self.is_needed(key) or self._has_begun_near(key):
                 return
             eventlet.sleep(OLDER_POLL_SECONDS)
@@ -302,7 +302,7 @@
         if self.catalogue.is_outdated(key, history.count_newer(key[1])):
             return False
         bound = history.dated_bound(key[1])
-        return is_of_use(self._draw_seconds(key), bound, Seconds(monotonic()))
+        return is_of_use(self._draw_seconds(key), bound, boottime())
 
     def _draw_seconds(self, key: VersionKey) -> float:
         """Return the least time that drawing what is missing takes, if known."""
--- a/src/ridgecourse/gateway/loads.py
+++ b/src/ridgecourse/gateway/loads.py
@@ -3,20 +3,19 @@
 import logging
 from contextlib import closing
 from random import random
-from time import monotonic
 
 import eventlet
 
 from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.engine_life import EngineLife
 from ridgecourse.core.engine_load import EngineLoad
-from ridgecourse.core.ids import Seconds
 from ridgecourse.core.known_loads import KnownLoads
 from ridgecourse.core.report_rate import silence_limit
 from ridgecourse.core.site import Site
 from ridgecourse.core.targets import ListedTarget
 from ridgecourse.gateway.hub import Hub
 from ridgecourse.net.address import Address
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.datagrams import DatagramSocket
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.threads import spawn_loop
@@ -134,7 +133,7 @@
         with closing(channel):
             # Another life of the loader numbers its reports anew.
             self.load(target).number = 0
-            asked_at = Seconds(monotonic())
+            asked_at = boottime()
             channel.send(
                 Watch(
                     PROTOCOL_VERSION,
@@ -158,7 +157,7 @@
                     self.hub.learn(target.address, report.came, report.gone)
 
     def _take(self, target: ListedTarget, report: EngineReport) -> None:
-        status, now = report.status, Seconds(monotonic())
+        status, now = report.status, boottime()
         life = EngineLife(target.target, status.started)
         before = self.loads.of(life).status
         if not self.loads.report(life, status, now, report.number):
--- a/src/ridgecourse/gateway/selection.py
+++ b/src/ridgecourse/gateway/selection.py
@@ -3,7 +3,6 @@
 from collections import defaultdict
 from collections.abc import Collection
 from random import Random
-from time import monotonic
 
 from msgspec import Struct
 
@@ -27,6 +26,7 @@
 from ridgecourse.core.weights import FIRST_VERSION
 from ridgecourse.gateway.loads import LoadWatcher
 from ridgecourse.gateway.messages import CallerRequest
+from ridgecourse.net.clock import boottime
 
 PLAIN_REQUEST_SECONDS = 0.06
 """Estimated time of a plain service's request, until its targets report loads."""
@@ -124,7 +124,7 @@
             tried: Lives of targets that have had the request.
             avoided: Lives that get it only where there is no other.
         """
-        now = Seconds(monotonic())
+        now = boottime()
         able = [
             target
             for target in self.view.serving(service.name)
@@ -184,7 +184,7 @@
     def _cost(self, choice: Choice) -> float:
         target = choice.target
         near = self.site.region(target.domain) == self.site.region(self.site.domain)
-        now = Seconds(monotonic())
+        now = boottime()
         load = self.load(target)
         return placement_cost(load, choice.wait, target.slots, near, now, self.random)
 
@@ -223,4 +223,4 @@
 
     def forget_gone(self) -> None:
         """Drop what was seen of targets that are no longer listed."""
-        self.states.retain(self.view.targets.targets, Seconds(monotonic()))
+        self.states.retain(self.view.targets.targets, boottime())
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -1,7 +1,6 @@
 """Sends one request to one target and tells what came of it."""
 
 from collections.abc import Callable, Iterator
-from time import monotonic
 
 from msgspec import Struct
 
@@ -19,6 +18,7 @@
 from ridgecourse.gateway.messages import AnswerHead, CallerRequest, SendTerms
 from ridgecourse.gateway.protocol import RequestProtocol
 from ridgecourse.gateway.relay import StreamEvent, split_events
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.exchange import Broken, Disconnected, Exchange, NotSent, TooLate
 
 CONNECT_SECONDS = 0.3
@@ -156,19 +156,19 @@
 
     def _connect(self, exchange: Exchange, ways: RecentPeak) -> float:
         """Connect; return by how many seconds the way is longer than reckoned."""
-        begun = Seconds(monotonic())
+        begun = boottime()
         known = ways.expect(begun)
         try:
             exchange.connect(min(CONNECT_SECONDS, exchange.remaining()))
         finally:
-            now = Seconds(monotonic())
+            now = boottime()
             ways.observe(now - begun, now)
         return max(0.0, now - begun - known)
 
     def _exchange(
         self, exchange: Exchange, order: Order, target: ListedTarget
     ) -> SendResult:
-        if order.begin_by is not None and monotonic() >= order.begin_by:
+        if order.begin_by is not None and boottime() >= order.begin_by:
             # The way took so long that the request would begin too late.
             return NotRun(Reason.WRONG_TARGET, "not begun in time", arrived=False)
         call = order.call
@@ -211,4 +211,4 @@
 
 def time_left(deadline: Seconds) -> float:
     """Return the seconds until a deadline; negative once it is over."""
-    return deadline - monotonic()
+    return deadline - boottime()
--- a/src/ridgecourse/gateway/told_gateways.py
+++ b/src/ridgecourse/gateway/told_gateways.py
@@ -1,7 +1,6 @@
 """Which processes a gateway knows, and whom it takes versions and records from."""
 
 from collections.abc import Iterable, Mapping, Sequence
-from time import monotonic
 
 from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.hubs import (
@@ -14,6 +13,7 @@
 from ridgecourse.core.ids import Seconds, TargetName
 from ridgecourse.core.site import Site
 from ridgecourse.exchange.catalogue import VersionKey
+from ridgecourse.net.clock import boottime
 
 AT_LOADERS_SECONDS = 3.0
 """From a version's name until loaders hold enough of it to be worth following: until
@@ -92,7 +92,7 @@
 
     def loaders_that_may_hold(self, key: VersionKey) -> Sequence[Peer]:
         """Return the loaders of the domain if they may hold chunks of a version."""
-        then = Seconds(monotonic() - AT_LOADERS_SECONDS)
+        then = Seconds(boottime() - AT_LOADERS_SECONDS)
         if not self.view.history(key[0]).was_named_before(key[1], then):
             return []
         return [peer for peer in self.loaders() if peer.domain == self.site.domain]
--- a/src/ridgecourse/gateway/warm_up.py
+++ b/src/ridgecourse/gateway/warm_up.py
@@ -6,7 +6,6 @@
 import logging
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
-from time import monotonic
 
 import eventlet
 
@@ -19,6 +18,7 @@
 from ridgecourse.exchange.holding import Holding
 from ridgecourse.exchange.transfer import Transfer, TransferError
 from ridgecourse.gateway.told_gateways import ToldGateways
+from ridgecourse.net.clock import boottime
 
 logger = logging.getLogger(__name__)
 
@@ -94,8 +94,8 @@
             self.thread.kill()
 
     def _run(self) -> None:
-        begun = monotonic()
-        while not self._knows_loaders() and monotonic() < begun + WARM_UP_SECONDS:
+        begun = boottime()
+        while not self._knows_loaders() and boottime() < begun + WARM_UP_SECONDS:
             eventlet.sleep(WARM_UP_POLL_SECONDS)
         config = self.hub.view.config
         for service in config.services.values() if config else ():
--- a/src/ridgecourse/loader/gateways.py
+++ b/src/ridgecourse/loader/gateways.py
@@ -7,12 +7,12 @@
 
 from collections import Counter
 from collections.abc import Iterator, Sequence
-from time import monotonic
 
 import eventlet
 from returns.result import Failure
 
 from ridgecourse.core.hubs import GATEWAYS_PATH, Peer
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
 from ridgecourse.net.threads import spawn_loop
@@ -42,7 +42,7 @@
         self.events = events
         self.connected: Counter[Peer] = Counter()
         self.introduced: list[Peer] = []
-        self.introduced_until = monotonic() + INTRODUCED_SECONDS
+        self.introduced_until = boottime() + INTRODUCED_SECONDS
         self.thread: eventlet.greenthread.GreenThread | None = None
 
     def start(self) -> None:
@@ -57,7 +57,7 @@
     def __iter__(self) -> Iterator[Peer]:
         """Yield the gateways known now."""
         yield from self.connected
-        if monotonic() < self.introduced_until:
+        if boottime() < self.introduced_until:
             yield from (peer for peer in self.introduced if peer not in self.connected)
 
     def __bool__(self) -> bool:
@@ -83,7 +83,7 @@
         return True
 
     def _ask_seeds(self) -> None:
-        while not self.introduced and monotonic() < self.introduced_until:
+        while not self.introduced and boottime() < self.introduced_until:
             for seed in self.seeds:
                 self.introduced = self._ask(seed)
                 if self.introduced:
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -4,7 +4,6 @@
 from collections.abc import Mapping, Sequence
 from functools import partial
 from math import inf
-from time import monotonic
 
 import eventlet
 
@@ -34,6 +33,7 @@
 from ridgecourse.loader.service_engines import ServiceEngines
 from ridgecourse.loader.staging import StagedVersion, Staging
 from ridgecourse.loader.transfer_watch import TransferOwner, TransferWatch
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.threads import spawn_loop
 
@@ -100,11 +100,11 @@
         self.phase = Phase.WAITING
         self.version = WeightsVersion(0)
         self.error = ""
-        self.alone_until = monotonic() + SETTLE_SECONDS
+        self.alone_until = boottime() + SETTLE_SECONDS
         self.stray_until = Seconds(0.0)
         self.prefetching = False
         # At the first start of all, engines come up with the first version staged.
-        self.prefetch_at = inf if site.first_start else monotonic() + ENGINE_SECONDS
+        self.prefetch_at = inf if site.first_start else boottime() + ENGINE_SECONDS
         self.ordered: StartOrder | None = None
         self.staged: StagedVersion | None = None
         self.transfer: Transfer | None = None
@@ -132,7 +132,7 @@
                 wait = self._step()
             except EngineUnavailable as error:
                 if isinstance(error, StagingUnanswered):
-                    self.stray_until = Seconds(monotonic() + STRAY_SECONDS)
+                    self.stray_until = Seconds(boottime() + STRAY_SECONDS)
                 self._set(Phase.WAITING, f"engine: {error}")
                 wait = WORK_SECONDS
             self.view.changed.wait(wait)
@@ -159,7 +159,7 @@
     def _prefetch(self, key: VersionKey, place: OriginPlace, error: str) -> float:
         """Fetch a version's chunks while the engine is not there yet."""
         holding = self.catalogue.holdings.get(key)
-        if monotonic() < self.prefetch_at or (holding and holding.complete):
+        if boottime() < self.prefetch_at or (holding and holding.complete):
             self._set(Phase.WAITING, f"engine: {error}")
         else:
             self.prefetching = True
@@ -276,7 +276,7 @@
             place: Where its origin stands.
             staging: Where some of it may lie; None while the engine is away.
         """
-        if not self.gateways and monotonic() < self.alone_until:
+        if not self.gateways and boottime() < self.alone_until:
             return None
         known = self.catalogue.holdings.get(key)
         if known is not None and known.complete:
@@ -320,7 +320,7 @@
     def is_required(self, key: VersionKey) -> bool:
         """Tell whether nothing may begin on older versions than this one."""
         history = self.view.history(key[0])
-        return history.required(Seconds(monotonic())) >= key[1]
+        return history.required(boottime()) >= key[1]
 
     def _run_transfer(self, key: VersionKey, transfer: Transfer) -> bool:
         """Fetch the missing chunks; tell whether all are held."""
@@ -361,7 +361,7 @@
 
     def _start_wait(self, key: VersionKey, report: EngineReport) -> float:
         """Return the seconds after which to order the start; 0 for now."""
-        stray = self.stray_until - monotonic()
+        stray = self.stray_until - boottime()
         return max(stray, self.turn_wait(key, report))
 
     def turn_wait(self, key: VersionKey, report: EngineReport) -> float:
@@ -371,7 +371,7 @@
             return 0.0
         history = self.view.history(key[0])
         bound, newer_bound = map(history.begin_by, (held.version, key[1]))
-        now = Seconds(monotonic())
+        now = boottime()
         return start_wait(bound, newer_bound, now, self.starts_early(key))
 
     def _start(self, key: VersionKey, repaired: int, report: EngineReport) -> None:
--- a/src/ridgecourse/loader/status.py
+++ b/src/ridgecourse/loader/status.py
@@ -1,14 +1,13 @@
 """Tells gateways the load of the engine."""
 
 from collections.abc import Iterator
-from time import monotonic
 
 import eventlet
 from msgspec import Struct
 
 from ridgecourse.core.engine_load import EngineStatus, UnreadEstimate
 from ridgecourse.core.hubs import Peer
-from ridgecourse.core.ids import EngineStart, Seconds, WeightsVersion
+from ridgecourse.core.ids import EngineStart, WeightsVersion
 from ridgecourse.core.report_rate import (
     NEAR_INTERVAL_SECONDS,
     heartbeat_interval,
@@ -20,6 +19,7 @@
 from ridgecourse.loader.rollout import Rollout
 from ridgecourse.net.address import Address, parse_address
 from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.datagrams import DatagramSocket
 from ridgecourse.net.threads import spawn_loop
 from ridgecourse.net.websocket import ChannelClosed, ControlChannel
@@ -152,7 +152,7 @@
             # The prompts went with the engine's earlier life.
             self.started, self.unread = report.started, UnreadEstimate()
         requests = report.queued + report.active
-        return self.unread.look(found[0], requests, Seconds(monotonic()))
+        return self.unread.look(found[0], requests, boottime())
 
     def _link_share(self) -> float:
         """Return the share of its usual rate that the instance's link brings."""
@@ -163,7 +163,7 @@
 
     def _report(self, status: EngineStatus, shortest: float) -> None:
         """Tell all whose interval is over, and who have been told nothing for long."""
-        due = list(self._due(monotonic(), shortest))
+        due = list(self._due(boottime(), shortest))
         if not due:
             return
         self.number += 1
@@ -214,12 +214,12 @@
             connected = frozenset(self.gateways.connected)
             if connected != told:
                 channel.send(list_changes(told, connected))
-                told, told_at = connected, monotonic()
-            if monotonic() >= beat_at:
+                told, told_at = connected, boottime()
+            if boottime() >= beat_at:
                 self._send_heartbeat(channel)
-                beat_at = monotonic() + interval
-            if self.changed.wait(max(0.0, beat_at - monotonic())):
-                eventlet.sleep(max(0.0, told_at + GATHER_SECONDS - monotonic()))
+                beat_at = boottime() + interval
+            if self.changed.wait(max(0.0, beat_at - boottime())):
+                eventlet.sleep(max(0.0, told_at + GATHER_SECONDS - boottime()))
 
     def _send_heartbeat(self, channel: ControlChannel) -> None:
         if self.status is not None:
--- a/src/ridgecourse/loader/transfer_watch.py
+++ b/src/ridgecourse/loader/transfer_watch.py
@@ -2,7 +2,6 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
-from time import monotonic
 
 import eventlet
 
@@ -29,6 +28,7 @@
     EngineUnavailable,
     StartOrder,
 )
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.threads import spawn_loop
 
@@ -276,7 +276,7 @@
         wanted: WeightsVersion,
     ) -> tuple[TransferPlan, TransferPlan, Seconds, bool]:
         """Return what is known of a version that was begun and of the newest one."""
-        now = Seconds(monotonic())
+        now = boottime()
         copy = model.chunks * model.chunk_bytes / self.rollout.site.upload_bytes_per_s
         history = self.rollout.view.history(model.model)
         older = WeightsVersion(key[1] - 1)
--- a/src/ridgecourse/net/events.py
+++ b/src/ridgecourse/net/events.py
@@ -6,13 +6,14 @@
 
 from collections import Counter
 from enum import Enum
-from time import monotonic, time
+from time import time
 from typing import Any
 
 from msgspec import Struct
 from msgspec.json import encode
 
 from ridgecourse.core.ids import DomainName, Incarnation, ProcessName
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.figures import Figures
 from ridgecourse.net.line_writer import LineWriter
 
@@ -101,7 +102,7 @@
         domain: The process's failure domain.
         seq: Position in the process's own stream, from 0.
         clock: Lamport clock.
-        mono: Monotonic time of the process, in seconds.
+        mono: Seconds since the machine started; never set back.
         wall: Time of day, in seconds since 1970.
         request: Request it is about.
         change: Change of configuration it is about.
@@ -179,7 +180,7 @@
             self.domain,
             self.seq,
             self.clock,
-            monotonic(),
+            boottime(),
             time(),
             request,
             change,
@@ -193,7 +194,7 @@
 
     def _is_over_limit(self, kind: EventKind) -> bool:
         """Tell whether an event is only counted; tell of those that were."""
-        second = int(monotonic())
+        second = int(boottime())
         if second != self.second:
             self.second = second
             self.lines_in_second = 0
--- a/src/ridgecourse/net/exchange.py
+++ b/src/ridgecourse/net/exchange.py
@@ -9,7 +9,6 @@
 from contextlib import suppress
 from socket import SHUT_RDWR, SO_LINGER, SOL_SOCKET
 from struct import pack
-from time import monotonic
 from typing import Any
 
 from urllib3 import BaseHTTPResponse
@@ -20,6 +19,7 @@
 
 from ridgecourse.core.ids import Seconds
 from ridgecourse.net.address import parse_address
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_server import HeaderList
 
 READ_BYTES = 16 * 1024
@@ -117,12 +117,12 @@
         """
         wait = self.remaining()
         if begin_by is not None:
-            wait = min(wait, begin_by - monotonic())
+            wait = min(wait, begin_by - boottime())
         self._wait_at_most(wait)
         try:
             self.response = self.connection.getresponse()
         except TimeoutError as error:
-            if wait < self.deadline - monotonic():
+            if wait < self.deadline - boottime():
                 raise Broken(f"{self.address}: not begun in time") from error
             raise TooLate(f"{self.address}: no answer in time") from error
         except ConnectionError as error:
@@ -178,7 +178,7 @@
         Raises:
             TooLate: There are none.
         """
-        left = self.deadline - monotonic()
+        left = self.deadline - boottime()
         if left <= 0:
             raise TooLate(f"{self.address}: out of time")
         return left
--- a/src/ridgecourse/net/loop_lag.py
+++ b/src/ridgecourse/net/loop_lag.py
@@ -1,11 +1,9 @@
 """By how much the process's one thread is late for its timers."""
 
-from time import monotonic
-
 import eventlet
 
-from ridgecourse.core.ids import Seconds
 from ridgecourse.core.recent_peak import RecentPeak
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.figures import Figures
 from ridgecourse.net.threads import spawn_loop
 
@@ -40,9 +38,9 @@
 
     def _look(self) -> None:
         while True:
-            due = monotonic() + LOOK_SECONDS
+            due = boottime() + LOOK_SECONDS
             eventlet.sleep(LOOK_SECONDS)
-            now = Seconds(monotonic())
+            now = boottime()
             lag = max(0.0, now - due)
             self.figures.observe("loop_lag", lag)
             self.peak.observe(min(lag, LONGEST_LAG_SECONDS), now)
--- a/src/ridgecourse/net/record_follower.py
+++ b/src/ridgecourse/net/record_follower.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Callable
 from random import random
-from time import monotonic
 from typing import NamedTuple
 
 import eventlet
 from msgspec.structs import replace
 
 from ridgecourse.core.ids import Offset, Seconds
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.record_source import (
     RecordBatch,
@@ -240,7 +240,7 @@
             return self.source.newest(self.topic), True
         # A read that waits would tell only at its end that the store is back, or that
         # nothing is newer than what was long on its way.
-        late = monotonic() - self.heard_at > LATE_ANSWER_SECONDS
+        late = boottime() - self.heard_at > LATE_ANSWER_SECONDS
         wait = 0.0 if late or self.lost_since is not None else self.wait
         return self.source.read(self.topic, self.offset, wait), False
 
@@ -252,14 +252,14 @@
         self.failures += 1
         self.events.figures.count(f"read_failed_{self.topic.value}")
         if self.lost_since is None:
-            self.lost_since = Seconds(monotonic())
+            self.lost_since = boottime()
             self.events.emit(
                 EventKind.LOG_LOST, topic=self.topic.value, error=str(error)
             )
 
     def _note_answer(self, batch: RecordBatch) -> None:
         self.failures = 0
-        now = Seconds(monotonic())
+        now = boottime()
         self.unheard = now - self.heard_at if self.heard_at else 0.0
         if self.lost_since is not None:
             away = now - self.lost_since
--- a/src/ridgecourse/net/throttle.py
+++ b/src/ridgecourse/net/throttle.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Iterable, Iterator
 from math import inf
-from time import monotonic
 
 import eventlet
 
+from ridgecourse.net.clock import boottime
+
 
 class Throttle:
     """Keeps a flow of bytes below a rate.
@@ -21,14 +22,14 @@
         self.burst = burst
         self.total = 0
         # When the link will have sent all that was let through.
-        self.free_at = monotonic()
+        self.free_at: float = boottime()
 
     def take(self, size: int) -> None:
         """Wait until a number of bytes may pass."""
         self.total += size
         if self.rate is None:
             return
-        now = monotonic()
+        now = boottime()
         self.free_at = max(self.free_at, now - self.burst) + size / self.rate
         if self.free_at > now:
             eventlet.sleep(self.free_at - now)
--- a/src/ridgecourse/platform/store.py
+++ b/src/ridgecourse/platform/store.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Iterator, Sequence
 from struct import error as StructError
 from struct import pack, unpack_from
-from time import monotonic
 from typing import Annotated, Any, NamedTuple
 from urllib.parse import urlencode
 
@@ -13,6 +12,7 @@
 
 from ridgecourse.core.hearing import heard_at
 from ridgecourse.core.ids import Offset, Seconds
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
 from ridgecourse.net.record_follower import LONG_ANSWER_SECONDS
 from ridgecourse.net.record_source import (
@@ -121,7 +121,7 @@
 
     def newest(self, topic: Topic) -> RecordBatch:
         """Return the newest record of each key; see ``RecordSource``."""
-        asked = Seconds(monotonic())
+        asked = boottime()
         pages = list(self._newest_pages(topic))
         records = [
             read_item(item, page.end_offset) for page, _ in pages for item in page.items
@@ -129,7 +129,7 @@
         took = sum(took for _, took in pages)
         # The pages are no snapshot: what changed meanwhile is read again.
         end = Offset(pages[0][0].end_offset)
-        read_at = Seconds(monotonic() - took)
+        read_at = Seconds(boottime() - took)
         return RecordBatch(records, end, asked, took=took, read_at=read_at)
 
     def _newest_pages(self, topic: Topic) -> Iterator[tuple[NewestPage, float]]:
@@ -160,7 +160,7 @@
             "wait_ms": int(wait * 1000),
             "max_kb": MAX_READ_KB,
         }
-        asked = Seconds(monotonic())
+        asked = boottime()
         status, data, took = self._receive(topic, LOG_READ_PATH, query, wait)
         if status == 410:
             raise RecordsGone(f"from {start}")
@@ -170,7 +170,7 @@
             records, end = decode_records(data, start)
         except (StructError, ValueError) as error:
             raise SourceUnavailable(f"no records: {error}") from error
-        now = Seconds(monotonic())
+        now = boottime()
         heard = heard_at(asked, now, wait, not records)
         past = Offset(start + len(records)) if records else Offset(max(start, end))
         behind = max(0, end - past)
@@ -182,7 +182,7 @@
     def is_receiving(self, topic: Topic) -> bool:
         """Tell whether an answer is on its way here; see ``RecordSource``."""
         received_at = self.received_at.get(topic)
-        return received_at is not None and monotonic() - received_at < RECEIVING_SECONDS
+        return received_at is not None and boottime() - received_at < RECEIVING_SECONDS
 
     def _receive(
         self, topic: Topic, path: str, query: dict[str, Any], wait: float = 0.0
@@ -192,13 +192,13 @@
 
         def note() -> None:
             nonlocal began_at
-            self.received_at[topic] = monotonic()
-            began_at = began_at or monotonic()
+            self.received_at[topic] = boottime()
+            began_at = began_at or boottime()
 
         took = 0.0
         try:
             status, data = self._call("GET", path, query, wait, on_piece=note)
-            took = 0.0 if began_at is None else monotonic() - began_at
+            took = 0.0 if began_at is None else boottime() - began_at
         finally:
             # The next long one, after a pause for others, counts as on its way already.
             if took < LONG_ANSWER_SECONDS:
--- a/tests/platform/test_domain_source.py
+++ b/tests/platform/test_domain_source.py
@@ -75,7 +75,7 @@
         self.asked: list[str] = []
         self.ages: dict[str, float | None] = {"first": 0.0, "second": 0.0}
         monkeypatch.setattr(tree_reader, "ask_records", self.answer)
-        monkeypatch.setattr(tree_reader, "monotonic", lambda: self.now)
+        monkeypatch.setattr(tree_reader, "boottime", lambda: self.now)
         events = EventStream(ProcessName("p"), Incarnation("i"), DomainName("a"))
         self.source = DomainSource(
             CountingStore(self.asked),
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -63,3 +63,12 @@
         and "ridgecourse.platform" in path.read_text()
     ]
     assert importers == []
+
+
+def test_no_age_is_reckoned_by_a_clock_that_stands_still_in_a_suspension() -> None:
+    found = [
+        str(path.relative_to(SOURCES))
+        for path in sorted(SOURCES.rglob("*.py"))
+        if search(r"\bmonotonic\(|\bperf_counter\(", path.read_text())
+    ]
+    assert found == []
