A gateway imports no messages of entries, and no compression, forms or thread pools

The modules for requests that crash engines took a gateway's import to 422 modules, seven over its bound (tests/test_start.py).

--- a/src/ridgecourse/agent/agent.py
+++ b/src/ridgecourse/agent/agent.py
@@ -17,7 +17,7 @@
 from ridgecourse.net.threads import spawn_loop
 from ridgecourse.net.usage import process_usage
 from ridgecourse.net.websocket import ControlServer
-from ridgecourse.wire.control import AgentReport
+from ridgecourse.wire.entry_control import AgentReport
 
 
 class Agent(Process):
--- a/src/ridgecourse/agent/control.py
+++ b/src/ridgecourse/agent/control.py
@@ -11,14 +11,13 @@
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.websocket import ChannelClosed, ControlChannel
-from ridgecourse.wire.control import (
-    PROTOCOL_VERSION,
+from ridgecourse.wire.control import PROTOCOL_VERSION, Follow
+from ridgecourse.wire.entry_control import (
     AgentReport,
     ConfigFull,
     ConfigRecords,
     EntryMessage,
     FirstMessage,
-    Follow,
     Hello,
     WantRecords,
 )
--- a/src/ridgecourse/entry/admin.py
+++ b/src/ridgecourse/entry/admin.py
@@ -48,7 +48,7 @@
 from ridgecourse.net.auth import bearer_token, token_digest
 from ridgecourse.wire import admin_pb as pb
 from ridgecourse.wire.admin_connect import AdminSync
-from ridgecourse.wire.control import TargetReport
+from ridgecourse.wire.entry_control import TargetReport
 
 MAX_NAME_LENGTH = 200
 
--- a/src/ridgecourse/entry/config_follower.py
+++ b/src/ridgecourse/entry/config_follower.py
@@ -23,7 +23,8 @@
 from ridgecourse.net.metrics import Metric
 from ridgecourse.net.threads import spawn_loop
 from ridgecourse.wire.codec import decode_message, encode_message
-from ridgecourse.wire.control import MAX_CONTROL_BYTES, ConfigFull, ConfigRecords
+from ridgecourse.wire.control import MAX_CONTROL_BYTES
+from ridgecourse.wire.entry_control import ConfigFull, ConfigRecords
 
 logger = logging.getLogger(__name__)
 
--- a/src/ridgecourse/entry/links.py
+++ b/src/ridgecourse/entry/links.py
@@ -22,8 +22,8 @@
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.threads import spawn_loop
 from ridgecourse.net.websocket import ChannelClosed, ControlChannel, open_channel
-from ridgecourse.wire.control import (
-    PROTOCOL_VERSION,
+from ridgecourse.wire.control import PROTOCOL_VERSION
+from ridgecourse.wire.entry_control import (
     AgentMessage,
     AgentReport,
     ConfigFull,
--- a/src/ridgecourse/entry/reports.py
+++ b/src/ridgecourse/entry/reports.py
@@ -13,7 +13,8 @@
 from ridgecourse.net.http_client import ExchangeFailed, NoConnection
 from ridgecourse.net.http_server import HttpReply, HttpRequest
 from ridgecourse.wire.codec import decode_message, encode_message
-from ridgecourse.wire.control import MAX_CONTROL_BYTES, ReportList, TargetReport
+from ridgecourse.wire.control import MAX_CONTROL_BYTES
+from ridgecourse.wire.entry_control import ReportList, TargetReport
 
 REPORTS_PATH = "/internal/reports/"
 PEER_SECONDS = 1.0
--- a/src/ridgecourse/net/config_store.py
+++ b/src/ridgecourse/net/config_store.py
@@ -17,7 +17,7 @@
 from ridgecourse.core.ids import ChangeId, Offset
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.wire.codec import decode_message
-from ridgecourse.wire.control import ConfigFull, ConfigRecords
+from ridgecourse.wire.entry_control import ConfigFull, ConfigRecords
 
 RECORDS_KEPT = 2000
 """Records kept for receivers a little behind; those further get a snapshot."""
--- a/src/ridgecourse/net/patch.py
+++ b/src/ridgecourse/net/patch.py
@@ -24,15 +24,28 @@
 # Not subprocess: no program starts another one.
 eventlet.monkey_patch(os=True, select=True, socket=True, thread=True, time=True)
 
-# What the libraries import for files, forms, proxies, HTTP/2 and pages of errors.
+# What the libraries import for files, forms, proxies, HTTP/2, compression, thread
+# pools and pages of errors.
 with deferred(
     {
+        "concurrent.futures": (),
         "html": (),
         "importlib.metadata": ("version",),
         "json": (),
         "mimetypes": (),
         "shutil": (),
         "urllib.request": (),
+        "urllib3.filepost": ("_TYPE_FIELDS", "encode_multipart_formdata"),
+        "websockets.extensions.permessage_deflate": (
+            "enable_client_permessage_deflate",
+            "enable_server_permessage_deflate",
+        ),
+        "websockets.proxy": (
+            "Proxy",
+            "get_proxy",
+            "parse_proxy",
+            "prepare_connect_request",
+        ),
     }
 ):
     import eventlet.wsgi  # noqa: E402
--- a/src/ridgecourse/wire/control.py
+++ b/src/ridgecourse/wire/control.py
@@ -1,15 +1,13 @@
-"""Messages on the control connections, entry to agent and agent to agent."""
+"""Messages on control connections and in datagrams."""
 
 from msgspec import Struct
 
-from ridgecourse.core.config_objects import ConfigSnapshot
 from ridgecourse.core.crash_suspects import SuspectNews
 from ridgecourse.core.engine_load import EngineStatus
 from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import (
     ChunkDigest,
     DomainName,
-    Incarnation,
     ProcessName,
     RootDigest,
     TargetName,
@@ -25,76 +23,6 @@
     """Base of all control messages."""
 
 
-class Hello(ControlMessage, frozen=True, tag="hello"):
-    """First message of each side.
-
-    Attributes:
-        protocol: Version of this protocol.
-        process: The sender.
-        incarnation: The sender's life.
-        offset: Offset of the sender's configuration.
-    """
-
-    protocol: int
-    process: ProcessName
-    incarnation: Incarnation
-    offset: int
-
-
-class ConfigRecords(ControlMessage, frozen=True, tag="records"):
-    """Change records as they stand in the log.
-
-    Attributes:
-        first: Offset of the first one.
-        records: The records' bytes.
-        clock: The sender's Lamport clock.
-    """
-
-    first: int
-    records: list[bytes]
-    clock: int = 0
-
-
-class ConfigFull(ControlMessage, frozen=True, tag="full"):
-    """The whole configuration, for a receiver too far behind."""
-
-    snapshot: ConfigSnapshot
-    clock: int = 0
-
-
-class AgentReport(ControlMessage, frozen=True, tag="report"):
-    """An agent's state, sent to its entries on change and as a heartbeat.
-
-    Attributes:
-        offset: Offset of its configuration.
-        in_flight: Requests at the target, waiting ones included.
-        slots: Requests that the target runs at once.
-        ready: Whether it takes requests.
-        serving: Root digest of the version its engine serves.
-        phase: Phase of its rollout.
-        bytes_held: Bytes it holds of the version being placed.
-        bytes_total: Bytes of that version.
-        error: What keeps the rollout from going on.
-    """
-
-    offset: int
-    in_flight: int
-    slots: int
-    ready: bool
-    serving: str = ""
-    phase: str = ""
-    bytes_held: int = 0
-    bytes_total: int = 0
-    error: str = ""
-    clock: int = 0
-
-
-class WantRecords(ControlMessage, frozen=True, tag="want"):
-    """Asks the other side for its configuration above an offset."""
-
-    above: int
-
-
 class Follow(ControlMessage, frozen=True, tag="follow"):
     """Asks an agent to tell what it holds of a version, now and from then on."""
 
@@ -195,25 +123,5 @@
 
 GatewayNews = CrashNews | CrashQuery
 LoaderReport = EngineReport | GatewaysChanged | Named
-EntryMessage = Hello | ConfigRecords | ConfigFull | WantRecords
-AgentMessage = Hello | ConfigRecords | ConfigFull | AgentReport | WantRecords
-FirstMessage = Hello | Follow
 LoaderMessage = Follow | Watch
 ChunkIndex = dict[ChunkDigest, int]
-
-
-class TargetReport(Struct, frozen=True, forbid_unknown_fields=True):
-    """An agent's report as one entry knows it.
-
-    Attributes:
-        target: The agent's target.
-        report: The newest report.
-        age_ms: Its age when this was sent, in milliseconds.
-    """
-
-    target: TargetName
-    report: AgentReport
-    age_ms: int
-
-
-ReportList = list[TargetReport]
--- a/tests/test_input.py
+++ b/tests/test_input.py
@@ -21,7 +21,12 @@
 from ridgecourse.net.address import parse_address
 from ridgecourse.net.settings import Settings, load_settings, parse_settings
 from ridgecourse.wire.codec import decode_message
-from ridgecourse.wire.control import AgentMessage, EntryMessage, FirstMessage, Holds
+from ridgecourse.wire.control import Holds
+from ridgecourse.wire.entry_control import (
+    AgentMessage,
+    EntryMessage,
+    FirstMessage,
+)
 from ridgecourse.wire.request import FenceReply, FenceRequest, Work
 from ridgecourse_standins.cluster import FLEET, MODEL_SERVICE, OPERATOR_TOKEN, Plan
 
