A blocked request stays blocked when all gateways start again

Gateways tell each other of requests that crash engines, and one that starts asks another.

Whoever sees the third end writes the request, as a digest with its ends, into a topic of the system's own in the platform's store; a start reads it where no gateway answers within 0.3 s. That is a write a blocked request and a small read a start without neighbours. An answer that clears a blocked request drops the record. A store that is away delays no start beyond a second; it is asked again each second.

The test failed before: nothing was written, and a gateway that was killed and started again sent the request.

--- a/src/ridgecourse/core/crash_suspects.py
+++ b/src/ridgecourse/core/crash_suspects.py
@@ -21,6 +21,7 @@
 from itertools import groupby
 
 from msgspec import Struct, field
+from msgspec.structs import replace
 
 from ridgecourse.core.engine_life import EngineLife
 from ridgecourse.core.ids import ProcessName, RequestId, RequestSignature, Seconds
@@ -82,6 +83,16 @@
     cleared: tuple[EngineEnd, ...] = ()
     trial: EngineLife | None = None
 
+    def older(self, seconds: float) -> "SuspectNews":
+        """Return the same news, told so many seconds later."""
+        return replace(
+            self,
+            ends=tuple(EngineEnd(end.life, end.age + seconds) for end in self.ends),
+            cleared=tuple(
+                EngineEnd(end.life, end.age + seconds) for end in self.cleared
+            ),
+        )
+
 
 class Flight(Struct, frozen=True):
     """An own request that is at an engine.
--- a/src/ridgecourse/gateway/crash_exchange.py
+++ b/src/ridgecourse/gateway/crash_exchange.py
@@ -31,8 +31,12 @@
 LASTING_SECONDS = 1.0
 """Between two tellings of what lasts, each to one other gateway."""
 QUERY_SECONDS = 0.15
+ASK_SECONDS = 0.3
+"""How long others are asked before the store is: they answer in some milliseconds."""
 LEARN_SECONDS = 1.0
-"""Longest wait of a start for an answer; without one nobody is there who knows."""
+"""Longest wait of a start; requests are served without an answer then."""
+RECALL_SECONDS = 1.0
+"""Between two tries to read the store."""
 HEAD_BYTES = 100
 """Of a message, apart from its suspects."""
 
@@ -48,6 +52,10 @@
     def lasting_news(self) -> Sequence[SuspectNews]:
         """Return all that others have to know."""
 
+    @abstractmethod
+    def recall(self) -> bool:
+        """Take in what the store has; tell whether it could be read."""
+
     @abstractmethod
     def take_news(self, news: CrashNews) -> None:
         """Take in what another gateway tells."""
@@ -59,7 +67,8 @@
     Attributes:
         knowledge: What is told.
         known: Returns the other gateways.
-        learned: Whether another gateway has told what holds, since the start.
+        learned: Whether it is known what holds.
+        ready: Whether the start need not wait for that any longer.
     """
 
     def __init__(
@@ -75,7 +84,7 @@
         self.random = random
         self.port = site.peer_ports[0] + PORT_OFFSET
         self.socket = DatagramSocket(Address(site.host, self.port))
-        self.learned = site.first_start
+        self.learned = self.ready = site.first_start
         self.told_lasting_at = 0.0
         self.threads: list[eventlet.greenthread.GreenThread] = []
 
@@ -116,13 +125,14 @@
     def _receive(self) -> None:
         for _, message in self.socket.messages(GatewayNews):
             if isinstance(message, CrashNews):
-                self.learned = self.learned or message.reply
                 self.knowledge.take_news(message)
+                if message.reply:
+                    self.learned = self.ready = True
             else:
                 self._answer(message)
 
     def _answer(self, query: CrashQuery) -> None:
-        """Tell one that starts what holds, if that is known here."""
+        """Tell a gateway that starts what holds, if that is known here."""
         if not self.learned:
             return
         try:
@@ -147,15 +157,23 @@
                     self._tell(lasting, self._some(1))
 
     def _learn(self) -> None:
-        """Ask until somebody answers, or nobody seems to be there."""
-        limit = boottime() + LEARN_SECONDS
+        """Ask others, and the store where nobody answers."""
+        begun = boottime()
+        recalled_at = 0.0
         query = CrashQuery(f"{self.site.host}:{self.port}")
-        while not self.learned and boottime() < limit:
-            seeds = [Address(parse_address(s).host, self.port) for s in self.site.seeds]
-            asked = {*self._some(FANOUT), *seeds} - {Address(self.site.host, self.port)}
-            self.socket.send(query, iter(asked))
+        while not self.learned:
+            self.socket.send(query, iter(self._asked()))
             eventlet.sleep(QUERY_SECONDS)
-        self.learned = True
+            now = boottime()
+            if now - begun >= ASK_SECONDS and now - recalled_at >= RECALL_SECONDS:
+                recalled_at = now
+                self.learned = self.learned or self.knowledge.recall()
+            self.ready = self.learned or boottime() - begun >= LEARN_SECONDS
+
+    def _asked(self) -> set[Address]:
+        """Return whom to ask: the seeds, and some of the gateways that are known."""
+        seeds = [Address(parse_address(s).host, self.port) for s in self.site.seeds]
+        return {*self._some(FANOUT), *seeds} - {Address(self.site.host, self.port)}
 
 
 def pack(news: Iterable[SuspectNews]) -> Iterator[list[SuspectNews]]:
--- a/src/ridgecourse/gateway/crash_watch.py
+++ b/src/ridgecourse/gateway/crash_watch.py
@@ -15,16 +15,18 @@
 )
 from ridgecourse.core.engine_life import EngineLife
 from ridgecourse.core.hubs import Peer
-from ridgecourse.core.ids import RequestSignature, Seconds
+from ridgecourse.core.ids import ProcessName, RequestSignature, Seconds
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.site import Site
 from ridgecourse.core.targets import ListedTarget
+from ridgecourse.gateway.blocked_requests import BlockedRequests
 from ridgecourse.gateway.crash_exchange import CrashExchange, SuspectKnowledge
 from ridgecourse.gateway.sender import NotRun, Order, time_left
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.probe import refuses_connections
+from ridgecourse.net.record_source import RecordSource, SourceUnavailable
 from ridgecourse.wire.control import CrashNews
 
 PROBE_PAUSES = (0.0, 0.02, 0.05)
@@ -34,6 +36,8 @@
 WAIT_SHARE = 0.2
 """Share of its time that a request waits for what becomes of it elsewhere."""
 MOST_ENDED = 256
+STORE = ProcessName("")
+"""Who tells what was read from the store."""
 
 
 class CrashWatch(SuspectKnowledge):
@@ -43,6 +47,7 @@
         suspects: What is known of them.
         ended: Lives of engines that are known to have ended.
         blocked: Requests that were told to be blocked.
+        store: Keeps blocked requests.
         changed: Notified when a request may be judged otherwise than before.
         exchange: Tells other gateways.
     """
@@ -53,8 +58,10 @@
         events: EventStream,
         known: Callable[[], Collection[Peer]],
         random: Random,
+        store: RecordSource,
     ) -> None:
         self.events = events
+        self.store = BlockedRequests(store, events)
         self.suspects = CrashSuspects()
         self.ended: OrderedDict[EngineLife, None] = OrderedDict()
         self.blocked: frozenset[RequestSignature] = frozenset()
@@ -63,11 +70,13 @@
 
     def start(self) -> None:
         """Begin to exchange news."""
+        self.store.start()
         self.exchange.start()
 
     def close(self) -> None:
         """Stop."""
         self.exchange.close()
+        self.store.close()
 
     # Requests.
 
@@ -125,6 +134,8 @@
         """Note that an engine answered a request."""
         if not self.suspects.note_success(flight.signature, boottime()):
             return
+        if flight.signature in self.blocked:
+            self.store.drop(flight.signature)
         self.events.emit(
             EventKind.REQUEST_CLEARED,
             request=flight.request_id,
@@ -149,7 +160,8 @@
             marks=self.suspects.count_marks(signature, broke_at),
         )
         self._tell([signature])
-        self._note_blocked()
+        if signature in self._note_blocked():
+            self.store.keep(self.suspects.tell(signature, broke_at))
 
     def _has_ended(self, flight: Flight) -> bool:
         """Tell whether the life of an engine that broke off has ended."""
@@ -164,8 +176,8 @@
                 return True
         return False
 
-    def _note_blocked(self) -> None:
-        """Tell of requests that are blocked from now on."""
+    def _note_blocked(self) -> frozenset[RequestSignature]:
+        """Tell of requests that are blocked from now on; return them."""
         before, self.blocked = (
             self.blocked,
             self.suspects.find_blocked(boottime()),
@@ -178,6 +190,7 @@
                     ends=sorted(life.target for life in lives),
                 )
         self.changed.notify()
+        return self.blocked - before
 
     # Other gateways.
 
@@ -200,6 +213,18 @@
         """Return all that others have to know; see ``SuspectKnowledge``."""
         return self._news(self.suspects.lasting(boottime()))
 
+    def recall(self) -> bool:
+        """Take in what the store has; see ``SuspectKnowledge``."""
+        try:
+            stored = self.store.read()
+        except SourceUnavailable as error:
+            self.events.emit(EventKind.LOG_LOST, topic="blocked", error=str(error))
+            return False
+        for each in stored:
+            self.suspects.take(each, STORE, boottime())
+        self._note_blocked()
+        return True
+
     def take_news(self, news: CrashNews) -> None:
         """Take in what another gateway tells; see ``SuspectKnowledge``."""
         now = boottime()
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -66,7 +66,7 @@
         self.watcher = LoadWatcher(site, self.view, self.hub, self.events)
         self.lag = LoopLag(self.events.figures)
         random = Random()
-        self.crashes = CrashWatch(site, self.events, self.hub.known, random)
+        self.crashes = CrashWatch(site, self.events, self.hub.known, random, source)
         self.dispatcher = Dispatcher(
             site,
             self.view,
@@ -129,7 +129,7 @@
 
     def serve_ready(self, request: HttpRequest) -> HttpReply:
         """Answer whether the balancer may send callers here."""
-        ready = self.view.ready() and self.crashes.exchange.learned
+        ready = self.view.ready() and self.crashes.exchange.ready
         ready = ready and not self.stopping
         return HttpReply(200 if ready else 503)
 
--- a/src/ridgecourse/net/record_source.py
+++ b/src/ridgecourse/net/record_source.py
@@ -15,11 +15,13 @@
     DECISIONS: What operators decided: configurations and versions of weights.
     TARGETS: The list of targets.
     KEPT: Decisions that the system keeps itself; see ``cluster.keeper``.
+    BLOCKED: Requests that are not sent; see ``gateway.blocked_requests``.
     """
 
     DECISIONS = "decisions"
     TARGETS = "targets"
     KEPT = "kept"
+    BLOCKED = "blocked"
 
 
 class KeyedRecord(Struct, frozen=True):
--- a/src/ridgecourse/platform/store.py
+++ b/src/ridgecourse/platform/store.py
@@ -25,6 +25,7 @@
     TopicGrown,
 )
 from ridgecourse.platform.names import (
+    BLOCKED_TOPIC,
     DECISIONS_TOPIC,
     KEPT_TOPIC,
     LOG_APPEND_PATH,
@@ -37,6 +38,7 @@
     Topic.DECISIONS: DECISIONS_TOPIC,
     Topic.TARGETS: TARGETS_TOPIC,
     Topic.KEPT: KEPT_TOPIC,
+    Topic.BLOCKED: BLOCKED_TOPIC,
 }
 ANSWER_SECONDS = 1.0
 """Longest wait for an answer beyond a requested one: the store answers in 4 ms,
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -226,6 +226,21 @@
         engines.close()
 
 
+def test_a_blocked_request_is_not_sent_after_all_gateways_started_again(
+    front, engines
+) -> None:
+    engines.start()
+    front.start()
+    front.wait_until(lambda: front.ask(PATH, CRASH_BODY)[0] == 503)
+    ends = len(engines.ends)
+    assert front.store.wait_appended(1)
+    front.gateway.kill()
+    front.gateway.start()
+    front.wait_until(lambda: front.ready() == 200)
+    assert front.ask(PATH, CRASH_BODY)[0] == 503
+    assert len(engines.ends) == ends
+
+
 def break_off(request: ReceivedRequest) -> None:
     """Begin a stream that goes on, and that a caller has begun to read."""
     send_stream_head(request)
