--- a/src/ridgecourse/net/deferred.py
+++ b/src/ridgecourse/net/deferred.py
@@ -54,18 +54,19 @@
             What is loaded already is left alone. A package keeps the stand-in
             as its attribute until the module itself is loaded.
     """
-    standing_in = []
+    standing_in = {}
     for module, functions in modules.items():
         if module in sys.modules:
             continue
         stand_in = DeferredModule(module)
         for name in functions:
             setattr(stand_in, name, defer_call(module, name))
-        sys.modules[module] = stand_in
+        sys.modules[module] = standing_in[module] = stand_in
+    # With all of them in place: a package may import several of its modules.
+    for module, stand_in in standing_in.items():
         package, _, own_name = module.rpartition(".")
         if package:
             setattr(import_module(package), own_name, stand_in)
-        standing_in.append(module)
     try:
         yield
     finally:
--- a/src/ridgecourse/net/patch.py
+++ b/src/ridgecourse/net/patch.py
@@ -24,8 +24,8 @@
 # Not subprocess: no program starts another one.
 eventlet.monkey_patch(os=True, select=True, socket=True, thread=True, time=True)
 
-# What the libraries import for files, forms, proxies, HTTP/2, compression, thread
-# pools and pages of errors.
+# What the libraries import for files, forms, schemas, proxies, HTTP/2, compression,
+# thread pools and pages of errors.
 with deferred(
     {
         "concurrent.futures": (),
@@ -33,6 +33,10 @@
         "importlib.metadata": ("version",),
         "json": (),
         "mimetypes": (),
+        "msgspec._json_schema": ("schema", "schema_components"),
+        "msgspec.inspect": (),
+        "msgspec.toml": (),
+        "msgspec.yaml": (),
         "shutil": (),
         "urllib.request": (),
         "urllib3.filepost": ("_TYPE_FIELDS", "encode_multipart_formdata"),
@@ -49,6 +53,7 @@
     }
 ):
     import eventlet.wsgi  # noqa: E402
+    import msgspec  # noqa: E402, F401
     import urllib3  # noqa: E402, F401
     import websockets.sync.client  # noqa: E402, F401
     import websockets.sync.server  # noqa: E402, F401
