The datagrams between gateways stand apart from what they tell

Something else is to be told to all gateways at once; the socket, its port and whom it reaches are not a matter of requests that crash engines. No behaviour changes.

--- a/src/ridgecourse/gateway/crash_exchange.py
+++ b/src/ridgecourse/gateway/crash_exchange.py
@@ -6,23 +6,19 @@
 """
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
-from random import Random
+from collections.abc import Iterable, Iterator, Sequence
 
 import eventlet
 
 from ridgecourse.core.crash_suspects import SuspectNews
-from ridgecourse.core.hubs import Peer
-from ridgecourse.core.site import Site
+from ridgecourse.gateway.gateway_link import GatewayLink
 from ridgecourse.net.address import Address, parse_address
 from ridgecourse.net.clock import boottime
-from ridgecourse.net.datagrams import MAX_BYTES, DatagramSocket
+from ridgecourse.net.datagrams import MAX_BYTES
 from ridgecourse.net.threads import spawn_loop
 from ridgecourse.wire.codec import encode_message
-from ridgecourse.wire.control import CrashNews, CrashQuery, GatewayNews
+from ridgecourse.wire.control import CrashNews, CrashQuery
 
-PORT_OFFSET = 2
-"""From the control port to the one for this: the port between them is for chunks."""
 REPEAT_SECONDS = 0.25
 FRESH_SECONDS = 2.0
 """How long news is repeated: told on by each who has it to ``FANOUT`` others every
@@ -66,70 +62,44 @@
 
     Attributes:
         knowledge: What is told.
-        known: Returns the other gateways.
+        link: Carries it.
         learned: Whether it is known what holds.
         ready: Whether the start need not wait for that any longer.
     """
 
     def __init__(
-        self,
-        site: Site,
-        knowledge: SuspectKnowledge,
-        known: Callable[[], Collection[Peer]],
-        random: Random,
+        self, knowledge: SuspectKnowledge, link: GatewayLink, first_start: bool
     ) -> None:
-        self.site = site
         self.knowledge = knowledge
-        self.known = known
-        self.random = random
-        self.port = site.peer_ports[0] + PORT_OFFSET
-        self.socket = DatagramSocket(Address(site.host, self.port))
-        self.learned = self.ready = site.first_start
+        self.link = link
+        self.learned = self.ready = first_start
         self.told_lasting_at = 0.0
         self.threads: list[eventlet.greenthread.GreenThread] = []
+        link.handlers[CrashNews] = self._take
+        link.handlers[CrashQuery] = self._answer
 
     def start(self) -> None:
-        """Begin to listen, and ask what holds."""
-        self.socket.start()
-        for work in (self._receive, self._repeat, self._learn):
+        """Begin to tell, and ask what holds."""
+        for work in (self._repeat, self._learn):
             self.threads.append(spawn_loop(work))
 
     def close(self) -> None:
         """Stop."""
         for thread in self.threads:
             thread.kill()
-        self.socket.close()
 
     def tell_all(self, news: Iterable[SuspectNews]) -> None:
         """Tell all known gateways."""
-        self._tell(news, self._addresses(self.known()))
+        self._tell(news, self.link.all())
 
-    def _tell(
-        self,
-        news: Iterable[SuspectNews],
-        addresses: Sequence[Address],
-        reply: bool = False,
-    ) -> None:
+    def _tell(self, news: Iterable[SuspectNews], addresses: Sequence[Address]) -> None:
         for part in pack(news):
-            message = CrashNews(self.site.process, part, reply)
-            self.socket.send(message, iter(addresses))
-
-    def _addresses(self, peers: Iterable[Peer]) -> list[Address]:
-        hosts = {parse_address(peer.control_address).host for peer in peers}
-        return [Address(host, self.port) for host in hosts - {self.site.host}]
-
-    def _some(self, count: int) -> list[Address]:
-        addresses = self._addresses(self.known())
-        return self.random.sample(addresses, min(count, len(addresses)))
-
-    def _receive(self) -> None:
-        for _, message in self.socket.messages(GatewayNews):
-            if isinstance(message, CrashNews):
-                self.knowledge.take_news(message)
-                if message.reply:
-                    self.learned = self.ready = True
-            else:
-                self._answer(message)
+            self.link.send(CrashNews(self.link.site.process, part), addresses)
+
+    def _take(self, message: CrashNews) -> None:
+        self.knowledge.take_news(message)
+        if message.reply:
+            self.learned = self.ready = True
 
     def _answer(self, query: CrashQuery) -> None:
         """Tell a gateway that starts what holds, if that is known here."""
@@ -138,31 +108,31 @@
         try:
             address = parse_address(query.reply_to)
         except ValueError:
-            self.socket.refused += 1
+            self.link.socket.refused += 1
             return
         news = self.knowledge.lasting_news()
         self._tell(news, [address])
         # Sent after all the news: it does not overtake them on a link that keeps order.
-        self.socket.send(CrashNews(self.site.process, [], reply=True), iter([address]))
+        self.link.send(CrashNews(self.link.site.process, [], reply=True), [address])
 
     def _repeat(self) -> None:
         while True:
-            eventlet.sleep(REPEAT_SECONDS * (0.5 + self.random.random()))
+            eventlet.sleep(REPEAT_SECONDS * (0.5 + self.link.random.random()))
             if fresh := self.knowledge.fresh_news(FRESH_SECONDS):
-                self._tell(fresh, self._some(FANOUT))
+                self._tell(fresh, self.link.some(FANOUT))
             now = boottime()
             if now - self.told_lasting_at >= LASTING_SECONDS:
                 self.told_lasting_at = now
                 if lasting := self.knowledge.lasting_news():
-                    self._tell(lasting, self._some(1))
+                    self._tell(lasting, self.link.some(1))
 
     def _learn(self) -> None:
         """Ask others, and the store where nobody answers."""
         begun = boottime()
         recalled_at = 0.0
-        query = CrashQuery(f"{self.site.host}:{self.port}")
+        query = CrashQuery(str(self.link.address))
         while not self.learned:
-            self.socket.send(query, iter(self._asked()))
+            self.link.send(query, {*self.link.some(FANOUT), *self.link.seeds()})
             eventlet.sleep(QUERY_SECONDS)
             now = boottime()
             if now - begun >= ASK_SECONDS and now - recalled_at >= RECALL_SECONDS:
@@ -170,11 +140,6 @@
                 self.learned = self.learned or self.knowledge.recall()
             self.ready = self.learned or boottime() - begun >= LEARN_SECONDS
 
-    def _asked(self) -> set[Address]:
-        """Return whom to ask: the seeds, and some of the gateways that are known."""
-        seeds = [Address(parse_address(s).host, self.port) for s in self.site.seeds]
-        return {*self._some(FANOUT), *seeds} - {Address(self.site.host, self.port)}
-
 
 def pack(news: Iterable[SuspectNews]) -> Iterator[list[SuspectNews]]:
     """Yield news in parts that fit into a datagram each."""
--- a/src/ridgecourse/gateway/crash_watch.py
+++ b/src/ridgecourse/gateway/crash_watch.py
@@ -1,8 +1,7 @@
 """Watches which requests engines end under, and holds such requests back."""
 
 from collections import OrderedDict
-from collections.abc import Callable, Collection, Iterable, Sequence
-from random import Random
+from collections.abc import Collection, Iterable, Sequence
 
 import eventlet
 
@@ -14,13 +13,13 @@
     Verdict,
 )
 from ridgecourse.core.engine_life import EngineLife
-from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import ProcessName, RequestSignature, Seconds
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.site import Site
 from ridgecourse.core.targets import ListedTarget
 from ridgecourse.gateway.blocked_requests import BlockedRequests
 from ridgecourse.gateway.crash_exchange import CrashExchange, SuspectKnowledge
+from ridgecourse.gateway.gateway_link import GatewayLink
 from ridgecourse.gateway.sender import NotRun, Order, time_left
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.clock import boottime
@@ -56,8 +55,7 @@
         self,
         site: Site,
         events: EventStream,
-        known: Callable[[], Collection[Peer]],
-        random: Random,
+        link: GatewayLink,
         store: RecordSource,
     ) -> None:
         self.events = events
@@ -66,7 +64,7 @@
         self.ended: OrderedDict[EngineLife, None] = OrderedDict()
         self.blocked: frozenset[RequestSignature] = frozenset()
         self.changed = Broadcast()
-        self.exchange = CrashExchange(site, self, known, random)
+        self.exchange = CrashExchange(self, link, site.first_start)
 
     def start(self) -> None:
         """Begin to exchange news."""
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -16,6 +16,7 @@
 from ridgecourse.gateway.crash_watch import CrashWatch
 from ridgecourse.gateway.dispatcher import Dispatcher
 from ridgecourse.gateway.forwarder import Forwarder
+from ridgecourse.gateway.gateway_link import GatewayLink
 from ridgecourse.gateway.hub import Hub
 from ridgecourse.gateway.loads import LoadWatcher
 from ridgecourse.gateway.protocol import RequestProtocol
@@ -66,7 +67,8 @@
         self.watcher = LoadWatcher(site, self.view, self.hub, self.events)
         self.lag = LoopLag(self.events.figures)
         random = Random()
-        self.crashes = CrashWatch(site, self.events, self.hub.known, random, source)
+        self.link = GatewayLink(site, self.hub.known, random)
+        self.crashes = CrashWatch(site, self.events, self.link, source)
         self.dispatcher = Dispatcher(
             site,
             self.view,
@@ -98,6 +100,7 @@
         self.view.start()
         self.hub.start()
         self.watcher.start()
+        self.link.start()
         self.crashes.start()
         self.lag.start()
         self.threads.append(spawn_loop(self._take_limits))
@@ -159,6 +162,7 @@
         """Release everything."""
         self.lag.close()
         self.crashes.close()
+        self.link.close()
         self.watcher.close()
         self.hub.close()
         self.view.close()
