Tests that set a loader's clock name it as it is called now

Overlooked when ages moved to a clock that counts suspensions: four tests of short waits could not be set up (a whole run of the tests, 612 passed, these failed).

--- a/tests/platform/test_short_waits.py
+++ b/tests/platform/test_short_waits.py
@@ -34,7 +34,7 @@
 def make_watch(monkeypatch: pytest.MonkeyPatch, turn_wait: float) -> TransferWatch:
     """Return the watch of a loader at 4.48 s, whose version 2 is whole."""
     now = Seconds(4.48)
-    clock = "ridgecourse.loader.transfer_watch.monotonic"
+    clock = "ridgecourse.loader.transfer_watch.boottime"
     monkeypatch.setattr(clock, lambda: now)
     history = VersionHistory(BOUND_SECONDS)
     history.name(WHOLE[1], now, Seconds(0.0))
