An engine that names a limit gets no more than that from all gateways

What they cannot take comes back as refusals and late answers to callers.

Cause: nothing read the limit.

Now the adapter reads it from every answer, and the limit is divided among few gateways, those near the engine first, each at an even pace in turn; a burst of one by each gateway would break a limit of 1 a second from 11 gateways on. The others leave the engine out. Changes are told to all in datagrams. A new life of an engine begins without a limit, and a trickle goes on at zero, for only an answer tells of the end. Placement takes the time until the next turn for the engine's wait.

--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -1,9 +1,11 @@
 """Sends requests to targets, within their attempts, the retry budget and their time."""
 
 from collections.abc import Callable
+from functools import partial
 from random import Random
 from typing import Any
 
+import eventlet
 from msgspec import structs
 
 from ridgecourse.cluster.view import ClusterView
@@ -20,7 +22,9 @@
 from ridgecourse.core.target_states import TargetState
 from ridgecourse.core.targets import ListedTarget
 from ridgecourse.gateway.crash_watch import CrashWatch
+from ridgecourse.gateway.limit_watch import LimitWatch
 from ridgecourse.gateway.loads import LoadWatcher
+from ridgecourse.gateway.messages import AnswerHead
 from ridgecourse.gateway.protocol import RequestProtocol
 from ridgecourse.gateway.selection import (
     MISSING_WEIGHTS_SECONDS,
@@ -58,6 +62,7 @@
     Attributes:
         budgets: Bounds repeated sends, by service.
         crashes: Holds back requests that may crash engines.
+        limits: Knows which targets name a limit.
     """
 
     def __init__(
@@ -71,12 +76,14 @@
         random: Random,
         count_gateways: Callable[[], int],
         crashes: CrashWatch,
+        limits: LimitWatch,
     ) -> None:
         self.site = site
         self.events = events
         self.count_gateways = count_gateways
         self.crashes = crashes
-        self.selector = TargetSelector(site, view, watcher, lag, random)
+        self.limits = limits
+        self.selector = TargetSelector(site, view, watcher, lag, random, limits)
         self.sender = Sender(protocol)
         self.budgets: dict[ServiceName, RetryBudget] = {}
 
@@ -113,6 +120,9 @@
             avoided = self.crashes.avoided(order)
             choice = self.selector.choose(terms.service, order.call, tried, avoided)
             if choice is None or sends >= terms.route.max_attempts:
+                if not tried and self.selector.is_limited(terms.service):
+                    detail = "targets take no more for now"
+                    result = NotRun(Reason.OVERLOADED, detail, arrived=False)
                 break
             if order.is_abandoned():
                 raise CallerGone("the connection ended before a send")
@@ -166,13 +176,15 @@
         order.version, order.begin_by = choice.terms.version, choice.terms.begin_by
         # Of the life that gets the request: what becomes of it concerns no later one.
         load, state = self.selector.load(target), self.selector.state(target)
+        self._hold(order, choice, life)
         begun = boottime()
         load.outstanding += 1
         load.waiting[order.call.request_id] = Pending(begun, choice.reading)
         result: SendResult | None = None
         flight = self.crashes.begin(order, target, life)
         try:
-            result = self.sender.send(order, target, state.ways)
+            note_head = partial(self._note_head, life)
+            result = self.sender.send(order, target, state.ways, note_head)
             self._note_fate(flight, result)
         finally:
             load.waiting.pop(order.call.request_id, None)
@@ -189,6 +201,23 @@
         self._note_send(order, choice, result, boottime() - begun)
         return result
 
+    def _hold(self, order: Order, choice: Choice, life: EngineLife) -> None:
+        """Wait until a target that names a limit may get a request.
+
+        Raises:
+            CallerGone: The caller went away meanwhile.
+        """
+        self.limits.limits.take(life, boottime())
+        if choice.hold:
+            eventlet.sleep(choice.hold)
+            if order.is_abandoned():
+                raise CallerGone("the connection ended before a send")
+
+    def _note_head(self, life: EngineLife, head: AnswerHead) -> None:
+        """Take in what the head of an answer tells of its target."""
+        if not head.other_target:
+            self.limits.note_answer(life, head)
+
     def _note_fate(self, flight: Flight, result: SendResult) -> None:
         """Take in whether a request ended its engine."""
         if isinstance(result, Whole):
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -18,6 +18,7 @@
 from ridgecourse.gateway.forwarder import Forwarder
 from ridgecourse.gateway.gateway_link import GatewayLink
 from ridgecourse.gateway.hub import Hub
+from ridgecourse.gateway.limit_watch import LimitWatch
 from ridgecourse.gateway.loads import LoadWatcher
 from ridgecourse.gateway.protocol import RequestProtocol
 from ridgecourse.net.address import parse_address
@@ -69,6 +70,7 @@
         random = Random()
         self.link = GatewayLink(site, self.hub.known, random)
         self.crashes = CrashWatch(site, self.events, self.link, source)
+        self.limits = LimitWatch(self.events, self.link, self.hub.place)
         self.dispatcher = Dispatcher(
             site,
             self.view,
@@ -79,6 +81,7 @@
             random,
             self.hub.count_gateways,
             self.crashes,
+            self.limits,
         )
         self.forwarder = Forwarder(
             site, self.view, protocol, self.dispatcher, self.events, random
@@ -102,6 +105,7 @@
         self.watcher.start()
         self.link.start()
         self.crashes.start()
+        self.limits.start()
         self.lag.start()
         self.threads.append(spawn_loop(self._take_limits))
         self.events.emit(EventKind.STARTED, http=str(self.front.address))
@@ -162,6 +166,7 @@
         """Release everything."""
         self.lag.close()
         self.crashes.close()
+        self.limits.close()
         self.link.close()
         self.watcher.close()
         self.hub.close()
--- a/src/ridgecourse/gateway/messages.py
+++ b/src/ridgecourse/gateway/messages.py
@@ -82,6 +82,8 @@
         other_target: Whether another life of the target has the address, or
             the target lacks the weights asked for.
         events: Whether its body is a stream of events.
+        limit: Requests a second that the target takes in all; None where it names none.
+        bad_limit: What it names in place of that and cannot be read; empty for nothing.
     """
 
     status: int
@@ -92,6 +94,8 @@
     not_run: bool
     other_target: bool
     events: bool
+    limit: float | None = None
+    bad_limit: str = ""
 
     @property
     def success(self) -> bool:
--- a/src/ridgecourse/gateway/selection.py
+++ b/src/ridgecourse/gateway/selection.py
@@ -24,6 +24,7 @@
 from ridgecourse.core.target_states import TargetState, TargetStates
 from ridgecourse.core.targets import ListedTarget
 from ridgecourse.core.weights import FIRST_VERSION
+from ridgecourse.gateway.limit_watch import LimitWatch
 from ridgecourse.gateway.loads import LoadWatcher
 from ridgecourse.gateway.messages import CallerRequest
 from ridgecourse.net.clock import boottime
@@ -33,6 +34,9 @@
 MISSING_WEIGHTS_SECONDS = 1.0
 """How long a target is left alone after it said that it lacks the weights; its
 entry in the list lags by about a heartbeat."""
+HOLD_SECONDS = 0.25
+"""Longest wait for a target's limit: about as soon a caller that is refused would be
+back."""
 REFUSED_SECONDS = 0.15
 """How long a target is left alone after it refused a request, unless it reports."""
 
@@ -59,12 +63,14 @@
         wait: Estimated seconds until the request would begin there.
         reading: Seconds that the target would read its prompt for.
         terms: On which weights it may run.
+        hold: Seconds until it may be sent, where the target names a limit.
     """
 
     target: ListedTarget
     wait: float
     reading: float
     terms: VersionTerms
+    hold: float = 0.0
 
 
 class TargetSelector:
@@ -74,6 +80,7 @@
         states: What was seen of each target.
         watcher: Knows the engines' loads.
         lag: By how much this process is late for its timers.
+        limits: Knows which targets name a limit.
         delays: By how much first events are late against the estimates, by service.
     """
 
@@ -84,11 +91,13 @@
         watcher: LoadWatcher,
         lag: RecentPeak,
         random: Random,
+        limits: LimitWatch,
     ) -> None:
         self.site = site
         self.view = view
         self.watcher = watcher
         self.lag = lag
+        self.limits = limits
         self.random = random
         self.delays: dict[ServiceName, FirstEventDelay] = defaultdict(FirstEventDelay)
         self.states = TargetStates()
@@ -131,6 +140,7 @@
             if self.life(target) not in tried and self._is_able(service, target, now)
         ]
         choices = [self._weigh(service, call, target, now) for target in able]
+        choices = [choice for choice in choices if choice.hold <= HOLD_SECONDS]
         choices = [choice for choice in choices if not self._is_outdated(choice, now)]
         # Those with weights that may serve now go before those that may have them.
         current = [choice for choice in choices if choice.terms.version is None]
@@ -146,6 +156,13 @@
             )
         return min(free, key=self._cost)
 
+    def is_limited(self, service: Service) -> bool:
+        """Tell whether a target of a service names a limit."""
+        return any(
+            self.limits.limits.limited(self.life(target))
+            for target in self.view.serving(service.name)
+        )
+
     def _is_able(self, service: Service, target: ListedTarget, now: Seconds) -> bool:
         """Tell whether a target has weights and takes new requests."""
         if service.engine is None or not service.engine.layers:
@@ -173,13 +190,14 @@
     ) -> Choice:
         load = self.load(target)
         reading = 0.0
+        hold = self.limits.wait(target, self.life(target))
         if service.engine is None:
             wait = load.outstanding * PLAIN_REQUEST_SECONDS / max(1, target.slots)
         else:
             wait = load.wait(service.engine, target.slots, now, SENDERS)
             reading = prompt_seconds(service.engine, call.prompt_tokens)
         terms = self._version_terms(call.model, target, now, wait)
-        return Choice(target, wait, reading, terms)
+        return Choice(target, max(wait, hold), reading, terms, hold)
 
     def _cost(self, choice: Choice) -> float:
         target = choice.target
@@ -223,4 +241,5 @@
 
     def forget_gone(self) -> None:
         """Drop what was seen of targets that are no longer listed."""
+        self.limits.forget_gone(self.view.targets.targets)
         self.states.retain(self.view.targets.targets, boottime())
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -124,13 +124,20 @@
     def __init__(self, protocol: RequestProtocol) -> None:
         self.protocol = protocol
 
-    def send(self, order: Order, target: ListedTarget, ways: RecentPeak) -> SendResult:
+    def send(
+        self,
+        order: Order,
+        target: ListedTarget,
+        ways: RecentPeak,
+        on_head: Callable[[AnswerHead], None],
+    ) -> SendResult:
         """Send a request to a target and wait for its answer's beginning.
 
         Args:
             order: The request.
             target: The target.
             ways: Takes how long the connection took to come up.
+            on_head: Takes the head of an answer, of whatever kind.
         """
         exchange = Exchange(target.address, order.deadline)
         result: SendResult | None = None
@@ -138,7 +145,7 @@
             longer = self._connect(exchange, ways)
             if order.begin_by is not None:
                 order.begin_by = Seconds(order.begin_by - longer)
-            result = self._exchange(exchange, order, target)
+            result = self._exchange(exchange, order, target, on_head)
         except NotSent as error:
             result = NotRun(Reason.UNREACHABLE, str(error), arrived=False)
         except TooLate as error:
@@ -166,7 +173,11 @@
         return max(0.0, now - begun - known)
 
     def _exchange(
-        self, exchange: Exchange, order: Order, target: ListedTarget
+        self,
+        exchange: Exchange,
+        order: Order,
+        target: ListedTarget,
+        on_head: Callable[[AnswerHead], None],
     ) -> SendResult:
         if order.begin_by is not None and boottime() >= order.begin_by:
             # The way took so long that the request would begin too late.
@@ -183,6 +194,7 @@
         headers = self.protocol.encode_request(call, terms)
         exchange.send(call.method, call.target, headers, order.body)
         head = self.protocol.decode_answer(exchange.receive_head(order.begin_by))
+        on_head(head)
         if head.not_run:
             detail = f"status {head.status}"
             reason = Reason.WRONG_TARGET if head.other_target else Reason.OVERLOADED
--- a/src/ridgecourse/net/events.py
+++ b/src/ridgecourse/net/events.py
@@ -52,6 +52,7 @@
     KEY_FENCED = "key-fenced"
     GATEWAYS_KNOWN = "gateways-known"
     SEED_LOST = "seed-lost"
+    ENGINE_LIMIT = "engine-limit"
     ENGINE_ENDED = "engine-ended"
     REQUEST_BLOCKED = "request-blocked"
     REQUEST_CLEARED = "request-cleared"
--- a/src/ridgecourse/platform/names.py
+++ b/src/ridgecourse/platform/names.py
@@ -22,6 +22,8 @@
 # Headers of answers.
 SIGNATURE = "Response-Signature"
 NOT_RUN = "Not-Executed"
+LIMIT = "Server-Limit"
+"""Requests a second that the engine takes from all gateways together."""
 TARGET = "Instance-Id"
 RETRY_AFTER = "Retry-After"
 
--- a/src/ridgecourse/platform/requests.py
+++ b/src/ridgecourse/platform/requests.py
@@ -1,5 +1,7 @@
 """Translates requests and answers to and from the platform's headers."""
 
+import re
+
 from returns.result import Failure, Result, Success
 from urllib3 import BaseHTTPResponse
 
@@ -18,6 +20,7 @@
     KEY,
     LAST_EVENT_ID,
     LENGTH_HINT,
+    LIMIT,
     MODEL,
     NOT_RUN,
     RETRY_AFTER,
@@ -29,6 +32,9 @@
 from ridgecourse.platform.settings import MILLISECOND
 
 MISDIRECTED = 421
+DECIMAL = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?", re.ASCII)
+HIGHEST_LIMIT = 1e6
+"""A limit in requests a second that no engine comes near to: it is a mistake."""
 EVENTS_TYPE = "text/event-stream"
 
 HOP_HEADERS = frozenset(
@@ -136,6 +142,8 @@
     def decode_answer(self, response: BaseHTTPResponse) -> AnswerHead:
         """Return the head of an answer; see ``RequestProtocol``."""
         fields = response.headers
+        named = fields.get(LIMIT, "").strip()
+        limit = read_limit(named)
         return AnswerHead(
             status=response.status,
             reason=response.reason or "",
@@ -149,6 +157,8 @@
             not_run=NOT_RUN in fields or response.status == MISDIRECTED,
             other_target=response.status == MISDIRECTED or TARGET in fields,
             events=fields.get("Content-Type", "").startswith(EVENTS_TYPE),
+            limit=limit,
+            bad_limit=named if limit is None else "",
         )
 
     def retry_after(self, seconds: float) -> HeaderList:
@@ -156,6 +166,14 @@
         return [(RETRY_AFTER, f"{seconds:.3f}")]
 
 
+def read_limit(text: str) -> float | None:
+    """Return a limit in requests a second; None where the text is none."""
+    if not DECIMAL.fullmatch(text):
+        return None
+    limit = float(text)
+    return limit if limit <= HIGHEST_LIMIT else None
+
+
 class Fields:
     """Header lines by name."""
 
--- a/src/ridgecourse/wire/control.py
+++ b/src/ridgecourse/wire/control.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from ridgecourse.core.crash_suspects import SuspectNews
+from ridgecourse.core.engine_limits import LimitNews
 from ridgecourse.core.engine_load import EngineStatus
 from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import (
@@ -121,7 +122,13 @@
     reply_to: str
 
 
-GatewayNews = CrashNews | CrashQuery
+class EngineLimitNews(ControlMessage, frozen=True, tag="limits"):
+    """Limits that engines named, in a datagram."""
+
+    limits: list[LimitNews]
+
+
+GatewayNews = CrashNews | CrashQuery | EngineLimitNews
 LoaderReport = EngineReport | GatewaysChanged | Named
 LoaderMessage = Follow | Watch
 ChunkIndex = dict[ChunkDigest, int]
--- a/tests/platform/test_engine_limits.py
+++ b/tests/platform/test_engine_limits.py
@@ -10,9 +10,23 @@
 from time import monotonic, sleep
 
 import pytest
-from gateway_site import GatewaySite
+from gateway_site import GatewaySite, make_settings
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from msgspec import convert
 from test_crashing_requests import Callers, CrashDomain
 
+from ridgecourse.core.engine_life import EngineLife
+from ridgecourse.core.engine_limits import REMEMBERED_SECONDS, EngineLimits
+from ridgecourse.core.hubs import Peer
+from ridgecourse.core.ids import (
+    DomainName,
+    EngineStart,
+    Seconds,
+    TargetId,
+    TargetName,
+)
+from ridgecourse.platform.settings import SiteFields, make_site
 from ridgecourse_standins.platform.engine import (
     EngineStandIn,
     ReceivedRequest,
@@ -104,6 +118,17 @@
     assert len(limited.arrivals) - before > 2 * LIMIT
 
 
+@pytest.mark.parametrize("text", ["-1", "nan", "inf", "1e9", "many", "9" * 30])
+def test_what_is_no_limit_is_passed_over_and_logged(front, text: str) -> None:
+    limited = add_limited(front, text)
+    front.start()
+    for turn in range(30):
+        assert front.ask(PATH, b"%d" % turn)[0] == 200
+    assert len(limited.arrivals) > 5
+    event = front.gateway.wait_event("bad-input")
+    assert text in event["detail"]["error"]
+
+
 def test_an_engine_that_names_zero_is_still_asked_now_and_then(front) -> None:
     limited = add_limited(front, "0")
     front.start()
@@ -136,3 +161,86 @@
     callers.join()
     assert 1 <= limited.worst_window() <= ALLOWED
     assert callers.served >= LEAST_SERVED
+
+
+# The shares, without input or output.
+
+RATES = st.one_of(st.just(0.0), st.floats(0.05, 60.0))
+LIFE = EngineLife(TargetId("i-1"), EngineStart(1))
+DOMAIN = DomainName("a")
+STEP_SECONDS = 0.05
+
+
+def make_peers(count: int) -> list[Peer]:
+    names = [f"10.0.{n % 3}.{n}" for n in range(count)]
+    domains = [DomainName("ab"[n % 2]) for n in range(count)]
+    return [
+        Peer(TargetName(name), domain, f"{name}:2", f"{name}:1")
+        for name, domain in zip(names, domains, strict=True)
+    ]
+
+
+def make_limits(me: Peer) -> EngineLimits:
+    site = make_site(convert(make_settings("127.0.0.1:1"), SiteFields))
+    return EngineLimits(site, me)
+
+
+def send_all(limits: list[EngineLimits], peers: list[Peer], end: float) -> list[float]:
+    """Return when gateways send that all have requests all the time."""
+    sent = []
+    for step in range(int(end / STEP_SECONDS)):
+        now = Seconds(step * STEP_SECONDS)
+        for each in limits:
+            if each.wait(LIFE, DOMAIN, peers, now) == 0.0:
+                each.take(LIFE, now)
+                sent.append(now)
+    return sent
+
+
+def most_in_window(sent: list[float]) -> int:
+    return max(
+        (sum(a <= b < a + WINDOW_SECONDS for b in sent) for a in sent), default=0
+    )
+
+
+@settings(max_examples=25, deadline=None)
+@given(st.integers(1, 98), RATES)
+def test_all_gateways_together_keep_to_a_limit_also_when_news_ends(
+    count: int, rate: float
+) -> None:
+    peers = make_peers(count)
+    limits = [make_limits(peer) for peer in peers]
+    for each in limits:
+        each.hear(LIFE, rate, Seconds(0.0))
+    sent = send_all(limits, peers, 2 * REMEMBERED_SECONDS)
+    assert most_in_window(sent) <= 1.5 * rate * WINDOW_SECONDS + 5
+    assert min(sent) < REMEMBERED_SECONDS
+    assert max(sent) > REMEMBERED_SECONDS
+
+
+@given(st.integers(1, 98))
+def test_a_limit_is_used_by_who_stands_near(count: int) -> None:
+    peers = make_peers(count)
+    ranked = make_limits(peers[0]).rank(LIFE.target, DOMAIN, peers)
+    near = [peer.domain == DOMAIN for peer in ranked]
+    assert near == sorted(near, reverse=True)
+    others = make_limits(peers[-1])
+    assert others.rank(LIFE.target, DOMAIN, reversed(peers)) == ranked
+
+
+def test_newer_news_of_a_limit_replaces_older_only() -> None:
+    limits = make_limits(make_peers(1)[0])
+    assert limits.hear(LIFE, 2.0, Seconds(10.0))
+    assert not limits.hear(LIFE, None, Seconds(9.0))
+    assert limits.limited(LIFE)
+    assert limits.hear(LIFE, None, Seconds(11.0))
+    assert limits.wait(LIFE, DOMAIN, [], Seconds(11.0)) == 0.0
+
+
+def test_a_new_life_of_an_engine_begins_without_a_limit() -> None:
+    limits = make_limits(make_peers(1)[0])
+    limits.hear(LIFE, 0.0, Seconds(10.0))
+    later = EngineLife(LIFE.target, EngineStart(2))
+    assert not limits.limited(later)
+    assert not limits.hear(LIFE, 1.0, Seconds(11.0))
+    assert not limits.limited(later)
--- a/tests/platform/test_known_lives.py
+++ b/tests/platform/test_known_lives.py
@@ -201,14 +201,15 @@
         )
         site: Any = SimpleNamespace(region=lambda domain: "north", domain="a")
         lag = RecentPeak()
-        self.selector = TargetSelector(site, view, watcher, lag, Random(1))
+        limits: Any = SimpleNamespace()
+        self.selector = TargetSelector(site, view, watcher, lag, Random(1), limits)
 
     def choose(self, tried: set[EngineLife]) -> Any:
         service: Any = SimpleNamespace(
             name=ServiceName("llm"), engine=SimpleNamespace(layers=LAYERS)
         )
         self.selector._weigh = lambda service, call, target, now: SimpleNamespace(  # type: ignore[method-assign, assignment]
-            target=target, terms=SimpleNamespace(version=None)
+            target=target, terms=SimpleNamespace(version=None), hold=0.0
         )
         self.selector._cost = lambda choice: 0.0  # type: ignore[method-assign]
         call: Any = SimpleNamespace(model=MODEL)
