A single mark is told to the few gateways that gather a request's marks

Each mark went to all gateways, and each of them told all fresh marks on to others.

Now a single mark goes to two gateways by rendezvous of the request and to one of the own domain, which may be cut off. From the second mark on all are told, by whoever has two marks together first.

--- a/src/ridgecourse/core/crash_suspects.py
+++ b/src/ridgecourse/core/crash_suspects.py
@@ -130,12 +130,14 @@
         cleared: Engines whose end it has been cleared of, and when they ended.
         trials: Other gateways that have it running.
         changed_at: When anything new was learned of it.
+        known_to_all: Whether all gateways are told of it.
     """
 
     ends: dict[EngineLife, Seconds] = field(default_factory=dict)
     cleared: dict[EngineLife, Seconds] = field(default_factory=dict)
     trials: dict[ProcessName, Trial] = field(default_factory=dict)
     changed_at: Seconds = Seconds(0.0)
+    known_to_all: bool = False
 
     def marks(self, now: Seconds) -> frozenset[EngineLife]:
         """Return the engines whose end counts against it."""
@@ -308,6 +310,22 @@
         self._note_change(suspect, now)
         return True
 
+    def concerns_all(self, signature: RequestSignature, now: Seconds) -> bool:
+        """Tell whether all gateways have to know of a request, from now on.
+
+        A single mark is told to few: an end leaves as many as requests ran there.
+        """
+        suspect = self.suspects[signature]
+        if self.count_marks(signature, now) >= LONE_MARKS:
+            suspect.known_to_all = True
+        return suspect.known_to_all
+
+    def completes(self, news: SuspectNews, now: Seconds) -> bool:
+        """Tell whether all gateways have to learn more than some news tells."""
+        told = {end.life for end in news.ends} - {end.life for end in news.cleared}
+        count = self.count_marks(news.signature, now)
+        return count >= LONE_MARKS and count > len(told)
+
     def recent(self, now: Seconds, span: float) -> list[RequestSignature]:
         """Return the requests of which anything new was learned within a span."""
         return [
@@ -319,7 +337,7 @@
     def lasting(self, now: Seconds) -> list[RequestSignature]:
         """Return the requests of which others have to know, however old the news."""
         self._rank_when_due(now)
-        return [name for name in self.suspects if self.count_marks(name, now)]
+        return [name for name, count in self.counts.items() if count >= LONE_MARKS]
 
     # Inside.
 
--- a/src/ridgecourse/gateway/crash_exchange.py
+++ b/src/ridgecourse/gateway/crash_exchange.py
@@ -1,12 +1,15 @@
 """What gateways tell each other of requests under which engines ended.
 
-News goes to all known gateways at once, and what is new to some of them again while it
-is fresh, for datagrams get lost. What lasts is told to one after the other, so that a
-domain that was cut off learns of it. Nothing is sent while no request has a mark.
+A single mark goes to the few gateways that gather the marks of that request. From the
+second one on news goes to all known gateways at once, and to some of them again while
+it is fresh, for datagrams get lost. What lasts is told to one after the other, so that
+a domain that was cut off learns of it. So what is sent follows the engines that end,
+and nothing is while none does.
 """
 
 from abc import ABC, abstractmethod
 from collections.abc import Iterable, Iterator, Sequence
+from typing import NamedTuple
 
 import eventlet
 
@@ -37,11 +40,23 @@
 """Of a message, apart from its suspects."""
 
 
+class FreshNews(NamedTuple):
+    """What changed of late.
+
+    Attributes:
+        for_all: Of requests that all gateways have to know of.
+        for_keepers: Of others, as noted here.
+    """
+
+    for_all: Sequence[SuspectNews]
+    for_keepers: Sequence[SuspectNews]
+
+
 class SuspectKnowledge(ABC):
     """What is told to others, and takes in what they tell."""
 
     @abstractmethod
-    def fresh_news(self, span: float) -> Sequence[SuspectNews]:
+    def fresh_news(self, span: float) -> FreshNews:
         """Return what changed within so many seconds."""
 
     @abstractmethod
@@ -92,6 +107,11 @@
         """Tell all known gateways."""
         self._tell(news, self.link.all())
 
+    def tell_keepers(self, news: Iterable[SuspectNews]) -> None:
+        """Tell the few gateways that gather what is known of each request."""
+        for each in news:
+            self._tell([each], self.link.keepers(each.signature.hex()))
+
     def _tell(self, news: Iterable[SuspectNews], addresses: Sequence[Address]) -> None:
         for part in pack(news):
             self.link.send(CrashNews(self.link.site.process, part), addresses)
@@ -118,8 +138,9 @@
     def _repeat(self) -> None:
         while True:
             eventlet.sleep(REPEAT_SECONDS * (0.5 + self.link.random.random()))
-            if fresh := self.knowledge.fresh_news(FRESH_SECONDS):
-                self._tell(fresh, self.link.some(FANOUT))
+            fresh = self.knowledge.fresh_news(FRESH_SECONDS)
+            self._tell(fresh.for_all, self.link.some(FANOUT))
+            self.tell_keepers(fresh.for_keepers)
             now = boottime()
             if now - self.told_lasting_at >= LASTING_SECONDS:
                 self.told_lasting_at = now
--- a/src/ridgecourse/gateway/crash_watch.py
+++ b/src/ridgecourse/gateway/crash_watch.py
@@ -18,7 +18,11 @@
 from ridgecourse.core.site import Site
 from ridgecourse.core.targets import ListedTarget
 from ridgecourse.gateway.blocked_requests import BlockedRequests
-from ridgecourse.gateway.crash_exchange import CrashExchange, SuspectKnowledge
+from ridgecourse.gateway.crash_exchange import (
+    CrashExchange,
+    FreshNews,
+    SuspectKnowledge,
+)
 from ridgecourse.gateway.gateway_link import GatewayLink
 from ridgecourse.gateway.sender import NotRun, Order, time_left
 from ridgecourse.net.broadcast import Broadcast
@@ -35,6 +39,7 @@
 WAIT_SHARE = 0.2
 """Share of its time that a request waits for what becomes of it elsewhere."""
 MOST_ENDED = 256
+MOST_NOTED = 256
 STORE = ProcessName("")
 """Who tells what was read from the store."""
 
@@ -45,6 +50,7 @@
     Attributes:
         suspects: What is known of them.
         ended: Lives of engines that are known to have ended.
+        noted: Requests under which engines ended here.
         blocked: Requests that were told to be blocked.
         store: Keeps blocked requests.
         changed: Notified when a request may be judged otherwise than before.
@@ -62,6 +68,7 @@
         self.store = BlockedRequests(store, events)
         self.suspects = CrashSuspects()
         self.ended: OrderedDict[EngineLife, None] = OrderedDict()
+        self.noted: OrderedDict[RequestSignature, None] = OrderedDict()
         self.blocked: frozenset[RequestSignature] = frozenset()
         self.changed = Broadcast()
         self.exchange = CrashExchange(self, link, site.first_start)
@@ -116,7 +123,7 @@
         if marks:
             self.events.figures.count("requests_suspected")
         if marks >= LONE_MARKS:
-            self._tell([signature])
+            self._tell(signature)
         return flight
 
     def finish(self, flight: Flight) -> None:
@@ -126,7 +133,7 @@
         if marks:
             self.changed.notify()
         if marks >= LONE_MARKS:
-            self._tell([flight.signature])
+            self._tell(flight.signature)
 
     def note_success(self, flight: Flight) -> None:
         """Note that an engine answered a request."""
@@ -139,7 +146,7 @@
             request=flight.request_id,
             signature=flight.signature.hex(),
         )
-        self._tell([flight.signature])
+        self._tell(flight.signature)
         self.changed.notify()
 
     def note_disconnect(self, flight: Flight) -> None:
@@ -150,6 +157,9 @@
         signature, life = flight.signature, flight.life
         if not self.suspects.note_end(signature, life, broke_at):
             return
+        self.noted[signature] = None
+        if len(self.noted) > MOST_NOTED:
+            self.noted.popitem(last=False)
         self.events.emit(
             EventKind.ENGINE_ENDED,
             request=flight.request_id,
@@ -157,7 +167,7 @@
             signature=signature.hex(),
             marks=self.suspects.count_marks(signature, broke_at),
         )
-        self._tell([signature])
+        self._tell(signature)
         if signature in self._note_blocked():
             self.store.keep(self.suspects.tell(signature, broke_at))
 
@@ -192,8 +202,13 @@
 
     # Other gateways.
 
-    def _tell(self, signatures: Iterable[RequestSignature]) -> None:
-        self.exchange.tell_all(self._news(signatures))
+    def _tell(self, signature: RequestSignature) -> None:
+        """Tell all gateways of a request, or those that gather what is known of it."""
+        news = self._news([signature])
+        if news and self.suspects.concerns_all(signature, boottime()):
+            self.exchange.tell_all(news)
+        elif news:
+            self.exchange.tell_keepers(news)
 
     def _news(self, signatures: Iterable[RequestSignature]) -> Sequence[SuspectNews]:
         now = boottime()
@@ -203,9 +218,13 @@
             if signature in self.suspects.suspects
         ]
 
-    def fresh_news(self, span: float) -> Sequence[SuspectNews]:
+    def fresh_news(self, span: float) -> FreshNews:
         """Return what changed within so many seconds; see ``SuspectKnowledge``."""
-        return self._news(self.suspects.recent(boottime(), span))
+        now = boottime()
+        recent = self.suspects.recent(now, span)
+        for_all = [name for name in recent if self.suspects.concerns_all(name, now)]
+        own = [name for name in recent if name in self.noted and name not in for_all]
+        return FreshNews(self._news(for_all), self._news(own))
 
     def lasting_news(self) -> Sequence[SuspectNews]:
         """Return all that others have to know; see ``SuspectKnowledge``."""
@@ -226,9 +245,10 @@
     def take_news(self, news: CrashNews) -> None:
         """Take in what another gateway tells; see ``SuspectKnowledge``."""
         now = boottime()
-        new = [self.suspects.take(each, news.process, now) for each in news.suspects]
-        if any(new):
+        for each in news.suspects:
+            new = self.suspects.take(each, news.process, now)
+            if new and self.suspects.completes(each, now):
+                self._tell(each.signature)
+        if news.suspects:
+            # A trial elsewhere may be over, too.
             self._note_blocked()
-        elif news.suspects:
-            # A trial elsewhere may be over.
-            self.changed.notify()
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -68,9 +68,9 @@
         self.watcher = LoadWatcher(site, self.view, self.hub, self.events)
         self.lag = LoopLag(self.events.figures)
         random = Random()
-        self.link = GatewayLink(site, self.hub.known, random)
+        self.link = GatewayLink(site, self.hub.place, self.hub.known, random)
         self.crashes = CrashWatch(site, self.events, self.link, source)
-        self.limits = LimitWatch(self.events, self.link, self.hub.place)
+        self.limits = LimitWatch(self.events, self.link)
         self.dispatcher = Dispatcher(
             site,
             self.view,
--- a/src/ridgecourse/gateway/limit_watch.py
+++ b/src/ridgecourse/gateway/limit_watch.py
@@ -6,7 +6,6 @@
 
 from ridgecourse.core.engine_life import EngineLife
 from ridgecourse.core.engine_limits import EngineLimits, LimitNews
-from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import Seconds, TargetId
 from ridgecourse.core.targets import ListedTarget
 from ridgecourse.gateway.gateway_link import GatewayLink
@@ -36,10 +35,10 @@
         refused: Engines whose limit could not be read.
     """
 
-    def __init__(self, events: EventStream, link: GatewayLink, me: Peer) -> None:
+    def __init__(self, events: EventStream, link: GatewayLink) -> None:
         self.events = events
         self.link = link
-        self.limits = EngineLimits(link.site, me)
+        self.limits = EngineLimits(link.site, link.place)
         self.refused: set[EngineLife] = set()
         self.thread: eventlet.greenthread.GreenThread | None = None
         link.handlers[EngineLimitNews] = self._take
