An answer clears a request also where its mark was not known

With single marks told to few, a gateway that answered a harmless request in between did not know of its mark, so that marks far apart could add up to a block. Whoever is told of two marks now drops those from before its own last answer, and tells on.

--- a/src/ridgecourse/core/crash_suspects.py
+++ b/src/ridgecourse/core/crash_suspects.py
@@ -294,6 +294,8 @@
         if not ends:
             return False
         suspect = self._suspect(news.signature)
+        if len(_uncleared(news)) >= LONE_MARKS:
+            suspect.known_to_all = True
         new = [
             self.note_end(news.signature, end.life, Seconds(now - end.age))
             for end in ends
@@ -322,9 +324,8 @@
 
     def completes(self, news: SuspectNews, now: Seconds) -> bool:
         """Tell whether all gateways have to learn more than some news tells."""
-        told = {end.life for end in news.ends} - {end.life for end in news.cleared}
         count = self.count_marks(news.signature, now)
-        return count >= LONE_MARKS and count > len(told)
+        return count >= LONE_MARKS and count > len(_uncleared(news))
 
     def recent(self, now: Seconds, span: float) -> list[RequestSignature]:
         """Return the requests of which anything new was learned within a span."""
@@ -401,6 +402,11 @@
         }
 
 
+def _uncleared(news: SuspectNews) -> set[EngineLife]:
+    """Return the engines whose end counts by some news."""
+    return {end.life for end in news.ends} - {end.life for end in news.cleared}
+
+
 def _tell_ends(
     ends: Mapping[EngineLife, Seconds], now: Seconds
 ) -> tuple[EngineEnd, ...]:
--- a/src/ridgecourse/gateway/crash_watch.py
+++ b/src/ridgecourse/gateway/crash_watch.py
@@ -40,6 +40,9 @@
 """Share of its time that a request waits for what becomes of it elsewhere."""
 MOST_ENDED = 256
 MOST_NOTED = 256
+REPEATED_SECONDS = 0.6
+"""How long a mark is told again to those who gather it: two times more are enough where
+one datagram in thirty is lost."""
 STORE = ProcessName("")
 """Who tells what was read from the store."""
 
@@ -223,6 +226,7 @@
         now = boottime()
         recent = self.suspects.recent(now, span)
         for_all = [name for name in recent if self.suspects.concerns_all(name, now)]
+        recent = self.suspects.recent(now, min(span, REPEATED_SECONDS))
         own = [name for name in recent if name in self.noted and name not in for_all]
         return FreshNews(self._news(for_all), self._news(own))
 
@@ -245,10 +249,13 @@
     def take_news(self, news: CrashNews) -> None:
         """Take in what another gateway tells; see ``SuspectKnowledge``."""
         now = boottime()
+        completed = set()
         for each in news.suspects:
             new = self.suspects.take(each, news.process, now)
             if new and self.suspects.completes(each, now):
+                completed.add(each.signature)
                 self._tell(each.signature)
         if news.suspects:
             # A trial elsewhere may be over, too.
-            self._note_blocked()
+            for signature in self._note_blocked() & completed:
+                self.store.keep(self.suspects.tell(signature, now))
--- a/tests/platform/test_crash_suspects.py
+++ b/tests/platform/test_crash_suspects.py
@@ -217,6 +217,19 @@
     assert suspects.count_marks(HARMLESS[0], at(11)) == 0
 
 
+def test_an_answer_elsewhere_clears_a_request_once_its_marks_are_told() -> None:
+    """A single mark is told to few; who answers meanwhile knows nothing of it."""
+    teller = suspects_with({HARMLESS[0]: [1, 12]})
+    other = CrashSuspects()
+    other.note_success(HARMLESS[0], at(10))
+    news = teller.tell(HARMLESS[0], at(13))
+    assert other.take(news, HOST, at(13))
+    assert other.count_marks(HARMLESS[0], at(13)) == 1
+    assert other.concerns_all(HARMLESS[0], at(13))
+    teller.take(other.tell(HARMLESS[0], at(13)), HOST, at(13))
+    assert teller.count_marks(HARMLESS[0], at(13)) == 1
+
+
 def test_a_request_with_marks_runs_once_at_a_time() -> None:
     suspects = suspects_with({CRASHING: [1]})
     suspects.begin(CRASHING, life(2))
