What is known of one suspected request stands in a module of its own

A gateway that could not learn yet which requests are blocked asks once a second after its start, not seven times.

--- a/src/ridgecourse/core/crash_suspects.py
+++ b/src/ridgecourse/core/crash_suspects.py
@@ -16,24 +16,25 @@
 """
 
 from collections import Counter, OrderedDict
-from collections.abc import Iterator, Mapping, Set
+from collections.abc import Set
 from enum import Enum
 from itertools import groupby
 
-from msgspec import Struct, field
-from msgspec.structs import replace
-
 from ridgecourse.core.engine_life import EngineLife
-from ridgecourse.core.ids import ProcessName, RequestId, RequestSignature, Seconds
+from ridgecourse.core.ids import ProcessName, RequestSignature, Seconds
+from ridgecourse.core.suspect import (
+    MARK_SECONDS,
+    Suspect,
+    SuspectNews,
+    Trial,
+    tell_ends,
+)
 
 BLOCKING_MARKS = 3
 """One end under a request is chance, and a second one may be; a third costs callers
 more than the request is worth."""
 LONE_MARKS = 2
 """Marks from which on a request runs once at a time among all gateways."""
-MARK_SECONDS = 600.0
-"""How long a mark counts. A blocked request is tried once in about that time, so that
-one that was blocked wrongly, or whose engines were mended, is served again."""
 TRIAL_SECONDS = 2.0
 """How long another gateway is taken to try a request of which nothing more is heard:
 a usual answer is whole by then."""
@@ -42,8 +43,6 @@
 MOST_SUSPECTS = 256
 """Requests with marks that are remembered, the ones with fewest marks least: an end
 marks those at one engine, some tens."""
-MOST_TOLD = 8
-"""Engines told of one request: several requests fit into a datagram."""
 MOST_SUCCESSES = 2048
 """Requests remembered as answered: at 50 a second, the last 40 s of a gateway."""
 
@@ -61,104 +60,6 @@
     BLOCKED = "blocked"
 
 
-class EngineEnd(Struct, frozen=True, array_like=True):
-    """An engine that ended, with how many seconds ago."""
-
-    life: EngineLife
-    age: float
-
-
-class SuspectNews(Struct, frozen=True, array_like=True):
-    """What one gateway tells of one request.
-
-    Attributes:
-        signature: The request.
-        ends: Engines that ended under it.
-        cleared: Those of which it has been cleared since.
-        trial: Engine where the sender has it running; None for nowhere.
-    """
-
-    signature: RequestSignature
-    ends: tuple[EngineEnd, ...]
-    cleared: tuple[EngineEnd, ...] = ()
-    trial: EngineLife | None = None
-
-    def older(self, seconds: float) -> "SuspectNews":
-        """Return the same news, told so many seconds later."""
-        return replace(
-            self,
-            ends=tuple(EngineEnd(end.life, end.age + seconds) for end in self.ends),
-            cleared=tuple(
-                EngineEnd(end.life, end.age + seconds) for end in self.cleared
-            ),
-        )
-
-
-class Flight(Struct, frozen=True):
-    """An own request that is at an engine.
-
-    Attributes:
-        request_id: The caller's identity of this attempt.
-        signature: What it asks.
-        life: The engine.
-        address: HOST:PORT of the engine.
-    """
-
-    request_id: RequestId
-    signature: RequestSignature
-    life: EngineLife
-    address: str
-
-
-class Trial(Struct, frozen=True):
-    """A suspect that another gateway has running.
-
-    Attributes:
-        life: Where.
-        until: When it is taken to have ended.
-    """
-
-    life: EngineLife
-    until: Seconds
-
-
-class Suspect(Struct):
-    """What is known of one request.
-
-    Attributes:
-        ends: Engines that ended under it, and when.
-        cleared: Engines whose end it has been cleared of, and when they ended.
-        trials: Other gateways that have it running.
-        changed_at: When anything new was learned of it.
-        known_to_all: Whether all gateways are told of it.
-    """
-
-    ends: dict[EngineLife, Seconds] = field(default_factory=dict)
-    cleared: dict[EngineLife, Seconds] = field(default_factory=dict)
-    trials: dict[ProcessName, Trial] = field(default_factory=dict)
-    changed_at: Seconds = Seconds(0.0)
-    known_to_all: bool = False
-
-    def marks(self, now: Seconds) -> frozenset[EngineLife]:
-        """Return the engines whose end counts against it."""
-        lives = {
-            life
-            for life, ended in self.ends.items()
-            if life not in self.cleared and now - ended <= MARK_SECONDS
-        }
-        # A life without a start may be any of the target's.
-        told = {life.target for life in lives if life.started is not None}
-        return frozenset(
-            life
-            for life in lives
-            if life.started is not None or life.target not in told
-        )
-
-    def trial_lives(self, now: Seconds) -> Iterator[EngineLife]:
-        """Yield the engines where other gateways have it running."""
-        return (trial.life for trial in self.trials.values() if trial.until > now)
-
-
 class CrashSuspects:
     """What one gateway knows of requests that may crash engines.
 
@@ -168,7 +69,7 @@
         flights: Own sends in progress, by request and engine.
         blocked: Requests that are not sent, with their marks.
         counts: Marks of each request that no blocked one explains.
-        ranked_at: When these two were worked out; None where that is due.
+        ranked_at: When those two were worked out; None where that is due.
     """
 
     def __init__(self) -> None:
@@ -283,8 +184,8 @@
         flights = self.flights.get(signature) if lone else None
         return SuspectNews(
             signature,
-            _tell_ends(suspect.ends, now),
-            _tell_ends(suspect.cleared, now),
+            tell_ends(suspect.ends, now),
+            tell_ends(suspect.cleared, now),
             next(iter(flights)) if flights else None,
         )
 
@@ -294,7 +195,7 @@
         if not ends:
             return False
         suspect = self._suspect(news.signature)
-        if len(_uncleared(news)) >= LONE_MARKS:
+        if len(news.uncleared()) >= LONE_MARKS:
             suspect.known_to_all = True
         new = [
             self.note_end(news.signature, end.life, Seconds(now - end.age))
@@ -325,7 +226,7 @@
     def completes(self, news: SuspectNews, now: Seconds) -> bool:
         """Tell whether all gateways have to learn more than some news tells."""
         count = self.count_marks(news.signature, now)
-        return count >= LONE_MARKS and count > len(_uncleared(news))
+        return count >= LONE_MARKS and count > len(news.uncleared())
 
     def recent(self, now: Seconds, span: float) -> list[RequestSignature]:
         """Return the requests of which anything new was learned within a span."""
@@ -400,16 +301,3 @@
             name: len(each if name in blocked else each - explained)
             for name, each in marks.items()
         }
-
-
-def _uncleared(news: SuspectNews) -> set[EngineLife]:
-    """Return the engines whose end counts by some news."""
-    return {end.life for end in news.ends} - {end.life for end in news.cleared}
-
-
-def _tell_ends(
-    ends: Mapping[EngineLife, Seconds], now: Seconds
-) -> tuple[EngineEnd, ...]:
-    """Return the newest ends with their ages."""
-    newest = sorted(ends.items(), key=lambda item: item[1])[-MOST_TOLD:]
-    return tuple(EngineEnd(life, round(now - ended, 3)) for life, ended in newest)
--- a/src/ridgecourse/gateway/blocked_requests.py
+++ b/src/ridgecourse/gateway/blocked_requests.py
@@ -8,8 +8,10 @@
 from msgspec import Struct
 from returns.result import Failure
 
-from ridgecourse.core.crash_suspects import SuspectNews
 from ridgecourse.core.ids import RequestSignature
+from ridgecourse.core.suspect import (
+    SuspectNews,
+)
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.record_source import (
--- a/src/ridgecourse/gateway/crash_exchange.py
+++ b/src/ridgecourse/gateway/crash_exchange.py
@@ -13,7 +13,9 @@
 
 import eventlet
 
-from ridgecourse.core.crash_suspects import SuspectNews
+from ridgecourse.core.suspect import (
+    SuspectNews,
+)
 from ridgecourse.gateway.gateway_link import GatewayLink
 from ridgecourse.net.address import Address, parse_address
 from ridgecourse.net.clock import boottime
@@ -154,7 +156,7 @@
         query = CrashQuery(str(self.link.address))
         while not self.learned:
             self.link.send(query, {*self.link.some(FANOUT), *self.link.seeds()})
-            eventlet.sleep(QUERY_SECONDS)
+            eventlet.sleep(RECALL_SECONDS if self.ready else QUERY_SECONDS)
             now = boottime()
             if now - begun >= ASK_SECONDS and now - recalled_at >= RECALL_SECONDS:
                 recalled_at = now
--- a/src/ridgecourse/gateway/crash_watch.py
+++ b/src/ridgecourse/gateway/crash_watch.py
@@ -8,14 +8,16 @@
 from ridgecourse.core.crash_suspects import (
     LONE_MARKS,
     CrashSuspects,
-    Flight,
-    SuspectNews,
     Verdict,
 )
 from ridgecourse.core.engine_life import EngineLife
 from ridgecourse.core.ids import ProcessName, RequestSignature, Seconds
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.site import Site
+from ridgecourse.core.suspect import (
+    Flight,
+    SuspectNews,
+)
 from ridgecourse.core.targets import ListedTarget
 from ridgecourse.gateway.blocked_requests import BlockedRequests
 from ridgecourse.gateway.crash_exchange import (
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -9,7 +9,6 @@
 from msgspec import structs
 
 from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.crash_suspects import Flight
 from ridgecourse.core.engine_life import EngineLife
 from ridgecourse.core.engine_load import Pending
 from ridgecourse.core.ids import Seconds, ServiceName
@@ -19,6 +18,9 @@
 from ridgecourse.core.recent_peak import RecentPeak
 from ridgecourse.core.retry import RetryBudget
 from ridgecourse.core.site import Site
+from ridgecourse.core.suspect import (
+    Flight,
+)
 from ridgecourse.core.target_states import TargetState
 from ridgecourse.core.targets import ListedTarget
 from ridgecourse.gateway.crash_watch import CrashWatch
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -4,7 +4,6 @@
 
 from msgspec import Struct
 
-from ridgecourse.core.crash_suspects import Flight
 from ridgecourse.core.engine_load import EngineLoad
 from ridgecourse.core.ids import (
     AccountName,
@@ -14,6 +13,9 @@
 )
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.recent_peak import RecentPeak
+from ridgecourse.core.suspect import (
+    Flight,
+)
 from ridgecourse.core.targets import ListedTarget
 from ridgecourse.gateway.messages import AnswerHead, CallerRequest, SendTerms
 from ridgecourse.gateway.protocol import RequestProtocol
--- a/src/ridgecourse/wire/control.py
+++ b/src/ridgecourse/wire/control.py
@@ -2,7 +2,6 @@
 
 from msgspec import Struct
 
-from ridgecourse.core.crash_suspects import SuspectNews
 from ridgecourse.core.engine_limits import LimitNews
 from ridgecourse.core.engine_load import EngineStatus
 from ridgecourse.core.hubs import Peer
@@ -13,6 +12,9 @@
     RootDigest,
     TargetName,
 )
+from ridgecourse.core.suspect import (
+    SuspectNews,
+)
 from ridgecourse.core.weights import VersionAge
 
 PROTOCOL_VERSION = 1
--- a/tests/platform/test_crash_news.py
+++ b/tests/platform/test_crash_news.py
@@ -8,7 +8,9 @@
 import pytest
 from test_engine_limits import make_peers
 
-from ridgecourse.core.crash_suspects import Flight, Verdict
+from ridgecourse.core.crash_suspects import (
+    Verdict,
+)
 from ridgecourse.core.engine_life import EngineLife
 from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import (
@@ -18,6 +20,9 @@
     RequestSignature,
     TargetId,
 )
+from ridgecourse.core.suspect import (
+    Flight,
+)
 from ridgecourse.gateway.crash_watch import CrashWatch
 from ridgecourse.gateway.gateway_link import GatewayLink
 from ridgecourse.net.address import Address, parse_address
--- a/tests/platform/test_crash_suspects.py
+++ b/tests/platform/test_crash_suspects.py
@@ -8,10 +8,8 @@
 
 from ridgecourse.core.crash_suspects import (
     BLOCKING_MARKS,
-    MARK_SECONDS,
     MOST_SUSPECTS,
     CrashSuspects,
-    SuspectNews,
     Verdict,
 )
 from ridgecourse.core.engine_life import EngineLife
@@ -24,6 +22,10 @@
     TargetId,
 )
 from ridgecourse.core.request_signature import sign_request
+from ridgecourse.core.suspect import (
+    MARK_SECONDS,
+    SuspectNews,
+)
 
 GATEWAYS = 5
 CRASHING = RequestSignature(b"crashing")
