What each request and datagram looks up is kept at hand

Equal lives are not joined, parsed addresses are remembered, and the gateways gathered until a loader tells something else.

--- a/src/ridgecourse/core/latest_lives.py
+++ b/src/ridgecourse/core/latest_lives.py
@@ -29,6 +29,8 @@
     def latest(self, life: EngineLife) -> EngineLife:
         """Return an engine's latest life, of one that was heard of and those before."""
         known = self.lives.get(life.target)
+        if known == life:
+            return known
         if known is None or known.is_before(life):
             self.values[life.target] = self.make(life)
         self.lives[life.target] = known.join(life) if known else life
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -180,7 +180,7 @@
 
     def count_gateways(self) -> int:
         """Return how many gateways there are, as far as loaders tell."""
-        return len({gateway.name for gateway in self.known()} | {self.place.name})
+        return self.told.count_with(self.place)
 
     def has_successor(self) -> bool:
         """Tell whether another gateway of the domain can take this one's place."""
--- a/src/ridgecourse/gateway/told_gateways.py
+++ b/src/ridgecourse/gateway/told_gateways.py
@@ -26,10 +26,12 @@
     Attributes:
         by_loader: By the loader's address, then by name; empty for a loader that is
             connected and tells of none.
+        gateways: All of them, each once; None where that is to be gathered anew.
     """
 
     def __init__(self) -> None:
         self.by_loader: dict[str, dict[TargetName, Peer]] = {}
+        self.gateways: dict[TargetName, Peer] | None = None
 
     def __contains__(self, loader: str) -> bool:
         """Tell whether a loader is connected."""
@@ -40,6 +42,7 @@
     ) -> None:
         """Take in a loader that is connected, and which gateways came and went."""
         told = self.by_loader.setdefault(loader, {})
+        self.gateways = None
         told.update((peer.name, peer) for peer in came)
         for name in gone:
             told.pop(name, None)
@@ -47,15 +50,26 @@
     def forget(self, loader: str) -> None:
         """Drop what a loader told, which is lost or will tell it anew."""
         self.by_loader.pop(loader, None)
+        self.gateways = None
 
     def known(self) -> list[Peer]:
         """Return all gateways, each once."""
-        by_name = {
-            gateway.name: gateway
-            for told in self.by_loader.values()
-            for gateway in told.values()
-        }
-        return list(by_name.values())
+        return list(self._gather().values())
+
+    def count_with(self, me: Peer) -> int:
+        """Return how many gateways there are, one of them included in any case."""
+        gateways = self._gather()
+        return len(gateways) + (me.name not in gateways)
+
+    def _gather(self) -> dict[TargetName, Peer]:
+        """Return all gateways by name; each request and datagram asks for them."""
+        if self.gateways is None:
+            self.gateways = {
+                gateway.name: gateway
+                for told in self.by_loader.values()
+                for gateway in told.values()
+            }
+        return self.gateways
 
     def has_neighbour(self, me: Peer) -> bool:
         """Tell whether there is another gateway in a gateway's domain."""
--- a/src/ridgecourse/net/address.py
+++ b/src/ridgecourse/net/address.py
@@ -1,8 +1,12 @@
 """Socket addresses, written HOST:PORT with a numeric host."""
 
+from functools import lru_cache
 from ipaddress import ip_address
 from typing import NamedTuple
 
+REMEMBERED = 4096
+"""Addresses whose parsed form is kept: several for each process that one speaks to."""
+
 
 class Address(NamedTuple):
     """A numeric host and a port."""
@@ -14,6 +18,7 @@
         return f"{self.host}:{self.port}"
 
 
+@lru_cache(REMEMBERED)
 def parse_address(text: str) -> Address:
     """Return the address that a text names.
 
