A load that goes as gateways reckon is not told again

Loaders told their region's gateways each look at a crowded engine, 20 a second, for the memory in use grows with each token and the time for which prompts are read falls by itself. Gateways use the first for nothing and count the second down themselves. With 15 gateways a domain that is 300 datagrams a second from each engine, and as many for each gateway to take in.

Each watcher is told what changed since it was told last, at its interval, and all else after 0.9 s as before. Also, a gateway elsewhere whose interval was not over at a change now gets it when it is; it had waited for the next change.

Ruled out: telling near gateways less often the more there are.

--- a/src/ridgecourse/core/report_rate.py
+++ b/src/ridgecourse/core/report_rate.py
@@ -5,9 +5,13 @@
 gateway watches every engine, so reports grow with the product of both numbers; over
 the link between two regions they compete with requests, configurations and weights.
 So gateways of the engine's region, which send it most of its requests, are told as
-often as it is looked at. All others share a fixed number of reports a second.
+often as it is looked at. All others share a fixed number of reports a second. A look
+that finds what gateways reckon with anyway is not told.
 """
 
+from ridgecourse.core.engine_load import EngineStatus
+from ridgecourse.core.ids import Seconds
+
 NEAR_INTERVAL_SECONDS = 0.05
 """Between two reports within a region: as often as a crowded engine is looked at."""
 FAR_INTERVAL_SECONDS = 0.1
@@ -27,6 +31,44 @@
 them a second over the links between five regions, with one a second."""
 MISSED_HEARTBEATS = 2.5
 """Heartbeats after which a loader that tells nothing has gone, or its link has."""
+UNREAD_MARGIN_SECONDS = 0.01
+"""Difference in the time for which an engine still reads prompts that is worth no
+report: less than the jitter by which engines are chosen."""
+
+
+def tells_more(
+    told: EngineStatus | None, told_at: Seconds, status: EngineStatus, now: Seconds
+) -> bool:
+    """Tell whether a load differs from what gateways reckon by an earlier report.
+
+    They count down the time for which prompts are read, and have no use for the memory
+    that is taken: it grows with every token.
+
+    Args:
+        told: The earlier load; None for none.
+        told_at: When it was told.
+        status: The load now.
+        now: The present time.
+    """
+    if told is None:
+        return True
+    reckoned = max(0.0, told.unread - (now - told_at))
+    if abs(status.unread - reckoned) > UNREAD_MARGIN_SECONDS:
+        return True
+    return _counted(told) != _counted(status)
+
+
+def _counted(status: EngineStatus) -> tuple[object, ...]:
+    """Return what gateways use of a load as it stands."""
+    return (
+        status.version,
+        status.busy,
+        status.queued,
+        status.active,
+        status.pace,
+        status.link,
+        status.started,
+    )
 
 
 def heartbeat_interval(near: bool) -> float:
--- a/src/ridgecourse/loader/status.py
+++ b/src/ridgecourse/loader/status.py
@@ -7,11 +7,12 @@
 
 from ridgecourse.core.engine_load import EngineStatus, UnreadEstimate
 from ridgecourse.core.hubs import Peer
-from ridgecourse.core.ids import EngineStart, WeightsVersion
+from ridgecourse.core.ids import EngineStart, Seconds, WeightsVersion
 from ridgecourse.core.report_rate import (
     NEAR_INTERVAL_SECONDS,
     heartbeat_interval,
     report_interval,
+    tells_more,
 )
 from ridgecourse.loader.gateways import KnownGateways
 from ridgecourse.loader.protocol import EngineControl, EngineUnavailable
@@ -52,11 +53,13 @@
         address: Where it takes reports.
         near: Whether it stands in the engine's region.
         told_at: When it was told last.
+        change: Which change of the load it was told last.
     """
 
     address: Address
     near: bool
     told_at: float = 0.0
+    change: int = -1
 
 
 class StatusFeed:
@@ -69,6 +72,9 @@
         unread: Of the engine's latest life.
         started: When that started; None if it does not tell.
         number: Of the newest report.
+        change: Counts the looks that found another load than gateways reckon with.
+        told: The load at the last of them.
+        told_at: When that was.
     """
 
     def __init__(
@@ -88,6 +94,9 @@
         self.unread = UnreadEstimate()
         self.started: EngineStart | None = None
         self.number = 0
+        self.change = 0
+        self.told: EngineStatus | None = None
+        self.told_at = Seconds(0.0)
         self.thread: eventlet.greenthread.GreenThread | None = None
 
     def start(self) -> None:
@@ -113,9 +122,8 @@
             # The rollout logs it; those who watch hear nothing new.
             self.status = None
             return IDLE_SECONDS
-        changed, self.status = status != self.status, status
-        # What does not change is told all the same, or it would count as out of date.
-        self._report(status, 0.0 if changed else UNCHANGED_SECONDS)
+        self.status = status
+        self._report(status, boottime())
         if status.active + status.queued >= CROWDED_SHARE * self._slots():
             return CROWDED_SECONDS
         return BUSY_SECONDS if status.active or status.busy else IDLE_SECONDS
@@ -161,20 +169,26 @@
             return 1.0
         return round(rate.current / rate.limit, 1)
 
-    def _report(self, status: EngineStatus, shortest: float) -> None:
+    def _report(self, status: EngineStatus, now: Seconds) -> None:
         """Tell all whose interval is over, and who have been told nothing for long."""
-        due = list(self._due(boottime(), shortest))
+        if tells_more(self.told, self.told_at, status, now):
+            self.change += 1
+            self.told, self.told_at = status, now
+        due = list(self._due(now))
         if not due:
             return
         self.number += 1
         self.reports.send(EngineReport(status, self.number), iter(due))
 
-    def _due(self, now: float, shortest: float) -> Iterator[Address]:
+    def _due(self, now: Seconds) -> Iterator[Address]:
         far = sum(not watcher.near for watcher in self.watchers)
+        shortest = {near: report_interval(near, far) for near in (True, False)}
         for watcher in self.watchers:
-            interval = max(shortest, report_interval(watcher.near, far))
+            # What does not change is told all the same, or it would be out of date.
+            known = watcher.change == self.change
+            interval = UNCHANGED_SECONDS if known else shortest[watcher.near]
             if now - watcher.told_at >= interval * EARLY_SHARE:
-                watcher.told_at = now
+                watcher.told_at, watcher.change = now, self.change
                 yield watcher.address
 
     def tell(self, channel: ControlChannel, watch: Watch) -> None:
