The engines of a domain change their weights one after the other

Half of a domain's engines took new weights the moment they were whole, the others as late as they might. That was reckoned for 4.7 s, in which spreading costs as much as two bursts.

So an engine's turn follows from its place among its domain's engines, in the time from the version's being whole to the bound; the first still changes at once and the last 0.4 s before the bound. Two assertions on halves became ones on places, with the same figures for the first and the last.

Ruled out: a fixed pause between two engines; it would fit one bound and one number of engines.

--- a/src/ridgecourse/core/supersession.py
+++ b/src/ridgecourse/core/supersession.py
@@ -5,8 +5,8 @@
 from ridgecourse.core.ids import Seconds
 
 LATE_START_SECONDS = 0.4
-"""Before requests may no longer begin on an engine's weights, when an engine of the
-late half takes new ones: what begins later would not be allowed to."""
+"""Before requests may no longer begin on an engine's weights, when the last engine
+takes new ones: what begins later would not be allowed to."""
 START_SECONDS = 0.5
 """From the last chunk to the order: staging and checking."""
 APART_SECONDS = 2.5
@@ -132,7 +132,11 @@
 
 
 def start_wait(
-    bound: Seconds | None, newer_bound: Seconds | None, now: Seconds, early: bool
+    bound: Seconds | None,
+    newer_bound: Seconds | None,
+    now: Seconds,
+    whole_at: Seconds,
+    place: float,
 ) -> float:
     """Return the seconds until an engine takes a version that is whole beside it.
 
@@ -142,18 +146,25 @@
     changed all the same served 0.80, 0.50 and 0.33 of the worth of 2 s each up to the
     next bound, 0.97, 0.64 and 0.06 without (one play each).
 
+    Else a domain's engines change one after the other, in the time from the version's
+    being whole until the bound, so that as few as possible are out at a time. Where
+    that is short, it comes to half of them at once, then the others.
+
     Args:
         bound: When requests may no longer begin on what it has; None for not known.
         newer_bound: When they may no longer begin on the version; None if no newer one
             is named.
         now: The present time.
-        early: Whether the engine is of the half that takes new weights first.
+        whole_at: Since when the version is whole beside the engine.
+        place: Its place among its domain's engines, from 0 for the first to 1 for the
+            last.
     """
     if bound is None:
         return 0.0
     if newer_bound is not None and newer_bound - bound < APART_SECONDS:
         return max(0.0, bound - now)
-    return 0.0 if early else max(0.0, bound - LATE_START_SECONDS - now)
+    last = bound - LATE_START_SECONDS
+    return max(0.0, whole_at + place * max(0.0, last - whole_at) - now)
 
 
 def leaves_time(wait: float) -> bool:
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -68,6 +68,7 @@
         error: What stands in the way; empty for nothing.
         ordered: The last order; None for none.
         staged: What was staged last; None where that may have changed since.
+        whole_at: Since when a version is whole here, by version.
         hubs: Where the transfer in progress takes chunks from.
         prefetching: Whether it goes on without the engine.
         stray_until: Until when an unanswered call may still change what lies staged.
@@ -107,6 +108,7 @@
         self.prefetch_at = inf if site.first_start else boottime() + ENGINE_SECONDS
         self.ordered: StartOrder | None = None
         self.staged: StagedVersion | None = None
+        self.whole_at: dict[VersionKey, Seconds] = {}
         self.transfer: Transfer | None = None
         self.hubs: Sequence[Peer] = []
         self.offering: set[VersionKey] = set()
@@ -253,6 +255,8 @@
         for old in self.catalogue.drop_old(key[0]):
             self.exchange.leave(old.root)
         self.catalogue.retain_chunks()
+        known = self.catalogue.holdings
+        self.whole_at = {k: at for k, at in self.whole_at.items() if k in known}
         if holding.root not in self.exchange.holdings:
             self.exchange.join(holding)
 
@@ -365,14 +369,16 @@
         return max(stray, self.turn_wait(key, report))
 
     def turn_wait(self, key: VersionKey, report: EngineReport) -> float:
-        """Return the seconds until it is this engine's turn to change its weights."""
+        """Return the seconds until it is this engine's turn to take a whole version."""
         held = report.layers
         if held is None:
             return 0.0
         history = self.view.history(key[0])
         bound, newer_bound = map(history.begin_by, (held.version, key[1]))
         now = boottime()
-        return start_wait(bound, newer_bound, now, self.starts_early(key))
+        whole_at = self.whole_at.setdefault(key, now)
+        place = self.engines.place(key)
+        return start_wait(bound, newer_bound, now, whole_at, place)
 
     def _start(self, key: VersionKey, repaired: int, report: EngineReport) -> None:
         outcome = self.engine.start(*key)
--- a/src/ridgecourse/loader/service_engines.py
+++ b/src/ridgecourse/loader/service_engines.py
@@ -8,6 +8,10 @@
 from ridgecourse.core.targets import ListedTarget
 from ridgecourse.exchange.catalogue import VersionKey
 
+EARLY_SHARE = 0.5
+"""Share of a domain's engines that serve the first of two versions, where both are
+wanted: as many as wait for the second."""
+
 
 class ServiceEngines:
     """Finds the other engines of a service, and its own engine's turn among them."""
@@ -27,13 +31,19 @@
         """Yield the engines on other instances."""
         return (target for target in self if target.host != self.site.host)
 
-    def starts_early(self, key: VersionKey) -> bool:
-        """Tell whether the own engine is in the half that takes new weights first.
+    def place(self, key: VersionKey) -> float:
+        """Return the own engine's place in which its domain's engines take a version.
+
+        An engine that changes its weights takes no requests until it has ended those
+        in progress.
 
-        An engine that changes its weights takes no requests until it has ended
-        those in progress. Half of each domain's engines do that as soon as they
-        can; the others serve on until their weights may no longer be used.
+        Returns:
+            From 0 for the first of them to 1 for the last.
         """
         near = {target.host for target in self if target.domain == self.site.domain}
         ranked = rendezvous_rank(f"{key}/start", near | {self.site.host})
-        return ranked.index(self.site.host) % 2 == 0
+        return ranked.index(self.site.host) / max(1, len(ranked) - 1)
+
+    def starts_early(self, key: VersionKey) -> bool:
+        """Tell whether this engine is in the half that takes new weights first."""
+        return self.place(key) <= EARLY_SHARE
--- a/tests/platform/test_kept_transfers.py
+++ b/tests/platform/test_kept_transfers.py
@@ -80,21 +80,31 @@
 def test_an_engine_changes_once_for_two_versions_named_close_together() -> None:
     """Versions required 2 s apart: to change takes as long as the first may serve."""
     bound, newer = Seconds(103.0), Seconds(105.0)
-    for early in (True, False):
-        assert start_wait(bound, newer, NOW, early) == 3.0
-        assert start_wait(bound, newer, Seconds(103.5), early) == 0.0
+    for place in (0.0, 0.5, 1.0):
+        assert start_wait(bound, newer, NOW, NOW, place) == 3.0
+        assert start_wait(bound, newer, Seconds(103.5), NOW, place) == 0.0
 
 
-def test_half_of_the_engines_change_early_where_that_pays() -> None:
+def test_the_first_engine_changes_at_once_and_the_last_by_the_bound() -> None:
     bound = Seconds(103.0)
     for newer in (None, Seconds(108.0)):
-        assert start_wait(bound, newer, NOW, early=True) == 0.0
-        wait = start_wait(bound, newer, NOW, early=False)
+        assert start_wait(bound, newer, NOW, NOW, place=0.0) == 0.0
+        wait = start_wait(bound, newer, NOW, NOW, place=1.0)
         assert wait == pytest.approx(3.0 - LATE_START_SECONDS)
 
 
+def test_a_turn_stays_where_it_is_while_time_passes() -> None:
+    bound, later = Seconds(110.0), Seconds(NOW + 2.0)
+    wait = start_wait(bound, None, NOW, NOW, place=0.5)
+    assert start_wait(bound, None, later, NOW, place=0.5) == pytest.approx(wait - 2.0)
+
+
+def test_a_version_that_comes_after_the_bound_is_taken_at_once() -> None:
+    assert start_wait(Seconds(99.0), None, NOW, NOW, place=1.0) == 0.0
+
+
 def test_an_engine_without_weights_takes_what_there_is() -> None:
-    assert start_wait(None, Seconds(101.0), NOW, early=False) == 0.0
+    assert start_wait(None, Seconds(101.0), NOW, NOW, place=1.0) == 0.0
 
 
 def test_half_of_the_engines_go_for_the_second_of_two_versions_far_apart() -> None:
