--- a/src/ridgecourse/exchange/catalogue.py
+++ b/src/ridgecourse/exchange/catalogue.py
@@ -36,17 +36,22 @@
 KEPT_VERSIONS = 2
 """Versions kept for others: the newest and the one before, which the origin has."""
 
+LEFT_STATUS = 410
+"""Answer of a process that draws no more of a version."""
+
 VersionKey = tuple[ModelName, WeightsVersion]
 
 
 class PeerAnswer(NamedTuple):
-    """What another process tells of a version that it takes part in.
+    """What another process tells of a version.
 
     Attributes:
+        status: 200 where it takes part in it.
         data: The manifest, if that was asked for.
         headers: Of the answer.
     """
 
+    status: int
     data: bytes
     headers: dict[str, str]
 
@@ -58,6 +63,7 @@
         holdings: By model and version.
         asked: Called with a version that somebody asked for and that is not
             whole here.
+        left: Versions that this process will not have whole.
     """
 
     def __init__(
@@ -70,6 +76,7 @@
         self.origin = origin
         self.asked = asked
         self.holdings: dict[VersionKey, Holding] = {}
+        self.left: set[VersionKey] = set()
 
     def add_routes(self, router: HttpRouter) -> None:
         """Serve known manifests on a router."""
@@ -84,6 +91,8 @@
         holding = self.holdings.get(key)
         if self.asked is not None and (holding is None or not holding.complete):
             self.asked(key)
+        if key in self.left:
+            return HttpReply(LEFT_STATUS)
         if holding is None:
             return HttpReply(404)
         # Rounded down: only what is whole is told as 1.
@@ -100,9 +109,16 @@
             not answer.
         """
         answer = self._ask_peer(peer, key, f"?{SHARE_PARAMETER}=1")
-        share = answer.headers.get(SHARE_HEADER, "") if answer is not None else ""
+        if answer is None or answer.status != 200:
+            return None
+        share = answer.headers.get(SHARE_HEADER, "")
         return float(share) if SHARE.fullmatch(share) else None
 
+    def ask_left(self, peer: Peer, key: VersionKey) -> bool:
+        """Ask whether another process has left a version for a newer one."""
+        answer = self._ask_peer(peer, key, f"?{SHARE_PARAMETER}=1")
+        return answer is not None and answer.status == LEFT_STATUS
+
     def find(
         self, key: VersionKey, address: str, peers: Sequence[Peer], patience: float
     ) -> Holding | None:
@@ -127,7 +143,7 @@
     def ask(self, peer: Peer, key: VersionKey) -> Holding | None:
         """Ask another process for a manifest; it brings the version in if it can."""
         answer = self._ask_peer(peer, key)
-        if answer is None:
+        if answer is None or answer.status != 200:
             return None
         self.context.count_received(Cargo.MANIFEST, len(answer.data), peer.domain)
         parsed = parse_manifest(answer.data)
@@ -136,7 +152,7 @@
     def _ask_peer(
         self, peer: Peer, key: VersionKey, query: str = ""
     ) -> PeerAnswer | None:
-        """Return what another process tells of a version; None where it does not."""
+        """Return what another process answers; None where it does not."""
         path = f"{VERSIONS_PATH}{key[0]}/{key[1]}{query}"
         try:
             status, data, headers = self.context.http.fetch(
@@ -146,7 +162,7 @@
             # It may be starting, or gone; who asks goes on to others.
             self.context.events.figures.count("manifest_unanswered")
             return None
-        return PeerAnswer(data, headers) if status == 200 else None
+        return PeerAnswer(status, data, headers)
 
     def _ask_origin(self, key: VersionKey, address: str) -> Holding | None:
         try:
@@ -178,7 +194,9 @@
     def drop_old(self, model: ModelName) -> list[Holding]:
         """Forget the versions before the kept ones; return them."""
         known = sorted(key for key in self.holdings if key[0] == model)
-        return [self.holdings.pop(key) for key in known[:-KEPT_VERSIONS]]
+        dropped = known[:-KEPT_VERSIONS]
+        self.left.difference_update(dropped)
+        return [self.holdings.pop(key) for key in dropped]
 
     def retain_chunks(self) -> None:
         """Drop the stored chunks of versions that are no longer known."""
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -22,6 +22,7 @@
 from ridgecourse.exchange.server import Exchange
 from ridgecourse.exchange.transfer import Transfer, TransferError
 from ridgecourse.gateway.hub_context import make_hub_context
+from ridgecourse.gateway.left_versions import LeftVersions
 from ridgecourse.gateway.told_gateways import HubPeers, ToldGateways
 from ridgecourse.gateway.warm_up import VersionHolder, WarmUp
 from ridgecourse.net.address import Address
@@ -41,7 +42,7 @@
 
 OLDER_FIRST_SHARE = 0.5
 """Share of an older version's chunks up to which it is finished before a newer one
-is drawn: both would share the origin's link, and be late."""
+is drawn, where the origin's rate is not known: both would share its link."""
 OLDER_POLL_SECONDS = 0.1
 OLDER_WAIT_SECONDS = 8.0
 """Longest wait for that: an origin that is away for longer has both drawn anew."""
@@ -67,6 +68,7 @@
         peers: Whom to take versions and records from.
         working: Versions that are being brought in.
         transfers: Their transfers in progress, with the plan of each.
+        left: Versions that are not drawn, for newer ones are.
         asked_at: When each was asked for first, if this gateway is no holder.
         withdrawn: Whether the domain's other gateways have taken its place.
     """
@@ -96,6 +98,7 @@
         self.context = make_hub_context(site, events, http)
         self.exchange = Exchange(self.context)
         self.catalogue = Catalogue(self.context, origin, self.want)
+        self.left = LeftVersions(view, self.catalogue, events)
         self.working: dict[VersionKey, eventlet.greenthread.GreenThread] = {}
         self.transfers: dict[VersionKey, tuple[HubPlan, Transfer]] = {}
         self.asked_at: dict[VersionKey, float] = {}
@@ -255,6 +258,7 @@
                     whole = self._try_bring(key)
                 except TransferError as error:
                     self._note_failure(key, str(error))
+                    self.left.take_back(key)
                     if self.view.wanted_version(key[0]) > key[1]:
                         # Tried again, it would hold newer versions back.
                         return
@@ -272,7 +276,7 @@
     def _wait_for_older(self, key: VersionKey) -> None:
         """Wait while an older version is nearly here, but not without end."""
         limit = boottime() + OLDER_WAIT_SECONDS
-        while self._is_older_nearly_here(key) and boottime() < limit:
+        while self._goes_older_first(key) and boottime() < limit:
             if not self.is_needed(key) or self._has_begun_near(key):
                 return
             eventlet.sleep(OLDER_POLL_SECONDS)
@@ -287,30 +291,34 @@
             return False
         return self.catalogue.ask(plan.near[0], key) is not None
 
-    def _is_older_nearly_here(self, key: VersionKey) -> bool:
+    def _goes_older_first(self, key: VersionKey) -> bool:
+        """Tell whether an older version that is being drawn is finished first."""
         return any(
             other[0] == key[0]
             and other[1] < key[1]
-            and transfer.missing_share <= OLDER_FIRST_SHARE
             and not transfer.lacking
+            and self._goes_first(other, transfer, key)
             for other, (_, transfer) in self.transfers.items()
         )
 
+    def _goes_first(
+        self, older: VersionKey, transfer: Transfer, newer: VersionKey
+    ) -> bool:
+        goes_first = self.left.goes_first(older, newer)
+        if goes_first is None:
+            return transfer.missing_share <= OLDER_FIRST_SHARE
+        return goes_first
+
     def is_needed(self, key: VersionKey) -> bool:
         """Tell whether a version is new enough for others to use."""
         history = self.view.history(key[0])
         if self.catalogue.is_outdated(key, history.count_newer(key[1])):
             return False
+        if key in self.left:
+            return False
         bound = history.dated_bound(key[1])
-        return is_of_use(self._draw_seconds(key), bound, boottime())
-
-    def _draw_seconds(self, key: VersionKey) -> float:
-        """Return the least time that drawing what is missing takes, if known."""
-        holding, config = self.catalogue.holdings.get(key), self.view.config
-        origin = config.origin if config is not None else None
-        if holding is None or origin is None or not origin.bytes_per_s:
-            return 0.0
-        return holding.missing_bytes() / origin.bytes_per_s
+        draw = self.left.draw_seconds(key) or 0.0
+        return is_of_use(draw, bound, boottime())
 
     def _try_bring(self, key: VersionKey) -> bool:
         config = self.view.config
--- a/src/ridgecourse/loader/transfer_watch.py
+++ b/src/ridgecourse/loader/transfer_watch.py
@@ -246,11 +246,19 @@
         None if it takes no part in it. Without any hub the loaders draw for
         themselves, so that all of it is there.
         """
+        hub = self._nearest_hub(key)
+        return 1.0 if hub is None else self.rollout.catalogue.ask_share(hub, key)
+
+    def _is_left_at_hub(self, key: VersionKey) -> bool:
+        """Tell whether the nearest hub draws no more of a version."""
+        hub = self._nearest_hub(key)
+        return hub is not None and self.rollout.catalogue.ask_left(hub, key)
+
+    def _nearest_hub(self, key: VersionKey) -> Peer | None:
+        """Return the hub of the own domain, else another one; None without any."""
         hubs = choose_hubs(str(key), self.rollout.gateways)
-        if not hubs:
-            return 1.0
-        near = sorted(hubs, key=lambda hub: hub.domain != self.rollout.site.domain)
-        return self.rollout.catalogue.ask_share(near[0], key)
+        domain = self.rollout.site.domain
+        return min(hubs, key=lambda hub: hub.domain != domain, default=None)
 
     def _should_finish(
         self,
@@ -262,6 +270,8 @@
         if transfer.stalled:
             # The hub may have given it up: then it is never done, however near.
             return False
+        if self._is_left_at_hub(self._key(model)):
+            return False
         current, newer, now, early = self._weigh(
             self._key(model), transfer.holding, model, newest[1]
         )
