A loader looks at its engine over a connection of its own

KeptConnections asks on an open connection and once more on a new one where the engine has closed it. Ruled out: looking less often; reports are as old as the looks are apart, and that costs answers in time.

--- a/src/ridgecourse/platform/engine.py
+++ b/src/ridgecourse/platform/engine.py
@@ -15,6 +15,7 @@
     OrderOutcome,
 )
 from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
+from ridgecourse.net.kept_connections import KeptConnections
 from ridgecourse.platform.names import (
     CHUNK_INDEX,
     ORDER_PATH,
@@ -76,13 +77,17 @@
 class PlatformEngine(EngineControl):
     """Client of one engine."""
 
-    def __init__(self, address: str, http: HttpClient) -> None:
+    def __init__(self, address: str, http: HttpClient, source: str) -> None:
         self.address = address
         self.http = http
+        self.kept = KeptConnections(address, source)
 
     def report(self) -> EngineReport:
         """Return what the engine tells; see ``EngineControl``."""
-        status, data = self._call("GET", REPORT_PATH)
+        try:
+            status, data = self.kept.get(REPORT_PATH, CALL_SECONDS)
+        except (NoConnection, ExchangeFailed) as error:
+            raise EngineUnavailable(f"{REPORT_PATH}: {error}") from error
         if status != 200:
             raise EngineUnavailable(f"report: status {status}")
         decoded = decode_json(data, ReportFields, "report")
--- a/src/ridgecourse/platform/loader_main.py
+++ b/src/ridgecourse/platform/loader_main.py
@@ -26,7 +26,7 @@
         site,
         PlatformStore(site.store, http),
         PlatformRecords(),
-        PlatformEngine(site.target.address, http),
+        PlatformEngine(site.target.address, http, site.host),
         PlatformOrigin(http),
         http,
     )
