--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -258,7 +258,6 @@
                     whole = self._try_bring(key)
                 except TransferError as error:
                     self._note_failure(key, str(error))
-                    self.left.take_back(key)
                     if self.view.wanted_version(key[0]) > key[1]:
                         # Tried again, it would hold newer versions back.
                         return
--- a/src/ridgecourse/gateway/left_versions.py
+++ b/src/ridgecourse/gateway/left_versions.py
@@ -1,4 +1,7 @@
-"""Versions that a hub does not draw, for a newer one is of use sooner without them."""
+"""Versions that a hub does not draw, for a newer one is of use sooner without them.
+
+What was left stays so: an origin that lost a version lacks all older ones too.
+"""
 
 from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.draw_order import Draw, goes_first
@@ -41,14 +44,6 @@
         )
         return True
 
-    def take_back(self, newer: VersionKey) -> None:
-        """Draw again what was left for a version that cannot be had."""
-        self.catalogue.left = {
-            key
-            for key in self.catalogue.left
-            if key[0] != newer[0] or key[1] > newer[1]
-        }
-
     def goes_first(self, older: VersionKey, newer: VersionKey) -> bool | None:
         """Tell whether an older version is drawn first; None where that is open."""
         history, draws = self.view.history(older[0]), []
