Engines are taken by chance among more of those that look alike

With 37 gateways and 39 engines each gateway sends 6 requests a second, so between two reports none of its own is counted, and all go for the engine that looks best in the same reports.

--- a/src/ridgecourse/core/placement.py
+++ b/src/ridgecourse/core/placement.py
@@ -25,8 +25,11 @@
 prompts: the rest of the pass in progress and the steps of the next. By the same
 benchmark at 65 and 80 requests a second on 6 engines, 0.73 and 0.55 of the requests
 are in time with it and 0.61 and 0.44 with 0.06."""
-JITTER_SECONDS = 0.02
-"""Engines whose costs differ by less are taken by chance."""
+JITTER_SECONDS = 0.06
+"""Engines whose costs differ by less are taken by chance: a prompt or two, as may reach
+an engine between two reports. The more gateways see the same reports, the more go for
+the same engine else. On a model of 32 engines and 37 gateways 0.93 of the answers are
+in time for 0.91 with 0.02, with 39 engines 0.985 for 0.976; with 6 of each the same."""
 
 
 def placement_cost(
