--- a/src/ridgecourse/core/patience.py
+++ b/src/ridgecourse/core/patience.py
@@ -20,7 +20,7 @@
 few in a hundred wait much longer than all others."""
 SPREAD_FACTOR = 3.5
 """Times the distance of the two by which a caller at its first try may lie below the
-usual: 2.5 where all lengths are as frequent, and one more since few callers are seen."""
+usual: 2.5 where all lengths are as frequent; more, since few callers are seen."""
 FEWEST = 8
 """Requests before which nothing is said of a caller."""
 
