--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -68,7 +68,7 @@
         peers: Whom to take versions and records from.
         working: Versions that are being brought in.
         transfers: Their transfers in progress, with the plan of each.
-        left: Versions that are not drawn, for newer ones are.
+        left: Decides which versions are not drawn, for newer ones are.
         asked_at: When each was asked for first, if this gateway is no holder.
         withdrawn: Whether the domain's other gateways have taken its place.
     """
@@ -313,7 +313,7 @@
         history = self.view.history(key[0])
         if self.catalogue.is_outdated(key, history.count_newer(key[1])):
             return False
-        if key in self.left:
+        if self.left.leaves(key):
             return False
         bound = history.dated_bound(key[1])
         draw = self.left.draw_seconds(key) or 0.0
--- a/src/ridgecourse/gateway/left_versions.py
+++ b/src/ridgecourse/gateway/left_versions.py
@@ -25,8 +25,8 @@
         self.catalogue = catalogue
         self.events = events
 
-    def __contains__(self, key: VersionKey) -> bool:
-        """Tell whether a version is not drawn any more."""
+    def leaves(self, key: VersionKey) -> bool:
+        """Tell whether a version is not drawn any more, and remember that it is not."""
         if key in self.catalogue.left:
             return True
         history = self.view.history(key[0])
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -68,7 +68,7 @@
         error: What stands in the way; empty for nothing.
         ordered: The last order; None for none.
         staged: What was staged last; None where that may have changed since.
-        whole_at: Since when a version is whole here, by version.
+        whole_at: Since when each version is whole here; some are named in a day.
         hubs: Where the transfer in progress takes chunks from.
         prefetching: Whether it goes on without the engine.
         stray_until: Until when an unanswered call may still change what lies staged.
@@ -255,8 +255,6 @@
         for old in self.catalogue.drop_old(key[0]):
             self.exchange.leave(old.root)
         self.catalogue.retain_chunks()
-        known = self.catalogue.holdings
-        self.whole_at = {k: at for k, at in self.whole_at.items() if k in known}
         if holding.root not in self.exchange.holdings:
             self.exchange.join(holding)
 
