--- a/src/ridgecourse/core/engine_load.py
+++ b/src/ridgecourse/core/engine_load.py
@@ -179,6 +179,8 @@
 
     def _unseen(self) -> list[Pending]:
         """Return the own requests that the newest report does not count yet."""
+        if not self.waiting:
+            return []
         since = self.reported_at - REPORT_LAG_SECONDS
         return [pending for pending in self.waiting.values() if pending.sent >= since]
 
@@ -209,7 +211,7 @@
         """Return the seconds until one more request would begin."""
         ahead = self.requests(now, gateways) + 1 - slots
         pace = self.status.pace if self.status and self.is_fresh(now) else 1.0
-        queue = max(0.0, ahead) * seconds_per_request(model, slots)
+        queue = ahead * seconds_per_request(model, slots) if ahead > 0 else 0.0
         before = pace * max(queue, self.unread(now, gateways))
         return before + self._doubt(now) + self.unanswered(now)
 
--- a/src/ridgecourse/core/latest_lives.py
+++ b/src/ridgecourse/core/latest_lives.py
@@ -38,7 +38,9 @@
 
     def of(self, life: EngineLife) -> ValueT:
         """Return the value of an engine's latest life, however early the one given."""
-        return self.values[self.latest(life).target]
+        if self.lives.get(life.target) != life:
+            self.latest(life)
+        return self.values[life.target]
 
     def forget_unlisted(self, listed: Container[TargetId]) -> None:
         """Drop what is known of engines that are no longer listed."""
--- a/src/ridgecourse/gateway/selection.py
+++ b/src/ridgecourse/gateway/selection.py
@@ -139,7 +139,8 @@
         able = [
             target
             for target in self.view.serving(service.name)
-            if self.life(target) not in tried and self._is_able(service, target, now)
+            if not (tried and self.life(target) in tried)
+            and self._is_able(service, target, now)
         ]
         choices = [self._weigh(service, call, target, now) for target in able]
         choices = [choice for choice in choices if not self._is_outdated(choice, now)]
@@ -150,8 +151,9 @@
         # Those with weights that may serve now go before those that may have them.
         current = [choice for choice in choices if choice.terms.version is None]
         choices = current or choices
-        apart = [c for c in choices if self.life(c.target) not in avoided]
-        choices = apart or choices
+        if avoided:
+            apart = [c for c in choices if self.life(c.target) not in avoided]
+            choices = apart or choices
         free = [c for c in choices if self.state(c.target).not_before <= now]
         if not free:
             return min(
@@ -178,8 +180,10 @@
 
         Only without a fresh report is it worth asking whether it has others.
         """
+        if choice.terms.version is None:
+            return False
         load = self.load(choice.target)
-        if choice.terms.version is None or load.status is None:
+        if load.status is None:
             return False
         return load.is_fresh(now) and load.status.version != choice.terms.version
 
