A test of late names begins its transfer right after a read was asked

test_a_request_in_a_queue_is_taken_back_before_the_bound failed in two of two whole runs with several workers and in one of three runs alone (load 9 to 17 on 6 processors), asked for version 2 where version 1 was still allowed.

Traced in both time lines: the name is dated 2.31 to 2.34 s back ("unheard"), its true age 2.0 s. The gateway's read of the store waits for up to 0.4 s; the test put the large configuration anywhere into that wait, and what came behind it is dated by the read's beginning, as it must be. With the way of 1.2 s to an engine that tells nothing, 2.7 s before the bound are then 0.03 to 0.1 s too few. Not a fault of the gateway, which errs on the early side.

The test waits until the store has just been asked. All assertions stay.

--- a/tests/platform/test_name_dates.py
+++ b/tests/platform/test_name_dates.py
@@ -18,6 +18,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 from time import monotonic, sleep
+from typing import Any
 
 import pytest
 from gateway_site import MODEL, make_config, make_large_config, make_route
@@ -33,6 +34,7 @@
 from ridgecourse.net.record_source import (
     Topic,
 )
+from ridgecourse.platform.names import DECISIONS_TOPIC
 from ridgecourse.platform.store import PlatformStore
 from ridgecourse_standins.platform.engine import ReceivedRequest
 from ridgecourse_standins.platform.store import StoreStandIn
@@ -53,12 +55,23 @@
     """Begin nothing."""
 
 
+def wait_for_read(front: Any) -> None:
+    """Wait until the store has just been asked for decisions.
+
+    What comes later in a read that waits is dated by its beginning, up to 0.4 s before.
+    """
+    asked = front.store.asked
+    seen = len(asked)
+    front.wait_until(lambda: any(DECISIONS_TOPIC in call for call in asked[seen:]))
+
+
 def test_a_request_in_a_queue_is_taken_back_before_the_bound(front) -> None:
     engine = front.add_engine("llm", stay_queued, version=1)
     front.settings["bounds"]["version_ms"] = int(BOUND_SECONDS * 1000)
     front.path.write_bytes(encode(front.settings))
     front.start()
     large = make_large_config(2)
+    wait_for_read(front)
     front.store.bytes_per_s = len(encode(large)) / TRANSFER_SECONDS
     front.store.put_config(large)
     sleep(NAMED_AFTER_SECONDS)
