--- a/src/ridgecourse/net/kept_connections.py
+++ b/src/ridgecourse/net/kept_connections.py
@@ -7,7 +7,7 @@
 from contextlib import suppress
 
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import HTTPError, NewConnectionError
+from urllib3.exceptions import NewConnectionError
 
 from ridgecourse.net.address import parse_address
 from ridgecourse.net.http_client import ExchangeFailed, NoConnection
@@ -73,11 +73,8 @@
             raise
         except NewConnectionError as error:
             raise NoConnection(f"{self.address}: {error}") from error
-        except (HTTPError, OSError) as error:
-            connection.close()
-            raise ExchangeFailed(f"{self.address}: {error}") from error
         except Exception as error:
-            # http.client has errors of its own for what is no answer.
+            # Of urllib3 and the socket, and http.client's own for what is no answer.
             connection.close()
             raise ExchangeFailed(f"{self.address}: {error!r}") from error
         if connection.sock is not None:
--- a/tests/platform/test_herding.py
+++ b/tests/platform/test_herding.py
@@ -22,7 +22,7 @@
 SEEDS = (1, 2, 3)
 
 
-def share_in_time(seed: int) -> float:
+def share_in_time(seed: int, patience_spread: float = 0.0) -> float:
     """Play the load in virtual time; return the share of answers in time."""
     engines = [PassEngine(MODEL) for _ in range(ENGINES)]
     gateways = [
@@ -30,6 +30,7 @@
         for number in range(GATEWAYS)
     ]
     played = Simulation("spare", engines, gateways, Random(seed))
+    played.patience_spread = patience_spread
     played.run(SECONDS, RATE)
     counted = [r for r in played.done if r.arrived > WARM_SECONDS]
     return sum(credit(request) == 1.0 for request in counted) / len(counted)
--- a/tests/platform/test_letting_in.py
+++ b/tests/platform/test_letting_in.py
@@ -6,17 +6,14 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from test_herding import SEEDS, share_in_time
 
-from bench.engine_passes import PassEngine
-from bench.placement import MODEL, Gateway, Simulation, credit, measure
+from bench.placement import Gateway, measure
 from ridgecourse.core.engine_load import EngineLoad
 from ridgecourse.core.first_events import FirstEventDelay
 from ridgecourse.core.letting_in import Prospect, excess_wait
 from ridgecourse.core.patience import FEWEST, USUAL_SHARE, WINDOW, UsualPatience
 
-ENGINES, GATEWAYS, RATE = 32, 37, 270.0
-"""Engines in 0.87 of their time, before more gateways than each can tell apart."""
-
 
 def mean(figure: str, policy: str, rate: float) -> float:
     """Return a figure of the benchmark on modelled engines, over five seeds."""
@@ -134,21 +131,9 @@
     assert patience.observe(1.5) > 4.0
 
 
-def play_patience(rate: float) -> float:
+def play_patience() -> float:
     """Return the share answered in time where callers' patience differs."""
-    shares = []
-    for seed in (1, 2, 3):
-        gateways = [
-            Gateway(n % 3, [EngineLoad() for _ in range(ENGINES)])
-            for n in range(GATEWAYS)
-        ]
-        engines = [PassEngine(MODEL) for _ in range(ENGINES)]
-        played = Simulation("spare", engines, gateways, Random(seed))
-        played.patience_spread = 0.15
-        played.run(9.0, rate)
-        done = [request for request in played.done if request.arrived > 2.0]
-        shares.append(sum(credit(request) == 1.0 for request in done) / len(done))
-    return sum(shares) / len(shares)
+    return sum(share_in_time(seed, patience_spread=0.15) for seed in SEEDS) / len(SEEDS)
 
 
 class ByUsualTime(UsualPatience):
@@ -162,9 +147,9 @@
 
 
 def test_more_are_answered_in_time_where_patience_differs(monkeypatch) -> None:
-    now = play_patience(RATE)
+    now = play_patience()
     monkeypatch.setattr(Gateway, "__init__", make_gateway_by_usual_time)
-    before = play_patience(RATE)
+    before = play_patience()
     assert now > before + 0.04
 
 
