--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -18,6 +18,11 @@
         parse_line(line)
 
 
+def test_only_what_fails_now_and_then_may_pass() -> None:
+    assert parse_line("test, a cause, issue 3").always_fails
+    assert not parse_line("test, now and then: a cause, issue 3").always_fails
+
+
 def test_at_most_three_are_listed(tmp_path: Path) -> None:
     path = tmp_path / "KNOWN-RED.txt"
     path.write_text("# why\n\n" + "a, b, c\n" * 3)
