A stopped process tells the state of each connection that it closes

Connections of all HTTP servers now have a state, from the first byte of a request on; `stopped` lists the open ones by state, and those that wait in the listener's queue.

eventlet's own accept loop ends each idle connection when it is killed, and ends for good on an error such as too many open files. The loop is now the server's own: it is restarted after an error, and its end closes the listener alone.

--- a/src/ridgecourse/agent/agent.py
+++ b/src/ridgecourse/agent/agent.py
@@ -128,11 +128,16 @@
 
     def close(self) -> None:
         """Stop all components and close both servers."""
+        open_connections = self.http_server.count_states()
         self.rollout.close()
         self.gate.close()
         for thread in self.threads:
             thread.kill()
         self.control_server.close()
         self.http_server.close()
-        self.context.events.emit(EventKind.STOPPED, target=self.context.target)
+        self.context.events.emit(
+            EventKind.STOPPED,
+            target=self.context.target,
+            connections=open_connections,
+        )
         self.context.close()
--- a/src/ridgecourse/entry/entry.py
+++ b/src/ridgecourse/entry/entry.py
@@ -115,11 +115,12 @@
 
     def close(self) -> None:
         """Stop all components and close the server."""
+        open_connections = self.http_server.count_states()
         self.claim_writer.close()
         self.links.close()
         self.follower.close()
         self.dispatcher.close()
         self.reports.close()
         self.http_server.close()
-        self.context.events.emit(EventKind.STOPPED)
+        self.context.events.emit(EventKind.STOPPED, connections=open_connections)
         self.context.close()
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -181,6 +181,7 @@
 
     def close(self) -> None:
         """Stop all threads and close all servers."""
+        open_connections = self.front.count_states()
         self.lag.close()
         self.crash_watch.close()
         self.limit_watch.close()
@@ -193,4 +194,4 @@
         self.front.close()
         self.readiness.close()
         self.figures.close()
-        self.events.emit(EventKind.STOPPED)
+        self.events.emit(EventKind.STOPPED, connections=open_connections)
--- a/src/ridgecourse/net/front_server.py
+++ b/src/ridgecourse/net/front_server.py
@@ -19,11 +19,13 @@
 
 from ridgecourse.core.routes import ClientLimits
 from ridgecourse.net.address import Address
+from ridgecourse.net.http_connection import CONNECTION_KEY, HttpConnection
 from ridgecourse.net.http_server import (
     STATUS_TEXT,
     BodyTooLarge,
     HeaderList,
     HttpServer,
+    WsgiServer,
 )
 
 logger = logging.getLogger(__name__)
@@ -60,7 +62,7 @@
         head_bytes: Length of the request head.
     """
 
-    def __init__(self, environ: dict[str, Any], protocol: "FrontProtocol") -> None:
+    def __init__(self, environ: dict[str, Any], protocol: "FrontConnection") -> None:
         self.environ = environ
         self.protocol = protocol
         self.method: str = environ["REQUEST_METHOD"]
@@ -172,7 +174,7 @@
 FrontHandler = Callable[[FrontRequest], FrontReply]
 
 
-class FrontProtocol(eventlet.wsgi.HttpProtocol):
+class FrontConnection(HttpConnection):
     """The connection of one client."""
 
     def raw_target(self) -> str:
@@ -180,44 +182,15 @@
         words = self.raw_requestline.decode("latin1").split()
         return words[1] if len(words) > 1 else self.path
 
-    def get_environ(self) -> dict[str, Any]:
-        """Return the WSGI environment, extended by this connection."""
-        environ = super().get_environ()
-        environ["ridgecourse.protocol"] = self
-        return environ
-
     def _read_request_line(self) -> bytes:
-        limits = self.server.front.limits
+        limits = self.owner.limits
         self.server.keepalive = limits.idle_seconds
         self.server.socket_timeout = limits.header_seconds
         try:
-            line = super()._read_request_line()
+            return super()._read_request_line()
         except (OSError, eventlet.Timeout) as error:
-            logger.debug("connection idle for too long: %s", error)
+            logger.debug("request line not received in time: %s", error)
             return b""
-        return line or b""
-
-    def handle(self) -> None:
-        """Serve the requests of the connection until the connection ends."""
-        connections = self.server.front.connections
-        connections.add(self)
-        try:
-            super().handle()
-        except (OSError, eventlet.Timeout) as error:
-            logger.debug("connection lost: %s", error)
-        finally:
-            connections.discard(self)
-
-    def finish(self) -> None:
-        """Flush and close; the client may have disconnected."""
-        with suppress(OSError):
-            super().finish()
-
-    def close_if_idle(self) -> None:
-        """Close the connection if no request is in progress."""
-        if self.conn_state[2] == eventlet.wsgi.STATE_IDLE:
-            with suppress(OSError):
-                self.connection.shutdown(2)
 
 
 class FrontServer(HttpServer):
@@ -226,8 +199,6 @@
     Attributes:
         handler: Answers the requests.
         limits: Limits on requests and connections; may change at any time.
-        is_closing: Whether the server closes each connection after its next answer.
-        connections: Open connections.
         in_flight: Number of requests in progress.
     """
 
@@ -235,42 +206,27 @@
         super().__init__(address, self.answer)
         self.handler = handler
         self.limits = ClientLimits()
-        self.is_closing = False
-        self.connections: set[FrontProtocol] = set()
         self.in_flight = 0
         self.pool = eventlet.GreenPool(MAX_CONNECTIONS)
 
-    def _serve(self) -> None:
-        front = self
-
-        class BoundProtocol(FrontProtocol):
-            """The protocol, with a reference to this server."""
-
-            def __init__(self, conn_state: Any, server: Any) -> None:
-                server.front = front
-                super().__init__(conn_state, server)
-
-        with suppress(OSError, eventlet.greenlet.GreenletExit):
-            eventlet.wsgi.server(
-                self.listener,
-                self.app,
-                protocol=BoundProtocol,
-                custom_pool=self.pool,
-                log=eventlet.wsgi.LoggerNull(),
-                log_output=False,
-                minimum_chunk_size=1,
-                capitalize_response_headers=False,
-                url_length_limit=MAX_HEADER_LINE_BYTES,
-                socket_timeout=self.limits.header_seconds,
-                keepalive=self.limits.idle_seconds,
-                debug=False,
-            )
+    def make_wsgi_server(self) -> WsgiServer:
+        """Return the settings of the connections."""
+        return WsgiServer(
+            self,
+            protocol=FrontConnection,
+            minimum_chunk_size=1,
+            capitalize_response_headers=False,
+            url_length_limit=MAX_HEADER_LINE_BYTES,
+            socket_timeout=self.limits.header_seconds,
+            keepalive=self.limits.idle_seconds,
+            debug=False,
+        )
 
     def answer(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         """Answer a request as a WSGI application."""
-        protocol: FrontProtocol = environ["ridgecourse.protocol"]
+        protocol: FrontConnection = environ[CONNECTION_KEY]
         request = FrontRequest(environ, protocol)
         self.in_flight += 1
         try:
@@ -279,8 +235,6 @@
             self.in_flight -= 1
             raise
         headers = list(reply.headers)
-        if self.is_closing:
-            headers.append(CONNECTION_CLOSE)
         if CONNECTION_CLOSE in headers:
             headers.remove(CONNECTION_CLOSE)
             protocol.close_connection = True
@@ -317,8 +271,3 @@
         except Exception:
             logger.exception("%s %s failed", request.method, request.target)
             return FrontReply(502, body=b"internal error\n")
-
-    def close_idle_connections(self) -> None:
-        """Close the connections without a request in progress."""
-        for protocol in list(self.connections):
-            protocol.close_if_idle()
--- /dev/null
+++ b/src/ridgecourse/net/http_connection.py
@@ -0,0 +1,147 @@
+"""One connection of an HTTP server, with the state that a planned stop has to know."""
+
+import logging
+from contextlib import suppress
+from enum import Enum
+from socket import MSG_DONTWAIT, MSG_PEEK, SHUT_RDWR, SHUT_WR
+from typing import Any
+
+import eventlet
+import eventlet.wsgi
+
+from ridgecourse.net.clock import boottime
+
+logger = logging.getLogger(__name__)
+
+CONNECTION_KEY = "ridgecourse.connection"
+"""Key of the connection in the WSGI environment."""
+LINGER_SECONDS = 1.0
+"""Longest wait for the client to close after the server has ended its side."""
+LINGER_READ_BYTES = 64 * 1024
+
+
+class ConnectionState(Enum):
+    """What a connection is used for at present."""
+
+    IDLE = "idle"
+    """No byte of the next request has been received."""
+    RECEIVING = "receiving"
+    """The head of a request is being received."""
+    ANSWERING = "answering"
+    """The application handles a request, or its answer is being sent."""
+    CLOSED = "closed"
+    """The server has closed its side and serves no further request."""
+
+
+class HttpConnection(eventlet.wsgi.HttpProtocol):
+    """A connection; the constructor serves its requests until the connection ends.
+
+    Attributes:
+        owner: The server, an ``HttpServer``.
+        state: What the connection is used for at present.
+        idle_since: When the connection became idle, on this process's clock.
+        must_linger: Whether the client may still be sending when the server closes. The
+            server then reads on for a while, since closing a socket with unread data
+            resets the connection and may destroy the answer.
+    """
+
+    def __init__(self, conn_state: list[Any], server: Any) -> None:
+        self.owner = server.owner
+        self.state = ConnectionState.IDLE
+        self.idle_since = boottime()
+        self.must_linger = False
+        super().__init__(conn_state, server)
+
+    def setup(self) -> None:
+        """Register the connection with its server."""
+        super().setup()
+        self.owner.connections.add(self)
+
+    def handle(self) -> None:
+        """Serve the requests of the connection until the connection ends."""
+        try:
+            super().handle()
+        except (OSError, eventlet.Timeout) as error:
+            logger.debug("connection lost: %s", error)
+            self.must_linger = False
+        except eventlet.greenlet.GreenletExit:
+            self.must_linger = False
+            raise
+
+    def _read_request_line(self) -> bytes:
+        """Wait for the next request and return its first line; empty at the end."""
+        self.state = ConnectionState.IDLE
+        self.idle_since = boottime()
+        self.must_linger = False
+        if not self._wait_for_request():
+            return b""
+        self.state = ConnectionState.RECEIVING
+        self.must_linger = True
+        return super()._read_request_line() or b""
+
+    def _wait_for_request(self) -> bool:
+        """Wait for the first byte of a request; return whether to serve the request."""
+        keepalive = self.server.keepalive
+        if not isinstance(keepalive, bool):
+            self.connection.settimeout(keepalive)
+        try:
+            first_bytes = self.rfile.peek(1)
+        except (OSError, eventlet.Timeout) as error:
+            logger.debug("connection idle for too long, or lost: %s", error)
+            return False
+        return bool(first_bytes) and self.state is ConnectionState.IDLE
+
+    def get_environ(self) -> dict[str, Any]:
+        """Return the WSGI environment, extended by this connection."""
+        environ = super().get_environ()
+        environ[CONNECTION_KEY] = self
+        return environ
+
+    def handle_one_response(self) -> None:
+        """Call the application and send its answer."""
+        self.state = ConnectionState.ANSWERING
+        super().handle_one_response()
+        self.must_linger = self.owner.is_closing or self._has_unread_body()
+
+    def _has_unread_body(self) -> bool:
+        source = self.environ["eventlet.input"]
+        return source.chunked_input or source.position < (source.content_length or 0)
+
+    def has_request_waiting(self) -> bool:
+        """Check whether a request has arrived that is not being read yet."""
+        if self.state is not ConnectionState.IDLE:
+            return False
+        try:
+            return bool(self.connection.fd.recv(1, MSG_PEEK | MSG_DONTWAIT))
+        except OSError:
+            return False
+
+    def close_if_idle(self) -> None:
+        """Close the connection if no request is in progress or has arrived.
+
+        A request that arrives later is not run.
+        """
+        if self.state is ConnectionState.IDLE and not self.has_request_waiting():
+            self.state = ConnectionState.CLOSED
+            with suppress(OSError):
+                self.connection.shutdown(SHUT_RDWR)
+
+    def finish(self) -> None:
+        """Flush and close; the client may have disconnected."""
+        self.state = ConnectionState.CLOSED
+        try:
+            with suppress(OSError, ValueError):
+                if self.must_linger:
+                    self._linger()
+            with suppress(OSError):
+                super().finish()
+        finally:
+            self.owner.connections.discard(self)
+
+    def _linger(self) -> None:
+        """End the server's side, then discard what the client sends until it closes."""
+        self.wfile.flush()
+        self.connection.shutdown(SHUT_WR)
+        with eventlet.Timeout(LINGER_SECONDS, False):
+            while self.connection.recv(LINGER_READ_BYTES):
+                pass
--- a/src/ridgecourse/net/http_server.py
+++ b/src/ridgecourse/net/http_server.py
@@ -1,8 +1,10 @@
 """HTTP server on ``eventlet.wsgi`` for requests between processes."""
 
 import logging
+from collections import Counter
 from collections.abc import Callable, Iterable
-from contextlib import suppress
+from socket import IPPROTO_TCP, TCP_INFO
+from struct import unpack_from
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs
 
@@ -11,12 +13,19 @@
 
 from ridgecourse.net.address import Address
 from ridgecourse.net.auth import AUTH_HEADER, verify_request
+from ridgecourse.net.http_connection import CONNECTION_KEY, HttpConnection
+from ridgecourse.net.threads import spawn_loop
 
 logger = logging.getLogger(__name__)
 
 RECEIVE_TIMEOUT_SECONDS = 15.0
 """Time without a byte after which the server closes a connection that should send."""
 MAX_CONNECTIONS = 1024
+BACKLOG = 512
+"""Most connections that wait to be accepted."""
+QUEUE_LENGTH_OFFSET = 24
+"""Offset of ``tcpi_unacked`` in the TCP_INFO of Linux. Of a listening socket it is the
+number of connections that wait to be accepted."""
 
 STATUS_TEXT = {
     200: "200 OK",
@@ -180,6 +189,16 @@
         return longest_match[1] if longest_match else None
 
 
+class WsgiServer(eventlet.wsgi.Server):
+    """Settings that eventlet's protocol reads, and the server they belong to."""
+
+    def __init__(self, owner: "HttpServer", **settings: Any) -> None:
+        super().__init__(
+            owner.listener, owner.address, owner.call_app, log_output=False, **settings
+        )
+        self.owner = owner
+
+
 class HttpServer:
     """Serves a WSGI application on one address.
 
@@ -187,12 +206,17 @@
         address: Address to listen on; after ``start`` with the port that the system
             has assigned.
         app: The WSGI application.
+        connections: Open connections.
+        is_closing: Whether the server closes each connection after its next answer.
     """
 
     def __init__(self, address: Address, app: WsgiApp) -> None:
         self.address = address
         self.app = app
         self.pool = eventlet.GreenPool(MAX_CONNECTIONS)
+        self.connections: set[HttpConnection] = set()
+        self.is_closing = False
+        self.wsgi_server: Any = None
         self.listener: Any = None
         self.thread: Any = None
 
@@ -202,22 +226,43 @@
         Raises:
             OSError: The server cannot listen on the address.
         """
-        self.listener = eventlet.listen(self.address, reuse_port=False, backlog=512)
+        self.listener = eventlet.listen(self.address, reuse_port=False, backlog=BACKLOG)
         self.address = Address(*self.listener.getsockname()[:2])
-        self.thread = eventlet.spawn(self._serve)
-
-    def _serve(self) -> None:
-        with suppress(OSError, eventlet.greenlet.GreenletExit):
-            eventlet.wsgi.server(
-                self.listener,
-                self.app,
-                custom_pool=self.pool,
-                log_output=False,
-                socket_timeout=RECEIVE_TIMEOUT_SECONDS,
-                # Send each token at once instead of buffering 4 KiB.
-                minimum_chunk_size=1,
-                debug=False,
-            )
+        self.wsgi_server = self.make_wsgi_server()
+        self.thread = spawn_loop(self._accept_connections)
+
+    def make_wsgi_server(self) -> WsgiServer:
+        """Return the settings of the connections."""
+        return WsgiServer(
+            self,
+            protocol=HttpConnection,
+            socket_timeout=RECEIVE_TIMEOUT_SECONDS,
+            # Send each token at once instead of buffering 4 KiB.
+            minimum_chunk_size=1,
+            debug=False,
+        )
+
+    def _accept_connections(self) -> None:
+        while True:
+            self._serve(*self.listener.accept())
+
+    def _serve(self, connection: Any, client_address: Any) -> None:
+        """Serve a connection in a green thread, once the pool has one free."""
+        connection.settimeout(self.wsgi_server.socket_timeout)
+        state = [client_address, connection, eventlet.wsgi.STATE_IDLE]
+        self.pool.spawn(self.wsgi_server.process_request, state)
+
+    def call_app(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Call the application; while the server closes, answers end connections."""
+
+        def start(status: str, headers: HeaderList, exc_info: Any = None) -> Any:
+            if self.is_closing:
+                environ[CONNECTION_KEY].close_connection = True
+            return start_response(status, headers, exc_info)
+
+        return self.app(environ, start)
 
     def stop_listening(self) -> None:
         """Accept no further connections; open connections are still served."""
@@ -228,8 +273,29 @@
             self.listener.close()
             self.listener = None
 
+    def close_idle_connections(self) -> None:
+        """Close the connections without a request in progress."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+    def count_states(self) -> dict[str, int]:
+        """Return the number of connections in each state, and of those not accepted."""
+        counts = Counter(
+            "unread" if connection.has_request_waiting() else connection.state.value
+            for connection in self.connections
+        )
+        if self.listener is not None and (queued := count_queued(self.listener)):
+            counts["queued"] = queued
+        return dict(counts)
+
     def close(self) -> None:
         """Stop listening and close all connections."""
         self.stop_listening()
         for worker in list(self.pool.coroutines_running):
             worker.kill()
+
+
+def count_queued(listener: Any) -> int:
+    """Return the number of connections that wait to be accepted."""
+    info = listener.getsockopt(IPPROTO_TCP, TCP_INFO, QUEUE_LENGTH_OFFSET + 4)
+    return int(unpack_from("I", info, QUEUE_LENGTH_OFFSET)[0])
