A planned stop answers every request that has arrived

Cause: a drain waited for dispatched requests only, then closed the listener and all connections at once. By the states that `stopped` tells, the lost requests had arrived on connections that counted as idle, or waited in the listener's queue. A refusal was lost as well where its body was not read, since closing a socket with unread data resets it.

Mend: one drain in HttpServer for all processes. All waits are bounded, and by `drain_seconds` and the time of the kill.

--- a/src/ridgecourse/agent/admission_gate.py
+++ b/src/ridgecourse/agent/admission_gate.py
@@ -370,16 +370,16 @@
         headers = self._headers(Outcome.UNKNOWN, reason)
         return HttpReply(502, f"{detail}\n".encode(), headers)
 
-    def drain(self) -> None:
+    def drain(self, deadline: float) -> None:
         """Refuse new requests and wait until all admitted requests have ended.
 
-        The wait is limited by the setting ``drain_seconds``.
+        Args:
+            deadline: When to return at the latest, on this process's clock.
         """
         self.stopping = True
         self.changed.notify()
-        drain_deadline = boottime() + self.context.settings.drain_seconds
-        while self.in_flight and boottime() < drain_deadline:
-            self.changed.wait(1.0)
+        while self.in_flight and (remaining := deadline - boottime()) > 0.0:
+            self.changed.wait(min(remaining, 1.0))
 
 
 def token_cost(body: bytes) -> int:
--- a/src/ridgecourse/agent/agent.py
+++ b/src/ridgecourse/agent/agent.py
@@ -15,8 +15,15 @@
 from ridgecourse.exchange.server import Exchange
 from ridgecourse.net.address import parse_address
 from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind
-from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter, HttpServer
+from ridgecourse.net.http_server import (
+    PEER_DRAIN_SECONDS,
+    HttpReply,
+    HttpRequest,
+    HttpRouter,
+    HttpServer,
+)
 from ridgecourse.net.process import Process
 from ridgecourse.net.threads import spawn_loop
 from ridgecourse.net.usage import process_usage
@@ -122,9 +129,12 @@
         return HttpReply(200, body, [("Content-Type", "application/json")])
 
     def drain(self) -> None:
-        """Wait for the requests in progress; refuse new requests as not run."""
+        """Finish the requests in progress; refuse new requests as not run."""
+        self.http_server.is_closing = True
         self.context.events.emit(EventKind.STOPPING, target=self.context.target)
-        self.gate.drain()
+        drain_deadline = boottime() + self.context.settings.drain_seconds
+        self.gate.drain(drain_deadline)
+        self.http_server.drain(min(drain_deadline, boottime() + PEER_DRAIN_SECONDS))
 
     def close(self) -> None:
         """Stop all components and close both servers."""
--- a/src/ridgecourse/entry/entry.py
+++ b/src/ridgecourse/entry/entry.py
@@ -28,6 +28,9 @@
 
 ADMIN_PREFIX = "/ridgecourse.wire.Admin/"
 DRAIN_POLL_SECONDS = 0.05
+LAST_REQUESTS_SECONDS = 5.0
+"""Longest wait for requests that are still being received when no dispatched request is
+in progress any more; a slow or silent client does not hold a stop for longer."""
 
 
 class Entry(Process):
@@ -106,12 +109,14 @@
         return HttpReply(200, body, [("Content-Type", "application/json")])
 
     def drain(self) -> None:
-        """Wait for the requests in progress; refuse new requests as not run."""
+        """Finish the requests in progress; refuse new requests as not run."""
         self.context.stopping = True
+        self.http_server.is_closing = True
         self.context.events.emit(EventKind.STOPPING)
         drain_deadline = boottime() + self.context.settings.drain_seconds
         while self.dispatcher.total_in_flight() and boottime() < drain_deadline:
             eventlet.sleep(DRAIN_POLL_SECONDS)
+        self.http_server.drain(min(drain_deadline, boottime() + LAST_REQUESTS_SECONDS))
 
     def close(self) -> None:
         """Stop all components and close the server."""
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -41,7 +41,6 @@
 not complete before the process stops."""
 STOP_MARGIN_SECONDS = 0.5
 """Time between the end of draining and the moment when the process would be killed."""
-DRAIN_POLL_SECONDS = 0.05
 
 
 class Gateway(SiteProcess, Neighbours):
@@ -171,13 +170,10 @@
             self.load_watcher.withdraw()
             self.hub.withdraw()
         eventlet.sleep(UNREADY_GRACE_SECONDS)
-        self.front.stop_listening()
-        self.front.is_closing = True
-        self.front.close_idle_connections()
         drain_until = started_at + self.site.bounds.stop_seconds - STOP_MARGIN_SECONDS
-        while self.front.in_flight and boottime() < drain_until:
-            eventlet.sleep(DRAIN_POLL_SECONDS)
-            self.front.close_idle_connections()
+        hub_drain = eventlet.spawn(self.hub.drain, drain_until)
+        self.front.drain(drain_until)
+        hub_drain.wait()
 
     def close(self) -> None:
         """Stop all threads and close all servers."""
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -37,6 +37,7 @@
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.http_server import (
+    PEER_DRAIN_SECONDS,
     HttpReply,
     HttpRequest,
     HttpRouter,
@@ -186,6 +187,14 @@
             thread.kill()
         self.fetching.clear()
 
+    def drain(self, deadline: float) -> None:
+        """Finish the chunks and records that are being sent to other processes.
+
+        Args:
+            deadline: When to return at the latest, on this process's clock.
+        """
+        self.http_server.drain(min(deadline, boottime() + PEER_DRAIN_SECONDS))
+
     def handle_channel(self, channel: ControlChannel) -> None:
         """Announce the chunks available here to another process until it disconnects.
 
--- a/src/ridgecourse/loader/loader.py
+++ b/src/ridgecourse/loader/loader.py
@@ -21,11 +21,12 @@
 from ridgecourse.loader.rollout import Rollout
 from ridgecourse.loader.status import StatusFeed
 from ridgecourse.net.address import Address
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.datagrams import DatagramSocket
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.figures import MetricsServer
 from ridgecourse.net.http_client import HttpClient
-from ridgecourse.net.http_server import HttpRouter, HttpServer
+from ridgecourse.net.http_server import PEER_DRAIN_SECONDS, HttpRouter, HttpServer
 from ridgecourse.net.metrics import Metrics
 from ridgecourse.net.process import new_incarnation
 from ridgecourse.net.record_follower import ReadPace
@@ -176,12 +177,13 @@
         self.view.set_version_bound(self.site.bounds.version_seconds)
 
     def drain(self) -> None:
-        """Announce the shutdown.
+        """Finish the chunks and records that are being sent to other processes.
 
         Nothing is handed over: other loaders have the chunks that this loader held, or
         fetch them again.
         """
         self.events.emit(EventKind.STOPPING)
+        self.http_server.drain(boottime() + PEER_DRAIN_SECONDS)
 
     def close(self) -> None:
         """Stop all components and close the servers."""
--- a/src/ridgecourse/net/http_server.py
+++ b/src/ridgecourse/net/http_server.py
@@ -3,8 +3,6 @@
 import logging
 from collections import Counter
 from collections.abc import Callable, Iterable
-from socket import IPPROTO_TCP, TCP_INFO
-from struct import unpack_from
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs
 
@@ -13,7 +11,9 @@
 
 from ridgecourse.net.address import Address
 from ridgecourse.net.auth import AUTH_HEADER, verify_request
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_connection import CONNECTION_KEY, HttpConnection
+from ridgecourse.net.listener_queue import accept_queued, count_queued
 from ridgecourse.net.threads import spawn_loop
 
 logger = logging.getLogger(__name__)
@@ -23,10 +23,12 @@
 MAX_CONNECTIONS = 1024
 BACKLOG = 512
 """Most connections that wait to be accepted."""
-QUEUE_LENGTH_OFFSET = 24
-"""Offset of ``tcpi_unacked`` in the TCP_INFO of Linux. Of a listening socket it is the
-number of connections that wait to be accepted."""
-
+IDLE_SECONDS = 1.0
+"""How long a connection of a closing server may wait for a request. Clients that use
+the connection send within this time and are told that it closes."""
+PEER_DRAIN_SECONDS = 2.0
+"""Longest wait of a stop for requests of other processes; they can be repeated."""
+DRAIN_POLL_SECONDS = 0.05
 STATUS_TEXT = {
     200: "200 OK",
     204: "204 No Content",
@@ -264,19 +266,42 @@
 
         return self.app(environ, start)
 
+    def drain(self, deadline: float) -> None:
+        """Stop listening, then return when all connections have ended.
+
+        Requests that have arrived are answered, and each answer ends its connection. A
+        connection without a request is closed after ``IDLE_SECONDS``, so that clients
+        which use theirs get an answer instead of a reset.
+
+        Args:
+            deadline: When to return at the latest, on this process's clock.
+        """
+        started_at = boottime()
+        self.is_closing = True
+        self.stop_listening()
+        while self.connections and boottime() < deadline:
+            eventlet.sleep(DRAIN_POLL_SECONDS)
+            idle_since = boottime() - IDLE_SECONDS
+            if started_at <= idle_since:
+                self._close_idle_connections(idle_since)
+
+    def _close_idle_connections(self, idle_since: float) -> None:
+        """Close the connections that have been idle since a time or longer."""
+        for connection in list(self.connections):
+            if connection.idle_since <= idle_since:
+                connection.close_if_idle()
+
     def stop_listening(self) -> None:
-        """Accept no further connections; open connections are still served."""
+        """Accept no connections beyond those that wait; open ones are still served."""
         if self.thread is not None:
             self.thread.kill()
             self.thread = None
         if self.listener is not None:
+            accepted = list(accept_queued(self.listener, self.pool.free()))
             self.listener.close()
             self.listener = None
-
-    def close_idle_connections(self) -> None:
-        """Close the connections without a request in progress."""
-        for connection in list(self.connections):
-            connection.close_if_idle()
+            for connection, client_address in accepted:
+                self._serve(connection, client_address)
 
     def count_states(self) -> dict[str, int]:
         """Return the number of connections in each state, and of those not accepted."""
@@ -293,9 +318,3 @@
         self.stop_listening()
         for worker in list(self.pool.coroutines_running):
             worker.kill()
-
-
-def count_queued(listener: Any) -> int:
-    """Return the number of connections that wait to be accepted."""
-    info = listener.getsockopt(IPPROTO_TCP, TCP_INFO, QUEUE_LENGTH_OFFSET + 4)
-    return int(unpack_from("I", info, QUEUE_LENGTH_OFFSET)[0])
--- /dev/null
+++ b/src/ridgecourse/net/listener_queue.py
@@ -0,0 +1,40 @@
+"""The connections that a listening socket holds until they are accepted."""
+
+from collections.abc import Iterator
+from contextlib import suppress
+from ctypes import addressof, create_string_buffer
+from socket import IPPROTO_TCP, SOL_SOCKET, TCP_INFO
+from struct import pack, unpack_from
+from typing import Any
+
+SO_ATTACH_FILTER = 26
+"""Number of the socket option on Linux; the standard library does not name it."""
+BPF_RETURN = 6
+"""Opcode that returns how many bytes of a packet to keep."""
+QUEUE_LENGTH_OFFSET = 24
+"""Offset of ``tcpi_unacked`` in the TCP_INFO of Linux. Of a listening socket it is the
+number of connections that wait to be accepted."""
+
+
+def accept_queued(listener: Any, limit: int) -> Iterator[tuple[Any, Any]]:
+    """Yield the connections that wait, after which the listener has to be closed.
+
+    Closing the listener resets connections that wait. So that none is established
+    between the last one accepted and the close, the listener drops all packets; a
+    client that connects now is refused when it tries again.
+    """
+    instruction = create_string_buffer(pack("HBBI", BPF_RETURN, 0, 0, 0))
+    with suppress(OSError):
+        listener.setsockopt(
+            SOL_SOCKET, SO_ATTACH_FILTER, pack("HP", 1, addressof(instruction))
+        )
+    listener.settimeout(0.0)
+    with suppress(OSError):
+        for _ in range(limit):
+            yield listener.accept()
+
+
+def count_queued(listener: Any) -> int:
+    """Return the number of connections that wait to be accepted."""
+    info = listener.getsockopt(IPPROTO_TCP, TCP_INFO, QUEUE_LENGTH_OFFSET + 4)
+    return int(unpack_from("I", info, QUEUE_LENGTH_OFFSET)[0])
