A gateway that fetches two versions drains as it should

Cause: `Hub.withdraw` and `Hub.close` killed threads in a loop over the dictionary from which each removes itself. RuntimeError left the drain, and the process ended without close. A fetch in a transfer removes itself only later, so that the loop raised only where fetches waited for a manifest or a retry, as with the origin away.

Mend: `kill_threads` copies the collection; all closes use it. `withdraw` also ends a prefetch that still waits for loaders, which would have loaded the origin's link for nobody. `stop_process` closes a process whose drain failed and exits with 1.

--- a/src/ridgecourse/agent/agent.py
+++ b/src/ridgecourse/agent/agent.py
@@ -25,7 +25,7 @@
     HttpServer,
 )
 from ridgecourse.net.process import Process
-from ridgecourse.net.threads import spawn_loop
+from ridgecourse.net.threads import kill_threads, spawn_loop
 from ridgecourse.net.usage import process_usage
 from ridgecourse.net.websocket import ControlServer
 from ridgecourse.wire.entry_control import AgentReport
@@ -141,8 +141,7 @@
         open_connections = self.http_server.count_states()
         self.rollout.close()
         self.gate.close()
-        for thread in self.threads:
-            thread.kill()
+        kill_threads(self.threads)
         self.control_server.close()
         self.http_server.close()
         self.context.events.emit(
--- a/src/ridgecourse/agent/rollout.py
+++ b/src/ridgecourse/agent/rollout.py
@@ -36,7 +36,7 @@
 from ridgecourse.native.log import LogUnavailable
 from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.events import EventKind
-from ridgecourse.net.threads import spawn_loop
+from ridgecourse.net.threads import kill_threads, spawn_loop
 
 logger = logging.getLogger(__name__)
 
@@ -94,8 +94,7 @@
         """Stop the transfer in progress and all threads."""
         if self.transfer is not None:
             self.transfer.close()
-        for thread in self.threads:
-            thread.kill()
+        kill_threads(self.threads)
 
     def target(self) -> Target | None:
         """Return the configuration of this agent's target, None if there is none."""
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -25,7 +25,7 @@
     RecordSource,
     Topic,
 )
-from ridgecourse.net.threads import spawn_loop
+from ridgecourse.net.threads import kill_threads, spawn_loop
 
 RETURN_PAUSE_SECONDS = 0.4
 """Interval between two reads of the list while targets whose entries expired during an
@@ -119,8 +119,7 @@
         self.decisions_reader.close()
         self.targets_reader.close()
         self.pinned_decisions.close()
-        for thread in self.threads:
-            thread.kill()
+        kill_threads(self.threads)
 
     def _record_decisions_restored(self, outage_seconds: float) -> None:
         self.targets.record_outage_end(boottime())
--- a/src/ridgecourse/entry/agent_links.py
+++ b/src/ridgecourse/entry/agent_links.py
@@ -20,7 +20,7 @@
 from ridgecourse.entry.context import EntryContext
 from ridgecourse.native.instances import InstanceListClient, InstanceSnapshot
 from ridgecourse.net.clock import boottime
-from ridgecourse.net.threads import spawn_loop
+from ridgecourse.net.threads import kill_threads, spawn_loop
 from ridgecourse.net.websocket import ChannelClosed, ControlChannel, open_channel
 from ridgecourse.wire.control import PROTOCOL_VERSION
 from ridgecourse.wire.entry_control import (
@@ -96,8 +96,7 @@
 
     def close(self) -> None:
         """Close all connections."""
-        for thread in [*self.threads, *self.links.values()]:
-            thread.kill()
+        kill_threads([*self.threads, *self.links.values()])
 
     def is_linked(self, target: Target) -> bool:
         """Check whether this entry maintains a connection to a target's agent."""
--- a/src/ridgecourse/entry/config_follower.py
+++ b/src/ridgecourse/entry/config_follower.py
@@ -23,7 +23,7 @@
 from ridgecourse.net.http_client import ExchangeFailed, NoConnection
 from ridgecourse.net.http_server import HttpReply, HttpRequest
 from ridgecourse.net.metrics import Metric
-from ridgecourse.net.threads import spawn_loop
+from ridgecourse.net.threads import kill_threads, spawn_loop
 from ridgecourse.wire.codec import decode_message, encode_message
 from ridgecourse.wire.control import MAX_CONTROL_BYTES
 from ridgecourse.wire.entry_control import ConfigFull, ConfigRecords
@@ -63,8 +63,7 @@
 
     def close(self) -> None:
         """Stop all threads and close idle connections."""
-        for thread in self.threads:
-            thread.kill()
+        kill_threads(self.threads)
         self.peer_http.close()
 
     def _follow_log(self) -> None:
--- a/src/ridgecourse/exchange/transfer.py
+++ b/src/ridgecourse/exchange/transfer.py
@@ -40,7 +40,7 @@
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.http_client import ExchangeFailed, NoConnection, read_pieces
 from ridgecourse.net.metrics import Metric
-from ridgecourse.net.threads import spawn_loop
+from ridgecourse.net.threads import kill_threads, spawn_loop
 from ridgecourse.net.websocket import ChannelClosed, open_channel
 from ridgecourse.wire.control import PROTOCOL_VERSION, Follow, HeldChunks
 
@@ -233,8 +233,7 @@
     def close(self) -> None:
         """Stop all fetches and close all control connections to neighbours."""
         threads, self.threads = self.threads, []
-        for thread in threads:
-            thread.kill()
+        kill_threads(threads)
 
     def _check_corrupt_chunks(self) -> None:
         """Fail if the origin repeatedly sent a chunk that does not match its digest.
--- a/src/ridgecourse/gateway/crash_gossip.py
+++ b/src/ridgecourse/gateway/crash_gossip.py
@@ -26,7 +26,7 @@
 from ridgecourse.net.address import Address, parse_address
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.datagrams import MAX_DATAGRAM_BYTES
-from ridgecourse.net.threads import spawn_loop
+from ridgecourse.net.threads import kill_threads, spawn_loop
 from ridgecourse.wire.codec import encode_message
 from ridgecourse.wire.control import CrashQuery, CrashReports
 
@@ -125,8 +125,7 @@
 
     def close(self) -> None:
         """Stop the threads."""
-        for thread in self.threads:
-            thread.kill()
+        kill_threads(self.threads)
 
     def send_to_all(self, reports: Iterable[CrashReport]) -> None:
         """Send reports to all known gateways."""
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -33,7 +33,7 @@
 from ridgecourse.net.record_follower import GATEWAY_PACE
 from ridgecourse.net.record_source import RecordSource
 from ridgecourse.net.site_process import SiteProcess
-from ridgecourse.net.threads import spawn_loop
+from ridgecourse.net.threads import kill_threads, spawn_loop
 
 UNREADY_GRACE_SECONDS = 3.0
 """How long new requests are accepted after readiness ended. The load balancer polls
@@ -185,8 +185,7 @@
         self.load_watcher.close()
         self.hub.close()
         self.view.close()
-        for thread in self.threads:
-            thread.kill()
+        kill_threads(self.threads)
         self.front.close()
         self.readiness.close()
         self.figures.close()
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -43,7 +43,7 @@
     HttpRouter,
     HttpServer,
 )
-from ridgecourse.net.threads import spawn_loop
+from ridgecourse.net.threads import kill_threads, spawn_loop
 from ridgecourse.net.websocket import ChannelClosed, ControlChannel, ControlServer
 from ridgecourse.wire.codec import encode_message
 from ridgecourse.wire.control import Follow
@@ -169,8 +169,7 @@
         self.prefetch.close()
         if self.announcement_thread is not None:
             self.announcement_thread.kill()
-        for thread in self.fetching.values():
-            thread.kill()
+        kill_threads(self.fetching.values())
         self.relay.close()
         self.control_server.close()
         self.http_server.close()
@@ -183,8 +182,8 @@
         versions do not start a fetch here.
         """
         self.withdrawn = True
-        for thread in self.fetching.values():
-            thread.kill()
+        self.prefetch.close()
+        kill_threads(self.fetching.values())
         self.fetching.clear()
 
     def drain(self, deadline: float) -> None:
--- a/src/ridgecourse/gateway/load_watcher.py
+++ b/src/ridgecourse/gateway/load_watcher.py
@@ -18,7 +18,7 @@
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.datagrams import DatagramSocket
 from ridgecourse.net.events import EventKind, EventStream
-from ridgecourse.net.threads import spawn_loop
+from ridgecourse.net.threads import kill_threads, spawn_loop
 from ridgecourse.net.websocket import ChannelClosed, open_channel
 from ridgecourse.wire.control import (
     PROTOCOL_VERSION,
@@ -72,16 +72,14 @@
 
     def close(self) -> None:
         """Stop following engines."""
-        for thread in [*self.threads, *self.followers.values()]:
-            thread.kill()
+        kill_threads([*self.threads, *self.followers.values()])
         self.report_socket.close()
 
     def withdraw(self) -> None:
         """Direct the loaders to fetch weights from the next gateway in rank."""
         self.offers_weights = False
         followers, self.followers = self.followers, {}
-        for follower in followers.values():
-            follower.kill()
+        kill_threads(followers.values())
         self.view.changed.notify()
 
     def load(self, target: ListedTarget) -> EngineLoad:
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -39,7 +39,7 @@
 from ridgecourse.loader.transfer_watch import TransferOwner, TransferWatch
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind
-from ridgecourse.net.threads import spawn_loop
+from ridgecourse.net.threads import kill_threads, spawn_loop
 
 logger = logging.getLogger(__name__)
 
@@ -136,8 +136,7 @@
     def close(self) -> None:
         """Stop controlling the engine and close the transfer in progress."""
         self.watch.close()
-        for thread in self.threads:
-            thread.kill()
+        kill_threads(self.threads)
         if self.transfer is not None:
             self.transfer.close()
 
--- a/src/ridgecourse/net/process.py
+++ b/src/ridgecourse/net/process.py
@@ -50,7 +50,7 @@
     SIGHUP is handled because it would otherwise end the process.
 
     Returns:
-        The exit code: 0 after a signal, 1 if the process could not start.
+        The exit code: 0 after a signal, 1 if the process could not start or drain.
     """
     stop = Signal()
 
@@ -76,6 +76,20 @@
         logger.error("process cannot start: %s", error)
         return EXIT_FAILED
     stop.wait()
-    process.drain()
+    return stop_process(process)
+
+
+def stop_process(process: Process) -> int:
+    """Drain and close a process; a failed drain does not prevent the close.
+
+    Returns:
+        The exit code.
+    """
+    exit_code = EXIT_OK
+    try:
+        process.drain()
+    except Exception:
+        logger.exception("drain failed; requests in progress are cut off")
+        exit_code = EXIT_FAILED
     process.close()
-    return EXIT_OK
+    return exit_code
--- a/src/ridgecourse/net/threads.py
+++ b/src/ridgecourse/net/threads.py
@@ -4,7 +4,7 @@
 """
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import eventlet
@@ -39,3 +39,9 @@
         except Exception:
             logger.exception("%s failed and is restarted", function.__qualname__)
             eventlet.sleep(RESTART_SECONDS)
+
+
+def kill_threads(threads: Iterable[GreenThread]) -> None:
+    """Kill green threads, whose ends may change the collection that they are in."""
+    for thread in list(threads):
+        thread.kill()
