The stand-in of the origin records who asked for what, and when

Each call now has its client, when it came and was answered, and whether the client had left; a failed test prints them. The loader's event for which the test waits had been written at the start already, so that the origin was released before the hub knew of its stop.

--- a/src/ridgecourse_standins/platform/weights.py
+++ b/src/ridgecourse_standins/platform/weights.py
@@ -1,6 +1,7 @@
 """Stand-ins of an engine that stages weights and of the origin of weights."""
 
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from hashlib import sha256
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from threading import Condition, Thread
@@ -19,6 +20,7 @@
     STAGE_GET_PATH,
     STAGE_PUT_PATH,
 )
+from ridgecourse_standins.closed_loop import is_closed
 from ridgecourse_standins.platform.engine import now_ms
 
 StatusAndBody = tuple[int, bytes]
@@ -26,11 +28,39 @@
 """Maximum time from an abandoned call to the moment when the call takes effect."""
 
 
+@dataclass
+class Exchange:
+    """A call and its answer.
+
+    Attributes:
+        client: Address of the client, without the port.
+        target: Request target.
+        received_at: Monotonic time at which the call was received.
+        answered_at: Monotonic time at which the answer was ready; 0.0 before.
+        client_left: Whether the client had closed its connection by then.
+    """
+
+    client: str
+    target: str
+    received_at: float = field(default_factory=monotonic)
+    answered_at: float = 0.0
+    client_left: bool = False
+
+    def __str__(self) -> str:
+        answered = f"{self.answered_at:.3f}" if self.answered_at else "never"
+        left = ", client had left" if self.client_left else ""
+        return (
+            f"{self.received_at:.3f} {self.client} {self.target},"
+            f" answered {answered}{left}"
+        )
+
+
 class HttpStandIn:
     """An HTTP server on loopback whose answers a subclass provides.
 
     Attributes:
         calls: Method and request target of each call so far.
+        exchanges: The calls so far with their clients and times.
         unreachable: Whether connections are closed without an answer.
         dropped_connections: Number of connections closed without an answer.
         changed: Notified after each call; also guards the state of the subclass.
@@ -38,6 +68,7 @@
 
     def __init__(self, host: str = "127.0.0.1") -> None:
         self.calls: list[tuple[str, str]] = []
+        self.exchanges: list[Exchange] = []
         self.unreachable = False
         self.dropped_connections = 0
         self.changed = Condition()
@@ -103,12 +134,16 @@
                 query = {
                     name: values[0] for name, values in parse_qs(parts.query).items()
                 }
+                exchange = Exchange(self.client_address[0], self.path)
                 with stand_in.changed:
                     stand_in.calls.append((self.command, self.path))
+                    stand_in.exchanges.append(exchange)
                     status, data = stand_in.answer(
                         self.command, parts.path, query, body
                     )
                     stand_in.changed.notify_all()
+                exchange.client_left = is_closed(self.connection)
+                exchange.answered_at = monotonic()
                 self.send_response(status)
                 self.send_header("Content-Length", str(len(data)))
                 self.end_headers()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -165,6 +165,9 @@
         events = merge_streams(streams).events[-150:]
         lines = [text_line(event, events[0].wall).plain for event in events]
         report.sections.append(("time line", "\n".join(lines)))
+    if report.failed and "hub_site" in getattr(item, "funcargs", {}):
+        exchanges = map(str, item.funcargs["hub_site"].origin.exchanges)
+        report.sections.append(("calls to the origin", "\n".join(exchanges)))
     return report
 
 
