A successor copies what the stopping hub holds instead of asking the origin

Cause: once loaders report it removed, the stopping hub is no source any more, although it serves its chunks for 3 s; the successor asks the origin for them again.

Mend: removed gateways stay sources for 3 s, and their holdings are awaited for at most 0.3 s before the origin is asked. A process that is gone refuses the connection, which ends the wait at once.

--- a/src/ridgecourse/exchange/transfer.py
+++ b/src/ridgecourse/exchange/transfer.py
@@ -54,6 +54,9 @@
 INITIAL_HOLDINGS_SECONDS = 1.0
 """Seconds from the start of a transfer until neighbours have announced their holdings:
 enough to open one connection and for some round trips, as a manifest needs too."""
+AWAIT_HOLDINGS_SECONDS = 0.3
+"""Longest wait for the holdings of peers before the origin is asked: some round trips,
+and little beside the time of a copy from the origin."""
 PROGRESS_SECONDS = 1.0
 """Interval of progress events, in seconds."""
 LAST_RESORT_REFERRALS = 8
@@ -95,6 +98,7 @@
         next_progress_report: When the next progress event is due.
         counted_bytes: Part of the bytes received from the origin that the traffic
             counts of the context include already.
+        awaited: Neighbours that may hold chunks and have not announced them yet.
         threads: Threads of the fetches in progress and of the control connections.
     """
 
@@ -110,6 +114,7 @@
         paced: bool = True,
         is_needed: Callable[[], bool] = lambda: True,
         unpaced_domain: DomainName | None = None,
+        awaited: Iterable[TargetName] = (),
     ) -> None:
         """Prepare a transfer; ``run`` starts it.
 
@@ -125,6 +130,9 @@
             paced: Whether peers are asked to send at the rate of the context.
             is_needed: Returns whether the version is still needed.
             unpaced_domain: Domain whose peers send without a rate limit.
+            awaited: Peers that may hold chunks. The origin is asked once each of them
+                has announced its holdings or does not answer, or after
+                ``AWAIT_HOLDINGS_SECONDS``.
         """
         self.context = context
         self.origin = origin
@@ -153,6 +161,9 @@
         self.missing_at_origin: dict[ChunkDigest, str] = {}
         self.is_needed = is_needed
         self.started_at = boottime()
+        self.awaited = set(awaited) & set(self.planner.sources)
+        if self.awaited:
+            self.planner.origin_state.not_before = self._await_until()
         self.holdings_due_at = self.started_at + INITIAL_HOLDINGS_SECONDS
         self.last_progress = boottime()
         self.next_progress_report = boottime() + PROGRESS_SECONDS
@@ -293,13 +304,28 @@
             try:
                 for announcement in self._receive_holdings(neighbour):
                     self._apply_announcement(neighbour, announcement)
+                    self._end_wait(neighbour)
             except ChannelClosed as error:
                 logger.debug(
                     "cannot follow the holdings of neighbour %s: %s", neighbour, error
                 )
             self.planner.drop_peer(neighbour)
+            self._end_wait(neighbour)
             eventlet.sleep(REFOLLOW_SECONDS)
 
+    def _end_wait(self, neighbour: TargetName) -> None:
+        """Stop awaiting a neighbour; after the last one the origin may be asked."""
+        now = Seconds(boottime())
+        was_awaited = neighbour in self.awaited
+        self.awaited.discard(neighbour)
+        if was_awaited and not self.awaited and now < self._await_until():
+            self.planner.origin_state.not_before = now
+            self.progress.notify()
+
+    def _await_until(self) -> Seconds:
+        """Return when the origin is asked although a neighbour is awaited."""
+        return Seconds(self.started_at + AWAIT_HOLDINGS_SECONDS)
+
     def _receive_holdings(self, neighbour: TargetName) -> Iterator[HeldChunks]:
         """Follow a neighbour and yield its announcements.
 
--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -451,6 +451,7 @@
             # The rate limit is for links between regions; gateways and loaders of the
             # local domain send without it.
             unpaced_domain=self.site.domain,
+            awaited=self._possible_holders(),
         )
         self.transfers[key] = plan, transfer
         try:
@@ -458,6 +459,13 @@
         finally:
             del self.transfers[key]
 
+    def _possible_holders(self) -> list[TargetName]:
+        """Return the gateways whose holdings are awaited before the origin is asked.
+
+        A stopping gateway holds what it has fetched as hub.
+        """
+        return [peer.name for peer in self.peers.departed_gateways()]
+
     def _report_failure(self, key: VersionKey, error: str) -> None:
         """Emit an event about a failed attempt, and pause before the next attempt."""
         self.events.emit(EventKind.ROLLOUT_FAILED, version=str(key[1]), error=error)
--- a/src/ridgecourse/gateway/known_peers.py
+++ b/src/ridgecourse/gateway/known_peers.py
@@ -10,7 +10,7 @@
     make_seed_addresses,
     nearest_first,
 )
-from ridgecourse.core.ids import Seconds, TargetName
+from ridgecourse.core.ids import DomainName, Seconds, TargetName
 from ridgecourse.core.site import Site
 from ridgecourse.exchange.catalogue import VersionKey
 from ridgecourse.net.clock import boottime
@@ -18,6 +18,8 @@
 LOADER_HOLDING_DELAY_SECONDS = 3.0
 """Time from a version's announcement until loaders hold enough of the version to be
 useful sources. Until then all chunks come from the origin through the hubs."""
+DEPARTED_SECONDS = 3.0
+"""How long a gateway serves its chunks after it has withdrawn."""
 
 
 class AnnouncedGateways:
@@ -27,11 +29,13 @@
         by_loader: Gateways by name, for each loader's address; empty for a connected
             loader that reports none.
         gateways: Cached union of all reported gateways; None if it must be recomputed.
+        departed: Gateways that loaders reported removed, by name, and when.
     """
 
     def __init__(self) -> None:
         self.by_loader: dict[str, dict[TargetName, Peer]] = {}
         self.gateways: dict[TargetName, Peer] | None = None
+        self.departed: dict[TargetName, tuple[Peer, float]] = {}
 
     def __contains__(self, loader: str) -> bool:
         """Check whether a loader is connected."""
@@ -45,7 +49,19 @@
         self.gateways = None
         loader_gateways.update((peer.name, peer) for peer in added)
         for name in removed:
-            loader_gateways.pop(name, None)
+            peer = loader_gateways.pop(name, None)
+            if peer is not None:
+                self.departed[name] = peer, boottime()
+
+    def departed_from(self, domain: DomainName) -> list[Peer]:
+        """Return the gateways of a domain that may be stopping, but still serve."""
+        removed_after = boottime() - DEPARTED_SECONDS
+        self.departed = {
+            name: (peer, removed_at)
+            for name, (peer, removed_at) in self.departed.items()
+            if removed_at > removed_after
+        }
+        return [peer for peer, _ in self.departed.values() if peer.domain == domain]
 
     def forget_loader(self, loader: str) -> None:
         """Drop the gateways reported by a loader that disconnected or reports anew."""
@@ -121,10 +137,14 @@
         have. With only other hubs as sources, a hub that was killed together with its
         standby hub waited for 6 s beside loaders that held two thirds of the version.
         """
-        if self.local not in plan.hubs:
-            return plan.sources(self.local)
-        loaders = self.loaders_that_may_hold(key)
-        return {**{peer.name: peer for peer in loaders}, **plan.sources(self.local)}
+        peers = [*self.departed_gateways(), *plan.sources(self.local).values()]
+        if self.local in plan.hubs:
+            peers = [*self.loaders_that_may_hold(key), *peers]
+        return {peer.name: peer for peer in peers if peer.name != self.local.name}
+
+    def departed_gateways(self) -> list[Peer]:
+        """Return the gateways of the local domain that may be stopping."""
+        return self.announced.departed_from(self.local.domain)
 
     def record_addresses(self) -> Sequence[str]:
         """Return the addresses to request the store's records from, nearest first."""
--- a/tests/platform/test_unneeded_fetches.py
+++ b/tests/platform/test_unneeded_fetches.py
@@ -64,6 +64,32 @@
     assert count_chunk_requests(hub_site) <= fetched_before + CHUNKS + ORIGIN_FETCHES
 
 
+def test_successor_copies_what_the_stopping_gateway_holds(hub_site) -> None:
+    # A successor that had not copied the chunks of a stopping hub yet asked the origin
+    # for all of them again.
+    hub_site.start()
+    hub, successor = hub_site.hosts_hub_first()
+    origin = hub_site.origin
+    fetched_before = count_chunk_requests(hub_site)
+    limit = origin.send_limit = origin.sent + 6
+    hub_site.gateways[successor].pause()
+    hub_site.store.put_version(MODEL, 2)
+    origin.wait_until(lambda: origin.sent == limit)
+    hub_site.wait_for_version_chunks(hub, 2, 6)
+    alone = {"gateways": [successor]}
+    before = [
+        event
+        for event in hub_site.loader.events()
+        if event["kind"] == "gateways-known" and event["detail"] == alone
+    ]
+    hub_site.gateways[hub].started_process.terminate()
+    hub_site.loader.wait_event("gateways-known", after=len(before), detail=alone)
+    origin.release()
+    hub_site.gateways[successor].resume()
+    hub_site.gateways[successor].wait_event("version-complete", version="2")
+    assert count_chunk_requests(hub_site) <= fetched_before + CHUNKS + ORIGIN_FETCHES
+
+
 def test_stopping_gateway_starts_no_fetch() -> None:
     hub = make_hub()
     hub.request_version(SECOND_VERSION)
