A hub asked before its prefetch copies from its domain

Cause: the other gateway, which knew the engines' weights 0.54 s earlier, told the hub to fetch while the hub's own prefetch still waited for loaders. A hub asks the origin at once, before neighbours can have announced their holdings.

--- a/src/ridgecourse/gateway/hub.py
+++ b/src/ridgecourse/gateway/hub.py
@@ -451,7 +451,7 @@
             # The rate limit is for links between regions; gateways and loaders of the
             # local domain send without it.
             unpaced_domain=self.site.domain,
-            awaited=self._possible_holders(),
+            awaited=self._possible_holders(plan),
         )
         self.transfers[key] = plan, transfer
         try:
@@ -459,12 +459,17 @@
         finally:
             del self.transfers[key]
 
-    def _possible_holders(self) -> list[TargetName]:
+    def _possible_holders(self, plan: HubPlan) -> list[TargetName]:
         """Return the gateways whose holdings are awaited before the origin is asked.
 
-        A stopping gateway holds what it has fetched as hub.
+        A stopping gateway holds what it has fetched as hub. At the system's first
+        start, another gateway may have copied the version from engines that this one
+        does not know yet.
         """
-        return [peer.name for peer in self.peers.departed_gateways()]
+        holders = self.peers.departed_gateways()
+        if self.prefetch.is_waiting:
+            holders = [*holders, *plan.local_gateways]
+        return [peer.name for peer in holders]
 
     def _report_failure(self, key: VersionKey, error: str) -> None:
         """Emit an event about a failed attempt, and pause before the next attempt."""
--- a/src/ridgecourse/gateway/prefetch.py
+++ b/src/ridgecourse/gateway/prefetch.py
@@ -81,14 +81,22 @@
 
 
 class Prefetch:
-    """Fetches the first versions from the domain's engines, where they are staged."""
+    """Fetches the first versions from the domain's engines, where they are staged.
+
+    Attributes:
+        hub: The hub that the versions are fetched for.
+        thread: Fetches the versions; None before the start.
+        is_waiting: Whether the prefetch still waits for the domain's loaders.
+    """
 
     def __init__(self, hub: VersionFetcher) -> None:
         self.hub = hub
         self.thread: eventlet.greenthread.GreenThread | None = None
+        self.is_waiting = False
 
     def start(self) -> None:
         """Start the prefetch; it fetches the versions whose hub this gateway is."""
+        self.is_waiting = True
         self.thread = eventlet.spawn(self._run)
 
     def close(self) -> None:
@@ -102,6 +110,7 @@
             not self._knows_loaders() and boottime() < started_at + LOADER_WAIT_SECONDS
         ):
             eventlet.sleep(LOADER_POLL_SECONDS)
+        self.is_waiting = False
         config = self.hub.view.config
         for service in config.services.values() if config else ():
             if service.engine is None or not service.engine.chunks:
--- a/tests/platform/test_hubs.py
+++ b/tests/platform/test_hubs.py
@@ -233,12 +233,12 @@
         for gateway in self.gateways.values():
             gateway.wait_event("target-listed", after=1)
 
-    def hosts_hub_first(self) -> list[str]:
-        """Return the hosts of the gateways, with the hub of version 2 first."""
+    def hosts_hub_first(self, version: int = 2) -> list[str]:
+        """Return the hosts of the gateways, with the hub of a version first."""
         peers = [
             Peer(TargetName(host), DomainName("a"), "x", "x") for host in self.gateways
         ]
-        (hub,) = choose_hubs(KEY, peers)
+        (hub,) = choose_hubs(f"('{MODEL}', {version})", peers)
         return sorted(self.gateways, key=lambda host: host != hub.name)
 
     def ask(self, host: str, version: int = 2) -> None:
@@ -392,6 +392,25 @@
     assert count_chunk_requests(hub_site) == 0
 
 
+def test_hub_asked_before_its_prefetch_copies_from_its_domain(hub_site) -> None:
+    # A gateway that had copied the first version from engines told the hub to fetch it;
+    # the hub, whose own prefetch still waited, asked the origin.
+    chunks = hub_site.origin.versions[1]
+    hub_site.engine.staged = dict(enumerate(chunks))
+    hub_site.engine.version = 1
+    hub_site.engine.staged_at_start[1] = dict(enumerate(chunks))
+    hub_site.register_engine()
+    late, early = hub_site.hosts_hub_first(version=1)
+    hub_site.gateways[early].start()
+    LoaderSite.start(hub_site)
+    hub_site.gateways[early].wait_event("version-complete", version="1")
+    hub_site.gateways[late].start()
+    hub_site.gateways[late].wait_event("target-weights")
+    hub_site.ask(late, 1)
+    hub_site.gateways[late].wait_event("version-complete", version="1")
+    assert count_chunk_requests(hub_site) == 0
+
+
 def test_weights_are_transferred_before_the_engine_starts(tmp_path) -> None:
     site = HubSite(tmp_path, engine_started=False)
     try:
