--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import pytest
+from delay_probe import DelayProbe
 from gateway_site import front
 from known_failures import read_known_failures
 
@@ -13,6 +14,7 @@
 from ridgecourse_standins.cluster import FLEET, MODEL_SERVICE, Cluster, Plan
 from ridgecourse_standins.models import make_version
 
+PROBE = DelayProbe()
 VERSION_BYTES = 256 * 1024
 CHUNK_BYTES = 16 * 1024
 
@@ -137,6 +139,16 @@
         cluster.close()
 
 
+def pytest_sessionstart(session: pytest.Session) -> None:
+    """Start to record delays, which the report of a failed test lists."""
+    PROBE.start()
+
+
+def pytest_sessionfinish(session: pytest.Session) -> None:
+    """Stop recording delays."""
+    PROBE.close()
+
+
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Mark the tests that KNOWN-RED.txt lists as expected failures."""
     known_failures = {entry.test: entry for entry in read_known_failures()}
@@ -165,6 +177,9 @@
         events = merge_streams(streams).events[-150:]
         lines = [text_line(event, events[0].wall).plain for event in events]
         report.sections.append(("time line", "\n".join(lines)))
+        if events:
+            delays = PROBE.lines(events[0].wall, events[0].wall)
+            report.sections.append(("delays", "\n".join(delays)))
     if report.failed and "hub_site" in getattr(item, "funcargs", {}):
         exchanges = map(str, item.funcargs["hub_site"].origin.exchanges)
         report.sections.append(("calls to the origin", "\n".join(exchanges)))
