A record late in a wait no longer makes a domain avoid its reader

Cause: a record that arrives at the end of a wait confirms only the state at its start, 0.78 s before. That counted as young enough (0.8 s) for one more wait; 0.78 + 0.4 + 0.35 s exceed the 1.4 s from which downstream processes avoid a reader.

Mend: a read waits only while the data are younger than 0.55 s. 0.55 + 0.4 + 0.35 s are 1.3 s. A store that answers at once gets no more calls.

--- a/src/ridgecourse/net/record_follower.py
+++ b/src/ridgecourse/net/record_follower.py
@@ -36,9 +36,11 @@
 """Transfer time from which an answer counts as slow: it delays other processes, which
 wait for the answer or for the link."""
 
-STALE_SECONDS = 0.8
-"""Age of the confirmed data above which the next read does not wait. Downstream readers
-would otherwise treat the data as outdated, though the store has nothing newer."""
+MAX_AGE_BEFORE_WAIT_SECONDS = 0.55
+"""Age of the confirmed data above which the next read does not wait. A record that
+arrives late in a wait confirms only the state at its start. After one more wait and the
+0.35 s of a slow store the data would be older than 1.4 s, and downstream processes
+would avoid their reader, though the store has nothing newer."""
 
 DECISION_WAIT_SECONDS = 0.4
 """Longest wait of one store read for a decision of an operator. A waiting read can miss
@@ -268,8 +270,8 @@
             return self.source.newest(self.topic), True
         # A waiting read would report only at its end that the store is available again,
         # or that nothing is newer than an answer with a slow transfer.
-        is_stale = boottime() - self.confirmed_at > STALE_SECONDS
-        wait = 0.0 if is_stale or self.unavailable_since is not None else self.wait
+        is_old = boottime() - self.confirmed_at > MAX_AGE_BEFORE_WAIT_SECONDS
+        wait = 0.0 if is_old or self.unavailable_since is not None else self.wait
         return self.source.read(self.topic, self.offset, wait), False
 
     def _retry_wait(self) -> float:
--- a/tests/platform/test_slow_reads.py
+++ b/tests/platform/test_slow_reads.py
@@ -46,6 +46,8 @@
 """Time in which a configuration of this size must be in force."""
 SLOW_ANSWER_SECONDS = 0.35
 """Response time of a slow store."""
+LATE_IN_WAIT_SECONDS = 0.36
+"""Time after the start of a read that waits 0.4 s for a record."""
 
 
 @pytest.fixture
@@ -116,6 +118,35 @@
     assert domain.count_avoided_parents() - avoided <= MAX_AVOIDED
 
 
+def wait_for_decision_read(domain: DomainSite) -> None:
+    """Wait until the store has just received a read of decisions."""
+    reads = domain.store.offset_reads
+    read_count = len(reads)
+    deadline = monotonic() + 10.0
+    while not any(DECISIONS_TOPIC in read for read in reads[read_count:]):
+        assert monotonic() < deadline
+        sleep(0.005)
+
+
+def test_record_late_in_a_wait_of_a_slow_store_leaves_the_reader_in_use(domain) -> None:
+    # The record confirmed only the state at the start of the wait. The reader waited
+    # once more, its data grew older than 1.4 s, and the whole domain avoided it.
+    domain.start()
+    version = domain.publish_until_single_reader() + 1
+    domain.store.answer_delay_seconds = SLOW_ANSWER_SECONDS
+    domain.store.put_config(make_config(version))
+    domain.wait_applied(version)
+    avoided = domain.count_avoided_parents()
+    for number in range(version + 1, version + 6):
+        sleep(QUIET_SECONDS)
+        wait_for_decision_read(domain)
+        sleep(LATE_IN_WAIT_SECONDS)
+        domain.store.put_config(make_config(number))
+        domain.wait_applied(number)
+    sleep(QUIET_SECONDS)
+    assert domain.count_avoided_parents() - avoided <= MAX_AVOIDED
+
+
 def newest_readers(domain: DomainSite) -> set[str]:
     """Return the hosts that asked the store for the newest decisions."""
     reads = list(domain.store.newest_reads)
