--- a/tests/delay_probe.py
+++ b/tests/delay_probe.py
@@ -25,7 +25,8 @@
         wall: Time of day at the end of the interval, in seconds since 1970.
         late_ms: How late the thread of the probe woke.
         collecting_ms: Time of garbage collections in the process of the test.
-        waited_ms: Time for which the process of the test waited for a processor.
+        waited_ms: Time for which the threads of the process of the test waited for a
+            processor, in sum.
         children_ms: The same, for each child process.
     """
 
@@ -124,8 +125,10 @@
         collecting, self.collecting = self.collecting, 0.0
         pids = [getpid(), *child_pids()]
         waits = {pid: read_wait_ms(pid) for pid in pids}
+        # The waits of a thread that has ended are gone from the sum.
         grown = {
-            pid: int(wait - self.waits.get(pid, wait)) for pid, wait in waits.items()
+            pid: max(0, int(wait - self.waits.get(pid, wait)))
+            for pid, wait in waits.items()
         }
         self.waits = waits
         own = grown.pop(getpid())
