--- a/tests/test_stops_under_load.py
+++ b/tests/test_stops_under_load.py
@@ -17,6 +17,7 @@
 PLAN = Plan(domains=("a",), entries=2, targets=2, plain=0)
 ENTRY_STOPS = 6
 GATEWAY_STOPS = 4
+AGENT_STOPS = 3
 
 
 def describe(replies: list[Reply], stop_started_at: float) -> list[str]:
@@ -187,3 +188,35 @@
         connection.sendall(request)
         status, _, _, is_complete = receive_response(connection)
         assert (status, is_complete) == (401, True)
+
+
+def test_stopping_agent_loses_no_request_of_an_entry(
+    start_site: Callable[[Plan], ClusterSite],
+) -> None:
+    # A request of an entry that had just arrived at the agent was reset. Whether it had
+    # run was unknown, so that it was not tried elsewhere.
+    site = start_site(PLAN)
+    site.roll_out("v1", 1)
+    body = b'{"prompt": "p", "max_tokens": 1}'
+    managed = site.cluster.agents[0].managed
+    unknown: list[bytes] = []
+    for _ in range(AGENT_STOPS):
+        loop = ClosedLoop(
+            split_address(site.cluster.entries[0].http),
+            lambda: make_entry_request(site, body),
+        )
+        loop.start()
+        wait_replies(loop, 200)
+        assert managed.stop() == 0
+        loop.close()
+        unknown.extend(
+            reply.body or reply.error.encode()
+            for reply in loop.replies
+            if b'"outcome":"completed"' not in reply.body
+            and reply.headers.get("ridgecourse-outcome") != "not-run"
+        )
+        starts = sum(event["kind"] == "started" for event in managed.events())
+        managed.start()
+        managed.wait_event("started", after=starts)
+        site.wait_targets_ready(0)
+    assert not unknown
