A stopping gateway refuses late requests that it might not finish

Such a request is served only if its deadline is before the end of the stop; otherwise it is refused at once as not run. The new test gets 200 instead of 503 without the change.

--- a/src/ridgecourse/agent/admission_gate.py
+++ b/src/ridgecourse/agent/admission_gate.py
@@ -26,7 +26,6 @@
 from ridgecourse.core.ids import RequestId, Seconds
 from ridgecourse.core.outcome import Outcome, Reason
 from ridgecourse.native.engine import GenerateOrder
-from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.http_client import (
@@ -37,7 +36,7 @@
 )
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
 from ridgecourse.net.metrics import Metric
-from ridgecourse.net.threads import spawn_loop
+from ridgecourse.net.threads import Broadcast, spawn_loop
 from ridgecourse.wire.codec import decode_message
 from ridgecourse.wire.request import (
     LOAD_HEADER,
--- a/src/ridgecourse/agent/agent.py
+++ b/src/ridgecourse/agent/agent.py
@@ -14,7 +14,6 @@
 from ridgecourse.agent.settings import AgentSettings
 from ridgecourse.exchange.server import Exchange
 from ridgecourse.net.address import parse_address
-from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.http_server import (
@@ -25,7 +24,7 @@
     HttpServer,
 )
 from ridgecourse.net.process import Process
-from ridgecourse.net.threads import kill_threads, spawn_loop
+from ridgecourse.net.threads import Broadcast, kill_threads, spawn_loop
 from ridgecourse.net.usage import process_usage
 from ridgecourse.net.websocket import ControlServer
 from ridgecourse.wire.entry_control import AgentReport
--- a/src/ridgecourse/agent/control.py
+++ b/src/ridgecourse/agent/control.py
@@ -11,9 +11,9 @@
 
 from ridgecourse.agent.context import AgentContext
 from ridgecourse.exchange.server import Exchange
-from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind
+from ridgecourse.net.threads import Broadcast
 from ridgecourse.net.websocket import ChannelClosed, ControlChannel
 from ridgecourse.wire.control import PROTOCOL_VERSION, Follow
 from ridgecourse.wire.entry_control import (
--- a/src/ridgecourse/agent/rollout.py
+++ b/src/ridgecourse/agent/rollout.py
@@ -34,9 +34,8 @@
     OrderResult,
 )
 from ridgecourse.native.log import LogUnavailable
-from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.events import EventKind
-from ridgecourse.net.threads import kill_threads, spawn_loop
+from ridgecourse.net.threads import Broadcast, kill_threads, spawn_loop
 
 logger = logging.getLogger(__name__)
 
--- a/src/ridgecourse/cluster/pinned_decisions.py
+++ b/src/ridgecourse/cluster/pinned_decisions.py
@@ -15,7 +15,6 @@
 
 from ridgecourse.cluster.decoder import RecordDecoder
 from ridgecourse.core.ids import Offset
-from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.record_source import (
@@ -26,7 +25,7 @@
     SourceUnavailable,
     Topic,
 )
-from ridgecourse.net.threads import spawn_loop
+from ridgecourse.net.threads import Broadcast, spawn_loop
 
 RETRY_SECONDS = 0.5
 """Delay between two attempts to write. Writes fail while the store is unavailable.
--- a/src/ridgecourse/cluster/record_server.py
+++ b/src/ridgecourse/cluster/record_server.py
@@ -8,10 +8,10 @@
 
 from ridgecourse.core.ids import Offset, Seconds
 from ridgecourse.core.target_list import ListedTarget, TargetRecord
-from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
 from ridgecourse.net.record_source import KeyedRecord, RecordBatch, Topic
+from ridgecourse.net.threads import Broadcast
 from ridgecourse.wire.codec import encode_message
 
 RECORDS_PATH = "/records/"
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -15,7 +15,6 @@
 from ridgecourse.core.routes import RoutingConfig
 from ridgecourse.core.target_list import ListedTarget, TargetList, TargetRecord
 from ridgecourse.core.weights import NamedVersion, VersionAge, VersionHistory
-from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.record_follower import GATEWAY_PACE, ReadPace, RecordFollower
@@ -25,7 +24,7 @@
     RecordSource,
     Topic,
 )
-from ridgecourse.net.threads import kill_threads, spawn_loop
+from ridgecourse.net.threads import Broadcast, kill_threads, spawn_loop
 
 RETURN_PAUSE_SECONDS = 0.4
 """Interval between two reads of the list while targets whose entries expired during an
--- a/src/ridgecourse/entry/claim_writer.py
+++ b/src/ridgecourse/entry/claim_writer.py
@@ -14,9 +14,8 @@
 from ridgecourse.core.ids import Offset
 from ridgecourse.entry.context import EntryContext
 from ridgecourse.native.log import LogClient, LogUnavailable, Stream
-from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.clock import boottime
-from ridgecourse.net.threads import spawn_loop
+from ridgecourse.net.threads import Broadcast, spawn_loop
 from ridgecourse.wire.codec import decode_message, encode_message
 
 BATCH_SECONDS = 0.01
--- a/src/ridgecourse/exchange/holding.py
+++ b/src/ridgecourse/exchange/holding.py
@@ -4,7 +4,7 @@
 
 from ridgecourse.core.ids import ChunkDigest, RootDigest
 from ridgecourse.core.manifest import Manifest
-from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.threads import Broadcast
 
 
 class Holding:
--- a/src/ridgecourse/exchange/server.py
+++ b/src/ridgecourse/exchange/server.py
@@ -9,9 +9,9 @@
 from ridgecourse.exchange.context import ExchangeContext
 from ridgecourse.exchange.frames import TICKET_HEADER, frame_header
 from ridgecourse.exchange.holding import Holding
-from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
+from ridgecourse.net.threads import Broadcast
 from ridgecourse.net.throttle import Throttle, split_into_pieces
 from ridgecourse.net.websocket import ControlChannel
 from ridgecourse.wire.control import Follow, HeldChunks
--- a/src/ridgecourse/exchange/transfer.py
+++ b/src/ridgecourse/exchange/transfer.py
@@ -35,12 +35,11 @@
     RATE_HEADER,
 )
 from ridgecourse.net.auth import AUTH_HEADER, sign_request
-from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.http_client import ExchangeFailed, NoConnection, read_pieces
 from ridgecourse.net.metrics import Metric
-from ridgecourse.net.threads import kill_threads, spawn_loop
+from ridgecourse.net.threads import Broadcast, kill_threads, spawn_loop
 from ridgecourse.net.websocket import ChannelClosed, open_channel
 from ridgecourse.wire.control import PROTOCOL_VERSION, Follow, HeldChunks
 
--- a/src/ridgecourse/gateway/blocked_requests.py
+++ b/src/ridgecourse/gateway/blocked_requests.py
@@ -15,7 +15,6 @@
     CrashReport,
 )
 from ridgecourse.core.ids import RequestSignature
-from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.record_source import (
     AppendConflict,
@@ -24,7 +23,7 @@
     SourceUnavailable,
     Topic,
 )
-from ridgecourse.net.threads import spawn_loop
+from ridgecourse.net.threads import Broadcast, spawn_loop
 from ridgecourse.wire.codec import decode_message, encode_message
 
 RETRY_SECONDS = 0.5
--- a/src/ridgecourse/gateway/crash_watch.py
+++ b/src/ridgecourse/gateway/crash_watch.py
@@ -27,11 +27,11 @@
 )
 from ridgecourse.gateway.gateway_link import GatewayLink
 from ridgecourse.gateway.sender import NotRun, RoutedRequest, time_left
-from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
-from ridgecourse.net.probe import refuses_connections
 from ridgecourse.net.record_source import RecordSource, SourceUnavailable
+from ridgecourse.net.tcp import refuses_connections
+from ridgecourse.net.threads import Broadcast
 from ridgecourse.wire.control import CrashReports
 
 PROBE_DELAYS_SECONDS = (0.0, 0.02, 0.05)
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -1,6 +1,7 @@
 """Handle clients' requests: find their route, dispatch them and answer."""
 
 from collections import defaultdict
+from math import inf
 from random import Random
 
 from returns.result import Failure
@@ -39,6 +40,8 @@
         events: Receives events and metrics.
         random: Chooses among the services of a route, and spreads retry delays.
         relay: Relays streams to clients.
+        closes_at: When the process stops at the latest. A request that might be
+            answered later is refused.
         client_timeouts: Usual client timeout at the first attempt, by route.
     """
 
@@ -58,6 +61,7 @@
         self.events = events
         self.random = random
         self.relay = StreamRelay(dispatcher, self._emit_ended)
+        self.closes_at = Seconds(inf)
         self.client_timeouts: dict[str, UsualClientTimeout] = defaultdict(
             UsualClientTimeout
         )
@@ -85,6 +89,9 @@
         terms = terms_result.unwrap()
         body = request.read_body(config.limits.body_bytes)
         routed = self._make_routed_request(request, call, terms, body, arrived_at)
+        if routed.deadline > self.closes_at:
+            # Its answer might be cut off by the end of the process.
+            return self._refuse(call.request_id, Reason.STOPPING)
         try:
             with request.cancel_on_disconnect():
                 return self._answer(request, routed, terms)
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -9,7 +9,7 @@
 from ridgecourse.cluster.domain_source import StoreRecords, open_view
 from ridgecourse.cluster.tree_reader import Neighbours
 from ridgecourse.core.hubs import Peer
-from ridgecourse.core.ids import TargetName
+from ridgecourse.core.ids import Seconds, TargetName
 from ridgecourse.core.read_tree import gateway_parent
 from ridgecourse.core.site import Site
 from ridgecourse.exchange.origin import WeightsOrigin
@@ -171,6 +171,7 @@
             self.hub.withdraw()
         eventlet.sleep(UNREADY_GRACE_SECONDS)
         drain_until = started_at + self.site.bounds.stop_seconds - STOP_MARGIN_SECONDS
+        self.forwarder.closes_at = Seconds(drain_until)
         hub_drain = eventlet.spawn(self.hub.drain, drain_until)
         self.front.drain(drain_until)
         hub_drain.wait()
--- a/src/ridgecourse/loader/status.py
+++ b/src/ridgecourse/loader/status.py
@@ -23,10 +23,9 @@
 from ridgecourse.loader.known_gateways import KnownGateways
 from ridgecourse.loader.rollout import Rollout
 from ridgecourse.net.address import Address, parse_address
-from ridgecourse.net.broadcast import Broadcast
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.datagrams import DatagramSocket
-from ridgecourse.net.threads import spawn_loop
+from ridgecourse.net.threads import Broadcast, spawn_loop
 from ridgecourse.net.websocket import ChannelClosed, ControlChannel
 from ridgecourse.wire.control import EngineReport, GatewaysChanged, VersionAges, Watch
 
--- a/src/ridgecourse/net/config_store.py
+++ b/src/ridgecourse/net/config_store.py
@@ -19,7 +19,7 @@
 from ridgecourse.core.config import ConfigState
 from ridgecourse.core.config_objects import ConfigSnapshot
 from ridgecourse.core.ids import ChangeId, Offset
-from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.threads import Broadcast
 from ridgecourse.wire.codec import decode_message
 from ridgecourse.wire.entry_control import ConfigFull, ConfigRecords
 
--- a/src/ridgecourse/net/http_server.py
+++ b/src/ridgecourse/net/http_server.py
@@ -13,7 +13,7 @@
 from ridgecourse.net.auth import AUTH_HEADER, verify_request
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_connection import CONNECTION_KEY, HttpConnection
-from ridgecourse.net.listener_queue import accept_queued, count_queued
+from ridgecourse.net.tcp import accept_queued, count_queued
 from ridgecourse.net.threads import spawn_loop
 
 logger = logging.getLogger(__name__)
--- a/src/ridgecourse/net/listener_queue.py
+++ b/src/ridgecourse/net/tcp.py
@@ -1,12 +1,16 @@
-"""The connections that a listening socket holds until they are accepted."""
+"""TCP sockets: connections that wait to be accepted, and addresses that refuse them."""
 
+from array import array
 from collections.abc import Iterator
 from contextlib import suppress
-from ctypes import addressof, create_string_buffer
 from socket import IPPROTO_TCP, SOL_SOCKET, TCP_INFO
 from struct import pack, unpack_from
 from typing import Any
 
+from eventlet.green import socket
+
+from ridgecourse.net.address import parse_address
+
 SO_ATTACH_FILTER = 26
 """Number of the socket option on Linux; the standard library does not name it."""
 BPF_RETURN = 6
@@ -23,11 +27,10 @@
     between the last one accepted and the close, the listener drops all packets; a
     client that connects now is refused when it tries again.
     """
-    instruction = create_string_buffer(pack("HBBI", BPF_RETURN, 0, 0, 0))
+    instruction = array("B", pack("HBBI", BPF_RETURN, 0, 0, 0))
+    address, _ = instruction.buffer_info()
     with suppress(OSError):
-        listener.setsockopt(
-            SOL_SOCKET, SO_ATTACH_FILTER, pack("HP", 1, addressof(instruction))
-        )
+        listener.setsockopt(SOL_SOCKET, SO_ATTACH_FILTER, pack("HP", 1, address))
     listener.settimeout(0.0)
     with suppress(OSError):
         for _ in range(limit):
@@ -38,3 +41,27 @@
     """Return the number of connections that wait to be accepted."""
     info = listener.getsockopt(IPPROTO_TCP, TCP_INFO, QUEUE_LENGTH_OFFSET + 4)
     return int(unpack_from("I", info, QUEUE_LENGTH_OFFSET)[0])
+
+
+def refuses_connections(address: str, seconds: float) -> bool:
+    """Check whether an address refuses connections, that is, its process has ended.
+
+    A process that does not answer may only be unreachable, and a process that accepts a
+    connection is running. Neither counts as a refusal.
+
+    Args:
+        address: HOST:PORT.
+        seconds: Longest wait for an answer.
+    """
+    socket_address = parse_address(address)
+    try:
+        connection = socket.create_connection(
+            (socket_address.host, socket_address.port), seconds
+        )
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    with suppress(OSError):
+        connection.close()
+    return False
--- a/src/ridgecourse/net/threads.py
+++ b/src/ridgecourse/net/threads.py
@@ -1,6 +1,6 @@
-"""Green threads that restart their function after an exception.
+"""Green threads: loops that restart after an exception, and notification of waiters.
 
-The exception is logged, so that a fault in one loop does not stop the loop for good.
+An exception in a loop is logged, so that a fault in one loop does not stop it for good.
 """
 
 import logging
@@ -8,6 +8,7 @@
 from typing import Any
 
 import eventlet
+from eventlet.event import Event as Signal
 from eventlet.greenthread import GreenThread
 
 logger = logging.getLogger(__name__)
@@ -45,3 +46,26 @@
     """Kill green threads, whose ends may change the collection that they are in."""
     for thread in list(threads):
         thread.kill()
+
+
+class Broadcast:
+    """Wakes any number of green threads at the next change."""
+
+    def __init__(self) -> None:
+        self.signal = Signal()
+
+    def notify(self) -> None:
+        """Wake all green threads that are waiting."""
+        signal, self.signal = self.signal, Signal()
+        signal.send(True)
+
+    def wait(self, seconds: float | None = None) -> bool:
+        """Wait for the next call of ``notify``.
+
+        Args:
+            seconds: Longest wait; None for no limit.
+
+        Returns:
+            Whether ``notify`` was called before the time ran out.
+        """
+        return bool(self.signal.wait(seconds))
--- a/src/ridgecourse_standins/engine.py
+++ b/src/ridgecourse_standins/engine.py
@@ -15,7 +15,7 @@
 from urllib3.exceptions import HTTPError
 
 from ridgecourse.core.manifest import DIGEST_HEX_LENGTH, chunk_digest, parse_manifest
-from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.threads import Broadcast
 from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
 from ridgecourse.exchange.frames import FRAME_HEADER_BYTES, TICKET_HEADER
--- a/src/ridgecourse_standins/log.py
+++ b/src/ridgecourse_standins/log.py
@@ -8,7 +8,7 @@
 
 import cbor2
 
-from ridgecourse.net.broadcast import Broadcast
+from ridgecourse.net.threads import Broadcast
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
 from ridgecourse_standins.service import (
     Faults,
--- a/tests/test_stops_under_load.py
+++ b/tests/test_stops_under_load.py
@@ -9,7 +9,10 @@
 import pytest
 from conftest import ClusterSite
 from gateway_site import GatewaySite, receive_response
+from msgspec.json import encode
 
+from ridgecourse.gateway.gateway import UNREADY_GRACE_SECONDS
+from ridgecourse.net.http_server import IDLE_SECONDS
 from ridgecourse_standins.closed_loop import ClosedLoop, Reply
 from ridgecourse_standins.cluster import FLEET, MODEL_SERVICE, Plan
 from ridgecourse_standins.platform.engine import ReceivedRequest, send_response
@@ -122,6 +125,29 @@
     assert not cut
 
 
+def test_stopping_gateway_refuses_late_request_that_it_might_not_finish(
+    front: GatewaySite,
+) -> None:
+    # A request on a connection from before the stop was sent on after the listener had
+    # closed, and its answer was cut off by the end of the process.
+    front.add_engine("app", send_late_response)
+    front.settings["bounds"]["grace_s"] = 6
+    front.path.write_bytes(encode(front.settings))
+    front.start()
+    front.gateway.started_process.send_signal(signal.SIGTERM)
+    sleep(UNREADY_GRACE_SECONDS - IDLE_SECONDS / 2)
+    connections = [front.open(), front.open()]
+    # No event marks the end of listening; a connection attempt would take too long.
+    sleep(IDLE_SECONDS)
+    for connection, deadline_ms, expected in zip(
+        connections, (4000, 500), (503, 200), strict=True
+    ):
+        front.send(connection, "/safe/x", deadline_ms=deadline_ms)
+        status, headers, _, is_complete = receive_response(connection)
+        assert (status, is_complete) == (expected, True)
+        assert headers["connection"] == "close"
+
+
 def open_request(site: ClusterSite, entry: int, body: bytes, sent: int) -> socket:
     """Send a request to an entry without the end of its body."""
     request = make_entry_request(site, body)
