A closing listener lets handshakes finish

Suspected: the packet filter of the closing listener also dropped the last packet of a handshake that had begun, so that the client was connected and the server was not. The filter drops first packets alone now, and the listener closes 10 ms later.

--- a/src/ridgecourse/net/http_server.py
+++ b/src/ridgecourse/net/http_server.py
@@ -13,7 +13,7 @@
 from ridgecourse.net.auth import AUTH_HEADER, verify_request
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_connection import CONNECTION_KEY, HttpConnection
-from ridgecourse.net.tcp import accept_queued, count_queued
+from ridgecourse.net.tcp import accept_queued, count_queued, drop_new_connections
 from ridgecourse.net.threads import spawn_loop
 
 logger = logging.getLogger(__name__)
@@ -28,6 +28,9 @@
 the connection send within this time and are told that it closes."""
 PEER_DRAIN_SECONDS = 2.0
 """Longest wait of a stop for requests of other processes; they can be repeated."""
+HANDSHAKE_SECONDS = 0.01
+"""Time for handshakes that have begun when the listener closes; a round trip within a
+domain takes less."""
 DRAIN_POLL_SECONDS = 0.05
 STATUS_TEXT = {
     200: "200 OK",
@@ -293,6 +296,9 @@
 
     def stop_listening(self) -> None:
         """Accept no connections beyond those that wait; open ones are still served."""
+        if self.listener is not None:
+            drop_new_connections(self.listener)
+            eventlet.sleep(HANDSHAKE_SECONDS)
         if self.thread is not None:
             self.thread.kill()
             self.thread = None
--- a/src/ridgecourse/net/tcp.py
+++ b/src/ridgecourse/net/tcp.py
@@ -13,24 +13,34 @@
 
 SO_ATTACH_FILTER = 26
 """Number of the socket option on Linux; the standard library does not name it."""
-BPF_RETURN = 6
-"""Opcode that returns how many bytes of a packet to keep."""
+DROP_SYN = (
+    (0x30, 0, 0, 13),
+    (0x45, 0, 1, 0x02),
+    (0x06, 0, 0, 0),
+    (0x06, 0, 0, 0xFFFFFFFF),
+)
+"""Packet filter: load the TCP flags; if SYN is set, keep no byte, else all bytes."""
 QUEUE_LENGTH_OFFSET = 24
 """Offset of ``tcpi_unacked`` in the TCP_INFO of Linux. Of a listening socket it is the
 number of connections that wait to be accepted."""
 
 
-def accept_queued(listener: Any, limit: int) -> Iterator[tuple[Any, Any]]:
-    """Yield the connections that wait, after which the listener has to be closed.
+def drop_new_connections(listener: Any) -> None:
+    """Make a listener drop each first packet of a connection.
 
-    Closing the listener resets connections that wait. So that none is established
-    between the last one accepted and the close, the listener drops all packets; a
-    client that connects now is refused when it tries again.
+    Handshakes that have begun go on. A client that connects now tries again, and is
+    refused once the listener is closed.
     """
-    instruction = array("B", pack("HBBI", BPF_RETURN, 0, 0, 0))
-    address, _ = instruction.buffer_info()
+    instructions = array("B", b"".join(pack("HBBI", *line) for line in DROP_SYN))
+    address, _ = instructions.buffer_info()
     with suppress(OSError):
-        listener.setsockopt(SOL_SOCKET, SO_ATTACH_FILTER, pack("HP", 1, address))
+        listener.setsockopt(
+            SOL_SOCKET, SO_ATTACH_FILTER, pack("HP", len(DROP_SYN), address)
+        )
+
+
+def accept_queued(listener: Any, limit: int) -> Iterator[tuple[Any, Any]]:
+    """Yield the connections that wait, since closing the listener resets them."""
     listener.settimeout(0.0)
     with suppress(OSError):
         for _ in range(limit):
