--- a/tests/platform/test_hubs.py
+++ b/tests/platform/test_hubs.py
@@ -35,6 +35,7 @@
 from ridgecourse.net.events import EventStream
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.process import new_incarnation
+from ridgecourse.net.threads import kill_threads
 from ridgecourse.platform.settings import SiteFields, make_site
 from ridgecourse_standins.managed_process import ManagedProcess
 from ridgecourse_standins.platform.weights import HttpStandIn
@@ -122,8 +123,7 @@
             while not late_gateway.calls:
                 eventlet.sleep(0.01)
     finally:
-        for thread in hub.fetching.values():
-            thread.kill()
+        stop_fetches(hub)
         late_gateway.close()
     assert late_gateway.calls[0] == ("GET", f"/versions/{MODEL}/2")
 
@@ -139,8 +139,7 @@
 
 
 def stop_fetches(hub: Hub) -> None:
-    for thread in list(hub.fetching.values()):
-        thread.kill()
+    kill_threads(hub.fetching.values())
 
 
 def test_a_named_version_is_prefetched_without_a_request() -> None:
