Gateways log what engines announce in their answers

No line told that an answer had announced anything, so the hypotheses could not be told apart. The adapter decodes Server-Leaving and the Retry-After of a refusal into the head of an answer, and Server-Leaving of a report into the engine's load. AnnouncementWatch keeps both by incarnation, beside the rate limit: engine-leaving and engine-rests tell what said so; engines_leaving, engine_rests and bad_announcements count them. The choice of targets does not ask for them yet.

--- a/src/ridgecourse/core/engine_load.py
+++ b/src/ridgecourse/core/engine_load.py
@@ -70,6 +70,7 @@
             weights were fetched over the link, as a share of the link's usual rate.
         prefill_backlog: Remaining prefill time in seconds, estimated by the loader.
         started: Start of the engine; None if unknown.
+        leaving: Whether the engine announces that it leaves.
     """
 
     version: WeightsVersion
@@ -82,6 +83,7 @@
     link_share: float = 1.0
     prefill_backlog: float = 0.0
     started: EngineStart | None = None
+    leaving: bool = False
 
 
 class PrefillBacklogEstimate:
--- a/src/ridgecourse/core/latest_incarnations.py
+++ b/src/ridgecourse/core/latest_incarnations.py
@@ -53,7 +53,13 @@
             self.latest(incarnation)
         return self.values[incarnation.target]
 
-    def forget_unlisted(self, listed: Container[TargetId]) -> None:
-        """Drop the values of engines that are not listed."""
-        for target in [target for target in self.incarnations if target not in listed]:
+    def forget_unlisted(self, listed: Container[TargetId], keep: int = 0) -> None:
+        """Drop the values of engines that are not listed.
+
+        Args:
+            listed: The listed engines.
+            keep: Number of unlisted engines, the last recorded ones, that are kept.
+        """
+        unlisted = [target for target in self.incarnations if target not in listed]
+        for target in unlisted[: max(0, len(unlisted) - keep)]:
             del self.incarnations[target], self.values[target]
--- a/src/ridgecourse/core/report_rate.py
+++ b/src/ridgecourse/core/report_rate.py
@@ -75,6 +75,7 @@
         status.slowdown,
         status.link_share,
         status.started,
+        status.leaving,
     )
 
 
--- /dev/null
+++ b/src/ridgecourse/gateway/announcement_watch.py
@@ -0,0 +1,103 @@
+"""Learn from engines' answers and reports what the engines announce of themselves."""
+
+from collections.abc import Container
+
+from msgspec import Struct
+
+from ridgecourse.core.engine_announcements import EngineAnnouncements
+from ridgecourse.core.engine_incarnation import EngineIncarnation
+from ridgecourse.core.ids import TargetId
+from ridgecourse.gateway.limit_watch import LimitWatch
+from ridgecourse.gateway.messages import AnswerHead
+from ridgecourse.net.clock import boottime
+from ridgecourse.net.events import EventKind, EventStream
+
+
+class AnnouncementWatch:
+    """Tracks the announcements of all engines: rate limits, leaving, rests.
+
+    Attributes:
+        events: Receives events and metrics.
+        limit_watch: Tracks rate limits, which gateways share.
+        announcements: Engines that leave or want no requests for a time.
+        unreadable: Incarnations of engines with an announcement that could not be read.
+    """
+
+    def __init__(self, events: EventStream, limit_watch: LimitWatch) -> None:
+        self.events = events
+        self.limit_watch = limit_watch
+        self.announcements = EngineAnnouncements()
+        self.unreadable: set[EngineIncarnation] = set()
+
+    def record_answer(self, incarnation: EngineIncarnation, head: AnswerHead) -> None:
+        """Record the announcements in the head of an answer, whatever its status.
+
+        Args:
+            incarnation: Incarnation of the engine that was asked. If another one has
+                answered at its address, the first has ended.
+            head: Head of the answer.
+        """
+        if not head.other_target:
+            self.limit_watch.record_answer(incarnation, head)
+        if head.leaving:
+            self.record_leaving(incarnation, f"answer {head.status}")
+        if head.rest:
+            self._record_rest(incarnation, head.rest)
+        if head.bad_announcements:
+            self._record_unreadable(incarnation, head)
+
+    def record_leaving(self, incarnation: EngineIncarnation, said_by: str) -> None:
+        """Record that an engine leaves.
+
+        Args:
+            incarnation: Incarnation of the engine.
+            said_by: The message in which the engine said so.
+        """
+        if self.announcements.record_leaving(incarnation, boottime()):
+            self.events.metrics.count("engines_leaving")
+            self.events.emit(
+                EventKind.ENGINE_LEAVING, target=incarnation.target, said_by=said_by
+            )
+
+    def _record_rest(self, incarnation: EngineIncarnation, seconds: float) -> None:
+        if self.announcements.record_rest(incarnation, seconds, boottime()):
+            self.events.metrics.count("engine_rests")
+            self.events.emit(
+                EventKind.ENGINE_RESTS, target=incarnation.target, seconds=seconds
+            )
+
+    def _record_unreadable(
+        self, incarnation: EngineIncarnation, head: AnswerHead
+    ) -> None:
+        self.events.metrics.count("bad_announcements", len(head.bad_announcements))
+        if incarnation in self.unreadable:
+            return
+        self.unreadable.add(incarnation)
+        error = "; ".join(map(str, head.bad_announcements))
+        self.events.emit(EventKind.BAD_INPUT, error=f"{incarnation.target}: {error}")
+
+    def forget_unlisted(self, listed: Container[TargetId]) -> None:
+        """Drop the announcements of engines that are not listed any more."""
+        self.limit_watch.forget_unlisted(listed)
+        self.announcements.forget_unlisted(listed)
+        self.unreadable = {
+            incarnation
+            for incarnation in self.unreadable
+            if incarnation.target in listed
+        }
+
+
+class AttemptAnnouncements(Struct, frozen=True):
+    """The announcements of the engine that gets one attempt of a request.
+
+    Attributes:
+        watch: Tracks the announcements of all engines.
+        incarnation: Incarnation of the engine.
+    """
+
+    watch: AnnouncementWatch
+    incarnation: EngineIncarnation
+
+    def record(self, head: AnswerHead) -> None:
+        """Record the announcements in the head of the answer."""
+        self.watch.record_answer(self.incarnation, head)
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -1,7 +1,6 @@
 """Send requests to targets within the attempt limit, retry budget and deadline."""
 
 from collections.abc import Callable
-from functools import partial
 from random import Random
 from typing import Any
 
@@ -23,10 +22,12 @@
 from ridgecourse.core.site import Site
 from ridgecourse.core.target_list import ListedTarget
 from ridgecourse.core.target_states import TargetHealth
+from ridgecourse.gateway.announcement_watch import (
+    AnnouncementWatch,
+    AttemptAnnouncements,
+)
 from ridgecourse.gateway.crash_watch import CrashWatch
-from ridgecourse.gateway.limit_watch import LimitWatch
 from ridgecourse.gateway.load_watcher import LoadWatcher
-from ridgecourse.gateway.messages import AnswerHead
 from ridgecourse.gateway.protocol import RequestProtocol
 from ridgecourse.gateway.selection import (
     MAX_LIMIT_DELAY_SECONDS,
@@ -68,7 +69,7 @@
         events: Receives events and metrics.
         count_gateways: Returns the number of known gateways.
         crash_watch: Holds back requests that may crash engines.
-        limit_watch: Tracks the rate limits that targets report.
+        announcements: Tracks what targets announce of themselves.
         selector: Chooses the target of each attempt.
         sender: Sends one request to one target.
         budgets: Retry budget of each service.
@@ -85,15 +86,15 @@
         random: Random,
         count_gateways: Callable[[], int],
         crash_watch: CrashWatch,
-        limit_watch: LimitWatch,
+        announcements: AnnouncementWatch,
     ) -> None:
         self.site = site
         self.events = events
         self.count_gateways = count_gateways
         self.crash_watch = crash_watch
-        self.limit_watch = limit_watch
+        self.announcements = announcements
         self.selector = TargetSelector(
-            site, view, load_watcher, lag, random, limit_watch
+            site, view, load_watcher, lag, random, announcements
         )
         self.sender = Sender(protocol)
         self.budgets: dict[ServiceName, RetryBudget] = {}
@@ -210,8 +211,10 @@
         result: SendResult | None = None
         flight = self.crash_watch.begin(routed, target, incarnation)
         try:
-            record_head = partial(self._record_head, incarnation)
-            result = self.sender.send(routed, target, state.network_delays, record_head)
+            announcements = AttemptAnnouncements(self.announcements, incarnation)
+            result = self.sender.send(
+                routed, target, state.network_delays, announcements
+            )
             self._record_engine_outcome(flight, result)
         finally:
             load.pending.pop(routed.call.request_id, None)
@@ -238,7 +241,7 @@
         Raises:
             CallerGone: The client disconnected meanwhile.
         """
-        self.limit_watch.limits.record_send(incarnation, boottime())
+        self.announcements.limit_watch.limits.record_send(incarnation, boottime())
         if choice.hold:
             eventlet.sleep(choice.hold)
             if routed.is_abandoned():
@@ -246,11 +249,6 @@
                     "the client disconnected before the request was sent"
                 )
 
-    def _record_head(self, incarnation: EngineIncarnation, head: AnswerHead) -> None:
-        """Record the rate limit in the head of a target's answer."""
-        if not head.other_target:
-            self.limit_watch.record_answer(incarnation, head)
-
     def _record_engine_outcome(self, flight: Flight, result: SendResult) -> None:
         """Record whether an engine answered a request or closed its connection."""
         if isinstance(result, Whole):
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -13,6 +13,7 @@
 from ridgecourse.core.read_tree import gateway_parent
 from ridgecourse.core.site import Site
 from ridgecourse.exchange.origin import WeightsOrigin
+from ridgecourse.gateway.announcement_watch import AnnouncementWatch
 from ridgecourse.gateway.crash_watch import CrashWatch
 from ridgecourse.gateway.dispatcher import Dispatcher
 from ridgecourse.gateway.forwarder import Forwarder
@@ -54,6 +55,7 @@
         link: Datagram link to other gateways.
         crash_watch: Holds back requests that may crash engines.
         limit_watch: Tracks the rate limits that targets report.
+        announcements: Tracks what targets announce of themselves.
         dispatcher: Sends requests to targets.
         forwarder: Answers clients.
         front: Server for clients.
@@ -77,12 +79,15 @@
         store = StoreRecords(source, decoder)
         self.view = open_view(site, store, self, self.events, GATEWAY_PACE)
         self.hub = Hub(site, self.view, self.events, origin, http)
-        self.load_watcher = LoadWatcher(site, self.view, self.hub, self.events)
         self.lag = LoopLag(self.events.metrics)
         random = Random()
         self.link = GatewayLink(site, self.hub.local, self.hub.known_gateways, random)
         self.crash_watch = CrashWatch(site, self.events, self.link, source)
         self.limit_watch = LimitWatch(self.events, self.link)
+        self.announcements = AnnouncementWatch(self.events, self.limit_watch)
+        self.load_watcher = LoadWatcher(
+            site, self.view, self.hub, self.announcements, self.events
+        )
         self.dispatcher = Dispatcher(
             site,
             self.view,
@@ -93,7 +98,7 @@
             random,
             self.hub.count_gateways,
             self.crash_watch,
-            self.limit_watch,
+            self.announcements,
         )
         self.forwarder = Forwarder(
             site, self.view, protocol, self.dispatcher, self.events, random
--- a/src/ridgecourse/gateway/load_watcher.py
+++ b/src/ridgecourse/gateway/load_watcher.py
@@ -13,6 +13,7 @@
 from ridgecourse.core.report_rate import silence_limit
 from ridgecourse.core.site import Site
 from ridgecourse.core.target_list import ListedTarget
+from ridgecourse.gateway.announcement_watch import AnnouncementWatch
 from ridgecourse.gateway.hub import Hub
 from ridgecourse.net.address import Address
 from ridgecourse.net.clock import boottime
@@ -40,6 +41,7 @@
         site: The settings in force.
         hub: Records the gateways that loaders report.
         view: Configuration and listed targets.
+        announcements: Tracks what engines announce of themselves.
         events: Receives events.
         loads: Known load of each engine.
         offers_weights: Whether loaders are to fetch weights from this gateway.
@@ -50,11 +52,17 @@
     """
 
     def __init__(
-        self, site: Site, view: ClusterView, hub: Hub, events: EventStream
+        self,
+        site: Site,
+        view: ClusterView,
+        hub: Hub,
+        announcements: AnnouncementWatch,
+        events: EventStream,
     ) -> None:
         self.site = site
         self.hub = hub
         self.view = view
+        self.announcements = announcements
         self.events = events
         self.loads = KnownLoads()
         self.offers_weights = True
@@ -171,6 +179,8 @@
     def _apply_report(self, target: ListedTarget, report: EngineReport) -> None:
         status, now = report.status, boottime()
         incarnation = EngineIncarnation(target.target, status.started)
+        if status.leaving:
+            self.announcements.record_leaving(incarnation, "report")
         previous = self.loads.value_of(incarnation).status
         if not self.loads.record_report(incarnation, status, now, report.number):
             return
--- a/src/ridgecourse/gateway/messages.py
+++ b/src/ridgecourse/gateway/messages.py
@@ -9,6 +9,7 @@
     TargetId,
     WeightsVersion,
 )
+from ridgecourse.core.problem import Problems
 from ridgecourse.net.http_server import HeaderList
 
 
@@ -85,6 +86,9 @@
         limit: Rate limit of the target for all senders, in requests a second; None if
             the target reports none.
         bad_limit: Text of a rate limit that cannot be read; empty for none.
+        leaving: Whether the target announces that it leaves.
+        rest: Seconds for which the target wants no more requests from this gateway.
+        bad_announcements: Announcements that cannot be read.
     """
 
     status: int
@@ -97,6 +101,9 @@
     events: bool
     limit: float | None = None
     bad_limit: str = ""
+    leaving: bool = False
+    rest: float = 0.0
+    bad_announcements: Problems = ()
 
     @property
     def success(self) -> bool:
--- a/src/ridgecourse/gateway/selection.py
+++ b/src/ridgecourse/gateway/selection.py
@@ -28,7 +28,7 @@
 from ridgecourse.core.target_list import ListedTarget
 from ridgecourse.core.target_states import TargetHealth, TargetHealthTable
 from ridgecourse.core.weights import FIRST_VERSION
-from ridgecourse.gateway.limit_watch import LimitWatch
+from ridgecourse.gateway.announcement_watch import AnnouncementWatch
 from ridgecourse.gateway.load_watcher import LoadWatcher
 from ridgecourse.gateway.messages import ClientRequest
 from ridgecourse.net.clock import boottime
@@ -88,7 +88,7 @@
         view: Configuration and listed targets.
         load_watcher: Provides the engines' loads.
         lag: Recent peak delay of timers in this process.
-        limit_watch: Tracks the rate limits that targets report.
+        announcements: Tracks what targets announce of themselves.
         random: Random number generator that spreads requests among similar targets.
         first_event_delays: By how much first events came later than estimated, by
             service.
@@ -102,13 +102,13 @@
         load_watcher: LoadWatcher,
         lag: RecentPeak,
         random: Random,
-        limit_watch: LimitWatch,
+        announcements: AnnouncementWatch,
     ) -> None:
         self.site = site
         self.view = view
         self.load_watcher = load_watcher
         self.lag = lag
-        self.limit_watch = limit_watch
+        self.announcements = announcements
         self.random = random
         self.first_event_delays: dict[ServiceName, FirstEventDelay] = defaultdict(
             FirstEventDelay
@@ -233,7 +233,7 @@
         """Estimate when a request could start at a target, and on which weights."""
         load = self.load(target)
         prefill_time = 0.0
-        hold = self.limit_watch.wait(target, self.incarnation(target))
+        hold = self.announcements.limit_watch.wait(target, self.incarnation(target))
         if service.engine is None:
             wait = load.outstanding * PLAIN_REQUEST_SECONDS / max(1, target.slots)
         else:
@@ -296,6 +296,6 @@
         return VersionTerms(held, self.view.wanted_version(model), None)
 
     def forget_unlisted(self) -> None:
-        """Drop the rate limits and the health of targets that are not listed."""
-        self.limit_watch.forget_unlisted(self.view.targets.targets)
+        """Drop the announcements and the health of targets that are not listed."""
+        self.announcements.forget_unlisted(self.view.targets.targets)
         self.states.retain(self.view.targets.targets, boottime())
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -17,6 +17,7 @@
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.recent_peak import RecentPeak
 from ridgecourse.core.target_list import ListedTarget
+from ridgecourse.gateway.announcement_watch import AttemptAnnouncements
 from ridgecourse.gateway.event_stream import StreamEvent, split_events
 from ridgecourse.gateway.messages import AnswerHead, ClientRequest, SendTerms
 from ridgecourse.gateway.protocol import RequestProtocol
@@ -140,7 +141,7 @@
         routed: RoutedRequest,
         target: ListedTarget,
         network_delay: RecentPeak,
-        on_head: Callable[[AnswerHead], None],
+        announcements: AttemptAnnouncements,
     ) -> SendResult:
         """Send a request to a target and wait for the start of the answer.
 
@@ -148,7 +149,7 @@
             routed: The request.
             target: The target.
             network_delay: Records the time in which the connection was established.
-            on_head: Called with the head of an answer, whatever its status.
+            announcements: What the target announces of itself.
         """
         exchange = Exchange(target.address, routed.deadline)
         result: SendResult | None = None
@@ -156,7 +157,7 @@
             extra_delay = self._connect(exchange, network_delay)
             if routed.begin_by is not None:
                 routed.begin_by = Seconds(routed.begin_by - extra_delay)
-            result = self._exchange(exchange, routed, target, on_head)
+            result = self._exchange(exchange, routed, target, announcements)
         except NotSent as error:
             result = NotRun(Reason.UNREACHABLE, str(error), arrived=False)
         except ExchangeTimeout as error:
@@ -188,7 +189,7 @@
         exchange: Exchange,
         routed: RoutedRequest,
         target: ListedTarget,
-        on_head: Callable[[AnswerHead], None],
+        announcements: AttemptAnnouncements,
     ) -> SendResult:
         if routed.begin_by is not None and boottime() >= routed.begin_by:
             # Connecting took so long that the request would start too late.
@@ -205,7 +206,7 @@
         headers = self.protocol.encode_request(call, terms)
         exchange.send(call.method, call.target, headers, routed.body)
         head = self.protocol.decode_answer(exchange.receive_head(routed.begin_by))
-        on_head(head)
+        announcements.record(head)
         if head.not_run:
             detail = f"status {head.status}"
             reason = Reason.WRONG_TARGET if head.other_target else Reason.OVERLOADED
--- a/src/ridgecourse/loader/engine_control.py
+++ b/src/ridgecourse/loader/engine_control.py
@@ -37,6 +37,7 @@
         cache_total: Tokens of context that fit into memory.
         pace: Slowdown of the engine relative to its usual speed; 1 for the usual speed.
         started: Start time of the engine; None if the engine does not report it.
+        leaving: Whether the engine announces that it leaves.
     """
 
     layers: HeldLayers | None
@@ -48,6 +49,7 @@
     cache_total: int
     pace: float = 1.0
     started: EngineStart | None = None
+    leaving: bool = False
 
     def serves(self, version: WeightsVersion, layers: int) -> bool:
         """Check whether the engine serves all layers of a version.
--- a/src/ridgecourse/loader/status.py
+++ b/src/ridgecourse/loader/status.py
@@ -156,6 +156,7 @@
             link_share=self._link_share(),
             prefill_backlog=self._estimate_unread(report),
             started=report.started,
+            leaving=report.leaving,
         )
 
     def _engine_slots(self) -> int:
--- a/src/ridgecourse/net/kept_connections.py
+++ b/src/ridgecourse/net/kept_connections.py
@@ -4,7 +4,9 @@
 asks the system whether the connection has ended, before it sends the request.
 """
 
+from collections.abc import Mapping
 from contextlib import suppress
+from typing import NamedTuple
 
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import NewConnectionError
@@ -13,6 +15,20 @@
 from ridgecourse.net.http_client import ExchangeFailed, NoConnection
 
 
+class PlainAnswer(NamedTuple):
+    """The answer to a small request.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers by name, which is not case-sensitive.
+        body: The whole body.
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
 class PersistentConnections:
     """Sends requests to one process over persistent connections.
 
@@ -27,8 +43,8 @@
         self.source_address = None if source_address is None else (source_address, 0)
         self.idle_connections: list[HTTPConnection] = []
 
-    def get(self, path: str, timeout: float) -> tuple[int, bytes]:
-        """Send a GET request and return status and body of the answer.
+    def get(self, path: str, timeout: float) -> PlainAnswer:
+        """Send a GET request and return the answer.
 
         If the process has closed a kept connection, the request is sent again, at last
         on a new connection.
@@ -55,7 +71,7 @@
 
     def _exchange(
         self, connection: HTTPConnection, path: str, timeout: float
-    ) -> tuple[int, bytes]:
+    ) -> PlainAnswer:
         """Send a request on a connection, and keep the connection if it is still open.
 
         Raises:
@@ -82,4 +98,4 @@
             raise ExchangeFailed(f"{self.address}: {error!r}") from error
         if connection.sock is not None:
             self.idle_connections.append(connection)
-        return response.status, body
+        return PlainAnswer(response.status, response.headers, body)
--- /dev/null
+++ b/src/ridgecourse/platform/announcements.py
@@ -0,0 +1,58 @@
+"""Decodes what an engine announces of itself in the headers of its answers."""
+
+import re
+from collections.abc import Iterator, Mapping
+from typing import NamedTuple
+
+from ridgecourse.core.problem import Problem, Problems
+from ridgecourse.platform.names import LEAVING_HEADER, RETRY_AFTER_HEADER
+
+UNAVAILABLE = 503
+DECIMAL_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?", re.ASCII)
+LEAVING_VALUES = {"": False, "0": False, "1": True}
+
+
+class DecodedAnnouncement(NamedTuple):
+    """The announcements in one answer.
+
+    Attributes:
+        leaving: Whether the engine leaves.
+        rest: Seconds for which it wants no requests from the receiver.
+        problems: Headers that cannot be read.
+    """
+
+    leaving: bool
+    rest: float
+    problems: Problems
+
+
+def decode_announcement(status: int, fields: Mapping[str, str]) -> DecodedAnnouncement:
+    """Return the announcements in an answer.
+
+    Args:
+        status: HTTP status of the answer.
+        fields: Headers of the answer; repeated headers are joined with commas.
+    """
+    leaving_text = fields.get(LEAVING_HEADER, "").strip()
+    leaving_values = {value.strip() for value in leaving_text.split(",")}
+    rest_text = ""
+    if status == UNAVAILABLE:
+        rest_text = fields.get(RETRY_AFTER_HEADER, "").strip()
+    rest = parse_decimal(rest_text)
+
+    def find_problems() -> Iterator[Problem]:
+        if not leaving_values <= LEAVING_VALUES.keys():
+            yield Problem(LEAVING_HEADER, f"is {leaving_text!r}, expected 1")
+        if rest_text and rest is None:
+            yield Problem(RETRY_AFTER_HEADER, f"is {rest_text!r}, expected seconds")
+
+    return DecodedAnnouncement(
+        leaving=any(LEAVING_VALUES.get(value) for value in leaving_values),
+        rest=rest or 0.0,
+        problems=tuple(find_problems()),
+    )
+
+
+def parse_decimal(text: str) -> float | None:
+    """Return a plain decimal number of 0 or more, or None if the text is none."""
+    return float(text) if DECIMAL_PATTERN.fullmatch(text) else None
--- a/src/ridgecourse/platform/engine.py
+++ b/src/ridgecourse/platform/engine.py
@@ -20,6 +20,7 @@
 )
 from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
 from ridgecourse.net.kept_connections import PersistentConnections
+from ridgecourse.platform.announcements import decode_announcement
 from ridgecourse.platform.names import (
     CHUNK_INDEX_PARAMETER,
     ORDER_PATH,
@@ -102,12 +103,12 @@
     def report(self) -> EngineReport:
         """Return the engine's report; see ``EngineControl``."""
         try:
-            status, data = self.connections.get(REPORT_PATH, CALL_TIMEOUT_SECONDS)
+            answer = self.connections.get(REPORT_PATH, CALL_TIMEOUT_SECONDS)
         except (NoConnection, ExchangeFailed) as error:
             raise EngineUnavailable(f"{REPORT_PATH}: {error}") from error
-        if status != 200:
-            raise EngineUnavailable(f"report: status {status}, expected 200")
-        decoded = decode_json(data, ReportFields, "report")
+        if answer.status != 200:
+            raise EngineUnavailable(f"report: status {answer.status}, expected 200")
+        decoded = decode_json(answer.body, ReportFields, "report")
         if isinstance(decoded, Failure):
             raise InvalidReport("; ".join(map(str, decoded.failure())))
         fields: ReportFields = decoded.unwrap()
@@ -121,6 +122,7 @@
             cache_total=fields.kv_total,
             pace=fields.pace,
             started=make_engine_start(fields.born),
+            leaving=decode_announcement(answer.status, answer.headers).leaving,
         )
 
     def start(self, model: ModelName, version: WeightsVersion) -> OrderOutcome:
--- a/src/ridgecourse/platform/names.py
+++ b/src/ridgecourse/platform/names.py
@@ -25,6 +25,8 @@
 NOT_EXECUTED_HEADER = "Not-Executed"
 RATE_LIMIT_HEADER = "Server-Limit"
 """Requests per second that the engine accepts from all gateways together."""
+LEAVING_HEADER = "Server-Leaving"
+"""Present with the value 1 in all answers of an engine that leaves."""
 TARGET_HEADER = "Instance-Id"
 RETRY_AFTER_HEADER = "Retry-After"
 
--- a/src/ridgecourse/platform/requests.py
+++ b/src/ridgecourse/platform/requests.py
@@ -3,8 +3,6 @@
 The rest of the gateway does not depend on the platform's header names.
 """
 
-import re
-
 from returns.result import Failure, Result, Success
 from urllib3 import BaseHTTPResponse
 
@@ -14,6 +12,7 @@
 from ridgecourse.gateway.protocol import RequestProtocol
 from ridgecourse.net.front_server import FrontRequest
 from ridgecourse.net.http_server import HeaderList
+from ridgecourse.platform.announcements import decode_announcement, parse_decimal
 from ridgecourse.platform.names import (
     ACCOUNT_HEADER,
     API_KEY_HEADER,
@@ -35,7 +34,6 @@
 from ridgecourse.platform.settings import MILLISECOND
 
 MISDIRECTED = 421
-DECIMAL_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?", re.ASCII)
 MAX_PLAUSIBLE_LIMIT = 1e6
 """Highest rate limit, in requests per second, that is accepted from an engine. No
 engine reaches this rate, so a higher limit is an error of the engine."""
@@ -157,6 +155,7 @@
         fields = response.headers
         limit_text = fields.get(RATE_LIMIT_HEADER, "").strip()
         limit = parse_limit(limit_text)
+        announcement = decode_announcement(response.status, fields)
         return AnswerHead(
             status=response.status,
             reason=response.reason or "",
@@ -172,6 +171,9 @@
             events=fields.get("Content-Type", "").startswith(EVENT_STREAM_TYPE),
             limit=limit,
             bad_limit=limit_text if limit is None else "",
+            leaving=announcement.leaving,
+            rest=announcement.rest,
+            bad_announcements=announcement.problems,
         )
 
     def retry_after(self, seconds: float) -> HeaderList:
@@ -181,10 +183,8 @@
 
 def parse_limit(text: str) -> float | None:
     """Return a rate limit in requests per second, or None if the text is invalid."""
-    if not DECIMAL_PATTERN.fullmatch(text):
-        return None
-    limit = float(text)
-    return limit if limit <= MAX_PLAUSIBLE_LIMIT else None
+    limit = parse_decimal(text)
+    return limit if limit is not None and limit <= MAX_PLAUSIBLE_LIMIT else None
 
 
 class HeaderFields:
--- a/tests/test_persistent_connections.py
+++ b/tests/test_persistent_connections.py
@@ -58,24 +58,29 @@
     return PersistentConnections(server.address, "127.0.0.1")
 
 
+def ask(client: PersistentConnections) -> tuple[int, bytes]:
+    answer = client.get("/", 2.0)
+    return answer.status, answer.body
+
+
 def test_requests_share_a_connection(server) -> None:
     client = start_server(server, [RESPONSE] * 3)
-    assert [client.get("/", 2.0) for _ in range(3)] == [(200, b"ok")] * 3
+    assert [ask(client) for _ in range(3)] == [(200, b"ok")] * 3
     assert server.connection_count == 1
 
 
 def test_closed_connection_is_replaced(server) -> None:
     client = start_server(server, [RESPONSE], [RESPONSE])
-    assert client.get("/", 2.0) == (200, b"ok")
+    assert ask(client) == (200, b"ok")
     server.thread.join(0.2)
-    assert client.get("/", 2.0) == (200, b"ok")
+    assert ask(client) == (200, b"ok")
     assert server.connection_count == 2
 
 
 def test_connection_is_not_kept_after_connection_close(server) -> None:
     closing_response = RESPONSE.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
     client = start_server(server, [closing_response], [RESPONSE])
-    assert [client.get("/", 2.0) for _ in range(2)] == [(200, b"ok")] * 2
+    assert [ask(client) for _ in range(2)] == [(200, b"ok")] * 2
     assert server.connection_count == 2
 
 
@@ -93,7 +98,7 @@
 
 def test_missing_response_fails_after_timeout(server) -> None:
     client = start_server(server, [RESPONSE, b""])
-    assert client.get("/", 2.0) == (200, b"ok")
+    assert ask(client) == (200, b"ok")
     with pytest.raises(ExchangeFailed):
         client.get("/", 0.2)
 
