An engine that announces in an answer that it leaves gets no new requests

Callers: requests reached an engine 2.2 to 3.8 s after an answer had said that it leaves (DRAIN, 2.0 s allowed), while the store was away; they could be cut off by its end.

Cause: the list of targets was the only source. Class: an announcement of the other side that nothing reads.

Mend: the choice of a target asks the announcements of its incarnation. A leaving engine is the last resort until drain_ms, and is not asked after that; checked once more right before a request is written, since a request may be held for a rate limit or wait for a connection in between. Any answer tells, the loader's reports of its engine too; gateways tell each other once. Nothing takes it back but a new incarnation. The header is not passed on to clients.

--- a/src/ridgecourse/gateway/announcement_watch.py
+++ b/src/ridgecourse/gateway/announcement_watch.py
@@ -6,28 +6,45 @@
 
 from ridgecourse.core.engine_announcements import EngineAnnouncements
 from ridgecourse.core.engine_incarnation import EngineIncarnation
-from ridgecourse.core.ids import TargetId
+from ridgecourse.core.ids import Seconds, TargetId
+from ridgecourse.core.site import Site
+from ridgecourse.gateway.gateway_link import GatewayLink
 from ridgecourse.gateway.limit_watch import LimitWatch
 from ridgecourse.gateway.messages import AnswerHead
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
+from ridgecourse.wire.control import EngineLeaving
+
+ARRIVAL_SECONDS = 0.1
+"""Time that a request may take from the last check to its engine."""
 
 
 class AnnouncementWatch:
     """Tracks the announcements of all engines: rate limits, leaving, rests.
 
     Attributes:
+        site: The settings in force.
         events: Receives events and metrics.
+        link: Datagram link to other gateways.
         limit_watch: Tracks rate limits, which gateways share.
         announcements: Engines that leave or want no requests for a time.
         unreadable: Incarnations of engines with an announcement that could not be read.
     """
 
-    def __init__(self, events: EventStream, limit_watch: LimitWatch) -> None:
+    def __init__(
+        self,
+        site: Site,
+        events: EventStream,
+        link: GatewayLink,
+        limit_watch: LimitWatch,
+    ) -> None:
+        self.site = site
         self.events = events
+        self.link = link
         self.limit_watch = limit_watch
         self.announcements = EngineAnnouncements()
         self.unreadable: set[EngineIncarnation] = set()
+        link.handlers[EngineLeaving] = self._receive_leaving
 
     def record_answer(self, incarnation: EngineIncarnation, head: AnswerHead) -> None:
         """Record the announcements in the head of an answer, whatever its status.
@@ -39,25 +56,52 @@
         """
         if not head.other_target:
             self.limit_watch.record_answer(incarnation, head)
-        if head.leaving:
-            self.record_leaving(incarnation, f"answer {head.status}")
+        if head.leaving and self.record_leaving(incarnation, f"answer {head.status}"):
+            received_at = boottime()
+            self.link.announce(
+                lambda: EngineLeaving(incarnation, round(boottime() - received_at, 3))
+            )
         if head.rest:
             self._record_rest(incarnation, head.rest)
         if head.bad_announcements:
             self._record_unreadable(incarnation, head)
 
-    def record_leaving(self, incarnation: EngineIncarnation, said_by: str) -> None:
-        """Record that an engine leaves.
+    def is_leaving(self, incarnation: EngineIncarnation) -> bool:
+        """Check whether an engine has announced that it leaves."""
+        now = boottime()
+        return self.announcements.leaving_seconds(incarnation, now) is not None
+
+    def accepts_requests(self, incarnation: EngineIncarnation) -> bool:
+        """Check whether an engine may still get requests.
+
+        An engine that leaves may get them for the time that the operators allow.
+        """
+        leaving = self.announcements.leaving_seconds(incarnation, boottime())
+        bound = self.site.bounds.leaving_seconds - ARRIVAL_SECONDS
+        return leaving is None or leaving < bound
+
+    def record_leaving(
+        self, incarnation: EngineIncarnation, said_by: str, age: float = 0.0
+    ) -> bool:
+        """Record that an engine leaves; return whether this was not known.
 
         Args:
             incarnation: Incarnation of the engine.
-            said_by: The message in which the engine said so.
+            said_by: The message that said so.
+            age: Seconds since the engine said so.
         """
-        if self.announcements.record_leaving(incarnation, boottime()):
-            self.events.metrics.count("engines_leaving")
-            self.events.emit(
-                EventKind.ENGINE_LEAVING, target=incarnation.target, said_by=said_by
-            )
+        announced_at = Seconds(boottime() - age)
+        if not self.announcements.record_leaving(incarnation, announced_at):
+            return False
+        self.events.metrics.count("engines_leaving")
+        self.events.emit(
+            EventKind.ENGINE_LEAVING, target=incarnation.target, said_by=said_by
+        )
+        return True
+
+    def _receive_leaving(self, message: EngineLeaving) -> None:
+        """Record an announcement that another gateway has received."""
+        self.record_leaving(message.incarnation, "gateway", message.age)
 
     def _record_rest(self, incarnation: EngineIncarnation, seconds: float) -> None:
         if self.announcements.record_rest(incarnation, seconds, boottime()):
@@ -98,6 +142,10 @@
     watch: AnnouncementWatch
     incarnation: EngineIncarnation
 
+    def accepts_requests(self) -> bool:
+        """Check whether the engine may still get the request."""
+        return self.watch.accepts_requests(self.incarnation)
+
     def record(self, head: AnswerHead) -> None:
         """Record the announcements in the head of the answer."""
         self.watch.record_answer(self.incarnation, head)
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -261,6 +261,8 @@
     ) -> None:
         """Update the health of a target from the result of a send."""
         now = boottime()
+        if isinstance(result, NotRun) and result.reason is Reason.LEAVING:
+            return
         if isinstance(result, NotRun) and result.reason is Reason.WRONG_TARGET:
             state.not_before = Seconds(now + MISSING_WEIGHTS_PAUSE_SECONDS)
             return
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -177,7 +177,11 @@
 
     def _refuse_not_run(self, routed: RoutedRequest, result: NotRun) -> FrontReply:
         """Refuse a request that no target has run, with the delay before a retry."""
-        has_no_target = result.reason in (Reason.NO_TARGET, Reason.WRONG_TARGET)
+        has_no_target = result.reason in (
+            Reason.NO_TARGET,
+            Reason.WRONG_TARGET,
+            Reason.LEAVING,
+        )
         excess = None if has_no_target else routed.excess
         come_back = result.come_back
         if come_back is None:
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -84,7 +84,9 @@
         self.link = GatewayLink(site, self.hub.local, self.hub.known_gateways, random)
         self.crash_watch = CrashWatch(site, self.events, self.link, source)
         self.limit_watch = LimitWatch(self.events, self.link)
-        self.announcements = AnnouncementWatch(self.events, self.limit_watch)
+        self.announcements = AnnouncementWatch(
+            site, self.events, self.link, self.limit_watch
+        )
         self.load_watcher = LoadWatcher(
             site, self.view, self.hub, self.announcements, self.events
         )
--- a/src/ridgecourse/gateway/gateway_link.py
+++ b/src/ridgecourse/gateway/gateway_link.py
@@ -21,6 +21,10 @@
 """Gateways that collect the reports on a key: ``OWNERS_PER_KEY`` of all gateways and
 ``LOCAL_OWNERS_PER_KEY`` of the own failure domain. The loss of one gateway loses no
 report."""
+RESEND_COUNT = 2
+"""How often news are sent again to a sample of gateways, since datagrams get lost."""
+RESEND_INTERVAL_SECONDS = 0.2
+FANOUT = 3
 
 
 class GatewayLink:
@@ -93,6 +97,21 @@
         """Send a message to each address; datagrams may get lost."""
         self.socket.send(message, iter(addresses))
 
+    def announce(self, make_message: Callable[[], Any | None]) -> None:
+        """Send news to all gateways, and again to samples of them.
+
+        Args:
+            make_message: Returns the message as of now; None if it no longer applies.
+        """
+        self.send(make_message(), self.all_addresses())
+        eventlet.spawn(self._announce_again, make_message)
+
+    def _announce_again(self, make_message: Callable[[], Any | None]) -> None:
+        for _ in range(RESEND_COUNT):
+            eventlet.sleep(RESEND_INTERVAL_SECONDS)
+            if (message := make_message()) is not None:
+                self.send(message, self.sample_addresses(FANOUT))
+
     def _addresses(self, control_addresses: Iterable[str]) -> list[Address]:
         hosts = {parse_address(address).host for address in control_addresses}
         return [Address(host, self.address.port) for host in hosts - {self.site.host}]
--- a/src/ridgecourse/gateway/limit_watch.py
+++ b/src/ridgecourse/gateway/limit_watch.py
@@ -18,11 +18,6 @@
 ANNOUNCE_INTERVAL_SECONDS = 3.0
 """Interval between two announcements of a limit that lasts. A limit is remembered 4
 times as long without an announcement."""
-RESEND_COUNT = 2
-"""How often a change is sent again to a sample of gateways, since datagrams get
-lost."""
-RESEND_INTERVAL_SECONDS = 0.2
-FANOUT = 3
 MAX_PER_DATAGRAM = 12
 """Largest number of limits in a datagram."""
 
@@ -81,8 +76,7 @@
         self.events.emit(
             EventKind.ENGINE_LIMIT, target=incarnation.target, rate=head.limit
         )
-        self._send([self.limits.announce(incarnation, now)], to_all=True)
-        eventlet.spawn(self._resend, incarnation)
+        self.link.announce(lambda: self._make_report(incarnation))
 
     def forget_unlisted(self, listed: Container[TargetId]) -> None:
         """Drop the limits of engines that are not listed."""
@@ -100,30 +94,23 @@
                 report.incarnation, report.rate, Seconds(now - report.age)
             )
 
-    def _resend(self, incarnation: EngineIncarnation) -> None:
-        for _ in range(RESEND_COUNT):
-            eventlet.sleep(RESEND_INTERVAL_SECONDS)
-            if incarnation.target in self.limits.states.incarnations:
-                self._send(
-                    [self.limits.announce(incarnation, boottime())], to_all=False
-                )
+    def _make_report(self, incarnation: EngineIncarnation) -> EngineLimitReports | None:
+        """Return the report on a limit; None if the engine is no longer listed."""
+        if incarnation.target not in self.limits.states.incarnations:
+            return None
+        return EngineLimitReports([self.limits.announce(incarnation, boottime())])
 
     def _announce_limits(self) -> None:
         while True:
             eventlet.sleep(
                 ANNOUNCE_INTERVAL_SECONDS * (0.5 + 0.5 * self.link.random.random())
             )
-            self._send(
-                self.limits.due_announcements(
-                    boottime(), ANNOUNCE_INTERVAL_SECONDS / 2
-                ),
-                to_all=True,
+            self._send_all(
+                self.limits.due_announcements(boottime(), ANNOUNCE_INTERVAL_SECONDS / 2)
             )
 
-    def _send(self, reports: Sequence[LimitAnnouncement], to_all: bool) -> None:
-        addresses = (
-            self.link.all_addresses() if to_all else self.link.sample_addresses(FANOUT)
-        )
+    def _send_all(self, reports: Sequence[LimitAnnouncement]) -> None:
+        addresses = self.link.all_addresses()
         for offset in range(0, len(reports), MAX_PER_DATAGRAM):
             batch = list(reports[offset : offset + MAX_PER_DATAGRAM])
             self.link.send(EngineLimitReports(batch), addresses)
--- a/src/ridgecourse/gateway/selection.py
+++ b/src/ridgecourse/gateway/selection.py
@@ -144,9 +144,10 @@
         but the first are ignored if no target meets them:
 
         1. The rate limit allows the request within ``MAX_LIMIT_DELAY_SECONDS``.
-        2. The target's weights are known to be allowed.
-        3. The incarnation is not to be avoided.
-        4. The target is not paused or ejected; else the first to become available is
+        2. The target has not announced that it leaves.
+        3. The target's weights are known to be allowed.
+        4. The incarnation is not to be avoided.
+        5. The target is not paused or ejected; else the first to become available is
            chosen.
 
         Among the remaining targets, the one with the lowest cost is chosen. If no
@@ -164,6 +165,7 @@
             target
             for target in self.view.serving_targets(service.name)
             if not (tried and self.incarnation(target) in tried)
+            and self.announcements.accepts_requests(self.incarnation(target))
             and self._can_serve(service, target, now)
         ]
         choices = [self._estimate(service, call, target, now) for target in eligible]
@@ -175,7 +177,12 @@
         ]
         if choices and not admissible:
             return min(choices, key=lambda choice: choice.hold)
-        choices = admissible
+        staying = [
+            choice
+            for choice in admissible
+            if not self.announcements.is_leaving(self.incarnation(choice.target))
+        ]
+        choices = staying or admissible
         # Targets whose weights are known to be allowed take precedence over targets
         # that may have received allowed weights since the last report.
         known_allowed = [choice for choice in choices if choice.terms.version is None]
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -194,6 +194,8 @@
         if routed.begin_by is not None and boottime() >= routed.begin_by:
             # Connecting took so long that the request would start too late.
             return NotRun(Reason.WRONG_TARGET, "not begun in time", arrived=False)
+        if not announcements.accepts_requests():
+            return NotRun(Reason.LEAVING, "the target is leaving", arrived=False)
         call = routed.call
         terms = SendTerms(
             target=target.target,
--- a/src/ridgecourse/platform/requests.py
+++ b/src/ridgecourse/platform/requests.py
@@ -21,6 +21,7 @@
     EXPECTED_TARGET_HEADER,
     EXPECTED_VERSION_HEADER,
     LAST_EVENT_ID_HEADER,
+    LEAVING_HEADER,
     LENGTH_HINT_HEADER,
     MODEL_HEADER,
     NOT_EXECUTED_HEADER,
@@ -69,6 +70,9 @@
 )
 """Headers that the gateway sets itself; a client's values are not forwarded."""
 
+ENGINE_HEADERS = HOP_BY_HOP_HEADERS | {"date", LEAVING_HEADER.lower()}
+"""Headers of an engine's answer that are not for the client."""
+
 UNREPEATABLE_HEADERS = (
     "Host",
     ATTEMPT_ID_HEADER,
@@ -162,7 +166,7 @@
             headers=[
                 (name, value)
                 for name, value in fields.items()
-                if name.lower() not in HOP_BY_HOP_HEADERS and name.lower() != "date"
+                if name.lower() not in ENGINE_HEADERS
             ],
             request_id=fields.get(ATTEMPT_ID_HEADER, ""),
             signed=bool(fields.get(SIGNATURE_HEADER)),
--- a/src/ridgecourse/wire/control.py
+++ b/src/ridgecourse/wire/control.py
@@ -5,6 +5,7 @@
 from ridgecourse.core.crash_reports import (
     CrashReport,
 )
+from ridgecourse.core.engine_incarnation import EngineIncarnation
 from ridgecourse.core.engine_load import EngineStatus
 from ridgecourse.core.engine_rate_limits import LimitAnnouncement
 from ridgecourse.core.hubs import Peer
@@ -136,7 +137,19 @@
     limits: list[LimitAnnouncement]
 
 
-GatewayMessage = CrashReports | CrashQuery | EngineLimitReports
+class EngineLeaving(ControlMessage, frozen=True, tag="engine-leaving"):
+    """An engine has announced that it leaves, as a datagram.
+
+    Attributes:
+        incarnation: Incarnation of the engine.
+        age: Seconds since a gateway received the announcement from the engine.
+    """
+
+    incarnation: EngineIncarnation
+    age: float
+
+
+GatewayMessage = CrashReports | CrashQuery | EngineLimitReports | EngineLeaving
 LoaderReport = EngineReport | GatewaysChanged | VersionAges
 LoaderMessage = Follow | Watch
 ChunkIndex = dict[ChunkDigest, int]
--- a/tests/platform/test_known_incarnations.py
+++ b/tests/platform/test_known_incarnations.py
@@ -218,7 +218,10 @@
         )
         site: Any = SimpleNamespace(region=lambda domain: "north", domain="a")
         lag = RecentPeak()
-        limits: Any = SimpleNamespace()
+        limits: Any = SimpleNamespace(
+            accepts_requests=lambda incarnation: True,
+            is_leaving=lambda incarnation: False,
+        )
         self.selector = TargetSelector(site, view, watcher, lag, Random(1), limits)
 
     def choose(self, tried: set[EngineIncarnation]) -> Any:
