An engine that asks for rest gets no requests from that gateway meanwhile

Cause: the Retry-After of a refusal was not read. A refusal paused the engine for 0.15 s, and an engine that refuses at once looks idle. Class: an announcement of the other side that nothing reads.

Mend: a rest counts as a hold of the engine, like the turn at a rate limit, by incarnation; checked once more before connecting and before writing. A rest is no failure of the engine. Rests are not told to other gateways: an engine may turn one away and serve the others. An engine's Retry-After does not reach callers.

--- a/src/ridgecourse/core/retry.py
+++ b/src/ridgecourse/core/retry.py
@@ -38,6 +38,17 @@
     return max(MIN_RETRY_DELAY_SECONDS, min(longest, delay) * jitter)
 
 
+def return_delay_seconds(rest: float, random: Random) -> float:
+    """Return the seconds after which a client may retry while all targets rest.
+
+    Args:
+        rest: Seconds until the first target takes requests again.
+        random: Random number generator for the jitter, which spreads the clients.
+    """
+    spread = max(MIN_RETRY_DELAY_SECONDS, JITTER_SHARE * rest)
+    return rest + spread * random.random()
+
+
 class RetryBudget:
     """A token bucket that is filled by new requests and drained by retries.
 
--- a/src/ridgecourse/gateway/announcement_watch.py
+++ b/src/ridgecourse/gateway/announcement_watch.py
@@ -7,6 +7,7 @@
 from ridgecourse.core.engine_announcements import EngineAnnouncements
 from ridgecourse.core.engine_incarnation import EngineIncarnation
 from ridgecourse.core.ids import Seconds, TargetId
+from ridgecourse.core.outcome import Reason
 from ridgecourse.core.site import Site
 from ridgecourse.gateway.gateway_link import GatewayLink
 from ridgecourse.gateway.limit_watch import LimitWatch
@@ -72,7 +73,7 @@
         return self.announcements.leaving_seconds(incarnation, now) is not None
 
     def accepts_requests(self, incarnation: EngineIncarnation) -> bool:
-        """Check whether an engine may still get requests.
+        """Check whether an engine may get requests now or after a rest.
 
         An engine that leaves may get them for the time that the operators allow.
         """
@@ -80,6 +81,13 @@
         bound = self.site.bounds.leaving_seconds - ARRIVAL_SECONDS
         return leaving is None or leaving < bound
 
+    def rest_left(self, incarnation: EngineIncarnation) -> float:
+        """Return for how many seconds an engine wants no requests."""
+        now = boottime()
+        if self.announcements.end_rest(incarnation, now):
+            self.events.emit(EventKind.ENGINE_REST_ENDED, target=incarnation.target)
+        return self.announcements.rest_left(incarnation, now)
+
     def record_leaving(
         self, incarnation: EngineIncarnation, said_by: str, age: float = 0.0
     ) -> bool:
@@ -142,9 +150,13 @@
     watch: AnnouncementWatch
     incarnation: EngineIncarnation
 
-    def accepts_requests(self) -> bool:
-        """Check whether the engine may still get the request."""
-        return self.watch.accepts_requests(self.incarnation)
+    def refusal(self) -> Reason | None:
+        """Return why the engine must not get the request; None if it may."""
+        if not self.watch.accepts_requests(self.incarnation):
+            return Reason.LEAVING
+        if self.watch.rest_left(self.incarnation) > 0:
+            return Reason.OVERLOADED
+        return None
 
     def record(self, head: AnswerHead) -> None:
         """Record the announcements in the head of the answer."""
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -18,7 +18,8 @@
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.placement import FIRST_EVENT_SECONDS
 from ridgecourse.core.recent_peak import RecentPeak
-from ridgecourse.core.retry import RetryBudget
+from ridgecourse.core.retry import RetryBudget, return_delay_seconds
+from ridgecourse.core.routes import Service
 from ridgecourse.core.site import Site
 from ridgecourse.core.target_list import ListedTarget
 from ridgecourse.core.target_states import TargetHealth
@@ -138,8 +139,7 @@
             if choice is None or send_count >= terms.route.max_attempts:
                 break
             if choice.hold > MAX_LIMIT_DELAY_SECONDS:
-                detail = f"the rate limit of {choice.target.target} is reached"
-                result = NotRun(Reason.OVERLOADED, detail, arrived=False)
+                result = self._refuse_held(choice)
                 break
             if routed.is_abandoned():
                 raise ClientDisconnected(
@@ -161,7 +161,27 @@
                 send_count += 1
             elif result.arrived:
                 send_count += 1
-        return unknown or result
+        return unknown or self._with_return_delay(result, terms.service)
+
+    def _refuse_held(self, choice: Choice) -> NotRun:
+        """Return the refusal of a request that even the first target holds too long."""
+        target = choice.target.target
+        if choice.rest < choice.hold:
+            detail = f"the rate limit of {target} is reached"
+            return NotRun(Reason.OVERLOADED, detail, arrived=False)
+        detail = f"{target} wants no requests for {choice.rest:.2f} s"
+        come_back = return_delay_seconds(choice.rest, self.selector.random)
+        return NotRun(Reason.OVERLOADED, detail, arrived=False, come_back=come_back)
+
+    def _with_return_delay(self, result: SendResult, service: Service) -> SendResult:
+        """Return a refusal with the time until a target ends its rest, if all rest."""
+        if not isinstance(result, NotRun) or result.come_back is not None:
+            return result
+        rest = self.selector.shortest_rest(service)
+        if not rest:
+            return result
+        come_back = return_delay_seconds(rest, self.selector.random)
+        return structs.replace(result, come_back=come_back)
 
     def _check_load_shedding(
         self, routed: RoutedRequest, terms: Terms, choice: Choice
@@ -261,7 +281,12 @@
     ) -> None:
         """Update the health of a target from the result of a send."""
         now = boottime()
-        if isinstance(result, NotRun) and result.reason is Reason.LEAVING:
+        if (
+            isinstance(result, NotRun)
+            and not result.arrived
+            and result.reason in (Reason.LEAVING, Reason.OVERLOADED)
+        ):
+            # Nothing was sent, so that nothing is known of the target's health.
             return
         if isinstance(result, NotRun) and result.reason is Reason.WRONG_TARGET:
             state.not_before = Seconds(now + MISSING_WEIGHTS_PAUSE_SECONDS)
--- a/src/ridgecourse/gateway/selection.py
+++ b/src/ridgecourse/gateway/selection.py
@@ -40,8 +40,8 @@
 """Seconds for which another target is preferred to one that answered that it lacks the
 weights. The list of targets reflects this about one heartbeat later."""
 MAX_LIMIT_DELAY_SECONDS = 0.25
-"""Longest wait for a target's rate limit, in seconds: about the time after which a
-refused client would retry."""
+"""Longest wait for a target's rate limit or rest, in seconds: about the time after
+which a refused client would retry."""
 REFUSED_PAUSE_SECONDS = 0.15
 """Seconds for which another target is preferred to one that refused a request."""
 
@@ -70,7 +70,8 @@
         wait: Estimated seconds until the request would start at the target.
         prefill_time: Estimated seconds that the target needs to prefill the prompt.
         terms: Weights on which the request may run.
-        hold: Seconds until the target's rate limit allows the request.
+        hold: Seconds until the target's rate limit and rest allow the request.
+        rest: Seconds for which the target wants no requests.
     """
 
     target: ListedTarget
@@ -78,6 +79,7 @@
     prefill_time: float
     terms: VersionTerms
     hold: float = 0.0
+    rest: float = 0.0
 
 
 class TargetSelector:
@@ -143,7 +145,7 @@
         Among the targets that can serve the request, these criteria apply in turn; all
         but the first are ignored if no target meets them:
 
-        1. The rate limit allows the request within ``MAX_LIMIT_DELAY_SECONDS``.
+        1. Rate limit and rest allow the request within ``MAX_LIMIT_DELAY_SECONDS``.
         2. The target has not announced that it leaves.
         3. The target's weights are known to be allowed.
         4. The incarnation is not to be avoided.
@@ -205,6 +207,19 @@
             )
         return min(available, key=self._cost)
 
+    def shortest_rest(self, service: Service) -> float:
+        """Return the seconds until a target of a service takes requests again.
+
+        The result is 0 if a target is not at rest, or if there is no target.
+        """
+        incarnations = map(self.incarnation, self.view.serving_targets(service.name))
+        rests = [
+            self.announcements.rest_left(incarnation)
+            for incarnation in incarnations
+            if self.announcements.accepts_requests(incarnation)
+        ]
+        return min(rests, default=0.0)
+
     def _can_serve(self, service: Service, target: ListedTarget, now: Seconds) -> bool:
         """Check whether a target has all layers of some weights and accepts requests.
 
@@ -240,14 +255,16 @@
         """Estimate when a request could start at a target, and on which weights."""
         load = self.load(target)
         prefill_time = 0.0
-        hold = self.announcements.limit_watch.wait(target, self.incarnation(target))
+        incarnation = self.incarnation(target)
+        rest = self.announcements.rest_left(incarnation)
+        hold = max(rest, self.announcements.limit_watch.wait(target, incarnation))
         if service.engine is None:
             wait = load.outstanding * PLAIN_REQUEST_SECONDS / max(1, target.slots)
         else:
             wait = load.wait(service.engine, target.slots, now, ASSUMED_SENDERS)
             prefill_time = prefill_seconds(service.engine, call.prompt_tokens)
         terms = self._version_terms(call.model, target, now, wait)
-        return Choice(target, max(wait, hold), prefill_time, terms, hold)
+        return Choice(target, max(wait, hold), prefill_time, terms, hold, rest)
 
     def _cost(self, choice: Choice) -> float:
         """Return the placement cost of a choice, in seconds; the lowest is best."""
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -35,6 +35,7 @@
 domains, and well below the objective of any known route (400 ms)."""
 RETURN_MARGIN_SECONDS = 0.02
 """Part of the deadline reserved for the transfer of the answer to the client."""
+NOT_ACCEPTED = "the target has announced that it takes no requests"
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
@@ -151,6 +152,8 @@
             network_delay: Records the time in which the connection was established.
             announcements: What the target announces of itself.
         """
+        if reason := announcements.refusal():
+            return NotRun(reason, NOT_ACCEPTED, arrived=False)
         exchange = Exchange(target.address, routed.deadline)
         result: SendResult | None = None
         try:
@@ -194,8 +197,8 @@
         if routed.begin_by is not None and boottime() >= routed.begin_by:
             # Connecting took so long that the request would start too late.
             return NotRun(Reason.WRONG_TARGET, "not begun in time", arrived=False)
-        if not announcements.accepts_requests():
-            return NotRun(Reason.LEAVING, "the target is leaving", arrived=False)
+        if reason := announcements.refusal():
+            return NotRun(reason, NOT_ACCEPTED, arrived=False)
         call = routed.call
         terms = SendTerms(
             target=target.target,
--- a/src/ridgecourse/platform/requests.py
+++ b/src/ridgecourse/platform/requests.py
@@ -12,7 +12,11 @@
 from ridgecourse.gateway.protocol import RequestProtocol
 from ridgecourse.net.front_server import FrontRequest
 from ridgecourse.net.http_server import HeaderList
-from ridgecourse.platform.announcements import decode_announcement, parse_decimal
+from ridgecourse.platform.announcements import (
+    UNAVAILABLE,
+    decode_announcement,
+    parse_decimal,
+)
 from ridgecourse.platform.names import (
     ACCOUNT_HEADER,
     API_KEY_HEADER,
@@ -160,13 +164,17 @@
         limit_text = fields.get(RATE_LIMIT_HEADER, "").strip()
         limit = parse_limit(limit_text)
         announcement = decode_announcement(response.status, fields)
+        dropped_names = ENGINE_HEADERS
+        if response.status == UNAVAILABLE:
+            # The rest is for the gateway; other targets may serve the client at once.
+            dropped_names = dropped_names | {RETRY_AFTER_HEADER.lower()}
         return AnswerHead(
             status=response.status,
             reason=response.reason or "",
             headers=[
                 (name, value)
                 for name, value in fields.items()
-                if name.lower() not in ENGINE_HEADERS
+                if name.lower() not in dropped_names
             ],
             request_id=fields.get(ATTEMPT_ID_HEADER, ""),
             signed=bool(fields.get(SIGNATURE_HEADER)),
