What a store returns with from its copy takes back nothing of a target

Callers: with eras in order, a copy counted as the present: an engine that had said that it leaves, or that was gone, was asked again until it wrote its entry or its lease ended, and one that had started since the copy lost its place.

Cause: an entry of a later era was taken for a later word of its target. Class: the order of the store's answers taken for the order of events.

Mend: the first full read of an era ends the part of a topic that may stem from the copy (copied_end; told on with the records, the earliest counts). Such an entry does not take back what its incarnation said in an earlier era, in whichever order a process hears of the two: that it leaves, or its removal. The next entry that the target writes counts in full. Targets that the copy lacks are kept as after any outage. Processes are not served what is not applied.

--- a/src/ridgecourse/cluster/peer_records.py
+++ b/src/ridgecourse/cluster/peer_records.py
@@ -76,4 +76,5 @@
         removal_grace_seconds=response.kept,
         read_at=Seconds(now - response.read_age),
         relay_hops=response.level + 1,
+        copied_end=response.copied_end,
     )
--- a/src/ridgecourse/cluster/record_server.py
+++ b/src/ridgecourse/cluster/record_server.py
@@ -7,6 +7,7 @@
 from msgspec.structs import replace
 
 from ridgecourse.core.ids import Offset, Seconds
+from ridgecourse.core.offsets import era_of, may_be_outdated
 from ridgecourse.core.target_list import ListedTarget, TargetRecord
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
@@ -49,6 +50,7 @@
             outage.
         read_age: Seconds since the newest record was first read from the store.
         level: Number of processes that passed that record on to the answering process.
+        copied_end: See ``RecordBatch.copied_end``.
     """
 
     records: Sequence[KeyedRecord]
@@ -60,6 +62,7 @@
     kept: float = 0.0
     read_age: float = 0.0
     level: int = 0
+    copied_end: Offset = Offset(0)
 
 
 class TopicRecords:
@@ -74,9 +77,12 @@
             were known before, and until when they are served to all.
         read_at: When the newest record was first read from the store, by any process.
         level: Number of processes that passed that record on to this one.
+        copied_end: See ``RecordBatch.copied_end``; the earliest that is known of the
+            latest era.
     """
 
     def __init__(self) -> None:
+        self.copied_end = Offset(0)
         self.read_at = Seconds(0.0)
         self.level = 0
         self.late_records: dict[str, tuple[KeyedRecord, float]] = {}
@@ -116,6 +122,12 @@
         if not batch.remaining_records:
             self.confirmed_at = max(self.confirmed_at, batch.confirmed_at)
 
+    def record_copied_end(self, batch: RecordBatch) -> None:
+        """Record which records of the latest era may be copies."""
+        era, known_era = era_of(batch.copied_end), era_of(self.copied_end)
+        if era > known_era or era == known_era and batch.copied_end < self.copied_end:
+            self.copied_end = batch.copied_end
+
     @property
     def age(self) -> float:
         """Seconds since the store confirmed that there are no newer records."""
@@ -160,7 +172,12 @@
         records = [*newer, *(record for record in late if record.offset < start)]
         records.sort(key=lambda record: record.offset)
         return RecordsResponse(
-            records, self.end, self.age, read_age=self.lag, level=self.level
+            records,
+            self.end,
+            self.age,
+            read_age=self.lag,
+            level=self.level,
+            copied_end=self.copied_end,
         )
 
 
@@ -190,6 +207,7 @@
             changes: The decoded change of each record.
             is_snapshot: Whether the records are the complete list.
         """
+        self.topic_records.record_copied_end(batch)
         stripped = list(strip_rejected(batch.records, changes))
         if is_snapshot:
             self.topic_records.remove_unlisted(
@@ -207,6 +225,8 @@
         known = self.topic_records.records.get(record.key)
         if known is not None and known.offset >= record.offset:
             return False
+        if known is not None and self._is_outdated(record, change, known):
+            return False
         before = self.entries.pop(record.key, None)
         if change.entry is None:
             return True
@@ -214,6 +234,18 @@
         is_listed = known is not None and known.value
         return not is_listed or change.entry != before
 
+    def _is_outdated(
+        self, record: KeyedRecord, change: TargetRecord, known: KeyedRecord
+    ) -> bool:
+        """Check whether an entry takes back what its target said in an earlier era."""
+        copied_end = self.topic_records.copied_end
+        if change.entry is None or not may_be_outdated(
+            record.offset, known.offset, copied_end
+        ):
+            return False
+        before = self.entries.get(record.key)
+        return before is None or before.is_retracted_by(change.entry)
+
 
 def strip_rejected(
     records: Iterable[KeyedRecord], changes: Iterable[TargetRecord]
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -384,7 +384,10 @@
             is_snapshot: Whether the records are the complete list.
         """
         topic_records = self.record_server.topics[Topic.TARGETS]
-        self.eras.observe(Topic.TARGETS, topic_records, batch)
+        if self.eras.observe(Topic.TARGETS, topic_records, batch):
+            # Targets that started in the seconds that the store has lost are missing
+            # until they write their entry again.
+            self._record_return(boottime())
         records, problems = self.decoder.targets(batch.records)
         self.target_filter.apply(batch, records, is_snapshot)
         self.record_server.changed.notify()
@@ -396,6 +399,7 @@
             # The outage was too short for the reader of the list to detect it.
             self.targets.record_outage_end(now)
         self.targets.keep_removed(Seconds(now + batch.removal_grace_seconds))
+        self.targets.copied_end = topic_records.copied_end
         if is_snapshot:
             self.targets.replace(records, now)
         else:
--- a/src/ridgecourse/core/target_list.py
+++ b/src/ridgecourse/core/target_list.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from ridgecourse.core.engine_incarnation import EngineIncarnation, starts_before
 from ridgecourse.core.ids import (
@@ -20,6 +21,7 @@
     TargetId,
     WeightsVersion,
 )
+from ridgecourse.core.offsets import may_be_outdated
 
 RETURN_SECONDS = 2.0
 """Time for which removed targets are kept after an outage of the store. The platform
@@ -90,6 +92,15 @@
         """IP address of the target's instance."""
         return self.address.rpartition(":")[0]
 
+    def is_retracted_by(self, entry: "ListedTarget") -> bool:
+        """Check whether an entry takes back that this incarnation leaves.
+
+        Args:
+            entry: Another entry of the same target.
+        """
+        has_restarted = starts_before(self.started, entry.started)
+        return self.leaving and not entry.leaving and not has_restarted
+
 
 class TargetRecord(Struct, frozen=True):
     """A change of the list.
@@ -117,11 +128,14 @@
         listed_offset: Offset of the newest applied entry. The entry of a later
             incarnation may have a lower offset.
         removed_offset: Offset of the newest removal.
+        leaving_offset: Offset of the newest entry of the latest incarnation that says
+            that it leaves.
     """
 
     started: EngineStart | None = None
     listed_offset: int = -1
     removed_offset: int = -1
+    leaving_offset: int = -1
 
 
 class TargetList:
@@ -138,6 +152,9 @@
             which they are kept.
         kept_until: Time until which removals do not take effect.
         histories: History of each target, listed or not.
+        copied_end: Entries of the latest era of the store before this offset do not
+            take back what a target said in earlier eras; see
+            ``core.offsets.may_be_outdated``.
     """
 
     def __init__(self) -> None:
@@ -145,6 +162,7 @@
         self.removed: dict[TargetId, Seconds] = {}
         self.kept_until = Seconds(0.0)
         self.histories: dict[TargetId, TargetHistory] = {}
+        self.copied_end = Offset(0)
 
     def record_outage_end(self, now: Seconds) -> None:
         """Record that the store can be read again after an outage."""
@@ -185,6 +203,9 @@
     def _apply_removal(
         self, record: TargetRecord, history: TargetHistory, now: Seconds
     ) -> None:
+        if may_be_outdated(history.listed_offset, record.offset, self.copied_end):
+            # The listed entry is a copy from before the removal.
+            history.listed_offset = -1
         if record.offset <= max(history.removed_offset, history.listed_offset):
             history.removed_offset = max(history.removed_offset, record.offset)
             return
@@ -198,14 +219,25 @@
             return
         if starts_before(history.started, entry.started):
             # The listed entry belongs to an earlier incarnation, which has ended.
-            history.listed_offset = -1
+            history.listed_offset = history.leaving_offset = -1
             self.drop(record.target)
+        elif history.removed_offset > history.listed_offset and may_be_outdated(
+            record.offset, history.removed_offset, self.copied_end
+        ):
+            return
         if entry.started is not None:
             history.started = entry.started
+        if entry.leaving:
+            history.leaving_offset = max(history.leaving_offset, record.offset)
         if record.offset > max(history.removed_offset, history.listed_offset):
             history.listed_offset = record.offset
             self.targets[record.target] = entry
             self.removed.pop(record.target, None)
+        listed = self.targets.get(record.target)
+        if listed is not None and may_be_outdated(
+            history.listed_offset, history.leaving_offset, self.copied_end
+        ):
+            self.targets[record.target] = replace(listed, leaving=True)
 
     def _forget_unlisted(self) -> None:
         """Drop the histories of the unlisted targets, except the most recent ones."""
--- a/src/ridgecourse/net/record_source.py
+++ b/src/ridgecourse/net/record_source.py
@@ -64,6 +64,8 @@
         relay_hops: Number of processes that have forwarded the newest record.
         skipped_from: Offset of the first record that was skipped in favour of the
             newest records; None if none was skipped.
+        copied_end: Records of the latest era before this offset may be older than
+            removals of earlier eras; see ``core.offsets.may_be_outdated``.
     """
 
     records: Sequence[KeyedRecord]
@@ -77,6 +79,7 @@
     read_at: Seconds = Seconds(0.0)
     relay_hops: int = 0
     skipped_from: Offset | None = None
+    copied_end: Offset = Offset(0)
 
 
 class SourceUnavailable(Exception):
--- a/src/ridgecourse/platform/store.py
+++ b/src/ridgecourse/platform/store.py
@@ -109,6 +109,7 @@
         http: Client for the calls.
         calls: Number of calls so far. Each call has a cost.
         era: Highest era that an answer has named; 0 for none.
+        copied_ends: End of each topic at its first full read in the latest era.
         last_piece_at: Time of the last piece of the answer in progress, by topic. After
             an answer with a long transfer, the entry stays for the next answer.
     """
@@ -118,6 +119,7 @@
         self.http = http
         self.calls = 0
         self.era = 0
+        self.copied_ends: dict[Topic, Offset] = {}
         self.last_piece_at: dict[Topic, float] = {}
 
     def newest(self, topic: Topic) -> RecordBatch:
@@ -135,12 +137,16 @@
         # that records appended since then are read again.
         end = make_offset(era, pages[0].end)
         read_at = Seconds(boottime() - transfer_seconds)
+        copied_end = self.copied_ends.get(topic, Offset(0))
+        if era_of(copied_end) < era:
+            self.copied_ends[topic] = copied_end = end
         return RecordBatch(
             records,
             end,
             asked_at,
             transfer_seconds=transfer_seconds,
             read_at=read_at,
+            copied_end=copied_end,
         )
 
     def _newest_pages(self, topic: Topic) -> Iterator[ReceivedPage]:
--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -17,7 +17,7 @@
 from view_reader import RecordingEventStream
 
 from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.ids import ModelName, Offset, ServiceName
+from ridgecourse.core.ids import ModelName, Offset, Seconds, ServiceName
 from ridgecourse.core.offsets import (
     MAX_ERA,
     MAX_INDEX,
@@ -25,6 +25,7 @@
     index_of,
     make_offset,
 )
+from ridgecourse.core.target_list import RETURN_SECONDS
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.http_client import HttpClient
@@ -196,6 +197,7 @@
         end: int,
         whole: bool = False,
         relayed: bool = False,
+        copied_end: int | None = None,
     ) -> None:
         """Apply a batch with records by their numbers; a value of None removes."""
         batch = RecordBatch(
@@ -210,6 +212,7 @@
             make_offset(era, end),
             boottime(),
             is_relayed=relayed,
+            copied_end=make_offset(era, copied_end or 0),
         )
         self.view.apply(topic, batch, whole)
 
@@ -275,6 +278,102 @@
     assert store.serving == set()
 
 
+@pytest.mark.parametrize("copy_first", [True, False])
+def test_a_copy_does_not_take_back_that_an_engine_leaves(
+    store, copy_first: bool
+) -> None:
+    """Processes that have heard of the two eras may meet in both orders."""
+    store.list_target(OLD, 16, "ready")
+
+    def hear_of_leaving() -> None:
+        store.list_target(OLD, 17, "draining")
+
+    def read_copy() -> None:
+        store.list_target(NEW, 4, "ready", whole=True, copied_end=5)
+
+    steps = [read_copy, hear_of_leaving] if copy_first else [hear_of_leaving, read_copy]
+    for step in steps:
+        step()
+    assert store.serving == set()
+    store.list_target(NEW, 9, "draining")
+    assert store.serving == set()
+
+
+@pytest.mark.parametrize("copy_first", [True, False])
+def test_a_copy_does_not_list_an_engine_that_is_gone(store, copy_first: bool) -> None:
+    store.list_target(OLD, 16, "ready")
+
+    def hear_of_removal() -> None:
+        store.list_target(OLD, 17, None)
+
+    def read_copy() -> None:
+        store.list_target(NEW, 4, "ready", whole=True, copied_end=5)
+
+    steps = [read_copy, hear_of_removal] if copy_first else [hear_of_removal, read_copy]
+    for step in steps:
+        step()
+    if copy_first:
+        # Removals are ignored for a moment after a return.
+        list(store.view.targets.expire(Seconds(boottime() + RETURN_SECONDS)))
+    assert store.serving == set()
+    # It is alive after all, and writes its entry again.
+    store.list_target(NEW, 7, "ready")
+    assert store.serving == {"i-1"}
+
+
+def test_an_engine_that_a_copy_lacks_keeps_its_place_until_it_writes(store) -> None:
+    """It started in the seconds that the store has lost."""
+    store.list_target(OLD, 16, "ready", key="i-new")
+    store.list_target(OLD, 17, "ready")
+    store.apply(
+        Topic.TARGETS, NEW, {4: ("i-1", make_entry("ready"))}, 5, True, copied_end=5
+    )
+    assert store.serving == {"i-1", "i-new"}
+    store.list_target(NEW, 6, "ready", key="i-new")
+    list(store.view.targets.expire(Seconds(boottime() + RETURN_SECONDS)))
+    assert store.serving == {"i-1", "i-new"}
+
+
+def test_an_engine_that_a_copy_lacks_and_that_is_gone_is_dropped(store) -> None:
+    store.list_target(OLD, 16, "ready", key="i-gone")
+    store.list_target(OLD, 17, "ready")
+    store.apply(
+        Topic.TARGETS, NEW, {4: ("i-1", make_entry("ready"))}, 5, True, copied_end=5
+    )
+    list(store.view.targets.expire(Seconds(boottime() + RETURN_SECONDS)))
+    assert store.serving == {"i-1"}
+
+
+def test_a_new_incarnation_in_a_later_era_is_listed(store) -> None:
+    store.list_target(OLD, 17, "draining")
+    records = {4: ("i-1", make_entry("ready", BORN + 1000))}
+    store.apply(Topic.TARGETS, NEW, records, 5, whole=True, copied_end=5)
+    assert store.serving == {"i-1"}
+
+
+def test_downstream_processes_are_not_told_what_a_copy_takes_back(store) -> None:
+    """A process that starts later asks from the beginning."""
+    store.list_target(OLD, 16, "draining")
+    store.list_target(OLD, 17, "ready", key="i-2")
+    store.list_target(OLD, 18, None, key="i-2")
+    records = {4: ("i-1", make_entry("ready")), 5: ("i-2", make_entry("ready"))}
+    store.apply(Topic.TARGETS, NEW, records, 6, whole=True, copied_end=6)
+    served = store.view.record_server.topics[Topic.TARGETS].records_since(Offset(0))
+    downstream = ReturningStore()
+    downstream.view.apply(
+        Topic.TARGETS,
+        RecordBatch(
+            served.records,
+            served.end,
+            boottime(),
+            is_relayed=True,
+            copied_end=served.copied_end,
+        ),
+        True,
+    )
+    assert downstream.serving == set()
+
+
 def test_a_return_is_told_once_for_each_topic(store) -> None:
     store.list_target(OLD, 17, "ready")
     store.list_target(NEW, 4, "ready")
