Decisions that a returned store has lost are pinned, and dated as lost ones

Callers: a decision in force stays so with the running processes, but one whose key the copy lacks altogether was told to no process that started afterwards; and a version of weights that is written again after a return, new to a process, was required from the time of the second writing on, seconds late.

Cause: only a record that is older than the decision in force led to a pin, and a version counted as named after the last confirmation, also if that came from the store without it.

Mend: the first full read of an era pins each decision in force that it lacks.

Evidence: the 2 tests of test_store_eras.py for them fail without the change of view.py, and pass.

--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -198,7 +198,7 @@
             is_snapshot: Whether the records are the newest ones of all keys.
         """
         topic_records = self.record_server.topics[Topic.DECISIONS]
-        self.eras.observe(Topic.DECISIONS, topic_records, batch)
+        has_returned = self.eras.observe(Topic.DECISIONS, topic_records, batch)
         topic_records.record_origin(batch)
         named_at = self._earliest_named_at(batch)
         for record in batch.records:
@@ -212,10 +212,24 @@
                 self.pinned_decisions.pin(record)
             else:
                 topic_records.put(record)
+        if has_returned and is_snapshot and not batch.is_relayed:
+            self._pin_missing(batch)
         topic_records.record_progress(batch)
         self.record_server.changed.notify()
         self.changed.notify()
 
+    def _pin_missing(self, batch: RecordBatch) -> None:
+        """Pin the decisions in force that a store lost when it returned from a copy.
+
+        Args:
+            batch: The newest records of all keys.
+        """
+        keys = {record.key for record in batch.records}
+        known = self.record_server.topics[Topic.DECISIONS].records
+        for record in known.values():
+            if record.value and record.key not in keys:
+                self.pinned_decisions.pin(record)
+
     def apply_pinned(self, records: Sequence[KeyedRecord]) -> None:
         """Apply pinned decisions whose revisions are higher than the known ones."""
         topic_records = self.record_server.topics[Topic.DECISIONS]
@@ -241,7 +255,7 @@
         since = batch.earliest_written_at
         if since is None:
             since = self.record_server.topics[Topic.DECISIONS].confirmed_at
-        return since or None
+        return self.eras.earliest_written_at(Topic.DECISIONS, since) or None
 
     def _apply_decision(self, record: KeyedRecord, named_at: Seconds | None) -> bool:
         """Apply one decision.
--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -16,8 +16,9 @@
 from msgspec.json import encode
 from view_reader import RecordingEventStream
 
+from ridgecourse.cluster.era_watch import REWRITE_SECONDS
 from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.ids import ModelName, Offset, Seconds, ServiceName
+from ridgecourse.core.ids import ModelName, Offset, Seconds, ServiceName, WeightsVersion
 from ridgecourse.core.offsets import (
     MAX_ERA,
     MAX_INDEX,
@@ -266,12 +267,35 @@
     assert store.pinned_versions() == [19]
 
 
+def test_a_decision_that_a_copy_lacks_is_pinned(store) -> None:
+    version = {"model": MODEL, "version": 2}
+    store.apply(Topic.DECISIONS, OLD, {4: ("version/m0", version)}, 5)
+    store.decide(OLD, 5, 19)
+    store.apply(Topic.DECISIONS, NEW, {2: ("config", make_config(19))}, 3, whole=True)
+    assert store.pinned_versions() == [2]
+    assert store.view.wanted_version(MODEL) == 2
+
+
 def test_nothing_is_pinned_when_no_era_begins(store) -> None:
     store.decide(OLD, 5, 19)
     store.apply(Topic.DECISIONS, OLD, {}, 6, whole=True)
     assert store.pinned_versions() == []
 
 
+def test_a_version_that_is_written_again_counts_from_before_the_return(store) -> None:
+    """It may have been lost before this process read it."""
+    store.decide(OLD, 5, 19)
+    topic_records = store.view.record_server.topics[Topic.DECISIONS]
+    topic_records.confirmed_at = last_confirmed = Seconds(boottime() - 1.5)
+    store.decide(NEW, 2, 19, whole=True)
+    assert topic_records.confirmed_at > last_confirmed
+    version = {"model": MODEL, "version": 2}
+    store.apply(Topic.DECISIONS, NEW, {3: ("version/m0", version)}, 4)
+    deadline = store.view.history(MODEL).start_deadline(WeightsVersion(1))
+    assert deadline == pytest.approx(last_confirmed + 8.0, abs=0.01)
+    assert REWRITE_SECONDS > 1.5
+
+
 def test_an_entry_at_a_lower_offset_of_a_later_era_is_listed(store) -> None:
     store.list_target(OLD, 17, "ready")
     store.list_target(NEW, 4, "draining")
