Gateways store blocked requests again after the store returned from a copy

Callers: a request that crashes engines stayed blocked at running gateways, but its record was gone; after a restart of all gateways it would have run again.

Cause: what the system itself wrote since the copy is written again by nobody.

Mend: a gateway that has read the store in a later era writes the requests that it blocks again. A request cleared in the lost seconds stands there again, and is cleared by its next answer or by time.

Evidence: test_a_blocked_request_is_stored_again_after_a_return fails without the listener, and passes.

--- a/src/ridgecourse/cluster/era_watch.py
+++ b/src/ridgecourse/cluster/era_watch.py
@@ -1,5 +1,7 @@
 """Detects that the store has returned from an older copy of itself."""
 
+from collections.abc import Callable
+
 from msgspec import Struct
 
 from ridgecourse.cluster.record_server import TopicRecords
@@ -32,11 +34,14 @@
     Attributes:
         events: Receives events and metrics.
         lost: Period of the records that the last return may have cost, by topic.
+        listeners: Called when this process has read the store in a later era; what the
+            system has written since the copy is lost.
     """
 
     def __init__(self, events: EventStream) -> None:
         self.events = events
         self.lost: dict[Topic, LostPeriod] = {}
+        self.listeners: list[Callable[[], None]] = []
 
     def observe(self, topic: Topic, known: TopicRecords, batch: RecordBatch) -> bool:
         """Return whether a batch is the first one of a later era.
@@ -60,6 +65,9 @@
             end_before=index_of(known.end),
             relayed=batch.is_relayed,
         )
+        if topic is Topic.DECISIONS and not batch.is_relayed:
+            for listener in self.listeners:
+                listener()
         return True
 
     def earliest_written_at(self, topic: Topic, since: Seconds) -> Seconds:
--- a/src/ridgecourse/gateway/crash_watch.py
+++ b/src/ridgecourse/gateway/crash_watch.py
@@ -275,6 +275,12 @@
         self._update_blocked()
         return True
 
+    def restore_blocked(self) -> None:
+        """Write the blocked requests again, which the store may have lost."""
+        now = boottime()
+        for signature in self.blocked:
+            self.store.add(self.suspects.make_report(signature, now))
+
     def apply_reports(self, news: CrashReports) -> None:
         """Apply the reports of another gateway; see ``CrashReportState``."""
         now = boottime()
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -83,6 +83,7 @@
         random = Random()
         self.link = GatewayLink(site, self.hub.local, self.hub.known_gateways, random)
         self.crash_watch = CrashWatch(site, self.events, self.link, source)
+        self.view.eras.listeners.append(self.crash_watch.restore_blocked)
         self.limit_watch = LimitWatch(self.events, self.link)
         self.announcements = AnnouncementWatch(
             site, self.events, self.link, self.limit_watch
--- a/tests/platform/test_store_returns_from_copy.py
+++ b/tests/platform/test_store_returns_from_copy.py
@@ -13,13 +13,15 @@
 
 import pytest
 from gateway_site import GatewaySite, make_config, make_route
-from test_crashing_requests import Clients, MultiGatewaySite
+from test_crashing_requests import Clients, MultiGatewaySite, make_crashing_engines
 from test_domain_reads import GATEWAYS
 
 from ridgecourse.platform.names import (
+    BLOCKED_TOPIC,
     DECISIONS_TOPIC,
     TARGETS_TOPIC,
 )
+from ridgecourse_standins.platform.crashing_engines import CRASH_BODY
 from ridgecourse_standins.platform.engine import (
     EngineStandIn,
     ReceivedRequest,
@@ -208,6 +210,27 @@
     assert timed[0].arrivals_after(changed_at + BOUND_SECONDS) == 0
 
 
+def test_a_blocked_request_is_stored_again_after_a_return(front) -> None:
+    """What the system itself wrote since the copy is gone as well."""
+    engines = make_crashing_engines(front, 10)
+    try:
+        engines.start()
+        front.store.era = 7
+        front.start()
+        front.store.copy()
+        while not front.store.topics.get(BLOCKED_TOPIC):
+            front.ask(PATH, CRASH_BODY)
+        front.store.set_mode(StoreMode.DOWN)
+        sleep(AWAY_SECONDS)
+        lost = front.store.return_from_copy()
+        front.store.set_mode(StoreMode.UP)
+        (lost_record,) = lost[BLOCKED_TOPIC]
+        front.wait_until(lambda: front.store.topics[BLOCKED_TOPIC])
+        assert front.store.topics[BLOCKED_TOPIC][0][0] == lost_record[0]
+    finally:
+        engines.close()
+
+
 def test_a_gateway_that_starts_after_a_return_applies_the_newest_decision(
     front,
 ) -> None:
