A process counts answers without an era to the one that others have told

A process that heard of a later era from another process, and whose own next answer of the store named none, took the answer for one of no era at all. More ways over a return are tested: a frozen reader, two domains, an engine that left in the lost seconds and has not written again.

--- a/src/ridgecourse/platform/store.py
+++ b/src/ridgecourse/platform/store.py
@@ -183,6 +183,8 @@
             "wait_ms": int(wait * 1000),
             "max_kb": MAX_READ_KB,
         }
+        # Another process may have told of the era first.
+        self.era = max(self.era, era_of(start))
         asked_at = boottime()
         answer = self._receive(topic, LOG_READ_PATH, query, wait)
         place = f"offset {index_of(start)} of era {era_of(start)}"
--- a/tests/platform/test_store_returns_from_copy.py
+++ b/tests/platform/test_store_returns_from_copy.py
@@ -38,8 +38,8 @@
 REQUESTS_PER_SECOND = 20
 LOST_HEARTBEATS = 4
 FIRST_VERSION = 1
-LOST_VERSIONS = (2, 3)
-NEW_VERSION = 4
+LOST_VERSIONS = (52, 53)
+NEW_VERSION = 54
 
 
 class TimedEngine:
@@ -83,9 +83,21 @@
     return config
 
 
-def lose_records(site: GatewaySite) -> dict[str, list[tuple[str, bytes]]]:
+def find_reader(domain: MultiGatewaySite) -> str:
+    """Return the host that reads the store for the others."""
+    (reader,) = domain.hosts_that_read(domain.publish_until_single_reader())
+    return reader
+
+
+def lose_records(
+    site: GatewaySite, host: str = GATEWAYS[0]
+) -> dict[str, list[tuple[str, bytes]]]:
     """Let the store return from a copy, without its last records.
 
+    Args:
+        site: The gateways and their store.
+        host: A gateway that has to read the records before they are lost.
+
     Returns:
         The lost records of each topic.
     """
@@ -95,7 +107,8 @@
         store.put_config(make_config(version))
     for _ in range(LOST_HEARTBEATS):
         register_all(site)
-    site.gateway.wait_event("config-folded", version=str(LOST_VERSIONS[-1]))
+    process = site.gateway if host == GATEWAYS[0] else site.processes[host]
+    process.wait_event("config-folded", version=str(LOST_VERSIONS[-1]))
     sleep(1.0)
     store.set_mode(StoreMode.DOWN)
     sleep(AWAY_SECONDS)
@@ -186,6 +199,58 @@
     check_domain(domain, timed)
 
 
+def test_a_reader_that_was_frozen_over_a_return_follows_it(domain) -> None:
+    """The others have read on without it; it wakes with the offsets that are gone."""
+    timed = add_engines(domain)
+    domain.store.era = 7
+    domain.start(make_config(FIRST_VERSION))
+    reader = find_reader(domain)
+    domain.processes[reader].pause()
+    try:
+        lose_records(domain, next(host for host in GATEWAYS if host != reader))
+    finally:
+        domain.processes[reader].resume()
+    check_domain(domain, timed)
+
+
+def test_gateways_of_two_domains_follow_a_return(domain) -> None:
+    """One of the domains has no loader, and reads over a border."""
+    for host in GATEWAYS[3:]:
+        domain.change_settings(host, zone="b")
+    timed = add_engines(domain)
+    domain.store.era = 7
+    domain.start(make_config(FIRST_VERSION))
+    write_again(domain.store, lose_records(domain))
+    check_domain(domain, timed)
+
+
+def test_an_engine_that_left_in_the_lost_seconds_gets_no_requests(domain) -> None:
+    """The copy lists it as ready, and it has not written again."""
+    timed = add_engines(domain)
+    domain.store.era = 7
+    domain.start(make_config(FIRST_VERSION))
+    domain.store.copy()
+    register_all(domain, leaving=0)
+    left_at = monotonic()
+    for host in domain.gateways:
+        domain.processes[host].wait_event(
+            "target-listed", after=1, target="i-app-0", seconds=5.0
+        )
+    domain.store.set_mode(StoreMode.DOWN)
+    sleep(AWAY_SECONDS)
+    domain.store.return_from_copy()
+    domain.store.set_mode(StoreMode.UP)
+    hosts = list(domain.gateways)
+    clients = Clients(
+        lambda turn: domain.ask_at(hosts[turn % len(hosts)], b"%d" % turn),
+        REQUESTS_PER_SECOND,
+    )
+    clients.run(LOAD_SECONDS)
+    clients.join()
+    assert timed[0].arrivals_after(left_at + BOUND_SECONDS) == 0
+    assert clients.served_share == 1.0
+
+
 def test_several_returns_in_a_row_are_followed(front) -> None:
     timed = add_engines(front)
     front.store.era = 7
