A copy does not list a target that a full read lacked

A target that vanished from a full read has no removal with an offset, so that a copy listed it again. It is gone if it is not listed, whatever told so. test_a_copy_does_not_list_an_engine_that_a_full_read_lacked failed before.

--- a/src/ridgecourse/core/target_list.py
+++ b/src/ridgecourse/core/target_list.py
@@ -221,8 +221,10 @@
             # The listed entry belongs to an earlier incarnation, which has ended.
             history.listed_offset = history.leaving_offset = -1
             self.drop(record.target)
-        elif history.removed_offset > history.listed_offset and may_be_outdated(
-            record.offset, history.removed_offset, self.copied_end
+        elif self._is_gone(record.target, history) and may_be_outdated(
+            record.offset,
+            max(history.removed_offset, history.listed_offset),
+            self.copied_end,
         ):
             return
         if entry.started is not None:
@@ -239,6 +241,11 @@
         ):
             self.targets[record.target] = replace(listed, leaving=True)
 
+    def _is_gone(self, target: TargetId, history: TargetHistory) -> bool:
+        """Check whether a target is not listed, or was removed in an outage."""
+        has_removal = history.removed_offset > history.listed_offset
+        return target not in self.targets or has_removal
+
     def _forget_unlisted(self) -> None:
         """Drop the histories of the unlisted targets, except the most recent ones."""
         unlisted = [target for target in self.histories if target not in self.targets]
--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -121,6 +121,15 @@
     assert store.read(Topic.DECISIONS, end, 0.0).end == end
 
 
+def test_an_answer_without_an_era_belongs_to_the_one_another_process_told(
+    stand_in,
+) -> None:
+    store = open_store(stand_in)
+    put_decisions(stand_in, 1)
+    end = make_offset(NEW, 1)
+    assert store.read(Topic.DECISIONS, end, 0.0).end == end
+
+
 def test_an_answer_of_an_earlier_era_is_not_used(stand_in) -> None:
     """It was on its way while the store returned, and confirms nothing of the new."""
     store = open_store(stand_in)
@@ -345,6 +354,15 @@
     assert store.serving == {"i-1"}
 
 
+def test_a_copy_does_not_list_an_engine_that_a_full_read_lacked(store) -> None:
+    """Its removal was among the records that were skipped."""
+    store.list_target(OLD, 16, "ready")
+    store.apply(Topic.TARGETS, OLD, {}, 20, whole=True, copied_end=1)
+    assert store.serving == set()
+    store.list_target(NEW, 4, "ready", whole=True, copied_end=5)
+    assert store.serving == set()
+
+
 def test_an_engine_that_a_copy_lacks_keeps_its_place_until_it_writes(store) -> None:
     """It started in the seconds that the store has lost."""
     store.list_target(OLD, 16, "ready", key="i-new")
