--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -8,15 +8,16 @@
 from ridgecourse.cluster.decoder import RecordDecoder
 from ridgecourse.cluster.era_watch import EraWatch
 from ridgecourse.cluster.invalid_records import InvalidRecords
+from ridgecourse.cluster.named_versions import NamedVersions
 from ridgecourse.cluster.pinned_decisions import PinnedDecisionSource
 from ridgecourse.cluster.record_server import RecordServer, TargetChangeFilter
 from ridgecourse.cluster.target_events import emit_target_events
-from ridgecourse.core.ids import ModelName, Offset, Seconds, ServiceName, WeightsVersion
+from ridgecourse.core.ids import Offset, Seconds, ServiceName
 from ridgecourse.core.offsets import index_of
 from ridgecourse.core.problem import Problem
 from ridgecourse.core.routes import RoutingConfig
 from ridgecourse.core.target_list import ListedTarget, TargetList, TargetRecord
-from ridgecourse.core.weights import NamedVersion, VersionAge, VersionHistory
+from ridgecourse.core.weights import NamedVersion
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.record_follower import GATEWAY_PACE, ReadPace, RecordFollower
@@ -33,13 +34,12 @@
 outage may return."""
 
 
-class ClusterView:
+class ClusterView(NamedVersions):
     """State read from the platform's store.
 
     Attributes:
         config: The newest configuration; None before the first is known.
-        version_seconds: Seconds from the naming of a version until it is required.
-        histories: The named versions of each model.
+        eras: Tracks returns of the store from older copies.
         targets: The list of targets.
         targets_loaded: Whether the list has been read.
         record_server: Serves the records to other processes.
@@ -58,14 +58,12 @@
         version_seconds: float,
         pace: ReadPace = GATEWAY_PACE,
     ) -> None:
+        super().__init__(events, version_seconds)
         self.decoder = decoder
-        self.events = events
         self.invalid_records = InvalidRecords(events)
         self.eras = EraWatch(events)
         self.config: RoutingConfig | None = None
-        self.version_seconds = version_seconds
         self.targets_pause = pace.targets_pause
-        self.histories: dict[ModelName, VersionHistory] = {}
         self.targets = TargetList()
         self.targets_loaded = False
         self.changed = Broadcast()
@@ -99,16 +97,6 @@
         )
         self.threads: list = []
 
-    def set_version_bound(self, seconds: float) -> None:
-        """Set the time from the naming of a version until it is required.
-
-        Args:
-            seconds: The time, in seconds.
-        """
-        self.version_seconds = seconds
-        for history in self.histories.values():
-            history.bound = seconds
-
     def start(self) -> None:
         """Start reading the store."""
         self.pinned_decisions.start()
@@ -327,30 +315,6 @@
             "level": topic_records.level,
         }
 
-    def apply_version_ages(self, ages: Iterable[VersionAge], asked_at: Seconds) -> None:
-        """Apply the ages of named versions that another process reported.
-
-        Args:
-            ages: The reported ages.
-            asked_at: When the process was asked; it computed the ages no earlier.
-        """
-        for version_age in ages:
-            named_at = Seconds(asked_at - version_age.age)
-            if self.history(version_age.model).record_naming_time(
-                version_age.version, named_at
-            ):
-                self.events.emit(
-                    EventKind.VERSION_DATED,
-                    version=str(version_age.version),
-                    model=version_age.model,
-                    age=round(boottime() - named_at, 2),
-                )
-
-    def version_ages(self) -> Iterator[VersionAge]:
-        """Yield the ages of the versions whose naming times are known."""
-        for model, history in self.histories.items():
-            yield from history.ages(model, boottime())
-
     def _record_outdated(self, record: KeyedRecord, version: int) -> None:
         """Record that a decision is no newer than the one in force."""
         self.events.emit(
@@ -378,16 +342,6 @@
         """Seconds since the store confirmed that there is no newer decision."""
         return self.record_server.topics[Topic.DECISIONS].age
 
-    def history(self, model: ModelName) -> VersionHistory:
-        """Return the named versions of a model."""
-        if model not in self.histories:
-            self.histories[model] = VersionHistory(self.version_seconds)
-        return self.histories[model]
-
-    def wanted_version(self, model: ModelName) -> WeightsVersion:
-        """Return the newest named version of a model, which is to be served."""
-        return self.history(model).newest
-
     # Targets.
 
     def apply_targets(self, batch: RecordBatch, is_snapshot: bool) -> None:
