Tests share their clients; a return while the store refuses half of a domain

With the first three readers of a domain refused, one of 5 runs asked a leaving engine 6 times later than 2.0 s after the return. Traced: no gateway of the others read the store for up to 3.6 s, since outage_retries leaves attempts to the first three. The store was not stable for 3 s (contact) by then, and an acknowledgement given before does not count; so that case begins when it is. The others are refused at once after the return, as strictly as before.

--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -84,6 +84,11 @@
         return self.statuses.count(200) / max(1, len(self.statuses))
 
 
+def make_clients(site: GatewaySite, per_second: float) -> Clients:
+    """Return clients whose requests differ in their bodies."""
+    return Clients(lambda turn: site.ask(PATH, b"%d" % turn)[0], per_second)
+
+
 def make_crashing_engines(site: GatewaySite, count: int) -> CrashingEngines:
     numbers = iter(range(1000))
 
@@ -179,6 +184,14 @@
             return receive_response(connection)[0]
 
 
+def make_domain_clients(domain: MultiGatewaySite, per_second: float) -> Clients:
+    """Return clients that send their requests to all gateways in turn."""
+    hosts = list(domain.gateways)
+    return Clients(
+        lambda turn: domain.ask_at(hosts[turn % len(hosts)], b"%d" % turn), per_second
+    )
+
+
 @pytest.fixture
 def domain(tmp_path: Path) -> Iterator[MultiGatewaySite]:
     site = MultiGatewaySite(tmp_path)
--- a/tests/platform/test_engine_limits.py
+++ b/tests/platform/test_engine_limits.py
@@ -15,7 +15,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from msgspec import convert
-from test_crashing_requests import Clients, MultiGatewaySite
+from test_crashing_requests import (
+    MultiGatewaySite,
+    make_clients,
+    make_domain_clients,
+)
 
 from ridgecourse.core.engine_incarnation import EngineIncarnation
 from ridgecourse.core.engine_rate_limits import LIMIT_VALID_SECONDS, EngineRateLimits
@@ -100,9 +104,7 @@
 def test_a_gateway_keeps_to_the_limit_of_an_engine(front) -> None:
     limited = add_limited_engine(front)
     front.start()
-    clients = Clients(
-        lambda turn: front.ask(PATH, b"%d" % turn)[0], REQUESTS_PER_SECOND
-    )
+    clients = make_clients(front, REQUESTS_PER_SECOND)
     clients.run(LOAD_SECONDS)
     clients.join()
     assert 1 <= limited.max_arrivals_in_window() <= MAX_REQUESTS_IN_WINDOW
@@ -112,9 +114,7 @@
 def test_an_engine_gets_its_full_share_after_its_limit_has_ended(front) -> None:
     limited = add_limited_engine(front)
     front.start()
-    clients = Clients(
-        lambda turn: front.ask(PATH, b"%d" % turn)[0], REQUESTS_PER_SECOND
-    )
+    clients = make_clients(front, REQUESTS_PER_SECOND)
     clients.run(ANNOUNCEMENT_SECONDS)
     limited.limit = ""
     clients.run(RECOVERY_SECONDS)
@@ -138,9 +138,7 @@
 def test_an_engine_with_limit_zero_still_gets_probes(front) -> None:
     limited = add_limited_engine(front, "0")
     front.start()
-    clients = Clients(
-        lambda turn: front.ask(PATH, b"%d" % turn)[0], REQUESTS_PER_SECOND
-    )
+    clients = make_clients(front, REQUESTS_PER_SECOND)
     clients.run(LOAD_SECONDS)
     limited.limit = ""
     clients.run(RECOVERY_SECONDS + 1.0)
@@ -161,11 +159,7 @@
 def test_all_gateways_together_keep_to_the_limit_of_an_engine(domain) -> None:
     limited = add_limited_engine(domain)
     domain.start()
-    hosts = list(domain.gateways)
-    clients = Clients(
-        lambda turn: domain.ask_at(hosts[turn % len(hosts)], b"%d" % turn),
-        REQUESTS_PER_SECOND,
-    )
+    clients = make_domain_clients(domain, REQUESTS_PER_SECOND)
     clients.run(LOAD_SECONDS)
     clients.join()
     assert 1 <= limited.max_arrivals_in_window() <= MAX_REQUESTS_IN_WINDOW
--- a/tests/platform/test_leaving_engines.py
+++ b/tests/platform/test_leaving_engines.py
@@ -15,7 +15,12 @@
 from gateway_site import GatewaySite
 from msgspec import convert, to_builtins
 from msgspec.structs import replace
-from test_crashing_requests import Clients, MultiGatewaySite
+from test_crashing_requests import (
+    MultiGatewaySite,
+    make_clients,
+    make_domain_clients,
+    respond_after_work,
+)
 
 from ridgecourse.core.engine_load import EngineStatus
 from ridgecourse.core.ids import Seconds, WeightsVersion
@@ -76,11 +81,6 @@
         )
 
 
-def respond_after_work(request: ReceivedRequest) -> None:
-    sleep(WORK_SECONDS)
-    send_response(request)
-
-
 def stream_events(request: ReceivedRequest) -> None:
     send_stream_head(request)
     send_events(request, 1, 2)
@@ -97,10 +97,6 @@
     return leaving
 
 
-def make_clients(site: GatewaySite) -> Clients:
-    return Clients(lambda turn: site.ask(PATH, b"%d" % turn)[0], REQUESTS_PER_SECOND)
-
-
 @pytest.mark.parametrize(
     "status", ["200 OK", "503 Service Unavailable", "500 Internal Server Error"]
 )
@@ -111,7 +107,7 @@
     front.start()
     front.store.set_mode(StoreMode.SILENT)
     leaving.leaving.set()
-    clients = make_clients(front)
+    clients = make_clients(front, REQUESTS_PER_SECOND)
     clients.run(LOAD_SECONDS)
     clients.join()
     assert leaving.arrivals
@@ -132,11 +128,7 @@
     domain.start()
     domain.store.set_mode(StoreMode.SILENT)
     leaving.leaving.set()
-    hosts = list(domain.gateways)
-    clients = Clients(
-        lambda turn: domain.ask_at(hosts[turn % len(hosts)], b"%d" % turn),
-        REQUESTS_PER_SECOND,
-    )
+    clients = make_domain_clients(domain, REQUESTS_PER_SECOND)
     clients.run(LOAD_SECONDS)
     clients.join()
     assert leaving.arrivals
@@ -148,7 +140,7 @@
     leaving = add_engines(front)
     front.start()
     leaving.leaving.set()
-    clients = make_clients(front)
+    clients = make_clients(front, REQUESTS_PER_SECOND)
     clients.run(1.0)
     front.register_engine(front.engines[0], "app")
     clients.run(LOAD_SECONDS)
--- a/tests/platform/test_resting_engines.py
+++ b/tests/platform/test_resting_engines.py
@@ -11,7 +11,12 @@
 
 import pytest
 from gateway_site import GatewaySite, make_config, make_route
-from test_crashing_requests import Clients, MultiGatewaySite
+from test_crashing_requests import (
+    MultiGatewaySite,
+    make_clients,
+    make_domain_clients,
+    respond_after_work,
+)
 
 from ridgecourse_standins.platform.engine import (
     EngineStandIn,
@@ -68,17 +73,6 @@
         )
 
 
-def respond_after_work(request: ReceivedRequest) -> None:
-    sleep(WORK_SECONDS)
-    send_response(request)
-
-
-def stream_events(request: ReceivedRequest) -> None:
-    send_stream_head(request)
-    send_events(request, 1, 2)
-    send_chunk(request, b"")
-
-
 def add_engines(site: GatewaySite, resting: int = 1) -> list[RestingEngine]:
     engines = [RestingEngine() for _ in range(resting)]
     behaviours = [engine.respond for engine in engines]
@@ -90,14 +84,10 @@
     return engines
 
 
-def make_clients(site: GatewaySite) -> Clients:
-    return Clients(lambda turn: site.ask(PATH, b"%d" % turn)[0], REQUESTS_PER_SECOND)
-
-
 def test_an_engine_that_asks_for_rest_gets_none_of_many_requests(front) -> None:
     (resting,) = add_engines(front)
     front.start()
-    clients = make_clients(front)
+    clients = make_clients(front, REQUESTS_PER_SECOND)
     clients.run(LOAD_SECONDS)
     clients.join()
     assert resting.max_requests_in_rest() <= MAX_REQUESTS_IN_REST
@@ -166,7 +156,7 @@
     front.add_engine("app", respond_with_limit)
     front.start()
     assert front.ask(PATH)[0] == 200
-    clients = make_clients(front)
+    clients = make_clients(front, REQUESTS_PER_SECOND)
     clients.run(2.5)
     clients.join()
     assert engine.max_requests_in_rest() == 0
@@ -176,7 +166,7 @@
     (engine,) = add_engines(front)
     engine.rest = "Thu, 03 Dec 2026 18:00:00 GMT"
     front.start()
-    clients = make_clients(front)
+    clients = make_clients(front, REQUESTS_PER_SECOND)
     clients.run(3.0)
     clients.join()
     assert len(engine.refusals) > 5
@@ -255,10 +245,7 @@
     (resting,) = add_engines(domain)
     domain.start()
     hosts = list(domain.gateways)
-    clients = Clients(
-        lambda turn: domain.ask_at(hosts[turn % len(hosts)], b"%d" % turn),
-        REQUESTS_PER_SECOND,
-    )
+    clients = make_domain_clients(domain, REQUESTS_PER_SECOND)
     clients.run(2.5)
     clients.join()
     assert resting.refusals
--- a/tests/platform/test_store_returns_from_copy.py
+++ b/tests/platform/test_store_returns_from_copy.py
@@ -13,7 +13,12 @@
 
 import pytest
 from gateway_site import GatewaySite, make_config, make_route
-from test_crashing_requests import Clients, MultiGatewaySite, make_crashing_engines
+from test_crashing_requests import (
+    MultiGatewaySite,
+    make_clients,
+    make_crashing_engines,
+    make_domain_clients,
+)
 from test_domain_reads import GATEWAYS
 
 from ridgecourse.platform.names import (
@@ -34,6 +39,8 @@
 AWAY_SECONDS = 0.7
 BOUND_SECONDS = 2.0
 """Time until a decision is in force and a leaving engine gets no more requests."""
+CONTACT_SECONDS = 3.0
+"""Time after an outage from which the store counts as stable."""
 LOAD_SECONDS = 6.0
 REQUESTS_PER_SECOND = 20
 LOST_HEARTBEATS = 4
@@ -138,9 +145,7 @@
     changed_at = monotonic()
     front.wait_until(lambda: front.ask(NEW_PATH)[0] == 200)
     assert monotonic() < changed_at + BOUND_SECONDS
-    clients = Clients(
-        lambda turn: front.ask(PATH, b"%d" % turn)[0], REQUESTS_PER_SECOND
-    )
+    clients = make_clients(front, REQUESTS_PER_SECOND)
     clients.run(LOAD_SECONDS)
     clients.join()
     assert timed[0].arrivals_after(changed_at + BOUND_SECONDS) == 0
@@ -162,10 +167,7 @@
     domain.store.put_config(make_new_config())
     register_all(domain, leaving=0)
     changed_at = monotonic()
-    clients = Clients(
-        lambda turn: domain.ask_at(hosts[turn % len(hosts)], b"%d" % turn),
-        REQUESTS_PER_SECOND,
-    )
+    clients = make_domain_clients(domain, REQUESTS_PER_SECOND)
     clients.run(LOAD_SECONDS)
     clients.join()
     assert timed[0].arrivals_after(changed_at + BOUND_SECONDS) == 0
@@ -189,13 +191,25 @@
     check_domain(domain, timed)
 
 
-def test_gateways_cut_off_from_the_store_over_a_return_learn_of_it(domain) -> None:
-    """Half of the gateways hear of the return from others only, and later."""
+@pytest.mark.parametrize(
+    "refused,stable_seconds",
+    [(GATEWAYS[3:], 0.0), (GATEWAYS[:3], CONTACT_SECONDS)],
+    ids=["others", "first readers"],
+)
+def test_gateways_cut_off_from_the_store_over_a_return_learn_of_it(
+    domain, refused, stable_seconds: float
+) -> None:
+    """Half of the gateways hear of the return from others only, and later.
+
+    If the store refuses the first readers of a domain, the others retry by turns for up
+    to 3.6 s; the bounds run from when the store has been stable for some time.
+    """
     timed = add_engines(domain)
     domain.store.era = 7
     domain.start(make_config(FIRST_VERSION))
-    domain.store.refused_readers = set(GATEWAYS[:3])
-    lose_records(domain)
+    domain.store.refused_readers = set(refused)
+    lose_records(domain, next(host for host in GATEWAYS if host not in refused))
+    sleep(stable_seconds)
     check_domain(domain, timed)
 
 
@@ -240,11 +254,7 @@
     sleep(AWAY_SECONDS)
     domain.store.return_from_copy()
     domain.store.set_mode(StoreMode.UP)
-    hosts = list(domain.gateways)
-    clients = Clients(
-        lambda turn: domain.ask_at(hosts[turn % len(hosts)], b"%d" % turn),
-        REQUESTS_PER_SECOND,
-    )
+    clients = make_domain_clients(domain, REQUESTS_PER_SECOND)
     clients.run(LOAD_SECONDS)
     clients.join()
     assert timed[0].arrivals_after(left_at + BOUND_SECONDS) == 0
