Words of targets over several returns of the store, in any order

A state machine of a store that returns from copies found three more ways in which an engine was offered after its last word that was heard: a removal that a later copy holds took the place of one that the copy lost; a removal of an earlier era, heard again, undid a later entry of that era; and an entry of the new era that says that the engine leaves was dropped with what a copy lists of a target that is gone. A target's history now keeps the newest offset of the eras before its listed entry, and the newest word that it leaves.

--- a/src/ridgecourse/core/target_list.py
+++ b/src/ridgecourse/core/target_list.py
@@ -21,7 +21,7 @@
     TargetId,
     WeightsVersion,
 )
-from ridgecourse.core.offsets import may_be_outdated
+from ridgecourse.core.offsets import era_of, may_be_outdated
 
 RETURN_SECONDS = 2.0
 """Time for which removed targets are kept after an outage of the store. The platform
@@ -130,12 +130,15 @@
         removed_offset: Offset of the newest removal.
         leaving_offset: Offset of the newest entry of the latest incarnation that says
             that it leaves.
+        earlier_offset: Offset of the newest record of an era before that of the listed
+            entry.
     """
 
     started: EngineStart | None = None
     listed_offset: int = -1
     removed_offset: int = -1
     leaving_offset: int = -1
+    earlier_offset: int = -1
 
 
 class TargetList:
@@ -203,7 +206,14 @@
     def _apply_removal(
         self, record: TargetRecord, history: TargetHistory, now: Seconds
     ) -> None:
-        if may_be_outdated(history.listed_offset, record.offset, self.copied_end):
+        if self._is_gone(record.target, history) and may_be_outdated(
+            record.offset, history.removed_offset, self.copied_end
+        ):
+            # The known removal may be newer, and is to outlast the copy.
+            return
+        if record.offset > history.earlier_offset and may_be_outdated(
+            history.listed_offset, record.offset, self.copied_end
+        ):
             # The listed entry is a copy from before the removal.
             history.listed_offset = -1
         if record.offset <= max(history.removed_offset, history.listed_offset):
@@ -217,28 +227,27 @@
     ) -> None:
         if starts_before(entry.started, history.started):
             return
-        if starts_before(history.started, entry.started):
+        has_restarted = starts_before(history.started, entry.started)
+        if has_restarted:
             # The listed entry belongs to an earlier incarnation, which has ended.
             history.listed_offset = history.leaving_offset = -1
             self.drop(record.target)
-        elif self._is_gone(record.target, history) and may_be_outdated(
-            record.offset,
-            max(history.removed_offset, history.listed_offset),
-            self.copied_end,
-        ):
+        if entry.leaving:
+            history.leaving_offset = max(history.leaving_offset, record.offset)
+        known_offset = max(history.removed_offset, history.listed_offset)
+        is_gone = self._is_gone(record.target, history) and not has_restarted
+        if is_gone and may_be_outdated(record.offset, known_offset, self.copied_end):
             return
         if entry.started is not None:
             history.started = entry.started
-        if entry.leaving:
-            history.leaving_offset = max(history.leaving_offset, record.offset)
-        if record.offset > max(history.removed_offset, history.listed_offset):
+        if record.offset > known_offset:
+            if era_of(record.offset) > era_of(known_offset):
+                history.earlier_offset = known_offset
             history.listed_offset = record.offset
             self.targets[record.target] = entry
             self.removed.pop(record.target, None)
         listed = self.targets.get(record.target)
-        if listed is not None and may_be_outdated(
-            history.listed_offset, history.leaving_offset, self.copied_end
-        ):
+        if listed is not None and self._has_left_since(history):
             self.targets[record.target] = replace(listed, leaving=True)
 
     def _is_gone(self, target: TargetId, history: TargetHistory) -> bool:
@@ -246,6 +255,14 @@
         has_removal = history.removed_offset > history.listed_offset
         return target not in self.targets or has_removal
 
+    def _has_left_since(self, history: TargetHistory) -> bool:
+        """Check whether a target has said that it leaves after its listed entry."""
+        if history.leaving_offset > history.listed_offset:
+            return True
+        return may_be_outdated(
+            history.listed_offset, history.leaving_offset, self.copied_end
+        )
+
     def _forget_unlisted(self) -> None:
         """Drop the histories of the unlisted targets, except the most recent ones."""
         unlisted = [target for target in self.histories if target not in self.targets]
