A gateway imports no more modules than before

test_program_imports found 422 of at most 415 modules at a gateway: seven are new. What starts late after a kill serves late, so the bound stays. Paths of the platform's programs are texts, which saves pathlib and two modules that it loads; offsets stand with the other ids, the age of an answer with the interface of the store, frames of chunks with their server, and named versions with the histories that they hold. No behaviour changes.

--- a/src/ridgecourse/cluster/domain_source.py
+++ b/src/ridgecourse/cluster/domain_source.py
@@ -27,8 +27,7 @@
 )
 from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.hubs import make_seed_addresses
-from ridgecourse.core.ids import DomainName, Offset
-from ridgecourse.core.offsets import era_of
+from ridgecourse.core.ids import DomainName, Offset, era_of
 from ridgecourse.core.read_tree import choose_seed, count_readers
 from ridgecourse.core.site import Site
 from ridgecourse.net.clock import boottime
--- a/src/ridgecourse/cluster/era_watch.py
+++ b/src/ridgecourse/cluster/era_watch.py
@@ -5,8 +5,7 @@
 from msgspec import Struct
 
 from ridgecourse.cluster.record_server import TopicRecords
-from ridgecourse.core.ids import Seconds
-from ridgecourse.core.offsets import era_of, index_of
+from ridgecourse.core.ids import Seconds, era_of, index_of
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.record_source import RecordBatch, Topic
--- a/src/ridgecourse/cluster/pinned_decisions.py
+++ b/src/ridgecourse/cluster/pinned_decisions.py
@@ -14,8 +14,7 @@
 from msgspec.structs import replace
 
 from ridgecourse.cluster.decoder import RecordDecoder
-from ridgecourse.core.ids import Offset
-from ridgecourse.core.offsets import index_of
+from ridgecourse.core.ids import Offset, index_of
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.record_source import (
--- a/src/ridgecourse/cluster/record_server.py
+++ b/src/ridgecourse/cluster/record_server.py
@@ -6,8 +6,7 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from ridgecourse.core.ids import Offset, Seconds
-from ridgecourse.core.offsets import era_of, may_be_outdated
+from ridgecourse.core.ids import Offset, Seconds, era_of, may_be_outdated
 from ridgecourse.core.target_list import ListedTarget, TargetRecord
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
--- a/src/ridgecourse/cluster/relay.py
+++ b/src/ridgecourse/cluster/relay.py
@@ -11,7 +11,7 @@
 
 from ridgecourse.cluster.peer_records import fetch_records, to_batch
 from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.offsets import index_of
+from ridgecourse.core.ids import index_of
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.record_source import SourceUnavailable, Topic
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -8,16 +8,14 @@
 from ridgecourse.cluster.decoder import RecordDecoder
 from ridgecourse.cluster.era_watch import EraWatch
 from ridgecourse.cluster.invalid_records import InvalidRecords
-from ridgecourse.cluster.named_versions import NamedVersions
 from ridgecourse.cluster.pinned_decisions import PinnedDecisionSource
 from ridgecourse.cluster.record_server import RecordServer, TargetChangeFilter
 from ridgecourse.cluster.target_events import emit_target_events
-from ridgecourse.core.ids import Offset, Seconds, ServiceName
-from ridgecourse.core.offsets import index_of
+from ridgecourse.core.ids import Offset, Seconds, ServiceName, index_of
 from ridgecourse.core.problem import Problem
 from ridgecourse.core.routes import RoutingConfig
 from ridgecourse.core.target_list import ListedTarget, TargetList, TargetRecord
-from ridgecourse.core.weights import NamedVersion
+from ridgecourse.core.weights import NamedVersion, NamedVersions, VersionAge
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.record_follower import GATEWAY_PACE, ReadPace, RecordFollower
@@ -58,7 +56,8 @@
         version_seconds: float,
         pace: ReadPace = GATEWAY_PACE,
     ) -> None:
-        super().__init__(events, version_seconds)
+        super().__init__(version_seconds)
+        self.events = events
         self.decoder = decoder
         self.invalid_records = InvalidRecords(events)
         self.eras = EraWatch(events)
@@ -315,6 +314,30 @@
             "level": topic_records.level,
         }
 
+    def apply_version_ages(self, ages: Iterable[VersionAge], asked_at: Seconds) -> None:
+        """Apply the ages of named versions that another process reported.
+
+        Args:
+            ages: The reported ages.
+            asked_at: When the process was asked; it computed the ages no earlier.
+        """
+        for version_age in ages:
+            named_at = Seconds(asked_at - version_age.age)
+            if self.history(version_age.model).record_naming_time(
+                version_age.version, named_at
+            ):
+                self.events.emit(
+                    EventKind.VERSION_DATED,
+                    version=str(version_age.version),
+                    model=version_age.model,
+                    age=round(boottime() - named_at, 2),
+                )
+
+    def version_ages(self) -> Iterator[VersionAge]:
+        """Yield the ages of the versions whose naming times are known."""
+        for model, history in self.histories.items():
+            yield from history.ages(model, boottime())
+
     def _record_outdated(self, record: KeyedRecord, version: int) -> None:
         """Record that a decision is no newer than the one in force."""
         self.events.emit(
--- a/src/ridgecourse/core/manifest.py
+++ b/src/ridgecourse/core/manifest.py
@@ -1,7 +1,6 @@
 """Manifests: the files and chunks of one version of a model."""
 
 from collections.abc import Iterator
-from pathlib import PurePosixPath
 from typing import NamedTuple
 
 from blake3 import blake3
@@ -143,8 +142,8 @@
 def _find_file_problems(
     location: str, entry: FileEntry, chunk_size: int
 ) -> Iterator[Problem]:
-    path = PurePosixPath(entry.path)
-    if path.is_absolute() or ".." in path.parts or not path.parts:
+    parts = [part for part in entry.path.split("/") if part not in ("", ".")]
+    if entry.path.startswith("/") or ".." in parts or not parts:
         yield Problem(location, f"path {entry.path!r} must be relative, without '..'")
     if entry.size < 0:
         yield Problem(location, f"size is {entry.size}, expected 0 or more")
--- a/src/ridgecourse/core/target_list.py
+++ b/src/ridgecourse/core/target_list.py
@@ -20,8 +20,9 @@
     ServiceName,
     TargetId,
     WeightsVersion,
+    era_of,
+    may_be_outdated,
 )
-from ridgecourse.core.offsets import era_of, may_be_outdated
 
 RETURN_SECONDS = 2.0
 """Time for which removed targets are kept after an outage of the store. The platform
@@ -157,7 +158,7 @@
         histories: History of each target, listed or not.
         copied_end: Entries of the latest era of the store before this offset do not
             take back what a target said in earlier eras; see
-            ``core.offsets.may_be_outdated``.
+            ``core.ids.may_be_outdated``.
     """
 
     def __init__(self) -> None:
--- a/src/ridgecourse/core/weights.py
+++ b/src/ridgecourse/core/weights.py
@@ -235,3 +235,36 @@
     if notice.time_source is NamingTimeSource.REPORTED:
         return reported_at < notice.named_at - NAMING_TIME_TOLERANCE_SECONDS
     return notice.time_source is NamingTimeSource.UNKNOWN
+
+
+class NamedVersions:
+    """The named versions of all models.
+
+    Attributes:
+        version_seconds: Seconds from the naming of a version until it is required.
+        histories: Named versions of each model.
+    """
+
+    def __init__(self, version_seconds: float) -> None:
+        self.version_seconds = version_seconds
+        self.histories: dict[ModelName, VersionHistory] = {}
+
+    def set_version_bound(self, seconds: float) -> None:
+        """Set the time from the naming of a version until it is required.
+
+        Args:
+            seconds: The time, in seconds.
+        """
+        self.version_seconds = seconds
+        for history in self.histories.values():
+            history.bound = seconds
+
+    def history(self, model: ModelName) -> VersionHistory:
+        """Return the named versions of a model."""
+        if model not in self.histories:
+            self.histories[model] = VersionHistory(self.version_seconds)
+        return self.histories[model]
+
+    def wanted_version(self, model: ModelName) -> WeightsVersion:
+        """Return the newest named version of a model, which is to be served."""
+        return self.history(model).newest
--- a/src/ridgecourse/exchange/server.py
+++ b/src/ridgecourse/exchange/server.py
@@ -6,8 +6,8 @@
 import eventlet
 
 from ridgecourse.core.ids import ChunkDigest, RootDigest
+from ridgecourse.core.manifest import DIGEST_HEX_LENGTH
 from ridgecourse.exchange.context import ExchangeContext
-from ridgecourse.exchange.frames import TICKET_HEADER, frame_header
 from ridgecourse.exchange.holding import Holding
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
@@ -19,6 +19,11 @@
 CHUNK_PATH = "/chunks/"
 MANIFEST_PATH = "/manifests/"
 ENGINE_PATH = "/engine/"
+TICKET_HEADER = "Ridgecourse-Ticket"
+"""Request header: the ticket with which an engine fetches the version that it was
+ordered to load."""
+FRAME_HEADER_BYTES = DIGEST_HEX_LENGTH + 8
+"""Size of a frame header: hexadecimal digest and 8 bytes of length."""
 DOMAIN_HEADER = "Ridgecourse-Domain"
 """Request header: failure domain of the requester."""
 RATE_HEADER = "Ridgecourse-Rate"
@@ -266,3 +271,8 @@
             elif not holding.changed.wait(1.0):
                 # Keepalive, which also detects a follower that disconnected.
                 channel.send(HeldChunks(holding.root, []))
+
+
+def frame_header(digest: ChunkDigest, length: int) -> bytes:
+    """Return the header that precedes a chunk's bytes in the stream to an engine."""
+    return digest.encode() + length.to_bytes(8, "big")
--- a/src/ridgecourse/net/record_source.py
+++ b/src/ridgecourse/net/record_source.py
@@ -49,7 +49,7 @@
         records: The records, in order of their offsets.
         end: Offset at which to continue reading.
         confirmed_at: Earliest time at which the store may have written the answer; see
-            ``core.answer_time``.
+            ``confirmed_at``.
         remaining_records: Number of records in the topic after ``end``.
         earliest_written_at: Time before which none of the records was written. None
             stands for the last time at which the store confirmed the data without these
@@ -65,7 +65,7 @@
         skipped_from: Offset of the first record that was skipped in favour of the
             newest records; None if none was skipped.
         copied_end: Records of the latest era before this offset may be older than
-            removals of earlier eras; see ``core.offsets.may_be_outdated``.
+            removals of earlier eras; see ``core.ids.may_be_outdated``.
     """
 
     records: Sequence[KeyedRecord]
@@ -146,3 +146,23 @@
             SourceUnavailable: The store gave no usable answer; the record may or may
                 not be written, at once or later.
         """
+
+
+def confirmed_at(
+    asked_at: Seconds, answered_at: Seconds, wait: float, is_empty: bool
+) -> Seconds:
+    """Return the earliest time at which the store may have written an answer.
+
+    On a link that a large configuration saturates, an answer takes a second or more. A
+    time measured from its arrival is too late by the whole network delay, and so is
+    every bound derived from it.
+
+    Args:
+        asked_at: When the request was sent to the store.
+        answered_at: When the answer arrived.
+        wait: Seconds for which the store was asked to wait for a first record.
+        is_empty: Whether the answer contains no record. If the store waited for the
+            whole period, there was no record until its end.
+    """
+    waited_out = is_empty and answered_at - asked_at >= wait
+    return Seconds(asked_at + wait) if waited_out else asked_at
--- a/src/ridgecourse/platform/process.py
+++ b/src/ridgecourse/platform/process.py
@@ -4,7 +4,6 @@
 import sys
 from argparse import ArgumentParser
 from collections.abc import Callable
-from pathlib import Path
 
 from returns.result import Failure
 
@@ -48,7 +47,7 @@
     parser.add_argument("--log-level", default="info", help="default: info")
     parser.add_argument("--version", action="version", version=__version__)
     options = parser.parse_args(arguments)
-    settings = SettingsFile(Path(options.settings))
+    settings = SettingsFile(options.settings)
     loaded = settings.read()
     if isinstance(loaded, Failure):
         print(render_problems(loaded.failure()), file=sys.stderr)
--- a/src/ridgecourse/platform/record_encoding.py
+++ b/src/ridgecourse/platform/record_encoding.py
@@ -12,8 +12,7 @@
 from msgspec import DecodeError, Meta, Raw, Struct, field
 from msgspec.json import decode
 
-from ridgecourse.core.ids import Offset
-from ridgecourse.core.offsets import MAX_INDEX, era_of, make_offset
+from ridgecourse.core.ids import MAX_INDEX, Offset, era_of, make_offset
 from ridgecourse.net.record_source import KeyedRecord, SourceUnavailable
 
 NO_KEY = ""
--- a/src/ridgecourse/platform/settings.py
+++ b/src/ridgecourse/platform/settings.py
@@ -6,7 +6,6 @@
 
 import logging
 from collections.abc import Iterator
-from pathlib import Path
 from typing import Any
 
 from msgspec import DecodeError, Struct, ValidationError, convert, field
@@ -124,14 +123,14 @@
         content: Content of the file at the last read; None before the first read.
     """
 
-    def __init__(self, path: Path) -> None:
+    def __init__(self, path: str) -> None:
         self.path = path
         self.content: bytes | None = None
 
     def has_changed(self) -> bool:
         """Check whether the file's content differs from the last read."""
         try:
-            return self.path.read_bytes() != self.content
+            return read_file(self.path) != self.content
         except OSError as error:
             # The file is being replaced; the next poll reads the new one.
             logger.debug("settings file %s cannot be read: %s", self.path, error)
@@ -144,21 +143,31 @@
             The settings, or all problems of the file.
         """
         try:
-            self.content = self.path.read_bytes()
+            self.content = read_file(self.path)
         except OSError as error:
-            return Failure((Problem(str(self.path), f"cannot be read: {error}"),))
+            return Failure((Problem(self.path, f"cannot be read: {error}"),))
         return parse_site(self.content, self.path)
 
 
-def parse_site(content: bytes, path: Path) -> Result[Site, Problems]:
+def read_file(path: str) -> bytes:
+    """Return the content of a file.
+
+    Raises:
+        OSError: The file cannot be read.
+    """
+    with open(path, "rb") as file:
+        return file.read()
+
+
+def parse_site(content: bytes, path: str) -> Result[Site, Problems]:
     """Return the settings in a file's content, or all problems of the content."""
     try:
         raw = decode(content)
     except DecodeError as error:
-        return Failure((Problem(str(path), f"cannot be read: {error}"),))
+        return Failure((Problem(path, f"cannot be read: {error}"),))
     if not isinstance(raw, dict):
-        return Failure((Problem(str(path), "expected an object"),))
-    problems = tuple(find_problems(raw, SiteFields, str(path)))
+        return Failure((Problem(path, "expected an object"),))
+    problems = tuple(find_problems(raw, SiteFields, path))
     if problems:
         return Failure(problems)
     return Success(make_site(convert(raw, SiteFields)))
--- a/src/ridgecourse/platform/store.py
+++ b/src/ridgecourse/platform/store.py
@@ -12,10 +12,10 @@
 from msgspec import DecodeError, Raw
 from msgspec.json import decode
 
-from ridgecourse.core.answer_time import confirmed_at
-from ridgecourse.core.ids import Offset, Seconds
-from ridgecourse.core.offsets import (
+from ridgecourse.core.ids import (
     MAX_ERA,
+    Offset,
+    Seconds,
     era_of,
     index_of,
     make_offset,
@@ -30,6 +30,7 @@
     RecordSource,
     SourceUnavailable,
     Topic,
+    confirmed_at,
 )
 from ridgecourse.platform.names import (
     BLOCKED_TOPIC,
--- a/src/ridgecourse_standins/engine.py
+++ b/src/ridgecourse_standins/engine.py
@@ -18,7 +18,7 @@
 from ridgecourse.net.threads import Broadcast
 from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
-from ridgecourse.exchange.frames import FRAME_HEADER_BYTES, TICKET_HEADER
+from ridgecourse.exchange.server import FRAME_HEADER_BYTES, TICKET_HEADER
 from ridgecourse.native.engine import (
     LOAD_SECONDS,
     ActivateOrder,
--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -18,10 +18,14 @@
 
 from ridgecourse.cluster.era_watch import REWRITE_SECONDS
 from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.ids import ModelName, Offset, Seconds, ServiceName, WeightsVersion
-from ridgecourse.core.offsets import (
+from ridgecourse.core.ids import (
     MAX_ERA,
     MAX_INDEX,
+    ModelName,
+    Offset,
+    Seconds,
+    ServiceName,
+    WeightsVersion,
     era_of,
     index_of,
     make_offset,
--- a/tests/platform/test_target_list_eras.py
+++ b/tests/platform/test_target_list_eras.py
@@ -18,8 +18,8 @@
     Seconds,
     ServiceName,
     TargetId,
+    make_offset,
 )
-from ridgecourse.core.offsets import make_offset
 from ridgecourse.core.target_list import ListedTarget, TargetList, TargetRecord
 
 NOW = Seconds(100.0)
