--- a/tests/platform/test_engine_limits.py
+++ b/tests/platform/test_engine_limits.py
@@ -33,7 +33,6 @@
 )
 from ridgecourse.platform.settings import SiteFields, make_site
 from ridgecourse_standins.platform.engine import (
-    EngineStandIn,
     ReceivedRequest,
     send_response,
 )
@@ -94,10 +93,7 @@
 def add_limited_engine(site: GatewaySite, limit: str = str(LIMIT)) -> LimitedEngine:
     limited = LimitedEngine(limit)
     for behaviour in (limited.respond_with_limit, respond_after_work):
-        engine = EngineStandIn(behaviour)
-        engine.start()
-        site.engines.append(engine)
-        site.register_engine(engine, "app")
+        site.add_engine("app", behaviour)
     return limited
 
 
--- a/tests/platform/test_leaving_engines.py
+++ b/tests/platform/test_leaving_engines.py
@@ -52,23 +52,22 @@
         leaving: Set once the engine leaves.
         told_at: Time of the first answer that said so.
         arrivals: Time at which each request arrived.
-        statuses: Status of the answers, in turn.
+        status: Status of the answers.
     """
 
-    def __init__(self, *statuses: str) -> None:
+    def __init__(self, status: str = "200 OK") -> None:
         self.leaving = Event()
         self.told_at: float | None = None
         self.arrivals: list[float] = []
-        self.statuses = statuses or ("200 OK",)
+        self.status = status
 
     def respond(self, request: ReceivedRequest) -> None:
         self.arrivals.append(monotonic())
         sleep(WORK_SECONDS)
-        status = self.statuses[len(self.arrivals) % len(self.statuses)]
         extra = (LEAVING,) if self.leaving.is_set() else ()
-        if status.startswith("503"):
+        if self.status.startswith("503"):
             extra = (*extra, "Not-Executed: 1")
-        send_response(request, status=status, extra=extra)
+        send_response(request, status=self.status, extra=extra)
         if extra and self.told_at is None:
             self.told_at = monotonic()
 
@@ -87,13 +86,10 @@
     send_chunk(request, b"")
 
 
-def add_engines(site: GatewaySite, *statuses: str) -> LeavingEngine:
-    leaving = LeavingEngine(*statuses)
+def add_engines(site: GatewaySite, status: str = "200 OK") -> LeavingEngine:
+    leaving = LeavingEngine(status)
     for behaviour in (leaving.respond, respond_after_work, respond_after_work):
-        engine = EngineStandIn(behaviour)
-        engine.start()
-        site.engines.append(engine)
-        site.register_engine(engine, "app")
+        site.add_engine("app", behaviour)
     return leaving
 
 
--- a/tests/platform/test_resting_engines.py
+++ b/tests/platform/test_resting_engines.py
@@ -77,10 +77,7 @@
     engines = [RestingEngine() for _ in range(resting)]
     behaviours = [engine.respond for engine in engines]
     for behaviour in [*behaviours, *[respond_after_work] * (3 - resting)]:
-        engine = EngineStandIn(behaviour)
-        engine.start()
-        site.engines.append(engine)
-        site.register_engine(engine, "app")
+        site.add_engine("app", behaviour)
     return engines
 
 
--- a/tests/platform/test_store_returns_from_copy.py
+++ b/tests/platform/test_store_returns_from_copy.py
@@ -14,6 +14,7 @@
 import pytest
 from gateway_site import GatewaySite, make_config, make_route
 from test_crashing_requests import (
+    Clients,
     MultiGatewaySite,
     make_clients,
     make_crashing_engines,
@@ -28,7 +29,6 @@
 )
 from ridgecourse_standins.platform.crashing_engines import CRASH_BODY
 from ridgecourse_standins.platform.engine import (
-    EngineStandIn,
     ReceivedRequest,
     send_response,
 )
@@ -70,11 +70,8 @@
 
 def add_engines(site: GatewaySite) -> list[TimedEngine]:
     timed = [TimedEngine() for _ in range(3)]
-    for behaviour in timed:
-        engine = EngineStandIn(behaviour.respond)
-        engine.start()
-        site.engines.append(engine)
-    register_all(site)
+    for number, behaviour in enumerate(timed):
+        site.add_engine("app", behaviour.respond, f"i-app-{number}")
     return timed
 
 
@@ -84,8 +81,8 @@
         site.register_engine(engine, "app", f"i-app-{number}", state)
 
 
-def make_new_config(version: int = NEW_VERSION) -> dict[str, Any]:
-    config = make_config(version)
+def make_new_config() -> dict[str, Any]:
+    config = make_config(NEW_VERSION)
     config["routes"].append(make_route("/fresh/", "safe", "app"))
     return config
 
@@ -129,6 +126,14 @@
         store.write_again(topic, lost[topic])
 
 
+def check_clients(clients: Clients, leaving: TimedEngine, left_at: float) -> None:
+    """Check that all clients are served, and none late by an engine that has left."""
+    clients.run(LOAD_SECONDS)
+    clients.join()
+    assert leaving.arrivals_after(left_at + BOUND_SECONDS) == 0
+    assert clients.served_share == 1.0
+
+
 @pytest.mark.parametrize("writes_again", [True, False])
 def test_decisions_and_leaving_engines_are_known_in_time_after_a_return(
     front, writes_again: bool
@@ -145,11 +150,7 @@
     changed_at = monotonic()
     front.wait_until(lambda: front.ask(NEW_PATH)[0] == 200)
     assert monotonic() < changed_at + BOUND_SECONDS
-    clients = make_clients(front, REQUESTS_PER_SECOND)
-    clients.run(LOAD_SECONDS)
-    clients.join()
-    assert timed[0].arrivals_after(changed_at + BOUND_SECONDS) == 0
-    assert clients.served_share == 1.0
+    check_clients(make_clients(front, REQUESTS_PER_SECOND), timed[0], changed_at)
     event = front.gateway.wait_event("store-rewound")
     assert (event["detail"]["era_before"], event["detail"]["era"]) == (7, 8)
 
@@ -163,16 +164,13 @@
 
 def check_domain(domain: MultiGatewaySite, timed: list[TimedEngine]) -> None:
     """Check all gateways after a change of configuration and a leaving engine."""
-    hosts = list(domain.gateways)
     domain.store.put_config(make_new_config())
     register_all(domain, leaving=0)
     changed_at = monotonic()
-    clients = make_domain_clients(domain, REQUESTS_PER_SECOND)
-    clients.run(LOAD_SECONDS)
-    clients.join()
-    assert timed[0].arrivals_after(changed_at + BOUND_SECONDS) == 0
-    assert clients.served_share == 1.0
-    for host in hosts:
+    check_clients(
+        make_domain_clients(domain, REQUESTS_PER_SECOND), timed[0], changed_at
+    )
+    for host in domain.gateways:
         event = domain.processes[host].wait_event(
             "config-folded", version=str(NEW_VERSION), seconds=1.0
         )
@@ -254,11 +252,7 @@
     sleep(AWAY_SECONDS)
     domain.store.return_from_copy()
     domain.store.set_mode(StoreMode.UP)
-    clients = make_domain_clients(domain, REQUESTS_PER_SECOND)
-    clients.run(LOAD_SECONDS)
-    clients.join()
-    assert timed[0].arrivals_after(left_at + BOUND_SECONDS) == 0
-    assert clients.served_share == 1.0
+    check_clients(make_domain_clients(domain, REQUESTS_PER_SECOND), timed[0], left_at)
 
 
 def test_several_returns_in_a_row_are_followed(front) -> None:
