The end of an outage counts before the reader of decisions starts again

As before the return of the store had its own step: a restart may switch to other green threads, and they would have removed targets that return.

--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -125,12 +125,12 @@
         restarted, because each answer that is requested again delays all others on the
         link.
         """
+        self._record_return(boottime())
         self.events.emit(
             EventKind.LOG_BACK, topic="targets", away=round(outage_seconds, 2)
         )
         if self.decisions_reader.unavailable_since is None:
             self.decisions_reader.restart()
-        self._record_return(boottime())
 
     def _record_return(self, now: Seconds) -> None:
         """Keep removed targets until those that return have been read."""
