--- a/src/ridgecourse/core/ids.py
+++ b/src/ridgecourse/core/ids.py
@@ -62,6 +62,11 @@
     return max(0, offset) >> INDEX_BITS
 
 
+def index_of(offset: int) -> int:
+    """Return the number of a record in its topic."""
+    return max(0, offset) & MAX_INDEX
+
+
 def may_be_outdated(recorded: int, known: int, copied_end: int) -> bool:
     """Check whether a record of a later era may be older than a known one.
 
@@ -71,8 +76,3 @@
         copied_end: End of the topic at its first full read in the latest era.
     """
     return 0 <= known and era_of(known) < era_of(recorded) and recorded < copied_end
-
-
-def index_of(offset: int) -> int:
-    """Return the number of a record in its topic."""
-    return max(0, offset) & MAX_INDEX
--- a/src/ridgecourse/gateway/announcement_watch.py
+++ b/src/ridgecourse/gateway/announcement_watch.py
@@ -81,6 +81,10 @@
         bound = self.site.bounds.leaving_seconds - ARRIVAL_SECONDS
         return leaving is None or leaving < bound
 
+    def record_send(self, incarnation: EngineIncarnation) -> None:
+        """Record that a request is sent to an engine, at once or after its hold."""
+        self.limit_watch.limits.record_send(incarnation, boottime())
+
     def rest_left(self, incarnation: EngineIncarnation) -> float:
         """Return for how many seconds an engine wants no requests."""
         now = boottime()
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -256,12 +256,12 @@
     def _wait_for_limit(
         self, routed: RoutedRequest, choice: Choice, incarnation: EngineIncarnation
     ) -> None:
-        """Wait until a target with a rate limit may get a request.
+        """Wait until the rate limit and the rest of a target allow a request.
 
         Raises:
             CallerGone: The client disconnected meanwhile.
         """
-        self.announcements.limit_watch.limits.record_send(incarnation, boottime())
+        self.announcements.record_send(incarnation)
         if choice.hold:
             eventlet.sleep(choice.hold)
             if routed.is_abandoned():
