Hard conditions on targets stand in one place, core/eligibility

Cause: TargetSelector.choose mixed conditions that must hold (tried, leaving, weights, rest, rate limit) with preferences, and the sender had its own copy of two of them. A further condition would have had to be added in three places.

Change: core/eligibility has ExclusionReason, Exclusion, Constraint, Eligibility and ExclusionSummary. gateway/constraints.py has today's constraints; make_eligibility is the one place where constraints are listed. The selector filters by it, and the sender checks the same constraints before connecting and before writing. Constraints that nothing calls for are not evaluated. A refusal carries reasons and counts in its event and in metrics.

Sites behave as before with one difference: a refusal for lack of an eligible target takes its Retry-After from the earliest known time of all exclusions. Where some targets rest and others lack weights, it was the default delay in one of two paths.

Changed tests: test_known_incarnations calls choose with TargetRequirements and checks the reason of the exclusion instead of None. A target held too long is now excluded (RATE_LIMIT) and no longer returned as a choice not to be used.

--- a/src/ridgecourse/gateway/announcement_watch.py
+++ b/src/ridgecourse/gateway/announcement_watch.py
@@ -2,12 +2,9 @@
 
 from collections.abc import Container
 
-from msgspec import Struct
-
 from ridgecourse.core.engine_announcements import EngineAnnouncements
 from ridgecourse.core.engine_incarnation import EngineIncarnation
 from ridgecourse.core.ids import Seconds, TargetId
-from ridgecourse.core.outcome import Reason
 from ridgecourse.core.site import Site
 from ridgecourse.gateway.gateway_link import GatewayLink
 from ridgecourse.gateway.limit_watch import LimitWatch
@@ -67,6 +64,10 @@
         if head.bad_announcements:
             self._record_unreadable(incarnation, head)
 
+    def has_announcements(self) -> bool:
+        """Check whether any engine has announced that it leaves or rests."""
+        return bool(self.announcements.states.incarnations)
+
     def is_leaving(self, incarnation: EngineIncarnation) -> bool:
         """Check whether an engine has announced that it leaves."""
         now = boottime()
@@ -141,27 +142,3 @@
             for incarnation in self.unreadable
             if incarnation.target in listed
         }
-
-
-class AttemptAnnouncements(Struct, frozen=True):
-    """The announcements of the engine that gets one attempt of a request.
-
-    Attributes:
-        watch: Tracks the announcements of all engines.
-        incarnation: Incarnation of the engine.
-    """
-
-    watch: AnnouncementWatch
-    incarnation: EngineIncarnation
-
-    def refusal(self) -> Reason | None:
-        """Return why the engine must not get the request; None if it may."""
-        if not self.watch.accepts_requests(self.incarnation):
-            return Reason.LEAVING
-        if self.watch.rest_left(self.incarnation) > 0:
-            return Reason.OVERLOADED
-        return None
-
-    def record(self, head: AnswerHead) -> None:
-        """Record the announcements in the head of the answer."""
-        self.watch.record_answer(self.incarnation, head)
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -1,6 +1,6 @@
 """Send requests to targets within the attempt limit, retry budget and deadline."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from random import Random
 from typing import Any
 
@@ -11,6 +11,11 @@
 from ridgecourse.core.crash_reports import (
     Flight,
 )
+from ridgecourse.core.eligibility import (
+    Exclusion,
+    ExclusionSummary,
+    TargetRequirements,
+)
 from ridgecourse.core.engine_incarnation import EngineIncarnation
 from ridgecourse.core.engine_load import PendingRequest
 from ridgecourse.core.ids import Seconds, ServiceName
@@ -19,14 +24,12 @@
 from ridgecourse.core.placement import FIRST_EVENT_SECONDS
 from ridgecourse.core.recent_peak import RecentPeak
 from ridgecourse.core.retry import RetryBudget, return_delay_seconds
-from ridgecourse.core.routes import Service
 from ridgecourse.core.site import Site
 from ridgecourse.core.target_list import ListedTarget
 from ridgecourse.core.target_states import TargetHealth
-from ridgecourse.gateway.announcement_watch import (
-    AnnouncementWatch,
-    AttemptAnnouncements,
-)
+from ridgecourse.gateway.announcement_watch import AnnouncementWatch
+from ridgecourse.gateway.attempt_guard import AttemptGuard
+from ridgecourse.gateway.constraints import HOLD_REASONS
 from ridgecourse.gateway.crash_watch import CrashWatch
 from ridgecourse.gateway.load_watcher import LoadWatcher
 from ridgecourse.gateway.protocol import RequestProtocol
@@ -61,6 +64,11 @@
 """Smallest number of gateways by which the slack of the retry budget is divided, since
 some gateways may not be known yet. Above it, the number of known gateways is used."""
 
+NO_TARGET_REASONS = (Reason.NO_TARGET, Reason.WRONG_TARGET, Reason.LEAVING)
+"""Reasons of refusals for which no target could serve the request at all."""
+NOT_SENT_REASONS = (Reason.LEAVING, Reason.OVERLOADED, Reason.NO_TARGET)
+"""Reasons for which a chosen target does not get the request after all."""
+
 
 class Dispatcher:
     """Sends each request to one target after another until one answers.
@@ -129,17 +137,19 @@
         """
         result: SendResult = NotRun(Reason.NO_TARGET, "no target", arrived=False)
         unknown: Unknown | None = None
+        summary: ExclusionSummary | None = None
         send_count = len(tried)
         while time_left(routed.deadline) > MIN_ATTEMPT_SECONDS:
             if refusal := self.crash_watch.admit(routed):
                 result = refusal
                 break
             avoided = self.crash_watch.avoided(routed)
-            choice = self.selector.choose(terms.service, routed.call, tried, avoided)
-            if choice is None or send_count >= terms.route.max_attempts:
+            requirements = self._requirements(routed, terms, tried)
+            choice = self.selector.choose(requirements, routed.call, avoided)
+            if isinstance(choice, ExclusionSummary):
+                summary = choice
                 break
-            if choice.hold > MAX_LIMIT_DELAY_SECONDS:
-                result = self._refuse_held(choice)
+            if send_count >= terms.route.max_attempts:
                 break
             if routed.is_abandoned():
                 raise ClientDisconnected(
@@ -151,7 +161,7 @@
                 return overload
             if send_count and not self.budget(terms.service.name).spend_retry():
                 break
-            result = self._send_once(routed, choice, tried)
+            result = self._send_once(routed, terms, choice, tried)
             if isinstance(result, (Whole, Stream)):
                 return result
             if isinstance(result, Unknown):
@@ -161,27 +171,38 @@
                 send_count += 1
             elif result.arrived:
                 send_count += 1
-        return unknown or self._with_return_delay(result, terms.service)
+        if unknown is not None or not isinstance(result, NotRun):
+            return unknown or result
+        if summary is None:
+            requirements = self._requirements(routed, terms, tried)
+            summary = self.selector.explain_exclusions(requirements)
+        return result if summary is None else self._explain(result, summary)
 
-    def _refuse_held(self, choice: Choice) -> NotRun:
-        """Return the refusal of a request that even the first target holds too long."""
-        target = choice.target.target
-        if choice.rest < choice.hold:
-            detail = f"the rate limit of {target} is reached"
-            return NotRun(Reason.OVERLOADED, detail, arrived=False)
-        detail = f"{target} wants no requests for {choice.rest:.2f} s"
-        come_back = return_delay_seconds(choice.rest, self.selector.random)
-        return NotRun(Reason.OVERLOADED, detail, arrived=False, come_back=come_back)
+    def _requirements(
+        self,
+        routed: RoutedRequest,
+        terms: Terms,
+        tried: Collection[EngineIncarnation],
+        max_hold: float = MAX_LIMIT_DELAY_SECONDS,
+    ) -> TargetRequirements:
+        """Return what the next attempt requires of its target."""
+        return TargetRequirements(terms.service, tried, None, max_hold)
 
-    def _with_return_delay(self, result: SendResult, service: Service) -> SendResult:
-        """Return a refusal with the time until a target ends its rest, if all rest."""
-        if not isinstance(result, NotRun) or result.come_back is not None:
-            return result
-        rest = self.selector.shortest_rest(service)
-        if not rest:
-            return result
-        come_back = return_delay_seconds(rest, self.selector.random)
-        return structs.replace(result, come_back=come_back)
+    def _explain(self, refusal: NotRun, summary: ExclusionSummary) -> NotRun:
+        """Return a refusal with the reasons for which no target is eligible."""
+        if refusal.reason in NO_TARGET_REASONS and HOLD_REASONS & summary.counts.keys():
+            refusal = structs.replace(
+                refusal, reason=Reason.OVERLOADED, detail=str(summary)
+            )
+        elif refusal.reason is Reason.NO_TARGET:
+            refusal = structs.replace(refusal, detail=str(summary))
+        come_back = refusal.come_back
+        seconds_left = summary.seconds_left(boottime())
+        if come_back is None and seconds_left:
+            come_back = return_delay_seconds(seconds_left, self.selector.random)
+        return structs.replace(
+            refusal, come_back=come_back, excluded=summary.counts_by_name()
+        )
 
     def _check_load_shedding(
         self, routed: RoutedRequest, terms: Terms, choice: Choice
@@ -213,7 +234,11 @@
         return NotRun(Reason.OVERLOADED, detail, arrived=False)
 
     def _send_once(
-        self, routed: RoutedRequest, choice: Choice, tried: set[EngineIncarnation]
+        self,
+        routed: RoutedRequest,
+        terms: Terms,
+        choice: Choice,
+        tried: set[EngineIncarnation],
     ) -> SendResult:
         target = choice.target
         incarnation = self.selector.incarnation(target)
@@ -231,10 +256,12 @@
         result: SendResult | None = None
         flight = self.crash_watch.begin(routed, target, incarnation)
         try:
-            announcements = AttemptAnnouncements(self.announcements, incarnation)
-            result = self.sender.send(
-                routed, target, state.network_delays, announcements
+            guard = AttemptGuard(
+                self.announcements,
+                incarnation,
+                lambda: self._check_send(routed, terms, target),
             )
+            result = self.sender.send(routed, target, state.network_delays, guard)
             self._record_engine_outcome(flight, result)
         finally:
             load.pending.pop(routed.call.request_id, None)
@@ -253,6 +280,13 @@
         self._emit_dispatched(routed, choice, result, boottime() - sent_at)
         return result
 
+    def _check_send(
+        self, routed: RoutedRequest, terms: Terms, target: ListedTarget
+    ) -> Exclusion | None:
+        """Return why a request must not be sent to its chosen target any more."""
+        requirements = self._requirements(routed, terms, (), max_hold=0.0)
+        return self.selector.eligibility.check_send(requirements, target, boottime())
+
     def _wait_for_limit(
         self, routed: RoutedRequest, choice: Choice, incarnation: EngineIncarnation
     ) -> None:
@@ -284,7 +318,7 @@
         if (
             isinstance(result, NotRun)
             and not result.arrived
-            and result.reason in (Reason.LEAVING, Reason.OVERLOADED)
+            and result.reason in NOT_SENT_REASONS
         ):
             # Nothing was sent, so that nothing is known of the target's health.
             return
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -1,6 +1,7 @@
 """Handle clients' requests: find their route, dispatch them and answer."""
 
 from collections import defaultdict
+from collections.abc import Mapping
 from math import inf
 from random import Random
 
@@ -15,7 +16,7 @@
 from ridgecourse.core.retry import MIN_RETRY_DELAY_SECONDS, retry_delay_seconds
 from ridgecourse.core.routes import RoutingConfig
 from ridgecourse.core.site import Site
-from ridgecourse.gateway.dispatcher import Dispatcher
+from ridgecourse.gateway.dispatcher import NO_TARGET_REASONS, Dispatcher
 from ridgecourse.gateway.messages import ClientRequest
 from ridgecourse.gateway.protocol import RequestProtocol
 from ridgecourse.gateway.sender import NotRun, RoutedRequest, Stream, Whole, time_left
@@ -28,6 +29,8 @@
 DEFAULT_TIMEOUT_SECONDS = 30.0
 """Timeout of a request that states none, on a route without a limit."""
 
+NO_EXCLUSIONS: Mapping[str, int] = {}
+
 
 class Forwarder:
     """Answers clients.
@@ -177,18 +180,25 @@
 
     def _refuse_not_run(self, routed: RoutedRequest, result: NotRun) -> FrontReply:
         """Refuse a request that no target has run, with the delay before a retry."""
-        has_no_target = result.reason in (
-            Reason.NO_TARGET,
-            Reason.WRONG_TARGET,
-            Reason.LEAVING,
-        )
+        has_no_target = result.reason in NO_TARGET_REASONS
         excess = None if has_no_target else routed.excess
         come_back = result.come_back
         if come_back is None:
             remaining = time_left(routed.deadline)
             come_back = retry_delay_seconds(excess, remaining, self.random)
         request_id = routed.call.request_id
-        return self._refuse(request_id, result.reason, result.detail, come_back)
+        self._count_exclusions(result.excluded)
+        return self._refuse(
+            request_id, result.reason, result.detail, come_back, result.excluded
+        )
+
+    def _count_exclusions(self, excluded: Mapping[str, int]) -> None:
+        """Count a request without an eligible target, and its excluded targets."""
+        if excluded:
+            self.events.metrics.count("requests_without_eligible_target")
+        for reason, count in excluded.items():
+            name = reason.replace("-", "_")
+            self.events.metrics.count(f"targets_excluded_{name}", count)
 
     def _refuse(
         self,
@@ -196,6 +206,7 @@
         reason: Reason,
         detail: str = "",
         come_back: float = MIN_RETRY_DELAY_SECONDS,
+        excluded: Mapping[str, int] = NO_EXCLUSIONS,
     ) -> FrontReply:
         """Answer with 503 that a request has not run and will not run."""
         self.events.emit(
@@ -204,6 +215,7 @@
             reason=reason.value,
             why=detail,
             come_back=round(come_back, 3),
+            excluded=dict(excluded),
         )
         return FrontReply(503, headers=self.protocol.retry_after(come_back))
 
--- a/src/ridgecourse/gateway/limit_watch.py
+++ b/src/ridgecourse/gateway/limit_watch.py
@@ -50,6 +50,10 @@
         if self.thread is not None:
             self.thread.kill()
 
+    def has_limits(self) -> bool:
+        """Check whether any engine has reported a limit."""
+        return bool(self.limits.states.incarnations)
+
     def wait(self, target: ListedTarget, incarnation: EngineIncarnation) -> float:
         """Return the seconds until a target may get a request; may be infinite."""
         if not self.limits.is_limited(incarnation):
--- a/src/ridgecourse/gateway/selection.py
+++ b/src/ridgecourse/gateway/selection.py
@@ -5,12 +5,18 @@
 """
 
 from collections import defaultdict
-from collections.abc import Collection
+from collections.abc import Collection, Iterable, Iterator, Sequence
 from random import Random
 
 from msgspec import Struct
 
 from ridgecourse.cluster.view import ClusterView
+from ridgecourse.core.eligibility import (
+    Exclusion,
+    ExclusionReason,
+    ExclusionSummary,
+    TargetRequirements,
+)
 from ridgecourse.core.engine_incarnation import EngineIncarnation
 from ridgecourse.core.engine_load import EngineLoad, prefill_seconds
 from ridgecourse.core.first_event_delay import FirstEventDelay
@@ -29,6 +35,7 @@
 from ridgecourse.core.target_states import TargetHealth, TargetHealthTable
 from ridgecourse.core.weights import FIRST_VERSION
 from ridgecourse.gateway.announcement_watch import AnnouncementWatch
+from ridgecourse.gateway.constraints import make_eligibility
 from ridgecourse.gateway.load_watcher import LoadWatcher
 from ridgecourse.gateway.messages import ClientRequest
 from ridgecourse.net.clock import boottime
@@ -71,7 +78,6 @@
         prefill_time: Estimated seconds that the target needs to prefill the prompt.
         terms: Weights on which the request may run.
         hold: Seconds until the target's rate limit and rest allow the request.
-        rest: Seconds for which the target wants no requests.
     """
 
     target: ListedTarget
@@ -79,7 +85,6 @@
     prefill_time: float
     terms: VersionTerms
     hold: float = 0.0
-    rest: float = 0.0
 
 
 class TargetSelector:
@@ -91,6 +96,7 @@
         load_watcher: Provides the engines' loads.
         lag: Recent peak delay of timers in this process.
         announcements: Tracks what targets announce of themselves.
+        eligibility: Decides which targets may get a request.
         random: Random number generator that spreads requests among similar targets.
         first_event_delays: By how much first events came later than estimated, by
             service.
@@ -111,6 +117,7 @@
         self.load_watcher = load_watcher
         self.lag = lag
         self.announcements = announcements
+        self.eligibility = make_eligibility(load_watcher, announcements)
         self.random = random
         self.first_event_delays: dict[ServiceName, FirstEventDelay] = defaultdict(
             FirstEventDelay
@@ -135,58 +142,72 @@
 
     def choose(
         self,
-        service: Service,
+        requirements: TargetRequirements,
         call: ClientRequest,
-        tried: Collection[EngineIncarnation],
         avoided: Collection[EngineIncarnation] = (),
-    ) -> Choice | None:
-        """Return the target for a request, or None if there is none.
-
-        Among the targets that can serve the request, these criteria apply in turn; all
-        but the first are ignored if no target meets them:
-
-        1. Rate limit and rest allow the request within ``MAX_LIMIT_DELAY_SECONDS``.
-        2. The target has not announced that it leaves.
-        3. The target's weights are known to be allowed.
-        4. The incarnation is not to be avoided.
-        5. The target is not paused or ejected; else the first to become available is
-           chosen.
-
-        Among the remaining targets, the one with the lowest cost is chosen. If no
-        target meets the first criterion, the one with the shortest ``hold`` is
-        returned; the request must then not be sent.
+    ) -> Choice | ExclusionSummary:
+        """Return the target for a request, or why no target is eligible.
 
         Args:
-            service: The service that is requested.
+            requirements: What the request requires of its target.
             call: The request.
-            tried: Incarnations that have received the request.
             avoided: Incarnations that get the request only if there is no other.
         """
         now = boottime()
-        eligible = [
-            target
-            for target in self.view.serving_targets(service.name)
-            if not (tried and self.incarnation(target) in tried)
-            and self.announcements.accepts_requests(self.incarnation(target))
-            and self._can_serve(service, target, now)
-        ]
-        choices = [self._estimate(service, call, target, now) for target in eligible]
+        summary = ExclusionSummary()
         choices = [
-            choice for choice in choices if not self._lacks_named_version(choice, now)
-        ]
-        admissible = [
-            choice for choice in choices if choice.hold <= MAX_LIMIT_DELAY_SECONDS
+            self._estimate(requirements.service, call, target, now)
+            for target in self._eligible_targets(requirements, now, summary)
         ]
-        if choices and not admissible:
-            return min(choices, key=lambda choice: choice.hold)
+        choices = list(self._with_named_version(choices, now, summary))
+        if not choices:
+            return summary
+        return self._choose_preferred(choices, avoided, now)
+
+    def explain_exclusions(
+        self, requirements: TargetRequirements
+    ) -> ExclusionSummary | None:
+        """Return why no target is eligible for a request; None if a target is."""
+        now = boottime()
+        summary = ExclusionSummary()
+        for _ in self._eligible_targets(requirements, now, summary):
+            return None
+        return summary
+
+    def _eligible_targets(
+        self,
+        requirements: TargetRequirements,
+        now: Seconds,
+        summary: ExclusionSummary,
+    ) -> Iterator[ListedTarget]:
+        targets = self.view.serving_targets(requirements.service.name)
+        return self.eligibility.eligible(requirements, targets, now, summary)
+
+    def _choose_preferred(
+        self,
+        choices: Sequence[Choice],
+        avoided: Collection[EngineIncarnation],
+        now: Seconds,
+    ) -> Choice:
+        """Return the best of the choices, which are all eligible.
+
+        These criteria apply in turn; each is ignored if no target meets it:
+
+        1. The target has not announced that it leaves.
+        2. The target's weights are known to be allowed. The others may have received
+           allowed weights since the last report.
+        3. The incarnation is not to be avoided.
+        4. The target is not paused or ejected; else the first to become available is
+           chosen.
+
+        Among the remaining targets, the one with the lowest cost is chosen.
+        """
         staying = [
             choice
-            for choice in admissible
+            for choice in choices
             if not self.announcements.is_leaving(self.incarnation(choice.target))
         ]
-        choices = staying or admissible
-        # Targets whose weights are known to be allowed take precedence over targets
-        # that may have received allowed weights since the last report.
+        choices = staying or choices
         known_allowed = [choice for choice in choices if choice.terms.version is None]
         choices = known_allowed or choices
         if avoided:
@@ -200,41 +221,21 @@
             choice for choice in choices if self.state(choice.target).not_before <= now
         ]
         if not available:
-            return min(
-                choices,
-                key=lambda choice: self.state(choice.target).not_before,
-                default=None,
-            )
+            return min(choices, key=lambda choice: self.state(choice.target).not_before)
         return min(available, key=self._cost)
 
-    def shortest_rest(self, service: Service) -> float:
-        """Return the seconds until a target of a service takes requests again.
-
-        The result is 0 if a target is not at rest, or if there is no target.
-        """
-        incarnations = map(self.incarnation, self.view.serving_targets(service.name))
-        rests = [
-            self.announcements.rest_left(incarnation)
-            for incarnation in incarnations
-            if self.announcements.accepts_requests(incarnation)
-        ]
-        return min(rests, default=0.0)
-
-    def _can_serve(self, service: Service, target: ListedTarget, now: Seconds) -> bool:
-        """Check whether a target has all layers of some weights and accepts requests.
+    def _with_named_version(
+        self, choices: Iterable[Choice], now: Seconds, summary: ExclusionSummary
+    ) -> Iterator[Choice]:
+        """Yield the choices whose engines may have the version that is named.
 
-        A target of a service without weights can always serve.
+        This depends on the estimated wait, so that it is no ``Constraint``.
         """
-        if service.engine is None or not service.engine.layers:
-            return True
-        load = self.load(target)
-        if load.status is not None and load.is_fresh(now):
-            return load.status.version > 0 and not load.status.busy
-        # If the list describes an earlier incarnation, the latest one lacks the weights
-        # that are listed.
-        return not target.incarnation.precedes(
-            self.incarnation(target)
-        ) and target.holds_model(service.engine.layers)
+        for choice in choices:
+            if self._lacks_named_version(choice, now):
+                summary.record(Exclusion(ExclusionReason.WEIGHTS))
+            else:
+                yield choice
 
     def _lacks_named_version(self, choice: Choice, now: Seconds) -> bool:
         """Check whether an engine is known to lack the version that a request names.
@@ -256,15 +257,17 @@
         load = self.load(target)
         prefill_time = 0.0
         incarnation = self.incarnation(target)
-        rest = self.announcements.rest_left(incarnation)
-        hold = max(rest, self.announcements.limit_watch.wait(target, incarnation))
+        hold = max(
+            self.announcements.rest_left(incarnation),
+            self.announcements.limit_watch.wait(target, incarnation),
+        )
         if service.engine is None:
             wait = load.outstanding * PLAIN_REQUEST_SECONDS / max(1, target.slots)
         else:
             wait = load.wait(service.engine, target.slots, now, ASSUMED_SENDERS)
             prefill_time = prefill_seconds(service.engine, call.prompt_tokens)
         terms = self._version_terms(call.model, target, now, wait)
-        return Choice(target, max(wait, hold), prefill_time, terms, hold, rest)
+        return Choice(target, max(wait, hold), prefill_time, terms, hold)
 
     def _cost(self, choice: Choice) -> float:
         """Return the placement cost of a choice, in seconds; the lowest is best."""
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -1,12 +1,13 @@
 """Send one request to one target and classify the result."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 
 from msgspec import Struct
 
 from ridgecourse.core.crash_reports import (
     Flight,
 )
+from ridgecourse.core.eligibility import Exclusion
 from ridgecourse.core.engine_load import EngineLoad
 from ridgecourse.core.ids import (
     AccountName,
@@ -17,7 +18,8 @@
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.recent_peak import RecentPeak
 from ridgecourse.core.target_list import ListedTarget
-from ridgecourse.gateway.announcement_watch import AttemptAnnouncements
+from ridgecourse.gateway.attempt_guard import AttemptGuard
+from ridgecourse.gateway.constraints import refusal_reason
 from ridgecourse.gateway.event_stream import StreamEvent, split_events
 from ridgecourse.gateway.messages import AnswerHead, ClientRequest, SendTerms
 from ridgecourse.gateway.protocol import RequestProtocol
@@ -35,7 +37,6 @@
 domains, and well below the objective of any known route (400 ms)."""
 RETURN_MARGIN_SECONDS = 0.02
 """Part of the deadline reserved for the transfer of the answer to the client."""
-NOT_ACCEPTED = "the target has announced that it takes no requests"
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
@@ -79,12 +80,14 @@
         detail: Description of the observed cause.
         arrived: Whether the request reached the target.
         come_back: Seconds after which the client may retry, if known.
+        excluded: Number of targets that were not eligible, by reason.
     """
 
     reason: Reason
     detail: str
     arrived: bool
     come_back: float | None = None
+    excluded: Mapping[str, int] = {}
 
 
 class Unknown(Struct, frozen=True):
@@ -142,7 +145,7 @@
         routed: RoutedRequest,
         target: ListedTarget,
         network_delay: RecentPeak,
-        announcements: AttemptAnnouncements,
+        guard: AttemptGuard,
     ) -> SendResult:
         """Send a request to a target and wait for the start of the answer.
 
@@ -150,17 +153,17 @@
             routed: The request.
             target: The target.
             network_delay: Records the time in which the connection was established.
-            announcements: What the target announces of itself.
+            guard: Decides whether the request may still be sent to the target.
         """
-        if reason := announcements.refusal():
-            return NotRun(reason, NOT_ACCEPTED, arrived=False)
+        if exclusion := guard.check():
+            return _make_refusal(exclusion)
         exchange = Exchange(target.address, routed.deadline)
         result: SendResult | None = None
         try:
             extra_delay = self._connect(exchange, network_delay)
             if routed.begin_by is not None:
                 routed.begin_by = Seconds(routed.begin_by - extra_delay)
-            result = self._exchange(exchange, routed, target, announcements)
+            result = self._exchange(exchange, routed, target, guard)
         except NotSent as error:
             result = NotRun(Reason.UNREACHABLE, str(error), arrived=False)
         except ExchangeTimeout as error:
@@ -192,13 +195,13 @@
         exchange: Exchange,
         routed: RoutedRequest,
         target: ListedTarget,
-        announcements: AttemptAnnouncements,
+        guard: AttemptGuard,
     ) -> SendResult:
         if routed.begin_by is not None and boottime() >= routed.begin_by:
             # Connecting took so long that the request would start too late.
             return NotRun(Reason.WRONG_TARGET, "not begun in time", arrived=False)
-        if reason := announcements.refusal():
-            return NotRun(reason, NOT_ACCEPTED, arrived=False)
+        if exclusion := guard.check():
+            return _make_refusal(exclusion)
         call = routed.call
         terms = SendTerms(
             target=target.target,
@@ -211,7 +214,7 @@
         headers = self.protocol.encode_request(call, terms)
         exchange.send(call.method, call.target, headers, routed.body)
         head = self.protocol.decode_answer(exchange.receive_head(routed.begin_by))
-        announcements.record(head)
+        guard.record(head)
         if head.not_run:
             detail = f"status {head.status}"
             reason = Reason.WRONG_TARGET if head.other_target else Reason.OVERLOADED
@@ -230,6 +233,12 @@
         return Stream(head, _prepend(first_event, events), exchange)
 
 
+def _make_refusal(exclusion: Exclusion) -> NotRun:
+    """Return the result of an attempt whose target is not eligible any more."""
+    detail = f"the chosen target is not eligible any more: {exclusion.reason.value}"
+    return NotRun(refusal_reason(exclusion.reason), detail, arrived=False)
+
+
 def _prepend(
     first_event: StreamEvent | None, remainder: Iterator[StreamEvent]
 ) -> Iterator[StreamEvent]:
--- a/tests/platform/test_known_incarnations.py
+++ b/tests/platform/test_known_incarnations.py
@@ -21,6 +21,11 @@
 from view_reader import TARGET_ENTRY
 
 from ridgecourse.cluster.view import ClusterView
+from ridgecourse.core.eligibility import (
+    ExclusionReason,
+    ExclusionSummary,
+    TargetRequirements,
+)
 from ridgecourse.core.engine_incarnation import EngineIncarnation
 from ridgecourse.core.engine_load import EngineStatus, PendingRequest
 from ridgecourse.core.ids import (
@@ -42,7 +47,7 @@
     TargetRecord,
 )
 from ridgecourse.core.target_states import FAILURES_IN_A_ROW, TargetHealthTable
-from ridgecourse.gateway.selection import TargetSelector
+from ridgecourse.gateway.selection import MAX_LIMIT_DELAY_SECONDS, TargetSelector
 from ridgecourse.net.record_source import KeyedRecord, RecordBatch, Topic
 from ridgecourse.platform.records import PlatformRecordDecoder
 
@@ -221,6 +226,10 @@
         limits: Any = SimpleNamespace(
             accepts_requests=lambda incarnation: True,
             is_leaving=lambda incarnation: False,
+            has_announcements=lambda: False,
+            limit_watch=SimpleNamespace(
+                has_limits=lambda: True, wait=lambda target, incarnation: self.hold
+            ),
         )
         self.selector = TargetSelector(site, view, watcher, lag, Random(1), limits)
 
@@ -233,7 +242,15 @@
         )
         self.selector._cost = lambda choice: 0.0  # type: ignore[method-assign]
         call: Any = SimpleNamespace(model=MODEL)
-        return self.selector.choose(service, call, tried)
+        requirements = TargetRequirements(
+            service, tried, max_hold=MAX_LIMIT_DELAY_SECONDS
+        )
+        return self.selector.choose(requirements, call)
+
+
+def excluded_for(result: Any) -> dict[ExclusionReason, int]:
+    assert isinstance(result, ExclusionSummary)
+    return dict(result.counts)
 
 
 def test_a_new_incarnation_does_not_hold_the_listed_version_of_the_earlier_one() -> (
@@ -242,21 +259,23 @@
     """Its report arrives before its entry, and the loader then stops reporting."""
     listed = make_target(5)
     site = SelectorSite(listed)
-    assert site.choose(set()) is not None
+    assert site.choose(set()).target == listed
     # The report is long outdated, so only the target list counts.
     long_ago = Seconds(-1000.0)
     site.loads.record_report(
         make_incarnation(7), make_status(7, version=0), long_ago, 1
     )
-    assert site.choose(set()) is None
+    assert excluded_for(site.choose(set())) == {ExclusionReason.WEIGHTS: 1}
     assert site.selector._held_version(MODEL, listed, NOW) is None
 
 
 def test_a_stream_may_continue_at_the_next_incarnation_of_its_engine() -> None:
     """The same incarnation is excluded because it already received the request."""
-    site = SelectorSite(make_target(7))
-    assert site.choose({make_incarnation(7)}) is None
-    assert site.choose({make_incarnation(5)}) is not None
+    target = make_target(7)
+    site = SelectorSite(target)
+    tried = site.choose({make_incarnation(7)})
+    assert excluded_for(tried) == {ExclusionReason.TRIED: 1}
+    assert site.choose({make_incarnation(5)}).target == target
 
 
 # The list.
@@ -435,7 +454,12 @@
     hold: float,
 ) -> None:
     """Otherwise clients retry at once while no engine has weights to serve."""
-    site = SelectorSite(make_target(5), hold)
+    target = make_target(5)
+    site = SelectorSite(target, hold)
     choice = site.choose(set())
-    assert choice.hold == hold
-    assert site.choose({make_incarnation(5)}) is None
+    if hold <= MAX_LIMIT_DELAY_SECONDS:
+        assert (choice.target, choice.hold) == (target, hold)
+    else:
+        assert excluded_for(choice) == {ExclusionReason.RATE_LIMIT: 1}
+    tried = site.choose({make_incarnation(5)})
+    assert excluded_for(tried) == {ExclusionReason.TRIED: 1}
