Routes and client accounts may restrict requests to regions

Cause: a request could go to an engine of any region; routes and accounts had no way to forbid it.

RegionConstraint excludes targets by the region of their domain in the settings. A request without an eligible target is refused at once with its reasons and counts. Delays of first events are averaged for restricted requests by themselves, so that admission rests on the engines that a request may use.

--- a/src/ridgecourse/core/eligibility.py
+++ b/src/ridgecourse/core/eligibility.py
@@ -13,8 +13,8 @@
 from msgspec import Struct, field
 
 from ridgecourse.core.engine_incarnation import EngineIncarnation
-from ridgecourse.core.ids import RegionName, Seconds
-from ridgecourse.core.routes import Service
+from ridgecourse.core.ids import Seconds
+from ridgecourse.core.routes import AllowedRegions, Service
 from ridgecourse.core.target_list import ListedTarget
 
 
@@ -68,7 +68,7 @@
 
     service: Service
     tried: Collection[EngineIncarnation] = ()
-    regions: frozenset[RegionName] | None = None
+    regions: AllowedRegions = None
     max_hold: float = 0.0
 
 
--- a/src/ridgecourse/core/first_event_delay.py
+++ b/src/ridgecourse/core/first_event_delay.py
@@ -9,9 +9,11 @@
 be late with this error are refused.
 """
 
+from collections import defaultdict
 from math import exp
 
-from ridgecourse.core.ids import Seconds
+from ridgecourse.core.ids import Seconds, ServiceName
+from ridgecourse.core.routes import AllowedRegions
 
 MEMORY_SECONDS = 0.6
 """Time constant of the average: about the time in which a queue as long as the latency
@@ -59,3 +61,47 @@
 
     def _decayed_weight(self, now: Seconds) -> float:
         return self.weight * exp(-max(0.0, now - self.observed_at) / MEMORY_SECONDS)
+
+
+class FirstEventDelays:
+    """The delays of the first events of each service.
+
+    Requests that are restricted to regions have estimates of their own, since the
+    engines of other regions say nothing about those that such a request may use.
+
+    Attributes:
+        delays: Delay by service and restriction.
+    """
+
+    def __init__(self) -> None:
+        self.delays: dict[tuple[ServiceName, AllowedRegions], FirstEventDelay] = (
+            defaultdict(FirstEventDelay)
+        )
+
+    def observe(
+        self, service: ServiceName, regions: AllowedRegions, delay: float, now: Seconds
+    ) -> None:
+        """Record the delay of a first event.
+
+        Args:
+            service: The service.
+            regions: Regions to which the request was restricted.
+            delay: Seconds by which the first event was later than estimated; negative
+                for an early one.
+            now: Current time.
+        """
+        self.delays[service, None].observe(delay, now)
+        if regions is not None:
+            self.delays[service, regions].observe(delay, now)
+
+    def expected_delay(
+        self, service: ServiceName, regions: AllowedRegions, now: Seconds
+    ) -> float:
+        """Return the seconds to add to an estimate; never negative.
+
+        Args:
+            service: The service.
+            regions: Regions to which the request is restricted.
+            now: Current time.
+        """
+        return self.delays[service, regions].expected_delay(now)
--- a/src/ridgecourse/core/routes.py
+++ b/src/ridgecourse/core/routes.py
@@ -8,7 +8,16 @@
 
 from msgspec import Struct
 
-from ridgecourse.core.ids import AccountName, DomainName, ModelName, ServiceName
+from ridgecourse.core.ids import (
+    AccountName,
+    DomainName,
+    ModelName,
+    RegionName,
+    ServiceName,
+)
+
+AllowedRegions = frozenset[RegionName] | None
+"""The only regions in which requests may be served; None for no restriction."""
 
 
 class Repeatability(Enum):
@@ -52,6 +61,7 @@
         longest_pause: Longest pause between two events, in seconds; 0 for no limit.
         priority: Priority of the requests; 0 is the most important.
         public: Whether requests need no API key.
+        allowed_regions: Regions to which the requests are restricted.
     """
 
     name: str
@@ -67,6 +77,7 @@
     longest_pause: float
     priority: int
     public: bool
+    allowed_regions: AllowedRegions = None
 
     @property
     def repeatable(self) -> bool:
@@ -164,10 +175,12 @@
     Attributes:
         account: Name of the account.
         priority: Priority that overrides the route's priority; None for no override.
+        allowed_regions: Regions to which the account's requests are restricted.
     """
 
     account: AccountName
     priority: int | None
+    allowed_regions: AllowedRegions = None
 
 
 class RoutingConfig(Struct):
--- a/src/ridgecourse/gateway/constraints.py
+++ b/src/ridgecourse/gateway/constraints.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from math import isfinite
 
+from ridgecourse.core.allowed_regions import RegionConstraint
 from ridgecourse.core.eligibility import (
     Constraint,
     Eligibility,
@@ -18,6 +19,7 @@
 from ridgecourse.core.engine_incarnation import EngineIncarnation
 from ridgecourse.core.ids import Seconds
 from ridgecourse.core.outcome import Reason
+from ridgecourse.core.site import Site
 from ridgecourse.core.target_list import ListedTarget
 from ridgecourse.gateway.announcement_watch import AnnouncementWatch
 from ridgecourse.gateway.load_watcher import LoadWatcher
@@ -29,7 +31,7 @@
 
 
 def make_eligibility(
-    load_watcher: LoadWatcher, announcements: AnnouncementWatch
+    site: Site, load_watcher: LoadWatcher, announcements: AnnouncementWatch
 ) -> Eligibility:
     """Return the constraints on targets, in the order in which they are evaluated.
 
@@ -42,6 +44,7 @@
     incarnation = load_watcher.incarnation
     return Eligibility(
         [
+            RegionConstraint(site),
             LeavingConstraint(announcements, incarnation),
             RestConstraint(announcements, incarnation),
             TriedConstraint(incarnation),
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -75,6 +75,7 @@
 
     Attributes:
         site: The settings in force.
+        view: The configuration in force.
         events: Receives events and metrics.
         count_gateways: Returns the number of known gateways.
         crash_watch: Holds back requests that may crash engines.
@@ -98,6 +99,7 @@
         announcements: AnnouncementWatch,
     ) -> None:
         self.site = site
+        self.view = view
         self.events = events
         self.count_gateways = count_gateways
         self.crash_watch = crash_watch
@@ -185,8 +187,15 @@
         tried: Collection[EngineIncarnation],
         max_hold: float = MAX_LIMIT_DELAY_SECONDS,
     ) -> TargetRequirements:
-        """Return what the next attempt requires of its target."""
-        return TargetRequirements(terms.service, tried, None, max_hold)
+        """Return what the next attempt requires of its target.
+
+        The restriction to regions is looked up in the configuration in force, which may
+        have changed since the request arrived.
+        """
+        if self.view.config is not None:
+            routed.restriction.apply(self.view.config)
+        regions = routed.restriction.regions
+        return TargetRequirements(terms.service, tried, regions, max_hold)
 
     def _explain(self, refusal: NotRun, summary: ExclusionSummary) -> NotRun:
         """Return a refusal with the reasons for which no target is eligible."""
@@ -212,7 +221,9 @@
         if engine is None or not terms.route.objective:
             return None
         now = boottime()
-        delay = self.selector.first_event_delays[terms.service.name].expected_delay(now)
+        delay = self.selector.first_event_delays.expected_delay(
+            terms.service.name, routed.restriction.regions, now
+        )
         prospect = AdmissionEstimate(
             objective=terms.route.objective,
             waited=routed.waited,
@@ -274,8 +285,11 @@
         if isinstance(result, Stream):
             now = boottime()
             expected_seconds = choice.wait + choice.prefill_time + FIRST_EVENT_SECONDS
-            self.selector.first_event_delays[target.service].observe(
-                now - sent_at - expected_seconds, now
+            self.selector.first_event_delays.observe(
+                target.service,
+                routed.restriction.regions,
+                now - sent_at - expected_seconds,
+                now,
             )
         self._emit_dispatched(routed, choice, result, boottime() - sent_at)
         return result
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -8,6 +8,7 @@
 from returns.result import Failure
 
 from ridgecourse.cluster.view import ClusterView
+from ridgecourse.core.allowed_regions import RegionRestriction, RequestOrigin
 from ridgecourse.core.client_timeout import UsualClientTimeout
 from ridgecourse.core.engine_incarnation import EngineIncarnation
 from ridgecourse.core.ids import Seconds
@@ -91,7 +92,9 @@
             return self._refuse_unroutable(call, terms_result.failure(), config)
         terms = terms_result.unwrap()
         body = request.read_body(config.limits.body_bytes)
-        routed = self._make_routed_request(request, call, terms, body, arrived_at)
+        routed = self._make_routed_request(
+            request, call, terms, config, body, arrived_at
+        )
         if routed.deadline > self.closes_at:
             # Its answer might be cut off by the end of the process.
             return self._refuse(call.request_id, Reason.STOPPING)
@@ -107,6 +110,7 @@
         request: FrontRequest,
         call: ClientRequest,
         terms: Terms,
+        config: RoutingConfig,
         body: bytes,
         arrived_at: Seconds,
     ) -> RoutedRequest:
@@ -116,10 +120,14 @@
             default=DEFAULT_TIMEOUT_SECONDS,
         )
         account = terms.account.account if terms.account else None
+        origin = RequestOrigin(call.host, call.path, call.key, account)
+        restriction = RegionRestriction(origin)
+        restriction.apply(config)
         return RoutedRequest(
             call=call,
             body=body or None,
             account=account,
+            restriction=restriction,
             deadline=Seconds(arrived_at + timeout),
             version=None,
             begin_by=None,
--- a/src/ridgecourse/gateway/selection.py
+++ b/src/ridgecourse/gateway/selection.py
@@ -4,7 +4,6 @@
 region is chosen unless it would start the request much later.
 """
 
-from collections import defaultdict
 from collections.abc import Collection, Iterable, Iterator, Sequence
 from random import Random
 
@@ -19,17 +18,15 @@
 )
 from ridgecourse.core.engine_incarnation import EngineIncarnation
 from ridgecourse.core.engine_load import EngineLoad, prefill_seconds
-from ridgecourse.core.first_event_delay import FirstEventDelay
+from ridgecourse.core.first_event_delay import FirstEventDelays
 from ridgecourse.core.ids import (
     ModelName,
     Seconds,
-    ServiceName,
     WeightsVersion,
 )
 from ridgecourse.core.old_weights import WithdrawalDelays, can_start_in_time
 from ridgecourse.core.placement import ASSUMED_SENDERS, placement_cost
 from ridgecourse.core.recent_peak import RecentPeak
-from ridgecourse.core.routes import Service
 from ridgecourse.core.site import Site
 from ridgecourse.core.target_list import ListedTarget
 from ridgecourse.core.target_states import TargetHealth, TargetHealthTable
@@ -98,8 +95,7 @@
         announcements: Tracks what targets announce of themselves.
         eligibility: Decides which targets may get a request.
         random: Random number generator that spreads requests among similar targets.
-        first_event_delays: By how much first events came later than estimated, by
-            service.
+        first_event_delays: By how much first events came later than estimated.
         states: Health observed for each target.
     """
 
@@ -117,11 +113,9 @@
         self.load_watcher = load_watcher
         self.lag = lag
         self.announcements = announcements
-        self.eligibility = make_eligibility(load_watcher, announcements)
+        self.eligibility = make_eligibility(site, load_watcher, announcements)
         self.random = random
-        self.first_event_delays: dict[ServiceName, FirstEventDelay] = defaultdict(
-            FirstEventDelay
-        )
+        self.first_event_delays = FirstEventDelays()
         self.states = TargetHealthTable()
 
     def state(self, target: ListedTarget) -> TargetHealth:
@@ -156,7 +150,7 @@
         now = boottime()
         summary = ExclusionSummary()
         choices = [
-            self._estimate(requirements.service, call, target, now)
+            self._estimate(requirements, call, target, now)
             for target in self._eligible_targets(requirements, now, summary)
         ]
         choices = list(self._with_named_version(choices, now, summary))
@@ -251,9 +245,14 @@
         return load.is_fresh(now) and load.status.version != choice.terms.version
 
     def _estimate(
-        self, service: Service, call: ClientRequest, target: ListedTarget, now: Seconds
+        self,
+        requirements: TargetRequirements,
+        call: ClientRequest,
+        target: ListedTarget,
+        now: Seconds,
     ) -> Choice:
         """Estimate when a request could start at a target, and on which weights."""
+        service = requirements.service
         load = self.load(target)
         prefill_time = 0.0
         incarnation = self.incarnation(target)
@@ -266,7 +265,7 @@
         else:
             wait = load.wait(service.engine, target.slots, now, ASSUMED_SENDERS)
             prefill_time = prefill_seconds(service.engine, call.prompt_tokens)
-        terms = self._version_terms(call.model, target, now, wait)
+        terms = self._version_terms(requirements, call.model, target, now, wait)
         return Choice(target, max(wait, hold), prefill_time, terms, hold)
 
     def _cost(self, choice: Choice) -> float:
@@ -297,7 +296,12 @@
         return target.models.get(model)
 
     def _version_terms(
-        self, model: ModelName, target: ListedTarget, now: Seconds, wait: float
+        self,
+        requirements: TargetRequirements,
+        model: ModelName,
+        target: ListedTarget,
+        now: Seconds,
+        wait: float,
     ) -> VersionTerms:
         """Return the weights on which a request may run at a target.
 
@@ -317,7 +321,9 @@
         begin_by = WithdrawalDelays(
             network_delay, self.lag.decayed_peak(now)
         ).start_deadline(bound)
-        delay = self.first_event_delays[target.service].expected_delay(now)
+        delay = self.first_event_delays.expected_delay(
+            target.service, requirements.regions, now
+        )
         if can_start_in_time(now, wait, delay, begin_by):
             return VersionTerms(held, None, begin_by)
         return VersionTerms(held, self.view.wanted_version(model), None)
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -4,9 +4,8 @@
 
 from msgspec import Struct
 
-from ridgecourse.core.crash_reports import (
-    Flight,
-)
+from ridgecourse.core.allowed_regions import RegionRestriction
+from ridgecourse.core.crash_reports import Flight
 from ridgecourse.core.eligibility import Exclusion
 from ridgecourse.core.engine_load import EngineLoad
 from ridgecourse.core.ids import (
@@ -47,6 +46,7 @@
         call: The client's request.
         body: Body; None if the request has none.
         account: The client account that the request is charged to.
+        restriction: Regions in which the request may be served.
         deadline: Time by which the request must be answered.
         version: The only version of weights that may run the request; None for any.
         begin_by: Latest start at the target; None for any time.
@@ -62,6 +62,7 @@
     call: ClientRequest
     body: bytes | None
     account: AccountName | None
+    restriction: RegionRestriction
     deadline: Seconds
     version: WeightsVersion | None
     begin_by: Seconds | None
--- a/src/ridgecourse/platform/config_records.py
+++ b/src/ridgecourse/platform/config_records.py
@@ -5,11 +5,20 @@
 times in seconds and sizes in bytes.
 """
 
+from collections.abc import Sequence
+
 from msgspec import Struct
 
-from ridgecourse.core.ids import AccountName, DomainName, ModelName, ServiceName
+from ridgecourse.core.ids import (
+    AccountName,
+    DomainName,
+    ModelName,
+    RegionName,
+    ServiceName,
+)
 from ridgecourse.core.routes import (
     Account,
+    AllowedRegions,
     ClientLimits,
     EngineModel,
     OriginLocation,
@@ -65,6 +74,8 @@
         resumable: Whether a stream may continue at another target.
         target_gap_ms: Objective for the longest pause between events, in milliseconds;
             0 for none.
+        allowed_regions: The only regions that may serve the requests; empty or None
+            for no restriction.
     """
 
     name: str
@@ -80,6 +91,7 @@
     public: bool = False
     resumable: bool = False
     target_gap_ms: NonNegativeFloat = 0.0
+    allowed_regions: list[str] | None = None
 
     def __post_init__(self) -> None:
         """Check that the route has a service.
@@ -189,11 +201,13 @@
         name: Name of the account.
         api_keys: API keys of the account.
         priority: Priority that overrides the route's; None to use the route's.
+        allowed_regions: As of a route.
     """
 
     name: AsciiName
     api_keys: list[str]
     priority: int | None = None
+    allowed_regions: list[str] | None = None
 
 
 class ConfigFields(Struct):
@@ -226,7 +240,11 @@
         origin=make_origin(origins[0]) if origins else None,
         limits=make_limits(fields.limits),
         accounts={
-            key: Account(AccountName(account.name), account.priority)
+            key: Account(
+                AccountName(account.name),
+                account.priority,
+                make_allowed_regions(account.allowed_regions),
+            )
             for account in fields.tenants
             for key in account.api_keys
         },
@@ -257,9 +275,15 @@
         longest_pause=fields.target_gap_ms * MILLISECOND,
         priority=fields.priority,
         public=fields.public,
+        allowed_regions=make_allowed_regions(fields.allowed_regions),
     )
 
 
+def make_allowed_regions(names: Sequence[str] | None) -> AllowedRegions:
+    """Return the regions of a restriction; None for no restriction."""
+    return frozenset(map(RegionName, names)) if names else None
+
+
 def make_service(fields: ServiceFields) -> Service:
     """Return the ``Service`` of a decoded service."""
     engine = make_engine_model(fields.engine) if fields.engine else None
--- a/tests/platform/test_eligibility.py
+++ b/tests/platform/test_eligibility.py
@@ -141,7 +141,8 @@
         limit_watch=SimpleNamespace(has_limits=lambda: False),
     )
     watcher: Any = SimpleNamespace(incarnation=pytest.fail, load=pytest.fail)
-    eligibility = make_eligibility(watcher, announcements)
+    site: Any = SimpleNamespace(regions={})
+    eligibility = make_eligibility(site, watcher, announcements)
     target = make_target("a")
     summary = ExclusionSummary()
     assert list(eligibility.eligible(REQUEST, [target], NOW, summary)) == [target]
--- a/tests/platform/test_known_incarnations.py
+++ b/tests/platform/test_known_incarnations.py
@@ -237,8 +237,10 @@
         service: Any = SimpleNamespace(
             name=ServiceName("llm"), engine=SimpleNamespace(layers=LAYERS)
         )
-        self.selector._estimate = lambda service, call, target, now: SimpleNamespace(  # type: ignore[method-assign, assignment]
-            target=target, terms=SimpleNamespace(version=None), hold=self.hold
+        self.selector._estimate = lambda requirements, call, target, now: (
+            SimpleNamespace(  # type: ignore[method-assign, assignment]
+                target=target, terms=SimpleNamespace(version=None), hold=self.hold
+            )
         )
         self.selector._cost = lambda choice: 0.0  # type: ignore[method-assign]
         call: Any = SimpleNamespace(model=MODEL)
