An unproven refusal of an engine becomes 502 if the request may run only once

Cause: a 408, 429 or 503 of an engine that ran the request was passed on. Clients take these statuses as the promise that nothing ran and send the request again.

Change: the dispatcher turns such an answer into an unknown outcome, so that the client gets 502 without the engine's headers and body, whichever attempt it belongs to: the first, a retry after a proven refusal, or in place of a stream.

--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -20,6 +20,7 @@
 from ridgecourse.core.engine_load import PendingRequest
 from ridgecourse.core.ids import Seconds, ServiceName
 from ridgecourse.core.load_shedding import AdmissionEstimate, excess_wait
+from ridgecourse.core.not_run import is_unproven_refusal
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.placement import FIRST_EVENT_SECONDS
 from ridgecourse.core.recent_peak import RecentPeak
@@ -165,7 +166,7 @@
                 break
             result = self._send_once(routed, terms, choice, tried)
             if isinstance(result, (Whole, Stream)):
-                return result
+                return self._without_unproven_refusal(result, terms)
             if isinstance(result, Unknown):
                 if result.late or not terms.route.repeatable:
                     break
@@ -180,6 +181,16 @@
             summary = self.selector.explain_exclusions(requirements)
         return result if summary is None else self._explain(result, summary)
 
+    def _without_unproven_refusal(
+        self, result: Whole | Stream, terms: Terms
+    ) -> SendResult:
+        """Return an answer, or an unknown outcome if it refuses without proof."""
+        status = result.head.status
+        if not is_unproven_refusal(status, terms.route.repeatable):
+            return result
+        self.events.metrics.count("unproven_refusals")
+        return Unknown(f"status {status} without proof of not run", late=False)
+
     def _requirements(
         self,
         routed: RoutedRequest,
