The first restriction of a request uses the route that is known already

Cause: each request looked its route up twice, for its terms and for its regions; a configuration may have some 2,000 routes of a host.

Change: RegionRestriction takes the known route at the arrival.

--- a/src/ridgecourse/core/allowed_regions.py
+++ b/src/ridgecourse/core/allowed_regions.py
@@ -16,7 +16,7 @@
     TargetRequirements,
 )
 from ridgecourse.core.ids import AccountName, DomainName, RegionName, Seconds
-from ridgecourse.core.routes import Account, AllowedRegions, RoutingConfig
+from ridgecourse.core.routes import Account, AllowedRegions, Route, RoutingConfig
 from ridgecourse.core.site import Site
 from ridgecourse.core.target_list import ListedTarget
 
@@ -58,10 +58,18 @@
         Args:
             config: The configuration in force.
         """
-        if config is self.config:
-            return
+        if config is not self.config:
+            route = config.find_route(self.origin.host, self.origin.path)
+            self.apply_route(config, route)
+
+    def apply_route(self, config: RoutingConfig, route: Route | None) -> None:
+        """Apply the restriction of a configuration whose route is known already.
+
+        Args:
+            config: The configuration in force.
+            route: The route of the request in the configuration; None for none.
+        """
         self.config = config
-        route = config.find_route(self.origin.host, self.origin.path)
         if route is not None:
             self.regions = intersect_regions(self.regions, route.allowed_regions)
         account = find_account(config, self.origin)
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -24,21 +24,21 @@
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.placement import FIRST_EVENT_SECONDS
 from ridgecourse.core.recent_peak import RecentPeak
-from ridgecourse.core.retry import RetryBudget, return_delay_seconds
+from ridgecourse.core.retry import RetryBudget
 from ridgecourse.core.site import Site
 from ridgecourse.core.target_list import ListedTarget
 from ridgecourse.core.target_states import TargetHealth
 from ridgecourse.gateway.announcement_watch import AnnouncementWatch
 from ridgecourse.gateway.attempt_guard import AttemptGuard
-from ridgecourse.gateway.constraints import HOLD_REASONS
+from ridgecourse.gateway.choice import Choice
 from ridgecourse.gateway.crash_watch import CrashWatch
 from ridgecourse.gateway.load_watcher import LoadWatcher
 from ridgecourse.gateway.protocol import RequestProtocol
+from ridgecourse.gateway.refusals import explain_refusal
 from ridgecourse.gateway.selection import (
     MAX_LIMIT_DELAY_SECONDS,
     MISSING_WEIGHTS_PAUSE_SECONDS,
     REFUSED_PAUSE_SECONDS,
-    Choice,
     TargetSelector,
 )
 from ridgecourse.gateway.sender import (
@@ -65,8 +65,6 @@
 """Smallest number of gateways by which the slack of the retry budget is divided, since
 some gateways may not be known yet. Above it, the number of known gateways is used."""
 
-NO_TARGET_REASONS = (Reason.NO_TARGET, Reason.WRONG_TARGET, Reason.LEAVING)
-"""Reasons of refusals for which no target could serve the request at all."""
 NOT_SENT_REASONS = (Reason.LEAVING, Reason.OVERLOADED, Reason.NO_TARGET)
 """Reasons for which a chosen target does not get the request after all."""
 
@@ -179,7 +177,7 @@
         if summary is None:
             requirements = self._requirements(routed, terms, tried)
             summary = self.selector.explain_exclusions(requirements)
-        return result if summary is None else self._explain(result, summary)
+        return explain_refusal(result, summary, boottime(), self.selector.random)
 
     def _without_unproven_refusal(
         self, result: Whole | Stream, terms: Terms
@@ -208,22 +206,6 @@
         regions = routed.restriction.regions
         return TargetRequirements(terms.service, tried, regions, max_hold)
 
-    def _explain(self, refusal: NotRun, summary: ExclusionSummary) -> NotRun:
-        """Return a refusal with the reasons for which no target is eligible."""
-        if refusal.reason in NO_TARGET_REASONS and HOLD_REASONS & summary.counts.keys():
-            refusal = structs.replace(
-                refusal, reason=Reason.OVERLOADED, detail=str(summary)
-            )
-        elif refusal.reason is Reason.NO_TARGET:
-            refusal = structs.replace(refusal, detail=str(summary))
-        come_back = refusal.come_back
-        seconds_left = summary.seconds_left(boottime())
-        if come_back is None and seconds_left:
-            come_back = return_delay_seconds(seconds_left, self.selector.random)
-        return structs.replace(
-            refusal, come_back=come_back, excluded=summary.counts_by_name()
-        )
-
     def _check_load_shedding(
         self, routed: RoutedRequest, terms: Terms, choice: Choice
     ) -> NotRun | None:
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -17,9 +17,10 @@
 from ridgecourse.core.retry import MIN_RETRY_DELAY_SECONDS, retry_delay_seconds
 from ridgecourse.core.routes import RoutingConfig
 from ridgecourse.core.site import Site
-from ridgecourse.gateway.dispatcher import NO_TARGET_REASONS, Dispatcher
+from ridgecourse.gateway.dispatcher import Dispatcher
 from ridgecourse.gateway.messages import ClientRequest
 from ridgecourse.gateway.protocol import RequestProtocol
+from ridgecourse.gateway.refusals import NO_TARGET_REASONS
 from ridgecourse.gateway.sender import NotRun, RoutedRequest, Stream, Whole, time_left
 from ridgecourse.gateway.stream_relay import StreamRelay
 from ridgecourse.gateway.terms import UNKNOWN_SERVICE, Rejection, Terms, find_terms
@@ -122,7 +123,7 @@
         account = terms.account.account if terms.account else None
         origin = RequestOrigin(call.host, call.path, call.key, account)
         restriction = RegionRestriction(origin)
-        restriction.apply(config)
+        restriction.apply_route(config, terms.route)
         return RoutedRequest(
             call=call,
             body=body or None,
