Processes read, serve and pin evacuations

A record under the evacuations' key prefix was a decision of an unknown kind. It is now applied by the order of core.evacuations, served to other processes together with removals, and pinned if the store returns from a copy without it. The pins of other decisions moved out of the view. The optional bound evacuate_ms counts late evacuations.

--- a/src/ridgecourse/cluster/decoder.py
+++ b/src/ridgecourse/cluster/decoder.py
@@ -5,6 +5,7 @@
 
 from returns.result import Result
 
+from ridgecourse.core.evacuations import EvacuationDecision
 from ridgecourse.core.problem import Problems
 from ridgecourse.core.routes import RoutingConfig
 from ridgecourse.core.target_list import TargetRecord
@@ -23,7 +24,17 @@
 
         Returns:
             The decision, or None for a record of an unknown kind. A failure holds the
-            problems of the record; the place of each is the record's key.
+            problems of the record; the place of each is the record's key. Evacuations
+            are of an unknown kind here; see ``evacuation``.
+        """
+
+    @abstractmethod
+    def evacuation(self, record: KeyedRecord) -> EvacuationDecision | None:
+        """Decode an operator's decision on the evacuation of a failure domain.
+
+        Returns:
+            The decision; None for a record of another kind. A record that cannot be
+            decoded counts as an evacuation, since its key alone names the domain.
         """
 
     @abstractmethod
--- a/src/ridgecourse/cluster/domain_source.py
+++ b/src/ridgecourse/cluster/domain_source.py
@@ -356,4 +356,6 @@
         pinned_decisions, site.host, site.domain, seed, neighbours, events
     )
     bound = site.bounds.version_seconds
-    return ClusterView(source, pinned_decisions, store.decoder, events, bound, pace)
+    view = ClusterView(source, pinned_decisions, store.decoder, events, bound, pace)
+    view.evacuation_records.bound_seconds = site.bounds.evacuate_seconds
+    return view
--- a/src/ridgecourse/cluster/peer_records.py
+++ b/src/ridgecourse/cluster/peer_records.py
@@ -77,4 +77,5 @@
         read_at=Seconds(now - response.read_age),
         relay_hops=response.level + 1,
         copied_end=response.copied_end,
+        knows_removals=response.knows_removals,
     )
--- a/src/ridgecourse/cluster/pinned_decisions.py
+++ b/src/ridgecourse/cluster/pinned_decisions.py
@@ -4,6 +4,9 @@
 is repeated, and the store may carry out the first write seconds later, after other
 writes. Only a process that has read all records knows the highest revision. It writes
 this decision into a topic of the system's own, where starting processes read it.
+
+An evacuation that is in force is pinned if the store has lost its record. The pin is
+removed once a later record has ended the evacuation.
 """
 
 from collections.abc import Callable, Iterator, Sequence
@@ -14,7 +17,8 @@
 from msgspec.structs import replace
 
 from ridgecourse.cluster.decoder import RecordDecoder
-from ridgecourse.core.ids import Offset, index_of
+from ridgecourse.core.evacuations import pin_offset
+from ridgecourse.core.ids import Offset, era_of, index_of
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.record_source import (
@@ -27,6 +31,8 @@
 )
 from ridgecourse.net.threads import Broadcast, spawn_loop
 
+EVACUATION_VALUE = b"{}"
+"""Value of a pinned evacuation whose own record had no valid value."""
 RETRY_SECONDS = 0.5
 """Delay between two attempts to write. Writes fail while the store is unavailable.
 Until a write succeeds, the decision is lost only if all processes restart at once."""
@@ -42,7 +48,8 @@
     Attributes:
         store: The store.
         decoder: Decodes decisions, of which the highest revision is pinned.
-        apply_pinned: Applies the pinned decisions that are found after a start.
+        apply_pinned: Applies the pinned decisions that are found after a start, given
+            as the batch of all of them.
         recheck_at: When pinned decisions are read again; infinite for not again.
         pending: Records that are still to be written, by key.
     """
@@ -56,7 +63,7 @@
         self.store = store
         self.decoder = decoder
         self.events = events
-        self.apply_pinned: Callable[[Sequence[KeyedRecord]], None] = lambda _: None
+        self.apply_pinned: Callable[[RecordBatch], None] = lambda _: None
         self.recheck_at = inf
         self.pending: dict[str, KeyedRecord] = {}
         self.changed = Broadcast()
@@ -64,7 +71,7 @@
 
     def start(self) -> None:
         """Start the thread that writes and rechecks pinned decisions."""
-        self._schedule_recheck()
+        self.schedule_recheck()
         self.thread = spawn_loop(self._run)
 
     def close(self) -> None:
@@ -78,10 +85,13 @@
             return self.store.newest(topic)
         # The small answer is read first: if its read failed after the large one, both
         # would be read again. The recheck finds decisions pinned between the two reads.
-        pinned = self.store.newest(Topic.KEPT).records
+        pinned = self.store.newest(Topic.KEPT)
         batch = self.store.newest(topic)
-        self._schedule_recheck()
-        records = [*batch.records, *place_pinned(batch, pinned)]
+        self.schedule_recheck()
+        if pinned.records and era_of(pinned.end) != era_of(batch.end):
+            # Whether an evacuation is pinned counts for the era of the decisions.
+            raise SourceUnavailable("the store returned from a copy between two reads")
+        records = [*batch.records, *self.place_pinned(batch, pinned.records)]
         return replace(batch, records=records)
 
     def read(self, topic: Topic, start: Offset, wait: float) -> RecordBatch:
@@ -101,6 +111,28 @@
         self.pending[record.key] = record
         self.changed.notify()
 
+    def unpin(self, key: str) -> None:
+        """Remove the pin of a decision that a later record has ended."""
+        self.pending[key] = KeyedRecord(key, b"", Offset(0))
+        self.changed.notify()
+
+    def place_pinned(
+        self, batch: RecordBatch, pinned: Sequence[KeyedRecord]
+    ) -> Iterator[KeyedRecord]:
+        """Yield pinned decisions at the offsets of the records that they replace.
+
+        The offsets of the pinned records themselves belong to another topic. An
+        evacuation replaces no record that the store has.
+        """
+        offsets = {record.key: record.offset for record in batch.records}
+        for record in pinned:
+            offset = offsets.get(record.key, Offset(0))
+            if self.decoder.evacuation(record) is not None:
+                if record.key in offsets:
+                    continue
+                offset = pin_offset(era_of(batch.end))
+            yield KeyedRecord(record.key, record.value, offset)
+
     def _run(self) -> None:
         while True:
             if not self.pending:
@@ -116,22 +148,28 @@
         remaining = self.recheck_at - boottime()
         self.changed.wait(None if remaining == inf else max(0.0, remaining))
 
-    def _schedule_recheck(self) -> None:
+    def schedule_recheck(self) -> None:
+        """Read the pinned decisions again in some seconds."""
         self.recheck_at = boottime() + RECHECK_SECONDS * (1.0 + random())
         self.changed.notify()
 
     def _recheck(self) -> None:
         try:
-            pinned = self.store.newest(Topic.KEPT).records
+            pinned = self.store.newest(Topic.KEPT)
         except SourceUnavailable as error:
             self.events.emit(EventKind.LOG_LOST, topic="kept", error=str(error))
-            self._schedule_recheck()
+            self.schedule_recheck()
             return
         self.recheck_at = inf
         self.apply_pinned(pinned)
 
     def revision(self, record: KeyedRecord) -> int:
-        """Return the revision of a decision's record; -1 if it holds no decision."""
+        """Return the revision of a decision's record; -1 if it holds no decision.
+
+        Evacuations have no revisions; all count as 0.
+        """
+        if self.decoder.evacuation(record) is not None:
+            return 0
         decision = self.decoder.decision(record).value_or(None)
         return -1 if decision is None else decision.version
 
@@ -149,27 +187,19 @@
                 del self.pending[record.key]
 
     def _pin_once(self, record: KeyedRecord) -> None:
-        """Write a record unless the same or a higher revision is pinned already."""
+        """Write a record unless the same or a higher revision is pinned already.
+
+        A record without a value removes the pin of its key, if there is one.
+        """
         batch = self.store.newest(Topic.KEPT)
-        for pinned in batch.records:
-            if pinned.key == record.key and self.revision(pinned) >= self.revision(
-                record
-            ):
-                return
+        pinned = [known for known in batch.records if known.key == record.key]
+        if record.value:
+            revision = self.revision(record)
+            is_done = any(self.revision(known) >= revision for known in pinned)
+        else:
+            is_done = not pinned
+        if is_done:
+            return
         self.append(Topic.KEPT, record.key, record.value, batch.end)
-        self.events.emit(
-            EventKind.DECISION_KEPT, offset=index_of(record.offset), key=record.key
-        )
-
-
-def place_pinned(
-    batch: RecordBatch, pinned: Sequence[KeyedRecord]
-) -> Iterator[KeyedRecord]:
-    """Yield pinned decisions at the offsets of the records that they replace.
-
-    The offsets of the pinned records themselves belong to another topic.
-    """
-    offsets = {record.key: record.offset for record in batch.records}
-    for record in pinned:
-        offset = offsets.get(record.key, Offset(0))
-        yield KeyedRecord(record.key, record.value, offset)
+        kind = EventKind.DECISION_KEPT if record.value else EventKind.DECISION_RELEASED
+        self.events.emit(kind, offset=index_of(record.offset), key=record.key)
--- a/src/ridgecourse/cluster/record_server.py
+++ b/src/ridgecourse/cluster/record_server.py
@@ -50,6 +50,7 @@
         read_age: Seconds since the newest record was first read from the store.
         level: Number of processes that passed that record on to the answering process.
         copied_end: See ``RecordBatch.copied_end``.
+        knows_removals: See ``RecordBatch.knows_removals``.
     """
 
     records: Sequence[KeyedRecord]
@@ -62,6 +63,7 @@
     read_age: float = 0.0
     level: int = 0
     copied_end: Offset = Offset(0)
+    knows_removals: bool = False
 
 
 class TopicRecords:
@@ -78,9 +80,11 @@
         level: Number of processes that passed that record on to this one.
         copied_end: See ``RecordBatch.copied_end``; the earliest that is known of the
             latest era.
+        knows_removals: See ``RecordBatch.knows_removals``.
     """
 
     def __init__(self) -> None:
+        self.knows_removals = False
         self.copied_end = Offset(0)
         self.read_at = Seconds(0.0)
         self.level = 0
@@ -177,6 +181,7 @@
             read_age=self.lag,
             level=self.level,
             copied_end=self.copied_end,
+            knows_removals=self.knows_removals,
         )
 
 
--- a/src/ridgecourse/cluster/relay.py
+++ b/src/ridgecourse/cluster/relay.py
@@ -1,7 +1,9 @@
-"""Fetches records from other processes while this process cannot read the store.
+"""Fetches records from other processes that this process cannot read from the store.
 
 The store may reject some instances, or be unreachable from them, while other instances
 can read it. A decision must take effect in all processes, so this process asks others.
+While a failure domain is evacuated, others are also asked whether the evacuation has
+ended: the store does not show the removal of a record that was skipped.
 """
 
 from collections.abc import Callable, Sequence
@@ -11,7 +13,7 @@
 
 from ridgecourse.cluster.peer_records import fetch_records, to_batch
 from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.ids import index_of
+from ridgecourse.core.ids import Offset, index_of
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.http_client import HttpClient
 from ridgecourse.net.record_source import SourceUnavailable, Topic
@@ -27,7 +29,7 @@
 
 
 class RecordRelay:
-    """Asks other processes for records while the store is unavailable.
+    """Asks other processes for records that the store does not provide.
 
     Attributes:
         view: The view to which the received records are applied.
@@ -63,6 +65,28 @@
             eventlet.sleep(POLL_SECONDS)
             for topic in self.view.lost_topics():
                 self._ask_peers(topic)
+            if self.view.evacuation_records.begin_check():
+                self._check_evacuations()
+
+    def _check_evacuations(self) -> None:
+        """Apply what another process knows of evacuations, all records included."""
+        peers = self.peers()
+        if not peers:
+            return
+        address = peers[next(self.peer_counter) % len(peers)]
+        try:
+            response = fetch_records(
+                self.http,
+                address,
+                Topic.DECISIONS,
+                Offset(0),
+                ANSWER_TIMEOUT_SECONDS,
+            )
+        except SourceUnavailable:
+            # Another process is asked at the next check.
+            self.events.metrics.count("relay_unanswered")
+            return
+        self.view.apply_evacuations(to_batch(response))
 
     def _ask_peers(self, topic: Topic) -> None:
         peers = self.peers()
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -1,17 +1,19 @@
-"""The state that a process reads from the store: configuration, versions, targets."""
+"""The state that a process reads from the store: decisions and targets."""
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 from returns.result import Failure
 
+from ridgecourse.cluster.decision_pins import DecisionPins
 from ridgecourse.cluster.decoder import RecordDecoder
 from ridgecourse.cluster.era_watch import EraWatch
+from ridgecourse.cluster.evacuation_records import EvacuationRecords
 from ridgecourse.cluster.invalid_records import InvalidRecords
 from ridgecourse.cluster.pinned_decisions import PinnedDecisionSource
 from ridgecourse.cluster.record_server import RecordServer, TargetChangeFilter
 from ridgecourse.cluster.target_events import emit_target_events
-from ridgecourse.core.ids import Offset, Seconds, ServiceName, index_of
+from ridgecourse.core.ids import Offset, Seconds, ServiceName, era_of, index_of
 from ridgecourse.core.problem import Problem
 from ridgecourse.core.routes import RoutingConfig
 from ridgecourse.core.target_list import ListedTarget, TargetList, TargetRecord
@@ -44,6 +46,8 @@
         target_filter: Selects the changes of the list that are served to other
             processes.
         pinned_decisions: Pins decisions that are not the newest records of their keys.
+        pins: Decides which decisions are pinned.
+        evacuation_records: The evacuated failure domains.
         changed: Notified after each change.
     """
 
@@ -74,6 +78,11 @@
         )
         self.pinned_decisions = pinned_decisions
         pinned_decisions.apply_pinned = self.apply_pinned
+        decisions = self.record_server.topics[Topic.DECISIONS]
+        self.pins = DecisionPins(decisions, pinned_decisions, events)
+        self.evacuation_records = EvacuationRecords(
+            decoder, decisions, pinned_decisions, events, self._propagation_fields
+        )
         self.decisions_reader = RecordFollower(
             source,
             Topic.DECISIONS,
@@ -180,6 +189,9 @@
     def apply_decisions(self, batch: RecordBatch, is_snapshot: bool) -> None:
         """Apply operators' decisions; a lower revision never replaces a higher one.
 
+        Evacuations are applied first, so that none is unknown while a configuration
+        that arrived with it is in force.
+
         Args:
             batch: The records of the decisions.
             is_snapshot: Whether the records are the newest ones of all keys.
@@ -187,8 +199,9 @@
         topic_records = self.record_server.topics[Topic.DECISIONS]
         has_returned = self.eras.observe(Topic.DECISIONS, topic_records, batch)
         topic_records.record_origin(batch)
+        self.evacuation_records.record_completeness(batch, is_snapshot)
         named_at = self._earliest_named_at(batch)
-        for record in batch.records:
+        for record in self.evacuation_records.apply_batch(batch, is_snapshot):
             known = topic_records.records.get(record.key)
             if not self._apply_decision(record, named_at):
                 continue
@@ -200,27 +213,21 @@
             else:
                 topic_records.put(record)
         if has_returned and is_snapshot and not batch.is_relayed:
-            self._pin_missing(batch)
+            self.pins.pin_missing(batch)
         topic_records.record_progress(batch)
         self.record_server.changed.notify()
         self.changed.notify()
 
-    def _pin_missing(self, batch: RecordBatch) -> None:
-        """Pin the decisions in force that a store lost when it returned from a copy.
-
-        Args:
-            batch: The newest records of all keys.
-        """
-        keys = {record.key for record in batch.records}
-        known = self.record_server.topics[Topic.DECISIONS].records
-        for record in known.values():
-            if record.value and record.key not in keys:
-                self.pinned_decisions.pin(record)
+    def apply_evacuations(self, batch: RecordBatch) -> None:
+        """Apply the evacuations in all records of another process."""
+        self.evacuation_records.apply_batch(batch, True)
+        self.changed.notify()
 
-    def apply_pinned(self, records: Sequence[KeyedRecord]) -> None:
+    def apply_pinned(self, pinned: RecordBatch) -> None:
         """Apply pinned decisions whose revisions are higher than the known ones."""
         topic_records = self.record_server.topics[Topic.DECISIONS]
-        for record in records:
+        era = era_of(pinned.end)
+        for record in self.evacuation_records.apply_pinned(pinned.records, era):
             known = topic_records.records.get(record.key)
             offset = known.offset if known else Offset(0)
             placed = KeyedRecord(record.key, record.value, offset)
@@ -258,7 +265,7 @@
         if isinstance(decoded, Failure):
             for problem in decoded.failure():
                 self.invalid_records.record(Topic.DECISIONS, problem)
-            self._pin_known(record)
+            self.pins.pin_known(record)
             return False
         decision = decoded.unwrap()
         if isinstance(decision, RoutingConfig):
@@ -268,7 +275,7 @@
         else:
             return False
         if not is_newer:
-            self._record_outdated(record, decision.version)
+            self.pins.record_outdated(record, decision.version)
         return is_newer
 
     def _apply_config(self, config: RoutingConfig, offset: int) -> bool:
@@ -338,28 +345,6 @@
         for model, history in self.histories.items():
             yield from history.ages(model, boottime())
 
-    def _record_outdated(self, record: KeyedRecord, version: int) -> None:
-        """Record that a decision is no newer than the one in force."""
-        self.events.emit(
-            EventKind.DECISION_OUTDATED,
-            offset=index_of(record.offset),
-            version=str(version),
-            key=record.key,
-        )
-        self._pin_known(record)
-
-    def _pin_known(self, record: KeyedRecord) -> None:
-        """Pin the decision in force if the store has a newer record of its key.
-
-        Such a record is not in force itself. If it is the newest one of its key, a
-        starting process would otherwise apply it, or have no decision at all.
-        """
-        known = self.record_server.topics[Topic.DECISIONS].records.get(record.key)
-        if known is None or known.value == record.value:
-            return
-        if known.offset < record.offset:
-            self.pinned_decisions.pin(known)
-
     @property
     def decisions_age(self) -> float:
         """Seconds since the store confirmed that there is no newer decision."""
--- a/src/ridgecourse/core/site.py
+++ b/src/ridgecourse/core/site.py
@@ -21,6 +21,8 @@
         retry_ratio: Retries allowed per request of a service, summed over all entries.
         retry_seconds: Length of the window over which the ratio is computed.
         retry_slack: Retries allowed in such a window in addition to the ratio.
+        evacuate_seconds: Maximum seconds from the decision to evacuate a failure domain
+            until no request is sent there; None for no bound.
     """
 
     stop_seconds: float
@@ -31,6 +33,7 @@
     retry_ratio: float
     retry_seconds: float
     retry_slack: float
+    evacuate_seconds: float | None = None
 
 
 class LocalTarget(Struct, frozen=True):
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -166,7 +166,9 @@
 
     def apply_limits(self) -> None:
         """Apply the operators' limits from the current settings."""
-        self.view.set_version_bound(self.site.bounds.version_seconds)
+        bounds = self.site.bounds
+        self.view.set_version_bound(bounds.version_seconds)
+        self.view.evacuation_records.bound_seconds = bounds.evacuate_seconds
         self.dispatcher.budgets.clear()
 
     def drain(self) -> None:
--- a/src/ridgecourse/loader/loader.py
+++ b/src/ridgecourse/loader/loader.py
@@ -174,7 +174,9 @@
 
     def apply_limits(self) -> None:
         """Apply the operators' limits from the current settings."""
-        self.view.set_version_bound(self.site.bounds.version_seconds)
+        bounds = self.site.bounds
+        self.view.set_version_bound(bounds.version_seconds)
+        self.view.evacuation_records.bound_seconds = bounds.evacuate_seconds
 
     def drain(self) -> None:
         """Finish the chunks and records that are being sent to other processes.
--- a/src/ridgecourse/net/record_source.py
+++ b/src/ridgecourse/net/record_source.py
@@ -13,7 +13,8 @@
     """Streams of records that the system reads.
 
     Attributes:
-        DECISIONS: Decisions of operators: configurations and versions of weights.
+        DECISIONS: Decisions of operators: configurations, versions of weights, and
+            evacuations of failure domains.
         TARGETS: The list of targets.
         KEPT: Decisions that the system pins itself; see ``cluster.keeper``.
         BLOCKED: Requests that are not sent; see ``gateway.blocked_requests``.
@@ -66,6 +67,9 @@
             newest records; None if none was skipped.
         copied_end: Records of the latest era before this offset may be older than
             removals of earlier eras; see ``core.ids.may_be_outdated``.
+        knows_removals: Whether the sending process would hold each key that was present
+            at its first full read or later, or the removal of the key. Processes of
+            earlier releases do not hold evacuations.
     """
 
     records: Sequence[KeyedRecord]
@@ -80,6 +84,7 @@
     relay_hops: int = 0
     skipped_from: Offset | None = None
     copied_end: Offset = Offset(0)
+    knows_removals: bool = False
 
 
 class SourceUnavailable(Exception):
--- a/src/ridgecourse/platform/records.py
+++ b/src/ridgecourse/platform/records.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from ridgecourse.cluster.decoder import Decision, RecordDecoder
+from ridgecourse.core.evacuations import EvacuationDecision
 from ridgecourse.core.ids import (
     DomainName,
     EngineStart,
@@ -32,7 +33,11 @@
     VersionOrZero,
     check_address,
 )
-from ridgecourse.platform.names import CONFIG_KEY, VERSION_KEY_PREFIX
+from ridgecourse.platform.names import (
+    CONFIG_KEY,
+    EVACUATION_KEY_PREFIX,
+    VERSION_KEY_PREFIX,
+)
 
 TARGET_KEY_PATTERN = "[!-~]{1,255}"
 """Visible ASCII, because a target's identity is put into a header without escaping."""
@@ -141,6 +146,18 @@
     return make_failure(record, record.broken) if record.broken else Success(None)
 
 
+def decode_evacuation(record: KeyedRecord) -> EvacuationDecision | None:
+    """Decode a decision on the evacuation of a domain; None for another kind.
+
+    Any value evacuates, also one that cannot be decoded.
+    """
+    domain = record.key.removeprefix(EVACUATION_KEY_PREFIX)
+    if not domain or domain == record.key:
+        return None
+    is_removed = not record.value and not record.broken
+    return EvacuationDecision(DomainName(domain), not is_removed)
+
+
 def decode_value(record: KeyedRecord, decoder: Decoder) -> Result[Any, Problems]:
     """Decode a record's value, which can be any bytes because any writer can append.
 
@@ -234,6 +251,10 @@
         """Return an operator's decision; see ``RecordDecoder``."""
         return decode_decision(record)
 
+    def evacuation(self, record: KeyedRecord) -> EvacuationDecision | None:
+        """Return a decision on an evacuation; see ``RecordDecoder``."""
+        return decode_evacuation(record)
+
     def targets(
         self, records: Sequence[KeyedRecord]
     ) -> tuple[Sequence[TargetRecord], Problems]:
--- a/src/ridgecourse/platform/settings.py
+++ b/src/ridgecourse/platform/settings.py
@@ -68,6 +68,7 @@
         retry_budget_ratio: Retries allowed per request of a service, over all gateways.
         retry_window_s: Time window of the retry ratio.
         retry_slack: Retries allowed in a window in addition to the ratio.
+        evacuate_ms: Time after which no request is sent to an evacuated domain.
     """
 
     grace_s: float
@@ -78,6 +79,7 @@
     retry_budget_ratio: float
     retry_window_s: float
     retry_slack: float
+    evacuate_ms: float | None = None
 
 
 class SiteFields(Struct):
@@ -236,6 +238,9 @@
 
 def make_bounds(fields: BoundFields) -> Bounds:
     """Return the operators' limits with times in seconds."""
+    evacuate_seconds = (
+        None if fields.evacuate_ms is None else fields.evacuate_ms * MILLISECOND
+    )
     return Bounds(
         stop_seconds=fields.grace_s,
         leaving_seconds=fields.drain_ms * MILLISECOND,
@@ -245,4 +250,5 @@
         retry_ratio=fields.retry_budget_ratio,
         retry_seconds=fields.retry_window_s,
         retry_slack=fields.retry_slack,
+        evacuate_seconds=evacuate_seconds,
     )
