Engines of an evacuated domain are excluded from every send

While a domain is evacuated, a request that load shedding would refuse at the target with the lowest cost goes to the one with the shortest wait if it is in time there, so that the cost of another region causes no refusal.

Changed tests: test_eligibility and test_known_incarnations pass the evacuations and metrics that make_eligibility needs now.

--- a/src/ridgecourse/gateway/constraints.py
+++ b/src/ridgecourse/gateway/constraints.py
@@ -16,11 +16,13 @@
     TargetRequirements,
 )
 from ridgecourse.core.engine_incarnation import EngineIncarnation
+from ridgecourse.core.evacuations import Evacuations
 from ridgecourse.core.ids import Seconds
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.target_list import ListedTarget
 from ridgecourse.gateway.announcement_watch import AnnouncementWatch
 from ridgecourse.gateway.load_watcher import LoadWatcher
+from ridgecourse.net.figures import ProcessMetrics
 
 HOLD_REASONS = frozenset(
     {ExclusionReason.REST, ExclusionReason.RATE_LIMIT, ExclusionReason.COLD}
@@ -29,19 +31,24 @@
 
 
 def make_eligibility(
-    load_watcher: LoadWatcher, announcements: AnnouncementWatch
+    load_watcher: LoadWatcher,
+    announcements: AnnouncementWatch,
+    evacuations: Evacuations,
+    metrics: ProcessMetrics,
 ) -> Eligibility:
     """Return the constraints on targets, in the order in which they are evaluated.
 
     The order matters only for a target that several constraints exclude: the first one
-    gives the reason. A target that rests is reported as resting even if it was tried,
-    since the end of the rest tells the client when to retry. A target that was tried or
-    that lacks the weights is not reported as rate limited, since clients would retry
-    too early.
+    gives the reason. An evacuated target is reported as such, since it does not become
+    eligible at the end of its rest or limit. A target that rests is reported as resting
+    even if it was tried, since the end of the rest tells the client when to retry. A
+    target that was tried or that lacks the weights is not reported as rate limited,
+    since clients would retry too early.
     """
     incarnation = load_watcher.incarnation
     return Eligibility(
         [
+            EvacuatedConstraint(evacuations, metrics),
             LeavingConstraint(announcements, incarnation),
             RestConstraint(announcements, incarnation),
             TriedConstraint(incarnation),
@@ -63,6 +70,34 @@
 IncarnationOf = Callable[[ListedTarget], EngineIncarnation]
 
 
+class EvacuatedConstraint(Constraint):
+    """Excludes the targets of evacuated failure domains.
+
+    No end of an evacuation is known before the operators' decision.
+
+    Attributes:
+        evacuations: The evacuated domains.
+        metrics: Counts the exclusions.
+    """
+
+    def __init__(self, evacuations: Evacuations, metrics: ProcessMetrics) -> None:
+        self.evacuations = evacuations
+        self.metrics = metrics
+
+    def is_active(self, request: TargetRequirements) -> bool:
+        """Return whether any domain is evacuated."""
+        return bool(self.evacuations.evacuated)
+
+    def check(
+        self, request: TargetRequirements, target: ListedTarget, now: Seconds
+    ) -> Exclusion | None:
+        """Exclude a target of an evacuated domain; see ``Constraint``."""
+        if not self.evacuations.is_evacuated(target.domain):
+            return None
+        self.metrics.count("evacuated_choices")
+        return Exclusion(ExclusionReason.EVACUATED)
+
+
 class LeavingConstraint(Constraint):
     """Excludes targets that have been leaving for as long as operators allow.
 
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -158,7 +158,10 @@
             if not tried and (
                 overload := self._check_load_shedding(routed, terms, choice)
             ):
-                return overload
+                alternative = self._find_alternative(routed, terms, avoided)
+                if alternative is None:
+                    return overload
+                choice = alternative
             if send_count and not self.budget(terms.service.name).spend_retry():
                 break
             result = self._send_once(routed, terms, choice, tried)
@@ -233,6 +236,26 @@
         )
         return NotRun(Reason.OVERLOADED, detail, arrived=False)
 
+    def _find_alternative(
+        self,
+        routed: RoutedRequest,
+        terms: Terms,
+        avoided: Collection[EngineIncarnation],
+    ) -> Choice | None:
+        """Return another target of a request that would be shed; None if there is none.
+
+        While a domain is evacuated, the others carry its traffic, and the cost of
+        another region must not cause a refusal as long as there is room in the region.
+        """
+        if not self.selector.view.evacuation_records.evacuations.evacuated:
+            return None
+        requirements = self._requirements(routed, terms, ())
+        choice = self.selector.choose(requirements, routed.call, avoided, by_wait=True)
+        if isinstance(choice, ExclusionSummary):
+            return None
+        is_shed = self._check_load_shedding(routed, terms, choice) is not None
+        return None if is_shed else choice
+
     def _send_once(
         self,
         routed: RoutedRequest,
--- a/src/ridgecourse/gateway/selection.py
+++ b/src/ridgecourse/gateway/selection.py
@@ -117,7 +117,12 @@
         self.load_watcher = load_watcher
         self.lag = lag
         self.announcements = announcements
-        self.eligibility = make_eligibility(load_watcher, announcements)
+        self.eligibility = make_eligibility(
+            load_watcher,
+            announcements,
+            view.evacuation_records.evacuations,
+            view.events.metrics,
+        )
         self.random = random
         self.first_event_delays: dict[ServiceName, FirstEventDelay] = defaultdict(
             FirstEventDelay
@@ -145,6 +150,7 @@
         requirements: TargetRequirements,
         call: ClientRequest,
         avoided: Collection[EngineIncarnation] = (),
+        by_wait: bool = False,
     ) -> Choice | ExclusionSummary:
         """Return the target for a request, or why no target is eligible.
 
@@ -152,6 +158,8 @@
             requirements: What the request requires of its target.
             call: The request.
             avoided: Incarnations that get the request only if there is no other.
+            by_wait: Whether the target with the shortest wait is chosen, whatever its
+                region costs.
         """
         now = boottime()
         summary = ExclusionSummary()
@@ -162,7 +170,7 @@
         choices = list(self._with_named_version(choices, now, summary))
         if not choices:
             return summary
-        return self._choose_preferred(choices, avoided, now)
+        return self._choose_preferred(choices, avoided, now, by_wait)
 
     def explain_exclusions(
         self, requirements: TargetRequirements
@@ -188,6 +196,7 @@
         choices: Sequence[Choice],
         avoided: Collection[EngineIncarnation],
         now: Seconds,
+        by_wait: bool,
     ) -> Choice:
         """Return the best of the choices, which are all eligible.
 
@@ -200,7 +209,8 @@
         4. The target is not paused or ejected; else the first to become available is
            chosen.
 
-        Among the remaining targets, the one with the lowest cost is chosen.
+        Among the remaining targets, the one with the lowest cost is chosen, or the one
+        with the shortest wait.
         """
         staying = [
             choice
@@ -222,6 +232,8 @@
         ]
         if not available:
             return min(choices, key=lambda choice: self.state(choice.target).not_before)
+        if by_wait:
+            return min(available, key=lambda choice: choice.wait)
         return min(available, key=self._cost)
 
     def _with_named_version(
--- a/tests/platform/test_eligibility.py
+++ b/tests/platform/test_eligibility.py
@@ -21,10 +21,12 @@
     ExclusionSummary,
     TargetRequirements,
 )
+from ridgecourse.core.evacuations import Evacuations
 from ridgecourse.core.ids import DomainName, Seconds, ServiceName, TargetId
 from ridgecourse.core.routes import Service
 from ridgecourse.core.target_list import ListedTarget
 from ridgecourse.gateway.constraints import make_eligibility
+from ridgecourse.net.figures import ProcessMetrics
 
 NOW = Seconds(100.0)
 SERVICE = Service(ServiceName("app"), 64, "/healthz", None)
@@ -141,7 +143,9 @@
         limit_watch=SimpleNamespace(has_limits=lambda: False),
     )
     watcher: Any = SimpleNamespace(incarnation=pytest.fail, load=pytest.fail)
-    eligibility = make_eligibility(watcher, announcements)
+    eligibility = make_eligibility(
+        watcher, announcements, Evacuations(), ProcessMetrics()
+    )
     target = make_target("a")
     summary = ExclusionSummary()
     assert list(eligibility.eligible(REQUEST, [target], NOW, summary)) == [target]
--- a/tests/platform/test_known_incarnations.py
+++ b/tests/platform/test_known_incarnations.py
@@ -28,6 +28,7 @@
 )
 from ridgecourse.core.engine_incarnation import EngineIncarnation
 from ridgecourse.core.engine_load import EngineStatus, PendingRequest
+from ridgecourse.core.evacuations import Evacuations
 from ridgecourse.core.ids import (
     DomainName,
     EngineStart,
@@ -48,6 +49,7 @@
 )
 from ridgecourse.core.target_states import FAILURES_IN_A_ROW, TargetHealthTable
 from ridgecourse.gateway.selection import MAX_LIMIT_DELAY_SECONDS, TargetSelector
+from ridgecourse.net.figures import ProcessMetrics
 from ridgecourse.net.record_source import KeyedRecord, RecordBatch, Topic
 from ridgecourse.platform.records import PlatformRecordDecoder
 
@@ -220,6 +222,8 @@
             serving_targets=lambda service: [target],
             history=lambda model: history,
             targets=SimpleNamespace(targets={target.target: target}),
+            evacuation_records=SimpleNamespace(evacuations=Evacuations()),
+            events=SimpleNamespace(metrics=ProcessMetrics()),
         )
         site: Any = SimpleNamespace(region=lambda domain: "north", domain="a")
         lag = RecentPeak()
