--- a/tests/platform/test_evacuation_records.py
+++ b/tests/platform/test_evacuation_records.py
@@ -353,6 +353,15 @@
     assert not process.is_evacuated
 
 
+def test_a_pin_does_not_hide_the_end_of_an_evacuation_of_its_era(process) -> None:
+    """The operators evacuated again after the return, and the end was skipped."""
+    process.evacuate(NEW, 5)
+    pinned = KeyedRecord(KEY, b"{}", Offset(make_offset(NEW, 0) - 2))
+    batch = RecordBatch([pinned], make_offset(NEW, 9), boottime())
+    process.view.apply(Topic.DECISIONS, batch, True)
+    assert not process.is_evacuated
+
+
 # Pins in the store.
 
 
