Evacuations of an earlier era are pinned again; tests of shedding and bounds

If the process that read a new era first ended before it wrote the pin, a restart of all processes would have lost the evacuation. Each process that reads the pins again while an earlier era evacuates now writes a missing one.

--- a/src/ridgecourse/cluster/evacuation_records.py
+++ b/src/ridgecourse/cluster/evacuation_records.py
@@ -1,6 +1,6 @@
 """Applies the records of evacuations, and serves them to other processes."""
 
-from collections.abc import Callable, Collection, Iterator, Sequence
+from collections.abc import Callable, Collection, Sequence
 from math import inf
 from random import random
 from typing import Any
@@ -110,6 +110,9 @@
     ) -> Sequence[KeyedRecord]:
         """Apply pinned evacuations, and end those whose pins have been removed.
 
+        An evacuation of an earlier era that has no pin is pinned: the process that read
+        the new era first may have ended before it wrote the pin.
+
         Args:
             records: All pinned decisions.
             era: Era of the store in which they were read.
@@ -127,6 +130,10 @@
             placed = KeyedRecord(record.key, record.value, pin_offset(era))
             self._apply_record(placed, decision)
         self._record_ends(self.evacuations.end_unpinned(pinned, era, boottime()))
+        for domain in self.evacuations.carried_over(era):
+            if domain not in pinned:
+                key = self.keys[domain]
+                self.pinned_decisions.pin(self.topic_records.records[key])
         return others
 
     def _apply_record(self, record: KeyedRecord, decision: EvacuationDecision) -> None:
@@ -216,11 +223,6 @@
             self.pinned_decisions.schedule_recheck()
         return True
 
-    def evacuated_records(self) -> Iterator[KeyedRecord]:
-        """Yield the records of the evacuations in force."""
-        for domain in self.evacuations.evacuated:
-            yield self.topic_records.records[self.keys[domain]]
-
 
 def is_complete_read(batch: RecordBatch, is_snapshot: bool) -> bool:
     """Check whether a batch lacks only keys that were removed before its end.
--- a/tests/platform/test_evacuation_records.py
+++ b/tests/platform/test_evacuation_records.py
@@ -18,7 +18,7 @@
 
 from ridgecourse.cluster.peer_records import to_batch
 from ridgecourse.cluster.pinned_decisions import PinnedDecisionSource
-from ridgecourse.core.ids import DomainName, Offset, make_offset
+from ridgecourse.core.ids import DomainName, Offset, Seconds, make_offset
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind
 from ridgecourse.net.record_source import (
@@ -105,6 +105,20 @@
     assert process.pinned.method_calls == []
 
 
+@pytest.mark.parametrize(
+    "bound,count", [(None, 0), (0.0, 1), (5.0, 0)], ids=["none", "missed", "met"]
+)
+def test_late_evacuations_are_counted_if_the_settings_have_a_bound(
+    process, bound: float | None, count: int
+) -> None:
+    process.view.evacuation_records.bound_seconds = bound
+    records = [KeyedRecord(KEY, b"{}", make_offset(OLD, 5))]
+    end, read_at = make_offset(OLD, 6), Seconds(boottime() - 1.0)
+    batch = RecordBatch(records, end, boottime(), read_at=read_at)
+    process.view.apply(Topic.DECISIONS, batch, False)
+    assert process.events.metrics.counters["evacuations_late"] == count
+
+
 @pytest.mark.parametrize(
     "value",
     [Raw(b"\xff{"), Raw(b"null"), [], False, {"domain": "b"}, Raw(b"[" * 100_000)],
@@ -320,6 +334,16 @@
     assert process.is_evacuated
 
 
+def test_an_evacuation_of_an_earlier_era_without_a_pin_is_pinned(process) -> None:
+    """The process that read the new era first ended before it wrote the pin."""
+    process.evacuate(OLD, 5)
+    process.read_all(NEW, 3, relayed=True)
+    assert process.pinned.pin.call_count == 0
+    process.apply_pinned(NEW)
+    assert process.pinned.pin.call_args.args[0].key == KEY
+    assert process.is_evacuated
+
+
 def test_a_left_over_pin_is_removed_by_a_process_that_knows_the_end(process) -> None:
     """It was written by a process that had not heard of the end."""
     process.evacuate(NEW, 3)
--- a/tests/platform/test_settings_change.py
+++ b/tests/platform/test_settings_change.py
@@ -3,8 +3,12 @@
 import signal
 from typing import Any
 
+import pytest
+from gateway_site import make_settings
 from msgspec.json import encode
 
+from ridgecourse.platform.settings import parse_site
+
 
 def write_settings(front, **changes: Any) -> None:
     settings = {**front.settings, **changes}
@@ -47,3 +51,21 @@
     write_settings(front)
     front.gateway.wait_event("settings-changed")
     assert sum(e["kind"] == "bad-input" for e in front.gateway.events()) == 1
+
+
+@pytest.mark.parametrize("milliseconds,seconds", [(None, None), (5000, 5.0)])
+def test_the_bound_of_evacuations_is_optional(
+    milliseconds: int | None, seconds: float | None
+) -> None:
+    settings = make_settings("store:1")
+    if milliseconds is not None:
+        settings["bounds"]["evacuate_ms"] = milliseconds
+    site = parse_site(encode(settings), "node.json").unwrap()
+    assert site.bounds.evacuate_seconds == seconds
+
+
+def test_an_invalid_bound_of_evacuations_is_reported() -> None:
+    settings = make_settings("store:1")
+    settings["bounds"]["evacuate_ms"] = "soon"
+    (problem,) = parse_site(encode(settings), "node.json").failure()
+    assert problem.place.endswith("evacuate_ms")
