--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -20,6 +20,7 @@
 from ridgecourse.core.engine_load import PendingRequest
 from ridgecourse.core.ids import Seconds, ServiceName
 from ridgecourse.core.load_shedding import AdmissionEstimate, excess_wait
+from ridgecourse.core.not_run import is_unproven_refusal
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.placement import FIRST_EVENT_SECONDS
 from ridgecourse.core.recent_peak import RecentPeak
@@ -75,6 +76,7 @@
 
     Attributes:
         site: The settings in force.
+        view: The configuration in force.
         events: Receives events and metrics.
         count_gateways: Returns the number of known gateways.
         crash_watch: Holds back requests that may crash engines.
@@ -98,6 +100,7 @@
         announcements: AnnouncementWatch,
     ) -> None:
         self.site = site
+        self.view = view
         self.events = events
         self.count_gateways = count_gateways
         self.crash_watch = crash_watch
@@ -166,7 +169,7 @@
                 break
             result = self._send_once(routed, terms, choice, tried)
             if isinstance(result, (Whole, Stream)):
-                return result
+                return self._without_unproven_refusal(result, terms)
             if isinstance(result, Unknown):
                 if result.late or not terms.route.repeatable:
                     break
@@ -181,6 +184,16 @@
             summary = self.selector.explain_exclusions(requirements)
         return result if summary is None else self._explain(result, summary)
 
+    def _without_unproven_refusal(
+        self, result: Whole | Stream, terms: Terms
+    ) -> SendResult:
+        """Return an answer, or an unknown outcome if it refuses without proof."""
+        status = result.head.status
+        if not is_unproven_refusal(status, terms.route.repeatable):
+            return result
+        self.events.metrics.count("unproven_refusals")
+        return Unknown(f"status {status} without proof of not run", late=False)
+
     def _requirements(
         self,
         routed: RoutedRequest,
@@ -188,8 +201,15 @@
         tried: Collection[EngineIncarnation],
         max_hold: float = MAX_LIMIT_DELAY_SECONDS,
     ) -> TargetRequirements:
-        """Return what the next attempt requires of its target."""
-        return TargetRequirements(terms.service, tried, None, max_hold)
+        """Return what the next attempt requires of its target.
+
+        The restriction to regions is looked up in the configuration in force, which may
+        have changed since the request arrived.
+        """
+        if self.view.config is not None:
+            routed.restriction.apply(self.view.config)
+        regions = routed.restriction.regions
+        return TargetRequirements(terms.service, tried, regions, max_hold)
 
     def _explain(self, refusal: NotRun, summary: ExclusionSummary) -> NotRun:
         """Return a refusal with the reasons for which no target is eligible."""
@@ -215,7 +235,9 @@
         if engine is None or not terms.route.objective:
             return None
         now = boottime()
-        delay = self.selector.first_event_delays[terms.service.name].expected_delay(now)
+        delay = self.selector.first_event_delays.expected_delay(
+            terms.service.name, routed.restriction.regions, now
+        )
         prospect = AdmissionEstimate(
             objective=terms.route.objective,
             waited=routed.waited,
@@ -297,8 +319,11 @@
         if isinstance(result, Stream):
             now = boottime()
             expected_seconds = choice.wait + choice.prefill_time + FIRST_EVENT_SECONDS
-            self.selector.first_event_delays[target.service].observe(
-                now - sent_at - expected_seconds, now
+            self.selector.first_event_delays.observe(
+                target.service,
+                routed.restriction.regions,
+                now - sent_at - expected_seconds,
+                now,
             )
         self._emit_dispatched(routed, choice, result, boottime() - sent_at)
         return result
--- a/tests/platform/test_eligibility.py
+++ b/tests/platform/test_eligibility.py
@@ -143,8 +143,9 @@
         limit_watch=SimpleNamespace(has_limits=lambda: False),
     )
     watcher: Any = SimpleNamespace(incarnation=pytest.fail, load=pytest.fail)
+    site: Any = SimpleNamespace(regions={})
     eligibility = make_eligibility(
-        watcher, announcements, Evacuations(), ProcessMetrics()
+        site, watcher, announcements, Evacuations(), ProcessMetrics()
     )
     target = make_target("a")
     summary = ExclusionSummary()
--- a/tests/platform/test_evacuation_shedding.py
+++ b/tests/platform/test_evacuation_shedding.py
@@ -13,7 +13,7 @@
 import pytest
 
 from ridgecourse.core.evacuations import EvacuationDecision, Evacuations
-from ridgecourse.core.first_event_delay import FirstEventDelay
+from ridgecourse.core.first_event_delay import FirstEventDelays
 from ridgecourse.core.ids import DomainName, Offset, ServiceName
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.recent_peak import RecentPeak
@@ -51,6 +51,7 @@
             decision = EvacuationDecision(DomainName("c"), True)
             evacuations.apply(decision, Offset(1), boottime())
         view: Any = SimpleNamespace(
+            config=None,
             evacuation_records=SimpleNamespace(evacuations=evacuations),
             events=SimpleNamespace(metrics=Mock()),
         )
@@ -70,7 +71,7 @@
         )
         near = make_choice("near", LATE_SECONDS)
         far = make_choice("far", far_wait)
-        selector: Any = Mock(first_event_delays={SERVICE: FirstEventDelay()}, view=view)
+        selector: Any = Mock(first_event_delays=FirstEventDelays(), view=view)
         selector.occupancy.return_value = 1.0
         selector.explain_exclusions.return_value = None
         selector.choose.side_effect = lambda *_, by_wait=False: far if by_wait else near
@@ -88,6 +89,7 @@
             deadline=boottime() + 4.0,
             waited=0.0,
             excess=0.0,
+            restriction=SimpleNamespace(regions=None),
             is_abandoned=lambda: False,
         )
         return self.dispatcher.try_targets(routed, TERMS, set())
