--- a/src/ridgecourse/cluster/evacuation_records.py
+++ b/src/ridgecourse/cluster/evacuation_records.py
@@ -183,7 +183,7 @@
         self.events.emit(
             kind,
             offset=index_of(offset),
-            evacuated=domain,
+            domain=domain,
             era=era_of(offset),
             **fields,
         )
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -5,12 +5,11 @@
 
 from returns.result import Failure
 
-from ridgecourse.cluster.decision_pins import DecisionPins
 from ridgecourse.cluster.decoder import RecordDecoder
 from ridgecourse.cluster.era_watch import EraWatch
 from ridgecourse.cluster.evacuation_records import EvacuationRecords
 from ridgecourse.cluster.invalid_records import InvalidRecords
-from ridgecourse.cluster.pinned_decisions import PinnedDecisionSource
+from ridgecourse.cluster.pinned_decisions import DecisionPins, PinnedDecisionSource
 from ridgecourse.cluster.record_server import RecordServer, TargetChangeFilter
 from ridgecourse.cluster.target_events import emit_target_events
 from ridgecourse.core.ids import Offset, Seconds, ServiceName, era_of, index_of
