--- a/tests/platform/test_region_checks.py
+++ b/tests/platform/test_region_checks.py
@@ -17,6 +17,7 @@
 
 from ridgecourse.core.allowed_regions import RegionRestriction, RequestOrigin
 from ridgecourse.core.engine_load import EngineLoad
+from ridgecourse.core.evacuations import Evacuations
 from ridgecourse.core.ids import (
     AccountName,
     DomainName,
@@ -62,6 +63,7 @@
             layers=None,
         )
         self.view = Mock(config=decode_config(make_restricted_config()))
+        self.view.evacuation_records.evacuations = Evacuations()
         self.view.serving_targets.return_value = [target]
         self.view.history.return_value.start_deadline.return_value = None
         regions = {DomainName("a"): RegionName("north")}
