A stop waits for connections that were just accepted

HttpServer.drain waited while its set of connections was not empty. A connection enters the set when its thread runs for the first time. A connection accepted at the close of the listener was therefore not counted; with no other connection open the drain returned at once, and the close reset the connection. A client lost a request without knowing whether it ran.

The drain now waits for the threads of the pool, which include those not yet started.

Measured: the new test, which connects right before the last accept, got ECONNRESET after 14 ms before the change and its answer after it. The 13 tests of test_stops_under_load and test_leaving passed at a load of 60 to 115 on 12 processors.

--- a/src/ridgecourse/net/http_server.py
+++ b/src/ridgecourse/net/http_server.py
@@ -211,7 +211,7 @@
         address: Address to listen on; after ``start`` with the port that the system
             has assigned.
         app: The WSGI application.
-        connections: Open connections.
+        connections: Open connections whose threads have started.
         is_closing: Whether the server closes each connection after its next answer.
     """
 
@@ -274,7 +274,9 @@
 
         Requests that have arrived are answered, and each answer ends its connection. A
         connection without a request is closed after ``IDLE_SECONDS``, so that clients
-        which use theirs get an answer instead of a reset.
+        which use theirs get an answer instead of a reset. A connection that was just
+        accepted counts as open: its thread has not run yet, so that ``connections``
+        lacks it.
 
         Args:
             deadline: When to return at the latest, on this process's clock.
@@ -282,7 +284,7 @@
         started_at = boottime()
         self.is_closing = True
         self.stop_listening()
-        while self.connections and boottime() < deadline:
+        while self.pool.running() and boottime() < deadline:
             eventlet.sleep(DRAIN_POLL_SECONDS)
             idle_since = boottime() - IDLE_SECONDS
             if started_at <= idle_since:
--- a/tests/test_stops_under_load.py
+++ b/tests/test_stops_under_load.py
@@ -5,6 +5,7 @@
 from socket import create_connection, socket
 from threading import Lock
 from time import monotonic, sleep
+from typing import Any
 
 import pytest
 from conftest import ClusterSite
@@ -12,7 +13,16 @@
 from msgspec.json import encode
 
 from ridgecourse.gateway.gateway import UNREADY_GRACE_SECONDS
-from ridgecourse.net.http_server import IDLE_SECONDS
+from ridgecourse.net import http_server
+from ridgecourse.net.address import Address
+from ridgecourse.net.clock import boottime
+from ridgecourse.net.http_server import (
+    IDLE_SECONDS,
+    HttpReply,
+    HttpRouter,
+    HttpServer,
+)
+from ridgecourse.net.tcp import accept_queued
 from ridgecourse_standins.closed_loop import ClosedLoop, Reply
 from ridgecourse_standins.cluster import FLEET, MODEL_SERVICE, Plan
 from ridgecourse_standins.platform.engine import ReceivedRequest, send_response
@@ -148,6 +158,30 @@
         assert headers["connection"] == "close"
 
 
+def test_connection_accepted_as_the_listener_closes_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # A server without other connections stopped before the thread of the last accepted
+    # connection had started, and reset the connection.
+    router = HttpRouter()
+    router.add("GET", "/", lambda request: HttpReply(200))
+    server = HttpServer(Address("127.0.0.1", 0), router)
+    server.start()
+    clients: list[socket] = []
+
+    def accept_after_connect(listener: Any, limit: int) -> list[tuple[Any, Any]]:
+        clients.append(create_connection(server.address, 10))
+        clients[0].sendall(b"GET / HTTP/1.1\r\nHost: server\r\n\r\n")
+        return list(accept_queued(listener, limit))
+
+    monkeypatch.setattr(http_server, "drop_new_connections", lambda listener: None)
+    monkeypatch.setattr(http_server, "accept_queued", accept_after_connect)
+    server.drain(boottime() + 2 * IDLE_SECONDS)
+    server.close()
+    status, headers, _, is_complete = receive_response(clients[0])
+    assert (status, headers["connection"], is_complete) == (200, "close", True)
+
+
 def open_request(site: ClusterSite, entry: int, body: bytes, sent: int) -> socket:
     """Send a request to an entry without the end of its body."""
     request = make_entry_request(site, body)
