A reader pauses after slow answers in a row, not after a single one

After each slow answer of the store a reader left its link to others for as long as the answer took, up to 1 s, also when it had not used the link before. The next decision was read late by that pause. The reader's data grew older than 1.4 s meanwhile, so that its domain avoided it and more processes read the store, whose answers then took longer.

Idle time before a long transfer now counts, up to its length (LinkYield).

--- a/src/ridgecourse/core/read_tree.py
+++ b/src/ridgecourse/core/read_tree.py
@@ -10,9 +10,10 @@
 """
 
 from collections.abc import Collection, Sequence
+from math import inf
 
 from ridgecourse.core.hubs import Peer
-from ridgecourse.core.ids import DomainName, TargetName
+from ridgecourse.core.ids import DomainName, Seconds, TargetName
 from ridgecourse.core.rendezvous import rendezvous_rank
 
 FAN_OUT = 4
@@ -33,6 +34,12 @@
 MAX_AGE_SECONDS = 30.0
 """Upper limit of the age that is taken into account. A process that has received
 nothing is infinitely late."""
+MAX_LINK_YIELD_SECONDS = 1.0
+"""Longest pause in which a reader leaves its link to others. Where answers take that
+long, the time limit for a decision to be in force is 3 s or more."""
+LONG_TRANSFER_SECONDS = 0.1
+"""Transfer time from which idle time before the transfer counts. The pause after a
+shorter transfer delays no decision noticeably."""
 
 
 def gateway_parent(local: Peer, gateways: Collection[Peer]) -> Peer | None:
@@ -128,3 +135,39 @@
     return skipped < MAX_SKIPPED + int(
         min(age, MAX_AGE_SECONDS) / SECONDS_PER_EXTRA_READER
     )
+
+
+class LinkYield:
+    """Balances the time in which a reader uses its link with idle time.
+
+    In a burst of large decisions a single reader without pauses uses the entire
+    capacity of the link, and weights and requests pass no more. After a long transfer
+    the reader therefore leaves the link to others for as long as the transfer took.
+    Idle time before the transfer counts, up to the length of the transfer: a reader
+    that always paused read the decision that followed late by up to the longest pause,
+    and its data became older than other processes accept from a reader.
+
+    Attributes:
+        debt: Seconds of idle time that the reader still owed to other users of the link
+            at the end of the last long transfer.
+        ended_at: End of the last long transfer.
+    """
+
+    def __init__(self) -> None:
+        self.debt = 0.0
+        self.ended_at = Seconds(-inf)
+
+    def record_transfer(self, transfer_seconds: float, now: Seconds) -> float:
+        """Record a transfer that has just ended; return the pause after it, in seconds.
+
+        Args:
+            transfer_seconds: Duration of the transfer.
+            now: Current time.
+        """
+        if transfer_seconds < LONG_TRANSFER_SECONDS:
+            return transfer_seconds
+        idle = max(0.0, now - transfer_seconds - self.ended_at)
+        credit = min(idle - self.debt, transfer_seconds)
+        self.debt = min(transfer_seconds - credit, MAX_LINK_YIELD_SECONDS)
+        self.ended_at = now
+        return self.debt
--- a/src/ridgecourse/net/record_follower.py
+++ b/src/ridgecourse/net/record_follower.py
@@ -12,6 +12,7 @@
 from msgspec.structs import replace
 
 from ridgecourse.core.ids import Offset, Seconds
+from ridgecourse.core.read_tree import LinkYield
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.record_source import (
@@ -28,10 +29,6 @@
 """Longest pause between two retries while the store is unavailable. Soon after the
 store is available again, a time limit of 2 s must hold."""
 
-MAX_LINK_YIELD_SECONDS = 1.0
-"""Longest pause in which a follower leaves its link to other readers. Where answers
-take that long, the time limit for a decision to be in force is 3 s or more."""
-
 SLOW_TRANSFER_SECONDS = 0.1
 """Transfer time from which an answer counts as slow: it delays other processes, which
 wait for the answer or for the link."""
@@ -114,6 +111,7 @@
         unconfirmed_seconds: Seconds from the confirmation before the last answer to the
             arrival of that answer: the largest possible age of a record in the answer.
         failures: Number of consecutive failed reads.
+        link_yield: Decides for how long the link is left to others after an answer.
     """
 
     def __init__(
@@ -145,6 +143,7 @@
         self.confirmed_at = Seconds(0.0)
         self.unconfirmed_seconds = 0.0
         self.failures = 0
+        self.link_yield = LinkYield()
         self.thread: eventlet.greenthread.GreenThread | None = None
 
     def start(self) -> None:
@@ -212,16 +211,16 @@
     def _pause_after(self, batch: RecordBatch) -> float:
         """Return the pause before the next read, in seconds.
 
-        After a slow transfer the follower leaves the link to other readers for as long
-        as the transfer took: in a burst of large configurations a single reader used
-        the entire capacity of the link.
+        After slow transfers in a row the follower leaves the link to others for a
+        while; see ``LinkYield``.
         """
         pause = self.pause
         if self.is_behind:
             pause = 0.0
         elif batch.is_relayed and self.relay_pause is not None:
             pause = self.relay_pause
-        return max(pause, min(MAX_LINK_YIELD_SECONDS, batch.transfer_seconds))
+        link_yield = self.link_yield.record_transfer(batch.transfer_seconds, boottime())
+        return max(pause, link_yield)
 
     def _record_skipped(self, batch: RecordBatch, is_full_read: bool) -> None:
         """Record the range of skipped records, up to the end of the newest records."""
