A process that is cut off with its domain no longer asks the others in a circle

A parent without news is avoided for 0.5 s, and the time of each was checked before each request. A process that needed longer than that to ask all others began again with the first. It reached the store only by chance, at a random moment, so that it did not know that it cannot read the store either, and did not leave the attempts to others. After a partition such processes read the store besides the few that should.

The time is now checked before and after the first request of a read, which may wait. Each other process is asked at most once in a read.

--- a/src/ridgecourse/cluster/tree_reader.py
+++ b/src/ridgecourse/cluster/tree_reader.py
@@ -110,12 +110,15 @@
             SourceUnavailable: The parent gave no usable answer, there is no other
                 parent, and this process is not to read the store.
         """
+        self._end_avoidance()
         deadline = boottime() + READ_TIMEOUT_SECONDS
         wait = LONG_POLL_SECONDS
         while (parent := self._select_parent()) is not None:
             # An avoided process is chosen only if there is no other parent.
             is_last = parent.name in self.avoided
             response = self._ask_parent(parent, start, wait)
+            if wait:
+                self._end_avoidance()
             # Further parents are asked to answer at once: the first request may have
             # taken most of the time, and the next parent may be frozen as well.
             wait = 0.0
@@ -187,10 +190,13 @@
         self._avoid(parent, STALE_AVOID_SECONDS, reason)
         return True
 
-    def _select_parent(self) -> Peer | None:
-        """Return the process to ask next, or None for the store.
+    def _end_avoidance(self) -> None:
+        """Forget the processes whose time of being avoided is over.
 
-        First, processes whose time of being avoided is over are forgotten.
+        This is done before and after the first request of a read, which may wait. If it
+        were done between all requests, a process on a busy machine that is cut off with
+        its domain would ask the others in a circle, and would find only by chance that
+        it cannot read the store either.
         """
         now = boottime()
         self.avoided = {name: end for name, end in self.avoided.items() if end > now}
@@ -200,6 +206,9 @@
             if name in self.avoided
         }
         self.lost_parents &= self.avoided.keys()
+
+    def _select_parent(self) -> Peer | None:
+        """Return the process to ask next, or None for the store."""
         # If several processes cannot read the store, and this process cannot either,
         # the whole domain is probably cut off, and no other process has new records.
         is_cut_off = (
