A process passes a confirmation of the store on to those that lack it at once

A downstream process waits up to 0.8 s for news of its upstream process, and then asks again. A confirmation of the store that arrived between two such requests was missed: the next request waited for the one after. With a store that takes 0.35 s to answer, an upstream process has a confirmation about every 0.8 s, so that the two kept step. Data were two confirmations old then, and processes below avoided their reader.

A request now states the age of the data that the client has. A process whose own data were confirmed later by more than 0.2 s answers without a wait. Processes without the parameter are answered as before.

--- a/src/ridgecourse/cluster/peer_records.py
+++ b/src/ridgecourse/cluster/peer_records.py
@@ -6,6 +6,7 @@
 from returns.result import Failure
 
 from ridgecourse.cluster.record_server import (
+    AGE_PARAMETER,
     RECORDS_PATH,
     WAIT_PARAMETER,
     RecordsResponse,
@@ -24,6 +25,7 @@
     start: Offset,
     timeout: float,
     wait: float = 0.0,
+    known_age: float = 0.0,
 ) -> RecordsResponse:
     """Return the records that a process holds.
 
@@ -36,12 +38,15 @@
         start: The first offset wanted.
         timeout: Longest wait for the answer beyond ``wait``, in seconds.
         wait: How long the process may wait for a new record, in seconds.
+        known_age: Age of the data that this process has, in seconds. The process does
+            not wait if its own data are fresher.
 
     Raises:
         SourceUnavailable: The process gave no usable answer.
     """
     sent_at = boottime()
-    path = f"{RECORDS_PATH}{topic.value}/{start}?{WAIT_PARAMETER}={wait}"
+    query = f"{WAIT_PARAMETER}={wait}&{AGE_PARAMETER}={known_age:.3f}"
+    path = f"{RECORDS_PATH}{topic.value}/{start}?{query}"
     try:
         status, data, _ = http.fetch("GET", address, path, timeout=wait + timeout)
     except (NoConnection, ExchangeFailed) as error:
--- a/src/ridgecourse/cluster/record_server.py
+++ b/src/ridgecourse/cluster/record_server.py
@@ -1,6 +1,7 @@
 """Serves the records of the platform's store to other processes."""
 
 from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
+from math import isfinite
 from zlib import MAX_WBITS, compress
 
 from msgspec import Struct
@@ -16,11 +17,16 @@
 
 RECORDS_PATH = "/records/"
 WAIT_PARAMETER = "wait"
+AGE_PARAMETER = "age"
+"""Age in seconds of the data that the asking process has."""
 MAX_WAIT_SECONDS = 2.0
 STALE_SECONDS = 1.4
 """Age from which a process does not rely on another process's records. It then reads
 the store itself, and a decision is still in force in less than the 2 s allowed. If the
 store takes 0.35 s to answer, records of other processes are up to 1.1 s old."""
+CONFIRMATION_TOLERANCE_SECONDS = 0.2
+"""Difference of two ages from which the data of this process were confirmed later. The
+asking process counts the network delay as age."""
 MAX_REMOVED_KEYS = 1000
 """Most removed keys, and most rejected keys, that are still served: far more than the
 targets that leave during an outage."""
@@ -307,7 +313,8 @@
         if not self.is_lost(matching[0]):
             # A process that cannot read the store gets no new records. It answers
             # without waiting, so that the client asks another process at once.
-            self._wait_for_records(topic, Offset(int(start)), wait)
+            known_age = parse_age(request.query.get(AGE_PARAMETER, "0"))
+            self._wait_for_records(topic, Offset(int(start)), wait, known_age)
         receiving = self.is_receiving(matching[0])
         if not topic.records and not topic.confirmed_at and not receiving:
             return HttpReply(204)
@@ -321,13 +328,23 @@
         return build_reply(encode_message(response))
 
     def _wait_for_records(
-        self, topic: TopicRecords, start: Offset, wait: float
+        self, topic: TopicRecords, start: Offset, wait: float, known_age: float
     ) -> None:
         """Wait for a new record, or until the store confirms that there is none.
 
         Thus, on each level of the read tree, downstream records are hardly older than
-        the records of this process.
+        the records of this process. A confirmation that the asking process does not
+        know yet is passed on at once: it may have arrived right after the end of the
+        wait before this one.
+
+        Args:
+            topic: The topic.
+            start: The first offset wanted.
+            wait: Longest wait, in seconds.
+            known_age: Age of the data of the asking process, in seconds.
         """
+        if topic.age + CONFIRMATION_TOLERANCE_SECONDS < known_age:
+            return
         deadline = boottime() + wait
         confirmed_at = topic.confirmed_at
         while topic.end <= start and topic.confirmed_at == confirmed_at:
@@ -346,6 +363,15 @@
     return wait if 0.0 <= wait <= MAX_WAIT_SECONDS else None
 
 
+def parse_age(text: str) -> float:
+    """Return an age in seconds; 0 if the text is not a valid age."""
+    try:
+        age = float(text)
+    except ValueError:
+        return 0.0
+    return age if isfinite(age) else 0.0
+
+
 def build_reply(body: bytes) -> HttpReply:
     """Return a reply with status 200, compressed if the body is large enough."""
     if len(body) < COMPRESSION_THRESHOLD_BYTES:
--- a/src/ridgecourse/cluster/tree_reader.py
+++ b/src/ridgecourse/cluster/tree_reader.py
@@ -147,6 +147,7 @@
                 start,
                 ANSWER_TIMEOUT_SECONDS,
                 wait,
+                boottime() - self.outage_retries.confirmed_at,
             )
         except SourceUnavailable as error:
             self.parent_receiving = False
