Cold engines' turns are computed from the known gateways

Cause: an engine that restarts receives as many requests as placement assigns to it, since no gateway knows that it handles fewer while it is cold. Change: core/cold_turns computes a gateway's share of a limit that all gateways know; EngineRateLimits applies the lower of it and an advertised limit, and checks the turn again before a request is written. Not wired yet.

--- a/src/ridgecourse/core/engine_rate_limits.py
+++ b/src/ridgecourse/core/engine_rate_limits.py
@@ -7,6 +7,10 @@
 other gateways skip the engine. A gateway that learns of a changed limit announces the
 limit to all others. If the announcement is lost, each gateway probes the engine at a
 rate at which all gateways together stay within the limit.
+
+A cold engine has a limit that all gateways know without an announcement; its turns are
+computed in ``core/cold_turns.py``. An engine that is cold and advertises a limit has
+the lower of the two.
 """
 
 from collections.abc import Collection, Iterable, Sequence
@@ -14,11 +18,19 @@
 
 from msgspec import Struct
 
+from ridgecourse.core.cold_turns import (
+    COLD_CATCH_UP_SECONDS,
+    NO_SHARE,
+    ColdLimit,
+    RecentGateways,
+    Share,
+    compute_cold_share,
+)
 from ridgecourse.core.engine_incarnation import EngineIncarnation
 from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import DomainName, Seconds, TargetId
 from ridgecourse.core.latest_incarnations import LatestIncarnations
-from ridgecourse.core.rendezvous import rendezvous_rank
+from ridgecourse.core.rendezvous import rendezvous_fraction, rendezvous_rank
 from ridgecourse.core.site import Site
 
 SENDERS_PER_RATE = 1.5
@@ -58,21 +70,40 @@
     """The limit of one incarnation of an engine, and this gateway's share of the limit.
 
     Attributes:
-        rate: Requests per second; None for no limit.
+        rate: Advertised requests per second; None for no limit.
+        cold: Limit because the engine is cold; None if it is not.
         received_at: Time at which any gateway received the limit from the engine.
         announced_at: Time at which this gateway last announced the limit to others.
         next_send_at: Time at which this gateway may send the next request.
         interval: Seconds between two requests of this gateway; infinite if this
             gateway does not send to the engine.
         share_computed_at: Time at which the interval was computed.
+        sent_at: Time at which this gateway last sent a request while the engine was
+            cold.
     """
 
     rate: float | None = None
+    cold: ColdLimit | None = None
     received_at: Seconds = Seconds(-inf)
     announced_at: Seconds = Seconds(-inf)
     next_send_at: Seconds = Seconds(-inf)
     interval: float = inf
     share_computed_at: Seconds = Seconds(-inf)
+    sent_at: Seconds = Seconds(-inf)
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether the engine advertises a limit or is cold."""
+        return self.rate is not None or self.cold is not None
+
+    @property
+    def catch_up(self) -> float:
+        """Seconds by which a request may be late without delaying the next one."""
+        return COLD_CATCH_UP_SECONDS if self.cold else CATCH_UP_SECONDS
+
+    def forget_share(self) -> None:
+        """Drop the share of a limit that has changed."""
+        self.interval, self.share_computed_at = inf, Seconds(-inf)
 
 
 class EngineRateLimits:
@@ -82,6 +113,7 @@
         site: Topology of failure domains and regions.
         local: This gateway.
         states: Limit of the latest incarnation of each engine.
+        gateways: The other gateways that were known recently.
     """
 
     def __init__(self, site: Site, local: Peer) -> None:
@@ -90,6 +122,7 @@
         self.states: LatestIncarnations[LimitState] = LatestIncarnations(
             lambda incarnation: LimitState()
         )
+        self.gateways = RecentGateways()
 
     def record_limit(
         self, incarnation: EngineIncarnation, rate: float | None, received_at: Seconds
@@ -114,15 +147,42 @@
         changed = state.rate != rate
         state.rate = rate
         if changed:
-            state.interval, state.share_computed_at = inf, Seconds(-inf)
+            state.forget_share()
         return changed
 
+    def record_cold(
+        self, incarnation: EngineIncarnation, limit: ColdLimit | None
+    ) -> None:
+        """Record the limit of an engine that is cold.
+
+        Args:
+            incarnation: Incarnation of the engine.
+            limit: Its limit; None if it is not cold.
+        """
+        if limit is None and incarnation.target not in self.states.incarnations:
+            return
+        if incarnation.precedes(self.states.latest(incarnation)):
+            return
+        state = self.states.value_of(incarnation)
+        if state.cold != limit:
+            state.cold = limit
+            state.forget_share()
+
+    def state(self, incarnation: EngineIncarnation) -> LimitState | None:
+        """Return the limit of an engine; None if it never had one."""
+        if incarnation.target not in self.states.incarnations:
+            return None
+        return self.states.value_of(incarnation)
+
     def is_limited(self, incarnation: EngineIncarnation) -> bool:
+        """Check whether an engine advertises a limit or is cold."""
+        state = self.state(incarnation)
+        return state is not None and state.is_limited
+
+    def is_advertised(self, incarnation: EngineIncarnation) -> bool:
         """Check whether an engine advertises a limit."""
-        return (
-            incarnation.target in self.states.incarnations
-            and self.states.value_of(incarnation).rate is not None
-        )
+        state = self.state(incarnation)
+        return state is not None and state.rate is not None
 
     def wait(
         self,
@@ -155,9 +215,39 @@
         """
         if self.is_limited(incarnation):
             state = self.states.value_of(incarnation)
-            turn_at = max(state.next_send_at, now - CATCH_UP_SECONDS)
+            turn_at = max(state.next_send_at, now - state.catch_up)
             state.next_send_at = Seconds(turn_at + state.interval)
 
+    def confirm_send(
+        self, incarnation: EngineIncarnation, has_turn: bool, now: Seconds
+    ) -> bool:
+        """Check a cold engine's turn just before a request is written to the engine.
+
+        A request may be late for its turn because its connection or its gateway was
+        slow. It may then come too soon before the next turn, or too soon after another
+        late request, or the engine may have become cold since it was chosen.
+
+        Args:
+            incarnation: Incarnation of the engine.
+            has_turn: Whether ``record_send`` was called while the engine was limited.
+            now: Current time.
+
+        Returns:
+            Whether the request may be written. The time is then recorded.
+        """
+        state = self.state(incarnation)
+        if state is None or state.cold is None:
+            return True
+        if not has_turn and now < state.next_send_at:
+            return False
+        earliest = state.sent_at + state.interval - state.catch_up
+        if state.interval == inf or now < earliest:
+            return False
+        state.sent_at = now
+        next_send_at = now + state.interval - state.catch_up
+        state.next_send_at = Seconds(max(state.next_send_at, next_send_at))
+        return True
+
     def _compute_share(
         self,
         state: LimitState,
@@ -166,20 +256,51 @@
         gateways: Collection[Peer],
         now: Seconds,
     ) -> None:
-        rate = max(state.rate or 0.0, MIN_RATE_PER_SECOND)
-        members = {peer.name: peer for peer in [*gateways, self.local]}
-        sender_count = len(members)
-        if now - state.received_at <= LIMIT_VALID_SECONDS:
-            sender_count = min(sender_count, ceil(rate * SENDERS_PER_RATE))
+        others = self.gateways.observe(gateways, now) if state.cold else gateways
+        members = {peer.name: peer for peer in [*others, self.local]}
         ranked = self.rank(target, domain, members.values())
         position = [peer.name for peer in ranked].index(self.local.name)
-        interval = sender_count / rate if position < sender_count else inf
-        if state.interval == inf and interval < inf:
+        if state.cold is None:
+            share = self._advertised_share(state, len(members), position, now)
+        else:
+            share = self._cold_share(state, target, len(members) - 1, position, now)
+        if state.interval == inf and share.interval < inf:
             # All gateways receive the limit at about the same time: the first sends
             # are spread over one interval.
-            first_turn_at = now + interval * (position + 1) / sender_count
+            first_turn_at = now + share.first_delay
             state.next_send_at = Seconds(max(state.next_send_at, first_turn_at))
-        state.interval, state.share_computed_at = interval, now
+        state.interval, state.share_computed_at = share.interval, now
+
+    def _advertised_share(
+        self, state: LimitState, gateways: int, position: int, now: Seconds
+    ) -> Share:
+        """Return this gateway's share of a limit that an engine advertises."""
+        rate = max(state.rate or 0.0, MIN_RATE_PER_SECOND)
+        sender_count = gateways
+        if now - state.received_at <= LIMIT_VALID_SECONDS:
+            sender_count = min(sender_count, ceil(rate * SENDERS_PER_RATE))
+        if position >= sender_count:
+            return NO_SHARE
+        interval = sender_count / rate
+        return Share(interval, interval * (position + 1) / sender_count)
+
+    def _cold_share(
+        self,
+        state: LimitState,
+        target: TargetId,
+        others: int,
+        position: int,
+        now: Seconds,
+    ) -> Share:
+        """Return this gateway's share of the limit of a cold engine."""
+        assert state.cold is not None
+        rate = state.cold.rate
+        if state.rate is not None:
+            rate = min(rate, state.rate)
+        limit = ColdLimit(max(rate, MIN_RATE_PER_SECOND), state.cold.bound)
+        phase = rendezvous_fraction(target, str(self.local.name))
+        age = self.gateways.age(now)
+        return compute_cold_share(limit, others, position, phase, age)
 
     def rank(
         self, target: TargetId, domain: DomainName, gateways: Iterable[Peer]
@@ -218,7 +339,7 @@
         return [
             self.announce(incarnation, now)
             for incarnation in incarnations
-            if self.is_limited(incarnation)
+            if self.is_advertised(incarnation)
             and self.states.value_of(incarnation).interval < inf
             and now - self.states.value_of(incarnation).announced_at >= interval
         ]
--- a/src/ridgecourse/core/rendezvous.py
+++ b/src/ridgecourse/core/rendezvous.py
@@ -10,6 +10,11 @@
     return xxh3_64_intdigest(f"{key}\x00{member}".encode())
 
 
+def rendezvous_fraction(key: str, member: str) -> float:
+    """Return the weight of a member for a key as a number from 0 to 1."""
+    return rendezvous_score(key, member) / 2.0**64
+
+
 def rendezvous_rank(key: str, members: Iterable[str]) -> Sequence[str]:
     """Return the members ranked for a key.
 
