--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -1,12 +1,14 @@
 """Handle clients' requests: find their route, dispatch them and answer."""
 
 from collections import defaultdict
+from collections.abc import Mapping
 from math import inf
 from random import Random
 
 from returns.result import Failure
 
 from ridgecourse.cluster.view import ClusterView
+from ridgecourse.core.allowed_regions import RegionRestriction, RequestOrigin
 from ridgecourse.core.client_timeout import UsualClientTimeout
 from ridgecourse.core.engine_incarnation import EngineIncarnation
 from ridgecourse.core.ids import Seconds
@@ -15,7 +17,7 @@
 from ridgecourse.core.retry import MIN_RETRY_DELAY_SECONDS, retry_delay_seconds
 from ridgecourse.core.routes import RoutingConfig
 from ridgecourse.core.site import Site
-from ridgecourse.gateway.dispatcher import Dispatcher
+from ridgecourse.gateway.dispatcher import NO_TARGET_REASONS, Dispatcher
 from ridgecourse.gateway.messages import ClientRequest
 from ridgecourse.gateway.protocol import RequestProtocol
 from ridgecourse.gateway.sender import NotRun, RoutedRequest, Stream, Whole, time_left
@@ -28,6 +30,8 @@
 DEFAULT_TIMEOUT_SECONDS = 30.0
 """Timeout of a request that states none, on a route without a limit."""
 
+NO_EXCLUSIONS: Mapping[str, int] = {}
+
 
 class Forwarder:
     """Answers clients.
@@ -88,7 +92,9 @@
             return self._refuse_unroutable(call, terms_result.failure(), config)
         terms = terms_result.unwrap()
         body = request.read_body(config.limits.body_bytes)
-        routed = self._make_routed_request(request, call, terms, body, arrived_at)
+        routed = self._make_routed_request(
+            request, call, terms, config, body, arrived_at
+        )
         if routed.deadline > self.closes_at:
             # Its answer might be cut off by the end of the process.
             return self._refuse(call.request_id, Reason.STOPPING)
@@ -104,6 +110,7 @@
         request: FrontRequest,
         call: ClientRequest,
         terms: Terms,
+        config: RoutingConfig,
         body: bytes,
         arrived_at: Seconds,
     ) -> RoutedRequest:
@@ -113,10 +120,14 @@
             default=DEFAULT_TIMEOUT_SECONDS,
         )
         account = terms.account.account if terms.account else None
+        origin = RequestOrigin(call.host, call.path, call.key, account)
+        restriction = RegionRestriction(origin)
+        restriction.apply(config)
         return RoutedRequest(
             call=call,
             body=body or None,
             account=account,
+            restriction=restriction,
             deadline=Seconds(arrived_at + timeout),
             version=None,
             begin_by=None,
@@ -177,18 +188,25 @@
 
     def _refuse_not_run(self, routed: RoutedRequest, result: NotRun) -> FrontReply:
         """Refuse a request that no target has run, with the delay before a retry."""
-        has_no_target = result.reason in (
-            Reason.NO_TARGET,
-            Reason.WRONG_TARGET,
-            Reason.LEAVING,
-        )
+        has_no_target = result.reason in NO_TARGET_REASONS
         excess = None if has_no_target else routed.excess
         come_back = result.come_back
         if come_back is None:
             remaining = time_left(routed.deadline)
             come_back = retry_delay_seconds(excess, remaining, self.random)
         request_id = routed.call.request_id
-        return self._refuse(request_id, result.reason, result.detail, come_back)
+        self._count_exclusions(result.excluded)
+        return self._refuse(
+            request_id, result.reason, result.detail, come_back, result.excluded
+        )
+
+    def _count_exclusions(self, excluded: Mapping[str, int]) -> None:
+        """Count a request without an eligible target, and its excluded targets."""
+        if excluded:
+            self.events.metrics.count("requests_without_eligible_target")
+        for reason, count in excluded.items():
+            name = reason.replace("-", "_")
+            self.events.metrics.count(f"targets_excluded_{name}", count)
 
     def _refuse(
         self,
@@ -196,6 +214,7 @@
         reason: Reason,
         detail: str = "",
         come_back: float = MIN_RETRY_DELAY_SECONDS,
+        excluded: Mapping[str, int] = NO_EXCLUSIONS,
     ) -> FrontReply:
         """Answer with 503 that a request has not run and will not run."""
         self.events.emit(
@@ -204,6 +223,7 @@
             reason=reason.value,
             why=detail,
             come_back=round(come_back, 3),
+            excluded=dict(excluded),
         )
         return FrontReply(503, headers=self.protocol.retry_after(come_back))
 
