Cold engines receive at most the bound from all gateways together

Cause: one of three engines that restarted received 217 requests in a second, where 11 were allowed; cold_remaining_ms was decoded but not used. Change: core/cold_engines records until when each incarnation is cold, from the list, from health answers that the loader reports with the load, and by inference. LimitWatch applies the limit of core/cold_turns; ColdConstraint excludes engines whose turn is too late, and the turn is checked again before a request is written. Refused clients' retries are spread over the time that their requests need. Heartbeats of cold engines are passed on between processes if their service has cold_per_s; those of warm engines are not. Changed test: the service in test_known_incarnations has cold_per_s, which the constraint reads.

--- a/src/ridgecourse/cluster/record_server.py
+++ b/src/ridgecourse/cluster/record_server.py
@@ -6,7 +6,7 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from ridgecourse.core.ids import Offset, Seconds, era_of, may_be_outdated
+from ridgecourse.core.ids import Offset, Seconds, ServiceName, era_of, may_be_outdated
 from ridgecourse.core.target_list import ListedTarget, TargetRecord
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
@@ -187,13 +187,23 @@
     heartbeats were passed on, they made up most of what a domain of 20 gateways read
     over the link between two regions.
 
+    The heartbeats of a cold target are passed on if its service limits requests to cold
+    targets: the time for which it stays cold need not shrink between two heartbeats, so
+    that a process that read only the first one would take the target for warm.
+
     Attributes:
         topic_records: The records that are served to other processes.
+        limits_cold: Returns whether a service limits requests to cold targets.
         entries: The entries that have been served, by key.
     """
 
-    def __init__(self, topic_records: TopicRecords) -> None:
+    def __init__(
+        self,
+        topic_records: TopicRecords,
+        limits_cold: Callable[[ServiceName], bool] = lambda service: False,
+    ) -> None:
         self.topic_records = topic_records
+        self.limits_cold = limits_cold
         self.entries: dict[str, ListedTarget] = {}
 
     def apply(
@@ -229,9 +239,12 @@
         before = self.entries.pop(record.key, None)
         if change.entry is None:
             return True
-        self.entries[record.key] = change.entry
+        entry = change.entry
+        if entry.cold_remaining and not self.limits_cold(entry.service):
+            entry = replace(entry, cold_remaining=0.0)
+        self.entries[record.key] = entry
         is_listed = known is not None and known.value
-        return not is_listed or change.entry != before
+        return not is_listed or entry != before or entry.cold_remaining > 0.0
 
     def _is_outdated(
         self, record: KeyedRecord, change: TargetRecord, known: KeyedRecord
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -70,7 +70,7 @@
             source.is_receiving, self._is_lost, self._removal_grace_seconds
         )
         self.target_filter = TargetChangeFilter(
-            self.record_server.topics[Topic.TARGETS]
+            self.record_server.topics[Topic.TARGETS], self._limits_cold
         )
         self.pinned_decisions = pinned_decisions
         pinned_decisions.apply_pinned = self.apply_pinned
@@ -411,6 +411,10 @@
             if known is not None and entry is not None and entry.service not in known:
                 yield Problem(entry.target, f"unknown service {entry.service}")
 
+    def _limits_cold(self, name: ServiceName) -> bool:
+        service = self.config.services.get(name) if self.config else None
+        return service is not None and service.cold_per_s > 0.0
+
     def serving_targets(self, service: ServiceName) -> Iterator[ListedTarget]:
         """Yield the targets of a service to which requests may be sent."""
         return self.targets.of_service(service)
--- a/src/ridgecourse/core/cold_turns.py
+++ b/src/ridgecourse/core/cold_turns.py
@@ -8,8 +8,8 @@
 - No gateway sends twice within a second where the limit allows it, so that a second has
   at most one request from each sending gateway.
 - A gateway that is no longer reported is counted for some time.
-- A gateway that has just started, or knows no other one, waits, and then takes at most
-  the share of one of 12 gateways.
+- A gateway that has just started and knows no other one waits. It then takes at most
+  the share of one of 40 gateways, and of 12 while it knows some others.
 """
 
 from collections.abc import Collection
@@ -36,8 +36,12 @@
 """How late a request may be sent without delaying the next one. With the shortest
 interval, two requests of a gateway are at least 1.1 s apart."""
 MIN_GATEWAYS = 12
-"""Smallest number of gateways by which a gateway that has just started, or that knows
-no other one, divides a limit."""
+"""Smallest number of gateways by which a gateway that has just started divides a limit,
+since it may know only some of the others."""
+UNKNOWN_GATEWAYS = 40
+"""Number of gateways by which a gateway that knows no other one divides a limit. With
+12, a third of 40 gateways that knew no others for 5 s after their start brought an
+engine to 12 requests in a second where 11 are allowed."""
 START_WAIT_SECONDS = 3.0
 """Time after its start in which a gateway that knows no other one sends nothing to a
 cold engine."""
@@ -129,8 +133,9 @@
     if position >= senders:
         return NO_SHARE
     interval = senders / limit.rate
-    is_new = not others or age < START_SECONDS
-    if is_new and others + 1 < MIN_GATEWAYS:
+    if not others:
+        interval = UNKNOWN_GATEWAYS / limit.rate
+    elif age < START_SECONDS and others + 1 < MIN_GATEWAYS:
         interval = max(interval, MIN_GATEWAYS / limit.rate)
     if 2 * senders >= limit.rate:
         interval = max(interval, find_min_interval(limit, senders))
--- a/src/ridgecourse/core/engine_load.py
+++ b/src/ridgecourse/core/engine_load.py
@@ -17,6 +17,7 @@
 
 from msgspec import Struct, field
 
+from ridgecourse.core.cold_engines import ColdStatement
 from ridgecourse.core.ids import EngineStart, Seconds, WeightsVersion
 from ridgecourse.core.routes import EngineModel
 
@@ -71,6 +72,7 @@
         prefill_backlog: Remaining prefill time in seconds, estimated by the loader.
         started: Start of the engine; None if unknown.
         leaving: Whether the engine announces that it leaves.
+        cold: What the engine said of being cold; None if it was not asked.
     """
 
     version: WeightsVersion
@@ -84,6 +86,7 @@
     prefill_backlog: float = 0.0
     started: EngineStart | None = None
     leaving: bool = False
+    cold: ColdStatement | None = None
 
 
 class PrefillBacklogEstimate:
--- a/src/ridgecourse/core/report_rate.py
+++ b/src/ridgecourse/core/report_rate.py
@@ -76,6 +76,7 @@
         status.link_share,
         status.started,
         status.leaving,
+        status.cold is not None and status.cold.remaining > 0.0,
     )
 
 
--- a/src/ridgecourse/core/routes.py
+++ b/src/ridgecourse/core/routes.py
@@ -131,12 +131,16 @@
             entries together.
         health_path: Path of the targets' health check.
         engine: Speed and size of the engines; None for a service without engines.
+        cold_start_seconds: How long an engine stays cold after a start under traffic.
+        cold_per_s: Requests per second that a cold engine can handle; 0 for no limit.
     """
 
     name: ServiceName
     max_connections: int
     health_path: str
     engine: EngineModel | None
+    cold_start_seconds: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class OriginLocation(Struct, frozen=True):
--- a/src/ridgecourse/core/site.py
+++ b/src/ridgecourse/core/site.py
@@ -6,6 +6,10 @@
 
 from ridgecourse.core.ids import DomainName, ProcessName, RegionName, ServiceName
 
+DEFAULT_COLD_OVERAGE = 1.5
+DEFAULT_COLD_SLACK = 5.0
+"""Values of the deployment that states the bound for cold engines."""
+
 
 class Bounds(Struct, frozen=True):
     """Limits that the operators of a deployment set for the system.
@@ -21,6 +25,9 @@
         retry_ratio: Retries allowed per request of a service, summed over all entries.
         retry_seconds: Length of the window over which the ratio is computed.
         retry_slack: Retries allowed in such a window in addition to the ratio.
+        cold_overage: Factor of the requests per second that a cold engine can handle,
+            in the bound of those that it may receive in any second.
+        cold_slack: Requests that are added to this bound.
     """
 
     stop_seconds: float
@@ -31,6 +38,8 @@
     retry_ratio: float
     retry_seconds: float
     retry_slack: float
+    cold_overage: float = DEFAULT_COLD_OVERAGE
+    cold_slack: float = DEFAULT_COLD_SLACK
 
 
 class LocalTarget(Struct, frozen=True):
--- a/src/ridgecourse/core/target_list.py
+++ b/src/ridgecourse/core/target_list.py
@@ -62,6 +62,8 @@
         models: Models that the target serves, with the version of their weights.
         layers: Layers that the target has loaded; None for none.
         started: Start of the target; None if it reports no start.
+        cold_remaining: Seconds for which the target stays cold, as of when the entry
+            was written; 0 if it is not cold.
     """
 
     target: TargetId
@@ -73,6 +75,7 @@
     models: Mapping[ModelName, WeightsVersion]
     layers: HeldLayers | None
     started: EngineStart | None = None
+    cold_remaining: float = 0.0
 
     @property
     def incarnation(self) -> EngineIncarnation:
--- a/src/ridgecourse/gateway/announcement_watch.py
+++ b/src/ridgecourse/gateway/announcement_watch.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Container
 
+from ridgecourse.core.cold_engines import ColdStatement
 from ridgecourse.core.engine_announcements import EngineAnnouncements
 from ridgecourse.core.engine_incarnation import EngineIncarnation
 from ridgecourse.core.ids import Seconds, TargetId
 from ridgecourse.core.site import Site
+from ridgecourse.core.target_list import ListedTarget
 from ridgecourse.gateway.gateway_link import GatewayLink
 from ridgecourse.gateway.limit_watch import LimitWatch
 from ridgecourse.gateway.messages import AnswerHead
@@ -82,9 +84,38 @@
         bound = self.site.bounds.leaving_seconds - ARRIVAL_SECONDS
         return leaving is None or leaving < bound
 
-    def record_send(self, incarnation: EngineIncarnation) -> None:
-        """Record that a request is sent to an engine, at once or after its hold."""
+    def record_send(self, incarnation: EngineIncarnation) -> bool:
+        """Record that a request is sent to an engine, at once or after its hold.
+
+        Returns:
+            Whether the engine is limited, so that the request has a turn.
+        """
         self.limit_watch.limits.record_send(incarnation, boottime())
+        return self.limit_watch.limits.is_limited(incarnation)
+
+    def confirm_send(self, incarnation: EngineIncarnation, has_turn: bool) -> bool:
+        """Check whether a request may be written to an engine now, if it is cold."""
+        limits = self.limit_watch.limits
+        return limits.confirm_send(incarnation, has_turn, boottime())
+
+    def record_contact(
+        self, target: ListedTarget, incarnation: EngineIncarnation, answered: bool
+    ) -> None:
+        """Record that an engine has answered a request or could not be reached."""
+        cold_watch = self.limit_watch.cold_watch
+        cold_watch.record_contact(target, incarnation, answered)
+
+    def count_hold(self, target: ListedTarget, incarnation: EngineIncarnation) -> None:
+        """Count a request that waits for its turn at an engine that is cold."""
+        if self.limit_watch.cold_watch.is_cold(target, incarnation):
+            self.events.metrics.count("requests_held_cold")
+
+    def record_cold(
+        self, incarnation: EngineIncarnation, statement: ColdStatement | None
+    ) -> None:
+        """Record what a loader reports of whether its engine is cold, if it knows."""
+        if statement is not None:
+            self.limit_watch.cold_watch.record_statement(incarnation, statement)
 
     def rest_left(self, incarnation: EngineIncarnation) -> float:
         """Return for how many seconds an engine wants no requests."""
--- a/src/ridgecourse/gateway/attempt_guard.py
+++ b/src/ridgecourse/gateway/attempt_guard.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from ridgecourse.core.eligibility import Exclusion
+from ridgecourse.core.eligibility import Exclusion, ExclusionReason
 from ridgecourse.core.engine_incarnation import EngineIncarnation
 from ridgecourse.gateway.announcement_watch import AnnouncementWatch
 from ridgecourse.gateway.messages import AnswerHead
@@ -18,11 +18,23 @@
         incarnation: Incarnation of the engine that gets the attempt.
         check: Returns why the request must not be sent to the engine any more; None if
             it may. Called before connecting and before the request is written.
+        has_turn: Whether the request has one of this gateway's turns at an engine that
+            limits its requests.
     """
 
     announcements: AnnouncementWatch
     incarnation: EngineIncarnation
     check: Callable[[], Exclusion | None]
+    has_turn: bool = False
+
+    def confirm_write(self) -> Exclusion | None:
+        """Return why the request must not be written now; None if it is written.
+
+        Called once for an attempt, as the last check.
+        """
+        if self.announcements.confirm_send(self.incarnation, self.has_turn):
+            return None
+        return Exclusion(ExclusionReason.COLD)
 
     def record(self, head: AnswerHead) -> None:
         """Record the announcements in the head of the answer."""
--- a/src/ridgecourse/gateway/constraints.py
+++ b/src/ridgecourse/gateway/constraints.py
@@ -49,6 +49,7 @@
             RestConstraint(announcements, incarnation),
             TriedConstraint(incarnation),
             WeightsConstraint(load_watcher),
+            ColdConstraint(announcements, incarnation),
             RateLimitConstraint(announcements, incarnation),
         ]
     )
@@ -205,3 +206,25 @@
         if wait <= request.max_hold:
             return None
         return Exclusion(ExclusionReason.RATE_LIMIT, now if isfinite(wait) else None)
+
+
+class ColdConstraint(RateLimitConstraint):
+    """Excludes cold targets whose limit delays the request for too long."""
+
+    def is_active(self, request: TargetRequirements) -> bool:
+        """Return whether the service has a limit for cold targets."""
+        return request.service.cold_per_s > 0.0
+
+    def check(
+        self, request: TargetRequirements, target: ListedTarget, now: Seconds
+    ) -> Exclusion | None:
+        """Exclude a cold target until this gateway's turn; see ``Constraint``."""
+        incarnation = self.incarnation(target)
+        limit_watch = self.announcements.limit_watch
+        if not limit_watch.cold_watch.is_cold(target, incarnation):
+            return None
+        wait = limit_watch.wait(target, incarnation)
+        if wait <= request.max_hold:
+            return None
+        until = Seconds(now + wait) if isfinite(wait) else None
+        return Exclusion(ExclusionReason.COLD, until)
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -8,6 +8,7 @@
 from msgspec import structs
 
 from ridgecourse.cluster.view import ClusterView
+from ridgecourse.core.cold_refusals import ColdRefusals
 from ridgecourse.core.crash_reports import (
     Flight,
 )
@@ -84,6 +85,7 @@
         selector: Chooses the target of each attempt.
         sender: Sends one request to one target.
         budgets: Retry budget of each service.
+        cold_refusals: Spreads the retries while all targets of a service are cold.
     """
 
     def __init__(
@@ -110,6 +112,7 @@
         )
         self.sender = Sender(protocol)
         self.budgets: dict[ServiceName, RetryBudget] = {}
+        self.cold_refusals = ColdRefusals(random)
 
     def budget(self, service: ServiceName) -> RetryBudget:
         """Return the retry budget of a service.
@@ -179,7 +182,16 @@
         if summary is None:
             requirements = self._requirements(routed, terms, tried)
             summary = self.selector.explain_exclusions(requirements)
-        return result if summary is None else self._explain(result, summary)
+        if summary is None:
+            return result
+        cold_delay = self.cold_refusals.retry_delay(
+            terms.service,
+            summary,
+            self.count_gateways(),
+            time_left(routed.deadline),
+            boottime(),
+        )
+        return self._explain(result, summary, cold_delay)
 
     def _without_unproven_refusal(
         self, result: Whole | Stream, terms: Terms
@@ -208,7 +220,9 @@
         regions = routed.restriction.regions
         return TargetRequirements(terms.service, tried, regions, max_hold)
 
-    def _explain(self, refusal: NotRun, summary: ExclusionSummary) -> NotRun:
+    def _explain(
+        self, refusal: NotRun, summary: ExclusionSummary, cold_delay: float | None
+    ) -> NotRun:
         """Return a refusal with the reasons for which no target is eligible."""
         if refusal.reason in NO_TARGET_REASONS and HOLD_REASONS & summary.counts.keys():
             refusal = structs.replace(
@@ -216,7 +230,7 @@
             )
         elif refusal.reason is Reason.NO_TARGET:
             refusal = structs.replace(refusal, detail=str(summary))
-        come_back = refusal.come_back
+        come_back = cold_delay if refusal.come_back is None else refusal.come_back
         seconds_left = summary.seconds_left(boottime())
         if come_back is None and seconds_left:
             come_back = return_delay_seconds(seconds_left, self.selector.random)
@@ -269,7 +283,7 @@
         # Load and state belong to the incarnation that gets the request, so that the
         # result does not affect a later one.
         load, state = self.selector.load(target), self.selector.state(target)
-        self._wait_for_limit(routed, choice, incarnation)
+        has_turn = self._wait_for_limit(routed, choice, incarnation)
         sent_at = boottime()
         load.outstanding += 1
         load.pending[routed.call.request_id] = PendingRequest(
@@ -282,6 +296,7 @@
                 self.announcements,
                 incarnation,
                 lambda: self._check_send(routed, terms, target),
+                has_turn,
             )
             result = self.sender.send(routed, target, state.network_delays, guard)
             self._record_engine_outcome(flight, result)
@@ -293,6 +308,10 @@
                 load.outstanding -= 1
                 self.crash_watch.finish(flight)
         self._update_target_state(result, target, state)
+        if isinstance(result, (Whole, Stream)):
+            self.announcements.record_contact(target, incarnation, answered=True)
+        elif isinstance(result, NotRun) and result.reason is Reason.UNREACHABLE:
+            self.announcements.record_contact(target, incarnation, answered=False)
         if isinstance(result, Stream):
             now = boottime()
             expected_seconds = choice.wait + choice.prefill_time + FIRST_EVENT_SECONDS
@@ -314,19 +333,24 @@
 
     def _wait_for_limit(
         self, routed: RoutedRequest, choice: Choice, incarnation: EngineIncarnation
-    ) -> None:
+    ) -> bool:
         """Wait until the rate limit and the rest of a target allow a request.
 
+        Returns:
+            Whether the request has a turn at a target that limits its requests.
+
         Raises:
             CallerGone: The client disconnected meanwhile.
         """
-        self.announcements.record_send(incarnation)
+        has_turn = self.announcements.record_send(incarnation)
         if choice.hold:
+            self.announcements.count_hold(choice.target, incarnation)
             eventlet.sleep(choice.hold)
             if routed.is_abandoned():
                 raise ClientDisconnected(
                     "the client disconnected before the request was sent"
                 )
+        return has_turn
 
     def _record_engine_outcome(self, flight: Flight, result: SendResult) -> None:
         """Record whether an engine answered a request or closed its connection."""
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -14,6 +14,7 @@
 from ridgecourse.core.site import Site
 from ridgecourse.exchange.origin import WeightsOrigin
 from ridgecourse.gateway.announcement_watch import AnnouncementWatch
+from ridgecourse.gateway.cold_watch import ColdWatch
 from ridgecourse.gateway.crash_watch import CrashWatch
 from ridgecourse.gateway.dispatcher import Dispatcher
 from ridgecourse.gateway.forwarder import Forwarder
@@ -54,6 +55,7 @@
         lag: Measures the delay of timers in this process.
         link: Datagram link to other gateways.
         crash_watch: Holds back requests that may crash engines.
+        cold_watch: Tracks which engines are cold.
         limit_watch: Tracks the rate limits that targets report.
         announcements: Tracks what targets announce of themselves.
         dispatcher: Sends requests to targets.
@@ -84,7 +86,8 @@
         self.link = GatewayLink(site, self.hub.local, self.hub.known_gateways, random)
         self.crash_watch = CrashWatch(site, self.events, self.link, source)
         self.view.eras.listeners.append(self.crash_watch.restore_blocked)
-        self.limit_watch = LimitWatch(self.events, self.link)
+        self.cold_watch = ColdWatch(site, self.view, self.events)
+        self.limit_watch = LimitWatch(self.events, self.link, self.cold_watch)
         self.announcements = AnnouncementWatch(
             site, self.events, self.link, self.limit_watch
         )
@@ -125,6 +128,7 @@
         self.load_watcher.start()
         self.link.start()
         self.crash_watch.start()
+        self.cold_watch.start()
         self.limit_watch.start()
         self.lag.start()
         self.threads.append(spawn_loop(self._apply_limits))
@@ -190,6 +194,7 @@
         self.lag.close()
         self.crash_watch.close()
         self.limit_watch.close()
+        self.cold_watch.close()
         self.link.close()
         self.load_watcher.close()
         self.hub.close()
--- a/src/ridgecourse/gateway/limit_watch.py
+++ b/src/ridgecourse/gateway/limit_watch.py
@@ -8,6 +8,7 @@
 from ridgecourse.core.engine_rate_limits import EngineRateLimits, LimitAnnouncement
 from ridgecourse.core.ids import Seconds, TargetId
 from ridgecourse.core.target_list import ListedTarget
+from ridgecourse.gateway.cold_watch import ColdWatch
 from ridgecourse.gateway.gateway_link import GatewayLink
 from ridgecourse.gateway.messages import AnswerHead
 from ridgecourse.net.clock import boottime
@@ -28,14 +29,18 @@
     Attributes:
         events: Receives events and metrics.
         link: Datagram link to other gateways.
+        cold_watch: Tracks which engines are cold, which limits them as well.
         limits: Known limits.
         unreadable: Incarnations of engines whose limit could not be read.
         thread: Thread that announces limits.
     """
 
-    def __init__(self, events: EventStream, link: GatewayLink) -> None:
+    def __init__(
+        self, events: EventStream, link: GatewayLink, cold_watch: ColdWatch
+    ) -> None:
         self.events = events
         self.link = link
+        self.cold_watch = cold_watch
         self.limits = EngineRateLimits(link.site, link.local)
         self.unreadable: set[EngineIncarnation] = set()
         self.thread: eventlet.greenthread.GreenThread | None = None
@@ -43,6 +48,7 @@
 
     def start(self) -> None:
         """Start to announce limits to other gateways."""
+        self.limits.gateways.started_at = boottime()
         self.thread = spawn_loop(self._announce_limits)
 
     def close(self) -> None:
@@ -56,6 +62,8 @@
 
     def wait(self, target: ListedTarget, incarnation: EngineIncarnation) -> float:
         """Return the seconds until a target may get a request; may be infinite."""
+        cold_limit = self.cold_watch.limit(target, incarnation)
+        self.limits.record_cold(incarnation, cold_limit)
         if not self.limits.is_limited(incarnation):
             return 0.0
         known = self.link.known()
@@ -72,7 +80,7 @@
                 )
                 self.events.emit(EventKind.BAD_INPUT, error=error)
             return
-        if head.limit is None and not self.limits.is_limited(incarnation):
+        if head.limit is None and not self.limits.is_advertised(incarnation):
             return
         now = boottime()
         if not self.limits.record_limit(incarnation, head.limit, now):
@@ -85,6 +93,7 @@
     def forget_unlisted(self, listed: Container[TargetId]) -> None:
         """Drop the limits of engines that are not listed."""
         self.limits.states.forget_unlisted(listed)
+        self.cold_watch.forget_unlisted(listed)
         self.unreadable = {
             incarnation
             for incarnation in self.unreadable
@@ -109,6 +118,7 @@
             eventlet.sleep(
                 ANNOUNCE_INTERVAL_SECONDS * (0.5 + 0.5 * self.link.random.random())
             )
+            self.limits.gateways.observe(self.link.known(), boottime())
             self._send_all(
                 self.limits.due_announcements(boottime(), ANNOUNCE_INTERVAL_SECONDS / 2)
             )
--- a/src/ridgecourse/gateway/load_watcher.py
+++ b/src/ridgecourse/gateway/load_watcher.py
@@ -181,6 +181,7 @@
         incarnation = EngineIncarnation(target.target, status.started)
         if status.leaving:
             self.announcements.record_leaving(incarnation, "report")
+        self.announcements.record_cold(incarnation, status.cold)
         previous = self.loads.value_of(incarnation).status
         if not self.loads.record_report(incarnation, status, now, report.number):
             return
--- a/src/ridgecourse/loader/engine_control.py
+++ b/src/ridgecourse/loader/engine_control.py
@@ -114,6 +114,21 @@
             EngineUnavailable: The engine gave no usable answer.
         """
 
+    @abstractmethod
+    def cold_remaining(self, health_path: str) -> float | None:
+        """Ask the engine's health; return the seconds for which it stays cold.
+
+        Args:
+            health_path: Path of the health check.
+
+        Returns:
+            The seconds, 0 if it is not cold; None if it does not say.
+
+        Raises:
+            InvalidReport: The answer cannot be decoded.
+            EngineUnavailable: The engine gave no usable answer.
+        """
+
     @abstractmethod
     def start(self, model: ModelName, version: WeightsVersion) -> OrderOutcome:
         """Order the engine to serve the staged version after the order in progress."""
--- a/src/ridgecourse/loader/latest_incarnation.py
+++ b/src/ridgecourse/loader/latest_incarnation.py
@@ -51,6 +51,14 @@
             self.logged_error = error
             self.events.emit(EventKind.BAD_INPUT, error=error)
 
+    def cold_remaining(self, health_path: str) -> float | None:
+        """Return for how long the engine stays cold; see ``EngineControl``."""
+        try:
+            return self.engine.cold_remaining(health_path)
+        except InvalidReport as error:
+            self._record_invalid(str(error))
+            raise
+
     def start(self, model: ModelName, version: WeightsVersion) -> OrderOutcome:
         """Order the engine to serve the staged version; see ``EngineControl``."""
         return self.engine.start(model, version)
--- a/src/ridgecourse/loader/loader.py
+++ b/src/ridgecourse/loader/loader.py
@@ -15,6 +15,7 @@
 from ridgecourse.exchange.origin import WeightsOrigin
 from ridgecourse.exchange.server import Exchange
 from ridgecourse.exchange.store import ChunkStore
+from ridgecourse.loader.cold_feed import ColdFeed
 from ridgecourse.loader.engine_control import EngineControl
 from ridgecourse.loader.known_gateways import KnownGateways
 from ridgecourse.loader.latest_incarnation import LatestIncarnation
@@ -109,7 +110,12 @@
             (chunk_port, control_port),
         )
         self.reports = DatagramSocket(Address(site.host, control_port))
-        self.feed = StatusFeed(engine, self.rollout, self.gateways, self.reports)
+        self.cold = ColdFeed(
+            engine, self.view, self.rollout.service, lambda: bool(self.feed.watchers)
+        )
+        self.feed = StatusFeed(
+            engine, self.rollout, self.gateways, self.reports, self.cold
+        )
         self.router = HttpRouter()
         self.exchange.add_routes(self.router)
         self.rollout.catalogue.add_routes(self.router)
@@ -132,6 +138,7 @@
         self.gateways.start()
         self.rollout.start()
         self.feed.start()
+        self.cold.start()
         self.events.emit(EventKind.STARTED, http=str(self.http_server.address))
 
     def handle_channel(self, channel: ControlChannel) -> None:
@@ -188,6 +195,7 @@
     def close(self) -> None:
         """Stop all components and close the servers."""
         self.feed.close()
+        self.cold.close()
         self.rollout.close()
         self.relay.close()
         self.gateways.close()
--- a/src/ridgecourse/loader/status.py
+++ b/src/ridgecourse/loader/status.py
@@ -18,6 +18,7 @@
     heartbeat_interval,
     report_interval,
 )
+from ridgecourse.loader.cold_feed import ColdFeed
 from ridgecourse.loader.engine_control import EngineControl, EngineUnavailable
 from ridgecourse.loader.engine_control import EngineReport as LocalReport
 from ridgecourse.loader.known_gateways import KnownGateways
@@ -75,6 +76,7 @@
         status: Newest load; None while the engine does not answer.
         changed: Notified when a gateway connects or disconnects.
         gateways: Gateways that fetch weights into the domain.
+        cold: Tracks for how long the engine stays cold; None for never.
         watchers: Receivers of load reports, one for each connection.
         unread: Estimate of unread prompts in the engine's latest incarnation.
         started: Start time of that incarnation; None if the engine does not report it.
@@ -90,6 +92,7 @@
         rollout: Rollout,
         gateways: KnownGateways,
         reports: DatagramSocket,
+        cold: ColdFeed | None = None,
     ) -> None:
         self.engine = engine
         self.rollout = rollout
@@ -97,6 +100,7 @@
         self.changed = Broadcast()
         self.gateways = gateways
         self.reports = reports
+        self.cold = cold
         self.watchers: list[Watcher] = []
         self.unread = PrefillBacklogEstimate()
         self.started: EngineStart | None = None
@@ -128,6 +132,8 @@
         except EngineUnavailable:
             # The rollout logs the error; watchers receive no new load.
             self.status = None
+            if self.cold is not None:
+                self.cold.reset()
             return IDLE_POLL_SECONDS
         self.status = status
         self._send_reports(status, boottime())
@@ -157,6 +163,7 @@
             prefill_backlog=self._estimate_unread(report),
             started=report.started,
             leaving=report.leaving,
+            cold=self.cold.statement(report.started) if self.cold else None,
         )
 
     def _engine_slots(self) -> int:
--- a/src/ridgecourse/net/events.py
+++ b/src/ridgecourse/net/events.py
@@ -57,6 +57,8 @@
     ENGINE_LEAVING = "engine-leaving"
     ENGINE_RESTS = "engine-rests"
     ENGINE_REST_ENDED = "engine-rest-ended"
+    ENGINE_COLD = "engine-cold"
+    ENGINE_WARM = "engine-warm"
     ENGINE_ENDED = "engine-ended"
     REQUEST_BLOCKED = "request-blocked"
     REQUEST_CLEARED = "request-cleared"
--- a/src/ridgecourse/net/figures.py
+++ b/src/ridgecourse/net/figures.py
@@ -39,21 +39,27 @@
 
 
 class ProcessMetrics:
-    """The counters and histograms of one process.
+    """The counters, gauges and histograms of one process.
 
     Attributes:
         counters: Values of the counters, by name.
+        gauges: Values of the gauges, by name.
         histograms: Histograms of durations, by name.
     """
 
     def __init__(self) -> None:
         self.counters: Counter[str] = Counter()
+        self.gauges: dict[str, float] = {}
         self.histograms: dict[str, Histogram] = {}
 
     def count(self, name: str, value: int = 1) -> None:
         """Add a value to a counter."""
         self.counters[name] += value
 
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self.gauges[name] = value
+
     def observe(self, name: str, seconds: float) -> None:
         """Record a duration in a histogram."""
         if name not in self.histograms:
@@ -64,6 +70,8 @@
         """Yield the lines of the Prometheus text format, one metric a line."""
         for name, value in sorted(self.counters.items()):
             yield f"ridgecourse_{name}_total {value}"
+        for name, gauge in sorted(self.gauges.items()):
+            yield f"ridgecourse_{name} {gauge}"
         for name, histogram in sorted(self.histograms.items()):
             cumulative = 0
             for bound, count in zip(BUCKET_BOUNDS, histogram.counts, strict=False):
--- a/src/ridgecourse/platform/announcements.py
+++ b/src/ridgecourse/platform/announcements.py
@@ -4,8 +4,15 @@
 from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
+from returns.result import Failure, Result, Success
+
 from ridgecourse.core.problem import Problem, Problems
-from ridgecourse.platform.names import LEAVING_HEADER, RETRY_AFTER_HEADER
+from ridgecourse.platform.names import (
+    COLD_HEADER,
+    LEAVING_HEADER,
+    RETRY_AFTER_HEADER,
+)
+from ridgecourse.platform.settings import MILLISECOND
 
 UNAVAILABLE = 503
 DECIMAL_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?", re.ASCII)
@@ -53,6 +60,23 @@
     )
 
 
+def decode_cold_remaining(fields: Mapping[str, str]) -> Result[float | None, Problem]:
+    """Return the seconds for which an engine stays cold, by its health answer.
+
+    The value is 0 if it is not cold, and None if it does not say.
+
+    Args:
+        fields: Headers of the answer.
+    """
+    text = fields.get(COLD_HEADER, "").strip()
+    if not text:
+        return Success(None)
+    milliseconds = parse_decimal(text)
+    if milliseconds is None:
+        return Failure(Problem(COLD_HEADER, f"is {text!r}, expected milliseconds"))
+    return Success(milliseconds * MILLISECOND)
+
+
 def parse_decimal(text: str) -> float | None:
     """Return a plain decimal number of 0 or more, or None if the text is none."""
     return float(text) if DECIMAL_PATTERN.fullmatch(text) else None
--- a/src/ridgecourse/platform/config_records.py
+++ b/src/ridgecourse/platform/config_records.py
@@ -165,6 +165,9 @@
         origin: Address of the origin of weights; None for a service.
         zone: Failure domain of the origin.
         bandwidth_mbps: Capacity of the origin's link in megabits per second.
+        cold_start_s: Seconds for which an engine stays cold after a start under
+            traffic.
+        cold_per_s: Requests per second that a cold engine can handle; 0 for no limit.
     """
 
     name: AsciiName
@@ -174,6 +177,8 @@
     origin: SocketAddress | None = None
     zone: str = ""
     bandwidth_mbps: NonNegativeFloat = 0.0
+    cold_start_s: NonNegativeFloat = 0.0
+    cold_per_s: NonNegativeFloat = 0.0
 
     def __post_init__(self) -> None:
         """Check the origin's address.
@@ -292,6 +297,8 @@
         max_connections=fields.max_connections,
         health_path=fields.health_path,
         engine=engine,
+        cold_start_seconds=fields.cold_start_s,
+        cold_per_s=fields.cold_per_s,
     )
 
 
--- a/src/ridgecourse/platform/engine.py
+++ b/src/ridgecourse/platform/engine.py
@@ -20,7 +20,10 @@
 )
 from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
 from ridgecourse.net.kept_connections import PersistentConnections
-from ridgecourse.platform.announcements import decode_announcement
+from ridgecourse.platform.announcements import (
+    decode_announcement,
+    decode_cold_remaining,
+)
 from ridgecourse.platform.names import (
     CHUNK_INDEX_PARAMETER,
     ORDER_PATH,
@@ -125,6 +128,17 @@
             leaving=decode_announcement(answer.status, answer.headers).leaving,
         )
 
+    def cold_remaining(self, health_path: str) -> float | None:
+        """Return for how long the engine stays cold; see ``EngineControl``."""
+        try:
+            answer = self.connections.get(health_path, CALL_TIMEOUT_SECONDS)
+        except (NoConnection, ExchangeFailed) as error:
+            raise EngineUnavailable(f"{health_path}: {error}") from error
+        decoded = decode_cold_remaining(answer.headers)
+        if isinstance(decoded, Failure):
+            raise InvalidReport(str(decoded.failure()))
+        return decoded.unwrap()
+
     def start(self, model: ModelName, version: WeightsVersion) -> OrderOutcome:
         """Order the engine to serve the staged version; see ``EngineControl``."""
         body = encode(StartOrderFields(model, version))
--- a/src/ridgecourse/platform/names.py
+++ b/src/ridgecourse/platform/names.py
@@ -27,6 +27,8 @@
 """Requests per second that the engine accepts from all gateways together."""
 LEAVING_HEADER = "Server-Leaving"
 """Present with the value 1 in all answers of an engine that leaves."""
+COLD_HEADER = "Cold-Remaining-Ms"
+"""Milliseconds for which the engine stays cold, in its health answers."""
 TARGET_HEADER = "Instance-Id"
 RETRY_AFTER_HEADER = "Retry-After"
 
--- a/src/ridgecourse/platform/records.py
+++ b/src/ridgecourse/platform/records.py
@@ -33,6 +33,7 @@
     check_address,
 )
 from ridgecourse.platform.names import CONFIG_KEY, VERSION_KEY_PREFIX
+from ridgecourse.platform.settings import MILLISECOND
 
 TARGET_KEY_PATTERN = "[!-~]{1,255}"
 """Visible ASCII, because a target's identity is put into a header without escaping."""
@@ -88,7 +89,8 @@
         version: Not used.
         slots: Requests that the target runs concurrently.
         state: State that the target advertises.
-        cold_remaining_ms: Not used.
+        cold_remaining_ms: Milliseconds for which the target stays cold, as of when the
+            entry was written.
         sequence: Not used.
         phase: Not used.
         models: Models that the engine serves.
@@ -198,6 +200,7 @@
         },
         layers=make_held_layers(fields.layers),
         started=make_engine_start(fields.born),
+        cold_remaining=max(0.0, fields.cold_remaining_ms * MILLISECOND),
     )
 
 
--- a/src/ridgecourse/platform/settings.py
+++ b/src/ridgecourse/platform/settings.py
@@ -14,8 +14,15 @@
 
 from ridgecourse.core.ids import DomainName, ProcessName, RegionName, ServiceName
 from ridgecourse.core.problem import Problem, Problems
-from ridgecourse.core.site import Bounds, LocalTarget, Site
+from ridgecourse.core.site import (
+    DEFAULT_COLD_OVERAGE,
+    DEFAULT_COLD_SLACK,
+    Bounds,
+    LocalTarget,
+    Site,
+)
 from ridgecourse.net.site_process import SettingsSource
+from ridgecourse.platform.field_types import NonNegativeFloat
 
 logger = logging.getLogger(__name__)
 
@@ -68,6 +75,8 @@
         retry_budget_ratio: Retries allowed per request of a service, over all gateways.
         retry_window_s: Time window of the retry ratio.
         retry_slack: Retries allowed in a window in addition to the ratio.
+        cold_overage: Factor in the bound of requests to a cold engine in any second.
+        cold_slack: Requests that are added to this bound.
     """
 
     grace_s: float
@@ -78,6 +87,8 @@
     retry_budget_ratio: float
     retry_window_s: float
     retry_slack: float
+    cold_overage: NonNegativeFloat = DEFAULT_COLD_OVERAGE
+    cold_slack: NonNegativeFloat = DEFAULT_COLD_SLACK
 
 
 class SiteFields(Struct):
@@ -245,4 +256,6 @@
         retry_ratio=fields.retry_budget_ratio,
         retry_seconds=fields.retry_window_s,
         retry_slack=fields.retry_slack,
+        cold_overage=fields.cold_overage,
+        cold_slack=fields.cold_slack,
     )
--- a/src/ridgecourse_standins/platform/weights.py
+++ b/src/ridgecourse_standins/platform/weights.py
@@ -14,6 +14,7 @@
 from ridgecourse.platform.names import (
     CHUNK_INDEX_PARAMETER,
     CHUNK_PATH,
+    COLD_HEADER,
     MANIFEST_PATH,
     ORDER_PATH,
     REPORT_PATH,
@@ -24,6 +25,8 @@
 from ridgecourse_standins.platform.engine import now_ms
 
 StatusAndBody = tuple[int, bytes]
+HEALTH_PATH = "/healthz"
+"""Path of the engine's health check in the sample configuration."""
 LATE_SECONDS = 1.8
 """Maximum time from an abandoned call to the moment when the call takes effect."""
 
@@ -103,6 +106,10 @@
         """
         raise NotImplementedError
 
+    def answer_headers(self, path: str) -> list[tuple[str, str]]:
+        """Return further headers of the answer to a call."""
+        return []
+
     def wait_until(self, condition: Callable[[], bool], seconds: float = 20.0) -> None:
         """Wait until a condition holds; the condition is evaluated after each call.
 
@@ -146,6 +153,8 @@
                 exchange.answered_at = monotonic()
                 self.send_response(status)
                 self.send_header("Content-Length", str(len(data)))
+                for name, value in stand_in.answer_headers(parts.path):
+                    self.send_header(name, value)
                 self.end_headers()
                 self.wfile.write(data)
 
@@ -175,6 +184,7 @@
             place; None for an engine that does not report the time.
         busy: Whether the engine reports an order in progress.
         on_staging_read: Called after each read of the staging area, with the index.
+        cold_ms: Value of the cold header of health answers; None for no header.
     """
 
     def __init__(self, layers: int, host: str = "127.0.0.1") -> None:
@@ -190,6 +200,7 @@
         self.born: Any = None
         self.busy = False
         self.on_staging_read: Callable[[int], None] = lambda index: None
+        self.cold_ms: Any = None
 
     def restart(self, keeps_staged: bool = True, busy: bool = False) -> None:
         """Start a new incarnation with the same identity, without version or orders.
@@ -214,6 +225,8 @@
         """Answer a report request, a start order or a call to the staging area."""
         if path == REPORT_PATH:
             return 200, encode(self.make_report())
+        if path == HEALTH_PATH:
+            return 200, b""
         if path == ORDER_PATH:
             return self._start(decode(body))
         if path.startswith(STAGE_PUT_PATH) and body == self.late_chunk:
@@ -229,6 +242,12 @@
             return (404, b"") if data is None else (200, data)
         return 404, b""
 
+    def answer_headers(self, path: str) -> list[tuple[str, str]]:
+        """Return the cold header of a health answer, if it has one."""
+        if path != HEALTH_PATH or self.cold_ms is None:
+            return []
+        return [(COLD_HEADER, str(self.cold_ms))]
+
     def make_report(self) -> dict[str, Any]:
         """Return the fields of the report of the engine."""
         report: dict[str, Any] = {"utilization": self.busy, "sequence": self.orders}
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -130,6 +130,7 @@
         state: str = "ready",
         zone: str = "a",
         version: int = 1,
+        cold_ms: int = 0,
     ) -> str:
         """Put a target of an engine into the store and return the target's name."""
         target = target or f"i-{self.engines.index(engine)}"
@@ -140,7 +141,7 @@
             "version": "v1",
             "slots": 16,
             "state": state,
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": cold_ms,
             "sequence": 1,
         }
         if engine.born is not None:
--- a/tests/platform/cold_model.py
+++ b/tests/platform/cold_model.py
@@ -1,8 +1,13 @@
-"""Model of gateways that send to one cold engine, in virtual time."""
+"""Model of gateways that send to one cold engine, in virtual time.
+
+Every request may go to the engine, as if all engines of its service were cold and chose
+this one, which is the most that it can get.
+"""
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
+from math import floor
 from random import Random
 
 from msgspec import convert
@@ -18,8 +23,61 @@
 
 MAX_HOLD_SECONDS = 0.25
 """Longest time for which a request waits for its turn."""
-LONG_RUNNING_SECONDS = -1000.0
+LONG_AGO = -1000.0
 """Start of a gateway that has run for long."""
+ENGINE_DOMAIN = DomainName("a")
+
+Known = Callable[[Peer, float], Sequence[Peer]]
+"""Returns the other gateways that a gateway knows at a time."""
+
+
+def make_limit(rate: float) -> ColdLimit:
+    """Return the limit with the usual bound: 1.5 times the rate and 5 requests."""
+    return ColdLimit(rate, floor(rate * 1.5 + 5))
+
+
+def know_all(peers: Sequence[Peer]) -> Known:
+    """Return that each gateway knows all others."""
+    others = {peer.name: [p for p in peers if p.name != peer.name] for peer in peers}
+    return lambda peer, now: others[peer.name]
+
+
+def halves_know_half(peers: Sequence[Peer]) -> Known:
+    """Return that half of the gateways know only each other; the others know all."""
+    all_known = know_all(peers)
+    half = {peer.name for peer in peers[1::2]}
+
+    def known(peer: Peer, now: float) -> Sequence[Peer]:
+        others = all_known(peer, now)
+        if peer.name not in half:
+            return others
+        return [other for other in others if other.name in half]
+
+    return known
+
+
+def half_know_random_half(peers: Sequence[Peer], random: Random) -> Known:
+    """Return that half of the gateways know a random half of the others each."""
+    all_known = know_all(peers)
+    views = {
+        peer.name: [other for other in all_known(peer, 0.0) if random.random() < 0.5]
+        for peer in peers[1::2]
+    }
+    return lambda peer, now: views.get(peer.name) or all_known(peer, now)
+
+
+def even_load(total: float, gateways: int) -> Callable[[int], float]:
+    """Return the requests per second of each gateway if all have the same number."""
+    return lambda index: total / gateways
+
+
+def uneven_load(total: float, gateways: int, random: Random) -> Callable[[int], float]:
+    """Return the same if 20 % of the gateways have 80 % of the requests."""
+    busy = set(random.sample(range(gateways), max(1, gateways // 5)))
+    idle_count = max(1, gateways - len(busy))
+    return lambda index: (
+        0.8 * total / len(busy) if index in busy else (0.2 * total / idle_count)
+    )
 
 
 @dataclass
@@ -29,16 +87,12 @@
     Attributes:
         local: The gateway.
         limits: What it knows of the engine.
-        known: Returns the other gateways that it knows at a time.
         per_second: Requests that arrive per second.
-        lateness: Returns the seconds by which a request is late for its turn.
     """
 
     local: Peer
     limits: EngineRateLimits
-    known: Callable[[float], Sequence[Peer]]
     per_second: float
-    lateness: Callable[[], float] = lambda: 0.0
 
 
 @dataclass
@@ -48,38 +102,33 @@
     Attributes:
         limit: The limit of the engine.
         random: Chooses the times at which requests arrive.
+        known: Returns the gateways that each gateway knows.
+        target: Identity of the engine, on which the ranks of the gateways depend.
+        max_lateness: Largest time by which a request is late for its turn, in seconds.
         gateways: The gateways.
         sends: Times at which requests were sent to the engine, in order.
     """
 
     limit: ColdLimit
     random: Random
+    known: Known
     target: str = "i-1"
+    max_lateness: float = 0.0
     gateways: list[GatewayModel] = field(default_factory=list)
     sends: list[float] = field(default_factory=list)
 
     def add_gateways(
         self,
         peers: Sequence[Peer],
-        known: Callable[[Peer, float], Sequence[Peer]],
         per_second: Callable[[int], float],
-        started_at: Callable[[int], float] = lambda index: LONG_RUNNING_SECONDS,
-        lateness: Callable[[], float] = lambda: 0.0,
+        started_at: Callable[[int], float] = lambda index: LONG_AGO,
     ) -> None:
         """Add a gateway for each peer."""
         site = make_site(convert(make_settings("127.0.0.1:1"), SiteFields))
         for index, peer in enumerate(peers):
             limits = EngineRateLimits(site, peer)
             limits.gateways.started_at = Seconds(started_at(index))
-            self.gateways.append(
-                GatewayModel(
-                    peer,
-                    limits,
-                    lambda now, peer=peer: known(peer, now),
-                    per_second(index),
-                    lateness,
-                )
-            )
+            self.gateways.append(GatewayModel(peer, limits, per_second(index)))
 
     def run(self, seconds: float) -> None:
         """Let requests arrive for a time, from the moment the engine is cold."""
@@ -87,23 +136,28 @@
         pending: list[tuple[float, int, bool]] = []
         for index, gateway in enumerate(self.gateways):
             gateway.limits.record_cold(incarnation, self.limit)
-            if gateway.per_second:
-                heappush(pending, (self._gap(gateway), index, True))
-        while pending and pending[0][0] < seconds:
+            heappush(pending, (self._gap(gateway), index, True))
+        while pending[0][0] < seconds:
             time, index, is_arrival = heappop(pending)
             gateway = self.gateways[index]
-            now = Seconds(time)
-            if not is_arrival:
-                if gateway.limits.confirm_send(incarnation, True, now):
-                    self.sends.append(time)
-                continue
-            heappush(pending, (time + self._gap(gateway), index, True))
-            domain = DomainName("a")
-            hold = gateway.limits.wait(incarnation, domain, gateway.known(now), now)
-            if hold <= MAX_HOLD_SECONDS:
-                gateway.limits.record_send(incarnation, now)
-                sent_at = time + hold + gateway.lateness()
-                heappush(pending, (sent_at, index, False))
+            if is_arrival:
+                heappush(pending, (time + self._gap(gateway), index, True))
+                turn = self._take_turn(gateway, incarnation, Seconds(time))
+                if turn is not None:
+                    heappush(pending, (turn, index, False))
+            elif gateway.limits.confirm_send(incarnation, True, Seconds(time)):
+                self.sends.append(time)
+
+    def _take_turn(
+        self, gateway: GatewayModel, incarnation: EngineIncarnation, now: Seconds
+    ) -> float | None:
+        """Return when a request that arrives is sent; None if it is refused."""
+        known = self.known(gateway.local, now)
+        hold = gateway.limits.wait(incarnation, ENGINE_DOMAIN, known, now)
+        if hold > MAX_HOLD_SECONDS:
+            return None
+        gateway.limits.record_send(incarnation, now)
+        return now + hold + self.max_lateness * self.random.random()
 
     def _gap(self, gateway: GatewayModel) -> float:
         return self.random.expovariate(gateway.per_second)
@@ -118,4 +172,4 @@
         return most
 
 
-__all__ = ["ColdEngineModel", "GatewayModel", "make_peers"]
+__all__ = ["make_peers"]
--- a/tests/platform/test_known_incarnations.py
+++ b/tests/platform/test_known_incarnations.py
@@ -235,7 +235,9 @@
 
     def choose(self, tried: set[EngineIncarnation]) -> Any:
         service: Any = SimpleNamespace(
-            name=ServiceName("llm"), engine=SimpleNamespace(layers=LAYERS)
+            name=ServiceName("llm"),
+            engine=SimpleNamespace(layers=LAYERS),
+            cold_per_s=0.0,
         )
         self.selector._estimate = lambda requirements, call, target, now: (
             SimpleNamespace(  # type: ignore[method-assign, assignment]
