--- a/src/ridgecourse/core/cold_turns.py
+++ b/src/ridgecourse/core/cold_turns.py
@@ -2,12 +2,14 @@
 
 A cold engine handles ``cold_per_s`` requests per second, and must not receive more than
 a bound in any second from all gateways together. Each gateway computes its turns from
-the gateways that it knows, without a message. The bound holds although gateways that
-start, or that are cut off, know fewer gateways than the others:
+the gateways that it knows. The bound holds although gateways that start, or that are
+cut off, know fewer gateways than the others:
 
 - No gateway sends twice within a second where the limit allows it, so that a second has
   at most one request from each sending gateway.
 - A gateway that is no longer reported is counted for some time.
+- A gateway without requests passes its turn to one that asks for it, and counts the
+  turn as used.
 - A gateway that has just started and knows no other one waits. It then takes at most
   the share of one of 40 gateways, and of 12 while it knows some others.
 """
@@ -80,6 +82,17 @@
 NO_SHARE = Share(inf, inf)
 
 
+class Turn(Struct, frozen=True):
+    """The turn of one request at an engine with a limit.
+
+    Attributes:
+        until: End of a turn that another gateway has passed on; None for one of this
+            gateway's own.
+    """
+
+    until: Seconds | None = None
+
+
 class RecentGateways:
     """The other gateways that were known within ``MEMORY_SECONDS``.
 
--- a/src/ridgecourse/core/engine_rate_limits.py
+++ b/src/ridgecourse/core/engine_rate_limits.py
@@ -16,7 +16,7 @@
 from collections.abc import Collection, Iterable, Sequence
 from math import ceil, inf
 
-from msgspec import Struct
+from msgspec import Struct, field
 
 from ridgecourse.core.cold_turns import (
     COLD_CATCH_UP_SECONDS,
@@ -24,6 +24,7 @@
     ColdLimit,
     RecentGateways,
     Share,
+    Turn,
     compute_cold_share,
 )
 from ridgecourse.core.engine_incarnation import EngineIncarnation
@@ -80,6 +81,7 @@
         share_computed_at: Time at which the interval was computed.
         sent_at: Time at which this gateway last sent a request while the engine was
             cold.
+        grants: Turns that other gateways have passed to this one, by their ends.
     """
 
     rate: float | None = None
@@ -90,6 +92,12 @@
     interval: float = inf
     share_computed_at: Seconds = Seconds(-inf)
     sent_at: Seconds = Seconds(-inf)
+    grants: list[Seconds] = field(default_factory=list)
+
+    def has_grant(self, now: Seconds) -> bool:
+        """Check whether another gateway has passed a turn that has not ended."""
+        self.grants = [until for until in self.grants if now <= until]
+        return self.cold is not None and bool(self.grants)
 
     @property
     def is_limited(self) -> bool:
@@ -101,6 +109,16 @@
         """Seconds by which a request may be late without delaying the next one."""
         return COLD_CATCH_UP_SECONDS if self.cold else CATCH_UP_SECONDS
 
+    def use_turn(self, sent_at: Seconds) -> bool:
+        """Record a request to a cold engine; return whether its time allows it."""
+        earliest = self.sent_at + self.interval - self.catch_up
+        if self.interval == inf or sent_at < earliest:
+            return False
+        self.sent_at = sent_at
+        next_send_at = sent_at + self.interval - self.catch_up
+        self.next_send_at = Seconds(max(self.next_send_at, next_send_at))
+        return True
+
     def forget_share(self) -> None:
         """Drop the share of a limit that has changed."""
         self.interval, self.share_computed_at = inf, Seconds(-inf)
@@ -204,22 +222,32 @@
         state = self.states.value_of(incarnation)
         if now - state.share_computed_at >= SHARE_REFRESH_SECONDS:
             self._compute_share(state, incarnation.target, domain, gateways, now)
+        if state.grants and state.has_grant(now):
+            return 0.0
         return max(0.0, state.next_send_at - now) if state.interval < inf else inf
 
-    def record_send(self, incarnation: EngineIncarnation, now: Seconds) -> None:
+    def record_send(self, incarnation: EngineIncarnation, now: Seconds) -> Turn | None:
         """Record that a request is sent to an engine, at once or at the gateway's turn.
 
         Args:
             incarnation: Incarnation of the engine.
             now: Current time.
+
+        Returns:
+            The turn of the request; None if the engine is not limited.
         """
-        if self.is_limited(incarnation):
-            state = self.states.value_of(incarnation)
-            turn_at = max(state.next_send_at, now - state.catch_up)
-            state.next_send_at = Seconds(turn_at + state.interval)
+        state = self.state(incarnation)
+        if state is None or not state.is_limited:
+            return None
+        has_own_turn = state.interval < inf and now >= state.next_send_at
+        if not has_own_turn and state.has_grant(now):
+            return Turn(state.grants.pop(0))
+        turn_at = max(state.next_send_at, now - state.catch_up)
+        state.next_send_at = Seconds(turn_at + state.interval)
+        return Turn()
 
     def confirm_send(
-        self, incarnation: EngineIncarnation, has_turn: bool, now: Seconds
+        self, incarnation: EngineIncarnation, turn: Turn | None, now: Seconds
     ) -> bool:
         """Check a cold engine's turn just before a request is written to the engine.
 
@@ -229,7 +257,7 @@
 
         Args:
             incarnation: Incarnation of the engine.
-            has_turn: Whether ``record_send`` was called while the engine was limited.
+            turn: What ``record_send`` returned for the request.
             now: Current time.
 
         Returns:
@@ -238,15 +266,11 @@
         state = self.state(incarnation)
         if state is None or state.cold is None:
             return True
-        if not has_turn and now < state.next_send_at:
+        if turn is not None and turn.until is not None:
+            return now <= turn.until
+        if turn is None and now < state.next_send_at:
             return False
-        earliest = state.sent_at + state.interval - state.catch_up
-        if state.interval == inf or now < earliest:
-            return False
-        state.sent_at = now
-        next_send_at = now + state.interval - state.catch_up
-        state.next_send_at = Seconds(max(state.next_send_at, next_send_at))
-        return True
+        return state.use_turn(now)
 
     def _compute_share(
         self,
--- a/src/ridgecourse/gateway/announcement_watch.py
+++ b/src/ridgecourse/gateway/announcement_watch.py
@@ -1,11 +1,12 @@
 """Learn from engines' answers and reports what the engines announce of themselves."""
 
-from collections.abc import Container
+from collections.abc import Container, Iterable
 
 from ridgecourse.core.cold_engines import ColdStatement
+from ridgecourse.core.cold_turns import Turn
 from ridgecourse.core.engine_announcements import EngineAnnouncements
 from ridgecourse.core.engine_incarnation import EngineIncarnation
-from ridgecourse.core.ids import Seconds, TargetId
+from ridgecourse.core.ids import Seconds, ServiceName, TargetId
 from ridgecourse.core.site import Site
 from ridgecourse.core.target_list import ListedTarget
 from ridgecourse.gateway.gateway_link import GatewayLink
@@ -84,19 +85,23 @@
         bound = self.site.bounds.leaving_seconds - ARRIVAL_SECONDS
         return leaving is None or leaving < bound
 
-    def record_send(self, incarnation: EngineIncarnation) -> bool:
+    def record_send(self, incarnation: EngineIncarnation) -> Turn | None:
         """Record that a request is sent to an engine, at once or after its hold.
 
         Returns:
-            Whether the engine is limited, so that the request has a turn.
+            The turn of the request; None if the engine does not limit its requests.
         """
-        self.limit_watch.limits.record_send(incarnation, boottime())
-        return self.limit_watch.limits.is_limited(incarnation)
+        return self.limit_watch.limits.record_send(incarnation, boottime())
 
-    def confirm_send(self, incarnation: EngineIncarnation, has_turn: bool) -> bool:
+    def confirm_send(self, incarnation: EngineIncarnation, turn: Turn | None) -> bool:
         """Check whether a request may be written to an engine now, if it is cold."""
-        limits = self.limit_watch.limits
-        return limits.confirm_send(incarnation, has_turn, boottime())
+        return self.limit_watch.limits.confirm_send(incarnation, turn, boottime())
+
+    def record_refusal(
+        self, service: ServiceName, targets: Iterable[ListedTarget]
+    ) -> None:
+        """Record that a request was refused because targets of its service are cold."""
+        self.limit_watch.request_turns(service, targets)
 
     def record_contact(
         self, target: ListedTarget, incarnation: EngineIncarnation, answered: bool
--- a/src/ridgecourse/gateway/attempt_guard.py
+++ b/src/ridgecourse/gateway/attempt_guard.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from ridgecourse.core.cold_turns import Turn
 from ridgecourse.core.eligibility import Exclusion, ExclusionReason
 from ridgecourse.core.engine_incarnation import EngineIncarnation
 from ridgecourse.gateway.announcement_watch import AnnouncementWatch
@@ -18,21 +19,20 @@
         incarnation: Incarnation of the engine that gets the attempt.
         check: Returns why the request must not be sent to the engine any more; None if
             it may. Called before connecting and before the request is written.
-        has_turn: Whether the request has one of this gateway's turns at an engine that
-            limits its requests.
+        turn: Turn of the request at an engine that limits its requests.
     """
 
     announcements: AnnouncementWatch
     incarnation: EngineIncarnation
     check: Callable[[], Exclusion | None]
-    has_turn: bool = False
+    turn: Turn | None = None
 
     def confirm_write(self) -> Exclusion | None:
         """Return why the request must not be written now; None if it is written.
 
         Called once for an attempt, as the last check.
         """
-        if self.announcements.confirm_send(self.incarnation, self.has_turn):
+        if self.announcements.confirm_send(self.incarnation, self.turn):
             return None
         return Exclusion(ExclusionReason.COLD)
 
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -9,11 +9,13 @@
 
 from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.cold_refusals import ColdRefusals
+from ridgecourse.core.cold_turns import Turn
 from ridgecourse.core.crash_reports import (
     Flight,
 )
 from ridgecourse.core.eligibility import (
     Exclusion,
+    ExclusionReason,
     ExclusionSummary,
     TargetRequirements,
 )
@@ -25,21 +27,21 @@
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.placement import FIRST_EVENT_SECONDS
 from ridgecourse.core.recent_peak import RecentPeak
-from ridgecourse.core.retry import RetryBudget, return_delay_seconds
+from ridgecourse.core.retry import RetryBudget
 from ridgecourse.core.site import Site
 from ridgecourse.core.target_list import ListedTarget
 from ridgecourse.core.target_states import TargetHealth
 from ridgecourse.gateway.announcement_watch import AnnouncementWatch
 from ridgecourse.gateway.attempt_guard import AttemptGuard
-from ridgecourse.gateway.constraints import HOLD_REASONS
+from ridgecourse.gateway.choice import Choice
 from ridgecourse.gateway.crash_watch import CrashWatch
 from ridgecourse.gateway.load_watcher import LoadWatcher
 from ridgecourse.gateway.protocol import RequestProtocol
+from ridgecourse.gateway.refusals import explain_refusal
 from ridgecourse.gateway.selection import (
     MAX_LIMIT_DELAY_SECONDS,
     MISSING_WEIGHTS_PAUSE_SECONDS,
     REFUSED_PAUSE_SECONDS,
-    Choice,
     TargetSelector,
 )
 from ridgecourse.gateway.sender import (
@@ -66,8 +68,6 @@
 """Smallest number of gateways by which the slack of the retry budget is divided, since
 some gateways may not be known yet. Above it, the number of known gateways is used."""
 
-NO_TARGET_REASONS = (Reason.NO_TARGET, Reason.WRONG_TARGET, Reason.LEAVING)
-"""Reasons of refusals for which no target could serve the request at all."""
 NOT_SENT_REASONS = (Reason.LEAVING, Reason.OVERLOADED, Reason.NO_TARGET)
 """Reasons for which a chosen target does not get the request after all."""
 
@@ -182,16 +182,19 @@
         if summary is None:
             requirements = self._requirements(routed, terms, tried)
             summary = self.selector.explain_exclusions(requirements)
-        if summary is None:
-            return result
-        cold_delay = self.cold_refusals.retry_delay(
-            terms.service,
-            summary,
-            self.count_gateways(),
-            time_left(routed.deadline),
-            boottime(),
-        )
-        return self._explain(result, summary, cold_delay)
+        if summary is not None and summary.counts[ExclusionReason.COLD]:
+            targets = self.view.serving_targets(terms.service.name)
+            self.announcements.record_refusal(terms.service.name, targets)
+        if summary is not None and result.come_back is None:
+            come_back = self.cold_refusals.retry_delay(
+                terms.service,
+                summary,
+                self.count_gateways(),
+                time_left(routed.deadline),
+                boottime(),
+            )
+            result = structs.replace(result, come_back=come_back)
+        return explain_refusal(result, summary, boottime(), self.selector.random)
 
     def _without_unproven_refusal(
         self, result: Whole | Stream, terms: Terms
@@ -220,24 +223,6 @@
         regions = routed.restriction.regions
         return TargetRequirements(terms.service, tried, regions, max_hold)
 
-    def _explain(
-        self, refusal: NotRun, summary: ExclusionSummary, cold_delay: float | None
-    ) -> NotRun:
-        """Return a refusal with the reasons for which no target is eligible."""
-        if refusal.reason in NO_TARGET_REASONS and HOLD_REASONS & summary.counts.keys():
-            refusal = structs.replace(
-                refusal, reason=Reason.OVERLOADED, detail=str(summary)
-            )
-        elif refusal.reason is Reason.NO_TARGET:
-            refusal = structs.replace(refusal, detail=str(summary))
-        come_back = cold_delay if refusal.come_back is None else refusal.come_back
-        seconds_left = summary.seconds_left(boottime())
-        if come_back is None and seconds_left:
-            come_back = return_delay_seconds(seconds_left, self.selector.random)
-        return structs.replace(
-            refusal, come_back=come_back, excluded=summary.counts_by_name()
-        )
-
     def _check_load_shedding(
         self, routed: RoutedRequest, terms: Terms, choice: Choice
     ) -> NotRun | None:
@@ -283,7 +268,7 @@
         # Load and state belong to the incarnation that gets the request, so that the
         # result does not affect a later one.
         load, state = self.selector.load(target), self.selector.state(target)
-        has_turn = self._wait_for_limit(routed, choice, incarnation)
+        turn = self._wait_for_limit(routed, choice, incarnation)
         sent_at = boottime()
         load.outstanding += 1
         load.pending[routed.call.request_id] = PendingRequest(
@@ -296,7 +281,7 @@
                 self.announcements,
                 incarnation,
                 lambda: self._check_send(routed, terms, target),
-                has_turn,
+                turn,
             )
             result = self.sender.send(routed, target, state.network_delays, guard)
             self._record_engine_outcome(flight, result)
@@ -333,16 +318,16 @@
 
     def _wait_for_limit(
         self, routed: RoutedRequest, choice: Choice, incarnation: EngineIncarnation
-    ) -> bool:
+    ) -> Turn | None:
         """Wait until the rate limit and the rest of a target allow a request.
 
         Returns:
-            Whether the request has a turn at a target that limits its requests.
+            The turn of the request at a target that limits its requests.
 
         Raises:
             CallerGone: The client disconnected meanwhile.
         """
-        has_turn = self.announcements.record_send(incarnation)
+        turn = self.announcements.record_send(incarnation)
         if choice.hold:
             self.announcements.count_hold(choice.target, incarnation)
             eventlet.sleep(choice.hold)
@@ -350,7 +335,7 @@
                 raise ClientDisconnected(
                     "the client disconnected before the request was sent"
                 )
-        return has_turn
+        return turn
 
     def _record_engine_outcome(self, flight: Flight, result: SendResult) -> None:
         """Record whether an engine answered a request or closed its connection."""
