--- a/src/ridgecourse/gateway/announcement_watch.py
+++ b/src/ridgecourse/gateway/announcement_watch.py
@@ -1,11 +1,14 @@
 """Learn from engines' answers and reports what the engines announce of themselves."""
 
-from collections.abc import Container
+from collections.abc import Container, Iterable
 
+from ridgecourse.core.cold_engines import ColdStatement
+from ridgecourse.core.cold_turns import Turn
 from ridgecourse.core.engine_announcements import EngineAnnouncements
 from ridgecourse.core.engine_incarnation import EngineIncarnation
-from ridgecourse.core.ids import Seconds, TargetId
+from ridgecourse.core.ids import Seconds, ServiceName, TargetId
 from ridgecourse.core.site import Site
+from ridgecourse.core.target_list import ListedTarget
 from ridgecourse.gateway.gateway_link import GatewayLink
 from ridgecourse.gateway.limit_watch import LimitWatch
 from ridgecourse.gateway.messages import AnswerHead
@@ -82,9 +85,42 @@
         bound = self.site.bounds.leaving_seconds - ARRIVAL_SECONDS
         return leaving is None or leaving < bound
 
-    def record_send(self, incarnation: EngineIncarnation) -> None:
-        """Record that a request is sent to an engine, at once or after its hold."""
-        self.limit_watch.limits.record_send(incarnation, boottime())
+    def record_send(self, incarnation: EngineIncarnation) -> Turn | None:
+        """Record that a request is sent to an engine, at once or after its hold.
+
+        Returns:
+            The turn of the request; None if the engine does not limit its requests.
+        """
+        return self.limit_watch.limits.record_send(incarnation, boottime())
+
+    def confirm_send(self, incarnation: EngineIncarnation, turn: Turn | None) -> bool:
+        """Check whether a request may be written to an engine now, if it is cold."""
+        return self.limit_watch.limits.confirm_send(incarnation, turn, boottime())
+
+    def record_refusal(
+        self, service: ServiceName, targets: Iterable[ListedTarget]
+    ) -> None:
+        """Record that a request was refused because targets of its service are cold."""
+        self.limit_watch.request_turns(service, targets)
+
+    def record_contact(
+        self, target: ListedTarget, incarnation: EngineIncarnation, answered: bool
+    ) -> None:
+        """Record that an engine has answered a request or could not be reached."""
+        cold_watch = self.limit_watch.cold_watch
+        cold_watch.record_contact(target, incarnation, answered)
+
+    def count_hold(self, target: ListedTarget, incarnation: EngineIncarnation) -> None:
+        """Count a request that waits for its turn at an engine that is cold."""
+        if self.limit_watch.cold_watch.is_cold(target, incarnation):
+            self.events.metrics.count("requests_held_cold")
+
+    def record_cold(
+        self, incarnation: EngineIncarnation, statement: ColdStatement | None
+    ) -> None:
+        """Record what a loader reports of whether its engine is cold, if it knows."""
+        if statement is not None:
+            self.limit_watch.cold_watch.record_statement(incarnation, statement)
 
     def rest_left(self, incarnation: EngineIncarnation) -> float:
         """Return for how many seconds an engine wants no requests."""
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -8,11 +8,14 @@
 from msgspec import structs
 
 from ridgecourse.cluster.view import ClusterView
+from ridgecourse.core.cold_refusals import ColdRefusals
+from ridgecourse.core.cold_turns import Turn
 from ridgecourse.core.crash_reports import (
     Flight,
 )
 from ridgecourse.core.eligibility import (
     Exclusion,
+    ExclusionReason,
     ExclusionSummary,
     TargetRequirements,
 )
@@ -82,6 +85,7 @@
         selector: Chooses the target of each attempt.
         sender: Sends one request to one target.
         budgets: Retry budget of each service.
+        cold_refusals: Spreads the retries while all targets of a service are cold.
     """
 
     def __init__(
@@ -108,6 +112,7 @@
         )
         self.sender = Sender(protocol)
         self.budgets: dict[ServiceName, RetryBudget] = {}
+        self.cold_refusals = ColdRefusals(random)
 
     def budget(self, service: ServiceName) -> RetryBudget:
         """Return the retry budget of a service.
@@ -180,6 +185,18 @@
         if summary is None:
             requirements = self._requirements(routed, terms, tried)
             summary = self.selector.explain_exclusions(requirements)
+        if summary is not None and summary.counts[ExclusionReason.COLD]:
+            targets = self.view.serving_targets(terms.service.name)
+            self.announcements.record_refusal(terms.service.name, targets)
+        if summary is not None and result.come_back is None:
+            come_back = self.cold_refusals.retry_delay(
+                terms.service,
+                summary,
+                self.count_gateways(),
+                time_left(routed.deadline),
+                boottime(),
+            )
+            result = structs.replace(result, come_back=come_back)
         return explain_refusal(result, summary, boottime(), self.selector.random)
 
     def _without_unproven_refusal(
@@ -274,7 +291,7 @@
         # Load and state belong to the incarnation that gets the request, so that the
         # result does not affect a later one.
         load, state = self.selector.load(target), self.selector.state(target)
-        self._wait_for_limit(routed, choice, incarnation)
+        turn = self._wait_for_limit(routed, choice, incarnation)
         sent_at = boottime()
         load.outstanding += 1
         load.pending[routed.call.request_id] = PendingRequest(
@@ -287,6 +304,7 @@
                 self.announcements,
                 incarnation,
                 lambda: self._check_send(routed, terms, target),
+                turn,
             )
             result = self.sender.send(routed, target, state.network_delays, guard)
             self._record_engine_outcome(flight, result)
@@ -298,6 +316,10 @@
                 load.outstanding -= 1
                 self.crash_watch.finish(flight)
         self._update_target_state(result, target, state)
+        if isinstance(result, (Whole, Stream)):
+            self.announcements.record_contact(target, incarnation, answered=True)
+        elif isinstance(result, NotRun) and result.reason is Reason.UNREACHABLE:
+            self.announcements.record_contact(target, incarnation, answered=False)
         if isinstance(result, Stream):
             now = boottime()
             expected_seconds = choice.wait + choice.prefill_time + FIRST_EVENT_SECONDS
@@ -319,19 +341,24 @@
 
     def _wait_for_limit(
         self, routed: RoutedRequest, choice: Choice, incarnation: EngineIncarnation
-    ) -> None:
+    ) -> Turn | None:
         """Wait until the rate limit and the rest of a target allow a request.
 
+        Returns:
+            The turn of the request at a target that limits its requests.
+
         Raises:
             CallerGone: The client disconnected meanwhile.
         """
-        self.announcements.record_send(incarnation)
+        turn = self.announcements.record_send(incarnation)
         if choice.hold:
+            self.announcements.count_hold(choice.target, incarnation)
             eventlet.sleep(choice.hold)
             if routed.is_abandoned():
                 raise ClientDisconnected(
                     "the client disconnected before the request was sent"
                 )
+        return turn
 
     def _record_engine_outcome(self, flight: Flight, result: SendResult) -> None:
         """Record whether an engine answered a request or closed its connection."""
--- a/src/ridgecourse/gateway/gateway_link.py
+++ b/src/ridgecourse/gateway/gateway_link.py
@@ -89,6 +89,10 @@
         chosen = [*ranked[:OWNERS_PER_KEY], *local_ranked[:LOCAL_OWNERS_PER_KEY]]
         return self._addresses(peer.control_address for peer in chosen)
 
+    def addresses_of(self, gateways: Iterable[Peer]) -> list[Address]:
+        """Return the datagram addresses of gateways."""
+        return self._addresses(peer.control_address for peer in gateways)
+
     def seed_addresses(self) -> list[Address]:
         """Return the datagram addresses of the seed nodes in the settings."""
         return self._addresses(self.site.seeds)
--- a/src/ridgecourse/wire/control.py
+++ b/src/ridgecourse/wire/control.py
@@ -149,7 +149,36 @@
     age: float
 
 
-GatewayMessage = CrashReports | CrashQuery | EngineLimitReports | EngineLeaving
+class TurnRequest(ControlMessage, frozen=True, tag="turn-request"):
+    """Asks a gateway to pass on its unused turn at a cold engine, as a datagram.
+
+    Attributes:
+        incarnation: Incarnation of the engine.
+        reply_to: HOST:PORT where the sender receives the answer.
+    """
+
+    incarnation: EngineIncarnation
+    reply_to: str
+
+
+class TurnGrant(ControlMessage, frozen=True, tag="turn-grant"):
+    """Passes the sender's turn at a cold engine to the receiver, as a datagram.
+
+    Attributes:
+        incarnation: Incarnation of the engine.
+    """
+
+    incarnation: EngineIncarnation
+
+
+GatewayMessage = (
+    CrashReports
+    | CrashQuery
+    | EngineLimitReports
+    | EngineLeaving
+    | TurnRequest
+    | TurnGrant
+)
 LoaderReport = EngineReport | GatewaysChanged | VersionAges
 LoaderMessage = Follow | Watch
 ChunkIndex = dict[ChunkDigest, int]
