Encoded mail headers and HTTP/2 probes are not imported at the start

The libraries import base64mime, quopri, iterators and urllib3's probe of HTTP/2 for features that no program uses.

--- a/src/ridgecourse/net/patch.py
+++ b/src/ridgecourse/net/patch.py
@@ -91,10 +91,13 @@
     eventlet.monkey_patch(os=True, select=True, socket=True, thread=True, time=True)
 
 # Modules that the libraries import for features that no program uses: files, forms,
-# schemas, proxies, HTTP/2, compression, thread pools and HTML error pages.
+# schemas, proxies, HTTP/2, compression, thread pools, HTML error pages and encoded
+# mail headers.
 with defer_imports(
     {
         "concurrent.futures": (),
+        "email.base64mime": (),
+        "email.iterators": ("walk",),
         "html": (),
         "importlib.metadata": ("version",),
         "json": (),
@@ -103,9 +106,11 @@
         "msgspec.inspect": (),
         "msgspec.toml": (),
         "msgspec.yaml": (),
+        "quopri": ("encodestring",),
         "shutil": (),
         "urllib.request": (),
         "urllib3.filepost": ("_TYPE_FIELDS", "encode_multipart_formdata"),
+        "urllib3.http2.probe": (),
         "websockets.extensions.permessage_deflate": (
             "enable_client_permessage_deflate",
             "enable_server_permessage_deflate",
