Loads reach the gateways of a large deployment through distributors

Change: where more than 24 gateways watch a loader, it reports to the first two gateways of its domain in a fixed ranking. The first sends the changed loads every 0.05 s to its domain and every 0.1 s to the two distributors of each other domain; the second sends what the first has not sent for 0.25 s, all of it if the first is silent, and single loads if the first does not hear their loader. Loads carry number and age; the time that a datagram waits in a socket counts into the age, so that a frozen or slow process does not make loads younger. A gateway without distributed loads of an engine for 0.8 s asks its loader for direct reports for 2 s. Heartbeats within the region are sent every 4 s there; a loader whose loads stop arriving is lost after 2.5 s as before. Datagrams of the distribution are MessagePack arrays. A gateway of an earlier release (Watch of protocol 1) and one that stops get direct reports as before.

An unchanged load is repeated to distributors every 0.4 s, the poll interval of an idle engine, so that the age in regular operation stays below 0.65 s.

Numbers of reports begin with the clock, so that those of a restarted loader are newer.

--- a/src/ridgecourse/core/known_loads.py
+++ b/src/ridgecourse/core/known_loads.py
@@ -1,7 +1,7 @@
 """The loads of all engines, for the latest incarnation of each engine."""
 
 from ridgecourse.core.engine_incarnation import EngineIncarnation
-from ridgecourse.core.engine_load import EngineLoad, EngineStatus
+from ridgecourse.core.engine_load import FRESH_SECONDS, EngineLoad, EngineStatus
 from ridgecourse.core.ids import Seconds
 from ridgecourse.core.latest_incarnations import LatestIncarnations
 
@@ -41,3 +41,33 @@
             return False
         load.record_report(status, now, number)
         return True
+
+    def record_distributed(
+        self,
+        incarnation: EngineIncarnation,
+        status: EngineStatus,
+        reported_at: Seconds,
+        now: Seconds,
+        number: int,
+    ) -> bool:
+        """Record a load that arrived through distributors if it is newer.
+
+        Args:
+            incarnation: Incarnation of the engine that the load is of.
+            status: The load.
+            reported_at: When the loader reported the load, on the local clock.
+            now: Current time.
+            number: Sequence number of the loader's report.
+
+        Returns:
+            Whether the load was recorded.
+        """
+        if now - reported_at > FRESH_SECONDS:
+            return False
+        if incarnation.precedes(self.latest(incarnation)):
+            return False
+        load = self.value_of(incarnation)
+        if load.is_fresh(now) and number <= load.sequence_number:
+            return False
+        load.record_report(status, reported_at, number)
+        return True
--- a/src/ridgecourse/gateway/gateway_link.py
+++ b/src/ridgecourse/gateway/gateway_link.py
@@ -117,5 +117,5 @@
         return [Address(host, self.address.port) for host in hosts - {self.site.host}]
 
     def _receive(self) -> None:
-        for _, message in self.socket.messages(GatewayMessage):
-            self.handlers[type(message)](message)
+        for datagram in self.socket.messages(GatewayMessage):
+            self.handlers[type(datagram.message)](datagram.message)
--- a/src/ridgecourse/gateway/load_watcher.py
+++ b/src/ridgecourse/gateway/load_watcher.py
@@ -3,27 +3,34 @@
 import logging
 from contextlib import closing
 from random import random
+from typing import Any
 
 import eventlet
 
 from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.engine_incarnation import EngineIncarnation
-from ridgecourse.core.engine_load import EngineLoad
+from ridgecourse.core.engine_load import EngineLoad, EngineStatus
+from ridgecourse.core.ids import Seconds
 from ridgecourse.core.known_loads import KnownLoads
 from ridgecourse.core.report_rate import silence_limit
 from ridgecourse.core.site import Site
 from ridgecourse.core.target_list import ListedTarget
 from ridgecourse.gateway.announcement_watch import AnnouncementWatch
 from ridgecourse.gateway.hub import Hub
+from ridgecourse.gateway.load_distributor import LoadDistributor
+from ridgecourse.gateway.load_requests import LoadRequests
 from ridgecourse.net.address import Address
 from ridgecourse.net.clock import boottime
-from ridgecourse.net.datagrams import DatagramSocket
+from ridgecourse.net.datagrams import Datagram, DatagramSocket
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.threads import kill_threads, spawn_loop
-from ridgecourse.net.websocket import ChannelClosed, open_channel
+from ridgecourse.net.websocket import ChannelClosed, ControlChannel, open_channel
 from ridgecourse.wire.control import (
-    PROTOCOL_VERSION,
+    WATCH_PROTOCOL,
+    DistributableReport,
+    DistributionMessage,
     EngineReport,
+    LoadBatch,
     LoaderReport,
     VersionAges,
     Watch,
@@ -47,6 +54,8 @@
         offers_weights: Whether loaders are to fetch weights from this gateway.
         engines: The followed engines, by the host of their loader.
         report_socket: Receives the loaders' reports as datagrams.
+        distributor: Passes loads on while this gateway is a distributor.
+        requests: Asks loaders for direct reports while distributors fail.
         threads: Threads that update followers and receive datagrams.
         followers: Thread that follows each engine, by the engine's address.
     """
@@ -69,6 +78,17 @@
         self.engines: dict[str, ListedTarget] = {}
         control_port = site.peer_ports[0]
         self.report_socket = DatagramSocket(Address(site.host, control_port))
+        self.distributor = LoadDistributor(
+            hub.local, hub.known_gateways, self.report_socket, events
+        )
+        self.requests = LoadRequests(
+            lambda: self.engines,
+            lambda target: self.load(target).reported_at,
+            hub.count_gateways,
+            self.report_socket,
+            control_port,
+            events,
+        )
         self.threads: list[eventlet.greenthread.GreenThread] = []
         self.followers: dict[str, eventlet.greenthread.GreenThread] = {}
 
@@ -77,15 +97,20 @@
         self.report_socket.start()
         self.threads.append(spawn_loop(self._update_followers))
         self.threads.append(spawn_loop(self._receive_datagrams))
+        self.distributor.start()
+        self.requests.start()
 
     def close(self) -> None:
         """Stop following engines."""
+        self.distributor.close()
+        self.requests.close()
         kill_threads([*self.threads, *self.followers.values()])
         self.report_socket.close()
 
     def withdraw(self) -> None:
         """Direct the loaders to fetch weights from the next gateway in rank."""
         self.offers_weights = False
+        self.distributor.close()
         followers, self.followers = self.followers, {}
         kill_threads(followers.values())
         self.view.changed.notify()
@@ -122,11 +147,42 @@
             self.view.changed.wait()
 
     def _receive_datagrams(self) -> None:
-        """Apply each report that arrives as a datagram, unless it is outdated."""
-        for host, report in self.report_socket.messages(EngineReport):
-            target = self.engines.get(host)
+        """Apply each load that arrives in a datagram, unless it is outdated."""
+        datagrams = self.report_socket.messages(EngineReport, DistributionMessage)
+        for datagram in datagrams:
+            if isinstance(datagram.message, LoadBatch):
+                self._apply_batch(datagram, boottime())
+                continue
+            target = self.engines.get(datagram.host)
             if target is not None:
-                self._apply_report(target, report)
+                self._apply_datagram(target, datagram)
+
+    def _apply_datagram(self, target: ListedTarget, datagram: Datagram) -> None:
+        """Apply a loader's report, and pass it on if the loader expects that."""
+        report = datagram.message
+        self.events.metrics.count("loads_direct")
+        reported_at = Seconds(boottime() - datagram.waited)
+        if isinstance(report, DistributableReport):
+            self.distributor.record_report(target, report, reported_at)
+            self.requests.record_arrival(target.target, reported_at)
+        elif not self.requests.expects_distribution():
+            self._apply_report(target, report)
+            return
+        self._apply_distributed(target, report.status, report.number, reported_at)
+
+    def _apply_batch(self, datagram: Datagram, now: Seconds) -> None:
+        """Apply the loads that a distributor sent, and pass them on if needed."""
+        batch: LoadBatch = datagram.message
+        received_at = Seconds(now - datagram.waited)
+        self.distributor.record_batch(datagram.host, batch, received_at)
+        self.events.metrics.count("loads_distributed", len(batch.loads))
+        listed = self.view.targets.targets
+        for load in batch.loads:
+            target = listed.get(load.target)
+            if target is not None:
+                reported_at = load.reported_at(received_at)
+                self.requests.record_arrival(load.target, reported_at)
+                self._apply_distributed(target, load.status, load.number, reported_at)
 
     def _is_engine(self, target: ListedTarget) -> bool:
         config = self.view.config
@@ -148,7 +204,6 @@
             eventlet.sleep(RECONNECT_SECONDS * (0.5 + random()))
 
     def _receive_reports(self, target: ListedTarget, control_address: str) -> None:
-        receive_timeout = silence_limit(self._is_same_region(target))
         channel = open_channel(control_address, "", self.site.host)
         with closing(channel):
             # Another incarnation of the loader numbers its reports from the start.
@@ -156,7 +211,7 @@
             requested_at = boottime()
             channel.send(
                 Watch(
-                    PROTOCOL_VERSION,
+                    WATCH_PROTOCOL,
                     self.site.process,
                     self._is_same_region(target),
                     self.hub.local if self.offers_weights else None,
@@ -165,9 +220,7 @@
                 )
             )
             while True:
-                report = channel.receive(LoaderReport, receive_timeout)
-                if report is None:
-                    raise ChannelClosed("silent")
+                report = self._receive_message(channel, target)
                 if isinstance(report, EngineReport):
                     self._apply_report(self.engines.get(target.host, target), report)
                 elif isinstance(report, VersionAges):
@@ -176,14 +229,58 @@
                 else:
                     self.hub.record_gateways(target.address, report.came, report.gone)
 
+    def _receive_message(self, channel: ControlChannel, target: ListedTarget) -> Any:
+        """Return the next message of a loader.
+
+        Where loads arrive through distributors, heartbeats are rare also within the
+        region. A loader whose loads arrive is not silent there.
+
+        Raises:
+            ChannelClosed: The connection has ended, or the loader is silent.
+        """
+        limit = silence_limit(self._is_same_region(target))
+        silent_at = boottime() + limit
+        closed_at = boottime() + silence_limit(near=False)
+        while (now := boottime()) < silent_at:
+            message = channel.receive(LoaderReport, silent_at - now)
+            if message is not None:
+                return message
+            if self.requests.expects_distribution():
+                heard_until = self.load(target).reported_at + limit
+                silent_at = Seconds(min(closed_at, max(silent_at, heard_until)))
+        raise ChannelClosed("silent")
+
     def _apply_report(self, target: ListedTarget, report: EngineReport) -> None:
+        """Apply a report that came from the loader itself."""
         status, now = report.status, boottime()
         incarnation = EngineIncarnation(target.target, status.started)
         if status.leaving:
             self.announcements.record_leaving(incarnation, "report")
         previous = self.loads.value_of(incarnation).status
-        if not self.loads.record_report(incarnation, status, now, report.number):
-            return
+        if self.loads.record_report(incarnation, status, now, report.number):
+            self._report_weights(target, previous, status)
+
+    def _apply_distributed(
+        self,
+        target: ListedTarget,
+        status: EngineStatus,
+        number: int,
+        reported_at: Seconds,
+    ) -> None:
+        """Apply a load whose age is known, where loads are distributed."""
+        incarnation = EngineIncarnation(target.target, status.started)
+        if status.leaving:
+            self.announcements.record_leaving(incarnation, "report")
+        previous = self.loads.value_of(incarnation).status
+        if self.loads.record_distributed(
+            incarnation, status, reported_at, boottime(), number
+        ):
+            self._report_weights(target, previous, status)
+
+    def _report_weights(
+        self, target: ListedTarget, previous: EngineStatus | None, status: EngineStatus
+    ) -> None:
+        """Emit an event if an engine's version or state has changed."""
         if previous is None or (previous.version, previous.busy) != (
             status.version,
             status.busy,
--- a/src/ridgecourse/loader/status.py
+++ b/src/ridgecourse/loader/status.py
@@ -7,12 +7,12 @@
 from collections.abc import Iterator
 
 import eventlet
-from msgspec import Struct
 
 from ridgecourse.core.engine_load import EngineStatus, PrefillBacklogEstimate
 from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import EngineStart, Seconds, WeightsVersion
 from ridgecourse.core.report_rate import (
+    FAR_HEARTBEAT_SECONDS,
     NEAR_INTERVAL_SECONDS,
     differs_from_reported,
     heartbeat_interval,
@@ -21,13 +21,22 @@
 from ridgecourse.loader.engine_control import EngineControl, EngineUnavailable
 from ridgecourse.loader.engine_control import EngineReport as LocalReport
 from ridgecourse.loader.known_gateways import KnownGateways
+from ridgecourse.loader.report_receivers import DistributorReceivers, Receiver
 from ridgecourse.loader.rollout import Rollout
 from ridgecourse.net.address import Address, parse_address
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.datagrams import DatagramSocket
-from ridgecourse.net.threads import Broadcast, spawn_loop
+from ridgecourse.net.threads import Broadcast, kill_threads, spawn_loop
 from ridgecourse.net.websocket import ChannelClosed, ControlChannel
-from ridgecourse.wire.control import EngineReport, GatewaysChanged, VersionAges, Watch
+from ridgecourse.wire.control import (
+    WATCH_PROTOCOL,
+    DirectReportRequest,
+    DistributableReport,
+    EngineReport,
+    GatewaysChanged,
+    VersionAges,
+    Watch,
+)
 
 CROWDED_POLL_SECONDS = NEAR_INTERVAL_SECONDS
 """Poll interval of an engine whose batch is at least half full, in seconds.
@@ -47,25 +56,20 @@
 to one gateway after the initial list: when all processes start, 39 gateways connect
 within 1 s. A single change is announced at once, because until then two gateways may
 each act as the hub."""
-DUE_SHARE = 0.9
-"""Share of a watcher's interval after which a report is due: polls have the same
-interval and are not exact to the millisecond."""
+NUMBERS_PER_SECOND = 100
+"""Factor between the clock and the number of the first report. It is above the rate of
+reports, so that a restarted loader continues with higher numbers."""
 
 
-class Watcher(Struct):
-    """A gateway that receives load reports.
+class Watcher(Receiver):
+    """A gateway that watches the loader.
 
     Attributes:
-        address: Address that reports are sent to.
-        near: Whether the gateway is in the engine's region.
-        announced_at: When the last report was sent.
-        change: Number of the load change that was reported last.
+        gateway: The gateway, if it can distribute loads; None if it is about to stop or
+            of an earlier release. Such a gateway always receives reports directly.
     """
 
-    address: Address
-    near: bool
-    announced_at: float = 0.0
-    change: int = -1
+    gateway: Peer | None = None
 
 
 class StatusFeed:
@@ -75,7 +79,9 @@
         status: Newest load; None while the engine does not answer.
         changed: Notified when a gateway connects or disconnects.
         gateways: Gateways that fetch weights into the domain.
-        watchers: Receivers of load reports, one for each connection.
+        watchers: Watching gateways, one for each connection.
+        receivers: The distributors and other gateways that reports are sent to while
+            many gateways watch.
         unread: Estimate of unread prompts in the engine's latest incarnation.
         started: Start time of that incarnation; None if the engine does not report it.
         number: Sequence number of the newest report.
@@ -98,22 +104,23 @@
         self.gateways = gateways
         self.reports = reports
         self.watchers: list[Watcher] = []
+        self.receivers = DistributorReceivers()
         self.unread = PrefillBacklogEstimate()
         self.started: EngineStart | None = None
-        self.number = 0
+        self.number = int(boottime() * NUMBERS_PER_SECOND)
         self.change = 0
         self.announced: EngineStatus | None = None
         self.announced_at = Seconds(0.0)
-        self.thread: eventlet.greenthread.GreenThread | None = None
+        self.threads: list[eventlet.greenthread.GreenThread] = []
 
     def start(self) -> None:
-        """Start to poll the engine."""
-        self.thread = spawn_loop(self._poll_loop)
+        """Start to poll the engine and to receive requests for direct reports."""
+        self.threads.append(spawn_loop(self._poll_loop))
+        self.threads.append(spawn_loop(self._receive_requests))
 
     def close(self) -> None:
-        """Stop polling the engine."""
-        if self.thread is not None:
-            self.thread.kill()
+        """Stop all threads."""
+        kill_threads(self.threads)
 
     def _poll_loop(self) -> None:
         while True:
@@ -190,29 +197,55 @@
         if differs_from_reported(self.announced, self.announced_at, status, now):
             self.change += 1
             self.announced, self.announced_at = status, now
-        due = list(self._due_addresses(now))
-        if not due:
+        direct = [
+            *self._due_watchers(now),
+            *self.receivers.due_requesters(self.change, now),
+        ]
+        distributors = list(self.receivers.due_distributors(self.change, now))
+        if not direct and not distributors:
             return
         self.number += 1
-        self.reports.send(EngineReport(status, self.number), iter(due))
+        if direct:
+            self.reports.send(EngineReport(status, self.number), iter(direct))
+        if distributors:
+            report = DistributableReport(status, self.number)
+            self.reports.send(report, iter(distributors))
 
-    def _due_addresses(self, now: Seconds) -> Iterator[Address]:
+    def _due_watchers(self, now: Seconds) -> Iterator[Address]:
         """Yield the addresses of watchers whose report is due; record the reports."""
-        far_watchers = sum(not watcher.near for watcher in self.watchers)
+        watchers = self.watchers
+        if self.receivers.is_active():
+            watchers = [watcher for watcher in watchers if watcher.gateway is None]
+        far_watchers = sum(not watcher.near for watcher in watchers)
         intervals = {
             near: report_interval(near, far_watchers) for near in (True, False)
         }
-        for watcher in self.watchers:
+        for watcher in watchers:
             # An unchanged load is reported as well, so that it does not become out of
             # date.
-            is_current = watcher.change == self.change
-            interval = (
-                UNCHANGED_REPORT_SECONDS if is_current else intervals[watcher.near]
-            )
-            if now - watcher.announced_at >= interval * DUE_SHARE:
-                watcher.announced_at, watcher.change = now, self.change
+            interval = intervals[watcher.near]
+            if watcher.take_due(self.change, interval, UNCHANGED_REPORT_SECONDS, now):
                 yield watcher.address
 
+    def _choose_distributors(self) -> None:
+        """Choose the receivers of reports after a gateway connected or disconnected."""
+        gateways = {watcher.gateway for watcher in self.watchers if watcher.gateway}
+        watching = len({watcher.address for watcher in self.watchers})
+        self.receivers.choose(self.rollout.site.domain, gateways, watching)
+
+    def _receive_requests(self) -> None:
+        """Record the gateways that ask for direct reports."""
+        for datagram in self.reports.messages(None, packed=DirectReportRequest):
+            try:
+                address = parse_address(datagram.message.reports_to)
+            except ValueError:
+                self.reports.rejected += 1
+                continue
+            near = any(
+                watcher.near for watcher in self.watchers if watcher.address == address
+            )
+            self.receivers.add_requester(address, near, boottime())
+
     def serve_watcher(self, channel: ControlChannel, watch: Watch) -> None:
         """Serve a watching gateway until it disconnects.
 
@@ -227,21 +260,43 @@
             address = parse_address(watch.reports_to)
         except ValueError as error:
             raise ChannelClosed(str(error)) from error
-        watcher = Watcher(address, watch.near)
+        distributes = watch.protocol >= WATCH_PROTOCOL
+        gateway = watch.gateway if distributes else None
+        watcher = Watcher(address, watch.near, gateway=gateway)
         self.watchers.append(watcher)
+        self._choose_distributors()
         self._record_connection(watch.gateway, +1)
         channel.send(VersionAges(list(self.rollout.view.version_ages())))
         try:
             if watch.hears_gateways:
-                self._announce_gateways(channel, heartbeat_interval(watch.near))
+                self._announce_gateways(channel, watcher)
             while True:
                 self._send_heartbeat(channel)
-                eventlet.sleep(heartbeat_interval(watch.near))
+                self._wait_for_heartbeat(watcher)
         finally:
             self.watchers.remove(watcher)
+            self._choose_distributors()
             self._record_connection(watch.gateway, -1)
 
-    def _announce_gateways(self, channel: ControlChannel, interval: float) -> None:
+    def _wait_for_heartbeat(self, watcher: Watcher) -> None:
+        """Wait until the next heartbeat, whose time changes if gateways come or go."""
+        sent_at = boottime()
+        while (
+            remaining := sent_at + self._heartbeat_interval(watcher) - boottime()
+        ) > 0.0:
+            self.changed.wait(remaining)
+
+    def _heartbeat_interval(self, watcher: Watcher) -> float:
+        """Return the seconds between two heartbeats to a watcher.
+
+        A gateway that receives loads through distributors notices from their absence
+        that the loader has ended.
+        """
+        if self.receivers.is_active() and watcher.gateway is not None:
+            return FAR_HEARTBEAT_SECONDS
+        return heartbeat_interval(watcher.near)
+
+    def _announce_gateways(self, channel: ControlChannel, watcher: Watcher) -> None:
         """Announce the connected gateways to a gateway, and send heartbeats.
 
         Changes are announced instead of the whole list: with the whole list, a start of
@@ -250,15 +305,17 @@
         """
         announced = frozenset(self.gateways.connected)
         channel.send(list_changes(frozenset(), announced))
-        announced_at = heartbeat_at = 0.0
+        announced_at = sent_at = 0.0
         while True:
             connected = frozenset(self.gateways.connected)
             if connected != announced:
                 channel.send(list_changes(announced, connected))
                 announced, announced_at = connected, boottime()
+            heartbeat_at = sent_at + self._heartbeat_interval(watcher)
             if boottime() >= heartbeat_at:
                 self._send_heartbeat(channel)
-                heartbeat_at = boottime() + interval
+                sent_at = boottime()
+                heartbeat_at = sent_at + self._heartbeat_interval(watcher)
             if self.changed.wait(max(0.0, heartbeat_at - boottime())):
                 eventlet.sleep(
                     max(0.0, announced_at + CHANGE_INTERVAL_SECONDS - boottime())
--- a/src/ridgecourse/net/events.py
+++ b/src/ridgecourse/net/events.py
@@ -53,6 +53,8 @@
     KEY_FENCED = "key-fenced"
     GATEWAYS_KNOWN = "gateways-known"
     SEED_LOST = "seed-lost"
+    LOADS_TAKEN_OVER = "loads-taken-over"
+    LOADS_HANDED_BACK = "loads-handed-back"
     ENGINE_LIMIT = "engine-limit"
     ENGINE_LEAVING = "engine-leaving"
     ENGINE_RESTS = "engine-rests"
--- a/src/ridgecourse/wire/codec.py
+++ b/src/ridgecourse/wire/codec.py
@@ -1,4 +1,4 @@
-"""CBOR codec of typed messages.
+"""Codecs of typed messages: CBOR, and MessagePack for frequent datagrams.
 
 Each received message is checked against its type before use. An invalid message is
 returned as a DecodeFailure and not raised, so that it cannot end a receiving loop.
@@ -7,9 +7,13 @@
 from typing import Any
 
 import cbor2
-from msgspec import ValidationError, convert, to_builtins
+from msgspec import DecodeError, ValidationError, convert, msgpack, to_builtins
 from returns.result import Failure, Result, Success
 
+PACKED_MARK = b"\xc1"
+"""First byte of a packed message. It is unused in MessagePack, and no CBOR message of
+this system begins with it."""
+
 
 class DecodeFailure(Exception):
     """The received bytes are not a message of the expected type."""
@@ -39,3 +43,26 @@
         return Failure(DecodeFailure(f"invalid CBOR: {error}"))
     except (OverflowError, MemoryError, AttributeError, OSError) as error:
         return Failure(DecodeFailure(f"unsupported CBOR: {error}"))
+
+
+def encode_packed(message: Any) -> bytes:
+    """Encode an array-like message as MessagePack, after ``PACKED_MARK``."""
+    return PACKED_MARK + msgpack.encode(message)
+
+
+def decode_packed(
+    data: bytes, decoder: msgpack.Decoder[Any]
+) -> Result[Any, DecodeFailure]:
+    """Decode a message that begins with ``PACKED_MARK``.
+
+    Args:
+        data: The received bytes.
+        decoder: Decoder of the expected messages.
+
+    Returns:
+        The message, or the reason why the bytes do not hold such a message.
+    """
+    try:
+        return Success(decoder.decode(memoryview(data)[len(PACKED_MARK) :]))
+    except (DecodeError, RecursionError) as error:
+        return Failure(DecodeFailure(str(error)))
--- a/src/ridgecourse/wire/control.py
+++ b/src/ridgecourse/wire/control.py
@@ -16,9 +16,13 @@
     RootDigest,
     TargetName,
 )
+from ridgecourse.core.load_distribution import DistributedLoad
 from ridgecourse.core.weights import VersionAge
 
 PROTOCOL_VERSION = 1
+WATCH_PROTOCOL = 2
+"""Version of the protocol between gateways and loaders. From version 2 on, a gateway
+receives and distributes ``PackedMessage`` datagrams."""
 MAX_CONTROL_BYTES = 16 * 1024 * 1024
 """Largest control message. A snapshot of a full-size configuration fits."""
 
@@ -55,7 +59,7 @@
     """Asks a loader to report its engine's load, and later changes.
 
     Attributes:
-        protocol: Version of this protocol.
+        protocol: Version of this protocol, see ``WATCH_PROTOCOL``.
         process: The sender.
         near: Whether the sender is in the loader's region.
         gateway: The sender's addresses in the exchange of weights; None once the sender
@@ -149,6 +153,50 @@
     age: float
 
 
+class PackedMessage(Struct, frozen=True, array_like=True):
+    """Base of the messages that are packed as MessagePack arrays in datagrams.
+
+    They are frequent, and decoding an array takes a tenth of the processor time of the
+    same message as a CBOR map.
+    """
+
+
+class DistributableReport(PackedMessage, frozen=True, tag=1):
+    """A report of a loader that the receiver passes on to other gateways.
+
+    Attributes:
+        status: The load of the loader's engine.
+        number: Number of the report, as in ``EngineReport``.
+    """
+
+    status: EngineStatus
+    number: int
+
+
+class LoadBatch(PackedMessage, frozen=True, tag=2):
+    """Loads that a distributor sends, none in a keepalive.
+
+    Attributes:
+        from_elsewhere: Whether the sender is in another domain, so that the receiver
+            passes the loads on to its own domain.
+        loads: The loads.
+    """
+
+    from_elsewhere: bool
+    loads: list[DistributedLoad]
+
+
+class DirectReportRequest(PackedMessage, frozen=True, tag=3):
+    """Asks a loader to report directly for ``DIRECT_REPORT_SECONDS``.
+
+    Attributes:
+        reports_to: HOST:PORT where the sender receives reports.
+    """
+
+    reports_to: str
+
+
+DistributionMessage = DistributableReport | LoadBatch
 GatewayMessage = CrashReports | CrashQuery | EngineLimitReports | EngineLeaving
 LoaderReport = EngineReport | GatewaysChanged | VersionAges
 LoaderMessage = Follow | Watch
