Gateways send no pings on the channels of loads

Cause: both ends pinged each channel every 5 s; with 10 loaders a gateway sent 2.1 pings a second and its event loop ran 73 times a second with nothing under way. A gateway limits each wait for a message of a loader to 2.5 or 10 s, so that its pings detect nothing earlier. The loader's own pings stay.

Whether loads are distributed is decided every 0.2 s, and not for each report: the count of gateways was computed anew for each while all start (4.9 % of a gateway's samples).

--- a/src/ridgecourse/gateway/load_requests.py
+++ b/src/ridgecourse/gateway/load_requests.py
@@ -30,6 +30,8 @@
         port: Port at which loaders receive datagrams.
         events: Receives metrics.
         arrivals: When distributed loads arrived.
+        is_distributed: Whether there were enough gateways at the last check for loads
+            to be distributed.
         thread: Thread that sends requests.
     """
 
@@ -49,6 +51,7 @@
         self.port = port
         self.events = events
         self.arrivals = LoadArrivals()
+        self.is_distributed = False
         self.thread: eventlet.greenthread.GreenThread | None = None
 
     def start(self) -> None:
@@ -60,10 +63,6 @@
         if self.thread is not None:
             self.thread.kill()
 
-    def expects_distribution(self) -> bool:
-        """Check whether there are enough gateways for loads to be distributed."""
-        return self.count_gateways() > DIRECT_WATCHERS
-
     def record_arrival(self, target: TargetId, reported_at: Seconds) -> None:
         """Record a distributed load; see ``LoadArrivals``."""
         self.arrivals.record_arrival(target, reported_at)
@@ -71,11 +70,13 @@
     def _run(self) -> None:
         while True:
             eventlet.sleep(CHECK_SECONDS)
-            if self.expects_distribution():
-                self.send_due(boottime())
+            self.check(boottime())
 
-    def send_due(self, now: Seconds) -> None:
-        """Ask the loaders whose loads do not arrive."""
+    def check(self, now: Seconds) -> None:
+        """Ask the loaders whose distributed loads do not arrive."""
+        self.is_distributed = self.count_gateways() > DIRECT_WATCHERS
+        if not self.is_distributed:
+            return
         engines = {target.target: target for target in self.engines().values()}
         self.arrivals.forget_unlisted(engines)
         reported_at = {
--- a/src/ridgecourse/gateway/load_watcher.py
+++ b/src/ridgecourse/gateway/load_watcher.py
@@ -165,7 +165,7 @@
         if isinstance(report, DistributableReport):
             self.distributor.record_report(target, report, reported_at)
             self.requests.record_arrival(target.target, reported_at)
-        elif not self.requests.expects_distribution():
+        elif not self.requests.is_distributed:
             self._apply_report(target, report)
             return
         self._apply_distributed(target, report.status, report.number, reported_at)
@@ -204,7 +204,9 @@
             eventlet.sleep(RECONNECT_SECONDS * (0.5 + random()))
 
     def _receive_reports(self, target: ListedTarget, control_address: str) -> None:
-        channel = open_channel(control_address, "", self.site.host)
+        # Each wait for a message is limited below, so that pings would detect nothing
+        # earlier.
+        channel = open_channel(control_address, "", self.site.host, keepalive=False)
         with closing(channel):
             # Another incarnation of the loader numbers its reports from the start.
             self.load(target).sequence_number = 0
@@ -245,7 +247,7 @@
             message = channel.receive(LoaderReport, silent_at - now)
             if message is not None:
                 return message
-            if self.requests.expects_distribution():
+            if self.requests.is_distributed:
                 heard_until = self.load(target).reported_at + limit
                 silent_at = Seconds(min(closed_at, max(silent_at, heard_until)))
         raise ChannelClosed("silent")
--- a/src/ridgecourse/net/websocket.py
+++ b/src/ridgecourse/net/websocket.py
@@ -101,13 +101,17 @@
             self.connection.close()
 
 
-def open_channel(address: str, key: str, source: str | None = None) -> ControlChannel:
+def open_channel(
+    address: str, key: str, source: str | None = None, keepalive: bool = True
+) -> ControlChannel:
     """Connect to the control server of a process.
 
     Args:
         address: HOST:PORT.
         key: The key shared by the processes of the system; may be empty.
         source: Local address to connect from; None for any.
+        keepalive: Whether to send pings. A caller that limits its wait for each message
+            does not need them; the server sends its own.
 
     Raises:
         ChannelClosed: The connection could not be opened, or the server refused it.
@@ -118,7 +122,7 @@
             f"ws://{address}{CONTROL_PATH}",
             additional_headers={AUTH_HEADER: header},
             open_timeout=OPEN_TIMEOUT_SECONDS,
-            ping_interval=KEEPALIVE_SECONDS,
+            ping_interval=KEEPALIVE_SECONDS if keepalive else None,
             ping_timeout=KEEPALIVE_SECONDS,
             close_timeout=0.5,
             max_size=MAX_CONTROL_BYTES,
--- a/tests/distribution_site.py
+++ b/tests/distribution_site.py
@@ -155,8 +155,7 @@
 
     def check(self) -> None:
         """Ask for missing loads, as the thread for that does."""
-        if self.watcher.requests.expects_distribution():
-            self.watcher.requests.send_due(Seconds(self.network.now))
+        self.watcher.requests.check(Seconds(self.network.now))
 
     def load(self, engine: ListedTarget) -> EngineLoad:
         """Return the load of an engine as this gateway knows it."""
