--- a/src/ridgecourse/net/websocket.py
+++ b/src/ridgecourse/net/websocket.py
@@ -14,6 +14,7 @@
 
 from ridgecourse.net.address import Address
 from ridgecourse.net.auth import AUTH_HEADER, sign_request, verify_request
+from ridgecourse.net.threads import kill_threads, spawn_loop
 from ridgecourse.wire.codec import DecodeFailure, decode_message, encode_message
 from ridgecourse.wire.control import MAX_CONTROL_BYTES, ControlMessage
 
@@ -35,12 +36,28 @@
         connection: The websocket.
         sent_bytes: Bytes of messages sent since the counter was last reset.
         received_bytes: Bytes of messages received since the counter was last reset.
+        pong: Event that is set by the answer to the last ping; None before the first.
     """
 
     def __init__(self, connection: Connection) -> None:
         self.connection = connection
         self.sent_bytes = 0
         self.received_bytes = 0
+        self.pong: Any = None
+
+    def ping(self) -> bool:
+        """Send a ping; return whether the other end has answered the last one.
+
+        Raises:
+            ChannelClosed: The connection has ended.
+        """
+        if self.pong is not None and not self.pong.is_set():
+            return False
+        try:
+            self.pong = self.connection.ping(ack_on_close=True)
+        except (ConnectionClosed, OSError) as error:
+            raise ChannelClosed(str(error)) from error
+        return True
 
     def send(self, message: ControlMessage) -> None:
         """Send a message.
@@ -145,6 +162,7 @@
         handler: Called in a green thread for each accepted connection.
         refused: Number of connections refused for lack of a valid signature.
         channels: Open connections.
+        threads: Threads that accept connections and send pings.
     """
 
     def __init__(
@@ -156,7 +174,7 @@
         self.refused = 0
         self.channels: set[ControlChannel] = set()
         self.server: Any = None
-        self.thread: Any = None
+        self.threads: list[eventlet.greenthread.GreenThread] = []
 
     def start(self) -> None:
         """Listen and start accepting connections.
@@ -170,14 +188,34 @@
             self.address.port,
             process_request=self._authenticate,
             open_timeout=OPEN_TIMEOUT_SECONDS,
-            ping_interval=KEEPALIVE_SECONDS,
-            ping_timeout=KEEPALIVE_SECONDS,
+            ping_interval=None,
             close_timeout=0.5,
             max_size=MAX_CONTROL_BYTES,
             compression=None,
         )
         self.address = Address(*self.server.socket.getsockname()[:2])
-        self.thread = eventlet.spawn(self.server.serve_forever)
+        self.threads.append(eventlet.spawn(self.server.serve_forever))
+        self.threads.append(spawn_loop(self._send_pings))
+
+    def _send_pings(self) -> None:
+        while True:
+            eventlet.sleep(KEEPALIVE_SECONDS)
+            self.ping_channels()
+
+    def ping_channels(self) -> None:
+        """Ping all connections, and close those that have not answered the last ping.
+
+        The library's own keepalive needs a thread for each connection, each of which
+        looks up the current thread among all threads for every ping.
+        """
+        for channel in list(self.channels):
+            try:
+                is_alive = channel.ping()
+            except ChannelClosed:
+                # The handler of the channel notices that as well.
+                continue
+            if not is_alive:
+                eventlet.spawn(channel.close)
 
     def _authenticate(self, connection: ServerConnection, request: Any) -> Any:
         header = request.headers.get(AUTH_HEADER, "")
@@ -203,5 +241,4 @@
             self.server.shutdown()
         for channel in list(self.channels):
             channel.close()
-        if self.thread is not None:
-            self.thread.kill()
+        kill_threads(self.threads)
