--- a/src/ridgecourse/core/cold_engines.py
+++ b/src/ridgecourse/core/cold_engines.py
@@ -54,6 +54,14 @@
     remaining: float
     age: float = 0.0
 
+    def with_added_age(self, seconds: float) -> "ColdStatement":
+        """Return the statement as of a later time.
+
+        Args:
+            seconds: Time since the loader reported the statement.
+        """
+        return ColdStatement(self.remaining, self.age + seconds)
+
 
 def make_cold_limit(service: Service, bounds: Bounds) -> ColdLimit | None:
     """Return the limit of a service's cold engines; None if it has none."""
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -23,8 +23,7 @@
 from ridgecourse.core.engine_load import PendingRequest
 from ridgecourse.core.ids import Seconds, ServiceName
 from ridgecourse.core.load_shedding import AdmissionEstimate, excess_wait
-from ridgecourse.core.not_run import is_unproven_refusal
-from ridgecourse.core.outcome import Reason
+from ridgecourse.core.outcome import Reason, is_unproven_refusal
 from ridgecourse.core.placement import FIRST_EVENT_SECONDS
 from ridgecourse.core.recent_peak import RecentPeak
 from ridgecourse.core.retry import RetryBudget
