--- a/src/ridgecourse/cluster/evacuation_records.py
+++ b/src/ridgecourse/cluster/evacuation_records.py
@@ -234,4 +234,7 @@
     """
     if not is_snapshot and batch.skipped_from is None:
         return False
+    if not all(record.key for record in batch.records):
+        # A record whose key cannot be decoded may be of any key.
+        return False
     return not batch.is_relayed or batch.knows_removals
--- a/tests/platform/test_evacuation_records.py
+++ b/tests/platform/test_evacuation_records.py
@@ -184,6 +184,16 @@
     assert not process.is_evacuated
 
 
+def test_a_full_read_with_a_record_whose_key_is_unreadable_ends_nothing(
+    process,
+) -> None:
+    """The record may be the one of the evacuation."""
+    process.evacuate(0, 5)
+    page = {"items": [{"key_file": 7}], "end_offset": 9, "truncated": False}
+    process.view.apply(Topic.DECISIONS, read_pages(encode(page)), True)
+    assert process.is_evacuated
+
+
 def test_an_answer_from_a_process_that_is_behind_ends_nothing(process, other) -> None:
     other.read_all(OLD, 4)
     process.evacuate(OLD, 5)
