Gateways import no modules for mail bodies and HTTP/2

Measured: test_program_imports passes, as do test_invalid_input, test_request_forwarding and test_invalid_store_responses.

--- a/src/ridgecourse/net/patch.py
+++ b/src/ridgecourse/net/patch.py
@@ -93,10 +93,17 @@
     eventlet.monkey_patch(os=True, select=True, socket=True, thread=True, time=True)
 
 # Modules that the libraries import for features that no program uses: files, forms,
-# schemas, proxies, HTTP/2, TLS in TLS, compression, thread pools and HTML error pages.
+# schemas, mail bodies, proxies, HTTP/2, TLS in TLS, compression, thread pools and HTML
+# error pages.
 with defer_imports(
     {
+        # Before other modules of urllib3, whose placeholders import the package.
+        "urllib3.http2.probe": (),
+        "urllib3.http2": (),
         "concurrent.futures": (),
+        "email.base64mime": (),
+        "email.encoders": ("encode_7or8bit",),
+        "email.iterators": ("walk",),
         "html": (),
         "importlib.metadata": ("version",),
         "json": (),
@@ -105,11 +112,10 @@
         "msgspec.inspect": (),
         "msgspec.toml": (),
         "msgspec.yaml": (),
+        "quopri": (),
         "shutil": (),
         "urllib.request": (),
         "urllib3.filepost": ("_TYPE_FIELDS", "encode_multipart_formdata"),
-        "urllib3.http2.probe": (),
-        "urllib3.http2": (),
         "urllib3.util.ssltransport": ("SSLTransport",),
         "websockets.extensions.permessage_deflate": (
             "enable_client_permessage_deflate",
