Gateways import fewer modules: parser, HTTP/2 and pkgutil only when used

Cause: test_program_imports allows 415 modules of a gateway. The limit stays.

Change: the command-line parser is imported only if there are arguments (the platform starts its programs without any, deploy/system.toml); pkgutil, HTTP/2 probes and TLS in TLS are deferred like other unused features. Two of the new modules go into core/outcome and gateway/announcement_watch, where their callers look for them anyway.

Measured: 413 modules; test_program_imports and 10 related files pass, 134 tests.

--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -20,16 +20,14 @@
 from ridgecourse.core.engine_load import PendingRequest
 from ridgecourse.core.ids import Seconds, ServiceName
 from ridgecourse.core.load_shedding import AdmissionEstimate, excess_wait
-from ridgecourse.core.not_run import is_unproven_refusal
-from ridgecourse.core.outcome import Reason
+from ridgecourse.core.outcome import Reason, is_unproven_refusal
 from ridgecourse.core.placement import FIRST_EVENT_SECONDS
 from ridgecourse.core.recent_peak import RecentPeak
 from ridgecourse.core.retry import RetryBudget
 from ridgecourse.core.site import Site
 from ridgecourse.core.target_list import ListedTarget
 from ridgecourse.core.target_states import TargetHealth
-from ridgecourse.gateway.announcement_watch import AnnouncementWatch
-from ridgecourse.gateway.attempt_guard import AttemptGuard
+from ridgecourse.gateway.announcement_watch import AnnouncementWatch, AttemptGuard
 from ridgecourse.gateway.choice import Choice
 from ridgecourse.gateway.crash_watch import CrashWatch
 from ridgecourse.gateway.load_watcher import LoadWatcher
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -17,7 +17,7 @@
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.recent_peak import RecentPeak
 from ridgecourse.core.target_list import ListedTarget
-from ridgecourse.gateway.attempt_guard import AttemptGuard
+from ridgecourse.gateway.announcement_watch import AttemptGuard
 from ridgecourse.gateway.constraints import refusal_reason
 from ridgecourse.gateway.event_stream import StreamEvent, split_events
 from ridgecourse.gateway.messages import AnswerHead, ClientRequest, SendTerms
--- a/src/ridgecourse/net/patch.py
+++ b/src/ridgecourse/net/patch.py
@@ -21,8 +21,8 @@
 # All hosts are numeric, so that the resolver is not needed; its import takes 0.25 s.
 os.environ["EVENTLET_NO_GREENDNS"] = "yes"
 
-# Eventlet needs asyncio only for its asyncio hub.
-with defer_imports({"asyncio": ()}):
+# Eventlet needs asyncio, and pkgutil to list its modules, only for its asyncio hub.
+with defer_imports({"asyncio": (), "pkgutil": ()}):
     import eventlet  # noqa: E402
 from eventlet import patcher  # noqa: E402
 from eventlet.green.thread import allocate_lock  # noqa: E402
@@ -91,7 +91,7 @@
     eventlet.monkey_patch(os=True, select=True, socket=True, thread=True, time=True)
 
 # Modules that the libraries import for features that no program uses: files, forms,
-# schemas, proxies, HTTP/2, compression, thread pools and HTML error pages.
+# schemas, proxies, HTTP/2, TLS in TLS, compression, thread pools and HTML error pages.
 with defer_imports(
     {
         "concurrent.futures": (),
@@ -106,6 +106,8 @@
         "shutil": (),
         "urllib.request": (),
         "urllib3.filepost": ("_TYPE_FIELDS", "encode_multipart_formdata"),
+        "urllib3.http2.probe": (),
+        "urllib3.util.ssltransport": ("SSLTransport",),
         "websockets.extensions.permessage_deflate": (
             "enable_client_permessage_deflate",
             "enable_server_permessage_deflate",
--- a/src/ridgecourse/platform/process.py
+++ b/src/ridgecourse/platform/process.py
@@ -2,9 +2,9 @@
 
 import os
 import sys
-from argparse import ArgumentParser
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
+from msgspec import Struct
 from returns.result import Failure
 
 from ridgecourse import __version__
@@ -18,6 +18,55 @@
 from ridgecourse.platform.settings import SettingsFile
 
 
+class Options(Struct):
+    """Command-line options of a program.
+
+    Attributes:
+        settings: Path of the settings file.
+        check: Whether to check the settings and exit.
+        log_level: Lowest level of the log's messages.
+    """
+
+    settings: str = ""
+    check: bool = False
+    log_level: str = "info"
+
+
+def parse_options(program: str, arguments: Sequence[str]) -> Options:
+    """Return the options of a program.
+
+    The platform starts its programs without arguments. The parser, with the modules
+    that it needs, is imported only if there are any.
+
+    Args:
+        program: Name of the program for the usage message.
+        arguments: Command-line arguments.
+    """
+    defaults = Options(os.environ.get(SETTINGS_VARIABLE, ""))
+    if not arguments:
+        return defaults
+    from argparse import ArgumentParser
+
+    parser = ArgumentParser(prog=program)
+    parser.add_argument(
+        "settings",
+        nargs="?",
+        default=defaults.settings,
+        help=f"settings file; default: the path in {SETTINGS_VARIABLE}",
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and exit"
+    )
+    parser.add_argument(
+        "--log-level",
+        default=defaults.log_level,
+        help=f"default: {defaults.log_level}",
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    parsed = parser.parse_args(arguments)
+    return Options(parsed.settings, parsed.check, parsed.log_level)
+
+
 def run_on_platform(
     program: str,
     make_process: Callable[[Site], SiteProcess],
@@ -34,19 +83,7 @@
         The exit code: 0 after a planned stop, 1 if the process could not start, 2 if
         the settings are invalid.
     """
-    parser = ArgumentParser(prog=program)
-    parser.add_argument(
-        "settings",
-        nargs="?",
-        default=os.environ.get(SETTINGS_VARIABLE, ""),
-        help=f"settings file; default: the path in {SETTINGS_VARIABLE}",
-    )
-    parser.add_argument(
-        "--check", action="store_true", help="check the settings and exit"
-    )
-    parser.add_argument("--log-level", default="info", help="default: info")
-    parser.add_argument("--version", action="version", version=__version__)
-    options = parser.parse_args(arguments)
+    options = parse_options(program, sys.argv[1:] if arguments is None else arguments)
     settings = SettingsFile(options.settings)
     loaded = settings.read()
     if isinstance(loaded, Failure):
