--- a/src/ridgecourse/net/patch.py
+++ b/src/ridgecourse/net/patch.py
@@ -21,9 +21,15 @@
 # All hosts are numeric, so that the resolver is not needed; its import takes 0.25 s.
 os.environ["EVENTLET_NO_GREENDNS"] = "yes"
 
-# Eventlet needs these modules only for hubs that are not used on Linux.
+# Eventlet needs these modules only for hubs that are not used on Linux, and pkgutil to
+# list its modules for the asyncio hub.
 with defer_imports(
-    {"asyncio": (), "eventlet.hubs.kqueue": (), "eventlet.hubs.selects": ()}
+    {
+        "asyncio": (),
+        "eventlet.hubs.kqueue": (),
+        "eventlet.hubs.selects": (),
+        "pkgutil": (),
+    }
 ):
     import eventlet  # noqa: E402
 from eventlet import patcher  # noqa: E402
--- a/tests/platform/test_evacuated_domains.py
+++ b/tests/platform/test_evacuated_domains.py
@@ -28,7 +28,7 @@
 from ridgecourse.core.eligibility import Exclusion, ExclusionReason
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.recent_peak import RecentPeak
-from ridgecourse.gateway.attempt_guard import AttemptGuard
+from ridgecourse.gateway.announcement_watch import AttemptGuard
 from ridgecourse.gateway.sender import NotRun, Sender
 from ridgecourse.net.clock import boottime
 from ridgecourse.platform.names import (
