--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -30,8 +30,7 @@
 from ridgecourse.core.site import Site
 from ridgecourse.core.target_list import ListedTarget
 from ridgecourse.core.target_states import TargetHealth
-from ridgecourse.gateway.announcement_watch import AnnouncementWatch
-from ridgecourse.gateway.attempt_guard import AttemptGuard
+from ridgecourse.gateway.announcement_watch import AnnouncementWatch, AttemptGuard
 from ridgecourse.gateway.choice import Choice
 from ridgecourse.gateway.crash_watch import CrashWatch
 from ridgecourse.gateway.load_watcher import LoadWatcher
--- a/src/ridgecourse/net/patch.py
+++ b/src/ridgecourse/net/patch.py
@@ -21,13 +21,15 @@
 # All hosts are numeric, so that the resolver is not needed; its import takes 0.25 s.
 os.environ["EVENTLET_NO_GREENDNS"] = "yes"
 
-# Eventlet needs the first three modules only for hubs that are not used on Linux. The
-# others are for the source lines and suggestions in tracebacks.
+# Eventlet needs the first three modules only for hubs that are not used on Linux, and
+# pkgutil to list its modules for the asyncio hub. The others are for the source lines
+# and suggestions in tracebacks.
 with defer_imports(
     {
         "asyncio": (),
         "eventlet.hubs.kqueue": (),
         "eventlet.hubs.selects": (),
+        "pkgutil": (),
         "textwrap": (),
         "tokenize": (),
     }
@@ -100,17 +102,19 @@
     eventlet.monkey_patch(os=True, select=True, socket=True, thread=True, time=True)
 
 # Modules that the libraries import for features that no program uses: files, forms,
-# schemas, proxies, HTTP/2, TLS in TLS, compression, thread pools, HTML error pages and
-# encoded mail headers.
+# schemas, mail bodies, proxies, HTTP/2, TLS in TLS, compression, thread pools, HTML
+# error pages and encoded mail headers.
 with defer_imports(
     {
+        # Before other modules of urllib3, whose placeholders import the package.
+        "urllib3.http2.probe": (),
+        "urllib3.http2": (),
         "concurrent.futures": (),
         "calendar": (),
         "email._encoded_words": ("decode_b",),
         "email.base64mime": (),
         "email.encoders": ("encode_7or8bit",),
         "email.header": (),
-        "gettext": ("gettext", "ngettext"),
         "email.iterators": ("walk",),
         "email.quoprimime": (),
         "html": (),
@@ -125,7 +129,6 @@
         "shutil": (),
         "urllib.request": (),
         "urllib3.filepost": ("_TYPE_FIELDS", "encode_multipart_formdata"),
-        "urllib3.http2.probe": (),
         "urllib3.util.ssltransport": ("SSLTransport",),
         "websockets.extensions.permessage_deflate": (
             "enable_client_permessage_deflate",
@@ -139,8 +142,6 @@
         ),
     }
 ):
-    import argparse  # noqa: E402, F401
-
     import eventlet.wsgi  # noqa: E402
     import msgspec  # noqa: E402, F401
     import urllib3  # noqa: E402, F401
