Attempts after an outage are left to others while a parent receives its answer

A process that cannot read the store leaves the attempts to others if 3 parents just said that they cannot read it either. A parent that receives its first answer after the outage did not count as one of these. With the first answers on their way the count fell below 3, and further processes read the store beside them.

Such a parent now counts like 3 that cannot read. A process whose own attempt is due still makes it, so that a parent behind a slow link holds nobody up for longer.

The new test fails before (the store is read) and passes after.

--- a/src/ridgecourse/cluster/domain_source.py
+++ b/src/ridgecourse/cluster/domain_source.py
@@ -177,7 +177,9 @@
         reader = self.readers.get(topic)
         if reader is None:
             return read()
-        if reader.outage_retries.defers_to_others(len(reader.lost_parents), boottime()):
+        if reader.outage_retries.defers_to_others(
+            reader.count_failing_parents(), boottime()
+        ):
             raise SourceUnavailable(
                 "store not read: the domain seems to be cut off from the store, and "
                 "other processes of the domain retry"
--- a/src/ridgecourse/cluster/tree_reader.py
+++ b/src/ridgecourse/cluster/tree_reader.py
@@ -191,6 +191,19 @@
         self._avoid(parent, STALE_AVOID_SECONDS, reason)
         return True
 
+    def count_failing_parents(self) -> int:
+        """Return how many parents were just found unable to read the store.
+
+        While a parent receives an answer, which may be its first after an outage, the
+        result is ``PERSISTENT_READERS`` or more. If this process cannot read the store
+        either, it then leaves the attempts to others until its own is due. If such
+        parents were not counted, the first answers after an outage would make all
+        processes read the store whose parents receive them.
+        """
+        if any(self.stale_parents.values()):
+            return max(PERSISTENT_READERS, len(self.lost_parents))
+        return len(self.lost_parents)
+
     def _end_avoidance(self) -> None:
         """Forget the processes whose time of being avoided is over.
 
--- a/tests/platform/test_parent_search.py
+++ b/tests/platform/test_parent_search.py
@@ -10,12 +10,14 @@
 """
 
 from collections.abc import Collection, Sequence
+from contextlib import suppress
 from typing import Any
 from unittest.mock import Mock
 
 import pytest
 
 from ridgecourse.cluster import tree_reader
+from ridgecourse.cluster.domain_source import DomainSource
 from ridgecourse.cluster.record_server import RecordsResponse
 from ridgecourse.cluster.tree_reader import (
     STALE_AVOID_SECONDS,
@@ -23,9 +25,16 @@
     TreeReader,
 )
 from ridgecourse.core.hubs import Peer
-from ridgecourse.core.ids import DomainName, Offset, TargetName
-from ridgecourse.core.read_tree import gateway_parent
-from ridgecourse.net.record_source import Topic
+from ridgecourse.core.ids import DomainName, Offset, Seconds, TargetName
+from ridgecourse.core.read_tree import TREE_KEY, gateway_parent
+from ridgecourse.core.rendezvous import rendezvous_rank
+from ridgecourse.net.clock import boottime
+from ridgecourse.net.record_source import (
+    RecordBatch,
+    RecordSource,
+    SourceUnavailable,
+    Topic,
+)
 
 DOMAIN = DomainName("a")
 GATEWAYS = [
@@ -72,3 +81,35 @@
     reader = TreeReader(Topic.DECISIONS, Mock(), OtherGateways(local), Mock())
     assert reader.read(Offset(1)) is None
     assert len(asked) == len(set(asked))
+
+
+@pytest.mark.parametrize("seconds_until_attempt", [5.0, -0.1])
+def test_attempts_are_left_to_others_while_a_parent_receives_an_answer(
+    seconds_until_attempt: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against more readers the more parents get their answers after an outage.
+
+    A parent that received its first answer did not count as one that cannot read the
+    store. With fewer than 3 of these, a process whose next attempt was due 4.7 s later
+    read the store at once, beside the answer that its parent received.
+    """
+    ranked = rendezvous_rank(TREE_KEY, [peer.name for peer in GATEWAYS])
+    receiving, local = ranked[1:3]
+
+    def fetch(http: Any, address: str, *args: Any) -> RecordsResponse:
+        is_receiving = address == f"{receiving}:1"
+        return RecordsResponse(
+            [], Offset(1), age=4.0, receiving=is_receiving, lost=not is_receiving
+        )
+
+    monkeypatch.setattr(tree_reader, "fetch_records", fetch)
+    store = Mock(spec=RecordSource)
+    store.read.return_value = RecordBatch([], Offset(1), Seconds(0.0))
+    (peer,) = (peer for peer in GATEWAYS if peer.name == local)
+    neighbours = OtherGateways(peer)
+    source = DomainSource(store, "127.0.0.1", DOMAIN, None, neighbours, Mock())
+    retries = source.readers[Topic.DECISIONS].outage_retries
+    retries.next_attempt_at = Seconds(boottime() + seconds_until_attempt)
+    with suppress(SourceUnavailable):
+        source.read(Topic.DECISIONS, Offset(1), 0.0)
+    assert store.read.called == (seconds_until_attempt < 0)
