The cold state of an engine is looked up again before a request is written

Cause: an engine that became cold while a request connected to it was still taken for warm, since only the choice of a target updated the limits. Change: the last check before a write updates them; the constraint evaluates the turn once instead of twice.

--- a/src/ridgecourse/core/engine_rate_limits.py
+++ b/src/ridgecourse/core/engine_rate_limits.py
@@ -197,6 +197,11 @@
         state = self.state(incarnation)
         return state is not None and state.is_limited
 
+    def is_cold(self, incarnation: EngineIncarnation) -> bool:
+        """Check whether an engine is limited because it is cold."""
+        state = self.state(incarnation)
+        return state is not None and state.cold is not None
+
     def is_advertised(self, incarnation: EngineIncarnation) -> bool:
         """Check whether an engine advertises a limit."""
         state = self.state(incarnation)
--- a/src/ridgecourse/gateway/announcement_watch.py
+++ b/src/ridgecourse/gateway/announcement_watch.py
@@ -93,9 +93,11 @@
         """
         return self.limit_watch.limits.record_send(incarnation, boottime())
 
-    def confirm_send(self, incarnation: EngineIncarnation, turn: Turn | None) -> bool:
+    def confirm_send(
+        self, target: ListedTarget, incarnation: EngineIncarnation, turn: Turn | None
+    ) -> bool:
         """Check whether a request may be written to an engine now, if it is cold."""
-        return self.limit_watch.limits.confirm_send(incarnation, turn, boottime())
+        return self.limit_watch.confirm_send(target, incarnation, turn)
 
     def record_refusal(
         self, service: ServiceName, targets: Iterable[ListedTarget]
@@ -110,9 +112,9 @@
         cold_watch = self.limit_watch.cold_watch
         cold_watch.record_contact(target, incarnation, answered)
 
-    def count_hold(self, target: ListedTarget, incarnation: EngineIncarnation) -> None:
+    def count_hold(self, incarnation: EngineIncarnation) -> None:
         """Count a request that waits for its turn at an engine that is cold."""
-        if self.limit_watch.cold_watch.is_cold(target, incarnation):
+        if self.limit_watch.limits.is_cold(incarnation):
             self.events.metrics.count("requests_held_cold")
 
     def record_cold(
--- a/src/ridgecourse/gateway/attempt_guard.py
+++ b/src/ridgecourse/gateway/attempt_guard.py
@@ -7,6 +7,7 @@
 from ridgecourse.core.cold_turns import Turn
 from ridgecourse.core.eligibility import Exclusion, ExclusionReason
 from ridgecourse.core.engine_incarnation import EngineIncarnation
+from ridgecourse.core.target_list import ListedTarget
 from ridgecourse.gateway.announcement_watch import AnnouncementWatch
 from ridgecourse.gateway.messages import AnswerHead
 
@@ -27,12 +28,15 @@
     check: Callable[[], Exclusion | None]
     turn: Turn | None = None
 
-    def confirm_write(self) -> Exclusion | None:
+    def confirm_write(self, target: ListedTarget) -> Exclusion | None:
         """Return why the request must not be written now; None if it is written.
 
         Called once for an attempt, as the last check.
+
+        Args:
+            target: Entry of the engine.
         """
-        if self.announcements.confirm_send(self.incarnation, self.turn):
+        if self.announcements.confirm_send(target, self.incarnation, self.turn):
             return None
         return Exclusion(ExclusionReason.COLD)
 
--- a/src/ridgecourse/gateway/cold_watch.py
+++ b/src/ridgecourse/gateway/cold_watch.py
@@ -56,10 +56,6 @@
         service = config.services.get(name) if config else None
         return service if service is not None and service.cold_per_s > 0.0 else None
 
-    def is_cold(self, target: ListedTarget, incarnation: EngineIncarnation) -> bool:
-        """Check whether an engine has a limit because it is cold."""
-        return self.limit(target, incarnation) is not None
-
     def limit(
         self, target: ListedTarget, incarnation: EngineIncarnation
     ) -> ColdLimit | None:
--- a/src/ridgecourse/gateway/constraints.py
+++ b/src/ridgecourse/gateway/constraints.py
@@ -221,10 +221,8 @@
         """Exclude a cold target until this gateway's turn; see ``Constraint``."""
         incarnation = self.incarnation(target)
         limit_watch = self.announcements.limit_watch
-        if not limit_watch.cold_watch.is_cold(target, incarnation):
-            return None
         wait = limit_watch.wait(target, incarnation)
-        if wait <= request.max_hold:
+        if wait <= request.max_hold or not limit_watch.limits.is_cold(incarnation):
             return None
         until = Seconds(now + wait) if isfinite(wait) else None
         return Exclusion(ExclusionReason.COLD, until)
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -329,7 +329,7 @@
         """
         turn = self.announcements.record_send(incarnation)
         if choice.hold:
-            self.announcements.count_hold(choice.target, incarnation)
+            self.announcements.count_hold(incarnation)
             eventlet.sleep(choice.hold)
             if routed.is_abandoned():
                 raise ClientDisconnected(
--- a/src/ridgecourse/gateway/limit_watch.py
+++ b/src/ridgecourse/gateway/limit_watch.py
@@ -4,6 +4,7 @@
 
 import eventlet
 
+from ridgecourse.core.cold_turns import Turn
 from ridgecourse.core.engine_incarnation import EngineIncarnation
 from ridgecourse.core.engine_rate_limits import EngineRateLimits, LimitAnnouncement
 from ridgecourse.core.ids import Seconds, ServiceName, TargetId
@@ -72,13 +73,28 @@
 
     def wait(self, target: ListedTarget, incarnation: EngineIncarnation) -> float:
         """Return the seconds until a target may get a request; may be infinite."""
-        cold_limit = self.cold_watch.limit(target, incarnation)
-        self.limits.record_cold(incarnation, cold_limit)
+        self._update_cold(target, incarnation)
         if not self.limits.is_limited(incarnation):
             return 0.0
         known = self.link.known()
         return self.limits.wait(incarnation, target.domain, known, boottime())
 
+    def confirm_send(
+        self, target: ListedTarget, incarnation: EngineIncarnation, turn: Turn | None
+    ) -> bool:
+        """Check whether a request may be written to a target now, if it is cold.
+
+        The target may have become cold since the request was given its turn.
+        """
+        self._update_cold(target, incarnation)
+        return self.limits.confirm_send(incarnation, turn, boottime())
+
+    def _update_cold(
+        self, target: ListedTarget, incarnation: EngineIncarnation
+    ) -> None:
+        cold_limit = self.cold_watch.limit(target, incarnation)
+        self.limits.record_cold(incarnation, cold_limit)
+
     def record_answer(self, incarnation: EngineIncarnation, head: AnswerHead) -> None:
         """Record the rate limit in an answer's head, or its absence."""
         if head.bad_limit:
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -201,7 +201,7 @@
         if routed.begin_by is not None and boottime() >= routed.begin_by:
             # Connecting took so long that the request would start too late.
             return NotRun(Reason.WRONG_TARGET, "not begun in time", arrived=False)
-        if exclusion := guard.check() or guard.confirm_write():
+        if exclusion := guard.check() or guard.confirm_write(target):
             return _make_refusal(exclusion)
         call = routed.call
         terms = SendTerms(
