--- a/src/ridgecourse/gateway/announcement_watch.py
+++ b/src/ridgecourse/gateway/announcement_watch.py
@@ -96,9 +96,11 @@
         """
         return self.limit_watch.limits.record_send(incarnation, boottime())
 
-    def confirm_send(self, incarnation: EngineIncarnation, turn: Turn | None) -> bool:
+    def confirm_send(
+        self, target: ListedTarget, incarnation: EngineIncarnation, turn: Turn | None
+    ) -> bool:
         """Check whether a request may be written to an engine now, if it is cold."""
-        return self.limit_watch.limits.confirm_send(incarnation, turn, boottime())
+        return self.limit_watch.confirm_send(target, incarnation, turn)
 
     def record_refusal(
         self, service: ServiceName, targets: Iterable[ListedTarget]
@@ -113,9 +115,9 @@
         cold_watch = self.limit_watch.cold_watch
         cold_watch.record_contact(target, incarnation, answered)
 
-    def count_hold(self, target: ListedTarget, incarnation: EngineIncarnation) -> None:
+    def count_hold(self, incarnation: EngineIncarnation) -> None:
         """Count a request that waits for its turn at an engine that is cold."""
-        if self.limit_watch.cold_watch.is_cold(target, incarnation):
+        if self.limit_watch.limits.is_cold(incarnation):
             self.events.metrics.count("requests_held_cold")
 
     def record_cold(
@@ -199,12 +201,15 @@
     check: Callable[[], Exclusion | None]
     turn: Turn | None = None
 
-    def confirm_write(self) -> Exclusion | None:
+    def confirm_write(self, target: ListedTarget) -> Exclusion | None:
         """Return why the request must not be written now; None if it is written.
 
         Called once for an attempt, as the last check.
+
+        Args:
+            target: Entry of the engine.
         """
-        if self.announcements.confirm_send(self.incarnation, self.turn):
+        if self.announcements.confirm_send(target, self.incarnation, self.turn):
             return None
         return Exclusion(ExclusionReason.COLD)
 
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -8,7 +8,6 @@
 from msgspec import structs
 
 from ridgecourse.cluster.view import ClusterView
-from ridgecourse.core.cold_refusals import ColdRefusals
 from ridgecourse.core.cold_turns import Turn
 from ridgecourse.core.crash_reports import (
     Flight,
@@ -26,7 +25,7 @@
 from ridgecourse.core.outcome import Reason, is_unproven_refusal
 from ridgecourse.core.placement import FIRST_EVENT_SECONDS
 from ridgecourse.core.recent_peak import RecentPeak
-from ridgecourse.core.retry import RetryBudget
+from ridgecourse.core.retry import ColdRefusals, RetryBudget
 from ridgecourse.core.site import Site
 from ridgecourse.core.target_list import ListedTarget
 from ridgecourse.core.target_states import TargetHealth
@@ -350,7 +349,7 @@
         """
         turn = self.announcements.record_send(incarnation)
         if choice.hold:
-            self.announcements.count_hold(choice.target, incarnation)
+            self.announcements.count_hold(incarnation)
             eventlet.sleep(choice.hold)
             if routed.is_abandoned():
                 raise ClientDisconnected(
--- a/tests/platform/test_crash_suspects.py
+++ b/tests/platform/test_crash_suspects.py
@@ -332,3 +332,24 @@
         sign_request(account, "POST", "h", "/a", None),
     }
     assert len(others | {base}) == 6
+
+
+def test_crashing_request_is_blocked_beside_requests_that_share_its_engines() -> None:
+    """Replays a failure of the state machine.
+
+    Guards against a request that ends engines and is still sent, since another request
+    ran on the same engines.
+    """
+    state = Gateways()
+    for signature in (CRASHING, CRASHING, HARMLESS[0]):
+        state.send(gateway=0, signature=signature)
+    state.end_engine_without_cause(index=0)
+    for signature in (HARMLESS[1], HARMLESS[0]):
+        state.send(gateway=0, signature=signature)
+    state.end_engine_without_cause(index=0)
+    for signature in (CRASHING, HARMLESS[0]):
+        state.send(gateway=0, signature=signature)
+    state.send(gateway=1, signature=HARMLESS[0])
+    for _ in range(3):
+        state.end_engine_without_cause(index=0)
+    state.exchange_all()
