Benchmark of the processor time of a gateway for requests and reads

Only loads and idling were measured, which explain less than half of the processor time of a gateway in a large deployment. The command runs the real program between stand-ins and prints, for each kind of work, processor time and wake-ups beyond those of the idle process.

--- a/src/bench/__main__.py
+++ b/src/bench/__main__.py
@@ -13,6 +13,7 @@
     "placement",
     "start",
     "idle",
+    "requests",
     "stops",
 )
 
--- a/src/ridgecourse_standins/platform/loader.py
+++ b/src/ridgecourse_standins/platform/loader.py
@@ -23,14 +23,20 @@
         status: Load to report.
         last_reported: Load in the last report, which was sent some milliseconds ago.
         connection_count: Number of connections accepted so far.
+        report_seconds: Interval between two reports.
         closed: Whether the stand-in was closed; ends the connections.
         server: WebSocket server.
     """
 
     def __init__(
-        self, host: str, port: int, status: EngineStatus = IDLE_STATUS
+        self,
+        host: str,
+        port: int,
+        status: EngineStatus = IDLE_STATUS,
+        report_seconds: float = REPORT_SECONDS,
     ) -> None:
         self.status = status
+        self.report_seconds = report_seconds
         self.last_reported: EngineStatus | None = None
         self.connection_count = 0
         self.closed = False
@@ -61,7 +67,7 @@
                 connection.send(encode_message(EngineReport(status, number)))
                 self.last_reported = status
                 try:
-                    connection.recv(REPORT_SECONDS)
+                    connection.recv(self.report_seconds)
                 except TimeoutError:
                     continue
         except ConnectionClosed:
