--- a/src/bench/requests.py
+++ b/src/bench/requests.py
@@ -130,8 +130,10 @@
         """Start the gateway; return what it has used when it is ready."""
         self.store.start()
         self.put_config(len(make_config()["routes"]))
-        for part in (*self.engines, *self.loaders):
-            part.start()
+        for engine in self.engines:
+            engine.start()
+        for loader in self.loaders:
+            loader.start()
         self.put_targets()
         app = EngineStandIn(self.answer)
         app.start()
@@ -196,8 +198,10 @@
         if self.options.profile and self.gateway.process is not None:
             self.gateway.stop()
         self.gateway.close()
-        for part in (*self.engines, *self.loaders):
-            part.close()
+        for engine in self.engines:
+            engine.close()
+        for loader in self.loaders:
+            loader.close()
         self.store.close()
 
 
