The fake view of cold watches has evacuations

The watch reads the end of an evacuation from the view, so that the test applies the records of one. It replaces the test of the same that stood with the passed turns.

--- a/tests/platform/test_cold_watch.py
+++ b/tests/platform/test_cold_watch.py
@@ -13,7 +13,8 @@
 from test_cold_engines import DOMAIN, SERVICE, START_SECONDS, make_bounds, make_entry
 
 from ridgecourse.core.cold_engines import ColdStatement
-from ridgecourse.core.ids import EngineStart, Seconds
+from ridgecourse.core.evacuations import EvacuationDecision, Evacuations
+from ridgecourse.core.ids import EngineStart, Offset, Seconds
 from ridgecourse.gateway import cold_watch, limit_watch
 from ridgecourse.gateway.cold_watch import ColdWatch
 from ridgecourse.gateway.limit_watch import LimitWatch
@@ -34,6 +35,8 @@
         self.view: Any = Mock()
         self.view.config.services = {service.name: service}
         self.view.targets.targets = {ENTRY.target: ENTRY}
+        self.evacuations = Evacuations()
+        self.view.evacuation_records.evacuations = self.evacuations
         self.events = Mock(metrics=ProcessMetrics())
         site: Any = SimpleNamespace(bounds=make_bounds(), region=str)
         self.cold = ColdWatch(site, self.view, self.events)
@@ -81,7 +84,9 @@
 
 
 def test_engines_of_a_domain_whose_evacuation_ended_are_cold(watched) -> None:
-    watched.cold.record_evacuation_end(DOMAIN, Seconds(watched.now))
+    for evacuates, offset in ((True, 1), (False, 2)):
+        decision = EvacuationDecision(DOMAIN, evacuates)
+        watched.evacuations.apply(decision, Offset(offset), Seconds(watched.now))
     assert watched.is_limited()
     watched.cold.record_statement(INCARNATION, ColdStatement(0.0, 1.0))
     assert watched.is_limited(), "the answer is older than the end"
--- a/tests/platform/test_passed_turns.py
+++ b/tests/platform/test_passed_turns.py
@@ -19,9 +19,9 @@
 
 from ridgecourse.core.cold_turns import MIN_INTERVAL_SECONDS, Turn
 from ridgecourse.core.engine_rate_limits import EngineRateLimits
-from ridgecourse.core.evacuations import EvacuationDecision, Evacuations
+from ridgecourse.core.evacuations import Evacuations
 from ridgecourse.core.hubs import Peer
-from ridgecourse.core.ids import EngineStart, Offset, Seconds
+from ridgecourse.core.ids import EngineStart, Seconds
 from ridgecourse.core.passed_turns import (
     ASK_INTERVAL_SECONDS,
     GRANT_SECONDS,
@@ -230,19 +230,3 @@
     other = make_entry(EngineStart(7)).incarnation
     watch._receive_turn_request(Mock(incarnation=other, reply_to="127.0.0.1:1"))
     assert network.sent == []
-
-
-def test_engines_of_a_domain_are_cold_once_its_evacuation_has_ended(clock) -> None:
-    """Guards against full load on engines that were idle during the evacuation."""
-    network = Network()
-    watch = network.make_watch(PEERS[0])
-    evacuations = watch.cold_watch.view.evacuation_records.evacuations
-    entry = make_entry(cold=0.0)
-    assert not watch.cold_watch.is_cold(entry, entry.incarnation)
-    clock.now += 10.0
-    for evacuates, offset in ((True, 1), (False, 2)):
-        decision = EvacuationDecision(entry.domain, evacuates)
-        evacuations.apply(decision, Offset(offset), clock.boottime())
-    assert watch.cold_watch.is_cold(entry, entry.incarnation)
-    clock.now += SERVICE.cold_start_seconds
-    assert not watch.cold_watch.is_cold(entry, entry.incarnation)
