Event log and metrics tell how the body of an engine's answer ended

Cause: "stream whole" stood for an end by a length, by a last chunk and by a close of the connection alike, and nothing told of bytes behind the last whole event; a break that was resumed left no line at all. The hypotheses of the incident could not be told apart. Change: request-ended and the new stream-broken name the target, body_end, partial_bytes and the last event; counters of whole and broken streams by body_end, and of resumed ones. No decision changes.

--- a/src/ridgecourse/gateway/crash_watch.py
+++ b/src/ridgecourse/gateway/crash_watch.py
@@ -171,11 +171,20 @@
         self._send_report(flight.signature)
         self.changed.notify()
 
-    def record_disconnect(self, flight: Flight) -> None:
-        """Record that an engine closed a connection, and probe whether it ended."""
+    def record_disconnect(self, flight: Flight) -> bool:
+        """Record that an engine closed a connection, and probe whether it ended.
+
+        Returns:
+            Whether the engine has ended.
+        """
         disconnected_at = boottime()
         if not self._has_ended(flight):
-            return
+            return False
+        self._record_strike(flight, disconnected_at)
+        return True
+
+    def _record_strike(self, flight: Flight, disconnected_at: Seconds) -> None:
+        """Record that an engine ended while it ran a request."""
         signature, incarnation = flight.signature, flight.incarnation
         if not self.suspects.record_end(signature, incarnation, disconnected_at):
             return
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -52,6 +52,7 @@
     time_left,
 )
 from ridgecourse.gateway.terms import Terms
+from ridgecourse.net.body_end import metric_suffix
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.front_server import ClientDisconnected
@@ -362,6 +363,9 @@
         if isinstance(result, Whole):
             self.crash_watch.record_success(flight)
         elif isinstance(result, Unknown) and result.disconnected:
+            self.events.metrics.count(
+                f"answers_broken_{metric_suffix(result.body_end)}"
+            )
             self.crash_watch.record_disconnect(flight)
 
     def _update_target_state(
--- a/src/ridgecourse/gateway/event_stream.py
+++ b/src/ridgecourse/gateway/event_stream.py
@@ -21,21 +21,31 @@
     number: int | None
 
 
-def split_events(pieces: Iterable[bytes]) -> Iterator[StreamEvent]:
-    """Yield the events of a body as they arrive, each once it is complete.
+class EventReader:
+    """Splits the body of one answer into events.
 
-    If the stream is interrupted, the incomplete last event must not reach the client,
-    since its bytes would join those of the next event. If the body ends regularly,
-    bytes after its last event are yielded unaltered.
+    Attributes:
+        remainder: Bytes received after the last complete event.
     """
-    remainder = b""
-    for piece in pieces:
-        remainder += piece
-        while match := EVENT_END.search(remainder):
-            data, remainder = remainder[: match.end()], remainder[match.end() :]
-            yield StreamEvent(data, event_number(data))
-    if remainder:
-        yield StreamEvent(remainder, None)
+
+    def __init__(self) -> None:
+        self.remainder = b""
+
+    def read(self, pieces: Iterable[bytes]) -> Iterator[StreamEvent]:
+        """Yield the events of a body as they arrive, each once it is complete.
+
+        If the stream is interrupted, the incomplete last event must not reach the
+        client, since its bytes would join those of the next event. If the body ends
+        regularly, bytes after its last event are yielded unaltered.
+        """
+        for piece in pieces:
+            self.remainder += piece
+            while match := EVENT_END.search(self.remainder):
+                data = self.remainder[: match.end()]
+                self.remainder = self.remainder[match.end() :]
+                yield StreamEvent(data, event_number(data))
+        if self.remainder:
+            yield StreamEvent(self.remainder, None)
 
 
 def event_number(data: bytes) -> int | None:
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -22,7 +22,7 @@
 from ridgecourse.gateway.protocol import RequestProtocol
 from ridgecourse.gateway.refusals import NO_TARGET_REASONS
 from ridgecourse.gateway.sender import NotRun, RoutedRequest, Stream, Whole, time_left
-from ridgecourse.gateway.stream_relay import StreamRelay
+from ridgecourse.gateway.stream_relay import AnswerDetail, StreamRelay
 from ridgecourse.gateway.terms import UNKNOWN_SERVICE, Rejection, Terms, find_terms
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
@@ -32,6 +32,7 @@
 """Timeout of a request that states none, on a route without a limit."""
 
 NO_EXCLUSIONS: Mapping[str, int] = {}
+NO_ANSWER: AnswerDetail = {}
 
 
 class Forwarder:
@@ -65,7 +66,7 @@
         self.dispatcher = dispatcher
         self.events = events
         self.random = random
-        self.relay = StreamRelay(dispatcher, self._emit_ended)
+        self.relay = StreamRelay(dispatcher, events, self._emit_ended)
         self.closes_at = Seconds(inf)
         self.client_timeouts: dict[str, UsualClientTimeout] = defaultdict(
             UsualClientTimeout
@@ -160,7 +161,8 @@
         call = routed.call
         if isinstance(result, Whole):
             outcome = Outcome.COMPLETED if result.head.success else Outcome.UNKNOWN
-            self._emit_ended(call, outcome, f"status {result.head.status}")
+            detail = {"body_end": result.body_end}
+            self._emit_ended(call, outcome, f"status {result.head.status}", detail)
             head = result.head
             return FrontReply(head.status, head.reason, head.headers, result.body)
         if isinstance(result, Stream):
@@ -247,12 +249,12 @@
         call: ClientRequest,
         outcome: Outcome,
         why: str,
-        last_event: int | None = None,
+        answer: AnswerDetail = NO_ANSWER,
     ) -> None:
         self.events.emit(
             EventKind.REQUEST_ENDED,
             request=call.request_id,
             outcome=outcome.value,
             why=why,
-            last_event=last_event,
+            **answer,
         )
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -12,6 +12,7 @@
     AccountName,
     RequestSignature,
     Seconds,
+    TargetId,
     WeightsVersion,
 )
 from ridgecourse.core.outcome import Reason
@@ -19,9 +20,10 @@
 from ridgecourse.core.target_list import ListedTarget
 from ridgecourse.gateway.announcement_watch import AttemptGuard
 from ridgecourse.gateway.constraints import refusal_reason
-from ridgecourse.gateway.event_stream import StreamEvent, split_events
+from ridgecourse.gateway.event_stream import EventReader, StreamEvent
 from ridgecourse.gateway.messages import AnswerHead, ClientRequest, SendTerms
 from ridgecourse.gateway.protocol import RequestProtocol
+from ridgecourse.net.body_end import BodyEnd
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.exchange import (
     Exchange,
@@ -98,18 +100,27 @@
         detail: Description of the observed cause.
         late: Whether the deadline expired.
         disconnected: Whether the target closed the connection.
+        body_end: How the body ended; None if no body began.
     """
 
     detail: str
     late: bool
     disconnected: bool = False
+    body_end: BodyEnd | None = None
 
 
 class Whole(Struct, frozen=True):
-    """The complete answer of the target."""
+    """The complete answer of the target.
+
+    Attributes:
+        head: Head of the answer.
+        body: The whole body.
+        body_end: How the body ended.
+    """
 
     head: AnswerHead
     body: bytes
+    body_end: BodyEnd | None = None
 
 
 class Stream(Struct):
@@ -119,7 +130,9 @@
         head: Head of the answer.
         events: All events of the answer; raises ``ExchangeBroken`` if the stream is
             interrupted.
-        exchange: Connection of the stream; the reader of the events closes it.
+        exchange: Connection of the stream; the consumer of the events closes it.
+        reader: Splits the body into events.
+        target: Target that sends the stream.
         load: Load of the incarnation that sends the stream; counts the request until
             the stream ends.
         flight: The request at the engine.
@@ -128,6 +141,8 @@
     head: AnswerHead
     events: Iterator[StreamEvent]
     exchange: Exchange
+    reader: EventReader
+    target: TargetId
     load: EngineLoad | None = None
     flight: Flight | None = None
 
@@ -170,7 +185,9 @@
         except ExchangeTimeout as error:
             result = Unknown(str(error), late=True)
         except TargetDisconnected as error:
-            result = Unknown(str(error), late=False, disconnected=True)
+            result = Unknown(
+                str(error), late=False, disconnected=True, body_end=exchange.body_end
+            )
         except ExchangeBroken as error:
             result = Unknown(str(error), late=False)
         finally:
@@ -225,13 +242,15 @@
         if head.success and not head.signed:
             return Unknown("the successful answer is not signed", late=False)
         if head.success and head.events:
-            return self._stream(exchange, head)
-        return Whole(head, exchange.read_whole(MAX_ANSWER_BYTES))
+            return self._stream(exchange, head, target.target)
+        body = exchange.read_whole(MAX_ANSWER_BYTES)
+        return Whole(head, body, exchange.body_end)
 
-    def _stream(self, exchange: Exchange, head: AnswerHead) -> Stream:
-        events = split_events(exchange.read_pieces(MAX_ANSWER_BYTES))
+    def _stream(self, exchange: Exchange, head: AnswerHead, target: TargetId) -> Stream:
+        reader = EventReader()
+        events = reader.read(exchange.read_pieces(MAX_ANSWER_BYTES))
         first_event = next(events, None)
-        return Stream(head, _prepend(first_event, events), exchange)
+        return Stream(head, _prepend(first_event, events), exchange, reader, target)
 
 
 def _make_refusal(exclusion: Exclusion) -> NotRun:
--- a/src/ridgecourse/gateway/stream_relay.py
+++ b/src/ridgecourse/gateway/stream_relay.py
@@ -1,6 +1,7 @@
 """Relay event streams to clients, and resume interrupted streams at other targets."""
 
 from collections.abc import Callable, Iterator
+from typing import Any
 
 from ridgecourse.core.engine_incarnation import EngineIncarnation
 from ridgecourse.core.outcome import Outcome
@@ -9,9 +10,14 @@
 from ridgecourse.gateway.messages import ClientRequest
 from ridgecourse.gateway.sender import RoutedRequest, Stream
 from ridgecourse.gateway.terms import Terms
+from ridgecourse.net.body_end import metric_suffix
+from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.exchange import ExchangeBroken, ExchangeTimeout, TargetDisconnected
 from ridgecourse.net.front_server import FrontRequest
 
+AnswerDetail = dict[str, Any]
+"""Values by name that describe an answer in the event log."""
+
 
 class StreamInterrupted(Exception):
     """A stream was interrupted; the connection ends without the final chunk."""
@@ -22,15 +28,19 @@
 
     Attributes:
         dispatcher: Resumes interrupted streams at other targets.
-        on_end: Called with the outcome of each stream.
+        events: Receives events and metrics.
+        on_end: Called with the request, the outcome of its stream, the cause and
+            further values for the event log.
     """
 
     def __init__(
         self,
         dispatcher: Dispatcher,
-        on_end: Callable[[ClientRequest, Outcome, str, int | None], None],
+        events: EventStream,
+        on_end: Callable[[ClientRequest, Outcome, str, AnswerDetail], None],
     ) -> None:
         self.dispatcher = dispatcher
+        self.events = events
         self.on_end = on_end
 
     def relay(
@@ -61,9 +71,10 @@
                         resumed = self._resume(routed, terms, tried, error)
                     if resumed is None:
                         raise StreamInterrupted(why)
+                    self.events.metrics.count("streams_resumed")
                     stream = resumed
         finally:
-            self.on_end(call, outcome, why, routed.last_event)
+            self.on_end(call, outcome, why, self._describe(routed, stream))
 
     def _new_events(
         self, routed: RoutedRequest, stream: Stream
@@ -77,11 +88,14 @@
                         continue
                     routed.last_event = event.number
                 yield event
+            self._count_end("whole", stream)
             if stream.flight is not None:
                 self.dispatcher.crash_watch.record_success(stream.flight)
-        except TargetDisconnected:
-            if stream.flight is not None:
-                self.dispatcher.crash_watch.record_disconnect(stream.flight)
+        except ExchangeBroken as error:
+            has_ended = False
+            if isinstance(error, TargetDisconnected) and stream.flight is not None:
+                has_ended = self.dispatcher.crash_watch.record_disconnect(stream.flight)
+            self._record_break(routed, stream, has_ended)
             raise
         finally:
             if stream.load is not None:
@@ -90,6 +104,39 @@
                 self.dispatcher.crash_watch.finish(stream.flight)
             stream.exchange.close()
 
+    def _record_break(
+        self, routed: RoutedRequest, stream: Stream, has_ended: bool
+    ) -> None:
+        """Record that a target broke off a stream.
+
+        Args:
+            routed: The request.
+            stream: The stream.
+            has_ended: Whether the target was found to have ended.
+        """
+        self._count_end("broken", stream)
+        self.events.emit(
+            EventKind.STREAM_BROKEN,
+            request=routed.call.request_id,
+            engine_ended=has_ended,
+            **self._describe(routed, stream),
+        )
+
+    def _count_end(self, result: str, stream: Stream) -> None:
+        """Count an ended stream by its result and by how its body ended."""
+        self.events.metrics.count(
+            f"streams_{result}_{metric_suffix(stream.exchange.body_end)}"
+        )
+
+    def _describe(self, routed: RoutedRequest, stream: Stream) -> AnswerDetail:
+        """Return how far a stream came and how it ended, for the event log."""
+        return {
+            "target": stream.target,
+            "last_event": routed.last_event,
+            "body_end": stream.exchange.body_end,
+            "partial_bytes": len(stream.reader.remainder),
+        }
+
     def _resume(
         self,
         routed: RoutedRequest,
--- a/src/ridgecourse/net/events.py
+++ b/src/ridgecourse/net/events.py
@@ -50,6 +50,7 @@
     REQUEST_DISPATCHED = "request-dispatched"
     REQUEST_RETRIED = "request-retried"
     REQUEST_ENDED = "request-ended"
+    STREAM_BROKEN = "stream-broken"
     REQUEST_REFUSED = "request-refused"
     REQUEST_ADMITTED = "request-admitted"
     KEY_CLAIMED = "key-claimed"
@@ -97,6 +98,7 @@
         EventKind.REQUEST_DISPATCHED,
         EventKind.REQUEST_RETRIED,
         EventKind.REQUEST_ENDED,
+        EventKind.STREAM_BROKEN,
         EventKind.REQUEST_REFUSED,
         EventKind.REQUEST_ADMITTED,
     }
--- a/src/ridgecourse/net/exchange.py
+++ b/src/ridgecourse/net/exchange.py
@@ -19,6 +19,7 @@
 
 from ridgecourse.core.ids import Seconds
 from ridgecourse.net.address import parse_address
+from ridgecourse.net.body_end import BodyEnd, classify_failure, find_stated_end
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_server import HeaderList
 
@@ -54,6 +55,9 @@
         connection: The HTTP connection.
         sock: Socket of the connection; None before ``connect``.
         response: The answer; None before its head was received.
+        stated_end: How the body ends if it arrives whole; None before the head was
+            received.
+        body_end: How the body ended; None before its end.
     """
 
     def __init__(self, address: str, deadline: Seconds) -> None:
@@ -63,6 +67,8 @@
         self.connection = HTTPConnection(socket_address.host, socket_address.port)
         self.sock: Any = None
         self.response: BaseHTTPResponse | None = None
+        self.stated_end: BodyEnd | None = None
+        self.body_end: BodyEnd | None = None
 
     def connect(self, seconds: float) -> None:
         """Open the connection.
@@ -144,6 +150,7 @@
         except Exception as error:
             # http.client raises its own errors for a malformed answer.
             raise ExchangeBroken(f"{self.address}: {error!r}") from error
+        self.stated_end = find_stated_end(self.response)
         return self.response
 
     def read_whole(self, limit: int) -> bytes:
@@ -179,10 +186,13 @@
             try:
                 piece = self.response.read1(READ_BYTES)
             except (TimeoutError, ReadTimeoutError) as error:
+                self.body_end = BodyEnd.STALLED
                 raise ExchangeTimeout(f"{self.address}: body stalled") from error
             except (HTTPError, OSError) as error:
+                self.body_end = classify_failure(error)
                 raise TargetDisconnected(f"{self.address}: {error!r}") from error
             if not piece:
+                self.body_end = self.stated_end
                 return
             total += len(piece)
             if total > limit:
