A stream that ends inside an event is broken off, however regular its end looks

What callers saw: a stream that its engine had broken off ended as a complete answer, with half an event at its end (ORDER). The engine's answer had no length and no chunks, so that it ended with its connection. Cause: the end of the body was taken for the end of the stream. Bytes behind the last whole event were passed on unaltered when the body ended regularly, which the splitter's docstring intended; a close without a length and a last chunk inside an event are regular ends. Class: the end of the transport taken for the end of the message. What followed from it: the request counted as answered, which clears a request that has ended its engine, and half a first event began an answer, so that a request that could go elsewhere did not. An answer begins with its first whole event. A stream without a length that is closed after its head is no answer. Why it works: only a whole event reaches the client, and the decision no longer rests on the framing.

--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -20,7 +20,11 @@
 from ridgecourse.core.target_list import ListedTarget
 from ridgecourse.gateway.announcement_watch import AttemptGuard
 from ridgecourse.gateway.constraints import refusal_reason
-from ridgecourse.gateway.event_stream import EventReader, StreamEvent
+from ridgecourse.gateway.event_stream import (
+    EventReader,
+    StreamEvent,
+    StreamTruncated,
+)
 from ridgecourse.gateway.messages import AnswerHead, ClientRequest, SendTerms
 from ridgecourse.gateway.protocol import RequestProtocol
 from ridgecourse.net.body_end import BodyEnd
@@ -165,6 +169,9 @@
     ) -> SendResult:
         """Send a request to a target and wait for the start of the answer.
 
+        A stream starts with its first complete event; until then a client has received
+        nothing and the request may go to another target.
+
         Args:
             routed: The request.
             target: The target.
@@ -250,6 +257,9 @@
         reader = EventReader()
         events = reader.read(exchange.read_pieces(MAX_ANSWER_BYTES))
         first_event = next(events, None)
+        if first_event is None and exchange.body_end is BodyEnd.CLOSE:
+            # A target that ends after the head of an answer closes the connection too.
+            raise StreamTruncated("the stream ended before its first event")
         return Stream(head, _prepend(first_event, events), exchange, reader, target)
 
 
--- a/tests/platform/test_stream_endings.py
+++ b/tests/platform/test_stream_endings.py
@@ -4,9 +4,16 @@
 from itertools import product
 from typing import NamedTuple
 
+import pytest
 from gateway_site import GatewaySite
+from hypothesis import given
+from hypothesis import strategies as st
 
-from ridgecourse_standins.platform.engine import format_event
+from ridgecourse.gateway.event_stream import EventReader, StreamTruncated
+from ridgecourse_standins.platform.engine import (
+    ReceivedRequest,
+    format_event,
+)
 from ridgecourse_standins.platform.stream_answers import (
     Ending,
     Framing,
@@ -86,3 +93,188 @@
         if answer != (200, stream.whole, False):
             wrong.append((stream, answer))
     assert wrong == []
+
+
+@pytest.mark.parametrize("framing", Framing)
+def test_whole_stream_stays_complete(front, framing: Framing) -> None:
+    # Guards against whole streams that count as cut, whatever stands between events.
+    engine = front.add_engine("llm")
+    front.start()
+    bodies = [
+        make_events(1, EVENTS),
+        b"\n" + make_events(1, 2),
+        b": waiting\n\n" + make_events(1, 2) + b": done\n",
+        b"weights-versions: 2\n" + make_events(1, 2),
+        b"data: without an id\n\n" + make_events(1, 2),
+    ]
+    for body, line_end, step in product(bodies, (b"\n", b"\r\n", b"\r"), (None, 7)):
+        sent = body.replace(b"\n", line_end)
+        engine.behaviour = lambda request, sent=sent, step=step: send_stream_body(
+            request, sent, framing, step=step
+        )
+        assert ask_for_stream(front, "/once-stream/x") == (200, sent, True)
+
+
+@pytest.mark.parametrize(("framing", "ending"), REGULAR_ENDS)
+def test_stream_cut_inside_an_event_is_resumed(
+    front, framing: Framing, ending: Ending
+) -> None:
+    # Guards against half an event in a resumed stream, and against doubled events.
+    for stream in (s for s in cut_streams(EVENTS) if s.framing is framing):
+        asked_after = []
+
+        def answer(
+            request: ReceivedRequest, stream=stream, asked_after=asked_after
+        ) -> None:
+            after = request.header("Last-Event-Id")
+            asked_after.append(after)
+            if after is None:
+                send_stream_body(request, stream.body, framing, ending, stream.step)
+                return
+            # An engine may repeat events that the client has received.
+            rest = make_events(int(after), EVENTS + 2, stream.line_end)
+            send_stream_body(request, rest, framing)
+
+        if not front.engines:
+            front.add_engine("llm", zone="a")
+            front.add_engine("llm", zone="b")
+            front.start()
+        for engine in front.engines:
+            engine.behaviour = answer
+        whole = make_events(1, EVENTS + 2, stream.line_end)
+        assert ask_for_stream(front, "/stream/x") == (200, whole, True)
+        assert asked_after == [None, str(EVENTS)]
+
+
+def answer_only_head(request: ReceivedRequest) -> None:
+    send_stream_body(request, b"", Framing.CLOSE)
+
+
+def answer_half_an_event(request: ReceivedRequest) -> None:
+    send_stream_body(request, format_event(1)[:-1], Framing.CLOSE)
+
+
+def answer_half_an_event_in_chunks(request: ReceivedRequest) -> None:
+    send_stream_body(request, format_event(1)[:-1], Framing.CHUNKS)
+
+
+BREAKS_BEFORE_THE_FIRST_EVENT = [
+    answer_only_head,
+    answer_half_an_event,
+    answer_half_an_event_in_chunks,
+]
+
+
+@pytest.mark.parametrize("behaviour", BREAKS_BEFORE_THE_FIRST_EVENT)
+def test_stream_cut_inside_its_first_event_has_not_begun(front, behaviour) -> None:
+    # Guards against a status 200 for a stream of which the client has received nothing.
+    broken = front.add_engine("llm", behaviour, zone="a")
+    front.start()
+    status, headers, body, _ = front.ask(
+        "/once-stream/x", method="POST", extra=STREAM_HEADERS
+    )
+    assert (status, body, len(broken.requests)) == (502, b"", 1)
+    assert "response-signature" not in headers
+    assert "retry-after" not in headers
+
+
+@pytest.mark.parametrize("behaviour", BREAKS_BEFORE_THE_FIRST_EVENT)
+def test_resumable_stream_cut_inside_its_first_event_is_retried(
+    front, behaviour
+) -> None:
+    # Guards against a failure of a request that another engine can still answer.
+    def answer(request: ReceivedRequest) -> None:
+        attempts.append(request)
+        if len(attempts) == 1:
+            behaviour(request)
+        else:
+            send_stream_body(request, make_events(1, EVENTS), Framing.CHUNKS)
+
+    attempts: list[ReceivedRequest] = []
+    for zone in ("a", "b"):
+        front.add_engine("llm", answer, zone=zone)
+    front.start()
+    assert ask_for_stream(front, "/stream/x") == (200, make_events(1, EVENTS), True)
+    assert len(attempts) == 2
+
+
+@pytest.mark.parametrize("framing", [Framing.CHUNKS, Framing.LENGTH])
+def test_delimited_stream_without_events_is_complete(front, framing: Framing) -> None:
+    # Guards against refusing the empty rest of a stream that was whole.
+    front.add_engine("llm", lambda request: send_stream_body(request, b"", framing))
+    front.start()
+    assert ask_for_stream(front, "/once-stream/x") == (200, b"", True)
+
+
+def test_stream_that_breaks_again_after_its_resumption_is_not_complete(front) -> None:
+    # Guards against a second break that passes for the end of the resumed stream.
+    def answer(request: ReceivedRequest) -> None:
+        first = int(request.header("Last-Event-Id") or 0) + 1
+        send_stream_body(request, make_events(first, first + 1)[:-1], Framing.CLOSE)
+
+    for zone in ("a", "b"):
+        front.add_engine("llm", answer, zone=zone)
+    front.start()
+    # The route allows 2 attempts.
+    assert ask_for_stream(front, "/stream/x") == (200, make_events(1, 2), False)
+    assert sum(len(engine.requests) for engine in front.engines) == 2
+
+
+def test_log_tells_how_a_stream_ended(front) -> None:
+    # Guards against breaks that the record cannot tell from whole streams.
+    cut = make_events(1, 2) + b"id: 3"
+    front.add_engine(
+        "llm", lambda request: send_stream_body(request, cut, Framing.CLOSE)
+    )
+    front.start()
+    ask_for_stream(front, "/once-stream/x")
+    event = front.gateway.wait_event("stream-broken")
+    assert event["target"] == "i-0"
+    assert event["detail"] == {
+        "engine_ended": False,
+        "last_event": 2,
+        "body_end": "close",
+        "partial_bytes": 5,
+    }
+
+
+# The splitting of a body into events.
+
+FIELD_LINES = st.sampled_from(
+    [b"data: x", b"data", b"id: 7", b"weights-versions: 2", b"event: token", b": note"]
+)
+EVENT_LINES = st.lists(FIELD_LINES, min_size=1, max_size=4).filter(
+    lambda lines: not lines[0].startswith(b":")
+)
+
+
+@given(
+    events=st.lists(EVENT_LINES, min_size=1, max_size=4),
+    line_end=st.sampled_from([b"\n", b"\r\n", b"\r"]),
+    leading=st.integers(0, 2),
+    data=st.data(),
+)
+def test_reader_yields_whole_events_and_reports_a_cut_one(
+    events: list[list[bytes]], line_end: bytes, leading: int, data: st.DataObject
+) -> None:
+    # Guards against events that are cut, joined or held back by any splitting of reads.
+    encoded = [line_end.join([*lines, b"", b""]) for lines in events]
+    encoded[0] = line_end * leading + encoded[0]
+    body = b"".join(encoded)
+    ends = [len(b"".join(encoded[: count + 1])) for count in range(len(encoded))]
+    end = data.draw(st.integers(0, len(body)))
+    splits = sorted({0, end, *data.draw(st.lists(st.integers(0, end), max_size=6))})
+    pieces = [body[a:b] for a, b in zip(splits, splits[1:], strict=False)]
+    whole = [text for text, stop in zip(encoded, ends, strict=True) if stop <= end]
+    rest = body[len(b"".join(whole)) : end]
+    received = []
+    is_truncated = False
+    try:
+        received.extend(event.data for event in EventReader().read(pieces))
+    except StreamTruncated:
+        is_truncated = True
+    assert is_truncated == bool(rest.strip(b"\r\n"))
+    if is_truncated or not rest:
+        assert received == whole
+    else:
+        assert b"".join(received) == body[:end]
