The model of load distribution asks for no outdated load

The model wants the second to be due, for its number is higher. The held one is outdated (over 1.5 s), so that the distributor compares times, which are equal. Neither load may be sent any more: take_due leaves out loads over 1.5 s old. Change: the check asks only for loads that may still be sent, and the trace is a test, which also checks that nothing is sent. Every fresh load with a higher number is still asked for.

--- a/tests/platform/test_distribution_rules.py
+++ b/tests/platform/test_distribution_rules.py
@@ -67,7 +67,8 @@
         load = self.make_load(engine, delay)
         held = self.distribution.loads.get(engine)
         self.distribution.record_load(engine, load, destinations, self.now)
-        if held is None or load.number > held.number:
+        is_fresh = self.now - load.reported_at <= FRESH_SECONDS
+        if is_fresh and (held is None or load.number > held.number):
             for destination in destinations:
                 assert engine in self.distribution.due[destination]
 
@@ -152,3 +153,20 @@
 RequestMachine.TestCase.settings = settings(deadline=None)
 TestDistribution = DistributionMachine.TestCase
 TestRequests = RequestMachine.TestCase
+
+
+def test_outdated_load_that_replaces_no_other_is_not_sent() -> None:
+    # Guards against a stale load that is sent because its number is higher.
+    state = DistributionMachine()
+    everywhere = tuple(LoadDestination)
+    engine = TargetId("i-0")
+    for _ in range(3):
+        state.receive(engine=engine, delay=0, destinations=everywhere)
+    state.wait(seconds=2.0)
+    state.forget()
+    state.hear_other_distributor(engine=engine, delay=2)
+    state.receive(engine=engine, delay=1, destinations=everywhere)
+    state.due_loads_are_held()
+    for destination in LoadDestination:
+        state.send(destination=destination, sends_all=True)
+    assert state.sent == {}
