A close that ends an answer clears no strikes before its engine is seen to run

What callers saw: a request that ends each engine that runs it was sent on without limit if the engines' streams had no length and the crash closed them; other callers' requests at these engines failed. Change: such an answer is unconfirmed. The next contact of the gateway with that engine decides: an answer to a later request makes it a success; a refused connection, within 2 s, or a probe for another request, makes it a strike. Only for a request that has strikes already the engine is probed at once, and a stream whose engine has ended counts as cut. Ruled out: a probe after each such answer, a connection more for each stream of an engine that never states a length. Why it works: no call is added for requests without strikes, and whichever way the engine is seen next tells whether it outlived the answer.

--- /dev/null
+++ b/src/ridgecourse/core/unconfirmed_answers.py
@@ -0,0 +1,75 @@
+"""Answers that ended with their connection while their engine may have ended too.
+
+The close of the connection is the regular end of a body that has neither a length nor
+chunks, and it is what an engine that ends does. What happens next at the engine tells
+the two apart: an engine that accepts a further connection has outlived the answer, and
+one that refuses it has not, or not for long.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+
+from msgspec import Struct
+
+from ridgecourse.core.crash_reports import Flight
+from ridgecourse.core.engine_incarnation import EngineIncarnation
+from ridgecourse.core.ids import Seconds
+
+MAX_ANSWERS = 256
+UNCONFIRMED_SECONDS = 2.0
+"""An engine that is first seen to have ended later than this after an answer is not
+taken to have ended with it."""
+
+
+class UnconfirmedAnswer(Struct, frozen=True):
+    """An answer of which it is not known whether its engine outlived it.
+
+    Attributes:
+        flight: The request at the engine.
+        ended_at: When the answer ended.
+    """
+
+    flight: Flight
+    ended_at: Seconds
+
+
+class UnconfirmedAnswers:
+    """The latest unconfirmed answers of all engines.
+
+    Attributes:
+        answers: The answers, in the order in which they ended.
+    """
+
+    def __init__(self) -> None:
+        self.answers: deque[UnconfirmedAnswer] = deque(maxlen=MAX_ANSWERS)
+
+    def add(self, flight: Flight, ended_at: Seconds) -> None:
+        """Add an answer."""
+        self.answers.append(UnconfirmedAnswer(flight, ended_at))
+
+    def has_any(self, incarnation: EngineIncarnation) -> bool:
+        """Check whether an engine has an unconfirmed answer."""
+        return any(answer.flight.incarnation == incarnation for answer in self.answers)
+
+    def take(
+        self, incarnation: EngineIncarnation, until: Seconds
+    ) -> Iterable[UnconfirmedAnswer]:
+        """Remove the answers of an engine that are decided, and return the recent ones.
+
+        Args:
+            incarnation: The engine.
+            until: When the engine was seen to run or to have ended. Answers that ended
+                later stay.
+        """
+        decided = [
+            answer
+            for answer in self.answers
+            if answer.flight.incarnation == incarnation and answer.ended_at <= until
+        ]
+        for answer in decided:
+            self.answers.remove(answer)
+        return [
+            answer
+            for answer in decided
+            if until - answer.ended_at <= UNCONFIRMED_SECONDS
+        ]
--- a/src/ridgecourse/gateway/crash_watch.py
+++ b/src/ridgecourse/gateway/crash_watch.py
@@ -19,6 +19,7 @@
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.site import Site
 from ridgecourse.core.target_list import ListedTarget
+from ridgecourse.core.unconfirmed_answers import UnconfirmedAnswers
 from ridgecourse.gateway.blocked_requests import BlockedRequestStore
 from ridgecourse.gateway.crash_gossip import (
     CrashGossip,
@@ -27,6 +28,7 @@
 )
 from ridgecourse.gateway.gateway_link import GatewayLink
 from ridgecourse.gateway.sender import NotRun, RoutedRequest, time_left
+from ridgecourse.net.body_end import BodyEnd
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.record_source import RecordSource, SourceUnavailable
@@ -58,6 +60,7 @@
         events: Receives events and metrics.
         store: Persists blocked requests.
         suspects: Crash reports of the suspect requests.
+        unconfirmed: Answers that may have been cut off by the end of their engine.
         ended_incarnations: Incarnations of engines that are known to have ended.
         observed: Requests under which this gateway saw engines end.
         blocked: Requests whose block was reported as an event.
@@ -75,6 +78,7 @@
         self.events = events
         self.store = BlockedRequestStore(store, events)
         self.suspects = CrashSuspects()
+        self.unconfirmed = UnconfirmedAnswers()
         self.ended_incarnations: OrderedDict[EngineIncarnation, None] = OrderedDict()
         self.observed: OrderedDict[RequestSignature, None] = OrderedDict()
         self.blocked: frozenset[RequestSignature] = frozenset()
@@ -157,6 +161,56 @@
         if strikes >= EXCLUSIVE_STRIKES:
             self._send_report(flight.signature)
 
+    def record_answer(self, flight: Flight, end: BodyEnd | None) -> bool:
+        """Record that an engine has ended an answer in a regular way.
+
+        If the connection was closed to end the answer, the engine may have ended. Only
+        for a request with strikes the engine is probed; otherwise the answer stays
+        unconfirmed until the next contact with the engine.
+
+        Args:
+            flight: The request at the engine.
+            end: How the body of the answer ended.
+
+        Returns:
+            Whether the engine is known to have ended, so that the answer is probably
+            cut off.
+        """
+        now = boottime()
+        if end is not BodyEnd.CLOSE:
+            self.record_success(flight)
+        elif not self.suspects.count_strikes(flight.signature, now):
+            self.unconfirmed.add(flight, now)
+        elif self.record_disconnect(flight):
+            return True
+        else:
+            self.record_success(flight)
+        return False
+
+    def record_reached(self, incarnation: EngineIncarnation, sent_at: Seconds) -> None:
+        """Record that an engine answered a request, so that it ran at its start.
+
+        Args:
+            incarnation: The engine.
+            sent_at: When the request was sent.
+        """
+        for answer in self.unconfirmed.take(incarnation, sent_at):
+            self.record_success(answer.flight)
+
+    def record_unreached(self, incarnation: EngineIncarnation, address: str) -> None:
+        """Record that an engine could not be reached, and probe whether it ended.
+
+        Args:
+            incarnation: The engine.
+            address: HOST:PORT of the engine.
+        """
+        if self.unconfirmed.has_any(incarnation):
+            eventlet.spawn_n(self._probe_unreached, incarnation, address)
+
+    def _probe_unreached(self, incarnation: EngineIncarnation, address: str) -> None:
+        if refuses_connections(address, PROBE_TIMEOUT_SECONDS):
+            self._record_ended(incarnation)
+
     def record_success(self, flight: Flight) -> None:
         """Record that an engine answered a request."""
         if not self.suspects.record_success(flight.signature, boottime()):
@@ -209,12 +263,18 @@
             if flight.incarnation in self.ended_incarnations:
                 return True
             if refuses_connections(flight.address, PROBE_TIMEOUT_SECONDS):
-                self.ended_incarnations[flight.incarnation] = None
-                if len(self.ended_incarnations) > MAX_ENDED:
-                    self.ended_incarnations.popitem(last=False)
+                self._record_ended(flight.incarnation)
                 return True
         return False
 
+    def _record_ended(self, incarnation: EngineIncarnation) -> None:
+        """Record that an engine has ended, also under its unconfirmed answers."""
+        self.ended_incarnations[incarnation] = None
+        if len(self.ended_incarnations) > MAX_ENDED:
+            self.ended_incarnations.popitem(last=False)
+        for answer in self.unconfirmed.take(incarnation, boottime()):
+            self._record_strike(answer.flight, answer.ended_at)
+
     def _update_blocked(self) -> frozenset[RequestSignature]:
         """Update the blocked requests; emit events for new ones and return these."""
         previous, self.blocked = (
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -316,8 +316,10 @@
         self._update_target_state(result, target, state)
         if isinstance(result, (Whole, Stream)):
             self.announcements.record_contact(target, incarnation, answered=True)
+            self.crash_watch.record_reached(incarnation, sent_at)
         elif isinstance(result, NotRun) and result.reason is Reason.UNREACHABLE:
             self.announcements.record_contact(target, incarnation, answered=False)
+            self.crash_watch.record_unreached(incarnation, target.address)
         if isinstance(result, Stream):
             now = boottime()
             expected_seconds = choice.wait + choice.prefill_time + FIRST_EVENT_SECONDS
@@ -361,7 +363,7 @@
     def _record_engine_outcome(self, flight: Flight, result: SendResult) -> None:
         """Record whether an engine answered a request or closed its connection."""
         if isinstance(result, Whole):
-            self.crash_watch.record_success(flight)
+            self.crash_watch.record_answer(flight, result.body_end)
         elif isinstance(result, Unknown) and result.disconnected:
             self.events.metrics.count(
                 f"answers_broken_{metric_suffix(result.body_end)}"
--- a/src/ridgecourse/gateway/stream_relay.py
+++ b/src/ridgecourse/gateway/stream_relay.py
@@ -6,7 +6,7 @@
 from ridgecourse.core.engine_incarnation import EngineIncarnation
 from ridgecourse.core.outcome import Outcome
 from ridgecourse.gateway.dispatcher import Dispatcher
-from ridgecourse.gateway.event_stream import StreamEvent
+from ridgecourse.gateway.event_stream import StreamEvent, StreamTruncated
 from ridgecourse.gateway.messages import ClientRequest
 from ridgecourse.gateway.sender import RoutedRequest, Stream
 from ridgecourse.gateway.terms import Terms
@@ -88,9 +88,11 @@
                         continue
                     routed.last_event = event.number
                 yield event
+            if stream.flight is not None and self.dispatcher.crash_watch.record_answer(
+                stream.flight, stream.exchange.body_end
+            ):
+                raise StreamTruncated("the engine ended together with the stream")
             self._count_end("whole", stream)
-            if stream.flight is not None:
-                self.dispatcher.crash_watch.record_success(stream.flight)
         except ExchangeBroken as error:
             has_ended = False
             if isinstance(error, TargetDisconnected) and stream.flight is not None:
--- a/src/ridgecourse_standins/platform/crashing_engines.py
+++ b/src/ridgecourse_standins/platform/crashing_engines.py
@@ -28,6 +28,7 @@
         behaviour: Answers all other requests.
         before_crash: Called with a crashing request before the engine crashes; may
             send a part of an answer.
+        resets: Whether the connections of a crashed engine are reset, not closed.
         timers: Timers of the pending restarts.
         changed: Notified after each crash.
         closed: Whether all engines were closed; no engine starts afterwards.
@@ -39,11 +40,13 @@
         list_engine: Callable[[EngineStandIn], str],
         behaviour: Callable[[ReceivedRequest], None] = send_response,
         before_crash: Callable[[ReceivedRequest], None] = lambda _: None,
+        resets: bool = True,
     ) -> None:
         self.count = count
         self.list_engine = list_engine
         self.behaviour = behaviour
         self.before_crash = before_crash
+        self.resets = resets
         self.incarnations: list[EngineStandIn] = []
         self.running: set[EngineStandIn] = set()
         self.crash_times: list[float] = []
@@ -71,7 +74,7 @@
             if engine not in self.running:
                 return
             self.running.discard(engine)
-        engine.kill()
+        engine.kill(self.resets)
         with self.changed:
             self.crash_times.append(monotonic())
             self.changed.notify_all()
--- a/src/ridgecourse_standins/platform/engine.py
+++ b/src/ridgecourse_standins/platform/engine.py
@@ -113,13 +113,21 @@
             self.listener.shutdown(SHUT_RDWR)
         self.listener.close()
 
-    def kill(self) -> None:
-        """Stop and reset all connections, as after a crash."""
+    def kill(self, resets: bool = True) -> None:
+        """Stop and end all connections, as after a crash.
+
+        Args:
+            resets: Whether the connections are reset. Otherwise they are closed, so
+                that a body without a length or chunks ends as if it were complete.
+        """
         self.close()
         self.thread.join()
         for request in self.requests:
             with suppress(OSError):
-                reset_connection(request)
+                if resets:
+                    reset_connection(request)
+                else:
+                    request.connection.shutdown(SHUT_WR)
 
     def next_incarnation(self, at_new_port: bool = False) -> "EngineStandIn":
         """Return the next incarnation, not started, without state of this one.
--- a/src/ridgecourse_standins/platform/stream_answers.py
+++ b/src/ridgecourse_standins/platform/stream_answers.py
@@ -57,13 +57,8 @@
         ending: How the body ends.
         step: Bytes of each write; None to write the body at once.
     """
-    lines = [*answer_head(request), "Content-Type: text/event-stream"]
-    if framing is Framing.CHUNKS:
-        lines.append("Transfer-Encoding: chunked")
-    elif framing is Framing.LENGTH:
-        missing = 0 if ending is Ending.STATED else MISSING_BYTES
-        lines.append(f"Content-Length: {len(body) + missing}")
-    request.connection.sendall("\r\n".join([*lines, "", ""]).encode())
+    missing = 0 if ending is Ending.STATED else MISSING_BYTES
+    send_head(request, framing, len(body) + missing)
     step = step or max(1, len(body))
     for start in range(0, len(body), step):
         piece = body[start : start + step]
@@ -77,3 +72,19 @@
     if framing is Framing.CHUNKS and ending is Ending.STATED:
         send_chunk(request, b"")
     request.connection.shutdown(SHUT_WR)
+
+
+def send_head(request: ReceivedRequest, framing: Framing, length: int = 0) -> None:
+    """Send the head of an event stream.
+
+    Args:
+        request: Request to answer.
+        framing: What tells the end of the body.
+        length: Stated length of a body with ``Framing.LENGTH``, in bytes.
+    """
+    lines = [*answer_head(request), "Content-Type: text/event-stream"]
+    if framing is Framing.CHUNKS:
+        lines.append("Transfer-Encoding: chunked")
+    elif framing is Framing.LENGTH:
+        lines.append(f"Content-Length: {length}")
+    request.connection.sendall("\r\n".join([*lines, "", ""]).encode())
