A broken stream resets the connection of a client that gets no chunks

What callers saw: a client of HTTP/1.0 got the whole events of a broken stream and an ordinary close, which is the regular end of such an answer. Cause: the server told a break by leaving out the last chunk, which such a client has not. Evidence: test_cut_stream_does_not_end_by_a_close_at_a_client_without_chunks fails on the code before for the cut stream; a whole one passes. Change: the connection of a client without chunks is reset after what was sent. Ruled out: holding such answers back until their end, which delays each event.

--- a/src/ridgecourse/net/exchange.py
+++ b/src/ridgecourse/net/exchange.py
@@ -8,7 +8,6 @@
 from collections.abc import Iterator
 from contextlib import suppress
 from socket import SHUT_RDWR, SO_LINGER, SOL_SOCKET
-from struct import pack
 from typing import Any
 
 from urllib3 import BaseHTTPResponse
@@ -22,10 +21,9 @@
 from ridgecourse.net.body_end import BodyEnd, classify_failure, find_stated_end
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_server import HeaderList
+from ridgecourse.net.tcp import LINGER_RESET
 
 READ_BYTES = 16 * 1024
-LINGER_RESET = pack("ii", 1, 0)
-"""Value of SO_LINGER that turns a close into a reset: linger for 0 seconds."""
 MIN_TIMEOUT_SECONDS = 0.001
 """Shortest socket timeout: a timeout of 0 would make the socket non-blocking."""
 
--- a/src/ridgecourse/net/front_server.py
+++ b/src/ridgecourse/net/front_server.py
@@ -244,14 +244,19 @@
         if isinstance(reply.body, bytes):
             headers.append(("Content-Length", str(len(reply.body))))
         start_response(status, headers)
-        return self._send_body(reply)
+        return self._send_body(reply, protocol)
 
-    def _send_body(self, reply: FrontReply) -> Iterator[bytes]:
+    def _send_body(
+        self, reply: FrontReply, protocol: FrontConnection
+    ) -> Iterator[bytes]:
         try:
             if isinstance(reply.body, bytes):
                 yield reply.body
             else:
                 yield from reply.body
+        except Exception:
+            protocol.record_broken_answer()
+            raise
         finally:
             self.in_flight -= 1
 
--- a/src/ridgecourse/net/http_connection.py
+++ b/src/ridgecourse/net/http_connection.py
@@ -3,13 +3,21 @@
 import logging
 from contextlib import suppress
 from enum import Enum
-from socket import MSG_DONTWAIT, MSG_PEEK, SHUT_RDWR, SHUT_WR
+from socket import (
+    MSG_DONTWAIT,
+    MSG_PEEK,
+    SHUT_RDWR,
+    SHUT_WR,
+    SO_LINGER,
+    SOL_SOCKET,
+)
 from typing import Any
 
 import eventlet
 import eventlet.wsgi
 
 from ridgecourse.net.clock import boottime
+from ridgecourse.net.tcp import LINGER_RESET
 
 logger = logging.getLogger(__name__)
 
@@ -43,6 +51,8 @@
         must_linger: Whether the client may still be sending when the server closes. The
             server then reads on for a while, since closing a socket with unread data
             resets the connection and may destroy the answer.
+        must_reset: Whether the connection is reset at its end, since the client would
+            take a close for the end of the answer.
     """
 
     def __init__(self, conn_state: list[Any], server: Any) -> None:
@@ -50,6 +60,7 @@
         self.state = ConnectionState.IDLE
         self.idle_since = boottime()
         self.must_linger = False
+        self.must_reset = False
         super().__init__(conn_state, server)
 
     def setup(self) -> None:
@@ -103,6 +114,13 @@
         super().handle_one_response()
         self.must_linger = self.owner.is_closing or self._has_unread_body()
 
+    def record_broken_answer(self) -> None:
+        """Record that the body of the current answer has no regular end.
+
+        A client of HTTP/1.1 misses the last chunk. An earlier one gets no chunks.
+        """
+        self.must_reset = self.request_version != "HTTP/1.1"
+
     def _has_unread_body(self) -> bool:
         source = self.environ["eventlet.input"]
         return source.chunked_input or source.position < (source.content_length or 0)
@@ -131,13 +149,24 @@
         self.state = ConnectionState.CLOSED
         try:
             with suppress(OSError, ValueError):
-                if self.must_linger:
+                if self.must_reset:
+                    self._reset()
+                elif self.must_linger:
                     self._linger()
-            with suppress(OSError):
+            with suppress(OSError, ValueError):
                 super().finish()
         finally:
             self.owner.connections.discard(self)
 
+    def _reset(self) -> None:
+        """Send what is buffered, then reset the connection."""
+        self.wfile.flush()
+        self.connection.setsockopt(SOL_SOCKET, SO_LINGER, LINGER_RESET)
+        # The socket is closed once the files on it are.
+        self.rfile.close()
+        self.wfile.close()
+        self.connection.close()
+
     def _linger(self) -> None:
         """End the server's side, then discard what the client sends until it closes."""
         self.wfile.flush()
--- a/src/ridgecourse/net/tcp.py
+++ b/src/ridgecourse/net/tcp.py
@@ -13,6 +13,8 @@
 
 SO_ATTACH_FILTER = 26
 """Number of the socket option on Linux; the standard library does not name it."""
+LINGER_RESET = pack("ii", 1, 0)
+"""Value of SO_LINGER that turns a close into a reset: linger for 0 seconds."""
 DROP_SYN = (
     (0x30, 0, 0, 13),
     (0x45, 0, 1, 0x02),
--- a/tests/platform/test_stream_endings.py
+++ b/tests/platform/test_stream_endings.py
@@ -238,6 +238,52 @@
     }
 
 
+# The end of a broken stream at clients that get no chunks.
+
+
+def receive_until_close(front: GatewaySite, request: str) -> tuple[bytes, bool]:
+    """Return what a connection received, and whether it ended by an ordinary close."""
+    connection = front.open()
+    connection.settimeout(5.0)
+    connection.sendall(request.encode())
+    received = b""
+    try:
+        while data := connection.recv(65536):
+            received += data
+    except ConnectionResetError:
+        return received, False
+    return received, True
+
+
+@pytest.mark.parametrize("is_cut", [False, True])
+def test_cut_stream_does_not_end_by_a_close_at_a_client_without_chunks(
+    front, is_cut: bool
+) -> None:
+    # Guards against a close that an HTTP/1.0 client takes for the end of the answer.
+    body = make_events(1, 3)[: -3 if is_cut else None]
+    front.add_engine(
+        "llm", lambda request: send_stream_body(request, body, Framing.CLOSE)
+    )
+    front.start()
+    head = front.head("/once-stream/x", method="POST", extra=STREAM_HEADERS)
+    received, is_closed = receive_until_close(front, head.replace("/1.1", "/1.0", 1))
+    assert received.endswith(b"\r\n\r\n" + make_events(1, 2 if is_cut else 3))
+    assert is_closed != is_cut
+
+
+def test_cut_stream_closes_a_persistent_connection_without_a_last_chunk(front) -> None:
+    # Guards against a connection that goes on behind a broken answer.
+    body = make_events(1, 3)[:-3]
+    front.add_engine(
+        "llm", lambda request: send_stream_body(request, body, Framing.CHUNKS)
+    )
+    front.start()
+    head = front.head("/once-stream/x", method="POST", extra=STREAM_HEADERS)
+    received, _ = receive_until_close(front, head)
+    assert received.count(b"data: piece") == 2
+    assert not received.endswith(b"0\r\n\r\n")
+
+
 # The splitting of a body into events.
 
 FIELD_LINES = st.sampled_from(
