An answer of the store that is cut before its records skips none of them

What operators would see: a decision that a process never applies, until it reads the newest records again. An answer without a length that ends behind its header has no records, and reading went on at the end that the header names. Evidence: test_a_response_cut_before_its_records_skips_none fails on the code before: 2 records skipped at a cut after 16 bytes. Every other length of the answer was right. Change: an answer whose end lies behind its start has a record, or it is an error, as one that ends inside its first record already was.

--- a/src/ridgecourse/platform/record_encoding.py
+++ b/src/ridgecourse/platform/record_encoding.py
@@ -12,7 +12,7 @@
 from msgspec import DecodeError, Meta, Raw, Struct, field
 from msgspec.json import decode
 
-from ridgecourse.core.ids import MAX_INDEX, Offset, era_of, make_offset
+from ridgecourse.core.ids import MAX_INDEX, Offset, era_of, index_of, make_offset
 from ridgecourse.net.record_source import KeyedRecord, SourceUnavailable
 
 NO_KEY = ""
@@ -132,16 +132,16 @@
         The records and the end offset of the topic.
 
     Raises:
-        struct.error: The answer ends before the first record.
-        ValueError: The answer ends within the first record, or names an end beyond the
-            largest offset.
+        struct.error: The answer ends within its header.
+        ValueError: The answer has no complete record although its header names an end
+            after ``start``, or an end beyond the largest offset.
     """
     end, _first_retained = unpack_from(">QQ", data)
     if end > MAX_INDEX:
         raise ValueError(f"end offset {end}, expected at most {MAX_INDEX}")
     bodies = list(split_records(data[HEADER_BYTES:]))
-    if len(data) > HEADER_BYTES and not bodies:
-        raise ValueError("the answer ends within its first record")
+    if not bodies and (len(data) > HEADER_BYTES or end > index_of(start)):
+        raise ValueError("the answer ends before the end of its first record")
     records = [
         decode_record(body, Offset(start + index)) for index, body in enumerate(bodies)
     ]
--- a/tests/platform/test_invalid_store_responses.py
+++ b/tests/platform/test_invalid_store_responses.py
@@ -77,7 +77,7 @@
         assert [record.key for record in records] == ["i-1"]
 
 
-@pytest.mark.parametrize("length", [0, 8, 15, 17, 21, 25])
+@pytest.mark.parametrize("length", [0, 8, 15, 16, 17, 21, 25])
 def test_a_response_without_a_complete_record_raises(length: int) -> None:
     answer = pack(">QQ", 1, 0) + raw_record(b"i-1", b"12345")
     store = PlatformStore("store:1", PreparedAnswers(answer[:length]))  # type: ignore[arg-type]
@@ -85,6 +85,27 @@
         store.read(Topic.TARGETS, Offset(0), 0.0)
 
 
+def test_a_response_cut_before_its_records_skips_none() -> None:
+    # Guards against reading on at the stated end when the records are cut off.
+    records = raw_record(b"i-1", b"12345") + raw_record(b"i-2", b"12345")
+    answer = pack(">QQ", 2, 0) + records
+    for length in range(len(answer) + 1):
+        store = PlatformStore("store:1", PreparedAnswers(answer[:length]))  # type: ignore[arg-type]
+        try:
+            batch = store.read(Topic.TARGETS, Offset(0), 0.0)
+        except SourceUnavailable:
+            continue
+        assert batch.end == Offset(len(batch.records))
+        assert batch.remaining_records == 2 - len(batch.records)
+
+
+def test_a_response_without_new_records_is_complete() -> None:
+    # Guards against taking the end of a wait without records for a cut response.
+    store = PlatformStore("store:1", PreparedAnswers(pack(">QQ", 2, 0)))  # type: ignore[arg-type]
+    batch = store.read(Topic.TARGETS, Offset(2), 0.0)
+    assert (batch.records, batch.end, batch.remaining_records) == ([], Offset(2), 0)
+
+
 @given(data=st.binary(max_size=120))
 def test_arbitrary_responses_are_decoded_or_raise_source_unavailable(
     data: bytes,
