A stream is not resumed behind events without an id

What callers would see: an event that comes twice in a resumed stream (ORDER). Cause: a stream is resumed after its last id. Events that were sent since, without one, are sent again by the engine that resumes it. Evidence: 2 of 4 cases of test_stream_is_resumed_only_after_a_numbered_event fail on the code before. Change: such a stream ends as broken off. Comments are no events, and an event without an id before the last numbered one is covered by that id.

--- a/src/ridgecourse/gateway/event_stream.py
+++ b/src/ridgecourse/gateway/event_stream.py
@@ -35,6 +35,10 @@
     data: bytes
     number: int | None
 
+    def is_comment(self) -> bool:
+        """Check whether no line belongs to an event."""
+        return not begins_event(self.data)
+
 
 class EventReader:
     """Splits the body of one answer into events.
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -57,6 +57,8 @@
         version: The only version of weights that may run the request; None for any.
         begin_by: Latest start at the target; None for any time.
         last_event: Event after which the stream is resumed.
+        sent_unnumbered: Whether the client has received events without an id after
+            ``last_event``, which an engine that resumes the stream would repeat.
         signature: Digest of the request's content, equal for each retry.
         waited: Seconds that the client waited before it sent the request to this
             gateway.
@@ -77,6 +79,7 @@
     waited: float
     excess: float
     is_abandoned: Callable[[], bool]
+    sent_unnumbered: bool = False
 
 
 class NotRun(Struct, frozen=True):
--- a/src/ridgecourse/gateway/stream_relay.py
+++ b/src/ridgecourse/gateway/stream_relay.py
@@ -87,6 +87,9 @@
                     if last_sent is not None and event.number <= last_sent:
                         continue
                     routed.last_event = event.number
+                    routed.sent_unnumbered = False
+                elif not event.is_comment():
+                    routed.sent_unnumbered = True
                 yield event
             if stream.flight is not None and self.dispatcher.crash_watch.record_answer(
                 stream.flight, stream.exchange.body_end
@@ -149,5 +152,7 @@
         """Return the rest of a stream from another target; None if impossible."""
         if not terms.route.resumable or isinstance(error, ExchangeTimeout):
             return None
+        if routed.sent_unnumbered:
+            return None
         result = self.dispatcher.try_targets(routed, terms, tried)
         return result if isinstance(result, Stream) else None
--- a/tests/platform/test_stream_endings.py
+++ b/tests/platform/test_stream_endings.py
@@ -146,6 +146,38 @@
         assert asked_after == [None, str(EVENTS)]
 
 
+UNNUMBERED = b"data: without an id\n\n"
+
+
+@pytest.mark.parametrize(
+    ("sent", "is_resumed"),
+    [
+        (make_events(1, 2) + UNNUMBERED, False),
+        (UNNUMBERED, False),
+        (UNNUMBERED + make_events(1, 2), True),
+        (make_events(1, 2) + b": waiting\n\n", True),
+    ],
+)
+def test_stream_is_resumed_only_after_a_numbered_event(
+    front, sent: bytes, is_resumed: bool
+) -> None:
+    # Guards against an event without an id that a resumed stream repeats.
+    def answer(request: ReceivedRequest) -> None:
+        attempts.append(request)
+        if len(attempts) == 1:
+            send_stream_body(request, sent, Framing.CHUNKS, Ending.EARLY_CLOSE)
+        else:
+            send_stream_body(request, make_events(3, 4), Framing.CHUNKS)
+
+    attempts: list[ReceivedRequest] = []
+    for zone in ("a", "b"):
+        front.add_engine("llm", answer, zone=zone)
+    front.start()
+    received = sent + make_events(3, 4) if is_resumed else sent
+    assert ask_for_stream(front, "/stream/x") == (200, received, is_resumed)
+    assert len(attempts) == 1 + is_resumed
+
+
 def answer_only_head(request: ReceivedRequest) -> None:
     send_stream_body(request, b"", Framing.CLOSE)
 
