Tests wait for the lost log of the restarted entry, not of the one before it

Cause: test_entry_without_configuration_is_not_ready failed once (connection refused, load 12). The log is taken away before the entry is killed, and if the entry tells of it first, the test takes that event for the one of the restarted entry, which does not listen yet. Ruled out: that a just started entry tells of the lost log before it listens. Change: the tests wait for the event of the new incarnation. One more had the same wait.

--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -7,6 +7,7 @@
 from conftest import ClusterSite
 
 from ridgecourse_standins.cluster import FLEET, MODEL_SERVICE, Plan
+from ridgecourse_standins.managed_process import ManagedProcess
 
 PLAN = Plan(domains=("a", "b"), entries=1, targets=1, plain=0)
 ACCEPTED = "CHANGE_STATUS_ACCEPTED"
@@ -124,6 +125,12 @@
     wait_same_state(site)
 
 
+def wait_until_log_is_lost(entry: ManagedProcess) -> None:
+    """Wait until a restarted entry, not the one before it, tells that it has no log."""
+    started = entry.wait_event("started", after=1)
+    entry.wait_event("log-lost", incarnation=started["incarnation"])
+
+
 def test_entry_without_configuration_is_not_ready(
     start_site: Callable[[Plan], ClusterSite],
 ) -> None:
@@ -132,7 +139,7 @@
     entry = site.cluster.entries[0]
     entry.managed.kill()
     entry.managed.start()
-    entry.managed.wait_event("log-lost")
+    wait_until_log_is_lost(entry.managed)
     assert site.cluster.status(entry)["ready"] is False
 
 
@@ -170,5 +177,5 @@
     for node in site.cluster.agents:
         node.managed.kill()
     entry.managed.start()
-    entry.managed.wait_event("log-lost")
+    wait_until_log_is_lost(entry.managed)
     assert site.cluster.status(entry)["ready"] is False
