What a send tells of its target is recorded in a module of its own

Change: SendResults and Send; no decision changes. Measured: the tests of forwarding, crashes, limits, rests and incarnations pass.

--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -2,16 +2,12 @@
 
 from collections.abc import Callable, Collection
 from random import Random
-from typing import Any
 
 import eventlet
 from msgspec import structs
 
 from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.cold_turns import Turn
-from ridgecourse.core.crash_reports import (
-    Flight,
-)
 from ridgecourse.core.eligibility import (
     Exclusion,
     ExclusionReason,
@@ -20,27 +16,21 @@
 )
 from ridgecourse.core.engine_incarnation import EngineIncarnation
 from ridgecourse.core.engine_load import PendingRequest
-from ridgecourse.core.ids import Seconds, ServiceName
+from ridgecourse.core.ids import ServiceName
 from ridgecourse.core.load_shedding import AdmissionEstimate, excess_wait
 from ridgecourse.core.outcome import Reason, is_unproven_refusal
-from ridgecourse.core.placement import FIRST_EVENT_SECONDS
 from ridgecourse.core.recent_peak import RecentPeak
 from ridgecourse.core.retry import ColdRefusals, RetryBudget
 from ridgecourse.core.site import Site
 from ridgecourse.core.target_list import ListedTarget
-from ridgecourse.core.target_states import TargetHealth
 from ridgecourse.gateway.announcement_watch import AnnouncementWatch, AttemptGuard
 from ridgecourse.gateway.choice import Choice
 from ridgecourse.gateway.crash_watch import CrashWatch
 from ridgecourse.gateway.load_watcher import LoadWatcher
 from ridgecourse.gateway.protocol import RequestProtocol
 from ridgecourse.gateway.refusals import explain_refusal
-from ridgecourse.gateway.selection import (
-    MAX_LIMIT_DELAY_SECONDS,
-    MISSING_WEIGHTS_PAUSE_SECONDS,
-    REFUSED_PAUSE_SECONDS,
-    TargetSelector,
-)
+from ridgecourse.gateway.selection import MAX_LIMIT_DELAY_SECONDS, TargetSelector
+from ridgecourse.gateway.send_results import Send, SendResults
 from ridgecourse.gateway.sender import (
     NotRun,
     RoutedRequest,
@@ -52,9 +42,8 @@
     time_left,
 )
 from ridgecourse.gateway.terms import Terms
-from ridgecourse.net.body_end import metric_suffix
 from ridgecourse.net.clock import boottime
-from ridgecourse.net.events import EventKind, EventStream
+from ridgecourse.net.events import EventStream
 from ridgecourse.net.front_server import ClientDisconnected
 
 MIN_ATTEMPT_SECONDS = 0.05
@@ -66,9 +55,6 @@
 """Smallest number of gateways by which the slack of the retry budget is divided, since
 some gateways may not be known yet. Above it, the number of known gateways is used."""
 
-NOT_SENT_REASONS = (Reason.LEAVING, Reason.OVERLOADED, Reason.NO_TARGET)
-"""Reasons for which a chosen target does not get the request after all."""
-
 
 class Dispatcher:
     """Sends each request to one target after another until one answers.
@@ -82,6 +68,7 @@
         announcements: Tracks what targets announce of themselves.
         selector: Chooses the target of each attempt.
         sender: Sends one request to one target.
+        results: Records what the result of each send tells of its target.
         budgets: Retry budget of each service.
         cold_refusals: Spreads the retries while all targets of a service are cold.
     """
@@ -109,6 +96,7 @@
             site, view, load_watcher, lag, random, announcements
         )
         self.sender = Sender(protocol)
+        self.results = SendResults(self.selector, crash_watch, announcements, events)
         self.budgets: dict[ServiceName, RetryBudget] = {}
         self.cold_refusals = ColdRefusals(random)
 
@@ -305,7 +293,7 @@
                 turn,
             )
             result = self.sender.send(routed, target, state.network_delays, guard)
-            self._record_engine_outcome(flight, result)
+            self.results.record_answer_end(flight, result)
         finally:
             load.pending.pop(routed.call.request_id, None)
             if isinstance(result, Stream):
@@ -313,23 +301,8 @@
             else:
                 load.outstanding -= 1
                 self.crash_watch.finish(flight)
-        self._update_target_state(result, target, state)
-        if isinstance(result, (Whole, Stream)):
-            self.announcements.record_contact(target, incarnation, answered=True)
-            self.crash_watch.record_reached(incarnation, sent_at)
-        elif isinstance(result, NotRun) and result.reason is Reason.UNREACHABLE:
-            self.announcements.record_contact(target, incarnation, answered=False)
-            self.crash_watch.record_unreached(incarnation, target.address)
-        if isinstance(result, Stream):
-            now = boottime()
-            expected_seconds = choice.wait + choice.prefill_time + FIRST_EVENT_SECONDS
-            self.selector.first_event_delays.observe(
-                target.service,
-                routed.restriction.regions,
-                now - sent_at - expected_seconds,
-                now,
-            )
-        self._emit_dispatched(routed, choice, result, boottime() - sent_at)
+        send = Send(routed, choice, incarnation, state, sent_at)
+        self.results.record(send, result)
         return result
 
     def _check_send(
@@ -359,62 +332,3 @@
                     "the client disconnected before the request was sent"
                 )
         return turn
-
-    def _record_engine_outcome(self, flight: Flight, result: SendResult) -> None:
-        """Record whether an engine answered a request or closed its connection."""
-        if isinstance(result, Whole):
-            self.crash_watch.record_answer(flight, result.body_end)
-        elif isinstance(result, Unknown) and result.disconnected:
-            self.events.metrics.count(
-                f"answers_broken_{metric_suffix(result.body_end)}"
-            )
-            self.crash_watch.record_disconnect(flight)
-
-    def _update_target_state(
-        self, result: SendResult, target: ListedTarget, state: TargetHealth
-    ) -> None:
-        """Update the health of a target from the result of a send."""
-        now = boottime()
-        if (
-            isinstance(result, NotRun)
-            and not result.arrived
-            and result.reason in NOT_SENT_REASONS
-        ):
-            # Nothing was sent, so that nothing is known of the target's health.
-            return
-        if isinstance(result, NotRun) and result.reason is Reason.WRONG_TARGET:
-            state.not_before = Seconds(now + MISSING_WEIGHTS_PAUSE_SECONDS)
-            return
-        if isinstance(result, NotRun) and result.arrived:
-            state.not_before = Seconds(now + REFUSED_PAUSE_SECONDS)
-            return
-        if isinstance(result, (Whole, Stream)):
-            state.record_success()
-        elif state.record_failure(now):
-            self.events.emit(EventKind.TARGET_EJECTED, target=target.target)
-
-    def _emit_dispatched(
-        self, routed: RoutedRequest, choice: Choice, result: SendResult, elapsed: float
-    ) -> None:
-        target = choice.target
-        load = self.selector.load(target)
-        begin_by = choice.terms.begin_by
-        self.events.metrics.observe("first_answer", elapsed)
-        detail: dict[str, Any] = (
-            structs.asdict(result) if isinstance(result, (NotRun, Unknown)) else {}
-        )
-        self.events.emit(
-            EventKind.REQUEST_DISPATCHED,
-            request=routed.call.request_id,
-            target=target.target,
-            took=round(elapsed, 4),
-            expected_wait=round(choice.wait, 3),
-            load_age=round(boottime() - load.reported_at, 2),
-            outstanding=load.outstanding,
-            result=type(result).__name__,
-            signature=routed.signature.hex() if isinstance(result, Unknown) else None,
-            held=choice.terms.held,
-            only_version=routed.version,
-            begin_left=None if begin_by is None else round(begin_by - boottime(), 3),
-            detail={name: str(value) for name, value in detail.items()},
-        )
