--- a/src/ridgecourse/core/unconfirmed_answers.py
+++ b/src/ridgecourse/core/unconfirmed_answers.py
@@ -7,7 +7,7 @@
 """
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Sequence
 
 from msgspec import Struct
 
@@ -32,6 +32,14 @@
     flight: Flight
     ended_at: Seconds
 
+    def may_be_cut(self, engine_ended_by: Seconds) -> bool:
+        """Check whether the end of the engine may have ended the answer.
+
+        Args:
+            engine_ended_by: When the engine was first seen to have ended.
+        """
+        return engine_ended_by - self.ended_at <= UNCONFIRMED_SECONDS
+
 
 class UnconfirmedAnswers:
     """The latest unconfirmed answers of all engines.
@@ -53,13 +61,12 @@
 
     def take(
         self, incarnation: EngineIncarnation, until: Seconds
-    ) -> Iterable[UnconfirmedAnswer]:
-        """Remove the answers of an engine that are decided, and return the recent ones.
+    ) -> Sequence[UnconfirmedAnswer]:
+        """Remove and return the answers of an engine that ended up to a time.
 
         Args:
             incarnation: The engine.
-            until: When the engine was seen to run or to have ended. Answers that ended
-                later stay.
+            until: When the engine was seen to run or to have ended.
         """
         decided = [
             answer
@@ -68,8 +75,4 @@
         ]
         for answer in decided:
             self.answers.remove(answer)
-        return [
-            answer
-            for answer in decided
-            if until - answer.ended_at <= UNCONFIRMED_SECONDS
-        ]
+        return decided
--- a/src/ridgecourse/gateway/crash_watch.py
+++ b/src/ridgecourse/gateway/crash_watch.py
@@ -272,8 +272,10 @@
         self.ended_incarnations[incarnation] = None
         if len(self.ended_incarnations) > MAX_ENDED:
             self.ended_incarnations.popitem(last=False)
-        for answer in self.unconfirmed.take(incarnation, boottime()):
-            self._record_strike(answer.flight, answer.ended_at)
+        now = boottime()
+        for answer in self.unconfirmed.take(incarnation, now):
+            if answer.may_be_cut(now):
+                self._record_strike(answer.flight, answer.ended_at)
 
     def _update_blocked(self) -> frozenset[RequestSignature]:
         """Update the blocked requests; emit events for new ones and return these."""
--- a/tests/platform/test_unframed_crashes.py
+++ b/tests/platform/test_unframed_crashes.py
@@ -130,10 +130,10 @@
     assert not answers.has_any(INCARNATION)
 
 
-def test_late_contact_decides_nothing() -> None:
+def test_engine_that_ends_long_after_an_answer_has_not_cut_it() -> None:
     # Guards against a strike for an answer that ended long before its engine did.
     answers = UnconfirmedAnswers()
     answers.add(make_flight(1), Seconds(10.0))
-    now = Seconds(10.0 + UNCONFIRMED_SECONDS + 0.1)
-    assert list(answers.take(INCARNATION, now)) == []
-    assert not answers.has_any(INCARNATION)
+    [answer] = answers.take(INCARNATION, Seconds(20.0))
+    assert answer.may_be_cut(Seconds(10.0 + UNCONFIRMED_SECONDS / 2))
+    assert not answer.may_be_cut(Seconds(20.0))
