A client without chunks gets a reset also when the gateway is stopped or killed in a stream

What callers would see: an HTTP/1.0 client took the close of a gateway that ended inside its stream for the end of the answer. Cause: only a stream that the gateway itself gave up reset the connection; a handler that is ended at a stop, or a killed process, closed it. Evidence: test_stopped_gateway_does_not_end_a_stream_by_a_close_without_chunks fails on the code before, by SIGTERM past the grace period and by SIGKILL. Change: the connection resets from the start of such a stream until its regular end, by a socket option, so that it holds without the process.

--- a/src/ridgecourse/net/front_server.py
+++ b/src/ridgecourse/net/front_server.py
@@ -253,10 +253,9 @@
             if isinstance(reply.body, bytes):
                 yield reply.body
             else:
+                protocol.begin_stream()
                 yield from reply.body
-        except Exception:
-            protocol.record_broken_answer()
-            raise
+                protocol.end_stream()
         finally:
             self.in_flight -= 1
 
--- a/src/ridgecourse/net/http_connection.py
+++ b/src/ridgecourse/net/http_connection.py
@@ -17,7 +17,7 @@
 import eventlet.wsgi
 
 from ridgecourse.net.clock import boottime
-from ridgecourse.net.tcp import LINGER_RESET
+from ridgecourse.net.tcp import LINGER_OFF, LINGER_RESET
 
 logger = logging.getLogger(__name__)
 
@@ -51,8 +51,8 @@
         must_linger: Whether the client may still be sending when the server closes. The
             server then reads on for a while, since closing a socket with unread data
             resets the connection and may destroy the answer.
-        must_reset: Whether the connection is reset at its end, since the client would
-            take a close for the end of the answer.
+        must_reset: Whether a stream without chunks is under way, so that the client
+            would take a close for its end.
     """
 
     def __init__(self, conn_state: list[Any], server: Any) -> None:
@@ -114,12 +114,21 @@
         super().handle_one_response()
         self.must_linger = self.owner.is_closing or self._has_unread_body()
 
-    def record_broken_answer(self) -> None:
-        """Record that the body of the current answer has no regular end.
+    def begin_stream(self) -> None:
+        """Turn each end of the connection into a reset, until the stream is complete.
 
-        A client of HTTP/1.1 misses the last chunk. An earlier one gets no chunks.
+        A client before HTTP/1.1 gets no chunks, and takes a close for the end of the
+        answer. The system also resets the connection if this process is killed.
         """
-        self.must_reset = self.request_version != "HTTP/1.1"
+        if self.request_version != "HTTP/1.1":
+            self.must_reset = True
+            self.connection.setsockopt(SOL_SOCKET, SO_LINGER, LINGER_RESET)
+
+    def end_stream(self) -> None:
+        """End the connection with a close again, since the stream is complete."""
+        if self.must_reset:
+            self.must_reset = False
+            self.connection.setsockopt(SOL_SOCKET, SO_LINGER, LINGER_OFF)
 
     def _has_unread_body(self) -> bool:
         source = self.environ["eventlet.input"]
@@ -159,9 +168,8 @@
             self.owner.connections.discard(self)
 
     def _reset(self) -> None:
-        """Send what is buffered, then reset the connection."""
+        """Send what is buffered, then close without a shutdown, which is a reset."""
         self.wfile.flush()
-        self.connection.setsockopt(SOL_SOCKET, SO_LINGER, LINGER_RESET)
         # The socket is closed once the files on it are.
         self.rfile.close()
         self.wfile.close()
--- a/src/ridgecourse/net/tcp.py
+++ b/src/ridgecourse/net/tcp.py
@@ -15,6 +15,8 @@
 """Number of the socket option on Linux; the standard library does not name it."""
 LINGER_RESET = pack("ii", 1, 0)
 """Value of SO_LINGER that turns a close into a reset: linger for 0 seconds."""
+LINGER_OFF = pack("ii", 0, 0)
+"""Default value of SO_LINGER: a close sends what is buffered."""
 DROP_SYN = (
     (0x30, 0, 0, 13),
     (0x45, 0, 1, 0x02),
--- a/tests/platform/test_stream_endings.py
+++ b/tests/platform/test_stream_endings.py
@@ -2,21 +2,25 @@
 
 from collections.abc import Iterator
 from itertools import product
+from signal import SIGKILL, SIGTERM
 from typing import NamedTuple
 
 import pytest
 from gateway_site import GatewaySite
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec.json import encode
 
 from ridgecourse.gateway.event_stream import EventReader, StreamTruncated
 from ridgecourse_standins.platform.engine import (
     ReceivedRequest,
     format_event,
+    send_events,
 )
 from ridgecourse_standins.platform.stream_answers import (
     Ending,
     Framing,
+    send_head,
     send_stream_body,
 )
 
@@ -303,6 +307,30 @@
     assert is_closed != is_cut
 
 
+@pytest.mark.parametrize("signal_number", [SIGTERM, SIGKILL])
+def test_stopped_gateway_does_not_end_a_stream_by_a_close_without_chunks(
+    front, signal_number: int
+) -> None:
+    # Guards against a close by the system that an HTTP/1.0 client takes for the end.
+    def send_start(request: ReceivedRequest) -> None:
+        send_head(request, Framing.CHUNKS)
+        send_events(request, 1, 1)
+
+    front.settings["bounds"]["grace_s"] = 2
+    front.path.write_bytes(encode(front.settings))
+    front.add_engine("llm", send_start)
+    front.start()
+    head = front.head("/stream/x", method="POST", extra=STREAM_HEADERS)
+    connection = front.open()
+    connection.settimeout(20.0)
+    connection.sendall(head.replace("/1.1", "/1.0", 1).encode())
+    while b"data: piece 1" not in connection.recv(65536):
+        pass
+    front.gateway.started_process.send_signal(signal_number)
+    with pytest.raises(ConnectionResetError):
+        connection.recv(65536)
+
+
 def test_cut_stream_closes_a_persistent_connection_without_a_last_chunk(front) -> None:
     # Guards against a connection that goes on behind a broken answer.
     body = make_events(1, 3)[:-3]
