A request with a strike that no other request explains is blocked from three on

Cause: a request was blocked only if three of its strikes were left without those that are attributed to blocked requests with more. One that is left is evidence enough: nothing with more strikes explains it. Change: a request is spared only if blocked requests with more strikes explain all of its strikes. Ruled out: no attribution at all, which blocks requests that shared every engine with the culprit.

--- a/src/ridgecourse/core/crash_suspects.py
+++ b/src/ridgecourse/core/crash_suspects.py
@@ -14,6 +14,7 @@
 - A request with 3 strikes is blocked: it is sent to no engine until enough strikes
   have expired. The end of an engine that ran a blocked request is attributed to that
   request, so it does not count as a strike against other requests at the same engine.
+  A request is not blocked if requests with more strikes explain all of its strikes.
 
 Gateways exchange their records as ``CrashReport``. Applying a crash report is
 idempotent and independent of the order, so reports may be lost, duplicated or late.
@@ -381,7 +382,9 @@
         Requests are considered in the order of their strikes, the most strikes first.
         An end that is a strike against a blocked request is attributed to it, and does
         not count for requests with fewer strikes. Between requests with equally many
-        strikes nothing is attributed: each of them may be the culprit.
+        strikes nothing is attributed: each of them may be the culprit. A request with
+        a strike that is not attributed is blocked as well: no request with more
+        strikes explains it.
         """
         strikes_by_request = {
             signature: suspect.strikes(now)
@@ -401,7 +404,7 @@
             culprits = [
                 signature
                 for signature in signatures
-                if len(candidates[signature] - attributed) >= BLOCKING_STRIKES
+                if not candidates[signature] <= attributed
             ]
             for signature in culprits:
                 blocked[signature] = candidates[signature]
--- a/tests/platform/test_crash_suspects.py
+++ b/tests/platform/test_crash_suspects.py
@@ -248,6 +248,23 @@
     assert suspects.count_strikes(HARMLESS[0], at_seconds(5)) == 0
 
 
+def test_one_end_that_no_blocked_request_explains_blocks_a_request_with_three() -> None:
+    # Guards against a request that ends engines and shares some with a blocked one.
+    suspects = make_suspects({HARMLESS[0]: [1, 2, 3, 4], CRASHING: [1, 2, 5]})
+    assert suspects.check(HARMLESS[0], at_seconds(6)) is SendDecision.BLOCKED
+    assert suspects.check(CRASHING, at_seconds(6)) is SendDecision.BLOCKED
+
+
+def test_two_blocked_requests_explain_the_strikes_of_a_third() -> None:
+    # Guards against blocking a request that was at engines which others ended.
+    suspects = make_suspects(
+        {CRASHING: [1, 2, 3, 4], HARMLESS[1]: [5, 6, 7, 8], HARMLESS[0]: [1, 2, 5]}
+    )
+    assert suspects.check(CRASHING, at_seconds(9)) is SendDecision.BLOCKED
+    assert suspects.check(HARMLESS[1], at_seconds(9)) is SendDecision.BLOCKED
+    assert suspects.check(HARMLESS[0], at_seconds(9)) is SendDecision.FREE
+
+
 def test_an_answer_clears_strikes_of_earlier_ends_that_are_recorded_later() -> None:
     suspects = make_suspects({HARMLESS[0]: [1, 2]})
     assert suspects.record_success(HARMLESS[0], at_seconds(10))
