The recorder of sends is named apart from their results

Cause: SendResults beside SendResult reads as its plural. Change: SendRecorder in send_recorder.py; names alone.

--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -30,7 +30,7 @@
 from ridgecourse.gateway.protocol import RequestProtocol
 from ridgecourse.gateway.refusals import explain_refusal
 from ridgecourse.gateway.selection import MAX_LIMIT_DELAY_SECONDS, TargetSelector
-from ridgecourse.gateway.send_results import Send, SendResults
+from ridgecourse.gateway.send_recorder import Send, SendRecorder
 from ridgecourse.gateway.sender import (
     NotRun,
     RoutedRequest,
@@ -68,7 +68,7 @@
         announcements: Tracks what targets announce of themselves.
         selector: Chooses the target of each attempt.
         sender: Sends one request to one target.
-        results: Records what the result of each send tells of its target.
+        recorder: Records what the result of each send tells of its target.
         budgets: Retry budget of each service.
         cold_refusals: Spreads the retries while all targets of a service are cold.
     """
@@ -96,7 +96,7 @@
             site, view, load_watcher, lag, random, announcements
         )
         self.sender = Sender(protocol)
-        self.results = SendResults(self.selector, crash_watch, announcements, events)
+        self.recorder = SendRecorder(self.selector, crash_watch, announcements, events)
         self.budgets: dict[ServiceName, RetryBudget] = {}
         self.cold_refusals = ColdRefusals(random)
 
@@ -293,7 +293,7 @@
                 turn,
             )
             result = self.sender.send(routed, target, state.network_delays, guard)
-            self.results.record_answer_end(flight, result)
+            self.recorder.record_answer_end(flight, result)
         finally:
             load.pending.pop(routed.call.request_id, None)
             if isinstance(result, Stream):
@@ -302,7 +302,7 @@
                 load.outstanding -= 1
                 self.crash_watch.finish(flight)
         send = Send(routed, choice, incarnation, state, sent_at)
-        self.results.record(send, result)
+        self.recorder.record(send, result)
         return result
 
     def _check_send(
--- a/src/ridgecourse/gateway/send_results.py
+++ b/src/ridgecourse/gateway/send_recorder.py
@@ -52,8 +52,8 @@
     sent_at: Seconds
 
 
-class SendResults:
-    """Passes the results of sends on to the watches of the targets and to the log.
+class SendRecorder:
+    """Records the results of sends with the watches of the targets and in the log.
 
     Attributes:
         selector: Knows the loads of the targets and the delays of first events.
