How a body ends is asked once, at its end; one stand-in of the store's answers

Cause: the stated end was kept from the head on, though the answer tells it at any time; a test of cut pages brought its own copy of PreparedAnswers. Change: the attribute is gone; the test stands beside the other invalid responses, with the same check at every length.

--- a/src/ridgecourse/net/exchange.py
+++ b/src/ridgecourse/net/exchange.py
@@ -53,8 +53,6 @@
         connection: The HTTP connection.
         sock: Socket of the connection; None before ``connect``.
         response: The answer; None before its head was received.
-        stated_end: How the body ends if it arrives whole; None before the head was
-            received.
         body_end: How the body ended; None before its end.
     """
 
@@ -65,7 +63,6 @@
         self.connection = HTTPConnection(socket_address.host, socket_address.port)
         self.sock: Any = None
         self.response: BaseHTTPResponse | None = None
-        self.stated_end: BodyEnd | None = None
         self.body_end: BodyEnd | None = None
 
     def connect(self, seconds: float) -> None:
@@ -148,7 +145,6 @@
         except Exception as error:
             # http.client raises its own errors for a malformed answer.
             raise ExchangeBroken(f"{self.address}: {error!r}") from error
-        self.stated_end = find_stated_end(self.response)
         return self.response
 
     def read_whole(self, limit: int) -> bytes:
@@ -190,7 +186,7 @@
                 self.body_end = classify_failure(error)
                 raise TargetDisconnected(f"{self.address}: {error!r}") from error
             if not piece:
-                self.body_end = self.stated_end
+                self.body_end = find_stated_end(self.response)
                 return
             total += len(piece)
             if total > limit:
--- a/tests/platform/test_invalid_store_responses.py
+++ b/tests/platform/test_invalid_store_responses.py
@@ -128,6 +128,15 @@
     return encode({"items": items, "end_offset": 9, "truncated": truncated})
 
 
+def test_cut_page_of_newest_records_is_invalid() -> None:
+    # Guards against a list of targets or decisions that lacks its last records.
+    page = make_page([make_item(f"i-{number}", b"123", number) for number in range(3)])
+    for length in range(len(page)):
+        store = PlatformStore("store:1", PreparedAnswers(page[:length]))  # type: ignore[arg-type]
+        with pytest.raises(SourceUnavailable):
+            store.newest(Topic.TARGETS)
+
+
 def read_newest(*pages: bytes) -> ViewReader:
     reader = ViewReader()
     store = PlatformStore("store:1", PreparedAnswers(*pages))  # type: ignore[arg-type]
--- a/tests/test_cut_messages.py
+++ b/tests/test_cut_messages.py
@@ -3,7 +3,6 @@
 from typing import Any
 
 import pytest
-from msgspec.json import encode
 from returns.result import Failure
 
 from ridgecourse.cluster.record_server import RecordsResponse
@@ -16,8 +15,7 @@
     encode_manifest,
     parse_manifest,
 )
-from ridgecourse.net.record_source import KeyedRecord, SourceUnavailable, Topic
-from ridgecourse.platform.store import PlatformStore
+from ridgecourse.net.record_source import KeyedRecord
 from ridgecourse.wire.codec import decode_message, encode_message
 from ridgecourse.wire.entry_control import ConfigFull, ConfigRecords
 
@@ -56,23 +54,3 @@
     assert not isinstance(parse_manifest(data), Failure)
     for length in range(len(data)):
         assert isinstance(parse_manifest(data[:length]), Failure)
-
-
-class OneAnswer:
-    """HTTP client that returns one body."""
-
-    def __init__(self, body: bytes) -> None:
-        self.body = body
-
-    def fetch(self, *_: Any, **__: Any) -> tuple[int, bytes, dict[str, str]]:
-        return 200, self.body, {}
-
-
-def test_cut_page_of_newest_records_is_invalid() -> None:
-    # Guards against a list of targets or decisions that lacks its last records.
-    items = [{"key_file": f"i-{n}", "value": "MTIz", "offset": n} for n in range(3)]
-    data = encode({"items": items, "end_offset": 3, "truncated": False})
-    for length in range(len(data)):
-        store = PlatformStore("store:1", OneAnswer(data[:length]))  # type: ignore[arg-type]
-        with pytest.raises(SourceUnavailable):
-            store.newest(Topic.TARGETS)
