--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,328 @@
+"""An engine's heartbeat takes effect late, after the engine has said that it leaves.
+
+The store loses the answer of one heartbeat and carries out the write seconds later. In
+between, after the store has been sound for ``contact_ms``, the engine states that it is
+draining. Clients keep sending requests that may run only once.
+"""
+
+import sys
+from itertools import count
+from pathlib import Path
+from socket import SHUT_RDWR, SO_LINGER, SOL_SOCKET, create_connection, create_server
+from socket import socket as Socket
+from struct import pack
+from threading import Event, Lock, Thread
+from time import monotonic, sleep
+from typing import Any
+
+from harness import (
+    BOUNDS,
+    Deployment,
+    Program,
+    has_trouble,
+    is_ready,
+    run_case,
+    wait_for,
+)
+
+from ridgecourse_standins.platform.store import StoreStandIn
+
+ZONE = "ahmedabad-a"
+GATEWAY_HOST = "127.0.0.11"
+HOST = "shop.example"
+KEY = "key-of-tenant"
+SERVICE = "app"
+ENGINES = 3
+HEARTBEAT_SECONDS = 1.2
+WORK_SECONDS = 0.09
+LINGER_SECONDS = 1.5
+"""Time beyond ``drain_ms`` for which a leaving engine serves on."""
+DRAIN_SECONDS = BOUNDS["drain_ms"] / 1000
+LOST_SECONDS = 4.5
+"""Length of the time in which the store loses answers (``platform_lost``)."""
+LOST_BEAT_SECONDS = 4.4
+"""When the heartbeat whose answer is lost is written, in that time."""
+LEAVE_SECONDS = LOST_SECONDS + BOUNDS["contact_ms"] / 1000 + 0.1
+"""When the engine states that it drains; the store is stable again."""
+LATE_SECONDS = LEAVE_SECONDS + 2 * HEARTBEAT_SECONDS + 0.05 - LOST_BEAT_SECONDS
+"""By how much the lost heartbeat takes effect late: 5.65 s, of 6 s at most."""
+RATE = 40.0
+"""Requests a second of all clients together."""
+REQUEST_SECONDS = 4.0
+
+
+class Engine:
+    """An engine of a plain service, which records itself in the store.
+
+    Attributes:
+        name: Identity of this incarnation.
+        sequence: Number of the last heartbeat.
+        state: State that the heartbeats tell.
+        ended: Whether the engine has ended.
+        arrivals: Time and attempt of each request.
+        open: Requests being worked on, by connection.
+    """
+
+    def __init__(self, name: str, host: str, store: StoreStandIn, record: Any) -> None:
+        self.name = name
+        self.store = store
+        self.record = record
+        self.sequence = 0
+        self.state = "ready"
+        self.ended = Event()
+        self.arrivals: list[tuple[float, str]] = []
+        self.open: dict[Socket, str] = {}
+        self.lock = Lock()
+        self.listener = create_server((host, 0), backlog=128)
+        self.address = f"{host}:{self.listener.getsockname()[1]}"
+        Thread(target=self.accept, daemon=True).start()
+
+    def entry(self) -> dict[str, Any]:
+        """Return the next heartbeat."""
+        self.sequence += 1
+        return {
+            "service": SERVICE,
+            "address": self.address,
+            "zone": ZONE,
+            "version": "v1",
+            "slots": 6,
+            "state": self.state,
+            "cold_remaining_ms": 0,
+            "sequence": self.sequence,
+        }
+
+    def write(self, entry: dict[str, Any], note: str = "") -> None:
+        """Write a heartbeat to the store."""
+        self.store.put_target(self.name, entry)
+        self.record.write(
+            f"store: {self.name} {entry['state']}, sequence {entry['sequence']}{note}"
+        )
+
+    def accept(self) -> None:
+        """Serve connections until the engine ends."""
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection: Socket) -> None:
+        """Serve one request; the gateway opens a connection for each."""
+        try:
+            head, fields = read_head(connection)
+            attempt = fields.get("attempt-id", "")
+            if not head:
+                return
+            if fields.get("expected-instance") != self.name:
+                connection.sendall(
+                    b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n"
+                    + f"Attempt-Id: {attempt}\r\n\r\n".encode()
+                )
+                return
+            with self.lock:
+                self.arrivals.append((monotonic(), attempt))
+                self.open[connection] = attempt
+            self.record.write(f"{self.name}: {attempt} runs")
+            if self.ended.wait(WORK_SECONDS):
+                return
+            with self.lock:
+                del self.open[connection]
+            connection.sendall(
+                f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\n"
+                "Response-Signature: signed\r\nContent-Length: 2\r\n\r\nok".encode()
+            )
+        except OSError:
+            return
+        finally:
+            connection.close()
+
+    def end(self) -> None:
+        """End, as an engine does that has been given its time to leave."""
+        self.listener.shutdown(SHUT_RDWR)
+        self.listener.close()
+        with self.lock:
+            for connection, attempt in self.open.items():
+                self.record.write(f"{self.name}: ends while {attempt} runs")
+                connection.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", 1, 0))
+            self.ended.set()
+        self.record.write(f"{self.name}: ended")
+
+    def close(self) -> None:
+        """Stop listening."""
+        if not self.ended.is_set():
+            self.end()
+
+
+def read_head(connection: Socket) -> tuple[str, dict[str, str]]:
+    """Return the first line of a message and its headers."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        piece = connection.recv(65536)
+        if not piece:
+            return "", {}
+        data += piece
+    line, *rest = data.partition(b"\r\n\r\n")[0].decode("latin1").split("\r\n")
+    pairs = (text.partition(":") for text in rest)
+    return line, {name.lower(): value.strip() for name, _, value in pairs}
+
+
+def make_config() -> dict[str, Any]:
+    """Return the configuration: one route, whose requests may run only once."""
+    route = {
+        "name": "r-1",
+        "hostname": HOST,
+        "path_prefix": "/once/",
+        "type": "unsafe",
+        "timeout_ms": 4000,
+        "target_latency_ms": 407,
+        "priority": 2,
+        "service": SERVICE,
+        "max_attempts": 1,
+        "public": False,
+    }
+    return {
+        "version": 1,
+        "routes": [route],
+        "services": [{"name": SERVICE, "health_path": "/healthz"}],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 4194304,
+            "header_timeout_ms": 5000,
+            "idle_timeout_ms": 10000,
+        },
+        "tenants": [{"name": "t-1", "api_keys": [KEY]}],
+    }
+
+
+class Clients:
+    """Clients that send requests at a constant rate.
+
+    Attributes:
+        answers: First line of the answer to each attempt; empty for none.
+        stopped: Set to stop sending.
+    """
+
+    def __init__(self, deployment: Deployment, gateway: Program) -> None:
+        host, _, port = gateway.settings["listen"]["frontend"].rpartition(":")
+        self.frontend = host, int(port)
+        self.record = deployment.record
+        self.answers: dict[str, str] = {}
+        self.stopped = Event()
+        deployment.closers.append(self.stopped.set)
+
+    def run(self) -> None:
+        """Send requests until stopped."""
+        for number in count(1):
+            if self.stopped.wait(1.0 / RATE):
+                return
+            Thread(target=self.ask, args=(f"a-{number}",), daemon=True).start()
+
+    def ask(self, attempt: str) -> None:
+        """Send one request and record the answer."""
+        self.record.write(f"client: {attempt} sent")
+        line = ""
+        try:
+            with create_connection(self.frontend, 1.0) as connection:
+                connection.settimeout(REQUEST_SECONDS)
+                connection.sendall(
+                    f"POST /once/x HTTP/1.1\r\nHost: {HOST}\r\n"
+                    f"Attempt-Id: {attempt}\r\nKey: {KEY}\r\nDeadline-Ms: 4000\r\n"
+                    "Connection: close\r\nContent-Length: 2\r\n\r\nhi".encode()
+                )
+                line, _ = read_head(connection)
+        except OSError as error:
+            self.record.write(f"client: {attempt} {error}")
+        self.answers[attempt] = line
+        self.record.write(f"client: {attempt} answered {line!r}")
+
+
+def play(deployment: Deployment) -> list[str]:
+    """Play the case; return what broke the rule."""
+    record = deployment.record
+    store = StoreStandIn()
+    store.start()
+    deployment.closers.append(store.close)
+    store.put_config(make_config())
+    engines = [
+        Engine(f"i-{number}", f"127.0.0.{31 + number}", store, record)
+        for number in range(ENGINES)
+    ]
+    for engine in engines:
+        deployment.closers.append(engine.close)
+        engine.write(engine.entry())
+    gateway = deployment.gateway("edge-1", GATEWAY_HOST, ZONE, store.address)
+    wait_for("the gateway is ready", lambda: is_ready(gateway), 20.0)
+    clients = Clients(deployment, gateway)
+    Thread(target=clients.run, daemon=True).start()
+    for engine in engines[1:]:
+        Thread(target=beat, args=(engine, deployment), daemon=True).start()
+    sleep(BOUNDS["contact_ms"] / 1000)
+    acknowledged_at = leave(engines[0], has_trouble())
+    sleep(2.0)
+    clients.stopped.set()
+    sleep(REQUEST_SECONDS)
+    late = [
+        (round(at - acknowledged_at, 2), attempt, clients.answers.get(attempt, ""))
+        for at, attempt in engines[0].arrivals
+        if at - acknowledged_at > DRAIN_SECONDS
+    ]
+    lost = [attempt for _, attempt, line in late if " 200 " not in line]
+    if not late:
+        return []
+    return [
+        f"DRAIN: {len(late)} requests reached {engines[0].name} more than "
+        f"{DRAIN_SECONDS} s after the store had taken that it drains, the last after "
+        f"{late[-1][0]} s; of these {len(lost)} were not answered with success: {lost}"
+    ]
+
+
+def beat(engine: Engine, deployment: Deployment) -> None:
+    """Write an engine's heartbeats."""
+    while not engine.ended.wait(HEARTBEAT_SECONDS):
+        engine.write(engine.entry())
+
+
+def leave(engine: Engine, is_late: bool) -> float:
+    """Play the life of the engine that leaves; return when the store took its state.
+
+    Args:
+        engine: The engine.
+        is_late: Whether one of its heartbeats takes effect late.
+    """
+    started_at = monotonic()
+
+    def wait_until(seconds: float) -> None:
+        sleep(max(0.0, started_at + seconds - monotonic()))
+
+    for number in (1, 2, 3):
+        wait_until(LOST_BEAT_SECONDS - (4 - number) * HEARTBEAT_SECONDS)
+        engine.write(engine.entry())
+    wait_until(LOST_BEAT_SECONDS)
+    lost_entry = engine.entry()
+    if is_late:
+        engine.record.write(f"store: the call with {lost_entry} gets no answer")
+    else:
+        engine.write(lost_entry)
+    for number in (1, 2):
+        wait_until(LOST_BEAT_SECONDS + number * HEARTBEAT_SECONDS)
+        engine.write(engine.entry())
+    wait_until(LEAVE_SECONDS)
+    engine.state = "draining"
+    engine.write(engine.entry())
+    acknowledged_at = monotonic()
+    for number in (1, 2):
+        wait_until(LEAVE_SECONDS + number * HEARTBEAT_SECONDS)
+        engine.write(engine.entry())
+    wait_until(LOST_BEAT_SECONDS + LATE_SECONDS)
+    if is_late:
+        engine.write(lost_entry, f", written {LATE_SECONDS:.2f} s late")
+    wait_until(LEAVE_SECONDS + DRAIN_SECONDS + LINGER_SECONDS)
+    engine.end()
+    engine.store.put_target(engine.name, None)
+    engine.record.write(f"store: {engine.name} removed")
+    return acknowledged_at
+
+
+if __name__ == "__main__":
+    sys.exit(run_case(Path(__file__).parent, play))
--- a/review/harness.py
+++ b/review/harness.py
@@ -13,6 +13,7 @@
 import tomllib
 from collections.abc import Callable
 from pathlib import Path
+from socket import create_connection
 from threading import Lock
 from time import monotonic, sleep
 from typing import Any
@@ -246,6 +247,20 @@
         self.temporary.cleanup()
 
 
+def is_ready(gateway: Program) -> bool:
+    """Check whether a gateway says that it is ready."""
+    host, _, port = gateway.settings["listen"]["readiness"].rpartition(":")
+    try:
+        with create_connection((host, int(port)), 1.0) as connection:
+            connection.sendall(
+                b"GET /ridgecourse/readyz HTTP/1.1\r\nHost: x\r\n"
+                b"Connection: close\r\n\r\n"
+            )
+            return connection.recv(12) == b"HTTP/1.1 200"
+    except OSError:
+        return False
+
+
 def wait_for(what: str, condition: Callable[[], Any], seconds: float) -> None:
     """Wait until a condition holds.
 
