--- a/review/2/case.py
+++ b/review/2/case.py
@@ -17,6 +17,7 @@
 
 from harness import (
     BOUNDS,
+    KEY,
     Deployment,
     Program,
     has_trouble,
@@ -30,7 +31,6 @@
 ZONE = "ahmedabad-a"
 GATEWAY_HOST = "127.0.0.11"
 HOST = "shop.example"
-KEY = "key-of-tenant"
 SERVICE = "app"
 ENGINES = 3
 HEARTBEAT_SECONDS = 1.2
--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.."
+export PYTHONPATH=target/deps:target/review
+exec python3 review/3/case.py
--- a/review/build.sh
+++ b/review/build.sh
@@ -6,6 +6,6 @@
 rm -rf target/review
 mkdir -p target/review
 cp -R src/ridgecourse_standins target/review/
-cp review/harness.py target/review/
+cp review/harness.py review/model_engine.py target/review/
 PYTHONPATH=target/deps python3 -m compileall -q target/review
-PYTHONPATH=target/deps:target/review python3 -c "import harness"
+PYTHONPATH=target/deps:target/review python3 -c "import harness, model_engine"
--- a/review/harness.py
+++ b/review/harness.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from pathlib import Path
 from socket import create_connection
+from socketserver import BaseServer
 from threading import Lock
 from time import monotonic, sleep
 from typing import Any
@@ -22,13 +23,19 @@
 
 from ridgecourse_standins.ports import free_port
 
+BaseServer.handle_error = lambda *_: None
+"""Callers of stand-ins may leave at any time; that is no error of a case."""
 ROOT = Path(__file__).resolve().parents[2]
 """The repository; this module runs from a copy in ``target/review``."""
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 """Exit codes of a case."""
 INTERNAL_PORTS = 16
+ANSWER_SECONDS = 6.5
+"""How long a client waits for an answer."""
 KEPT_VARIABLES = ("PATH", "HOME", "LANG")
 ZONES = {"ahmedabad-a": "ahmedabad", "rajkot-a": "rajkot", "surat-a": "surat"}
+KEY = "key-of-tenant"
+"""API key of the only client account."""
 BOUNDS = {
     "seed_lag_s": 3,
     "reuse_after_s": 2,
@@ -261,6 +268,31 @@
         return False
 
 
+def ask(
+    deployment: Deployment, gateway: Program, attempt: str, request: bytes
+) -> tuple[str, bytes]:
+    """Send a client's request on a new connection and record the answer.
+
+    Returns:
+        The first line of the answer, empty for none, and all bytes after it.
+    """
+    host, _, port = gateway.settings["listen"]["frontend"].rpartition(":")
+    answer = b""
+    deployment.record.write(f"client: {attempt} sent to {gateway.name}")
+    try:
+        with create_connection((host, int(port)), 1.0) as connection:
+            connection.settimeout(ANSWER_SECONDS)
+            connection.sendall(request)
+            while data := connection.recv(65536):
+                answer += data
+    except OSError as error:
+        deployment.record.write(f"client: {attempt} {error}")
+    line, _, rest = answer.partition(b"\r\n")
+    tokens = [text for text in rest.split(b"\n") if text.startswith(b"data:")]
+    deployment.record.write(f"client: {attempt} answered {line.decode()!r} {tokens}")
+    return line.decode(), rest
+
+
 def wait_for(what: str, condition: Callable[[], Any], seconds: float) -> None:
     """Wait until a condition holds.
 
