--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,11 @@
-"""An engine's heartbeat takes effect late, after the engine has said that it leaves.
-
-The store loses the answer of one heartbeat and carries out the write seconds later. In
-between, after the store has been sound for ``contact_ms``, the engine states that it is
-draining. Clients keep sending requests that may run only once.
+"""A leaving engine's heartbeat from before its leaving takes effect late.
+
+An engine is cut off for some seconds. One of its heartbeats is held up on the way and
+reaches the store late, when the sender's TCP tries once more: it doubles the time
+between two attempts, so that the next one may come seconds after the end of the cut. In
+between, when all links have been sound for ``contact_ms``, the engine leaves: its entry
+is removed, and it serves on for its time. The store is sound all the while. Clients
+send requests that may run only once.
 """
 
 import sys
@@ -38,14 +41,20 @@
 LINGER_SECONDS = 1.5
 """Time beyond ``drain_ms`` for which a leaving engine serves on."""
 DRAIN_SECONDS = BOUNDS["drain_ms"] / 1000
-LOST_SECONDS = 4.5
-"""Length of the time in which the store loses answers (``platform_lost``)."""
-LOST_BEAT_SECONDS = 4.4
-"""When the heartbeat whose answer is lost is written, in that time."""
-LEAVE_SECONDS = LOST_SECONDS + BOUNDS["contact_ms"] / 1000 + 0.1
-"""When the engine states that it drains; the store is stable again."""
-LATE_SECONDS = LEAVE_SECONDS + 2 * HEARTBEAT_SECONDS + 0.05 - LOST_BEAT_SECONDS
-"""By how much the lost heartbeat takes effect late: 5.65 s, of 6 s at most."""
+CUT_SECONDS = 8.0
+"""Length of the cut (``node_cut``)."""
+HELD_UP_SECONDS = 0.4
+"""When the heartbeat that is held up is written, after the beginning of the cut."""
+RETRANSMIT_SECONDS = 0.2
+"""Time after which TCP sends again for the first time; each next time is doubled."""
+ATTEMPTS = 6
+"""Number of the attempt that arrives; the five before it fall into the cut."""
+LATE_SECONDS = RETRANSMIT_SECONDS * (2**ATTEMPTS - 1)
+"""By how much the heartbeat takes effect late: 12.6 s."""
+LEAVE_SECONDS = CUT_SECONDS + BOUNDS["contact_ms"] / 1000 + 0.1
+"""When the engine's entry is removed, after the beginning of the cut."""
+LAPSE_SECONDS = 3 * HEARTBEAT_SECONDS
+"""Time without a heartbeat after which the platform removes the entry of an engine."""
 RATE = 40.0
 """Requests a second of all clients together."""
 REQUEST_SECONDS = 4.0
@@ -57,8 +66,8 @@
     Attributes:
         name: Identity of this incarnation.
         sequence: Number of the last heartbeat.
-        state: State that the heartbeats tell.
-        ended: Whether the engine has ended.
+        reachable: Cleared while the engine is cut off.
+        ended: Set when the engine ends.
         arrivals: Time and attempt of each request.
         open: Requests being worked on, by connection.
     """
@@ -68,7 +77,8 @@
         self.store = store
         self.record = record
         self.sequence = 0
-        self.state = "ready"
+        self.reachable = Event()
+        self.reachable.set()
         self.ended = Event()
         self.arrivals: list[tuple[float, str]] = []
         self.open: dict[Socket, str] = {}
@@ -86,7 +96,7 @@
             "zone": ZONE,
             "version": "v1",
             "slots": 6,
-            "state": self.state,
+            "state": "ready",
             "cold_remaining_ms": 0,
             "sequence": self.sequence,
         }
@@ -110,6 +120,7 @@
     def serve(self, connection: Socket) -> None:
         """Serve one request; the gateway opens a connection for each."""
         try:
+            self.reachable.wait()
             head, fields = read_head(connection)
             attempt = fields.get("attempt-id", "")
             if not head:
@@ -272,7 +283,7 @@
         return []
     return [
         f"DRAIN: {len(late)} requests reached {engines[0].name} more than "
-        f"{DRAIN_SECONDS} s after the store had taken that it drains, the last after "
+        f"{DRAIN_SECONDS} s after the store had taken that it is gone, the last after "
         f"{late[-1][0]} s; of these {len(lost)} were not answered with success: {lost}"
     ]
 
@@ -283,44 +294,53 @@
         engine.write(engine.entry())
 
 
-def leave(engine: Engine, is_late: bool) -> float:
+def leave(engine: Engine, is_cut: bool) -> float:
     """Play the life of the engine that leaves; return when the store took its state.
 
     Args:
         engine: The engine.
-        is_late: Whether one of its heartbeats takes effect late.
+        is_cut: Whether the engine is cut off before.
     """
-    started_at = monotonic()
+    record = engine.record
+    started_at = monotonic() + 3 * HEARTBEAT_SECONDS
 
     def wait_until(seconds: float) -> None:
         sleep(max(0.0, started_at + seconds - monotonic()))
 
-    for number in (1, 2, 3):
-        wait_until(LOST_BEAT_SECONDS - (4 - number) * HEARTBEAT_SECONDS)
+    for number in (2, 1):
+        wait_until(HELD_UP_SECONDS - number * HEARTBEAT_SECONDS)
         engine.write(engine.entry())
-    wait_until(LOST_BEAT_SECONDS)
-    lost_entry = engine.entry()
-    if is_late:
-        engine.record.write(f"store: the call with {lost_entry} gets no answer")
+    wait_until(0.0)
+    if is_cut:
+        engine.reachable.clear()
+        record.write(f"{engine.name}: cut off from all machines")
+    wait_until(HELD_UP_SECONDS)
+    held_up = engine.entry()
+    if is_cut:
+        record.write(f"{engine.name}: the call with {held_up} gets no answer")
+        wait_until(HELD_UP_SECONDS - HEARTBEAT_SECONDS + LAPSE_SECONDS)
+        engine.store.put_target(engine.name, None)
+        record.write(f"store: {engine.name} removed, three heartbeats are missing")
+        wait_until(CUT_SECONDS)
+        engine.reachable.set()
+        record.write(f"{engine.name}: reached again")
     else:
-        engine.write(lost_entry)
-    for number in (1, 2):
-        wait_until(LOST_BEAT_SECONDS + number * HEARTBEAT_SECONDS)
+        engine.write(held_up)
+    for number in range(7, 9):
+        wait_until(HELD_UP_SECONDS + number * HEARTBEAT_SECONDS)
         engine.write(engine.entry())
     wait_until(LEAVE_SECONDS)
-    engine.state = "draining"
-    engine.write(engine.entry())
+    engine.store.put_target(engine.name, None)
     acknowledged_at = monotonic()
-    for number in (1, 2):
-        wait_until(LEAVE_SECONDS + number * HEARTBEAT_SECONDS)
-        engine.write(engine.entry())
-    wait_until(LOST_BEAT_SECONDS + LATE_SECONDS)
-    if is_late:
-        engine.write(lost_entry, f", written {LATE_SECONDS:.2f} s late")
+    record.write(f"store: {engine.name} removed, it leaves")
+    wait_until(HELD_UP_SECONDS + LATE_SECONDS)
+    if is_cut:
+        engine.write(held_up, f", written {LATE_SECONDS:.1f} s late")
     wait_until(LEAVE_SECONDS + DRAIN_SECONDS + LINGER_SECONDS)
     engine.end()
+    wait_until(HELD_UP_SECONDS + LATE_SECONDS + LAPSE_SECONDS)
     engine.store.put_target(engine.name, None)
-    engine.record.write(f"store: {engine.name} removed")
+    record.write(f"store: {engine.name} removed, it writes no heartbeats")
     return acknowledged_at
 
 
