--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-cd "$(dirname "$0")/../.."
+cd "$(dirname "$0")/../.." || exit 2
 export PYTHONPATH=target/deps:target/review
+python3 -c "import harness, model_engine" || exit 2
 exec python3 review/2/case.py
--- a/review/harness.py
+++ b/review/harness.py
@@ -320,8 +320,9 @@
     deployment = Deployment(record)
     try:
         violations = play(deployment)
-    except (CaseFailed, OSError) as error:
-        record.write(f"the case could not run: {error}")
+    except Exception as error:
+        # Exit code 1 is for a broken rule alone.
+        record.write(f"the case could not run: {error!r}")
         for log in sorted(deployment.directory.glob("*.log")):
             tail = log.read_text(errors="replace")[-4000:]
             record.write(f"log of {log.stem}:\n{tail}")
