--- a/review/3/case.py
+++ b/review/3/case.py
@@ -44,17 +44,26 @@
 """Length of the freeze: ``node_freeze`` lasts up to 4 s on ``side`` machines."""
 BAD_PIECES = int(0.06 * CHUNKS)
 """Pieces that turn bad: the share ``x`` of ``garble`` with ``rot``."""
-FIRST_READ = CHUNKS // 2
-"""Read of the last check from which on the machine freezes."""
+FIRST_INDEX = CHUNKS // 2
+"""Piece of the last check from which on the machine freezes."""
+WORK_SHARE = 0.25
+"""Part of its work on a piece after which the loader is frozen."""
 SETTLE_SECONDS = 0.02
 """Time in which a call that the loader has sent reaches the engine."""
 REQUEST_PAUSE_SECONDS = 0.25
+VERSIONS = range(2, 9)
+"""Versions that are named one after the other, each with a freeze of its own. A loader
+that waits for its engine when the freeze begins repeats the check; the case then goes
+on with the next version."""
+VERSION_SECONDS = 24.0
+"""Longest time until an engine serves a version."""
 
 
 class Freeze:
     """Turns pieces bad and freezes the machine in the middle of the last check.
 
     Attributes:
+        version: The version that is named.
         is_armed: Whether the version is named and no piece has turned bad yet.
         ended: Set when the machine runs again.
     """
@@ -64,21 +73,40 @@
         self.engine = engine
         self.loader = loader
         self.bad = sorted(Random(62).sample(range(CHUNKS), BAD_PIECES))
+        self.version = 1
         self.is_armed = False
         self.ended = Event()
 
-    def look(self) -> None:
-        """Begin the freeze while the loader works in the middle of the last check."""
-        written = self.engine.pieces == dict(enumerate(self.engine.versions[2]))
-        if not self.is_armed or not written or self.engine.reads < FIRST_READ:
+    def arm(self, version: int) -> None:
+        """Prepare for the last check of a version."""
+        self.version = version
+        self.ended.clear()
+        self.is_armed = True
+
+    def look(self, index: int) -> None:
+        """Begin the freeze while the loader works in the middle of the last check.
+
+        A loader passes over the staged pieces twice: it writes what is missing, and
+        checks all right before the start.
+
+        Args:
+            index: The piece that the loader has just read.
+        """
+        is_written = self.engine.pieces == dict(
+            enumerate(self.engine.versions[self.version])
+        )
+        is_last_check = is_written and self.engine.passes == 1
+        if not self.is_armed or not is_last_check or index < FIRST_INDEX:
             return
         if not has_trouble():
             self.is_armed = False
             self.engine.rot(self.bad)
             self.ended.set()
             return
-        self.engine.running.clear()
         calls = self.engine.calls
+        self.engine.running.clear()
+        # By then the loader has the answer and works on it.
+        sleep(WORK_SHARE * self.engine.work_seconds)
         self.loader.send_signal(SIGSTOP)
         sleep(SETTLE_SECONDS)
         if self.engine.calls != calls:
@@ -105,7 +133,7 @@
     random = Random(1)
     versions = {
         version: [random.randbytes(CHUNK_BYTES) for _ in range(CHUNKS)]
-        for version in (1, 2)
+        for version in (1, *VERSIONS)
     }
     store, origin = StoreStandIn(), OriginStandIn()
     origin.versions = versions
@@ -124,31 +152,49 @@
     sleep(3.0)
     freeze = Freeze(deployment, engine, loader)
     engine.on_read = freeze.look
-    freeze.is_armed = True
-    deployment.record.write("operator: version 2 named")
-    store.put_version(MODEL, 2)
-    deadline = monotonic() + 60.0
+    for version in VERSIONS:
+        change_version(deployment, store, gateway, freeze, version)
+        if engine.bad_tokens:
+            return [
+                f"WHOLE: {engine.bad_tokens} tokens from layers taken with pieces "
+                f"{engine.faults} spoilt for more than {EXCUSED_SECONDS} s"
+            ]
+    return []
+
+
+def change_version(
+    deployment: Deployment,
+    store: StoreStandIn,
+    gateway: Program,
+    freeze: Freeze,
+    version: int,
+) -> None:
+    """Name a version and send requests until some have run on it.
+
+    Raises:
+        CaseFailed: The engine does not serve the version in time, or no piece turned
+            bad during the last check.
+    """
+    engine = freeze.engine
+    freeze.arm(version)
+    deployment.record.write(f"operator: version {version} named")
+    store.put_version(MODEL, version)
+    deadline = monotonic() + VERSION_SECONDS
     number = 0
-    while engine.version != 2:
+    while engine.version != version:
         if monotonic() > deadline:
-            raise CaseFailed("the engine does not serve version 2")
+            raise CaseFailed(f"the engine does not serve version {version}")
         sleep(REQUEST_PAUSE_SECONDS)
         number += 1
-        send(deployment, gateway, f"a-{number}")
+        send(deployment, gateway, f"a-{version}-{number}")
     store.put_target(engine.name, engine.entry())
     if not freeze.ended.is_set():
         raise CaseFailed("no piece turned bad during the last check")
-    for _ in range(8):
+    for _ in range(6):
         sleep(REQUEST_PAUSE_SECONDS)
         number += 1
-        send(deployment, gateway, f"a-{number}")
+        send(deployment, gateway, f"a-{version}-{number}")
     sleep(1.0)
-    if not engine.bad_tokens:
-        return []
-    return [
-        f"WHOLE: {engine.bad_tokens} tokens from layers taken with pieces "
-        f"{engine.faults} spoilt for more than {EXCUSED_SECONDS} s"
-    ]
 
 
 def send(deployment: Deployment, gateway: Program, attempt: str) -> None:
