--- a/review/3/case.py
+++ b/review/3/case.py
@@ -46,8 +46,8 @@
 """Pieces that turn bad: the share ``x`` of ``garble`` with ``rot``."""
 FIRST_INDEX = CHUNKS // 2
 """Piece of the last check from which on the machine freezes."""
-WORK_SHARE = 0.25
-"""Part of its work on a piece after which the loader is frozen."""
+WORK_SHARES = (0.0, 0.1, 0.2, 0.05, 0.3, 0.15, 0.4)
+"""Part of its work on a piece after which the loader is frozen, for each version."""
 SETTLE_SECONDS = 0.02
 """Time in which a call that the loader has sent reaches the engine."""
 REQUEST_PAUSE_SECONDS = 0.25
@@ -106,7 +106,9 @@
         calls = self.engine.calls
         self.engine.running.clear()
         # By then the loader has the answer and works on it.
-        sleep(WORK_SHARE * self.engine.work_seconds)
+        share = WORK_SHARES[self.version - VERSIONS.start]
+        if share:
+            sleep(share * self.engine.work_seconds)
         self.loader.send_signal(SIGSTOP)
         sleep(SETTLE_SECONDS)
         if self.engine.calls != calls:
