--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,7 +5,8 @@
 between two attempts, so that the next one may come seconds after the end of the cut. In
 between, when all links have been sound for ``contact_ms``, the engine leaves: its entry
 is removed, and it serves on for its time. The store is sound all the while. Clients
-send requests that may run only once.
+send requests that may run only once. With TROUBLE=0 the engine is not cut off, and each
+of its heartbeats arrives when it is written.
 """
 
 import sys
@@ -269,7 +270,9 @@
     for engine in engines[1:]:
         Thread(target=beat, args=(engine, deployment), daemon=True).start()
     sleep(BOUNDS["contact_ms"] / 1000)
-    acknowledged_at = leave(engines[0], has_trouble())
+    is_cut = has_trouble()
+    record.write(f"TROUBLE: the engine is {'' if is_cut else 'not '}cut off")
+    acknowledged_at = leave(engines[0], is_cut)
     sleep(2.0)
     clients.stopped.set()
     sleep(REQUEST_SECONDS)
