Report the age of the oldest check of staged chunks at a start

A start from corrupt chunks showed in no log whether a chunk had turned corrupt after its check or had been checked long before the order. version-started now has oldest_check_s, the age of the oldest check when the order is prepared.

--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -392,7 +392,7 @@
         # Verify again immediately before the start: staged chunks may become corrupt.
         repaired = staging.fill(holding.manifest)
         if self.engine.report().started == report.started:
-            self._order_start(key, repaired, report)
+            self._order_start(key, staging, repaired, report)
         # If the engine restarted, the verified chunks may have been lost with the
         # earlier incarnation.
         return BUSY_POLL_SECONDS
@@ -415,15 +415,17 @@
         return switch_wait(bound, newer_bound, now, complete_since, turn)
 
     def _order_start(
-        self, key: VersionKey, repaired: int, report: EngineReport
+        self, key: VersionKey, staging: Staging, repaired: int, report: EngineReport
     ) -> None:
         """Order the engine to start a version and record the outcome."""
+        check_age = staging.checks.oldest_age(boottime())
         outcome = self.engine.start(*key)
         self.context.events.emit(
             EventKind.VERSION_STARTED,
             version=str(key[1]),
             outcome=outcome.value,
             repaired=repaired,
+            oldest_check_s=round(check_age, 3),
         )
         if outcome in (OrderOutcome.BEGUN, OrderOutcome.HELD):
             self.ordered = StartOrder(key[1], report.started)
--- a/src/ridgecourse/loader/staging.py
+++ b/src/ridgecourse/loader/staging.py
@@ -1,9 +1,8 @@
 """Access to the engine's staging area: fills, verifies and repairs it."""
 
-from collections.abc import Iterator
-
 from msgspec import Struct
 
+from ridgecourse.core.chunk_checks import ChunkCheck, ChunkChecks
 from ridgecourse.core.ids import ChunkDigest, EngineStart, ModelName, RootDigest
 from ridgecourse.core.manifest import Manifest
 from ridgecourse.exchange.context import ExchangeContext
@@ -12,6 +11,7 @@
     EngineUnavailable,
     StagingUnanswered,
 )
+from ridgecourse.net.clock import boottime
 
 
 class StagedVersion(Struct, frozen=True):
@@ -32,6 +32,9 @@
 
     The engine does not verify staged chunks, and they may become corrupt. So all
     chunks are read back and verified immediately before the engine is started.
+
+    Attributes:
+        checks: Last check of each chunk by ``fill``.
     """
 
     def __init__(
@@ -40,6 +43,7 @@
         self.context = context
         self.engine = engine
         self.model = model
+        self.checks = ChunkChecks()
 
     def load_staged(self, manifest: Manifest) -> int:
         """Load the valid staged chunks of a version into the chunk store.
@@ -70,18 +74,22 @@
             EngineUnavailable: The engine gave no usable answer, or the chunk store
                 lacks a chunk.
         """
-        staged = 0
-        for index in self._invalid_indexes(manifest):
+        return sum(
+            self._check(manifest, index, place.digest)
+            for index, place in enumerate(manifest.chunk_locations())
+        )
+
+    def _check(self, manifest: Manifest, index: int, digest: ChunkDigest) -> bool:
+        """Stage a chunk if it is missing or corrupt; return whether it was."""
+        first_read_at = correct_at = boottime()
+        data = self.engine.staged(self.model, index)
+        is_invalid = data is None or self.context.digest(data) != digest
+        if is_invalid:
+            correct_at = boottime()
             self.put(manifest, index)
-            staged += 1
-        return staged
-
-    def _invalid_indexes(self, manifest: Manifest) -> Iterator[int]:
-        """Yield the indexes of chunks that are missing or corrupt."""
-        for index, place in enumerate(manifest.chunk_locations()):
-            data = self.engine.staged(self.model, index)
-            if data is None or self.context.digest(data) != place.digest:
-                yield index
+        seconds = boottime() - first_read_at
+        self.checks.record(index, ChunkCheck(correct_at, seconds))
+        return is_invalid
 
     def has_chunk(self, digest: ChunkDigest) -> bool:
         """Check whether the chunk store has a chunk, so that it can be staged."""
