Start no engine from checks that a freeze has outdated

Cause: the result of the last check counted however long ago its first chunk was read. Only a restart of the engine was looked for between check and order. Ruled out: chunks that turn corrupt after their check (the same chunks at the same moment without the freeze are started from after 0.04 s, which the rule excuses), and a check that skips chunks (the log has the age of the oldest).

An order has a time until which it may be sent, 1.5 s after the oldest check; it is compared with the clock after the connection is open, right before the request is written, so that waits for the report and for the connection count. An order that is too late is not sent, and the next step checks again. Where one undisturbed pass takes longer than that, the bound is 1.5 times the pass, pauses left out, so that a slow engine is started too.

--- a/src/ridgecourse/core/chunk_checks.py
+++ b/src/ridgecourse/core/chunk_checks.py
@@ -1,4 +1,4 @@
-"""Age of the checks of staged chunks."""
+"""Age of the checks of staged chunks, and until when an engine may start from them."""
 
 from math import inf
 
@@ -6,6 +6,17 @@
 
 from ridgecourse.core.ids import Seconds
 
+MAX_CHECK_AGE_SECONDS = 1.5
+"""Longest time from the check of a chunk to the order to start the engine. An engine
+must not start from a chunk that has been corrupt for more than 3 s, and it may take 1 s
+to accept the order."""
+SLOW_PASS_FACTOR = 1.5
+"""Longest age of the oldest check, as a multiple of the time of one pass over all
+chunks, where even one pass takes longer than ``MAX_CHECK_AGE_SECONDS``."""
+MAX_COUNTED_SECONDS = 0.7
+"""Longest duration of one check that counts towards the time of a pass. A longer check
+contains a pause of the process, which says nothing about the speed of the instance."""
+
 
 class ChunkCheck(Struct, frozen=True):
     """A check that found a staged chunk to be correct, or a write that made it so.
@@ -36,5 +47,21 @@
 
     def oldest_age(self, now: Seconds) -> float:
         """Return the age of the oldest check in seconds; infinite without checks."""
+        return now - self._oldest()
+
+    def valid_until(self) -> Seconds:
+        """Return until when the engine may be ordered to start from the chunks.
+
+        The bound holds on an instance that is too slow to check all chunks within
+        ``MAX_CHECK_AGE_SECONDS``, too: there it grows with the time of one pass, so
+        that a start does not become impossible.
+        """
+        pass_seconds = sum(
+            min(check.seconds, MAX_COUNTED_SECONDS) for check in self.checks.values()
+        )
+        max_age = max(MAX_CHECK_AGE_SECONDS, SLOW_PASS_FACTOR * pass_seconds)
+        return Seconds(self._oldest() + max_age)
+
+    def _oldest(self) -> float:
         began = (check.began_at for check in self.checks.values())
-        return now - min(began, default=-inf)
+        return min(began, default=-inf)
--- a/src/ridgecourse/loader/engine_control.py
+++ b/src/ridgecourse/loader/engine_control.py
@@ -5,7 +5,7 @@
 
 from msgspec import Struct
 
-from ridgecourse.core.ids import EngineStart, ModelName, WeightsVersion
+from ridgecourse.core.ids import EngineStart, ModelName, Seconds, WeightsVersion
 from ridgecourse.core.target_list import HeldLayers
 
 
@@ -71,12 +71,14 @@
     HELD: The order is complete, or the engine was already in the ordered state.
     REFUSED: The engine's state does not allow the order.
     UNKNOWN: The engine may have accepted the order.
+    EXPIRED: The order was not sent, since the time to send it had passed.
     """
 
     BEGUN = "begun"
     HELD = "held"
     REFUSED = "refused"
     UNKNOWN = "unknown"
+    EXPIRED = "expired"
 
 
 class StartOrder(Struct, frozen=True):
@@ -130,8 +132,16 @@
         """
 
     @abstractmethod
-    def start(self, model: ModelName, version: WeightsVersion) -> OrderOutcome:
-        """Order the engine to serve the staged version after the order in progress."""
+    def start(
+        self, model: ModelName, version: WeightsVersion, send_until: Seconds
+    ) -> OrderOutcome:
+        """Order the engine to serve the staged version after the order in progress.
+
+        Args:
+            model: The model.
+            version: The version.
+            send_until: Time until which the order may be sent.
+        """
 
     @abstractmethod
     def stage(self, model: ModelName, index: int, data: bytes) -> None:
--- a/src/ridgecourse/loader/latest_incarnation.py
+++ b/src/ridgecourse/loader/latest_incarnation.py
@@ -1,7 +1,7 @@
 """Engine control that discards reports of earlier incarnations of the engine."""
 
 from ridgecourse.core.engine_incarnation import starts_before
-from ridgecourse.core.ids import EngineStart, ModelName, WeightsVersion
+from ridgecourse.core.ids import EngineStart, ModelName, Seconds, WeightsVersion
 from ridgecourse.loader.engine_control import (
     EngineControl,
     EngineReport,
@@ -59,9 +59,11 @@
             self._record_invalid(str(error))
             raise
 
-    def start(self, model: ModelName, version: WeightsVersion) -> OrderOutcome:
+    def start(
+        self, model: ModelName, version: WeightsVersion, send_until: Seconds
+    ) -> OrderOutcome:
         """Order the engine to serve the staged version; see ``EngineControl``."""
-        return self.engine.start(model, version)
+        return self.engine.start(model, version, send_until)
 
     def stage(self, model: ModelName, index: int, data: bytes) -> None:
         """Write a chunk to the staging area; see ``EngineControl``."""
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -417,9 +417,13 @@
     def _order_start(
         self, key: VersionKey, staging: Staging, repaired: int, report: EngineReport
     ) -> None:
-        """Order the engine to start a version and record the outcome."""
+        """Order the engine to start a version and record the outcome.
+
+        If the checks of the staged chunks are too old when the order could be sent,
+        because the instance froze for example, the next step checks them again.
+        """
         check_age = staging.checks.oldest_age(boottime())
-        outcome = self.engine.start(*key)
+        outcome = self.engine.start(*key, staging.checks.valid_until())
         self.context.events.emit(
             EventKind.VERSION_STARTED,
             version=str(key[1]),
--- a/src/ridgecourse/net/kept_connections.py
+++ b/src/ridgecourse/net/kept_connections.py
@@ -9,12 +9,18 @@
 from typing import NamedTuple
 
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import NewConnectionError
+from urllib3.exceptions import HTTPError, NewConnectionError
 
+from ridgecourse.core.ids import Seconds
 from ridgecourse.net.address import parse_address
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_client import ExchangeFailed, NoConnection
 
 
+class SendExpired(Exception):
+    """The time to send a request had passed, so no byte of it was sent."""
+
+
 class PlainAnswer(NamedTuple):
     """The answer to a small request.
 
@@ -60,17 +66,62 @@
         while self.idle_connections:
             with suppress(ConnectionError):
                 return self._exchange(self.idle_connections.pop(), path, timeout)
-        socket_address = parse_address(self.address)
-        connection = HTTPConnection(
-            socket_address.host, socket_address.port, source_address=self.source_address
-        )
         try:
-            return self._exchange(connection, path, timeout)
+            return self._exchange(self._make_connection(), path, timeout)
         except ConnectionError as error:
             raise ExchangeFailed(f"{self.address}: {error!r}") from error
 
+    def post(
+        self,
+        path: str,
+        body: bytes,
+        headers: Mapping[str, str],
+        timeout: float,
+        send_until: Seconds,
+    ) -> PlainAnswer:
+        """Send a POST request once, on a new connection, and return the answer.
+
+        Args:
+            path: Path and query.
+            body: Body of the request.
+            headers: Headers of the request.
+            timeout: Longest wait for the connection and for each read, in seconds.
+            send_until: Time until which the request may be sent, by ``boottime``.
+
+        Raises:
+            SendExpired: The connection was open only after ``send_until``.
+            NoConnection: Nothing was sent.
+            ExchangeFailed: The request may have been received.
+        """
+        connection = self._make_connection()
+        connection.timeout = timeout
+        try:
+            connection.connect()
+        except (HTTPError, OSError) as error:
+            raise NoConnection(f"{self.address}: {error}") from error
+        # The last step before the request is written: opening the connection waits.
+        if boottime() > send_until:
+            connection.close()
+            raise SendExpired(f"{self.address}: {path}")
+        try:
+            return self._exchange(connection, path, timeout, "POST", body, headers)
+        except ConnectionError as error:
+            raise ExchangeFailed(f"{self.address}: {error!r}") from error
+
+    def _make_connection(self) -> HTTPConnection:
+        socket_address = parse_address(self.address)
+        return HTTPConnection(
+            socket_address.host, socket_address.port, source_address=self.source_address
+        )
+
     def _exchange(
-        self, connection: HTTPConnection, path: str, timeout: float
+        self,
+        connection: HTTPConnection,
+        path: str,
+        timeout: float,
+        method: str = "GET",
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
     ) -> PlainAnswer:
         """Send a request on a connection, and keep the connection if it is still open.
 
@@ -83,9 +134,16 @@
         if connection.sock is not None:
             connection.sock.settimeout(timeout)
         try:
-            connection.request("GET", path, preload_content=False, decode_content=False)
+            connection.request(
+                method,
+                path,
+                body,
+                headers,
+                preload_content=False,
+                decode_content=False,
+            )
             response = connection.getresponse()
-            body = response.read()
+            data = response.read()
         except ConnectionError:
             connection.close()
             raise
@@ -98,4 +156,4 @@
             raise ExchangeFailed(f"{self.address}: {error!r}") from error
         if connection.sock is not None:
             self.idle_connections.append(connection)
-        return PlainAnswer(response.status, response.headers, body)
+        return PlainAnswer(response.status, response.headers, data)
--- a/src/ridgecourse/platform/engine.py
+++ b/src/ridgecourse/platform/engine.py
@@ -10,7 +10,7 @@
 from msgspec.json import encode
 from returns.result import Failure
 
-from ridgecourse.core.ids import ModelName, WeightsVersion
+from ridgecourse.core.ids import ModelName, Seconds, WeightsVersion
 from ridgecourse.loader.engine_control import (
     EngineControl,
     EngineReport,
@@ -19,7 +19,7 @@
     OrderOutcome,
 )
 from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
-from ridgecourse.net.kept_connections import PersistentConnections
+from ridgecourse.net.kept_connections import PersistentConnections, SendExpired
 from ridgecourse.platform.announcements import (
     decode_announcement,
     decode_cold_remaining,
@@ -94,8 +94,9 @@
 
     Attributes:
         address: HOST:PORT of the engine.
-        http: Client for orders and the staging area.
-        connections: Persistent connections for the frequent reports.
+        http: Client for the staging area.
+        connections: Persistent connections for the frequent reports, and the
+            connections of orders.
     """
 
     def __init__(self, address: str, http: HttpClient, source: str) -> None:
@@ -139,14 +140,20 @@
             raise InvalidReport(str(decoded.failure()))
         return decoded.unwrap()
 
-    def start(self, model: ModelName, version: WeightsVersion) -> OrderOutcome:
+    def start(
+        self, model: ModelName, version: WeightsVersion, send_until: Seconds
+    ) -> OrderOutcome:
         """Order the engine to serve the staged version; see ``EngineControl``."""
         body = encode(StartOrderFields(model, version))
         try:
-            status, _ = self._call("POST", ORDER_PATH, body)
-        except EngineUnavailable:
+            answer = self.connections.post(
+                ORDER_PATH, body, JSON_HEADERS, CALL_TIMEOUT_SECONDS, send_until
+            )
+        except SendExpired:
+            return OrderOutcome.EXPIRED
+        except (NoConnection, ExchangeFailed):
             return OrderOutcome.UNKNOWN
-        return ORDER_OUTCOMES.get(status, OrderOutcome.UNKNOWN)
+        return ORDER_OUTCOMES.get(answer.status, OrderOutcome.UNKNOWN)
 
     def stage(self, model: ModelName, index: int, data: bytes) -> None:
         """Write a chunk to the staging area; see ``EngineControl``."""
@@ -172,10 +179,9 @@
     def _call(
         self, method: str, path: str, body: bytes | None = None
     ) -> tuple[int, bytes]:
-        headers = JSON_HEADERS if method == "POST" else None
         try:
             status, data, _ = self.http.fetch(
-                method, self.address, path, body, headers, timeout=CALL_TIMEOUT_SECONDS
+                method, self.address, path, body, timeout=CALL_TIMEOUT_SECONDS
             )
         except (NoConnection, ExchangeFailed) as error:
             raise EngineUnavailable(f"{path}: {error}") from error
