Do not count a freeze as time in which a pending write arrives

A write to the staging area that got no answer may be carried out late, so an engine is not started for 2 s after it.

Cause: the 2 s were compared with the clock. After a freeze of 4 s they were over on waking, while the write had not moved on either.

Change: the wait counts at most 0.5 s between two queries, so that a freeze counts as no more than that. Evidence: with the freeze counted as before, the new case of test_start_after_freeze.py orders the start at once after waking.

--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -15,6 +15,7 @@
 from ridgecourse.core.hubs import Peer, choose_hubs, loader_peers
 from ridgecourse.core.ids import Seconds, TargetName, WeightsVersion
 from ridgecourse.core.routes import EngineModel, OriginLocation
+from ridgecourse.core.running_countdown import RunningCountdown
 from ridgecourse.core.site import Site
 from ridgecourse.core.supersession import switch_wait
 from ridgecourse.exchange.catalogue import Catalogue, VersionKey
@@ -58,7 +59,8 @@
 UNANSWERED_CALL_SECONDS = 2.0
 """Seconds after an unanswered call to write a staged chunk during which the engine is
 not started: the call, if carried out late, would write a chunk of an older version
-among chunks that were just verified. Such a call has already waited 1 s."""
+among chunks that were just verified. Such a call has already waited 1 s. A freeze of
+the instance does not count, since the call does not proceed in it."""
 MANIFEST_PEERS_SECONDS = 1.0
 """Seconds for which hubs are asked for a manifest before the origin is asked: a
 manifest from a hub takes some round trips."""
@@ -82,8 +84,8 @@
         is_prefetching: Whether a transfer runs while the engine is unavailable.
         prefetch_at: Time from which weights are fetched without the engine.
         gateway_wait_until: Time until which the loader waits for a first gateway.
-        unanswered_call_until: Time until which an unanswered call may still change the
-            staging area.
+        unanswered_call: Time for which an unanswered call may still change the staging
+            area.
         offering: Versions whose staged chunks are being loaded for other processes.
     """
 
@@ -114,7 +116,7 @@
         self.version = WeightsVersion(0)
         self.error = ""
         self.gateway_wait_until = boottime() + GATEWAY_WAIT_SECONDS
-        self.unanswered_call_until = Seconds(0.0)
+        self.unanswered_call = RunningCountdown()
         self.is_prefetching = False
         # When the whole site starts for the first time, engines start with the first
         # version staged.
@@ -143,16 +145,17 @@
     def _run(self) -> None:
         """Run steps repeatedly; wait for changes of the view between them."""
         while True:
-            try:
-                wait = self._step()
-            except EngineUnavailable as error:
-                if isinstance(error, StagingUnanswered):
-                    self.unanswered_call_until = Seconds(
-                        boottime() + UNANSWERED_CALL_SECONDS
-                    )
-                self._set_phase(Phase.WAITING, f"engine: {error}")
-                wait = BUSY_POLL_SECONDS
-            self.view.changed.wait(wait)
+            self.view.changed.wait(self._run_step())
+
+    def _run_step(self) -> float:
+        """Run a step; return the longest wait, also if the engine gave no answer."""
+        try:
+            return self._step()
+        except EngineUnavailable as error:
+            if isinstance(error, StagingUnanswered):
+                self.unanswered_call.restart(UNANSWERED_CALL_SECONDS, boottime())
+            self._set_phase(Phase.WAITING, f"engine: {error}")
+            return BUSY_POLL_SECONDS
 
     def _step(self) -> float:
         """Carry out the next step; return the longest wait until the following step."""
@@ -399,7 +402,7 @@
 
     def _start_wait(self, key: VersionKey, report: EngineReport) -> float:
         """Return the seconds until the start may be ordered; 0 for at once."""
-        unanswered_wait = self.unanswered_call_until - boottime()
+        unanswered_wait = self.unanswered_call.seconds_left(boottime())
         return max(unanswered_wait, self.turn_wait(key, report))
 
     def turn_wait(self, key: VersionKey, report: EngineReport) -> float:
--- a/tests/platform/test_start_after_freeze.py
+++ b/tests/platform/test_start_after_freeze.py
@@ -22,6 +22,7 @@
 from ridgecourse.exchange.store import ChunkStore
 from ridgecourse.loader import rollout as rollout_module
 from ridgecourse.loader import staging as staging_module
+from ridgecourse.loader.engine_control import EngineUnavailable
 from ridgecourse.loader.rollout import Rollout
 from ridgecourse.loader.staging import Staging
 from ridgecourse.net import clock, kept_connections
@@ -94,10 +95,10 @@
             self.engine.staged[0] = bytes(len(self.chunks[0]))
             self.offset += FREEZE_SECONDS
 
-    def step(self) -> None:
+    def step(self) -> float:
         """Run one step of the rollout, in which the version is complete."""
         staging = Staging(self.context, self.control, KEY[0])  # type: ignore[arg-type]
-        self.rollout._stage_and_start(
+        return self.rollout._stage_and_start(
             KEY,
             self.holding,  # type: ignore[arg-type]
             staging,
@@ -236,3 +237,32 @@
     loader.run()
     assert loader.frozen
     assert loader.engine.staged_at_start[KEY[1]] == dict(enumerate(loader.chunks))
+
+
+def test_write_that_was_pending_at_a_freeze_delays_the_start_after_it(
+    loader: FreezingLoader,
+) -> None:
+    # A write of an older chunk, carried out late, got among chunks just verified.
+    write, pending = loader.control.stage, []
+
+    def stage(model: ModelName, index: int, data: bytes) -> None:
+        if not pending:
+            pending.append(index)
+            raise EngineUnavailable("no answer")
+        write(model, index, data)
+
+    loader.control.stage = stage  # type: ignore[method-assign]
+    loader.engine.staged.pop(5)
+    loader.rollout._step = loader.step  # type: ignore[assignment, method-assign]
+    loader.rollout._run_step()
+    assert pending
+    loader.offset += FREEZE_SECONDS
+    loader.rollout._run_step()
+    assert loader.engine.orders == 0
+    loader.offset += 0.5
+    loader.rollout._run_step()
+    assert loader.engine.orders == 0
+    for _ in range(4):
+        loader.offset += 0.5
+        loader.rollout._run_step()
+    assert loader.engine.version == KEY[1]
