Order the entries of an engine by their sequences

What callers saw: requests that may run only once were lost at an engine that had left (DRAIN).

Cause: entries were ordered by their offset in the stream alone, and the sequence that rises with each heartbeat was dropped. Ruled out: a reader that applies records in the wrong order (the late heartbeat really has the highest offset), and a store in disturbance (the case has none).

Change: of the entries of one incarnation the one with the highest sequence counts, wherever it is in the stream; a removal counts against its offset. An entry that is overtaken is logged (entry-overtaken) and not passed on to processes that read from this one. An engine that is replaced by a new start counts from the beginning.

Open: a store that records no heartbeat without another change shows no sequence to compare with.

--- a/src/ridgecourse/cluster/record_server.py
+++ b/src/ridgecourse/cluster/record_server.py
@@ -218,7 +218,11 @@
         self.entries: dict[str, ListedTarget] = {}
 
     def apply(
-        self, batch: RecordBatch, changes: Sequence[TargetRecord], is_snapshot: bool
+        self,
+        batch: RecordBatch,
+        changes: Sequence[TargetRecord],
+        is_snapshot: bool,
+        overtaken: Sequence[TargetRecord] = (),
     ) -> None:
         """Apply a batch, and serve those of its records that change an entry.
 
@@ -226,6 +230,7 @@
             batch: The records.
             changes: The decoded change of each record.
             is_snapshot: Whether the records are the complete list.
+            overtaken: Changes of these that take no effect.
         """
         self.topic_records.record_copied_end(batch)
         stripped = list(strip_rejected(batch.records, changes))
@@ -236,7 +241,7 @@
         changed = [
             record
             for record, change in zip(stripped, changes, strict=True)
-            if self._is_change(record, change)
+            if change not in overtaken and self._is_change(record, change)
         ]
         self.topic_records.apply(replace(batch, records=changed))
 
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -364,8 +364,6 @@
             # until they write their entry again.
             self._record_return(boottime())
         records, problems = self.decoder.targets(batch.records)
-        self.target_filter.apply(batch, records, is_snapshot)
-        self.record_server.changed.notify()
         for problem in [*problems, *self._find_unknown_services(records)]:
             self.invalid_records.record(Topic.TARGETS, problem)
         before = dict(self.targets.targets)
@@ -374,15 +372,27 @@
             # The outage was too short for the reader of the list to detect it.
             self.targets.record_outage_end(now)
         self.targets.keep_removed(Seconds(now + batch.removal_grace_seconds))
+        topic_records.record_copied_end(batch)
         self.targets.copied_end = topic_records.copied_end
-        if is_snapshot:
-            self.targets.replace(records, now)
-        else:
-            self.targets.apply(records, now)
+        change = self.targets.replace if is_snapshot else self.targets.apply
+        overtaken = change(records, now)
+        self._report_overtaken(overtaken)
+        self.target_filter.apply(batch, records, is_snapshot, overtaken)
+        self.record_server.changed.notify()
         self.targets_loaded = True
         emit_target_events(self.events, before, self.targets.targets)
         self.changed.notify()
 
+    def _report_overtaken(self, overtaken: Iterable[TargetRecord]) -> None:
+        """Emit an event for each entry that its target had replaced before."""
+        for record in overtaken:
+            self.events.emit(
+                EventKind.ENTRY_OVERTAKEN,
+                target=record.target,
+                offset=index_of(record.offset),
+                sequence=record.sequence,
+            )
+
     def _find_unknown_services(
         self, records: Iterable[TargetRecord]
     ) -> Iterator[Problem]:
--- a/src/ridgecourse/core/target_list.py
+++ b/src/ridgecourse/core/target_list.py
@@ -5,7 +5,7 @@
 returns soon after the store does; until then the target is kept.
 """
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 from msgspec import Struct
 from msgspec.structs import replace
@@ -116,12 +116,15 @@
         rejected: Whether the target has an invalid entry. Unlike a removal, a
             rejection takes effect at once, since a heartbeat missed in an outage
             cannot cause it.
+        sequence: Number of the entry, which rises with each heartbeat of the target; 0
+            if the target does not number them.
     """
 
     target: TargetId
     offset: Offset
     entry: ListedTarget | None
     rejected: bool = False
+    sequence: int = 0
 
 
 class TargetHistory(Struct):
@@ -129,6 +132,7 @@
 
     Attributes:
         started: Start of the latest incarnation; None if no start was reported.
+        sequence: Highest sequence of the entries of the latest incarnation.
         listed_offset: Offset of the newest applied entry. The entry of a later
             incarnation may have a lower offset.
         removed_offset: Offset of the newest removal.
@@ -139,6 +143,7 @@
     """
 
     started: EngineStart | None = None
+    sequence: int = 0
     listed_offset: int = -1
     removed_offset: int = -1
     leaving_offset: int = -1
@@ -151,7 +156,9 @@
     The entry of a later incarnation of a target replaces the entry of an earlier one at
     whatever offsets they are in the stream, because an engine that was frozen continues
     to write its entry next to the entry of the new incarnation. Entries of the same
-    incarnation, and entries without a start, are ordered by their offsets.
+    incarnation, and entries without a start, are ordered by their sequences, since a
+    heartbeat that is held up on its way to the store gets a high offset. Entries with
+    the same sequence are ordered by their offsets.
 
     Attributes:
         targets: All listed targets, including those that are leaving.
@@ -183,13 +190,20 @@
         """
         self.kept_until = max(self.kept_until, end)
 
-    def apply(self, records: Iterable[TargetRecord], now: Seconds) -> None:
+    def apply(
+        self, records: Iterable[TargetRecord], now: Seconds
+    ) -> Sequence[TargetRecord]:
         """Apply changes, in any order.
 
         Args:
             records: Changes of the list.
             now: Current time.
+
+        Returns:
+            The entries that a later entry of the same target replaces, although they
+            have a higher offset.
         """
+        overtaken = []
         for record in records:
             history = self.histories.pop(record.target, None) or TargetHistory()
             self.histories[record.target] = history
@@ -197,9 +211,13 @@
                 self._apply_rejection(record, history)
             elif record.entry is None:
                 self._apply_removal(record, history, now)
+            elif is_overtaken(record, record.entry, history):
+                if record.offset > max(history.removed_offset, history.listed_offset):
+                    overtaken.append(record)
             else:
                 self._apply_entry(record, record.entry, history)
         self._forget_unlisted()
+        return overtaken
 
     def _apply_rejection(self, record: TargetRecord, history: TargetHistory) -> None:
         """Drop a target whose newest entry is invalid."""
@@ -232,10 +250,8 @@
         if starts_before(entry.started, history.started):
             return
         has_restarted = starts_before(history.started, entry.started)
-        if has_restarted:
-            # The listed entry belongs to an earlier incarnation, which has ended.
-            history.listed_offset = history.leaving_offset = -1
-            self.drop(record.target)
+        if has_restarted or record.sequence > history.sequence:
+            self._supersede_listed(record, history, has_restarted)
         if entry.leaving:
             history.leaving_offset = max(history.leaving_offset, record.offset)
         known_offset = max(history.removed_offset, history.listed_offset)
@@ -254,6 +270,30 @@
         if listed is not None and self._has_left_since(history):
             self.targets[record.target] = replace(listed, leaving=True)
 
+    def _supersede_listed(
+        self, record: TargetRecord, history: TargetHistory, has_restarted: bool
+    ) -> None:
+        """Withdraw the listed entry, if the target wrote it before another entry.
+
+        Args:
+            record: The other entry.
+            history: History of the target.
+            has_restarted: Whether the listed entry belongs to an earlier incarnation,
+                which has ended.
+        """
+        history.sequence = record.sequence
+        if has_restarted:
+            history.listed_offset = history.leaving_offset = -1
+            self.drop(record.target)
+            return
+        if history.leaving_offset > record.offset:
+            history.leaving_offset = -1
+        if history.listed_offset > record.offset:
+            # The listed entry was held up, and was read before this one.
+            history.listed_offset = -1
+            if history.removed_offset > record.offset:
+                self.drop(record.target)
+
     def _is_gone(self, target: TargetId, history: TargetHistory) -> bool:
         """Check whether a target is not listed, or was removed in an outage."""
         has_removal = history.removed_offset > history.listed_offset
@@ -273,18 +313,24 @@
         for target in unlisted[:-MAX_UNLISTED]:
             del self.histories[target]
 
-    def replace(self, records: Iterable[TargetRecord], now: Seconds) -> None:
+    def replace(
+        self, records: Iterable[TargetRecord], now: Seconds
+    ) -> Sequence[TargetRecord]:
         """Replace the whole list; targets without a record are removed.
 
         Args:
             records: One record for each target of the new list.
             now: Current time.
+
+        Returns:
+            What ``apply`` returns.
         """
         listed = list(records)
-        self.apply(listed, now)
+        overtaken = self.apply(listed, now)
         present = {record.target for record in listed}
         for target in [target for target in self.targets if target not in present]:
             self._remove(target, now)
+        return overtaken
 
     def _remove(self, target: TargetId, now: Seconds) -> None:
         if target not in self.targets:
@@ -310,3 +356,15 @@
         for target in self.targets.values():
             if target.service == service and not target.leaving:
                 yield target
+
+
+def is_overtaken(
+    record: TargetRecord, entry: ListedTarget, history: TargetHistory
+) -> bool:
+    """Check whether the target wrote a known entry after this one.
+
+    Such an entry takes back nothing, neither a removal nor that the target leaves,
+    wherever it is in the stream.
+    """
+    has_restarted = starts_before(history.started, entry.started)
+    return not has_restarted and record.sequence < history.sequence
--- a/src/ridgecourse/net/events.py
+++ b/src/ridgecourse/net/events.py
@@ -74,6 +74,7 @@
     TARGET_LISTED = "target-listed"
     TARGET_WEIGHTS = "target-weights"
     TARGET_GONE = "target-gone"
+    ENTRY_OVERTAKEN = "entry-overtaken"
     VERSION_NAMED = "version-named"
     VERSION_DATED = "version-dated"
     ROLLOUT_STARTED = "rollout-started"
--- a/src/ridgecourse/platform/records.py
+++ b/src/ridgecourse/platform/records.py
@@ -96,7 +96,8 @@
         state: State that the target advertises.
         cold_remaining_ms: Milliseconds for which the target stays cold, as of when the
             entry was written.
-        sequence: Not used.
+        sequence: Number of this write, which rises with each heartbeat. The store makes
+            no record of a heartbeat that changes nothing else.
         phase: Not used.
         models: Models that the engine serves.
         layers: Layers that the engine holds; None for none.
@@ -198,7 +199,12 @@
     if not fullmatch(TARGET_KEY_PATTERN, record.key):
         return make_failure(record, "expected 1 to 255 visible ASCII characters as key")
     return decode_value(record, TARGET_DECODER).map(
-        lambda fields: TargetRecord(target, record.offset, make_target(target, fields))
+        lambda fields: TargetRecord(
+            target,
+            record.offset,
+            make_target(target, fields),
+            sequence=fields.sequence,
+        )
     )
 
 
