Hold an engine that is listed again until it is known to run

A late heartbeat has the highest sequence known, and the order by sequence lets it through.

Change: an engine that is listed again after its removal is judged by how far its sequence has come since it was last read. If it was written after the removal, it is used at once. Else the engine is asked for its health: if it says that it leaves, or nothing listens there, it is not used until three heartbeats have passed; if it is healthy, it is used at once, or after 1.2 s if its heartbeat was held up for seconds; if it says nothing, it is used after 1.2 s, or, if held up, 2 s after the end of its drain. target-held and target-released tell why.

What is weighed: an engine that lives is away for 1.2 s at most if it answers health checks; removals that an outage of the store causes are no removals in the list, and hold nobody.

An engine that lapsed and lives is used within 2 s of its return, whether its sequence went on or stood still in the cut.

Suspected: an engine that leaves without saying so and calls itself healthy is used again 1.2 s after its late heartbeat.

--- a/src/ridgecourse/cluster/target_events.py
+++ b/src/ridgecourse/cluster/target_events.py
@@ -1,9 +1,11 @@
 """Emits events for changes in the list of targets."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
-from ridgecourse.core.ids import TargetId
-from ridgecourse.core.target_list import ListedTarget
+from ridgecourse.core.ids import TargetId, index_of
+from ridgecourse.core.relisted_targets import HeldTarget
+from ridgecourse.core.target_list import ListedTarget, TargetRecord
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 
 
@@ -40,3 +42,47 @@
             )
     for name in [name for name in before if name not in after]:
         events.emit(EventKind.TARGET_GONE, target=name, why="not listed")
+
+
+def emit_overtaken_events(
+    events: EventStream, overtaken: Iterable[TargetRecord]
+) -> None:
+    """Emit an event for each entry that its target had replaced before it was read."""
+    for record in overtaken:
+        events.emit(
+            EventKind.ENTRY_OVERTAKEN,
+            target=record.target,
+            offset=index_of(record.offset),
+            sequence=record.sequence,
+        )
+
+
+def emit_hold_events(
+    events: EventStream,
+    before: Mapping[TargetId, HeldTarget],
+    after: Mapping[TargetId, HeldTarget],
+) -> None:
+    """Emit an event for each target that is held from now on, or no longer held.
+
+    Args:
+        events: The event stream.
+        before: The targets that were held, with what was known of them.
+        after: The targets that are held.
+    """
+    now = boottime()
+    for target in after.keys() - before.keys():
+        held = after[target]
+        events.emit(
+            EventKind.TARGET_HELD,
+            target=target,
+            timing=held.timing.value,
+            removed=round(now - held.removed_at, 2),
+        )
+    for target in before.keys() - after.keys():
+        held = before[target]
+        events.emit(
+            EventKind.TARGET_RELEASED,
+            target=target,
+            held=round(now - held.listed_at, 2),
+            answer=held.answer.value if held.answer else "",
+        )
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -11,9 +11,21 @@
 from ridgecourse.cluster.invalid_records import InvalidRecords
 from ridgecourse.cluster.pinned_decisions import DecisionPins, PinnedDecisionSource
 from ridgecourse.cluster.record_server import RecordServer, TargetChangeFilter
-from ridgecourse.cluster.target_events import emit_target_events
-from ridgecourse.core.ids import Offset, Seconds, ServiceName, era_of, index_of
+from ridgecourse.cluster.target_events import (
+    emit_hold_events,
+    emit_overtaken_events,
+    emit_target_events,
+)
+from ridgecourse.core.ids import (
+    Offset,
+    Seconds,
+    ServiceName,
+    TargetId,
+    era_of,
+    index_of,
+)
 from ridgecourse.core.problem import Problem
+from ridgecourse.core.relisted_targets import HealthAnswer
 from ridgecourse.core.routes import RoutingConfig
 from ridgecourse.core.target_list import ListedTarget, TargetList, TargetRecord
 from ridgecourse.core.weights import NamedVersion, NamedVersions, VersionAge
@@ -154,6 +166,20 @@
                 self.events.emit(
                     EventKind.TARGET_GONE, target=target, why="not back after outage"
                 )
+            self._release_held()
+
+    def record_health(self, target: TargetId, answer: HealthAnswer) -> None:
+        """Record what a target that is held answered to a health check."""
+        self.targets.relisted.record_answer(target, answer)
+        self._release_held()
+
+    def _release_held(self) -> None:
+        """Use the targets that need not be held any longer."""
+        relisted = self.targets.relisted
+        held_before = dict(relisted.held)
+        if list(relisted.release_due(boottime())):
+            emit_hold_events(self.events, held_before, relisted.held)
+            self.changed.notify()
 
     def lost_topics(self) -> Iterator[Topic]:
         """Yield the topics that cannot be read from the store at the moment."""
@@ -367,6 +393,7 @@
         for problem in [*problems, *self._find_unknown_services(records)]:
             self.invalid_records.record(Topic.TARGETS, problem)
         before = dict(self.targets.targets)
+        held_before = dict(self.targets.relisted.held)
         now = boottime()
         if self.decisions_reader.unavailable_since is not None:
             # The outage was too short for the reader of the list to detect it.
@@ -376,23 +403,14 @@
         self.targets.copied_end = topic_records.copied_end
         change = self.targets.replace if is_snapshot else self.targets.apply
         overtaken = change(records, now)
-        self._report_overtaken(overtaken)
+        emit_overtaken_events(self.events, overtaken)
         self.target_filter.apply(batch, records, is_snapshot, overtaken)
         self.record_server.changed.notify()
         self.targets_loaded = True
         emit_target_events(self.events, before, self.targets.targets)
+        emit_hold_events(self.events, held_before, self.targets.relisted.held)
         self.changed.notify()
 
-    def _report_overtaken(self, overtaken: Iterable[TargetRecord]) -> None:
-        """Emit an event for each entry that its target had replaced before."""
-        for record in overtaken:
-            self.events.emit(
-                EventKind.ENTRY_OVERTAKEN,
-                target=record.target,
-                offset=index_of(record.offset),
-                sequence=record.sequence,
-            )
-
     def _find_unknown_services(
         self, records: Iterable[TargetRecord]
     ) -> Iterator[Problem]:
--- /dev/null
+++ b/src/ridgecourse/core/relisted_targets.py
@@ -0,0 +1,168 @@
+"""Targets that were listed again after their removal, and when they may be used.
+
+A heartbeat that is held up on its way to the store lists a target again that has left.
+The store makes no record of a heartbeat that changes nothing, so that the last known
+sequence may be far below that of the heartbeat. What tells the two apart is how far the
+sequence of a running target has come meanwhile, and what the target itself answers.
+"""
+
+from collections.abc import Iterator
+from enum import Enum
+
+from msgspec import Struct
+
+from ridgecourse.core.ids import Seconds, TargetId
+
+HEARTBEAT_SECONDS = 1.2
+"""Usual interval between two heartbeats of a target."""
+MISSED_HEARTBEATS = 3
+"""Heartbeats after which the platform removes a target that writes none."""
+REMOVAL_SECONDS = 1.5
+"""Time within which such a removal is known."""
+RATE_TOLERANCE = 0.05
+"""Share by which the rate of heartbeats may differ from the usual one."""
+COUNT_TOLERANCE = 1.0
+"""Heartbeats by which an estimated sequence may be wrong, as records are read late."""
+FIRST_ANSWER_SECONDS = 0.4
+"""Time for which a target is held until it has been asked for its health."""
+HOLD_SECONDS = 1.2
+"""Time for which a target is held while nothing shows that it runs. Live targets are to
+be used 2 s after their return, and their entries are read up to 0.7 s late."""
+LINGER_SECONDS = 2.0
+"""Time beyond the drain bound for which a target that leaves may accept requests."""
+
+
+class EntryTiming(Enum):
+    """When the entry was written that lists a target again, as its sequence shows.
+
+    CURRENT: After the removal.
+    UNCLEAR: The sequence does not show it.
+    HELD_UP: Seconds before the entry was read.
+    """
+
+    CURRENT = "current"
+    UNCLEAR = "unclear"
+    HELD_UP = "held-up"
+
+
+class HealthAnswer(Enum):
+    """What a target answers when it is asked for its health.
+
+    HEALTHY: It runs and does not leave.
+    UNHEALTHY: It leaves or has failed, or another process has its address.
+    UNKNOWN: It gave no usable answer.
+    """
+
+    HEALTHY = "healthy"
+    UNHEALTHY = "unhealthy"
+    UNKNOWN = "unknown"
+
+
+class KnownSequence(Struct, frozen=True):
+    """The highest sequence of a target that is known.
+
+    Attributes:
+        sequence: The sequence; 0 for none.
+        read_at: Time at which its entry was read.
+        is_recent: Whether the entry was read soon after it was written.
+    """
+
+    sequence: int = 0
+    read_at: Seconds = Seconds(0.0)
+    is_recent: bool = False
+
+
+class HeldTarget(Struct):
+    """A target that was listed again, and may not be used yet.
+
+    Attributes:
+        timing: When its entry was written.
+        listed_at: Time at which the entry was read.
+        removed_at: Time at which the removal of the target was read.
+        answer: The last answer of the target; None before the first.
+    """
+
+    timing: EntryTiming
+    listed_at: Seconds
+    removed_at: Seconds
+    answer: HealthAnswer | None = None
+
+
+class RelistedTargets:
+    """The targets that were listed again and are held.
+
+    Attributes:
+        drain_seconds: Time for which a target that leaves still accepts requests.
+        held: The targets that may not be used yet.
+    """
+
+    def __init__(self) -> None:
+        self.drain_seconds = 2.0
+        self.held: dict[TargetId, HeldTarget] = {}
+
+    def hold(
+        self, target: TargetId, timing: EntryTiming, removed_at: Seconds, now: Seconds
+    ) -> None:
+        """Hold a target that was listed again, unless its entry is current."""
+        if timing is not EntryTiming.CURRENT:
+            self.held[target] = HeldTarget(timing, now, removed_at)
+
+    def drop(self, target: TargetId) -> None:
+        """Forget a target that is not listed any more."""
+        self.held.pop(target, None)
+
+    def record_answer(self, target: TargetId, answer: HealthAnswer) -> None:
+        """Record what a target answered when it was asked for its health."""
+        if target in self.held:
+            self.held[target].answer = answer
+
+    def release_due(self, now: Seconds) -> Iterator[TargetId]:
+        """Release and yield the targets that may be used from now on."""
+        for target, held in list(self.held.items()):
+            if self._held_until(held) <= now:
+                del self.held[target]
+                yield target
+
+    def _held_until(self, held: HeldTarget) -> float:
+        """Return until when a target is held, by what is known of it."""
+        heartbeats_end = held.listed_at + MISSED_HEARTBEATS * HEARTBEAT_SECONDS
+        removal_due = heartbeats_end + REMOVAL_SECONDS
+        if held.answer is HealthAnswer.UNHEALTHY:
+            return removal_due
+        is_held_up = held.timing is EntryTiming.HELD_UP
+        if held.answer is HealthAnswer.HEALTHY and not is_held_up:
+            return held.listed_at
+        left_at = held.removed_at + self.drain_seconds + LINGER_SECONDS
+        if is_held_up and held.answer is not HealthAnswer.HEALTHY:
+            end = min(removal_due, left_at)
+        else:
+            end = min(held.listed_at + HOLD_SECONDS, left_at)
+        if held.answer is None:
+            return max(end, held.listed_at + FIRST_ANSWER_SECONDS)
+        return end
+
+
+def classify_entry(
+    known: KnownSequence, sequence: int, removed_at: Seconds, now: Seconds
+) -> EntryTiming:
+    """Return when an entry was written that lists a target again.
+
+    Args:
+        known: The highest sequence that was known before.
+        sequence: Sequence of the entry; 0 if the target does not number them.
+        removed_at: Time at which the removal of the target was read.
+        now: Time at which the entry was read.
+    """
+    if not sequence:
+        # The target does not number its heartbeats; all its entries count as current.
+        return EntryTiming.CURRENT
+    if sequence == known.sequence:
+        return EntryTiming.UNCLEAR
+    heartbeats = (now - known.read_at) / HEARTBEAT_SECONDS
+    tolerance = COUNT_TOLERANCE + RATE_TOLERANCE * heartbeats
+    removed_sequence = known.sequence + (removed_at - known.read_at) / HEARTBEAT_SECONDS
+    if known.is_recent and sequence > removed_sequence + tolerance:
+        return EntryTiming.CURRENT
+    if sequence < known.sequence + heartbeats - COUNT_TOLERANCE - tolerance:
+        return EntryTiming.HELD_UP
+    return EntryTiming.UNCLEAR
--- a/src/ridgecourse/core/target_list.py
+++ b/src/ridgecourse/core/target_list.py
@@ -23,6 +23,11 @@
     era_of,
     may_be_outdated,
 )
+from ridgecourse.core.relisted_targets import (
+    KnownSequence,
+    RelistedTargets,
+    classify_entry,
+)
 
 RETURN_SECONDS = 2.0
 """Time for which removed targets are kept after an outage of the store. The platform
@@ -132,7 +137,7 @@
 
     Attributes:
         started: Start of the latest incarnation; None if no start was reported.
-        sequence: Highest sequence of the entries of the latest incarnation.
+        known: Highest sequence of the entries of the latest incarnation.
         listed_offset: Offset of the newest applied entry. The entry of a later
             incarnation may have a lower offset.
         removed_offset: Offset of the newest removal.
@@ -140,14 +145,17 @@
             that it leaves.
         earlier_offset: Offset of the newest record of an era before that of the listed
             entry.
+        removed_at: Time at which the target was dropped after its removal; None if it
+            is listed, or was never listed.
     """
 
     started: EngineStart | None = None
-    sequence: int = 0
+    known: KnownSequence = KnownSequence()
     listed_offset: int = -1
     removed_offset: int = -1
     leaving_offset: int = -1
     earlier_offset: int = -1
+    removed_at: Seconds | None = None
 
 
 class TargetList:
@@ -166,6 +174,7 @@
             which they are kept.
         kept_until: Time until which removals do not take effect.
         histories: History of each target, listed or not.
+        relisted: The listed targets that may not be used yet.
         copied_end: Entries of the latest era of the store before this offset do not
             take back what a target said in earlier eras; see
             ``core.ids.may_be_outdated``.
@@ -176,6 +185,7 @@
         self.removed: dict[TargetId, Seconds] = {}
         self.kept_until = Seconds(0.0)
         self.histories: dict[TargetId, TargetHistory] = {}
+        self.relisted = RelistedTargets()
         self.copied_end = Offset(0)
 
     def record_outage_end(self, now: Seconds) -> None:
@@ -191,13 +201,14 @@
         self.kept_until = max(self.kept_until, end)
 
     def apply(
-        self, records: Iterable[TargetRecord], now: Seconds
+        self, records: Iterable[TargetRecord], now: Seconds, is_recent: bool = True
     ) -> Sequence[TargetRecord]:
         """Apply changes, in any order.
 
         Args:
             records: Changes of the list.
             now: Current time.
+            is_recent: Whether the changes were made shortly before.
 
         Returns:
             The entries that a later entry of the same target replaces, although they
@@ -215,7 +226,8 @@
                 if record.offset > max(history.removed_offset, history.listed_offset):
                     overtaken.append(record)
             else:
-                self._apply_entry(record, record.entry, history)
+                known = KnownSequence(record.sequence, now, is_recent)
+                self._apply_entry(record, record.entry, history, known)
         self._forget_unlisted()
         return overtaken
 
@@ -245,12 +257,18 @@
         self._remove(record.target, now)
 
     def _apply_entry(
-        self, record: TargetRecord, entry: ListedTarget, history: TargetHistory
+        self,
+        record: TargetRecord,
+        entry: ListedTarget,
+        history: TargetHistory,
+        read: KnownSequence,
     ) -> None:
         if starts_before(entry.started, history.started):
             return
         has_restarted = starts_before(history.started, entry.started)
-        if has_restarted or record.sequence > history.sequence:
+        known_before = history.known
+        if has_restarted or record.sequence > history.known.sequence:
+            history.known = read
             self._supersede_listed(record, history, has_restarted)
         if entry.leaving:
             history.leaving_offset = max(history.leaving_offset, record.offset)
@@ -266,6 +284,14 @@
             history.listed_offset = record.offset
             self.targets[record.target] = entry
             self.removed.pop(record.target, None)
+            if history.removed_at is not None and not has_restarted:
+                timing = classify_entry(
+                    known_before, record.sequence, history.removed_at, read.read_at
+                )
+                self.relisted.hold(
+                    record.target, timing, history.removed_at, read.read_at
+                )
+            history.removed_at = None
         listed = self.targets.get(record.target)
         if listed is not None and self._has_left_since(history):
             self.targets[record.target] = replace(listed, leaving=True)
@@ -281,7 +307,6 @@
             has_restarted: Whether the listed entry belongs to an earlier incarnation,
                 which has ended.
         """
-        history.sequence = record.sequence
         if has_restarted:
             history.listed_offset = history.leaving_offset = -1
             self.drop(record.target)
@@ -326,7 +351,7 @@
             What ``apply`` returns.
         """
         listed = list(records)
-        overtaken = self.apply(listed, now)
+        overtaken = self.apply(listed, now, is_recent=False)
         present = {record.target for record in listed}
         for target in [target for target in self.targets if target not in present]:
             self._remove(target, now)
@@ -338,24 +363,32 @@
         if now < self.kept_until:
             self.removed.setdefault(target, self.kept_until)
         else:
-            self.drop(target)
+            self._drop_removed(target, now)
+
+    def _drop_removed(self, target: TargetId, now: Seconds) -> None:
+        """Remove a target that may be listed again by a heartbeat that is late."""
+        self.drop(target)
+        if target in self.histories:
+            self.histories[target].removed_at = now
 
     def drop(self, target: TargetId) -> None:
         """Remove a target at once."""
         self.targets.pop(target, None)
         self.removed.pop(target, None)
+        self.relisted.drop(target)
 
     def expire(self, now: Seconds) -> Iterator[TargetId]:
         """Drop and yield the removed targets that were not listed again in time."""
         for target in [target for target, end in self.removed.items() if end <= now]:
-            self.drop(target)
+            self._drop_removed(target, now)
             yield target
 
     def of_service(self, service: ServiceName) -> Iterator[ListedTarget]:
-        """Yield the targets of a service, except those that are leaving."""
+        """Yield the targets of a service, except those that leave or are held."""
         for target in self.targets.values():
             if target.service == service and not target.leaving:
-                yield target
+                if target.target not in self.relisted.held:
+                    yield target
 
 
 def is_overtaken(
@@ -367,4 +400,4 @@
     wherever it is in the stream.
     """
     has_restarted = starts_before(history.started, entry.started)
-    return not has_restarted and record.sequence < history.sequence
+    return not has_restarted and record.sequence < history.known.sequence
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -23,6 +23,7 @@
 from ridgecourse.gateway.limit_watch import LimitWatch
 from ridgecourse.gateway.load_watcher import LoadWatcher
 from ridgecourse.gateway.protocol import RequestProtocol
+from ridgecourse.gateway.relisted_watch import RelistedWatch
 from ridgecourse.gateway.retry_control import RetryControl, StartHistory
 from ridgecourse.net.address import parse_address
 from ridgecourse.net.clock import boottime
@@ -57,6 +58,7 @@
         crash_watch: Holds back requests that may crash engines.
         starts: Finds out whether this gateway may follow another life of itself.
         cold_watch: Tracks which engines are cold.
+        relisted_watch: Asks targets that were listed again for their health.
         limit_watch: Tracks the rate limits that targets report.
         announcements: Tracks what targets announce of themselves.
         dispatcher: Sends requests to targets.
@@ -89,6 +91,7 @@
         self.view.eras.listeners.append(self.crash_watch.records.restore_blocked)
         self.starts = StartHistory(site, source, self.events)
         self.cold_watch = ColdWatch(site, self.view, self.events)
+        self.relisted_watch = RelistedWatch(site, self.view, protocol)
         self.limit_watch = LimitWatch(self.events, self.link, self.cold_watch)
         self.announcements = AnnouncementWatch(
             site, self.events, self.link, self.limit_watch
@@ -133,6 +136,7 @@
         self.crash_watch.start()
         self.starts.start()
         self.cold_watch.start()
+        self.relisted_watch.start()
         self.limit_watch.start()
         self.lag.start()
         self.threads.append(spawn_loop(self._apply_limits))
@@ -176,6 +180,7 @@
         """Apply the operators' limits from the current settings."""
         bounds = self.site.bounds
         self.view.set_version_bound(bounds.version_seconds)
+        self.view.targets.relisted.drain_seconds = bounds.leaving_seconds
         self.view.evacuation_records.bound_seconds = bounds.evacuate_seconds
 
     def drain(self) -> None:
@@ -201,6 +206,7 @@
         self.limit_watch.close()
         self.starts.close()
         self.cold_watch.close()
+        self.relisted_watch.close()
         self.link.close()
         self.load_watcher.close()
         self.hub.close()
--- a/src/ridgecourse/gateway/protocol.py
+++ b/src/ridgecourse/gateway/protocol.py
@@ -5,7 +5,9 @@
 from returns.result import Result
 from urllib3 import BaseHTTPResponse
 
+from ridgecourse.core.ids import TargetId
 from ridgecourse.core.problem import Problems
+from ridgecourse.core.relisted_targets import HealthAnswer
 from ridgecourse.gateway.messages import AnswerHead, ClientRequest, SendTerms
 from ridgecourse.net.front_server import FrontRequest
 from ridgecourse.net.http_server import HeaderList
@@ -26,6 +28,12 @@
     def decode_answer(self, response: BaseHTTPResponse) -> AnswerHead:
         """Return the head of a target's answer."""
 
+    @abstractmethod
+    def decode_health(
+        self, response: BaseHTTPResponse, target: TargetId
+    ) -> HealthAnswer:
+        """Return what an answer to a health check says of a target."""
+
     @abstractmethod
     def retry_after(self, seconds: float) -> HeaderList:
         """Return the headers that tell a client when to retry."""
--- /dev/null
+++ b/src/ridgecourse/gateway/relisted_watch.py
@@ -0,0 +1,86 @@
+"""Asks targets that were listed again for their health before they are used."""
+
+from contextlib import closing
+
+import eventlet
+
+from ridgecourse.cluster.view import ClusterView
+from ridgecourse.core.ids import Seconds, TargetId
+from ridgecourse.core.relisted_targets import HealthAnswer
+from ridgecourse.core.site import Site
+from ridgecourse.core.target_list import ListedTarget
+from ridgecourse.gateway.protocol import RequestProtocol
+from ridgecourse.net.address import parse_address
+from ridgecourse.net.clock import boottime
+from ridgecourse.net.exchange import Exchange, ExchangeBroken, NotSent
+from ridgecourse.net.threads import spawn_loop
+
+ASK_AGAIN_SECONDS = 0.3
+"""Interval between two health checks of a target that is held."""
+TIMEOUT_SECONDS = 0.35
+"""Longest wait for an answer to a health check."""
+
+
+class RelistedWatch:
+    """Asks the targets that are held after their return for their health.
+
+    Attributes:
+        site: Settings of the process.
+        view: Has the list of targets.
+        protocol: Decodes the answers.
+        asked: The targets that are being asked.
+    """
+
+    def __init__(
+        self, site: Site, view: ClusterView, protocol: RequestProtocol
+    ) -> None:
+        self.site = site
+        self.view = view
+        self.protocol = protocol
+        self.asked: set[TargetId] = set()
+        self.thread: eventlet.greenthread.GreenThread | None = None
+
+    def start(self) -> None:
+        """Start to ask the targets that are held."""
+        self.thread = spawn_loop(self._run)
+
+    def close(self) -> None:
+        """Stop asking."""
+        if self.thread is not None:
+            self.thread.kill()
+
+    def _run(self) -> None:
+        while True:
+            held = self.view.targets.relisted.held
+            for name in held.keys() - self.asked:
+                target = self.view.targets.targets.get(name)
+                if target is not None:
+                    self.asked.add(name)
+                    eventlet.spawn_n(self._ask_and_pause, target)
+            self.view.changed.wait(ASK_AGAIN_SECONDS if held else None)
+
+    def _ask_and_pause(self, target: ListedTarget) -> None:
+        try:
+            self.view.record_health(target.target, self._ask(target))
+            eventlet.sleep(ASK_AGAIN_SECONDS)
+        finally:
+            self.asked.discard(target.target)
+
+    def _ask(self, target: ListedTarget) -> HealthAnswer:
+        """Return what a target answers when it is asked for its health."""
+        service = self.view.config and self.view.config.services.get(target.service)
+        if not service or not service.health_path:
+            return HealthAnswer.UNKNOWN
+        deadline = Seconds(boottime() + TIMEOUT_SECONDS)
+        with closing(Exchange(target.address, deadline)) as exchange:
+            try:
+                exchange.connect(TIMEOUT_SECONDS)
+                host = parse_address(target.address).host
+                exchange.send("GET", service.health_path, [("Host", host)], None)
+                response = exchange.receive_head()
+            except NotSent:
+                # Nothing accepts connections at the address.
+                return HealthAnswer.UNHEALTHY
+            except ExchangeBroken:
+                return HealthAnswer.UNKNOWN
+            return self.protocol.decode_health(response, target.target)
--- a/src/ridgecourse/net/events.py
+++ b/src/ridgecourse/net/events.py
@@ -74,6 +74,8 @@
     TARGET_LISTED = "target-listed"
     TARGET_WEIGHTS = "target-weights"
     TARGET_GONE = "target-gone"
+    TARGET_HELD = "target-held"
+    TARGET_RELEASED = "target-released"
     ENTRY_OVERTAKEN = "entry-overtaken"
     VERSION_NAMED = "version-named"
     VERSION_DATED = "version-dated"
--- a/src/ridgecourse/platform/announcements.py
+++ b/src/ridgecourse/platform/announcements.py
@@ -6,14 +6,19 @@
 
 from returns.result import Failure, Result, Success
 
+from ridgecourse.core.ids import TargetId
 from ridgecourse.core.problem import Problem, Problems
+from ridgecourse.core.relisted_targets import HealthAnswer
 from ridgecourse.platform.names import (
     COLD_HEADER,
     LEAVING_HEADER,
+    NOT_EXECUTED_HEADER,
     RETRY_AFTER_HEADER,
+    TARGET_HEADER,
 )
 from ridgecourse.platform.settings import MILLISECOND
 
+HEALTHY_STATUS = 200
 UNAVAILABLE = 503
 DECIMAL_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?", re.ASCII)
 LEAVING_VALUES = {"": False, "0": False, "1": True}
@@ -77,6 +82,30 @@
     return Success(milliseconds * MILLISECOND)
 
 
+def decode_health(
+    status: int, fields: Mapping[str, str], target: TargetId
+) -> HealthAnswer:
+    """Return what an answer to a health check says of a target.
+
+    A target without a free slot refuses the check as it refuses a request, which says
+    nothing of its health.
+
+    Args:
+        status: HTTP status of the answer.
+        fields: Headers of the answer.
+        target: The target that was asked.
+    """
+    answered_by = fields.get(TARGET_HEADER, "").strip()
+    if answered_by not in ("", target):
+        return HealthAnswer.UNHEALTHY
+    if decode_announcement(status, fields).leaving:
+        return HealthAnswer.UNHEALTHY
+    if status == UNAVAILABLE and NOT_EXECUTED_HEADER not in fields:
+        return HealthAnswer.UNHEALTHY
+    is_healthy = status == HEALTHY_STATUS and answered_by == target
+    return HealthAnswer.HEALTHY if is_healthy else HealthAnswer.UNKNOWN
+
+
 def parse_decimal(text: str) -> float | None:
     """Return a plain decimal number of 0 or more, or None if the text is none."""
     return float(text) if DECIMAL_PATTERN.fullmatch(text) else None
--- a/src/ridgecourse/platform/requests.py
+++ b/src/ridgecourse/platform/requests.py
@@ -8,8 +8,9 @@
 from returns.result import Failure, Result, Success
 from urllib3 import BaseHTTPResponse
 
-from ridgecourse.core.ids import ModelName, RequestId
+from ridgecourse.core.ids import ModelName, RequestId, TargetId
 from ridgecourse.core.problem import Problem, Problems
+from ridgecourse.core.relisted_targets import HealthAnswer
 from ridgecourse.gateway.messages import AnswerHead, ClientRequest, SendTerms
 from ridgecourse.gateway.protocol import RequestProtocol
 from ridgecourse.net.front_server import FrontRequest
@@ -17,6 +18,7 @@
 from ridgecourse.platform.announcements import (
     UNAVAILABLE,
     decode_announcement,
+    decode_health,
     parse_decimal,
 )
 from ridgecourse.platform.names import (
@@ -193,6 +195,12 @@
             bad_announcements=announcement.problems,
         )
 
+    def decode_health(
+        self, response: BaseHTTPResponse, target: TargetId
+    ) -> HealthAnswer:
+        """Return what a health answer says of a target; see ``RequestProtocol``."""
+        return decode_health(response.status, response.headers, target)
+
     def retry_after(self, seconds: float) -> HeaderList:
         """Return the header with the retry delay, which may be a fractional number."""
         return [(RETRY_AFTER_HEADER, f"{seconds:.3f}")]
