Write no chunk of another version while a start order may be carried out

What callers could see: tokens from chunks of two versions (WHOLE). A start order without an answer may be carried out late, and the chunks of a version that was named meanwhile were staged at once.

Change: for 2 s after such an order, a freeze not counted, no chunk of another version is written. The version is fetched meanwhile.

Evidence: without the wait, the new case of test_start_after_freeze finds chunks of version 3 in the staging area while the order of version 2 is open.

--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -15,7 +15,6 @@
 from ridgecourse.core.hubs import Peer, choose_hubs, loader_peers
 from ridgecourse.core.ids import Seconds, TargetName, WeightsVersion
 from ridgecourse.core.routes import EngineModel, OriginLocation
-from ridgecourse.core.running_countdown import RunningCountdown
 from ridgecourse.core.site import Site
 from ridgecourse.core.supersession import switch_wait
 from ridgecourse.exchange.catalogue import Catalogue, VersionKey
@@ -34,9 +33,10 @@
     StagingUnanswered,
     StartOrder,
 )
+from ridgecourse.loader.engine_start import EngineStart
 from ridgecourse.loader.known_gateways import KnownGateways
 from ridgecourse.loader.service_engines import ServiceEngines
-from ridgecourse.loader.staging import StagedVersion, Staging
+from ridgecourse.loader.staging import Staging
 from ridgecourse.loader.transfer_watch import TransferOwner, TransferWatch
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind
@@ -56,11 +56,6 @@
 """Seconds from the loader's start during which it waits for its engine before it
 fetches weights without the engine. An engine that was restarted together with the
 loader answers sooner, and has the weights."""
-UNANSWERED_CALL_SECONDS = 2.0
-"""Seconds after an unanswered call to write a staged chunk during which the engine is
-not started: the call, if carried out late, would write a chunk of an older version
-among chunks that were just verified. Such a call has already waited 1 s. A freeze of
-the instance does not count, since the call does not proceed in it."""
 MANIFEST_PEERS_SECONDS = 1.0
 """Seconds for which hubs are asked for a manifest before the origin is asked: a
 manifest from a hub takes some round trips."""
@@ -74,8 +69,7 @@
         version: Version that the phase applies to.
         error: Error that blocks the rollout; empty if none.
         ordered: Last order that the engine accepted; None for none.
-        staged: Version that was staged last; None if the staging area may have changed
-            since.
+        engine_start: Stages versions and orders the engine to start them.
         complete_since: Since when each version is complete in this loader; only a few
             versions are published in a day.
         transfer: Transfer in progress; None for none.
@@ -84,8 +78,6 @@
         is_prefetching: Whether a transfer runs while the engine is unavailable.
         prefetch_at: Time from which weights are fetched without the engine.
         gateway_wait_until: Time until which the loader waits for a first gateway.
-        unanswered_call: Time for which an unanswered call may still change the staging
-            area.
         offering: Versions whose staged chunks are being loaded for other processes.
     """
 
@@ -116,13 +108,12 @@
         self.version = WeightsVersion(0)
         self.error = ""
         self.gateway_wait_until = boottime() + GATEWAY_WAIT_SECONDS
-        self.unanswered_call = RunningCountdown()
         self.is_prefetching = False
         # When the whole site starts for the first time, engines start with the first
         # version staged.
         self.prefetch_at = inf if site.first_start else boottime() + ENGINE_WAIT_SECONDS
         self.ordered: StartOrder | None = None
-        self.staged: StagedVersion | None = None
+        self.engine_start = EngineStart(context, engine)
         self.complete_since: dict[VersionKey, Seconds] = {}
         self.transfer: Transfer | None = None
         self.hubs: Sequence[Peer] = []
@@ -153,7 +144,7 @@
             return self._step()
         except EngineUnavailable as error:
             if isinstance(error, StagingUnanswered):
-                self.unanswered_call.restart(UNANSWERED_CALL_SECONDS, boottime())
+                self.engine_start.record_unanswered_write()
             self._set_phase(Phase.WAITING, f"engine: {error}")
             return BUSY_POLL_SECONDS
 
@@ -342,9 +333,9 @@
         )
         if staging is None:
             return holding if self._run_transfer(key, transfer) else None
-        self.staged = None
-        required = partial(self.is_required, key)
-        early_staging = EarlyStaging(staging, holding, required)
+        self.engine_start.staged = None
+        may_stage = partial(self._may_stage_early, key)
+        early_staging = EarlyStaging(staging, holding, may_stage)
         early_staging.start()
         try:
             is_complete = self._run_transfer(key, transfer)
@@ -357,6 +348,10 @@
         history = self.view.history(key[0])
         return history.required_version(boottime()) >= key[1]
 
+    def _may_stage_early(self, key: VersionKey) -> bool:
+        """Check whether chunks of a version may be staged before it is complete."""
+        return self.is_required(key) and not self.engine_start.write_wait(key)
+
     def _run_transfer(self, key: VersionKey, transfer: Transfer) -> bool:
         """Run a transfer; return whether the version is complete."""
         self._set_phase(Phase.TRANSFER, "", key[1])
@@ -383,28 +378,20 @@
             The longest wait until the next step, in seconds.
         """
         self._set_phase(Phase.STAGING, "", key[1])
-        staged = StagedVersion(holding.root, report.started)
-        if self.staged != staged:
-            # Not repeated at every poll of the wait: a wait of 3 s read all chunks
-            # 5 times.
-            staging.fill(holding.manifest)
-            self.staged = staged
-        wait = self._start_wait(key, report)
+        if write_wait := self.engine_start.write_wait(key):
+            return min(write_wait, IDLE_POLL_SECONDS)
+        self.engine_start.stage(holding, staging, report)
+        wait = max(self.engine_start.start_wait(), self.turn_wait(key, report))
         if wait > 0:
             return min(wait, IDLE_POLL_SECONDS)
-        # Verify again immediately before the start: staged chunks may become corrupt.
-        repaired = staging.fill(holding.manifest)
-        if self.engine.report().started == report.started:
-            self._order_start(key, staging, repaired, report)
-        # If the engine restarted, the verified chunks may have been lost with the
-        # earlier incarnation.
+        outcome = self.engine_start.order(key, holding, staging, report)
+        if outcome in (OrderOutcome.BEGUN, OrderOutcome.HELD):
+            self.ordered = StartOrder(key[1], report.started)
+            self._set_phase(Phase.STARTING, "", key[1])
+        elif outcome is not None:
+            self._set_phase(Phase.STARTING, f"start order {outcome.value}", key[1])
         return BUSY_POLL_SECONDS
 
-    def _start_wait(self, key: VersionKey, report: EngineReport) -> float:
-        """Return the seconds until the start may be ordered; 0 for at once."""
-        unanswered_wait = self.unanswered_call.seconds_left(boottime())
-        return max(unanswered_wait, self.turn_wait(key, report))
-
     def turn_wait(self, key: VersionKey, report: EngineReport) -> float:
         """Return the seconds until it is this engine's turn to switch to a version."""
         layers = report.layers
@@ -417,29 +404,6 @@
         turn = self.engines.turn_fraction(key)
         return switch_wait(bound, newer_bound, now, complete_since, turn)
 
-    def _order_start(
-        self, key: VersionKey, staging: Staging, repaired: int, report: EngineReport
-    ) -> None:
-        """Order the engine to start a version and record the outcome.
-
-        If the checks of the staged chunks are too old when the order could be sent,
-        because the instance froze for example, the next step checks them again.
-        """
-        check_age = staging.checks.oldest_age(boottime())
-        outcome = self.engine.start(*key, staging.checks.valid_until())
-        self.context.events.emit(
-            EventKind.VERSION_STARTED,
-            version=str(key[1]),
-            outcome=outcome.value,
-            repaired=repaired,
-            oldest_check_s=round(check_age, 3),
-        )
-        if outcome in (OrderOutcome.BEGUN, OrderOutcome.HELD):
-            self.ordered = StartOrder(key[1], report.started)
-            self._set_phase(Phase.STARTING, "", key[1])
-        else:
-            self._set_phase(Phase.STARTING, f"start order {outcome.value}", key[1])
-
     def is_needed(self, key: VersionKey) -> bool:
         """Check whether a version is still needed, however complete it is."""
         return not self.catalogue.is_outdated(
--- a/src/ridgecourse_standins/platform/weights.py
+++ b/src/ridgecourse_standins/platform/weights.py
@@ -184,6 +184,8 @@
             place; None for an engine that does not report the time.
         busy: Whether the engine reports an order in progress.
         on_staging_read: Called after each read of the staging area, with the index.
+        loses_next_order: Whether the next start order is not carried out, and answered
+            with 504.
         cold_ms: Value of the cold header of health answers; None for no header.
     """
 
@@ -200,6 +202,7 @@
         self.born: Any = None
         self.busy = False
         self.on_staging_read: Callable[[int], None] = lambda index: None
+        self.loses_next_order = False
         self.cold_ms: Any = None
 
     def restart(self, keeps_staged: bool = True, busy: bool = False) -> None:
@@ -263,6 +266,9 @@
 
     def _start(self, order: dict[str, Any]) -> StatusAndBody:
         self.orders += 1
+        if self.loses_next_order:
+            self.loses_next_order = False
+            return 504, b""
         if self.late_chunk is not None and monotonic() < self.late_deadline:
             # The late write takes effect at the worst moment: after the last check of
             # the staged chunks.
--- a/tests/platform/test_start_after_freeze.py
+++ b/tests/platform/test_start_after_freeze.py
@@ -20,6 +20,7 @@
 from ridgecourse.core.manifest import FileEntry, Manifest
 from ridgecourse.exchange.context import sha256_digest
 from ridgecourse.exchange.store import ChunkStore
+from ridgecourse.loader import engine_start as engine_start_module
 from ridgecourse.loader import rollout as rollout_module
 from ridgecourse.loader import staging as staging_module
 from ridgecourse.loader.engine_control import EngineUnavailable
@@ -43,6 +44,8 @@
 
     Attributes:
         engine: The engine.
+        key: The version that is complete in the loader.
+        chunks: Chunks of that version.
         passes: Complete passes over the staging area.
         frozen: Whether the instance has been frozen.
     """
@@ -51,21 +54,26 @@
         self.offset = 0.0
         self.passes = 0
         self.frozen = False
-        self.chunks = make_chunks(2)
         self.engine = StagingEngine(layers=16)
-        self.engine.staged = dict(enumerate(self.chunks))
+        self.engine.staged = dict(enumerate(make_chunks(2)))
         self.engine.start()
         self.http = HttpClient()
         self.control = PlatformEngine(self.engine.address, self.http, "127.0.0.1")
+        store = ChunkStore(1 << 20)
+        self.context = SimpleNamespace(store=store, digest=sha256_digest, events=Mock())
+        self.set_version(KEY[1])
+        self.rollout = self.make_rollout()
+
+    def set_version(self, version: int) -> None:
+        """Make a version the one that is complete in the loader."""
+        self.key = KEY[0], WeightsVersion(version)
+        self.chunks = make_chunks(version)
         size = sum(map(len, self.chunks))
         entry = FileEntry(WEIGHTS_FILE, size, tuple(self.digests()))
         manifest = Manifest(len(self.chunks[0]), (entry,))
-        self.holding = SimpleNamespace(manifest=manifest, root="root")
-        store = ChunkStore(1 << 20)
+        self.holding = SimpleNamespace(manifest=manifest, root=f"root-{version}")
         for digest, chunk in zip(self.digests(), self.chunks, strict=True):
-            store.put(digest, chunk)
-        self.context = SimpleNamespace(store=store, digest=sha256_digest, events=Mock())
-        self.rollout = self.make_rollout()
+            self.context.store.put(digest, chunk)
 
     def digests(self) -> list[Any]:
         return [sha256_digest(chunk) for chunk in self.chunks]
@@ -99,7 +107,7 @@
         """Run one step of the rollout, in which the version is complete."""
         staging = Staging(self.context, self.control, KEY[0])  # type: ignore[arg-type]
         return self.rollout._stage_and_start(
-            KEY,
+            self.key,
             self.holding,  # type: ignore[arg-type]
             staging,
             self.control.report(),
@@ -119,7 +127,8 @@
 @pytest.fixture
 def loader(monkeypatch: pytest.MonkeyPatch) -> Iterator[FreezingLoader]:
     freezing_loader = FreezingLoader()
-    for module in (rollout_module, staging_module, kept_connections):
+    modules = rollout_module, engine_start_module, staging_module, kept_connections
+    for module in modules:
         monkeypatch.setattr(module, "boottime", freezing_loader.now, raising=False)
     yield freezing_loader
     freezing_loader.close()
@@ -266,3 +275,20 @@
         loader.offset += 0.5
         loader.rollout._run_step()
     assert loader.engine.version == KEY[1]
+
+
+def test_late_start_order_finds_no_chunks_of_another_version(
+    loader: FreezingLoader,
+) -> None:
+    # An order whose answer was lost started the engine from chunks of two versions.
+    loader.engine.loses_next_order = True
+    loader.step()
+    assert (loader.engine.orders, loader.engine.version) == (1, 0)
+    loader.set_version(3)
+    loader.offset += FREEZE_SECONDS
+    loader.step()
+    assert loader.engine.staged == dict(enumerate(make_chunks(2)))
+    for _ in range(5):
+        loader.offset += 0.5
+        loader.step()
+    assert loader.engine.staged_at_start[3] == dict(enumerate(make_chunks(3)))
