Let the heartbeats of a test's live engine count

test_a_copy_does_not_list_an_engine_that_is_gone failed in a whole run: its live engine wrote its entry again with the sequence of its first one, which no heartbeat has, so that it was held as if the entry had been held up. It now writes a higher one, as engines do; what the test asserts is unchanged.

--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -86,9 +86,15 @@
         self.apply(Topic.DECISIONS, era, records, index + 1, **options)
 
     def list_target(
-        self, era: int, index: int, state: str | None, key: str = "i-1", **options: Any
+        self,
+        era: int,
+        index: int,
+        state: str | None,
+        key: str = "i-1",
+        sequence: int = 1,
+        **options: Any,
     ) -> None:
-        entry = None if state is None else make_entry(state)
+        entry = None if state is None else {**make_entry(state), "sequence": sequence}
         self.apply(Topic.TARGETS, era, {index: (key, entry)}, index + 1, **options)
 
     @property
@@ -205,7 +211,7 @@
         list(store.view.targets.expire(Seconds(boottime() + RETURN_SECONDS)))
     assert store.serving == set()
     # It is alive after all, and writes its entry again.
-    store.list_target(NEW, 7, "ready")
+    store.list_target(NEW, 7, "ready", sequence=9)
     assert store.serving == {"i-1"}
 
 
