Take the interval of heartbeats from the settings

How far a sequence should have come was estimated by 1.2 s a heartbeat on every deployment; the settings name the interval. Also: an answered start order ends the wait after an earlier one without an answer, and the waits after unanswered calls count down while the rollout does other work.

--- a/src/ridgecourse/cluster/domain_source.py
+++ b/src/ridgecourse/cluster/domain_source.py
@@ -360,4 +360,6 @@
     bound = site.bounds.version_seconds
     view = ClusterView(source, pinned_decisions, store.decoder, events, bound, pace)
     view.evacuation_records.bound_seconds = site.bounds.evacuate_seconds
+    view.targets.relisted.heartbeat_seconds = site.heartbeat_seconds
+    view.targets.relisted.drain_seconds = site.bounds.leaving_seconds
     return view
--- a/src/ridgecourse/cluster/invalid_records.py
+++ b/src/ridgecourse/cluster/invalid_records.py
@@ -1,6 +1,10 @@
 """Counts records that cannot be used, and logs each key once."""
 
+from collections.abc import Iterable, Iterator
+
 from ridgecourse.core.problem import Problem
+from ridgecourse.core.routes import RoutingConfig
+from ridgecourse.core.target_list import TargetRecord
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.record_source import Topic
 
@@ -40,3 +44,19 @@
             key=problem.place[:MAX_LOGGED_CHARACTERS],
             error=problem.message[:MAX_LOGGED_CHARACTERS],
         )
+
+
+def find_unknown_services(
+    records: Iterable[TargetRecord], config: RoutingConfig | None
+) -> Iterator[Problem]:
+    """Yield a problem for each entry whose service the configuration does not name.
+
+    These entries stay listed, because the next configuration may name the service.
+
+    Args:
+        records: Changes of the list of targets.
+        config: The configuration in force; None before the first is known.
+    """
+    for entry in [record.entry for record in records]:
+        if config and entry is not None and entry.service not in config.services:
+            yield Problem(entry.target, f"unknown service {entry.service}")
--- a/src/ridgecourse/cluster/target_events.py
+++ b/src/ridgecourse/cluster/target_events.py
@@ -1,14 +1,24 @@
 """Emits events for changes in the list of targets."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
+from contextlib import contextmanager
 
 from ridgecourse.core.ids import TargetId, index_of
 from ridgecourse.core.relisted_targets import HeldTarget
-from ridgecourse.core.target_list import ListedTarget, TargetRecord
+from ridgecourse.core.target_list import ListedTarget, TargetList, TargetRecord
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 
 
+@contextmanager
+def reported_changes(events: EventStream, targets: TargetList) -> Iterator[None]:
+    """Emit events for what changes in a list of targets meanwhile."""
+    listed, held = dict(targets.targets), dict(targets.relisted.held)
+    yield
+    emit_target_events(events, listed, targets.targets)
+    emit_hold_events(events, held, targets.relisted.held)
+
+
 def emit_target_events(
     events: EventStream,
     before: Mapping[TargetId, ListedTarget],
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -8,14 +8,10 @@
 from ridgecourse.cluster.decoder import RecordDecoder
 from ridgecourse.cluster.era_watch import EraWatch
 from ridgecourse.cluster.evacuation_records import EvacuationRecords
-from ridgecourse.cluster.invalid_records import InvalidRecords
+from ridgecourse.cluster.invalid_records import InvalidRecords, find_unknown_services
 from ridgecourse.cluster.pinned_decisions import DecisionPins, PinnedDecisionSource
 from ridgecourse.cluster.record_server import RecordServer, TargetChangeFilter
-from ridgecourse.cluster.target_events import (
-    emit_hold_events,
-    emit_overtaken_events,
-    emit_target_events,
-)
+from ridgecourse.cluster.target_events import emit_overtaken_events, reported_changes
 from ridgecourse.core.ids import (
     Offset,
     Seconds,
@@ -24,10 +20,9 @@
     era_of,
     index_of,
 )
-from ridgecourse.core.problem import Problem
 from ridgecourse.core.relisted_targets import HealthAnswer
 from ridgecourse.core.routes import RoutingConfig
-from ridgecourse.core.target_list import ListedTarget, TargetList, TargetRecord
+from ridgecourse.core.target_list import ListedTarget, TargetList
 from ridgecourse.core.weights import NamedVersion, NamedVersions, VersionAge
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
@@ -175,10 +170,9 @@
 
     def _release_held(self) -> None:
         """Use the targets that need not be held any longer."""
-        relisted = self.targets.relisted
-        held_before = dict(relisted.held)
-        if list(relisted.release_due(boottime())):
-            emit_hold_events(self.events, held_before, relisted.held)
+        with reported_changes(self.events, self.targets):
+            released = list(self.targets.relisted.release_due(boottime()))
+        if released:
             self.changed.notify()
 
     def lost_topics(self) -> Iterator[Topic]:
@@ -390,10 +384,8 @@
             # until they write their entry again.
             self._record_return(boottime())
         records, problems = self.decoder.targets(batch.records)
-        for problem in [*problems, *self._find_unknown_services(records)]:
+        for problem in [*problems, *find_unknown_services(records, self.config)]:
             self.invalid_records.record(Topic.TARGETS, problem)
-        before = dict(self.targets.targets)
-        held_before = dict(self.targets.relisted.held)
         now = boottime()
         if self.decisions_reader.unavailable_since is not None:
             # The outage was too short for the reader of the list to detect it.
@@ -402,27 +394,14 @@
         topic_records.record_copied_end(batch)
         self.targets.copied_end = topic_records.copied_end
         change = self.targets.replace if is_snapshot else self.targets.apply
-        overtaken = change(records, now)
+        with reported_changes(self.events, self.targets):
+            overtaken = change(records, now)
         emit_overtaken_events(self.events, overtaken)
         self.target_filter.apply(batch, records, is_snapshot, overtaken)
         self.record_server.changed.notify()
         self.targets_loaded = True
-        emit_target_events(self.events, before, self.targets.targets)
-        emit_hold_events(self.events, held_before, self.targets.relisted.held)
         self.changed.notify()
 
-    def _find_unknown_services(
-        self, records: Iterable[TargetRecord]
-    ) -> Iterator[Problem]:
-        """Yield a problem for each entry whose service the configuration does not name.
-
-        These entries stay listed, because the next configuration may name the service.
-        """
-        known = self.config.services if self.config else None
-        for entry in [record.entry for record in records]:
-            if known is not None and entry is not None and entry.service not in known:
-                yield Problem(entry.target, f"unknown service {entry.service}")
-
     def _limits_cold(self, name: ServiceName) -> bool:
         service = self.config.services.get(name) if self.config else None
         return service is not None and service.cold_per_s > 0.0
--- a/src/ridgecourse/core/relisted_targets.py
+++ b/src/ridgecourse/core/relisted_targets.py
@@ -13,8 +13,8 @@
 
 from ridgecourse.core.ids import Seconds, TargetId
 
-HEARTBEAT_SECONDS = 1.2
-"""Usual interval between two heartbeats of a target."""
+DEFAULT_HEARTBEAT_SECONDS = 1.2
+"""Usual interval between two heartbeats of a target where the settings name none."""
 MISSED_HEARTBEATS = 3
 """Heartbeats after which the platform removes a target that writes none."""
 REMOVAL_SECONDS = 1.5
@@ -72,6 +72,20 @@
     is_recent: bool = False
 
 
+class RelistingEntry(Struct, frozen=True):
+    """An entry that lists a target again after its removal.
+
+    Attributes:
+        sequence: Sequence of the entry; 0 if the target does not number them.
+        read_at: Time at which the entry was read.
+        known: The highest sequence that was known before.
+    """
+
+    sequence: int
+    read_at: Seconds
+    known: KnownSequence
+
+
 class HeldTarget(Struct):
     """A target that was listed again, and may not be used yet.
 
@@ -92,20 +106,27 @@
     """The targets that were listed again and are held.
 
     Attributes:
+        heartbeat_seconds: Usual interval between two heartbeats of a target.
         drain_seconds: Time for which a target that leaves still accepts requests.
         held: The targets that may not be used yet.
     """
 
     def __init__(self) -> None:
+        self.heartbeat_seconds = DEFAULT_HEARTBEAT_SECONDS
         self.drain_seconds = 2.0
         self.held: dict[TargetId, HeldTarget] = {}
 
-    def hold(
-        self, target: TargetId, timing: EntryTiming, removed_at: Seconds, now: Seconds
-    ) -> None:
-        """Hold a target that was listed again, unless its entry is current."""
+    def add(self, target: TargetId, entry: RelistingEntry, removed_at: Seconds) -> None:
+        """Hold a target that was listed again, unless its entry is current.
+
+        Args:
+            target: The target.
+            entry: The entry that lists it again.
+            removed_at: Time at which the removal of the target was read.
+        """
+        timing = classify_entry(entry, removed_at, self.heartbeat_seconds)
         if timing is not EntryTiming.CURRENT:
-            self.held[target] = HeldTarget(timing, now, removed_at)
+            self.held[target] = HeldTarget(timing, entry.read_at, removed_at)
 
     def drop(self, target: TargetId) -> None:
         """Forget a target that is not listed any more."""
@@ -125,7 +146,7 @@
 
     def _held_until(self, held: HeldTarget) -> float:
         """Return until when a target is held, by what is known of it."""
-        heartbeats_end = held.listed_at + MISSED_HEARTBEATS * HEARTBEAT_SECONDS
+        heartbeats_end = held.listed_at + MISSED_HEARTBEATS * self.heartbeat_seconds
         removal_due = heartbeats_end + REMOVAL_SECONDS
         if held.answer is HealthAnswer.UNHEALTHY:
             return removal_due
@@ -143,26 +164,27 @@
 
 
 def classify_entry(
-    known: KnownSequence, sequence: int, removed_at: Seconds, now: Seconds
+    entry: RelistingEntry, removed_at: Seconds, heartbeat_seconds: float
 ) -> EntryTiming:
     """Return when an entry was written that lists a target again.
 
     Args:
-        known: The highest sequence that was known before.
-        sequence: Sequence of the entry; 0 if the target does not number them.
+        entry: The entry.
         removed_at: Time at which the removal of the target was read.
-        now: Time at which the entry was read.
+        heartbeat_seconds: Usual interval between two heartbeats.
     """
-    if not sequence:
+    if not entry.sequence:
         # The target does not number its heartbeats; all its entries count as current.
         return EntryTiming.CURRENT
-    if sequence == known.sequence:
+    known = entry.known
+    if entry.sequence == known.sequence:
         return EntryTiming.UNCLEAR
-    heartbeats = (now - known.read_at) / HEARTBEAT_SECONDS
+    heartbeats = (entry.read_at - known.read_at) / heartbeat_seconds
+    heartbeats_removed = (removed_at - known.read_at) / heartbeat_seconds
     tolerance = COUNT_TOLERANCE + RATE_TOLERANCE * heartbeats
-    removed_sequence = known.sequence + (removed_at - known.read_at) / HEARTBEAT_SECONDS
-    if known.is_recent and sequence > removed_sequence + tolerance:
+    passed = entry.sequence - known.sequence
+    if known.is_recent and passed > heartbeats_removed + tolerance:
         return EntryTiming.CURRENT
-    if sequence < known.sequence + heartbeats - COUNT_TOLERANCE - tolerance:
+    if passed < heartbeats - COUNT_TOLERANCE - tolerance:
         return EntryTiming.HELD_UP
     return EntryTiming.UNCLEAR
--- a/src/ridgecourse/core/site.py
+++ b/src/ridgecourse/core/site.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from ridgecourse.core.ids import DomainName, ProcessName, RegionName, ServiceName
+from ridgecourse.core.relisted_targets import DEFAULT_HEARTBEAT_SECONDS
 
 DEFAULT_COLD_OVERAGE = 1.5
 DEFAULT_COLD_SLACK = 5.0
@@ -79,6 +80,7 @@
         bounds: Limits set by the operators.
         upload_bytes_per_s: Capacity of the instance's link.
         first_start: Whether the whole system starts for the first time.
+        heartbeat_seconds: Usual interval between two heartbeats of a target.
     """
 
     process: ProcessName
@@ -94,6 +96,7 @@
     bounds: Bounds
     upload_bytes_per_s: float
     first_start: bool = False
+    heartbeat_seconds: float = DEFAULT_HEARTBEAT_SECONDS
 
     def apply_reloadable(self, new: "Site") -> tuple[list[str], list[str]]:
         """Apply the settings that may change while the process runs.
--- a/src/ridgecourse/core/target_list.py
+++ b/src/ridgecourse/core/target_list.py
@@ -26,7 +26,7 @@
 from ridgecourse.core.relisted_targets import (
     KnownSequence,
     RelistedTargets,
-    classify_entry,
+    RelistingEntry,
 )
 
 RETURN_SECONDS = 2.0
@@ -226,8 +226,8 @@
                 if record.offset > max(history.removed_offset, history.listed_offset):
                     overtaken.append(record)
             else:
-                known = KnownSequence(record.sequence, now, is_recent)
-                self._apply_entry(record, record.entry, history, known)
+                read = KnownSequence(record.sequence, now, is_recent)
+                self._apply_entry(record, record.entry, history, read)
         self._forget_unlisted()
         return overtaken
 
@@ -263,6 +263,14 @@
         history: TargetHistory,
         read: KnownSequence,
     ) -> None:
+        """Apply an entry that the target has not replaced yet.
+
+        Args:
+            record: Record of the entry.
+            entry: The entry.
+            history: History of the target.
+            read: Sequence of the entry, and when it was read.
+        """
         if starts_before(entry.started, history.started):
             return
         has_restarted = starts_before(history.started, entry.started)
@@ -285,12 +293,8 @@
             self.targets[record.target] = entry
             self.removed.pop(record.target, None)
             if history.removed_at is not None and not has_restarted:
-                timing = classify_entry(
-                    known_before, record.sequence, history.removed_at, read.read_at
-                )
-                self.relisted.hold(
-                    record.target, timing, history.removed_at, read.read_at
-                )
+                relisting = RelistingEntry(record.sequence, read.read_at, known_before)
+                self.relisted.add(record.target, relisting, history.removed_at)
             history.removed_at = None
         listed = self.targets.get(record.target)
         if listed is not None and self._has_left_since(history):
--- a/src/ridgecourse/loader/engine_start.py
+++ b/src/ridgecourse/loader/engine_start.py
@@ -50,6 +50,12 @@
         """Record that a write of a chunk got no answer."""
         self.unanswered_write.restart(UNANSWERED_CALL_SECONDS, boottime())
 
+    def count_down(self) -> None:
+        """Count the time down that unanswered calls still have."""
+        now = boottime()
+        self.unanswered_write.seconds_left(now)
+        self.unanswered_order.seconds_left(now)
+
     def write_wait(self, key: VersionKey) -> float:
         """Return the seconds until chunks of a version may be written; 0 for now."""
         wait = self.unanswered_order.seconds_left(boottime())
@@ -97,9 +103,12 @@
             return None
         check_age = staging.checks.oldest_age(boottime())
         outcome = self.engine.start(*key, staging.checks.valid_until())
-        if outcome is OrderOutcome.UNKNOWN:
+        if outcome is not OrderOutcome.EXPIRED:
+            # Once the engine has answered, an earlier order changes nothing any more.
+            is_open = outcome is OrderOutcome.UNKNOWN
+            seconds = UNANSWERED_CALL_SECONDS if is_open else 0.0
+            self.unanswered_order.restart(seconds, boottime())
             self.ordered_version = key[1]
-            self.unanswered_order.restart(UNANSWERED_CALL_SECONDS, boottime())
         self.context.events.emit(
             EventKind.VERSION_STARTED,
             version=str(key[1]),
--- a/src/ridgecourse/loader/rollout.py
+++ b/src/ridgecourse/loader/rollout.py
@@ -140,6 +140,7 @@
 
     def _run_step(self) -> float:
         """Run a step; return the longest wait, also if the engine gave no answer."""
+        self.engine_start.count_down()
         try:
             return self._step()
         except EngineUnavailable as error:
@@ -350,6 +351,7 @@
 
     def _may_stage_early(self, key: VersionKey) -> bool:
         """Check whether chunks of a version may be staged before it is complete."""
+        self.engine_start.count_down()
         return self.is_required(key) and not self.engine_start.write_wait(key)
 
     def _run_transfer(self, key: VersionKey, transfer: Transfer) -> bool:
--- a/src/ridgecourse/platform/settings.py
+++ b/src/ridgecourse/platform/settings.py
@@ -14,6 +14,7 @@
 
 from ridgecourse.core.ids import DomainName, ProcessName, RegionName, ServiceName
 from ridgecourse.core.problem import Problem, Problems
+from ridgecourse.core.relisted_targets import DEFAULT_HEARTBEAT_SECONDS
 from ridgecourse.core.site import (
     DEFAULT_COLD_OVERAGE,
     DEFAULT_COLD_SLACK,
@@ -22,7 +23,7 @@
     Site,
 )
 from ridgecourse.net.site_process import SettingsSource
-from ridgecourse.platform.field_types import NonNegativeFloat
+from ridgecourse.platform.field_types import NonNegativeFloat, PositiveFloat
 
 logger = logging.getLogger(__name__)
 
@@ -111,6 +112,7 @@
         app: Address of the engine on this instance; None without an engine.
         bootstrap: Whether the whole deployment starts for the first time.
         service: Service of the engine on this instance.
+        heartbeat_ms: Usual interval between two heartbeats of a target.
     """
 
     node_name: str
@@ -126,6 +128,7 @@
     app: str | None = field(default=None)
     bootstrap: bool = False
     service: str | None = field(default=None)
+    heartbeat_ms: PositiveFloat = DEFAULT_HEARTBEAT_SECONDS / MILLISECOND
 
 
 class SettingsFile(SettingsSource):
@@ -244,6 +247,7 @@
         bounds=make_bounds(fields.bounds),
         upload_bytes_per_s=fields.limits.bandwidth_mbps * BYTES_PER_MBIT,
         first_start=fields.bootstrap,
+        heartbeat_seconds=fields.heartbeat_ms * MILLISECOND,
     )
 
 
--- a/tests/platform/test_relisted_engines.py
+++ b/tests/platform/test_relisted_engines.py
@@ -13,21 +13,23 @@
 from typing import Any
 
 import pytest
-from gateway_site import GatewaySite
+from gateway_site import GatewaySite, make_settings
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec.json import encode
 from test_known_incarnations import ENGINE, make_target
 
 from ridgecourse.core.ids import EngineStart, Offset, Seconds, ServiceName
 from ridgecourse.core.relisted_targets import (
-    HEARTBEAT_SECONDS,
     EntryTiming,
     HealthAnswer,
     KnownSequence,
+    RelistingEntry,
     classify_entry,
 )
 from ridgecourse.core.target_list import TargetList, TargetRecord
 from ridgecourse.platform.announcements import decode_health
+from ridgecourse.platform.settings import parse_site
 from ridgecourse_standins.platform.engine import (
     EngineStandIn,
     ReceivedRequest,
@@ -39,6 +41,7 @@
 DRAIN_SECONDS = 2.0
 LINGER_SECONDS = 1.5
 """Time beyond the drain bound for which an engine that leaves accepts requests."""
+HEARTBEAT_SECONDS = 1.2
 HEALTH_PATH = "/healthz"
 
 
@@ -180,7 +183,8 @@
 
 def classify(sequence: int, read: float, removed: float, now: float) -> EntryTiming:
     known = KnownSequence(10, Seconds(read), is_recent=True)
-    return classify_entry(known, sequence, Seconds(removed), Seconds(now))
+    entry = RelistingEntry(sequence, Seconds(now), known)
+    return classify_entry(entry, Seconds(removed), HEARTBEAT_SECONDS)
 
 
 @given(st.floats(0.0, 60.0), st.floats(3.6, 60.0), st.floats(0.0, 0.7))
@@ -214,10 +218,17 @@
 def test_entry_of_unknown_age_does_not_show_a_return() -> None:
     # The entry that a process reads at its start may have been written long before.
     known = KnownSequence(10, Seconds(0.0), is_recent=False)
-    timing = classify_entry(known, 900, Seconds(5.0), Seconds(7.0))
+    entry = RelistingEntry(900, Seconds(7.0), known)
+    timing = classify_entry(entry, Seconds(5.0), HEARTBEAT_SECONDS)
     assert timing is EntryTiming.UNCLEAR
 
 
+def test_interval_of_heartbeats_is_read_from_the_settings() -> None:
+    settings = make_settings("127.0.0.1:1", heartbeat_ms=400)
+    site = parse_site(encode(settings), "node.json").unwrap()
+    assert site.heartbeat_seconds == 0.4
+
+
 # How long an engine is held.
 
 
