Spread the health checks of many gateways

All gateways of a site learn at nearly the same time that an engine is listed again; each asked it at once. At the size aimed for, 850 would have asked one engine within some milliseconds.

--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -91,7 +91,9 @@
         self.view.eras.listeners.append(self.crash_watch.records.restore_blocked)
         self.starts = StartHistory(site, source, self.events)
         self.cold_watch = ColdWatch(site, self.view, self.events)
-        self.relisted_watch = RelistedWatch(site, self.view, protocol)
+        self.relisted_watch = RelistedWatch(
+            site, self.view, protocol, self.hub.count_gateways, random
+        )
         self.limit_watch = LimitWatch(self.events, self.link, self.cold_watch)
         self.announcements = AnnouncementWatch(
             site, self.events, self.link, self.limit_watch
--- a/src/ridgecourse/gateway/relisted_watch.py
+++ b/src/ridgecourse/gateway/relisted_watch.py
@@ -1,12 +1,14 @@
 """Asks targets that were listed again for their health before they are used."""
 
+from collections.abc import Callable
 from contextlib import closing
+from random import Random
 
 import eventlet
 
 from ridgecourse.cluster.view import ClusterView
 from ridgecourse.core.ids import Seconds, TargetId
-from ridgecourse.core.relisted_targets import HealthAnswer
+from ridgecourse.core.relisted_targets import HOLD_SECONDS, HealthAnswer
 from ridgecourse.core.site import Site
 from ridgecourse.core.target_list import ListedTarget
 from ridgecourse.gateway.protocol import RequestProtocol
@@ -17,6 +19,9 @@
 
 ASK_AGAIN_SECONDS = 0.3
 """Interval between two health checks of a target that is held."""
+ASK_SPACING_SECONDS = 0.002
+"""Mean interval between two health checks of a target by all gateways together. Each
+gateway asks by itself, and all learn at about the same time that it was listed."""
 TIMEOUT_SECONDS = 0.35
 """Longest wait for an answer to a health check."""
 
@@ -28,15 +33,24 @@
         site: Settings of the process.
         view: Has the list of targets.
         protocol: Decodes the answers.
+        count_gateways: Returns the number of known gateways.
+        random: Spreads the health checks of all gateways.
         asked: The targets that are being asked.
     """
 
     def __init__(
-        self, site: Site, view: ClusterView, protocol: RequestProtocol
+        self,
+        site: Site,
+        view: ClusterView,
+        protocol: RequestProtocol,
+        count_gateways: Callable[[], int],
+        random: Random,
     ) -> None:
         self.site = site
         self.view = view
         self.protocol = protocol
+        self.count_gateways = count_gateways
+        self.random = random
         self.asked: set[TargetId] = set()
         self.thread: eventlet.greenthread.GreenThread | None = None
 
@@ -61,11 +75,17 @@
 
     def _ask_and_pause(self, target: ListedTarget) -> None:
         try:
+            eventlet.sleep(self._start_delay())
             self.view.record_health(target.target, self._ask(target))
             eventlet.sleep(ASK_AGAIN_SECONDS)
         finally:
             self.asked.discard(target.target)
 
+    def _start_delay(self) -> float:
+        """Return a random delay that grows with the number of gateways."""
+        spread = min(self.count_gateways() * ASK_SPACING_SECONDS, HOLD_SECONDS)
+        return self.random.uniform(0.0, spread)
+
     def _ask(self, target: ListedTarget) -> HealthAnswer:
         """Return what a target answers when it is asked for its health."""
         service = self.view.config and self.view.config.services.get(target.service)
--- a/tests/platform/test_relisted_engines.py
+++ b/tests/platform/test_relisted_engines.py
@@ -8,9 +8,11 @@
 
 from collections.abc import Callable, Iterator
 from pathlib import Path
+from random import Random
 from threading import Event, Thread
 from time import monotonic, sleep
 from typing import Any
+from unittest.mock import Mock
 
 import pytest
 from gateway_site import GatewaySite, make_settings
@@ -21,6 +23,7 @@
 
 from ridgecourse.core.ids import EngineStart, Offset, Seconds, ServiceName
 from ridgecourse.core.relisted_targets import (
+    HOLD_SECONDS,
     EntryTiming,
     HealthAnswer,
     KnownSequence,
@@ -28,6 +31,7 @@
     classify_entry,
 )
 from ridgecourse.core.target_list import TargetList, TargetRecord
+from ridgecourse.gateway.relisted_watch import RelistedWatch
 from ridgecourse.platform.announcements import decode_health
 from ridgecourse.platform.settings import parse_site
 from ridgecourse_standins.platform.engine import (
@@ -319,3 +323,16 @@
     status: int, headers: dict[str, str], answer: HealthAnswer
 ) -> None:
     assert decode_health(status, headers, ENGINE) is answer
+
+
+@pytest.mark.parametrize("count", [1, 60, 850])
+def test_health_checks_of_many_gateways_are_spread(count: int) -> None:
+    # All gateways learn at nearly the same time that an engine is listed again.
+    random = Random(1)
+    watch = RelistedWatch(Mock(), Mock(), Mock(), lambda: count, random)
+    delays = sorted(watch._start_delay() for _ in range(count))
+    busiest = max(
+        sum(start <= delay < start + 0.1 for delay in delays) for start in delays
+    )
+    assert busiest <= 100
+    assert delays[-1] <= HOLD_SECONDS
