--- a/src/ridgecourse/loader/engine_start.py
+++ b/src/ridgecourse/loader/engine_start.py
@@ -103,12 +103,7 @@
             return None
         check_age = staging.checks.oldest_age(boottime())
         outcome = self.engine.start(*key, staging.checks.valid_until())
-        if outcome is not OrderOutcome.EXPIRED:
-            # Once the engine has answered, an earlier order changes nothing any more.
-            is_open = outcome is OrderOutcome.UNKNOWN
-            seconds = UNANSWERED_CALL_SECONDS if is_open else 0.0
-            self.unanswered_order.restart(seconds, boottime())
-            self.ordered_version = key[1]
+        self._record_outcome(key, outcome)
         self.context.events.emit(
             EventKind.VERSION_STARTED,
             version=str(key[1]),
@@ -117,3 +112,12 @@
             oldest_check_s=round(check_age, 3),
         )
         return outcome
+
+    def _record_outcome(self, key: VersionKey, outcome: OrderOutcome) -> None:
+        """Record whether an order may be carried out later."""
+        if outcome is OrderOutcome.UNKNOWN:
+            self.ordered_version = key[1]
+            self.unanswered_order.restart(UNANSWERED_CALL_SECONDS, boottime())
+        elif outcome in (OrderOutcome.BEGUN, OrderOutcome.HELD):
+            # An earlier order finds the engine started, and changes nothing any more.
+            self.unanswered_order.restart(0.0, boottime())
