Compare the list of targets only when it changes

The release of held targets, four times a second and at each change, copied and compared the whole list: 9.3 ms a call with 7,100 targets, 3.7% of a core in an idle process.

--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -11,7 +11,11 @@
 from ridgecourse.cluster.invalid_records import InvalidRecords, find_unknown_services
 from ridgecourse.cluster.pinned_decisions import DecisionPins, PinnedDecisionSource
 from ridgecourse.cluster.record_server import RecordServer, TargetChangeFilter
-from ridgecourse.cluster.target_events import emit_overtaken_events, reported_changes
+from ridgecourse.cluster.target_events import (
+    emit_hold_events,
+    emit_overtaken_events,
+    reported_changes,
+)
 from ridgecourse.core.ids import (
     Offset,
     Seconds,
@@ -170,9 +174,10 @@
 
     def _release_held(self) -> None:
         """Use the targets that need not be held any longer."""
-        with reported_changes(self.events, self.targets):
-            released = list(self.targets.relisted.release_due(boottime()))
-        if released:
+        relisted = self.targets.relisted
+        held_before = dict(relisted.held)
+        if list(relisted.release_due(boottime())):
+            emit_hold_events(self.events, held_before, relisted.held)
             self.changed.notify()
 
     def lost_topics(self) -> Iterator[Topic]:
