Show that a gateway sends requests to a target that is gone

Shown: two gateways are restarted in turn, and each time one is back the entry of a target is removed. When the other gateway reads from the one that is back, it does not learn of the removal, and sends requests to the target until the target ends, more than 2 s after its entry was removed. Only planned work takes place.

Code at fault: a gateway that starts serves the newest records, without the keys that were removed before its first read, up to an end behind the removals. A process that reads on from it takes that end over without the removals (cluster/record_server.py, cluster/domain_source.py).

--- a/review/small_site.py
+++ b/review/small_site.py
@@ -18,6 +18,7 @@
 from dataclasses import dataclass, field
 from hashlib import sha256
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from itertools import count
 from pathlib import Path
 from random import Random
 from threading import Event, Lock, Thread
@@ -25,6 +26,7 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
+from ridgecourse.platform.names import LOG_NEWEST_PATH
 from ridgecourse_standins.platform.store import StoreStandIn
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -35,6 +37,7 @@
 ORIGIN_MBPS, SIDE_MBPS, EDGE_MBPS = 7.3, 3.65, 1000.0
 WARM_SECONDS = 0.3
 RESTART_SECONDS = 0.5
+HEARTBEAT_SECONDS = 1.2
 BOUNDS = {
     "seed_lag_s": 3,
     "reuse_after_s": 2,
@@ -94,6 +97,25 @@
     return [random.randbytes(CHUNK_BYTES) for _ in range(CHUNKS)]
 
 
+class Store(StoreStandIn):
+    """The platform's store.
+
+    Attributes:
+        on_newest: Called before the newest records of a topic are read, with the host
+            that reads them and the name of the topic.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.on_newest: Callable[[str, str], None] = lambda host, topic: None
+
+    def _handle(self, host: str, target: str, data: bytes) -> tuple[int, bytes]:
+        parts = urlsplit(target)
+        if parts.path == LOG_NEWEST_PATH:
+            self.on_newest(host, parse_qs(parts.query)["topic"][0])
+        return super()._handle(host, target, data)
+
+
 class Server:
     """An HTTP server on a loopback address, one thread for each connection."""
 
@@ -129,8 +151,12 @@
             daemon_threads = True
             request_queue_size = 128
 
+            def handle_error(self, *_: Any) -> None:
+                """Ignore connections that are reset while nothing is read."""
+
         self.server = Listener((host, port), Handler)
         self.address = f"{host}:{self.server.server_address[1]}"
+        self.is_closed = False
         self.thread = Thread(target=self.server.serve_forever, daemon=True)
 
     def start(self) -> None:
@@ -138,9 +164,11 @@
         self.thread.start()
 
     def close(self) -> None:
-        """Stop the server."""
-        self.server.shutdown()
-        self.server.server_close()
+        """Stop the server; its address then refuses connections."""
+        if not self.is_closed:
+            self.is_closed = True
+            self.server.shutdown()
+            self.server.server_close()
 
     def answer(self, handler: BaseHTTPRequestHandler, body: bytes) -> None:
         """Answer a request."""
@@ -228,7 +256,7 @@
     """
 
     def __init__(
-        self, record: Record, store: StoreStandIn, host: str, zone: str, target: str
+        self, record: Record, store: Store, host: str, zone: str, target: str
     ) -> None:
         super().__init__(host, APP_PORT)
         self.record, self.store, self.zone, self.target = record, store, zone, target
@@ -239,7 +267,8 @@
         self.busy = False
         self.active = 0
         self.state = "ready"
-        self.heartbeats = 0
+        self.is_leaving = False
+        self.born = monotonic()
         self.runs: list[Run] = []
         self.answer_delay = 0.05
         self.lock = Lock()
@@ -257,9 +286,12 @@
             }
         return fields
 
-    def publish(self) -> None:
-        """Write the entry into the store."""
-        self.heartbeats += 1
+    def heartbeat(self) -> int:
+        """Return the number of heartbeats since the start."""
+        return 1 + int((monotonic() - self.born) / HEARTBEAT_SECONDS)
+
+    def make_entry(self) -> dict[str, Any]:
+        """Return the entry that the engine would write now."""
         entry = {
             "service": self.service,
             "address": self.address,
@@ -269,11 +301,19 @@
             "state": self.state,
             "cold_remaining_ms": 0,
             "phase": "both",
-            "sequence": self.heartbeats,
+            "sequence": self.heartbeat(),
         }
         if self.service == SERVICE:
             entry.update(self.models())
-        self.store.put_target(self.target, entry)
+        return entry
+
+    def publish(self) -> None:
+        """Write the entry into the store.
+
+        The store makes no record of a heartbeat that changes nothing else, so that only
+        changes are written here.
+        """
+        self.store.put_target(self.target, self.make_entry())
         self.record.add(f"{self.target} writes its entry: version {self.version}")
 
     def answer(self, handler: BaseHTTPRequestHandler, body: bytes) -> None:
@@ -302,7 +342,8 @@
             data = self.staged.get(int(query["sample_count"]))
             reply(handler, 404 if data is None else 200, data or b"")
         elif parts.path == "/healthz":
-            reply(handler, 200, b"", {"Instance-Id": self.target})
+            status = 503 if self.is_leaving else 200
+            reply(handler, status, b"", {"Instance-Id": self.target})
         else:
             self.run(handler)
 
@@ -501,14 +542,15 @@
         self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
         self.temporary = tempfile.TemporaryDirectory()
         self.directory = Path(self.temporary.name)
-        self.store = StoreStandIn()
+        self.store = Store()
         self.store.start()
         self.origin = Origin(f"{self.net}.250")
         self.origin.start()
         self.engines: list[Engine] = []
         self.machines: list[Machine] = []
         self.acknowledged: dict[int, float] = {1: 0.0}
-        self.requests = 0
+        self.numbers = count(1)
+        self.sent: dict[str, tuple[float, str]] = {}
         self.answers: list[tuple[float, str, str, int]] = []
         self.stopped = Event()
         self.zones = {"mtl-hall-a": "montreal"}
@@ -559,6 +601,16 @@
         self.machines.append(machine)
         return machine
 
+    def add_plain_engine(self, number: int, zone: str = "mtl-hall-a") -> Engine:
+        """Add an engine of the plain service, started and listed."""
+        host = f"{self.net}.{number}"
+        engine = Engine(self.record, self.store, host, zone, f"i-{number}")
+        engine.service = PLAIN
+        engine.start()
+        engine.publish()
+        self.engines.append(engine)
+        return engine
+
     def config(self, version: int, **changes: Any) -> dict[str, Any]:
         """Return a configuration with a route of each kind."""
 
@@ -644,28 +696,35 @@
                 raise CaseFailed("the deployment did not get ready in time")
             sleep(0.02)
 
-    def send(self, machine: Machine, path: str, deadline_ms: int = 6000) -> None:
+    def send(
+        self, machine: Machine, path: str, key: str = KEY, deadline_ms: int = 6000
+    ) -> None:
         """Send a request to a gateway and record its answer."""
-        self.requests += 1
-        request = f"{self.requests:04x}-{machine.name}"
-        headers = {"Attempt-Id": request, "Key": KEY, "Deadline-Ms": str(deadline_ms)}
+        request = f"{next(self.numbers):04x}-{machine.name}"
+        headers = {"Attempt-Id": request, "Key": key, "Deadline-Ms": str(deadline_ms)}
         if path.startswith("/quote/"):
             headers["Model"] = MODEL
             headers["Token-Usage"] = "600,20"
         sent_at = self.record.add(f"client sends {request} {path} to {machine.name}")
+        self.sent[request] = sent_at, path
         status = ask(machine.host, FRONT_PORT, path, headers, deadline_ms / 1000 + 0.5)
         self.record.add(f"client gets {status or 'no answer'} for {request}")
         self.answers.append((sent_at, request, machine.name, status))
 
     def send_steadily(
-        self, machines: Callable[[], list[Machine]], path: str, interval: float
+        self,
+        machines: Callable[[], list[Machine]],
+        path: str,
+        interval: float,
+        key: str = KEY,
     ) -> None:
         """Start to send requests to machines in turn until the site is closed."""
 
         def run() -> None:
             while not self.stopped.wait(interval):
                 for machine in machines():
-                    Thread(target=self.send, args=(machine, path), daemon=True).start()
+                    arguments = (machine, path, key)
+                    Thread(target=self.send, args=arguments, daemon=True).start()
 
         Thread(target=run, daemon=True).start()
 
