--- a/review/small_site.py
+++ b/review/small_site.py
@@ -268,11 +268,19 @@
         self.active = 0
         self.state = "ready"
         self.is_leaving = False
+        self.has_ended = False
+        self.lost: list[str] = []
         self.born = monotonic()
         self.runs: list[Run] = []
-        self.answer_delay = 0.05
+        self.answer_delay = 0.09
         self.lock = Lock()
 
+    def end(self) -> None:
+        """End the engine; the requests that run there are lost with it."""
+        self.has_ended = True
+        self.close()
+        self.record.add(f"{self.target} has ended")
+
     def models(self) -> dict[str, Any]:
         """Return the fields that tell the weights."""
         fields: dict[str, Any] = {
@@ -407,6 +415,11 @@
         headers = {"Attempt-Id": request, "Response-Signature": f"{self.target}.1"}
         if self.service != SERVICE:
             sleep(self.answer_delay)
+            if self.has_ended:
+                self.lost.append(request)
+                handler.connection.shutdown(socket.SHUT_RDWR)
+                handler.close_connection = True
+                return
             reply(handler, 200, b"x" * 800, headers)
             return
         headers["Weights-Versions"] = str(self.version)
