--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,6 @@
 # run. TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -d target/deps ] && [ -d target/review-2 ] || exit 2
-PYTHONPATH=target/deps:target/review-2 exec python3 review/4/case.py
+export PYTHONPATH=target/deps:target/review-2
+python3 -c "import small_site" || exit 2
+exec python3 review/4/case.py
--- a/review/small_site.py
+++ b/review/small_site.py
@@ -548,10 +548,10 @@
         has_trouble: Whether the disruption takes place.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, record: Record) -> None:
         random = Random(os.getpid() * 1000 + int(monotonic() * 100))
         self.net = f"127.{random.randrange(16, 240)}.{random.randrange(1, 250)}"
-        self.record = Record()
+        self.record = record
         self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
         self.temporary = tempfile.TemporaryDirectory()
         self.directory = Path(self.temporary.name)
@@ -770,18 +770,23 @@
         play: Plays the case; returns what broke the rule.
         folder: Folder of the case.
     """
-    site = Site()
+    site: Site | None = None
+    record = Record()
     code = 2
     try:
+        site = Site(record)
         broken = play(site)
         code = 1 if broken else 0
         for text in broken:
-            site.record.add(f"BROKEN: {text}")
+            record.add(f"BROKEN: {text}")
         print("\n".join(broken) or "the rule held")
-    except (CaseFailed, OSError) as error:
-        site.record.add(f"the case could not run: {error}")
-        print(f"the case could not run: {error}")
+    except Exception as error:
+        # Any other code would be taken for a broken rule.
+        record.add(f"the case could not run: {error!r}")
+        print(f"the case could not run: {error!r}")
     finally:
-        site.close()
-        site.record.write(folder / "record.txt")
+        if site is not None:
+            with suppress(Exception):
+                site.close()
+        record.write(folder / "record.txt")
     sys.exit(code)
