Report which entry a request was sent on, and removals that a reader misses

request-dispatched names the offset of the target's entry and the age of the list; target-listed and target-gone, the end of the read that brought the change, its lag and the processes that passed it on. A process records the ranges of the list of which it has read the newest records only, and tells readers whose position is inside one; they log records-missed. What is read and used is the same as before.

--- a/src/ridgecourse/cluster/peer_records.py
+++ b/src/ridgecourse/cluster/peer_records.py
@@ -83,4 +83,6 @@
         relay_hops=response.level + 1,
         copied_end=response.copied_end,
         knows_removals=response.knows_removals,
+        whole_from=response.whole_from,
+        has_gap=response.has_gap,
     )
--- a/src/ridgecourse/cluster/record_server.py
+++ b/src/ridgecourse/cluster/record_server.py
@@ -8,6 +8,7 @@
 from msgspec.structs import replace
 
 from ridgecourse.core.ids import Offset, Seconds, ServiceName, era_of, may_be_outdated
+from ridgecourse.core.missed_records import MissedRecords
 from ridgecourse.core.target_list import ListedTarget, TargetRecord
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
@@ -57,6 +58,8 @@
         level: Number of processes that passed that record on to the answering process.
         copied_end: See ``RecordBatch.copied_end``.
         knows_removals: See ``RecordBatch.knows_removals``.
+        whole_from: See ``RecordBatch.whole_from``.
+        has_gap: See ``RecordBatch.has_gap``.
     """
 
     records: Sequence[KeyedRecord]
@@ -70,6 +73,8 @@
     level: int = 0
     copied_end: Offset = Offset(0)
     knows_removals: bool = False
+    whole_from: Offset | None = None
+    has_gap: bool = False
 
 
 class TopicRecords:
@@ -87,10 +92,12 @@
         copied_end: See ``RecordBatch.copied_end``; the earliest that is known of the
             latest era.
         knows_removals: See ``RecordBatch.knows_removals``.
+        missed: Ranges whose removals may be missing from the records.
     """
 
     def __init__(self) -> None:
         self.knows_removals = False
+        self.missed = MissedRecords()
         self.copied_end = Offset(0)
         self.read_at = Seconds(0.0)
         self.level = 0
@@ -131,6 +138,19 @@
         if not batch.remaining_records:
             self.confirmed_at = max(self.confirmed_at, batch.confirmed_at)
 
+    def record_missed(self, batch: RecordBatch, is_snapshot: bool) -> None:
+        """Record which removals a batch may lack, before it is applied.
+
+        Args:
+            batch: The batch.
+            is_snapshot: Whether the records are the newest ones of all keys.
+        """
+        is_continued = self.end > 0 and not is_snapshot
+        if is_continued and (not batch.is_relayed or batch.whole_from is not None):
+            return
+        whole_from = batch.end if batch.whole_from is None else batch.whole_from
+        self.missed.add(self.end, whole_from)
+
     def record_copied_end(self, batch: RecordBatch) -> None:
         """Record which records of the latest era may be copies."""
         era, known_era = era_of(batch.copied_end), era_of(self.copied_end)
@@ -188,6 +208,8 @@
             level=self.level,
             copied_end=self.copied_end,
             knows_removals=self.knows_removals,
+            whole_from=self.missed.end,
+            has_gap=self.missed.has_gap_after(start),
         )
 
 
@@ -233,6 +255,7 @@
             overtaken: Changes of these that take no effect.
         """
         self.topic_records.record_copied_end(batch)
+        self.topic_records.record_missed(batch, is_snapshot)
         stripped = list(strip_rejected(batch.records, changes))
         if is_snapshot:
             self.topic_records.remove_unlisted(
--- a/src/ridgecourse/cluster/target_events.py
+++ b/src/ridgecourse/cluster/target_events.py
@@ -2,20 +2,35 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 from contextlib import contextmanager
+from typing import Any
 
 from ridgecourse.core.ids import TargetId, index_of
 from ridgecourse.core.relisted_targets import HeldTarget
 from ridgecourse.core.target_list import ListedTarget, TargetList, TargetRecord
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
+from ridgecourse.net.record_source import RecordBatch
 
 
 @contextmanager
-def reported_changes(events: EventStream, targets: TargetList) -> Iterator[None]:
-    """Emit events for what changes in a list of targets meanwhile."""
+def reported_changes(
+    events: EventStream, targets: TargetList, batch: RecordBatch
+) -> Iterator[None]:
+    """Emit events for what changes in a list of targets meanwhile.
+
+    Args:
+        events: The event stream.
+        targets: The list.
+        batch: The records that change it.
+    """
     listed, held = dict(targets.targets), dict(targets.relisted.held)
     yield
-    emit_target_events(events, listed, targets.targets)
+    origin = {
+        "lag": round(boottime() - batch.read_at, 3),
+        "level": batch.relay_hops,
+        "end": index_of(batch.end),
+    }
+    emit_target_events(events, listed, targets.targets, origin)
     emit_hold_events(events, held, targets.relisted.held)
 
 
@@ -23,6 +38,7 @@
     events: EventStream,
     before: Mapping[TargetId, ListedTarget],
     after: Mapping[TargetId, ListedTarget],
+    origin: Mapping[str, Any],
 ) -> None:
     """Emit an event for each target that was added, changed or removed.
 
@@ -30,6 +46,7 @@
         events: The event stream.
         before: The previous list, by target.
         after: The current list, by target.
+        origin: Event fields that tell where the change was read.
     """
     for target in after.values():
         known = before.get(target.target)
@@ -43,6 +60,7 @@
                 leaving=target.leaving,
                 started=target.started,
                 models=dict(target.models),
+                **origin,
             )
         elif known.models != target.models or known.layers != target.layers:
             events.emit(
@@ -51,7 +69,7 @@
                 models=dict(target.models),
             )
     for name in [name for name in before if name not in after]:
-        events.emit(EventKind.TARGET_GONE, target=name, why="not listed")
+        events.emit(EventKind.TARGET_GONE, target=name, why="not listed", **origin)
 
 
 def emit_overtaken_events(
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -1,7 +1,7 @@
 """The state that a process reads from the store: decisions and targets."""
 
 from collections.abc import Iterable, Iterator
-from typing import Any
+from typing import Any, NamedTuple
 
 from returns.result import Failure
 
@@ -44,6 +44,18 @@
 outage may return."""
 
 
+class EntryReading(NamedTuple):
+    """What a choice of a target was based on.
+
+    Attributes:
+        offset: Offset of the target's newest entry; None if it is not listed.
+        age: Seconds since the store confirmed the list.
+    """
+
+    offset: Offset | None
+    age: float
+
+
 class ClusterView(NamedVersions):
     """State read from the platform's store.
 
@@ -396,10 +408,18 @@
             # The outage was too short for the reader of the list to detect it.
             self.targets.record_outage_end(now)
         self.targets.keep_removed(Seconds(now + batch.removal_grace_seconds))
+        if batch.has_gap:
+            self.events.emit(
+                EventKind.RECORDS_MISSED,
+                offset=index_of(topic_records.end),
+                topic=Topic.TARGETS.value,
+                whole_from=index_of(batch.whole_from or 0),
+                end=index_of(batch.end),
+            )
         topic_records.record_copied_end(batch)
         self.targets.copied_end = topic_records.copied_end
         change = self.targets.replace if is_snapshot else self.targets.apply
-        with reported_changes(self.events, self.targets):
+        with reported_changes(self.events, self.targets, batch):
             overtaken = change(records, now)
         emit_overtaken_events(self.events, overtaken)
         self.target_filter.apply(batch, records, is_snapshot, overtaken)
@@ -411,6 +431,11 @@
         service = self.config.services.get(name) if self.config else None
         return service is not None and service.cold_per_s > 0.0
 
+    def entry_reading(self, target: TargetId) -> EntryReading:
+        """Return what is known of a target's entry, for the log."""
+        age = self.record_server.topics[Topic.TARGETS].age
+        return EntryReading(self.targets.entry_offset(target), age)
+
     def serving_targets(self, service: ServiceName) -> Iterator[ListedTarget]:
         """Yield the targets of a service to which requests may be sent."""
         return self.targets.of_service(service)
--- a/src/ridgecourse/core/target_list.py
+++ b/src/ridgecourse/core/target_list.py
@@ -387,6 +387,12 @@
             self._drop_removed(target, now)
             yield target
 
+    def entry_offset(self, target: TargetId) -> Offset | None:
+        """Return the offset of a target's newest entry; None if it is not listed."""
+        if target not in self.targets:
+            return None
+        return Offset(self.histories[target].listed_offset)
+
     def of_service(self, service: ServiceName) -> Iterator[ListedTarget]:
         """Yield the targets of a service, except those that leave or are held."""
         for target in self.targets.values():
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -273,6 +273,7 @@
         load, state = self.selector.load(target), self.selector.state(target)
         turn = self._wait_for_limit(routed, choice, incarnation)
         sent_at = boottime()
+        entry = self.view.entry_reading(target.target)
         load.outstanding += 1
         load.pending[routed.call.request_id] = PendingRequest(
             sent_at, choice.prefill_time
@@ -296,7 +297,7 @@
             else:
                 load.outstanding -= 1
                 self.crash_watch.finish(flight)
-        send = Send(routed, choice, incarnation, state, sent_at)
+        send = Send(routed, choice, incarnation, state, sent_at, entry)
         self.recorder.record(send, result)
         return result
 
--- a/src/ridgecourse/gateway/send_recorder.py
+++ b/src/ridgecourse/gateway/send_recorder.py
@@ -4,9 +4,10 @@
 
 from msgspec import Struct, structs
 
+from ridgecourse.cluster.view import EntryReading
 from ridgecourse.core.crash_reports import Flight
 from ridgecourse.core.engine_incarnation import EngineIncarnation
-from ridgecourse.core.ids import Seconds
+from ridgecourse.core.ids import Seconds, index_of
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.placement import FIRST_EVENT_SECONDS
 from ridgecourse.core.target_states import TargetHealth
@@ -48,6 +49,7 @@
         incarnation: Incarnation of the target that got the request.
         state: Health of that incarnation.
         sent_at: When the send began.
+        entry: The target's entry when the send began.
     """
 
     routed: RoutedRequest
@@ -55,6 +57,7 @@
     incarnation: EngineIncarnation
     state: TargetHealth
     sent_at: Seconds
+    entry: EntryReading
 
 
 class SendRecorder:
@@ -145,7 +148,7 @@
         )
 
     def _emit_dispatched(self, send: Send, result: SendResult) -> None:
-        routed, choice = send.routed, send.choice
+        routed, choice, entry = send.routed, send.choice, send.entry
         now = boottime()
         load = self.selector.load(choice.target)
         begin_by = choice.terms.begin_by
@@ -161,6 +164,8 @@
             expected_wait=round(choice.wait, 3),
             load_age=round(now - load.reported_at, 2),
             outstanding=load.outstanding,
+            entry_offset=None if entry.offset is None else index_of(entry.offset),
+            list_age=round(entry.age, 2),
             result=type(result).__name__,
             signature=routed.signature.hex() if isinstance(result, Unknown) else None,
             parts=[part.hex() for part in routed.parts]
--- a/src/ridgecourse/net/events.py
+++ b/src/ridgecourse/net/events.py
@@ -40,6 +40,7 @@
     CHANGE_DECIDED = "change-decided"
     CHECKPOINT_WRITTEN = "checkpoint-written"
     RECORDS_GONE = "records-gone"
+    RECORDS_MISSED = "records-missed"
     STORE_REWOUND = "store-rewound"
     READS_FROM = "reads-from"
     PARENT_AVOIDED = "parent-avoided"
--- a/src/ridgecourse/net/record_source.py
+++ b/src/ridgecourse/net/record_source.py
@@ -73,6 +73,10 @@
         knows_removals: Whether the sending process would hold each key that was present
             at its first full read or later, or the removal of the key. Processes of
             earlier releases do not hold evacuations.
+        whole_from: Offset from which on the sending process knows all removals. None if
+            the records are the store's, or the sender does not tell.
+        has_gap: Whether the sending process may lack removals after the requested
+            offset.
     """
 
     records: Sequence[KeyedRecord]
@@ -88,6 +92,8 @@
     skipped_from: Offset | None = None
     copied_end: Offset = Offset(0)
     knows_removals: bool = False
+    whole_from: Offset | None = None
+    has_gap: bool = False
 
 
 class SourceUnavailable(Exception):
