--- a/tests/platform/test_region_checks.py
+++ b/tests/platform/test_region_checks.py
@@ -15,6 +15,7 @@
 from msgspec import structs
 from test_region_restrictions import decode_config, make_restricted_config
 
+from ridgecourse.cluster.view import EntryReading
 from ridgecourse.core.allowed_regions import RegionRestriction, RequestOrigin
 from ridgecourse.core.engine_load import EngineLoad
 from ridgecourse.core.evacuations import Evacuations
@@ -63,6 +64,7 @@
             layers=None,
         )
         self.view = Mock(config=decode_config(make_restricted_config()))
+        self.view.entry_reading.return_value = EntryReading(None, 0.0)
         self.view.evacuation_records.evacuations = Evacuations()
         self.view.serving_targets.return_value = [target]
         self.view.history.return_value.start_deadline.return_value = None
