Answer a reader that may have missed removals with the whole list

Callers saw requests fail that were sent to an engine seconds after it had left: a gateway read on from one that had just started, and took over its end. The newest records of all keys, with which a process starts, do not show what was removed before; a removal between the two positions was told by nobody. The class: a position in a log taken over from a process that does not have what lies before it.

A process remembers the ranges of the list of which it has read the newest records only, and from which offset on it has dropped removals. A reader whose position is inside such a range gets all records and drops what they lack. Readers outside get changes alone, as before. Nothing more is read from the store. An entry that a complete list has unchanged keeps its newest offset for such readers: one of them may know an earlier removal. A complete list that is older than an entry does not remove it any more.

Tests: a state machine of processes that read the store or one another in any order failed before; replace() takes the end of the list, which four tests now give.

--- a/src/ridgecourse/cluster/record_server.py
+++ b/src/ridgecourse/cluster/record_server.py
@@ -93,11 +93,14 @@
             latest era.
         knows_removals: See ``RecordBatch.knows_removals``.
         missed: Ranges whose removals may be missing from the records.
+        unchanged: The newest records of keys that changed nothing. They are served only
+            where removals may be missing: the reader may know one that came before.
     """
 
     def __init__(self) -> None:
         self.knows_removals = False
         self.missed = MissedRecords()
+        self.unchanged: dict[str, KeyedRecord] = {}
         self.copied_end = Offset(0)
         self.read_at = Seconds(0.0)
         self.level = 0
@@ -119,6 +122,7 @@
     def put(self, record: KeyedRecord) -> None:
         """Store a record as the current one of its key."""
         self.records.pop(record.key, None)
+        self.unchanged.pop(record.key, None)
         self.records[record.key] = record
 
     def put_late(self, record: KeyedRecord) -> None:
@@ -191,13 +195,23 @@
         removed = [record.key for record in empty if not record.broken]
         rejected = [record.key for record in empty if record.broken]
         for key in [*removed[:-MAX_REMOVED_KEYS], *rejected[:-MAX_REMOVED_KEYS]]:
-            del self.records[key]
+            evicted = self.records.pop(key)
+            self.missed.add(Offset(0), Offset(evicted.offset + 1))
 
     def records_since(self, start: Offset) -> RecordsResponse:
-        """Return the records from an offset on, and the late records."""
+        """Return the records from an offset on, and the late records.
+
+        If this process may lack removals after the offset, all records are returned.
+        """
         now = boottime()
+        has_gap = self.missed.has_gap_after(start)
         late = [record for record, end in self.late_records.values() if now < end]
-        newer = [record for record in self.records.values() if record.offset >= start]
+        if has_gap:
+            newer = [*{**self.records, **self.unchanged}.values()]
+        else:
+            newer = [
+                record for record in self.records.values() if record.offset >= start
+            ]
         records = [*newer, *(record for record in late if record.offset < start)]
         records.sort(key=lambda record: record.offset)
         return RecordsResponse(
@@ -209,7 +223,7 @@
             copied_end=self.copied_end,
             knows_removals=self.knows_removals,
             whole_from=self.missed.end,
-            has_gap=self.missed.has_gap_after(start),
+            has_gap=has_gap,
         )
 
 
@@ -283,7 +297,10 @@
             entry = replace(entry, cold_remaining=0.0)
         self.entries[record.key] = entry
         is_listed = known is not None and known.value
-        return not is_listed or entry != before or entry.cold_remaining > 0.0
+        if not is_listed or entry != before or entry.cold_remaining > 0.0:
+            return True
+        self.topic_records.unchanged[record.key] = record
+        return False
 
     def _is_outdated(
         self, record: KeyedRecord, change: TargetRecord, known: KeyedRecord
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -408,6 +408,7 @@
             # The outage was too short for the reader of the list to detect it.
             self.targets.record_outage_end(now)
         self.targets.keep_removed(Seconds(now + batch.removal_grace_seconds))
+        is_snapshot = is_snapshot or batch.has_gap
         if batch.has_gap:
             self.events.emit(
                 EventKind.RECORDS_MISSED,
@@ -418,9 +419,11 @@
             )
         topic_records.record_copied_end(batch)
         self.targets.copied_end = topic_records.copied_end
-        change = self.targets.replace if is_snapshot else self.targets.apply
         with reported_changes(self.events, self.targets, batch):
-            overtaken = change(records, now)
+            if is_snapshot:
+                overtaken = self.targets.replace(records, now, batch.end)
+            else:
+                overtaken = self.targets.apply(records, now)
         emit_overtaken_events(self.events, overtaken)
         self.target_filter.apply(batch, records, is_snapshot, overtaken)
         self.record_server.changed.notify()
--- a/src/ridgecourse/core/target_list.py
+++ b/src/ridgecourse/core/target_list.py
@@ -343,13 +343,15 @@
             del self.histories[target]
 
     def replace(
-        self, records: Iterable[TargetRecord], now: Seconds
+        self, records: Iterable[TargetRecord], now: Seconds, end: Offset
     ) -> Sequence[TargetRecord]:
         """Replace the whole list; targets without a record are removed.
 
         Args:
             records: One record for each target of the new list.
             now: Current time.
+            end: Offset up to which the new list was read. Targets with later entries
+                are kept.
 
         Returns:
             What ``apply`` returns.
@@ -357,8 +359,9 @@
         listed = list(records)
         overtaken = self.apply(listed, now, is_recent=False)
         present = {record.target for record in listed}
-        for target in [target for target in self.targets if target not in present]:
-            self._remove(target, now)
+        unlisted = [target for target in self.targets if target not in present]
+        removals = [TargetRecord(target, Offset(end - 1), None) for target in unlisted]
+        self.apply(removals, now)
         return overtaken
 
     def _remove(self, target: TargetId, now: Seconds) -> None:
--- a/src/ridgecourse/net/record_source.py
+++ b/src/ridgecourse/net/record_source.py
@@ -76,7 +76,7 @@
         whole_from: Offset from which on the sending process knows all removals. None if
             the records are the store's, or the sender does not tell.
         has_gap: Whether the sending process may lack removals after the requested
-            offset.
+            offset. The records are then those of all keys.
     """
 
     records: Sequence[KeyedRecord]
--- a/tests/platform/test_known_incarnations.py
+++ b/tests/platform/test_known_incarnations.py
@@ -309,7 +309,7 @@
 def test_a_snapshot_with_an_earlier_incarnation_keeps_the_new_one() -> None:
     targets = TargetList()
     targets.apply([TargetRecord(ENGINE, Offset(1), make_target(7))], NOW)
-    targets.replace([TargetRecord(ENGINE, Offset(2), make_target(5))], NOW)
+    targets.replace([TargetRecord(ENGINE, Offset(2), make_target(5))], NOW, Offset(3))
     assert targets.targets[ENGINE] == make_target(7)
 
 
--- a/tests/platform/test_late_heartbeats.py
+++ b/tests/platform/test_late_heartbeats.py
@@ -85,7 +85,7 @@
     targets.apply([Write(1, 3).record, Write(2, 9).record], NOW)
     copied = Write(make_offset(1, 1), 3, leaving=True)
     targets.copied_end = Offset(make_offset(1, 2))
-    targets.replace([copied.record], NOW)
+    targets.replace([copied.record], NOW, targets.copied_end)
     assert not targets.targets[ENGINE].leaving
     removal = Write(make_offset(1, 2)).record
     targets.apply([removal, Write(make_offset(1, 3), 8).record], Seconds(NOW + 60))
--- a/tests/platform/test_target_list_eras.py
+++ b/tests/platform/test_target_list_eras.py
@@ -131,7 +131,7 @@
             for target, (index, word) in newest.items()
             if word.kind != "gone"
         }
-        self.list.replace(records.values(), NOW)
+        self.list.replace(records.values(), NOW, end)
         for target in records:
             self.hear(target, newest[target][1])
 
--- a/tests/platform/test_targets.py
+++ b/tests/platform/test_targets.py
@@ -131,7 +131,7 @@
         for number, target_id in enumerate(TARGET_IDS)
     ]
     targets.apply(initial_records, Seconds(0.0))
-    targets.replace(initial_records[:2], Seconds(10.0))
+    targets.replace(initial_records[:2], Seconds(10.0), Offset(9))
     assert set(targets.targets) == set(TARGET_IDS[:2])
 
 
@@ -143,7 +143,7 @@
     ]
     targets.apply(initial_records, Seconds(0.0))
     targets.record_outage_end(Seconds(10.0))
-    targets.replace(initial_records[:2], Seconds(10.1))
+    targets.replace(initial_records[:2], Seconds(10.1), Offset(9))
     assert set(targets.targets) == set(TARGET_IDS)
     returned_record = TargetRecord(TARGET_IDS[2], Offset(9), make_target(TARGET_IDS[2]))
     targets.apply([returned_record], Seconds(11.0))
