Ask the list once more before a request is written

A request could be written to an engine whose removal, or leaving, the gateway had read meanwhile: a target is chosen, then the request may be held for up to 0.25 s and the connection may take 0.3 s. The last check asked for evacuations, rests and announcements, but not for the list. Class: a choice that is older than what is known when it is carried out.

The check now asks whether the target is still listed, does not leave and is not held; if it is not, the request goes to another target or is refused as not run. Both tests of test_removal_before_write.py failed before: the request was sent. Found by reading, while the delays from the store to an engine were added up; it was not seen in the users' record.

--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -443,6 +443,10 @@
         """Yield the targets of a service to which requests may be sent."""
         return self.targets.of_service(service)
 
+    def is_serving(self, target: TargetId) -> bool:
+        """Check whether requests may still be sent to a target."""
+        return self.targets.is_serving(target)
+
     def is_ready(self) -> bool:
         """Check whether requests can be served."""
         return self.config is not None and self.targets_loaded
--- a/src/ridgecourse/core/target_list.py
+++ b/src/ridgecourse/core/target_list.py
@@ -399,9 +399,16 @@
     def of_service(self, service: ServiceName) -> Iterator[ListedTarget]:
         """Yield the targets of a service, except those that leave or are held."""
         for target in self.targets.values():
-            if target.service == service and not target.leaving:
-                if target.target not in self.relisted.held:
-                    yield target
+            if target.service == service and self._is_usable(target):
+                yield target
+
+    def is_serving(self, target: TargetId) -> bool:
+        """Check whether a target is listed, and neither leaves nor is held."""
+        listed = self.targets.get(target)
+        return listed is not None and self._is_usable(listed)
+
+    def _is_usable(self, target: ListedTarget) -> bool:
+        return not target.leaving and target.target not in self.relisted.held
 
 
 def is_overtaken(
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -309,6 +309,8 @@
             return Exclusion(ExclusionReason.SUSPECT)
         if not self._allows_send(routed, terms):
             return Exclusion(ExclusionReason.RETRY_BUDGET)
+        if not self.view.is_serving(target.target):
+            return Exclusion(ExclusionReason.LEAVING)
         requirements = self._requirements(routed, terms, (), max_hold=0.0)
         return self.selector.eligibility.check_send(requirements, target, boottime())
 
