Ask a target whose removal is disbelieved whether it leaves

Callers saw requests fail 2.0 to 2.9 s after an engine had left, two or three from one gateway at a time. For 2 s after an outage of the store removals are kept, since entries lapse in an outage. A gateway that the store refuses for a quarter of a second takes that for an outage, and so does each gateway that reads from it. Class: trouble of one process that is taken for trouble of the store, and a doubt that only time resolves.

A gateway now asks each removed target that it keeps for its health, at most 32 at a time, and drops one that answers that it leaves. One that answers nothing usable, or accepts no connection, is kept as before: its link may be broken, and no request reaches it. A target that runs is asked once.

--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -174,14 +174,17 @@
             if boottime() >= self.targets.kept_until:
                 self.targets_reader.pause = self.targets_pause
             for target in self.targets.expire(boottime()):
-                self.events.emit(
-                    EventKind.TARGET_GONE, target=target, why="not back after outage"
-                )
+                self._emit_gone(target, "not back after outage")
             self._release_held()
 
+    def _emit_gone(self, target: TargetId, why: str) -> None:
+        self.events.emit(EventKind.TARGET_GONE, target=target, why=why)
+
     def record_health(self, target: TargetId, answer: HealthAnswer) -> None:
-        """Record what a target that is held answered to a health check."""
-        self.targets.relisted.record_answer(target, answer)
+        """Record what a target that is held or was removed answered for its health."""
+        if self.targets.record_health(target, answer, boottime()):
+            self._emit_gone(target, "leaves after an outage")
+            self.changed.notify()
         self._release_held()
 
     def _release_held(self) -> None:
--- a/src/ridgecourse/core/relisted_targets.py
+++ b/src/ridgecourse/core/relisted_targets.py
@@ -51,11 +51,13 @@
 
     HEALTHY: It runs and does not leave.
     UNHEALTHY: It leaves or has failed, or another process has its address.
+    UNREACHABLE: Nothing accepts connections at its address.
     UNKNOWN: It gave no usable answer.
     """
 
     HEALTHY = "healthy"
     UNHEALTHY = "unhealthy"
+    UNREACHABLE = "unreachable"
     UNKNOWN = "unknown"
 
 
@@ -149,7 +151,7 @@
         """Return until when a target is held, by what is known of it."""
         heartbeats_end = held.listed_at + MISSED_HEARTBEATS * self.heartbeat_seconds
         removal_due = heartbeats_end + REMOVAL_SECONDS
-        if held.answer is HealthAnswer.UNHEALTHY:
+        if held.answer in (HealthAnswer.UNHEALTHY, HealthAnswer.UNREACHABLE):
             return removal_due
         is_held_up = held.timing is EntryTiming.HELD_UP
         if held.answer is HealthAnswer.HEALTHY and not is_held_up:
--- a/src/ridgecourse/core/target_list.py
+++ b/src/ridgecourse/core/target_list.py
@@ -24,6 +24,7 @@
     may_be_outdated,
 )
 from ridgecourse.core.relisted_targets import (
+    HealthAnswer,
     KnownSequence,
     RelistedTargets,
     RelistingEntry,
@@ -384,6 +385,23 @@
         self.removed.pop(target, None)
         self.relisted.drop(target)
 
+    def record_health(
+        self, target: TargetId, answer: HealthAnswer, now: Seconds
+    ) -> bool:
+        """Record what a target that is held or was removed answered for its health.
+
+        A removed target that cannot be reached may be behind a broken link. No request
+        reaches it either, so that its removal need not count sooner.
+
+        Returns:
+            Whether a removed target that was kept is dropped: it does leave.
+        """
+        self.relisted.record_answer(target, answer)
+        if target not in self.removed or answer is not HealthAnswer.UNHEALTHY:
+            return False
+        self._drop_removed(target, now)
+        return True
+
     def expire(self, now: Seconds) -> Iterator[TargetId]:
         """Drop and yield the removed targets that were not listed again in time."""
         for target in [target for target, end in self.removed.items() if end <= now]:
--- a/src/ridgecourse/gateway/relisted_watch.py
+++ b/src/ridgecourse/gateway/relisted_watch.py
@@ -1,7 +1,12 @@
-"""Asks targets that were listed again for their health before they are used."""
+"""Asks targets for their health if the list does not show whether they run.
 
-from collections.abc import Callable
+These are the targets that were listed again and are held, and those that were removed
+but are kept, since the removal may be due to an outage of the store.
+"""
+
+from collections.abc import Callable, Iterator
 from contextlib import closing
+from itertools import islice
 from random import Random
 
 import eventlet
@@ -10,7 +15,7 @@
 from ridgecourse.core.ids import Seconds, TargetId
 from ridgecourse.core.relisted_targets import HealthAnswer
 from ridgecourse.core.site import Site
-from ridgecourse.core.target_list import ListedTarget
+from ridgecourse.core.target_list import RETURN_SECONDS, ListedTarget
 from ridgecourse.gateway.protocol import RequestProtocol
 from ridgecourse.net.address import parse_address
 from ridgecourse.net.clock import boottime
@@ -24,12 +29,14 @@
 gateway asks by itself, and all learn at about the same time that it was listed."""
 MAX_SPREAD_SECONDS = 1.2
 """Longest time over which the first health checks of all gateways are spread."""
+MAX_REMOVED_ASKED = 32
+"""Most removed targets that are asked at a time. An outage may remove all targets."""
 TIMEOUT_SECONDS = 0.35
 """Longest wait for an answer to a health check."""
 
 
 class RelistedWatch:
-    """Asks the targets that are held after their return for their health.
+    """Asks the targets that are held, or kept after their removal, for their health.
 
     Attributes:
         site: Settings of the process.
@@ -57,7 +64,7 @@
         self.thread: eventlet.greenthread.GreenThread | None = None
 
     def start(self) -> None:
-        """Start to ask the targets that are held."""
+        """Start to ask the targets."""
         self.thread = spawn_loop(self._run)
 
     def close(self) -> None:
@@ -67,18 +74,31 @@
 
     def _run(self) -> None:
         while True:
-            held = self.view.targets.relisted.held
-            for name in held.keys() - self.asked:
-                target = self.view.targets.targets.get(name)
-                if target is not None:
+            targets = self.view.targets
+            for name in [*self._select_unasked()]:
+                if name in targets.targets:
                     self.asked.add(name)
-                    eventlet.spawn_n(self._ask_and_pause, target)
-            self.view.changed.wait(ASK_AGAIN_SECONDS if held else None)
+                    eventlet.spawn_n(self._ask_and_pause, targets.targets[name])
+            is_in_doubt = targets.relisted.held or targets.removed
+            self.view.changed.wait(ASK_AGAIN_SECONDS if is_in_doubt else None)
+
+    def _select_unasked(self) -> Iterator[TargetId]:
+        """Yield the targets to ask now."""
+        targets = self.view.targets
+        yield from targets.relisted.held.keys() - self.asked
+        free = MAX_REMOVED_ASKED - len(targets.removed.keys() & self.asked)
+        unasked = (name for name in targets.removed if name not in self.asked)
+        yield from islice(unasked, max(0, free))
 
     def _ask_and_pause(self, target: ListedTarget) -> None:
         try:
             eventlet.sleep(self._start_delay())
-            self.view.record_health(target.target, self._ask(target))
+            answer = self._ask(target)
+            self.view.record_health(target.target, answer)
+            is_kept = target.target in self.view.targets.removed
+            if is_kept and answer is HealthAnswer.HEALTHY:
+                # The target runs; it is not asked again before its removal counts.
+                eventlet.sleep(RETURN_SECONDS)
             eventlet.sleep(ASK_AGAIN_SECONDS)
         finally:
             self.asked.discard(target.target)
@@ -101,8 +121,7 @@
                 exchange.send("GET", service.health_path, [("Host", host)], None)
                 response = exchange.receive_head()
             except NotSent:
-                # Nothing accepts connections at the address.
-                return HealthAnswer.UNHEALTHY
+                return HealthAnswer.UNREACHABLE
             except ExchangeBroken:
                 return HealthAnswer.UNKNOWN
             return self.protocol.decode_health(response, target.target)
