--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -1,21 +1,25 @@
 """The state that a process reads from the store: decisions and targets."""
 
 from collections.abc import Iterable, Iterator
-from typing import Any, NamedTuple
+from typing import Any
 
 from returns.result import Failure
 
 from ridgecourse.cluster.decoder import RecordDecoder
 from ridgecourse.cluster.era_watch import EraWatch
 from ridgecourse.cluster.evacuation_records import EvacuationRecords
-from ridgecourse.cluster.invalid_records import InvalidRecords, find_unknown_services
 from ridgecourse.cluster.pinned_decisions import DecisionPins, PinnedDecisionSource
-from ridgecourse.cluster.record_server import RecordServer, TargetChangeFilter
-from ridgecourse.cluster.target_events import (
+from ridgecourse.cluster.record_events import (
+    EntryReading,
+    InvalidRecords,
     emit_hold_events,
+    emit_missed_records,
     emit_overtaken_events,
+    find_unknown_services,
     reported_changes,
 )
+from ridgecourse.cluster.record_server import RecordServer
+from ridgecourse.cluster.target_filter import TargetChangeFilter
 from ridgecourse.core.ids import (
     Offset,
     Seconds,
@@ -44,18 +48,6 @@
 outage may return."""
 
 
-class EntryReading(NamedTuple):
-    """What a choice of a target was based on.
-
-    Attributes:
-        offset: Offset of the target's newest entry; None if it is not listed.
-        age: Seconds since the store confirmed the list.
-    """
-
-    offset: Offset | None
-    age: float
-
-
 class ClusterView(NamedVersions):
     """State read from the platform's store.
 
@@ -413,13 +405,7 @@
         self.targets.keep_removed(Seconds(now + batch.removal_grace_seconds))
         is_snapshot = is_snapshot or batch.has_gap
         if batch.has_gap:
-            self.events.emit(
-                EventKind.RECORDS_MISSED,
-                offset=index_of(topic_records.end),
-                topic=Topic.TARGETS.value,
-                whole_from=index_of(batch.whole_from or 0),
-                end=index_of(batch.end),
-            )
+            emit_missed_records(self.events, topic_records.end, batch)
         topic_records.record_copied_end(batch)
         self.targets.copied_end = topic_records.copied_end
         with reported_changes(self.events, self.targets, batch):
@@ -446,10 +432,6 @@
         """Yield the targets of a service to which requests may be sent."""
         return self.targets.of_service(service)
 
-    def is_serving(self, target: TargetId) -> bool:
-        """Check whether requests may still be sent to a target."""
-        return self.targets.is_serving(target)
-
     def is_ready(self) -> bool:
         """Check whether requests can be served."""
         return self.config is not None and self.targets_loaded
--- a/src/ridgecourse/gateway/dispatcher.py
+++ b/src/ridgecourse/gateway/dispatcher.py
@@ -26,7 +26,6 @@
 from ridgecourse.gateway.crash_watch import CrashWatch
 from ridgecourse.gateway.load_watcher import LoadWatcher
 from ridgecourse.gateway.protocol import RequestProtocol
-from ridgecourse.gateway.refusals import explain_refusal
 from ridgecourse.gateway.retry_control import RetryControl
 from ridgecourse.gateway.selection import (
     MAX_LIMIT_DELAY_SECONDS,
@@ -42,6 +41,7 @@
     Stream,
     Unknown,
     Whole,
+    explain_refusal,
     time_left,
 )
 from ridgecourse.gateway.terms import Terms
@@ -309,7 +309,7 @@
             return Exclusion(ExclusionReason.SUSPECT)
         if not self._allows_send(routed, terms):
             return Exclusion(ExclusionReason.RETRY_BUDGET)
-        if not self.view.is_serving(target.target):
+        if not self.view.targets.is_serving(target.target):
             return Exclusion(ExclusionReason.LEAVING)
         requirements = self._requirements(routed, terms, (), max_hold=0.0)
         return self.selector.eligibility.check_send(requirements, target, boottime())
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -20,8 +20,14 @@
 from ridgecourse.gateway.dispatcher import Dispatcher
 from ridgecourse.gateway.messages import ClientRequest
 from ridgecourse.gateway.protocol import RequestProtocol
-from ridgecourse.gateway.refusals import NO_TARGET_REASONS
-from ridgecourse.gateway.sender import NotRun, RoutedRequest, Stream, Whole, time_left
+from ridgecourse.gateway.sender import (
+    NO_TARGET_REASONS,
+    NotRun,
+    RoutedRequest,
+    Stream,
+    Whole,
+    time_left,
+)
 from ridgecourse.gateway.stream_relay import AnswerDetail, StreamRelay
 from ridgecourse.gateway.terms import UNKNOWN_SERVICE, Rejection, Terms, find_terms
 from ridgecourse.net.clock import boottime
--- a/src/ridgecourse/gateway/send_recorder.py
+++ b/src/ridgecourse/gateway/send_recorder.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct, structs
 
-from ridgecourse.cluster.view import EntryReading
+from ridgecourse.cluster.record_events import EntryReading
 from ridgecourse.core.crash_reports import Flight
 from ridgecourse.core.engine_incarnation import EngineIncarnation
 from ridgecourse.core.ids import Seconds, index_of
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -1,12 +1,13 @@
 """Send one request to one target and classify the result."""
 
 from collections.abc import Callable, Iterator, Mapping
+from random import Random
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 from ridgecourse.core.allowed_regions import RegionRestriction
 from ridgecourse.core.crash_reports import Flight
-from ridgecourse.core.eligibility import Exclusion
+from ridgecourse.core.eligibility import Exclusion, ExclusionSummary
 from ridgecourse.core.engine_load import EngineLoad
 from ridgecourse.core.ids import (
     AccountName,
@@ -18,9 +19,10 @@
 )
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.recent_peak import RecentPeak
+from ridgecourse.core.retry import return_delay_seconds
 from ridgecourse.core.target_list import ListedTarget
 from ridgecourse.gateway.announcement_watch import AttemptGuard
-from ridgecourse.gateway.constraints import refusal_reason
+from ridgecourse.gateway.constraints import HOLD_REASONS, refusal_reason
 from ridgecourse.gateway.event_stream import (
     EventReader,
     StreamEvent,
@@ -44,6 +46,8 @@
 RETURN_MARGIN_SECONDS = 0.02
 """Part of the deadline reserved for the transfer of the answer to the client."""
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
+NO_TARGET_REASONS = (Reason.NO_TARGET, Reason.WRONG_TARGET, Reason.LEAVING)
+"""Reasons of refusals for which no target could serve the request at all."""
 
 
 class RoutedRequest(Struct):
@@ -277,6 +281,37 @@
     return NotRun(refusal_reason(exclusion.reason), detail, arrived=False)
 
 
+def explain_refusal(
+    refusal: NotRun, summary: ExclusionSummary | None, now: Seconds, random: Random
+) -> NotRun:
+    """Return a refusal with the reasons for which no target is eligible.
+
+    If a target may become eligible at a known time, the client may retry after it,
+    unless the refusal names another delay.
+
+    Args:
+        refusal: The refusal, or the last one of several attempts.
+        summary: Why no target is eligible; None if a target is.
+        now: Current time.
+        random: Random number generator for the jitter of the delay.
+    """
+    if summary is None:
+        return refusal
+    if refusal.reason in NO_TARGET_REASONS and HOLD_REASONS & summary.counts.keys():
+        refusal = structs.replace(
+            refusal, reason=Reason.OVERLOADED, detail=str(summary)
+        )
+    elif refusal.reason is Reason.NO_TARGET:
+        refusal = structs.replace(refusal, detail=str(summary))
+    come_back = refusal.come_back
+    seconds_left = summary.seconds_left(now)
+    if come_back is None and seconds_left:
+        come_back = return_delay_seconds(seconds_left, random)
+    return structs.replace(
+        refusal, come_back=come_back, excluded=summary.counts_by_name()
+    )
+
+
 def _prepend(
     first_event: StreamEvent | None, remainder: Iterator[StreamEvent]
 ) -> Iterator[StreamEvent]:
--- a/tests/platform/test_cold_records.py
+++ b/tests/platform/test_cold_records.py
@@ -16,7 +16,8 @@
 from returns.result import Failure
 from test_cold_engines import make_entry
 
-from ridgecourse.cluster.record_server import TargetChangeFilter, TopicRecords
+from ridgecourse.cluster.record_server import TopicRecords
+from ridgecourse.cluster.target_filter import TargetChangeFilter
 from ridgecourse.core.cold_engines import ColdStatement
 from ridgecourse.core.engine_load import EngineStatus
 from ridgecourse.core.ids import Offset, Seconds, TargetId, WeightsVersion
--- a/tests/platform/test_region_checks.py
+++ b/tests/platform/test_region_checks.py
@@ -15,7 +15,7 @@
 from msgspec import structs
 from test_region_restrictions import decode_config, make_restricted_config
 
-from ridgecourse.cluster.view import EntryReading
+from ridgecourse.cluster.record_events import EntryReading
 from ridgecourse.core.allowed_regions import RegionRestriction, RequestOrigin
 from ridgecourse.core.engine_load import EngineLoad
 from ridgecourse.core.evacuations import Evacuations
--- a/tests/platform/test_removal_before_write.py
+++ b/tests/platform/test_removal_before_write.py
@@ -25,7 +25,7 @@
 
 
 def remove_engine(site: DispatcherSite) -> None:
-    site.view.is_serving.return_value = False
+    site.view.targets.is_serving.return_value = False
 
 
 def assert_not_sent(result: SendResult, engine: EngineStandIn) -> None:
--- a/tests/platform/test_target_reads.py
+++ b/tests/platform/test_target_reads.py
@@ -16,7 +16,8 @@
 from msgspec.json import encode
 from test_domain_reads import GATEWAYS, DomainSite
 
-from ridgecourse.cluster.record_server import TargetChangeFilter, TopicRecords
+from ridgecourse.cluster.record_server import TopicRecords
+from ridgecourse.cluster.target_filter import TargetChangeFilter
 from ridgecourse.core.ids import Offset, Seconds
 from ridgecourse.net.record_source import KeyedRecord, RecordBatch
 from ridgecourse.platform.names import TARGETS_TOPIC
