--- a/src/ridgecourse/core/relisted_targets.py
+++ b/src/ridgecourse/core/relisted_targets.py
@@ -11,7 +11,7 @@
 
 from msgspec import Struct
 
-from ridgecourse.core.ids import Seconds, TargetId
+from ridgecourse.core.ids import EngineStart, Seconds, TargetId
 
 DEFAULT_HEARTBEAT_SECONDS = 1.2
 """Usual interval between two heartbeats of a target where the settings name none."""
@@ -75,6 +75,32 @@
     is_recent: bool = False
 
 
+class TargetHistory(Struct):
+    """What the records say about one target, listed or not.
+
+    Attributes:
+        started: Start of the latest incarnation; None if no start was reported.
+        known: Highest sequence of the entries of the latest incarnation.
+        listed_offset: Offset of the newest applied entry. The entry of a later
+            incarnation may have a lower offset.
+        removed_offset: Offset of the newest removal.
+        leaving_offset: Offset of the newest entry of the latest incarnation that says
+            that it leaves.
+        earlier_offset: Offset of the newest record of an era before that of the listed
+            entry.
+        removed_at: Time at which the target was dropped after its removal; None if it
+            is listed, or was never listed.
+    """
+
+    started: EngineStart | None = None
+    known: KnownSequence = KnownSequence()
+    listed_offset: int = -1
+    removed_offset: int = -1
+    leaving_offset: int = -1
+    earlier_offset: int = -1
+    removed_at: Seconds | None = None
+
+
 class RelistingEntry(Struct, frozen=True):
     """An entry that lists a target again after its removal.
 
--- a/src/ridgecourse/core/target_list.py
+++ b/src/ridgecourse/core/target_list.py
@@ -28,6 +28,7 @@
     KnownSequence,
     RelistedTargets,
     RelistingEntry,
+    TargetHistory,
 )
 
 RETURN_SECONDS = 2.0
@@ -133,32 +134,6 @@
     sequence: int = 0
 
 
-class TargetHistory(Struct):
-    """What the records say about one target, listed or not.
-
-    Attributes:
-        started: Start of the latest incarnation; None if no start was reported.
-        known: Highest sequence of the entries of the latest incarnation.
-        listed_offset: Offset of the newest applied entry. The entry of a later
-            incarnation may have a lower offset.
-        removed_offset: Offset of the newest removal.
-        leaving_offset: Offset of the newest entry of the latest incarnation that says
-            that it leaves.
-        earlier_offset: Offset of the newest record of an era before that of the listed
-            entry.
-        removed_at: Time at which the target was dropped after its removal; None if it
-            is listed, or was never listed.
-    """
-
-    started: EngineStart | None = None
-    known: KnownSequence = KnownSequence()
-    listed_offset: int = -1
-    removed_offset: int = -1
-    leaving_offset: int = -1
-    earlier_offset: int = -1
-    removed_at: Seconds | None = None
-
-
 class TargetList:
     """The listed targets by identity.
 
