Doubt a removal only where the list itself was not confirmed

A gateway that the store refused for a second passed its doubt in removals on to those that read from it, and these to others. A lost read of decisions had the same effect for as long as it lasted.

A process now takes over the doubt of another one only if the store has not confirmed its own list for 1.4 s, the age from which it would not rely on that process either. Otherwise the list was read in the time of the alleged outage. A lost read of decisions says nothing about the list. A list that arrives from a peer while the process cannot read it is doubted, which was so only while the decisions could not be read either.

--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -18,7 +18,7 @@
     find_unknown_services,
     reported_changes,
 )
-from ridgecourse.cluster.record_server import RecordServer
+from ridgecourse.cluster.record_server import STALE_SECONDS, RecordServer
 from ridgecourse.cluster.target_filter import TargetChangeFilter
 from ridgecourse.core.ids import (
     Offset,
@@ -134,7 +134,6 @@
         kill_threads(self.threads)
 
     def _record_decisions_restored(self, outage_seconds: float) -> None:
-        self.targets.record_outage_end(boottime())
         self.events.emit(
             EventKind.LOG_BACK, topic="decisions", away=round(outage_seconds, 2)
         )
@@ -399,10 +398,13 @@
         for problem in [*problems, *find_unknown_services(records, self.config)]:
             self.invalid_records.record(Topic.TARGETS, problem)
         now = boottime()
-        if self.decisions_reader.unavailable_since is not None:
-            # The outage was too short for the reader of the list to detect it.
+        if self.targets_reader.unavailable_since is not None:
+            # Another process has sent the records in an outage.
             self.targets.record_outage_end(now)
-        self.targets.keep_removed(Seconds(now + batch.removal_grace_seconds))
+        elif topic_records.age > STALE_SECONDS:
+            # Otherwise the store has confirmed the list in the time in which the
+            # sending process could not read it.
+            self.targets.keep_removed(Seconds(now + batch.removal_grace_seconds))
         is_snapshot = is_snapshot or batch.has_gap
         if batch.has_gap:
             emit_missed_records(self.events, topic_records.end, batch)
--- a/tests/platform/test_disbelieved_removals.py
+++ b/tests/platform/test_disbelieved_removals.py
@@ -25,9 +25,11 @@
 )
 
 from ridgecourse.cluster.peer_records import to_batch
-from ridgecourse.core.ids import TargetId
+from ridgecourse.cluster.record_server import STALE_SECONDS
+from ridgecourse.core.ids import Seconds, TargetId
 from ridgecourse.core.relisted_targets import HealthAnswer
 from ridgecourse.core.target_list import RETURN_SECONDS
+from ridgecourse.net.clock import boottime
 from ridgecourse_standins.platform.engine import ReceivedRequest
 
 GATEWAY_HOST = "127.0.0.1"
@@ -86,12 +88,18 @@
     return event.get("kind") == "target-gone" and event.get("target") == LISTED
 
 
-def read_removal_in_doubt(log: Log) -> Reader:
-    """Return a reader whose parent ignores removals after an outage."""
+def read_removal_in_doubt(log: Log, silent_seconds: float) -> Reader:
+    """Return a reader whose parent ignores removals after an outage.
+
+    Args:
+        log: The list, with the engine.
+        silent_seconds: Time since the store last confirmed the list of the reader.
+    """
     parent, reader = start_reader(log), start_reader(log)
     log.remove(LISTED)
     parent.read_store(log)
     batch = to_batch(parent.answer(reader.position))
+    reader.records.confirmed_at = Seconds(boottime() - silent_seconds)
     reader.view.apply_targets(
         replace(batch, removal_grace_seconds=RETURN_SECONDS), False
     )
@@ -112,7 +120,34 @@
 ) -> None:
     log = Log()
     log.put(LISTED)
-    reader = read_removal_in_doubt(log)
+    reader = read_removal_in_doubt(log, STALE_SECONDS + 0.5)
     assert reader.listed == {LISTED}
     reader.view.record_health(TargetId(LISTED), answer)
     assert reader.listed == ({LISTED} if is_kept else set())
+
+
+def test_process_whose_list_was_confirmed_takes_over_no_disbelief() -> None:
+    log = Log()
+    log.put(LISTED)
+    assert read_removal_in_doubt(log, STALE_SECONDS - 0.5).listed == set()
+
+
+def test_lost_read_of_decisions_raises_no_doubt_in_a_removal() -> None:
+    log = Log()
+    log.put(LISTED)
+    reader = start_reader(log)
+    reader.view.decisions_reader.unavailable_since = boottime()
+    log.remove(LISTED)
+    reader.read_store(log)
+    assert reader.listed == set()
+
+
+def test_removal_that_is_read_while_the_list_cannot_be_read_is_kept() -> None:
+    log = Log()
+    log.put(LISTED)
+    reader, peer = start_reader(log), start_reader(log)
+    log.remove(LISTED)
+    peer.read_store(log)
+    reader.view.targets_reader.unavailable_since = boottime()
+    reader.ask_in_outage(peer)
+    assert reader.listed == {LISTED}
