--- a/src/ridgecourse/core/relisted_targets.py
+++ b/src/ridgecourse/core/relisted_targets.py
@@ -1,4 +1,4 @@
-"""Targets that were listed again after their removal, and when they may be used.
+"""What is known of earlier entries of targets, and when one that is back may be used.
 
 A heartbeat that is held up on its way to the store lists a target again that has left.
 The store makes no record of a heartbeat that changes nothing, so that the last known
--- a/tests/platform/test_leaving_soak.py
+++ b/tests/platform/test_leaving_soak.py
@@ -8,13 +8,13 @@
 
 import socket
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from os import environ
 from pathlib import Path
 from random import Random
 from threading import Event, Lock, Thread
 from time import monotonic, sleep
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import pytest
 from gateway_site import receive_response
@@ -33,6 +33,7 @@
 """Time for which a gateway must have been left alone for its sends to count."""
 LINGER_SECONDS = 3.0
 """Time beyond the drain bound for which an engine that leaves accepts requests."""
+CONNECT_SECONDS = 3.0
 RUN_SECONDS = 24.0
 SETTLE_SECONDS = 3.0
 ENGINE_COUNT = 4
@@ -41,6 +42,8 @@
 """Mean time between two engines that leave; another one joins each time."""
 GATEWAY_INTERVAL_SECONDS = 1.5
 """Mean time between two disruptions of gateways, which may overlap."""
+JOIN_SECONDS = 20.0
+"""Longest wait for the end of each thread after the run."""
 HEALTH_PATH = "/healthz"
 
 
@@ -116,9 +119,8 @@
 
     Attributes:
         host: Its host.
-        is_disrupted: Whether something happens to it now.
-        calm_since: End of the last disruption.
-        disruptions: Start and end of each disruption.
+        lock: Held while something happens to it.
+        disruptions: Start and end of each disruption, the time before the run included.
     """
 
     def __init__(self, host: str) -> None:
@@ -162,7 +164,7 @@
             for number in range(CLIENTS_PER_GATEWAY):
                 self.spawn(self.run_client, gateway.host, number)
 
-    def spawn(self, function, *arguments) -> None:
+    def spawn(self, function: Callable[..., None], *arguments: Any) -> None:
         thread = Thread(target=function, args=arguments, daemon=True)
         self.threads.append(thread)
         thread.start()
@@ -193,8 +195,8 @@
         says_so, pause = self.random.random() < 0.5, self.random.uniform(0.0, 3.0)
         self.counts["engines that say so" if says_so else "engines that do not"] += 1
         self.add_engine()
-        # Set here, so that no engine is chosen twice.
         self.spawn(leaving.leave, says_so, pause)
+        # So that no engine is chosen twice.
         self.site.wait_until(lambda: leaving.left_at is not None)
 
     def _disrupt_gateway(self) -> None:
@@ -211,7 +213,12 @@
             self.counts[kind] += 1
             self.spawn(self._run_disruption, gateway, kinds[kind], seconds)
 
-    def _run_disruption(self, gateway: GatewayRecord, disrupt, seconds: float) -> None:
+    def _run_disruption(
+        self,
+        gateway: GatewayRecord,
+        disrupt: Callable[[str, float], None],
+        seconds: float,
+    ) -> None:
         started_at = monotonic()
         gateway.disruptions.append((started_at, float("inf")))
         try:
@@ -267,10 +274,9 @@
                     connection.close()
                 connection = None
 
-    def _connect(self, host: str):
+    def _connect(self, host: str) -> socket.socket:
         address, _, port = self.site.listen_address(host, "frontend")
-        connection = socket.create_connection((address, int(port)), 3.0)
-        return connection
+        return socket.create_connection((address, int(port)), CONNECT_SECONDS)
 
     def find_late(self) -> Iterator[str]:
         """Yield a description of each request that reached an engine too late."""
@@ -294,7 +300,7 @@
     def close(self) -> None:
         self.stopped.set()
         for thread in self.threads:
-            thread.join(20.0)
+            thread.join(JOIN_SECONDS)
 
 
 @pytest.fixture
