Let many processes connect to the stand-in of the store at once

By its time line three gateways did not know the kind of their start 1.3 to 1.5 s after it (retry-denied, start=unknown), since their first reads of the stand-in had failed; their refused requests got no retry. The stand-in kept a queue of five connections; what comes beyond is dropped and tried again after 1 s, the time after which a process gives up. The machine counted 44 such drops in 70 minutes. That they were these is suspected, not shown.

The queue has 128 places now. Programs, checks and bounds are unchanged.

--- a/src/ridgecourse_standins/platform/store.py
+++ b/src/ridgecourse_standins/platform/store.py
@@ -52,6 +52,12 @@
             return self.free_at - now
 
 
+class StoreServer(ThreadingHTTPServer):
+    """HTTP server that many processes may connect to at the same moment."""
+
+    request_queue_size = 128
+
+
 class StoreMode(Enum):
     """How the store answers.
 
@@ -125,7 +131,7 @@
         self.copied_lengths: dict[str, int] = {}
         self.condition = Condition()
         self.closed = False
-        self.server = ThreadingHTTPServer(("127.0.0.1", 0), self._make_handler())
+        self.server = StoreServer(("127.0.0.1", 0), self._make_handler())
         self.server.daemon_threads = True
         self.thread = Thread(target=self.server.serve_forever, daemon=True)
 
