Answer a reader that may have missed the end of an evacuation with all decisions

Callers saw: engines of a domain that was taken back got no requests for up to 15 s from gateways that read on from a process which had started since.

A process that starts knows current records alone, and not which keys were removed; a process that read on from it took over its end, and with it a gap in which the evacuation had ended. The ranges that a process may have missed were recorded for targets only.

Evidence: test_an_end_before_the_start_of_the_process_that_is_read_from_is_ not_missed fails on the commit before (the domain stays evacuated until others are asked, 5 to 15 s later), and passes now.

Change: the ranges are recorded for decisions as well, a reader inside one gets the records of all keys in the same answer, and what it knows already is passed over. Nothing more is read from the store.

--- a/src/ridgecourse/cluster/record_events.py
+++ b/src/ridgecourse/cluster/record_events.py
@@ -136,18 +136,21 @@
         )
 
 
-def emit_missed_records(events: EventStream, end: Offset, batch: RecordBatch) -> None:
-    """Emit an event for a list of targets that fills a gap.
+def emit_missed_records(
+    events: EventStream, topic: Topic, end: Offset, batch: RecordBatch
+) -> None:
+    """Emit an event for the records of all keys that fill a gap.
 
     Args:
         events: The event stream.
+        topic: The topic.
         end: Offset up to which this process had read.
-        batch: The complete list of another process.
+        batch: The records of another process.
     """
     events.emit(
         EventKind.RECORDS_MISSED,
         offset=index_of(end),
-        topic=Topic.TARGETS.value,
+        topic=topic.value,
         whole_from=index_of(batch.whole_from or 0),
         end=index_of(batch.end),
     )
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -230,11 +230,18 @@
         """
         topic_records = self.record_server.topics[Topic.DECISIONS]
         has_returned = self.eras.observe(Topic.DECISIONS, topic_records, batch)
+        if batch.has_gap:
+            emit_missed_records(self.events, Topic.DECISIONS, topic_records.end, batch)
+        is_snapshot = is_snapshot or batch.has_gap
+        is_whole = is_snapshot or batch.skipped_from is not None
+        topic_records.record_missed(batch, is_whole)
         topic_records.record_origin(batch)
         self.evacuation_records.record_completeness(batch, is_snapshot)
         named_at = self._earliest_named_at(batch)
         for record in self.evacuation_records.apply_batch(batch, is_snapshot):
             known = topic_records.records.get(record.key)
+            if known == record:
+                continue
             if not self._apply_decision(record, named_at, batch.is_relayed):
                 continue
             if known is not None and known.offset >= record.offset:
@@ -417,7 +424,7 @@
             self.targets.keep_removed(Seconds(now + batch.removal_grace_seconds))
         is_snapshot = is_snapshot or batch.has_gap
         if batch.has_gap:
-            emit_missed_records(self.events, topic_records.end, batch)
+            emit_missed_records(self.events, Topic.TARGETS, topic_records.end, batch)
         topic_records.record_copied_end(batch)
         self.targets.copied_end = topic_records.copied_end
         with reported_changes(self.events, self.targets, batch):
