Hold an engine whose removal came before the first list of a gateway

Cause: what holds an engine that is listed again is the known removal. A gateway that joined later has never known the engine, and took its entry for that of a new one.

A new engine, and one that lapsed and lives, are used within 2 s as before (test_engine_that_a_gateway_has_never_known_is_used_ soon).

What is left: an engine that answers its health check with nothing usable is used after the hold; a late heartbeat that a gateway reads in its first list is believed until the platform removes the entry again.

--- a/src/ridgecourse/core/relisted_targets.py
+++ b/src/ridgecourse/core/relisted_targets.py
@@ -88,7 +88,7 @@
             that it leaves.
         earlier_offset: Offset of the newest record of an era before that of the listed
             entry.
-        removed_at: Time at which the target was dropped after its removal; None if it
+        removed_at: Time by which the target was dropped after its removal; None if it
             is listed, or was never listed.
     """
 
--- a/src/ridgecourse/core/target_list.py
+++ b/src/ridgecourse/core/target_list.py
@@ -40,6 +40,9 @@
 """Number of unlisted targets whose offsets and start are remembered, so that no older
 record lists them again. Far fewer targets are removed in the time in which such a
 record may still arrive."""
+MAX_NEW_SEQUENCE = 3
+"""Highest sequence of a target whose first entry was read as one of a change. The entry
+of a target that was listed before has a higher one."""
 
 
 class HeldLayers(Struct, frozen=True):
@@ -151,6 +154,7 @@
         kept_until: Time until which removals do not take effect.
         histories: History of each target, listed or not.
         relisted: The listed targets that may not be used yet.
+        whole_at: When the whole list was read first; None if only changes were read.
         copied_end: Entries of the latest era of the store before this offset do not
             take back what a target said in earlier eras; see
             ``core.ids.may_be_outdated``.
@@ -162,6 +166,7 @@
         self.kept_until = Seconds(0.0)
         self.histories: dict[TargetId, TargetHistory] = {}
         self.relisted = RelistedTargets()
+        self.whole_at: Seconds | None = None
         self.copied_end = Offset(0)
 
     def record_outage_end(self, now: Seconds) -> None:
@@ -192,7 +197,13 @@
         """
         overtaken = []
         for record in records:
-            history = self.histories.pop(record.target, None) or TargetHistory()
+            history = self.histories.pop(record.target, None)
+            if history is None:
+                history = TargetHistory()
+                if is_recent and record.sequence > MAX_NEW_SEQUENCE:
+                    # The target was listed before, and removed before the whole list
+                    # was read. The entry may be a heartbeat that was held up.
+                    history.removed_at = self.whole_at
             self.histories[record.target] = history
             if record.rejected:
                 self._apply_rejection(record, history)
@@ -334,6 +345,8 @@
         """
         listed = list(records)
         overtaken = self.apply(listed, now, is_recent=False)
+        if self.whole_at is None:
+            self.whole_at = now
         present = {record.target for record in listed}
         unlisted = [target for target in self.targets if target not in present]
         removals = [TargetRecord(target, Offset(end - 1), None) for target in unlisted]
--- a/tests/platform/test_relisted_engines.py
+++ b/tests/platform/test_relisted_engines.py
@@ -159,6 +159,32 @@
     assert late == []
 
 
+def test_gateway_that_joins_after_a_removal_does_not_use_the_engine_that_left(
+    site: RelistingSite,
+) -> None:
+    """A late heartbeat listed an engine whose removal the gateway had not read."""
+    engine = CountingEngine(site, answer_leaving)
+    engine.put_entry(1)
+    engine.remove_entry()
+    site.start()
+    site.run_clients()
+    engine.wait_until(7.5)
+    engine.put_entry(5)
+    engine.wait_until(7.5 + DRAIN_SECONDS + LINGER_SECONDS)
+    assert engine.arrivals == []
+
+
+@pytest.mark.parametrize("sequence", [1, 5])
+def test_engine_that_a_gateway_has_never_known_is_used_soon(
+    site: RelistingSite, sequence: int
+) -> None:
+    site.start()
+    site.run_clients()
+    engine = CountingEngine(site, answer_healthy)
+    engine.put_entry(sequence)
+    site.wait_until(lambda: bool(engine.arrivals), RETURN_SECONDS)
+
+
 @pytest.mark.parametrize(
     ("sequence", "answer_health"),
     [(7, answer_misdirected), (7, answer_healthy), (3, answer_healthy)],
