Write pins that do not tell their revision again once

A pin of an earlier release holds the record as it is. Its revision would be decoded at each read of the store, with a configuration some milliseconds each 0.4 s, for as long as it is not replaced. It now counts as not pinned until it is written again, unless it is higher than what is in force.

test_a_pin_of_an_earlier_release_is_written_again_once: lower, equal and higher pins; a single write each.

--- a/src/ridgecourse/cluster/pinned_decisions.py
+++ b/src/ridgecourse/cluster/pinned_decisions.py
@@ -275,7 +275,18 @@
             # The store has returned from a copy, which may lack the pin.
             return False
         pin = self.topic.pins.get(found.record.key)
-        return pin is not None and self.revisions.pin_revision(pin) >= found.revision
+        # A pin that does not tell its revision is written again, so that its value is
+        # not decoded at each read.
+        return (
+            pin is not None
+            and pin.revision is not None
+            and pin.revision >= found.revision
+        )
+
+    def _is_outranked(self, found: RankedDecision) -> bool:
+        """Check whether a pin has a higher revision than a decision in force."""
+        pin = self.topic.pins.get(found.record.key)
+        return pin is not None and self.revisions.pin_revision(pin) > found.revision
 
     def _try_pin_in_force(self) -> None:
         try:
@@ -296,28 +307,22 @@
         known_end = self.topic.covered_end(era_of(self.topic.end))
         self.reads.add(Offset(0), known_end)
         covered_end = max(known_end, min(self.reads.end, self.applied_end()))
-        unpinned = sorted(self._unpinned(), key=lambda found: found.record.offset)
-        for found in unpinned[:-1]:
-            self._write(found, known_end)
-        if self.has_read_hidden and covered_end > known_end:
-            unpinned = unpinned or [*self._smallest_pinned()]
-        for found in unpinned[-1:]:
-            self._write(found, covered_end)
-        self.has_read_hidden = False
-
-    def _smallest_pinned(self) -> Sequence[RankedDecision]:
-        """Return the smallest decision in force whose pin has the same revision."""
-        pinned = [
-            found
-            for key, found in self.in_force.items()
-            if key in self.topic.pins
-            and self.revisions.pin_revision(self.topic.pins[key]) == found.revision
+        in_force = [
+            found for found in self.in_force.values() if not self._is_outranked(found)
         ]
-        return sorted(pinned, key=lambda found: len(found.record.value))[:1]
+        due = [found for found in in_force if not self._is_pinned(found)]
+        if not due and self.has_read_hidden and covered_end > known_end:
+            # Only the end that the pins cover changes.
+            due = sorted(in_force, key=lambda found: len(found.record.value))[:1]
+        for number, found in enumerate(due, 1):
+            is_last = number == len(due)
+            end = covered_end if is_last else known_end
+            value = encode_pin(found.record.value, found.revision, end)
+            self._write(found.record, value)
+        self.has_read_hidden = False
 
-    def _write(self, found: RankedDecision, covered_end: Offset) -> None:
-        record = found.record
-        value = encode_pin(record.value, found.revision, covered_end)
+    def _write(self, record: KeyedRecord, value: bytes) -> None:
+        """Write the pin of a decision's record."""
         self.topic.write(record.key, value)
         offset = index_of(record.offset)
         self.events.emit(EventKind.DECISION_KEPT, offset=offset, key=record.key)
@@ -353,10 +358,8 @@
         revision = self.revisions.revision(record)
         if pin is not None and self.revisions.pin_revision(pin) >= revision:
             return
+        value = record.value
         if not self.revisions.is_evacuation(record):
             covered_end = self.topic.covered_end(era_of(self.topic.end))
-            self._write(RankedDecision(record, revision), covered_end)
-            return
-        self.topic.write(record.key, record.value)
-        offset = index_of(record.offset)
-        self.events.emit(EventKind.DECISION_KEPT, offset=offset, key=record.key)
+            value = encode_pin(value, revision, covered_end)
+        self._write(record, value)
--- a/tests/platform/test_pinned_decisions.py
+++ b/tests/platform/test_pinned_decisions.py
@@ -362,3 +362,21 @@
     started.read()
     assert started.version(MODEL) == 4
     assert not started.source.has_read_hidden
+
+
+def test_a_pin_of_an_earlier_release_is_written_again_once() -> None:
+    """Such a pin holds the record of the decision as it is."""
+    key = f"{VERSION_KEY_PREFIX}{MODEL}"
+    for pinned in (2, 3, 4):
+        store = MemoryStore()
+        store.put(MODEL, 3)
+        value = encode({"model": MODEL, "version": pinned})
+        store.topics[Topic.KEPT].append((key, value))
+        process = Process(store)
+        process.read()
+        assert process.version(MODEL) == max(3, pinned)
+        process.pin()
+        process.read()
+        process.pin()
+        assert len(store.topics[Topic.KEPT]) == 2
+        assert process.source.topic.pins[key].revision == max(3, pinned)
