Show that one process pins a decision for two domains

Six gateways of two failure domains and three decisions: three records in the topic of the pins. With the writes of the first domain refused, the second one writes the pin.

--- a/src/ridgecourse_standins/platform/store.py
+++ b/src/ridgecourse_standins/platform/store.py
@@ -95,6 +95,7 @@
         max_sending_count: Maximum of ``sending_count`` so far.
         reader_rates: Rate of the link of a single reader, by host.
         refused_readers: Hosts whose calls are answered with 503.
+        refused_writers: Hosts whose writes are answered with 503.
         answer_delay_seconds: Time from a call to its answer, without the time that a
             read waits for records.
         version_put_at: Monotonic time at which each version of weights was
@@ -124,6 +125,7 @@
         self.max_sending_count = 0
         self.reader_rates: dict[str, float] = {}
         self.refused_readers: set[str] = set()
+        self.refused_writers: set[str] = set()
         self.answer_delay_seconds = 0.0
         self.version_put_at: dict[tuple[str, int], float] = {}
         self.calls = 0
@@ -402,6 +404,8 @@
             delivered = [(query["topic"], *record) for record in batch[1]]
             self.delivered.setdefault(host, []).extend(delivered)
             return 200, batch[0]
+        if parts.path == LOG_APPEND_PATH and host in self.refused_writers:
+            return 503, b""
         if parts.path == LOG_APPEND_PATH:
             end = query.get("current_rev")
             write = query["topic"], data, None if end is None else int(end)
--- a/tests/platform/test_unseen_late_writes.py
+++ b/tests/platform/test_unseen_late_writes.py
@@ -8,13 +8,17 @@
 
 from collections.abc import Callable, Iterator
 from pathlib import Path
+from time import sleep
 from typing import Any
 
 import pytest
 from gateway_site import KEY, MODEL, GatewaySite, make_config
+from test_crashing_requests import MultiGatewaySite
+from test_domain_reads import GATEWAYS
 from test_loader import LoaderSite
 
-from ridgecourse.platform.names import DECISIONS_TOPIC, PINNED_TOPIC
+from ridgecourse.cluster.domain_source import PIN_STEP_SECONDS
+from ridgecourse.platform.names import CONFIG_KEY, DECISIONS_TOPIC, PINNED_TOPIC
 from ridgecourse_standins.platform.store import StoreMode
 
 REVOKED_KEY = "key-that-is-taken-away"
@@ -144,6 +148,37 @@
     assert_revoked(front)
 
 
+@pytest.fixture
+def two_domains(tmp_path: Path) -> Iterator[MultiGatewaySite]:
+    gateways = MultiGatewaySite(tmp_path)
+    for host in GATEWAYS[3:]:
+        gateways.change_settings(host, zone="b")
+    yield gateways
+    gateways.close()
+
+
+def test_one_of_the_gateways_of_two_domains_pins_a_decision(two_domains) -> None:
+    two_domains.add_engine("app")
+    two_domains.start(with_keys(1, KEY, REVOKED_KEY))
+    for version in (6, 7):
+        two_domains.store.put_config(with_keys(version, KEY))
+        sleep(2 * PIN_STEP_SECONDS)
+    pins = two_domains.store.topics[PINNED_TOPIC]
+    assert [key for key, _ in pins] == 3 * [CONFIG_KEY]
+
+
+def test_a_decision_is_pinned_by_another_domain_if_the_first_one_cannot_write(
+    two_domains,
+) -> None:
+    two_domains.add_engine("app")
+    two_domains.start(with_keys(1, KEY, REVOKED_KEY))
+    sleep(2 * PIN_STEP_SECONDS)
+    two_domains.store.refused_writers.update(GATEWAYS[:3])
+    two_domains.store.put_config(with_keys(7, KEY))
+    sleep(2 * PIN_STEP_SECONDS)
+    assert len(two_domains.store.topics[PINNED_TOPIC]) == 2
+
+
 @pytest.fixture
 def site(tmp_path: Path) -> Iterator[LoaderSite]:
     loader_site = LoaderSite(tmp_path)
