--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,7 +6,7 @@
 
 import pytest
 from delay_probe import DelayProbe
-from gateway_site import front
+from gateway_site import engine, front
 from known_failures import read_known_failures
 
 from ridgecourse.ctl.publish import make_manifest, write_manifest
@@ -186,4 +186,4 @@
     return report
 
 
-__all__ = ["front"]
+__all__ = ["engine", "front"]
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -247,3 +247,12 @@
     site = GatewaySite(tmp_path)
     yield site
     site.close()
+
+
+@pytest.fixture
+def engine() -> Iterator[EngineStandIn]:
+    """Return a stand-in of an engine that answers each request."""
+    stand_in = EngineStandIn(send_response)
+    stand_in.start()
+    yield stand_in
+    stand_in.close()
--- a/tests/platform/test_refusal_proofs.py
+++ b/tests/platform/test_refusal_proofs.py
@@ -5,7 +5,6 @@
 need a moment that a running gateway does not offer on demand.
 """
 
-from collections.abc import Iterator
 from random import Random
 from types import SimpleNamespace
 from typing import Any
@@ -24,15 +23,7 @@
 from ridgecourse.gateway.sender import NotRun
 from ridgecourse.net.clock import boottime
 from ridgecourse.platform.requests import PlatformRequestProtocol
-from ridgecourse_standins.platform.engine import EngineStandIn, send_response
-
-
-@pytest.fixture
-def engine() -> Iterator[EngineStandIn]:
-    stand_in = EngineStandIn(send_response)
-    stand_in.start()
-    yield stand_in
-    stand_in.close()
+from ridgecourse_standins.platform.engine import EngineStandIn
 
 
 def assert_refused_unsent(result: Any, reason: Reason, engine: EngineStandIn) -> None:
--- a/tests/platform/test_region_checks.py
+++ b/tests/platform/test_region_checks.py
@@ -5,7 +5,6 @@
 the retry budget or reach the sender.
 """
 
-from collections.abc import Iterator
 from random import Random
 from typing import Any
 from unittest.mock import Mock
@@ -36,7 +35,7 @@
 from ridgecourse.gateway.sender import NotRun, RoutedRequest
 from ridgecourse.gateway.terms import Terms, find_terms
 from ridgecourse.net.clock import boottime
-from ridgecourse_standins.platform.engine import EngineStandIn, send_response
+from ridgecourse_standins.platform.engine import EngineStandIn
 
 NORTH, SOUTH = ["north"], ["south"]
 HOLD_SECONDS = 0.1
@@ -142,14 +141,6 @@
         return self.dispatcher.try_targets(routed, terms, set())
 
 
-@pytest.fixture
-def engine() -> Iterator[EngineStandIn]:
-    stand_in = EngineStandIn(send_response)
-    stand_in.start()
-    yield stand_in
-    stand_in.close()
-
-
 def assert_excluded_by_region(result: Any) -> None:
     assert isinstance(result, NotRun)
     assert (result.reason, result.arrived) == (Reason.NO_TARGET, False)
--- a/tests/platform/test_removal_before_write.py
+++ b/tests/platform/test_removal_before_write.py
@@ -4,7 +4,6 @@
 may be held for its turn, and connecting takes time.
 """
 
-from collections.abc import Iterator
 from typing import Any
 from unittest.mock import Mock
 
@@ -13,15 +12,7 @@
 
 from ridgecourse.core.outcome import Reason
 from ridgecourse.gateway.sender import NotRun, SendResult
-from ridgecourse_standins.platform.engine import EngineStandIn, send_response
-
-
-@pytest.fixture
-def engine() -> Iterator[EngineStandIn]:
-    stand_in = EngineStandIn(send_response)
-    stand_in.start()
-    yield stand_in
-    stand_in.close()
+from ridgecourse_standins.platform.engine import EngineStandIn
 
 
 def remove_engine(site: DispatcherSite) -> None:
