Tell the ages of named versions with the decisions

Callers saw: requests that an added gateway sent began on weights whose bound had passed, for up to 3 s.

Cause: the store has the newest name alone. Loaders that were restarted after an earlier one did not know when it was named and told nothing of it; an added gateway then took the bound of the newest version for that of all. The gateways that knew were not asked.

Change: answers with decisions tell the ages of the named versions while the newest one is not required yet. They fill gaps, and replace no known time: each answer over a slow link would move a bound ahead.

What is left: a process that reads its first records from the store learns the ages from loaders alone, as before.

--- a/src/ridgecourse/cluster/peer_records.py
+++ b/src/ridgecourse/cluster/peer_records.py
@@ -87,6 +87,10 @@
         response,
         age=response.age + network_delay,
         read_age=response.read_age + network_delay,
+        version_ages=[
+            replace(version_age, age=version_age.age + network_delay)
+            for version_age in response.version_ages
+        ],
     )
 
 
@@ -105,6 +109,7 @@
         knows_removals=response.knows_removals,
         whole_from=response.whole_from,
         has_gap=response.has_gap,
+        version_ages=response.version_ages,
     )
 
 
--- a/src/ridgecourse/cluster/record_server.py
+++ b/src/ridgecourse/cluster/record_server.py
@@ -1,6 +1,6 @@
 """Serves the records of the platform's store to other processes."""
 
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from math import isfinite
 from zlib import MAX_WBITS, compress
 
@@ -9,6 +9,7 @@
 
 from ridgecourse.core.ids import Offset, Seconds, era_of
 from ridgecourse.core.missed_records import MissedRecords
+from ridgecourse.core.weights import VersionAge
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter
 from ridgecourse.net.record_source import KeyedRecord, RecordBatch, Topic
@@ -59,6 +60,7 @@
         knows_removals: See ``RecordBatch.knows_removals``.
         whole_from: See ``RecordBatch.whole_from``.
         has_gap: See ``RecordBatch.has_gap``.
+        version_ages: See ``RecordBatch.version_ages``.
     """
 
     records: Sequence[KeyedRecord]
@@ -74,6 +76,7 @@
     knows_removals: bool = False
     whole_from: Offset | None = None
     has_gap: bool = False
+    version_ages: Sequence[VersionAge] = ()
 
 
 class TopicRecords:
@@ -236,6 +239,7 @@
         is_lost: Returns whether this process cannot read the store.
         removal_grace_seconds: Returns for how many seconds this process still ignores
             removals.
+        version_ages: Returns the ages of the named versions.
     """
 
     def __init__(
@@ -243,10 +247,12 @@
         is_receiving: Callable[[Topic], bool] = lambda topic: False,
         is_lost: Callable[[Topic], bool] = lambda topic: False,
         removal_grace_seconds: Callable[[Topic], float] = lambda topic: 0.0,
+        version_ages: Callable[[], Iterable[VersionAge]] = lambda: (),
     ) -> None:
         self.is_receiving = is_receiving
         self.is_lost = is_lost
         self.removal_grace_seconds = removal_grace_seconds
+        self.version_ages = version_ages
         self.topics = {topic: TopicRecords() for topic in Topic}
         self.changed = Broadcast()
 
@@ -283,6 +289,8 @@
             lost=self.is_lost(matching[0]),
             kept=self.removal_grace_seconds(matching[0]),
         )
+        if matching[0] is Topic.DECISIONS:
+            response = replace(response, version_ages=[*self.version_ages()])
         return build_reply(encode_message(response))
 
     def _wait_for_records(
--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -86,7 +86,10 @@
         self.targets_loaded = False
         self.changed = Broadcast()
         self.record_server = RecordServer(
-            source.is_receiving, self._is_lost, self._removal_grace_seconds
+            source.is_receiving,
+            self._is_lost,
+            self._removal_grace_seconds,
+            self.superseded_ages,
         )
         self.target_filter = TargetChangeFilter(
             self.record_server.topics[Topic.TARGETS], self._limits_cold
@@ -254,6 +257,12 @@
                 topic_records.put(record)
         if has_returned and is_snapshot and not batch.is_relayed:
             self.pins.pin_missing(batch)
+        missing_ages = [
+            version_age
+            for version_age in batch.version_ages
+            if self.history(version_age.model).lacks_naming_time(version_age.version)
+        ]
+        self.apply_version_ages(missing_ages, boottime())
         topic_records.record_progress(batch)
         if not batch.is_relayed:
             self.pinned_decisions.record_applied()
@@ -392,6 +401,17 @@
         for model, history in self.histories.items():
             yield from history.ages(model, boottime())
 
+    def superseded_ages(self) -> Iterator[VersionAge]:
+        """Yield the ages of the versions of models whose newest one is recent.
+
+        A process that starts then reads the newest name alone, while the bound of an
+        earlier one still applies to its requests.
+        """
+        now = boottime()
+        for model, history in self.histories.items():
+            if history.is_recent(now):
+                yield from history.ages(model, now)
+
     @property
     def decisions_age(self) -> float:
         """Seconds since the store confirmed that there is no newer decision."""
--- a/src/ridgecourse/core/weights.py
+++ b/src/ridgecourse/core/weights.py
@@ -144,6 +144,16 @@
             return True
         return False
 
+    def lacks_naming_time(self, version: WeightsVersion) -> bool:
+        """Check whether a bound may apply that this process does not know."""
+        if version > self.newest or version == FIRST_VERSION:
+            return False
+        return not any(
+            notice.version == version
+            and notice.time_source is not NamingTimeSource.UNKNOWN
+            for notice in self.notices
+        )
+
     def _known_versions(self) -> set[WeightsVersion]:
         return {FIRST_VERSION, *(notice.version for notice in self.notices)}
 
--- a/src/ridgecourse/net/record_source.py
+++ b/src/ridgecourse/net/record_source.py
@@ -7,6 +7,7 @@
 from msgspec import Struct
 
 from ridgecourse.core.ids import Offset, Seconds
+from ridgecourse.core.weights import VersionAge
 
 
 class Topic(Enum):
@@ -77,6 +78,8 @@
             the records are the store's, or the sender does not tell.
         has_gap: Whether the sending process may lack removals after the requested
             offset. The records are then those of all keys.
+        version_ages: Ages of the named versions that the sending process knows, at the
+            time of the answer. The records name the newest version of a model only.
     """
 
     records: Sequence[KeyedRecord]
@@ -94,6 +97,7 @@
     knows_removals: bool = False
     whole_from: Offset | None = None
     has_gap: bool = False
+    version_ages: Sequence[VersionAge] = ()
 
 
 class SourceUnavailable(Exception):
