--- a/src/ridgecourse/cluster/view.py
+++ b/src/ridgecourse/cluster/view.py
@@ -89,7 +89,7 @@
             source.is_receiving,
             self._is_lost,
             self._removal_grace_seconds,
-            self.superseded_ages,
+            self.recent_version_ages,
         )
         self.target_filter = TargetChangeFilter(
             self.record_server.topics[Topic.TARGETS], self._limits_cold
@@ -257,12 +257,7 @@
                 topic_records.put(record)
         if has_returned and is_snapshot and not batch.is_relayed:
             self.pins.pin_missing(batch)
-        missing_ages = [
-            version_age
-            for version_age in batch.version_ages
-            if self.history(version_age.model).lacks_naming_time(version_age.version)
-        ]
-        self.apply_version_ages(missing_ages, boottime())
+        self._apply_missing_ages(batch.version_ages)
         topic_records.record_progress(batch)
         if not batch.is_relayed:
             self.pinned_decisions.record_applied()
@@ -396,12 +391,24 @@
                     age=round(boottime() - named_at, 2),
                 )
 
+    def _apply_missing_ages(self, ages: Iterable[VersionAge]) -> None:
+        """Apply the ages of versions whose naming time this process does not know.
+
+        Known times stay: each answer over a slow link would move a bound ahead.
+        """
+        missing = [
+            version_age
+            for version_age in ages
+            if self.history(version_age.model).lacks_naming_time(version_age.version)
+        ]
+        self.apply_version_ages(missing, boottime())
+
     def version_ages(self) -> Iterator[VersionAge]:
         """Yield the ages of the versions whose naming times are known."""
         for model, history in self.histories.items():
             yield from history.ages(model, boottime())
 
-    def superseded_ages(self) -> Iterator[VersionAge]:
+    def recent_version_ages(self) -> Iterator[VersionAge]:
         """Yield the ages of the versions of models whose newest one is recent.
 
         A process that starts then reads the newest name alone, while the bound of an
--- a/tests/platform/test_superseded_bounds.py
+++ b/tests/platform/test_superseded_bounds.py
@@ -119,4 +119,4 @@
     process = VersionView()
     process.view.record_server.topics[Topic.DECISIONS].end = Offset(1)
     process.observe(2, 1, BOUND_SECONDS + 1.0)
-    assert not [*process.view.superseded_ages()]
+    assert not [*process.view.recent_version_ages()]
