Leave decisions that are still to be read to the read of the decisions

A process that read the pins again some seconds after its start found decisions there before it had read them, since a pin is small and written within some 20 ms. It put them in force without their offset and time. Processes that read on from it and had not read the decision got it for 3 s only; a version counted as named long ago, so that requests for the one before it would be refused at once.

Cause: the second read of the pins was made for decisions that a late write hides, and could not tell these from decisions that follow.

The time line of one: the configuration came into force 0.1 s after it was written, at the offset of the one before it, with the lag of that one (6.004 s). test_a_pin_read_before_its_decision_is_left_to_the_read_of_it failed before (offset 0 for 1).

Change: a pin tells the offset of its decision. Decisions at or behind the end of what a process has applied are left to its reads.

Why it works: what lies before that end is not read again, so a pin is all that tells of it; what lies behind is read or, if it is skipped, comes with the full read, which reads the pins as well.

--- a/src/ridgecourse/cluster/decision_history.py
+++ b/src/ridgecourse/cluster/decision_history.py
@@ -33,6 +33,18 @@
 """Shrinks a configuration to about a tenth, in some milliseconds."""
 
 
+class RankedDecision(Struct, frozen=True):
+    """A decision and its revision.
+
+    Attributes:
+        record: The record of the decision.
+        revision: Revision of the decision.
+    """
+
+    record: KeyedRecord
+    revision: int
+
+
 class StoredPin(Struct, frozen=True, forbid_unknown_fields=True):
     """Stored record of a pinned decision.
 
@@ -40,11 +52,13 @@
         value: Compressed value of the decision's record.
         revision: Revision of the decision.
         covered_end: See ``Pin.covered_end``.
+        decision_offset: See ``Pin.decision_offset``.
     """
 
     value: bytes
     revision: int
     covered_end: int
+    decision_offset: int
 
 
 class Pin(Struct, frozen=True):
@@ -56,17 +70,23 @@
             evacuations and of earlier releases.
         covered_end: Offset of the decisions before which none has a higher revision
             than the pin of its key.
+        decision_offset: Offset of the decision among the decisions; 0 if the pin does
+            not tell.
     """
 
     record: KeyedRecord
     revision: int | None = None
     covered_end: Offset = Offset(0)
+    decision_offset: Offset = Offset(0)
 
 
-def encode_pin(value: bytes, revision: int, covered_end: Offset) -> bytes:
+def encode_pin(decision: RankedDecision, covered_end: Offset) -> bytes:
     """Return the value of the record that pins a decision; see ``Pin``."""
-    packed = compress(value, COMPRESSION_LEVEL)
-    return encode_message(StoredPin(packed, revision, covered_end))
+    record = decision.record
+    packed = compress(record.value, COMPRESSION_LEVEL)
+    return encode_message(
+        StoredPin(packed, decision.revision, covered_end, record.offset)
+    )
 
 
 def decode_pin(record: KeyedRecord) -> Pin:
@@ -83,7 +103,12 @@
     except ZlibError:
         return Pin(record)
     decision = KeyedRecord(record.key, value, record.offset)
-    return Pin(decision, stored.revision, Offset(stored.covered_end))
+    return Pin(
+        decision,
+        stored.revision,
+        Offset(stored.covered_end),
+        Offset(stored.decision_offset),
+    )
 
 
 class PinnedTopic:
@@ -166,18 +191,6 @@
                 yield pin.covered_end
 
 
-class RankedDecision(Struct, frozen=True):
-    """A decision and its revision.
-
-    Attributes:
-        record: The record of the decision.
-        revision: Revision of the decision.
-    """
-
-    record: KeyedRecord
-    revision: int
-
-
 class RevisionDecoder:
     """Finds the revisions of decisions.
 
--- a/src/ridgecourse/cluster/pinned_decisions.py
+++ b/src/ridgecourse/cluster/pinned_decisions.py
@@ -262,7 +262,13 @@
         self.apply_pinned(replace(pinned, records=records))
 
     def _is_news(self, pin: Pin) -> bool:
-        """Check whether a pin is an evacuation or higher than the revision in force."""
+        """Check whether a pin tells something that no further read of the store tells.
+
+        A decision that follows the applied ones is left to the read of the decisions,
+        which tells its offset and how late it is, although its pin may arrive earlier.
+        """
+        if pin.decision_offset >= self.applied_end() > 0:
+            return False
         known = self.in_force.get(pin.record.key)
         return known is None or known.revision < self.revisions.pin_revision(pin)
 
@@ -317,8 +323,7 @@
         for number, found in enumerate(due, 1):
             is_last = number == len(due)
             end = covered_end if is_last else known_end
-            value = encode_pin(found.record.value, found.revision, end)
-            self._write(found.record, value)
+            self._write(found.record, encode_pin(found, end))
         self.has_read_hidden = False
 
     def _write(self, record: KeyedRecord, value: bytes) -> None:
@@ -361,5 +366,5 @@
         value = record.value
         if not self.revisions.is_evacuation(record):
             covered_end = self.topic.covered_end(era_of(self.topic.end))
-            value = encode_pin(value, revision, covered_end)
+            value = encode_pin(RankedDecision(record, revision), covered_end)
         self._write(record, value)
--- a/tests/platform/test_pinned_decisions.py
+++ b/tests/platform/test_pinned_decisions.py
@@ -94,9 +94,16 @@
         self.topics[topic].append((key, value))
 
     def put(self, model: str, version: int) -> None:
-        value = encode({"model": model, "version": version})
-        key = f"{VERSION_KEY_PREFIX}{model}"
-        self.topics[Topic.DECISIONS].append((key, value))
+        self.topics[Topic.DECISIONS].append(version_record(model, version))
+
+    def first_offset(self, model: str, version: int) -> int:
+        """Return where a decision was written first."""
+        return self.topics[Topic.DECISIONS].index(version_record(model, version))
+
+
+def version_record(model: str, version: int) -> tuple[str, bytes]:
+    value = encode({"model": model, "version": version})
+    return f"{VERSION_KEY_PREFIX}{model}", value
 
 
 class Process:
@@ -141,9 +148,18 @@
             self.source._try_pin_in_force()
             self.source.pin_at = min(self.source.pin_at, boottime())
 
+    def recheck(self) -> None:
+        """Read the pins again, as some time after a full read."""
+        self.source._recheck()
+
     def version(self, model: str) -> int:
         return self.view.wanted_version(ModelName(model))
 
+    def served_offset(self, model: str) -> Offset:
+        """Return up to which offset readers get the decision in force from here."""
+        records = self.view.record_server.topics[Topic.DECISIONS].records
+        return records[f"{VERSION_KEY_PREFIX}{model}"].offset
+
 
 class PinnedDecisionMachine(RuleBasedStateMachine):
     """Operators write, some writes are late, and processes start, end, read and pin."""
@@ -195,6 +211,11 @@
     def pin(self, data: st.DataObject) -> None:
         data.draw(st.sampled_from(self.processes)).pin()
 
+    @precondition(lambda self: self.processes)
+    @rule(data=st.data())
+    def recheck(self, data: st.DataObject) -> None:
+        data.draw(st.sampled_from(self.processes)).recheck()
+
     @rule(loses=st.booleans())
     def lose_writes(self, loses: bool) -> None:
         self.store.loses_writes = loses
@@ -242,6 +263,15 @@
         found = {model: process.version(model) for model in KEYS}
         assert found == self.highest
 
+    @invariant()
+    def a_reader_that_has_not_read_a_decision_gets_it_from_each_process(self) -> None:
+        for process in self.processes:
+            for model in KEYS:
+                version = process.version(model)
+                if version > FIRST_VERSION:
+                    written = self.store.first_offset(model, version)
+                    assert process.served_offset(model) >= written
+
     @invariant()
     def no_process_is_ahead(self) -> None:
         for process in self.processes:
@@ -380,3 +410,20 @@
         process.pin()
         assert len(store.topics[Topic.KEPT]) == 2
         assert process.source.topic.pins[key].revision == max(3, pinned)
+
+
+def test_a_pin_read_before_its_decision_is_left_to_the_read_of_it() -> None:
+    """Applied early it had no offset, so that readers of the process missed it."""
+    store = MemoryStore()
+    store.put(MODEL, 2)
+    slow, fast = Process(store), Process(store)
+    for process in (slow, fast):
+        process.read()
+    store.put(MODEL, 3)
+    fast.read()
+    fast.pin()
+    slow.recheck()
+    slow.read()
+    assert slow.version(MODEL) == 3
+    assert slow.served_offset(MODEL) == 1
+    assert not slow.view.history(ModelName(MODEL)).lacks_naming_time(3)
