Ask another process if one without the store has only a known late decision

A process that found a decision late repeats it in each answer for 3 s. If it had lost the store, a process that read from it took the repeated record for a new one: it asked again at once, some 200 times a second, and neither another process nor the store for as long, so that a decision of that time was in force late.

Cause: an answer counted as usable if it had any record, however old it was.

Change: records before the requested offset count as new once.

--- a/src/ridgecourse/cluster/tree_reader.py
+++ b/src/ridgecourse/cluster/tree_reader.py
@@ -20,7 +20,12 @@
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.http_client import HttpClient
-from ridgecourse.net.record_source import RecordBatch, SourceUnavailable, Topic
+from ridgecourse.net.record_source import (
+    KeyedRecord,
+    RecordBatch,
+    SourceUnavailable,
+    Topic,
+)
 
 LONG_POLL_SECONDS = 0.8
 """Longest time for which a parent waits for a new record before it answers. This time
@@ -83,6 +88,8 @@
         outage_retries: Decides when to try the store while it cannot be read.
         parent_receiving: Whether the parent is receiving an answer from the store.
         parent: The process that was read from last; None for the store.
+        received_before: Records before the requested offset that the last parent had
+            repeated in its answer, by key.
     """
 
     def __init__(
@@ -102,6 +109,7 @@
         self.outage_retries = OutageRetries(Random())
         self.parent_receiving = False
         self.parent: Peer | None = None
+        self.received_before: dict[str, KeyedRecord] = {}
 
     def read(self, start: Offset) -> RecordBatch | None:
         """Return the records of a parent, or None if the store is to be read.
@@ -128,7 +136,7 @@
                 if boottime() > deadline:
                     return None
                 continue
-            if self._is_usable(response):
+            if self._is_usable(response, start):
                 return to_batch(response)
             if is_last or not self._try_bypass(parent, response):
                 eventlet.sleep(STALE_RETRY_SECONDS)
@@ -156,8 +164,13 @@
         self.parent_receiving = response.receiving
         return response
 
-    def _is_usable(self, response: RecordsResponse) -> bool:
-        """Check whether an answer can be used without asking another process."""
+    def _is_usable(self, response: RecordsResponse, start: Offset) -> bool:
+        """Check whether an answer can be used without asking another process.
+
+        Args:
+            response: The answer.
+            start: The offset from which on records were requested.
+        """
         if response.lost and not response.receiving and self.topic is Topic.TARGETS:
             # A parent that cannot read the store ignores removals of targets. Gateways
             # that relied on the list of such a parent sent requests to a target for
@@ -165,7 +178,22 @@
             return False
         # New records are used whatever the age of the answer: if the network delayed
         # them, they are not read again from the store.
-        return bool(response.records) or response.age <= STALE_SECONDS
+        return self._has_news(response, start) or response.age <= STALE_SECONDS
+
+    def _has_news(self, response: RecordsResponse, start: Offset) -> bool:
+        """Check whether an answer has records that the last answers did not have.
+
+        A process repeats late records in each answer for some seconds. If these counted
+        each time, a process without access to the store would be asked again and again,
+        without a pause, and no other process or the store would be read.
+        """
+        repeated = {
+            record.key: record for record in response.records if record.offset < start
+        }
+        is_known = repeated.items() <= self.received_before.items()
+        if repeated:
+            self.received_before = repeated
+        return not is_known or len(repeated) < len(response.records)
 
     def _try_bypass(self, parent: Peer, response: RecordsResponse) -> bool:
         """Avoid a parent with stale records, unless too many are avoided already.
--- a/tests/platform/test_domain_source.py
+++ b/tests/platform/test_domain_source.py
@@ -32,6 +32,7 @@
 from ridgecourse.core.outage_retries import LARGE_BYTES
 from ridgecourse.net.events import EventStream
 from ridgecourse.net.record_source import (
+    KeyedRecord,
     RecordBatch,
     RecordSource,
     SourceUnavailable,
@@ -76,6 +77,7 @@
             not answer.
         receiving: Whether parents announce that they are receiving an answer.
         lost: Parents that cannot read the store.
+        records: Records in the answers of the parents.
         source: The source under test.
     """
 
@@ -83,6 +85,7 @@
         self.now = 100.0
         self.receiving = False
         self.lost: set[str] = set()
+        self.records: list[KeyedRecord] = []
         self.read_sources: list[str] = []
         self.ages: dict[str, float | None] = {"first": 0.0, "second": 0.0}
         monkeypatch.setattr(tree_reader, "fetch_records", self.answer_read)
@@ -119,17 +122,20 @@
             )
             raise SourceUnavailable(name)
         lost = name in self.lost
-        return RecordsResponse([], Offset(1), age, receiving=self.receiving, lost=lost)
+        return RecordsResponse(
+            self.records, Offset(1), age, receiving=self.receiving, lost=lost
+        )
 
-    def read(self, after: float = 0.0) -> list[str]:
+    def read(self, after: float = 0.0, start: int = 0) -> list[str]:
         """Read once; return the names of the parents and the store that were read.
 
         Args:
             after: Seconds to wait before the read.
+            start: The first offset to read.
         """
         self.now += after
         self.read_sources.clear()
-        self.source.read(Topic.DECISIONS, Offset(0), 0.0)
+        self.source.read(Topic.DECISIONS, Offset(start), 0.0)
         return list(self.read_sources)
 
 
@@ -229,6 +235,20 @@
     assert domain.read() == ["first", "second"]
 
 
+def test_a_late_decision_of_a_parent_without_the_store_is_taken_once(
+    domain: ParentPair,
+) -> None:
+    """Guards against a busy loop of reads, in which the store is not read for 3 s."""
+    domain.ages["first"] = STALE_SECONDS + 1.0
+    domain.lost = {"first"}
+    domain.records = [KeyedRecord("config", b"7", Offset(0))]
+    assert domain.read(start=1) == ["first"]
+    assert domain.read(start=1) == ["first", "second"]
+    domain.records = [KeyedRecord("config", b"8", Offset(0))]
+    assert domain.read(STALE_AVOID_SECONDS, 1) == ["first"]
+    assert domain.read(start=1) == ["first", "second"]
+
+
 def test_a_parent_that_receives_its_first_answer_after_an_outage_is_used(
     domain: ParentPair,
 ) -> None:
