Keep a restarted engine off the list if its removal was read before a copy lists it

Cause: a removal names no incarnation. A process that had read the removal of an engine's second incarnation, and of the engine itself only the first one, took the copied entry of the second one for a restart after the removal. Two smaller holes beside it: an entry that leaves, passed over since it may be a copy, did not count as the start of its incarnation; a copy of a copy moved the offset from which on late removals count.

Evidence: test_a_copy_does_not_list_a_restarted_engine_whose_removal_was_read and test_a_removal_that_is_read_late_counts_after_two_copies failed before.

Change: an entry in the part of the list that may be a copy lists no engine that is gone, whichever incarnation it is. The engine is offered with its next heartbeat. A restart that replaces a listed entry counts at once, as before.

--- a/src/ridgecourse/core/relisted_targets.py
+++ b/src/ridgecourse/core/relisted_targets.py
@@ -87,7 +87,8 @@
         leaving_offset: Offset of the newest entry of the latest incarnation that says
             that it leaves.
         earlier_offset: Offset of the newest record of an era before that of the listed
-            entry.
+            entry, without entries that are copies from an era before their own.
+        is_copied: Whether the listed entry may be such a copy.
         removed_at: Time by which the target was dropped after its removal; None if it
             is listed, or was never listed.
     """
@@ -98,6 +99,7 @@
     removed_offset: int = -1
     leaving_offset: int = -1
     earlier_offset: int = -1
+    is_copied: bool = False
     removed_at: Seconds | None = None
 
 
--- a/src/ridgecourse/core/target_list.py
+++ b/src/ridgecourse/core/target_list.py
@@ -241,6 +241,7 @@
             history.removed_offset = max(history.removed_offset, record.offset)
             return
         history.removed_offset = record.offset
+        history.is_copied = False
         self._remove(record.target, now)
 
     def _apply_entry(
@@ -261,22 +262,24 @@
         if starts_before(entry.started, history.started):
             return
         has_restarted = starts_before(history.started, entry.started)
+        was_gone = self._is_gone(record.target, history)
         known_before = history.known
         if has_restarted or record.sequence > history.known.sequence:
             history.known = read
             self._supersede_listed(record, history, has_restarted)
         if entry.leaving:
             history.leaving_offset = max(history.leaving_offset, record.offset)
-        known_offset = max(history.removed_offset, history.listed_offset)
-        is_gone = self._is_gone(record.target, history) and not has_restarted
-        if is_gone and may_be_outdated(record.offset, known_offset, self.copied_end):
-            return
         if entry.started is not None:
             history.started = entry.started
+        known_offset = max(history.removed_offset, history.listed_offset)
+        if was_gone and may_be_outdated(record.offset, known_offset, self.copied_end):
+            # A removal names no incarnation: the known one may be that of this entry.
+            return
         if record.offset > known_offset:
-            if era_of(record.offset) > era_of(known_offset):
+            if era_of(record.offset) > era_of(known_offset) and not history.is_copied:
                 history.earlier_offset = known_offset
             history.listed_offset = record.offset
+            history.is_copied = self._is_copied(record.offset)
             self.targets[record.target] = entry
             self.removed.pop(record.target, None)
             if history.removed_at is not None and not has_restarted:
@@ -315,6 +318,11 @@
         has_removal = history.removed_offset > history.listed_offset
         return target not in self.targets or has_removal
 
+    def _is_copied(self, offset: Offset) -> bool:
+        """Check whether a record may stem from the copy that began the latest era."""
+        in_latest_era = era_of(offset) == era_of(self.copied_end)
+        return in_latest_era and offset < self.copied_end
+
     def _has_left_since(self, history: TargetHistory) -> bool:
         """Check whether a target has said that it leaves after its listed entry."""
         if history.leaving_offset > history.listed_offset:
--- a/tests/platform/test_target_list_eras.py
+++ b/tests/platform/test_target_list_eras.py
@@ -179,3 +179,59 @@
 
 ReturningStoreMachine.TestCase.settings = settings(max_examples=400, deadline=None)
 TestReturningStore = ReturningStoreMachine.TestCase
+
+
+def make_word(kind: str, incarnation: int = 0) -> Word:
+    return Word(0, kind, incarnation, kind == "leaving")
+
+
+class ReadList:
+    """A list of one engine, read from a store that returns from copies."""
+
+    def __init__(self) -> None:
+        self.list = TargetList()
+
+    def read_all(self, era: int, end: int, *words: tuple[int, Word]) -> None:
+        """Read the whole list, the first time in its era."""
+        self.list.copied_end = make_offset(era, end)
+        records = [
+            make_record(TARGETS[0], make_offset(era, index), word)
+            for index, word in words
+        ]
+        self.list.replace(records, NOW, self.list.copied_end)
+
+    def read(self, era: int, index: int, word: Word) -> None:
+        record = make_record(TARGETS[0], make_offset(era, index), word)
+        self.list.apply([record], NOW)
+
+    def is_serving(self) -> bool:
+        return self.list.is_serving(TARGETS[0])
+
+
+def test_a_copy_does_not_list_a_restarted_engine_whose_removal_was_read() -> None:
+    """Of the engine's second incarnation the removal alone had been read."""
+    reader = ReadList()
+    reader.read_all(1, 1, (0, make_word("ready")))
+    reader.read(1, 4, make_word("gone"))
+    reader.read_all(2, 4, (3, make_word("ready", 1)))
+    assert not reader.is_serving()
+    reader.read(2, 4, make_word("ready", 1))
+    assert reader.is_serving()
+
+
+def test_a_copy_does_not_hide_that_a_restarted_engine_leaves() -> None:
+    reader = ReadList()
+    reader.read_all(3, 0)
+    reader.read(3, 0, make_word("ready"))
+    reader.read(3, 1, make_word("gone"))
+    reader.read_all(4, 1, (0, make_word("leaving", 1)))
+    reader.read(3, 2, make_word("ready", 1))
+    assert not reader.is_serving()
+
+
+def test_a_removal_that_is_read_late_counts_after_two_copies() -> None:
+    reader = ReadList()
+    reader.read_all(3, 3, (2, make_word("ready")))
+    reader.read_all(4, 3, (2, make_word("ready")))
+    reader.read(2, 3, make_word("gone"))
+    assert not reader.is_serving()
