Let stand-ins of engines and HTTP servers use the ports of their test process

Engines of tests took any port that was free. Once one had ended, an engine of a test beside it could get its port, and the requests of gateways that did not know yet that the first one was gone. Suspected to be what test_leaving_soak failed on once (an arrival from no gateway of its site, KeyError 'attempt'); not shown. They now take ports from the block of their process, which no other one uses, in turn.

The stand-in of the origin had a queue of five connections, like that of the store before. Both share one server class now.

--- a/src/ridgecourse_standins/platform/engine.py
+++ b/src/ridgecourse_standins/platform/engine.py
@@ -21,6 +21,7 @@
     NOT_EXECUTED_HEADER,
     SIGNATURE_HEADER,
 )
+from ridgecourse_standins.ports import free_port
 
 
 @dataclass
@@ -55,7 +56,6 @@
 
 Behaviour = Callable[[ReceivedRequest], None]
 NANOSECONDS_PER_MILLISECOND = 1_000_000
-ANY_PORT = 0
 
 
 def now_ms() -> int:
@@ -82,7 +82,7 @@
         self,
         behaviour: Behaviour,
         host: str = "127.0.0.1",
-        port: int = ANY_PORT,
+        port: int | None = None,
         born: int | None = None,
     ) -> None:
         self.behaviour = behaviour
@@ -91,7 +91,7 @@
         self.changed = Condition()
         self.resumed = Event()
         self.resumed.set()
-        self.listener = create_server((host, port))
+        self.listener = create_server((host, port or free_port()))
         self.bound_address: tuple[str, int] = self.listener.getsockname()[:2]
         self.thread = Thread(target=self._accept, daemon=True)
 
@@ -137,7 +137,7 @@
                 required while this incarnation is only paused.
         """
         host, port = self.bound_address
-        next_port = ANY_PORT if at_new_port else port
+        next_port = None if at_new_port else port
         born = max(now_ms(), (self.born or 0) + 1)
         return EngineStandIn(self.behaviour, host, next_port, born)
 
--- a/src/ridgecourse_standins/platform/store.py
+++ b/src/ridgecourse_standins/platform/store.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import suppress
 from enum import Enum
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from http.server import BaseHTTPRequestHandler
 from struct import pack, unpack_from
 from threading import Condition, Lock, Thread
 from time import monotonic, sleep
@@ -24,6 +24,7 @@
     TARGETS_TOPIC,
     VERSION_KEY_PREFIX,
 )
+from ridgecourse_standins.platform.http_server import StandInServer
 
 LINK_STEP_SECONDS = 0.02
 """Duration of each block of an answer on a link with limited rate."""
@@ -52,12 +53,6 @@
             return self.free_at - now
 
 
-class StoreServer(ThreadingHTTPServer):
-    """HTTP server that many processes may connect to at the same moment."""
-
-    request_queue_size = 128
-
-
 class StoreMode(Enum):
     """How the store answers.
 
@@ -133,8 +128,7 @@
         self.copied_lengths: dict[str, int] = {}
         self.condition = Condition()
         self.closed = False
-        self.server = StoreServer(("127.0.0.1", 0), self._make_handler())
-        self.server.daemon_threads = True
+        self.server = StandInServer("127.0.0.1", self._make_handler())
         self.thread = Thread(target=self.server.serve_forever, daemon=True)
 
     @property
--- a/src/ridgecourse_standins/platform/weights.py
+++ b/src/ridgecourse_standins/platform/weights.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from hashlib import sha256
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from http.server import BaseHTTPRequestHandler
 from threading import Condition, Thread
 from time import monotonic
 from typing import Any
@@ -23,6 +23,7 @@
 )
 from ridgecourse_standins.closed_loop import is_closed
 from ridgecourse_standins.platform.engine import now_ms
+from ridgecourse_standins.platform.http_server import StandInServer
 
 StatusAndBody = tuple[int, bytes]
 HEALTH_PATH = "/healthz"
@@ -75,8 +76,7 @@
         self.unreachable = False
         self.dropped_connections = 0
         self.changed = Condition()
-        self.server = ThreadingHTTPServer((host, 0), self._make_handler())
-        self.server.daemon_threads = True
+        self.server = StandInServer(host, self._make_handler())
         self.thread = Thread(target=self.server.serve_forever, daemon=True)
 
     @property
