Keep stand-ins off the ports that processes under test use beside their own

A process takes the port that was allocated for it and the one after it. Stand-ins now have a part of the block for themselves.

--- a/src/ridgecourse_standins/platform/engine.py
+++ b/src/ridgecourse_standins/platform/engine.py
@@ -21,7 +21,7 @@
     NOT_EXECUTED_HEADER,
     SIGNATURE_HEADER,
 )
-from ridgecourse_standins.ports import free_port
+from ridgecourse_standins.ports import free_stand_in_port
 
 
 @dataclass
@@ -91,7 +91,7 @@
         self.changed = Condition()
         self.resumed = Event()
         self.resumed.set()
-        self.listener = create_server((host, port or free_port()))
+        self.listener = create_server((host, port or free_stand_in_port()))
         self.bound_address: tuple[str, int] = self.listener.getsockname()[:2]
         self.thread = Thread(target=self._accept, daemon=True)
 
--- a/src/ridgecourse_standins/platform/http_server.py
+++ b/src/ridgecourse_standins/platform/http_server.py
@@ -2,7 +2,7 @@
 
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
-from ridgecourse_standins.ports import free_port
+from ridgecourse_standins.ports import free_stand_in_port
 
 
 class StandInServer(ThreadingHTTPServer):
@@ -16,4 +16,4 @@
     daemon_threads = True
 
     def __init__(self, host: str, handler: type[BaseHTTPRequestHandler]) -> None:
-        super().__init__((host, free_port()), handler)
+        super().__init__((host, free_stand_in_port()), handler)
--- a/src/ridgecourse_standins/ports.py
+++ b/src/ridgecourse_standins/ports.py
@@ -6,6 +6,7 @@
 """
 
 import socket
+from collections.abc import Iterator
 from functools import cache
 from itertools import cycle
 
@@ -18,18 +19,26 @@
 """
 
 
+STAND_IN_PORTS = 400
+"""Number of ports of a block that stand-ins listen on. Processes under test also use
+the port after the one that was allocated for them."""
+
+
 class PortBlock:
     """A block of ports that only this process allocates.
 
     Attributes:
         guard: Socket bound to the first port until the process ends.
-        ports: The other ports of the block, repeated endlessly.
+        ports: Ports for the processes under test, repeated endlessly.
+        stand_in_ports: Ports for stand-ins, repeated endlessly.
     """
 
     def __init__(self) -> None:
         self.guard = socket.socket()
         first_port = self._claim()
-        self.ports = cycle(range(first_port + 1, first_port + BLOCK_PORTS))
+        end = first_port + BLOCK_PORTS
+        self.ports = cycle(range(first_port + 1, end - STAND_IN_PORTS))
+        self.stand_in_ports = cycle(range(end - STAND_IN_PORTS, end))
 
     def _claim(self) -> int:
         """Bind the guard of an unclaimed block; return the port of the guard.
@@ -54,14 +63,24 @@
 
 def free_port() -> int:
     """Return a port that no socket is bound to on 127.0.0.1."""
-    for port in process_block().ports:
+    return find_free(process_block().ports)
+
+
+def free_stand_in_port() -> int:
+    """Return such a port for a stand-in of this process."""
+    return find_free(process_block().stand_in_ports)
+
+
+def find_free(ports: Iterator[int]) -> int:
+    """Return the next port that no socket is bound to on 127.0.0.1."""
+    for port in ports:
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
         return port
-    raise AssertionError("itertools.cycle never ends")
+    raise AssertionError("the ports are repeated endlessly")
 
 
 def free_address(host: str = "127.0.0.1") -> str:
