Let the stand-in of an engine that is not started keep its short queue

test_loader_waits_for_the_engine_at_the_first_start counts polls by their errors, which differ once the queue of the engine is full.

--- a/src/ridgecourse_standins/platform/http_server.py
+++ b/src/ridgecourse_standins/platform/http_server.py
@@ -12,8 +12,13 @@
     of a test that runs at the same time, whose clients would then reach this one.
     """
 
-    request_queue_size = 128
     daemon_threads = True
 
-    def __init__(self, host: str, handler: type[BaseHTTPRequestHandler]) -> None:
+    def __init__(
+        self,
+        host: str,
+        handler: type[BaseHTTPRequestHandler],
+        request_queue_size: int = 128,
+    ) -> None:
+        self.request_queue_size = request_queue_size
         super().__init__((host, free_stand_in_port()), handler)
--- a/src/ridgecourse_standins/platform/weights.py
+++ b/src/ridgecourse_standins/platform/weights.py
@@ -70,13 +70,19 @@
         changed: Notified after each call; also guards the state of the subclass.
     """
 
-    def __init__(self, host: str = "127.0.0.1") -> None:
+    def __init__(self, host: str = "127.0.0.1", queued_connections: int = 128) -> None:
+        """Prepare a stand-in; it answers once it is started.
+
+        Args:
+            host: Address to listen on.
+            queued_connections: Connections that it takes before they are accepted.
+        """
         self.calls: list[tuple[str, str]] = []
         self.exchanges: list[Exchange] = []
         self.unreachable = False
         self.dropped_connections = 0
         self.changed = Condition()
-        self.server = StandInServer(host, self._make_handler())
+        self.server = StandInServer(host, self._make_handler(), queued_connections)
         self.thread = Thread(target=self.server.serve_forever, daemon=True)
 
     @property
@@ -166,6 +172,10 @@
         return Handler
 
 
+ENGINE_QUEUE = 5
+"""Connections that an engine takes while it starts; the next ones time out."""
+
+
 class StagingEngine(HttpStandIn):
     """An engine that serves the chunks that are staged when a start order arrives.
 
@@ -190,7 +200,7 @@
     """
 
     def __init__(self, layers: int, host: str = "127.0.0.1") -> None:
-        super().__init__(host)
+        super().__init__(host, ENGINE_QUEUE)
         self.layers = layers
         self.staged: dict[int, bytes] = {}
         self.version = 0
