Use a manifest once two answers of the origin agree

Cause: the first manifest was kept for good and copied by other processes, although nothing tells whether it is right. Chunks that did not match were blamed instead.

Change: a manifest from the origin counts once it was sent twice, by this attempt or an earlier one. Why it works: an answer that is corrupt is not corrupt in the same way again; from peers a process copies confirmed manifests alone.

Cost: one more answer of the origin for each process that asks it for a manifest.

--- a/src/ridgecourse/exchange/catalogue.py
+++ b/src/ridgecourse/exchange/catalogue.py
@@ -14,7 +14,7 @@
 
 from ridgecourse.core.byte_counters import PayloadKind
 from ridgecourse.core.hubs import Peer
-from ridgecourse.core.ids import ModelName, WeightsVersion
+from ridgecourse.core.ids import ModelName, RootDigest, WeightsVersion
 from ridgecourse.core.manifest import (
     Manifest,
     encode_manifest,
@@ -45,6 +45,9 @@
 """Number of versions retained for other processes: the newest version and its
 predecessor, which the origin has."""
 
+MAX_MANIFEST_ANSWERS = 4
+"""Most answers of the origin that one attempt to get a manifest requests. Of three
+answers two agree if one is spoilt."""
 SKIPPED_STATUS = 410
 """HTTP status with which a process answers that it has stopped fetching a version."""
 
@@ -73,6 +76,7 @@
         on_request: Called with a version that another process requested and that
             is not complete in this process.
         skipped: Versions that this process will not complete.
+        unconfirmed: Digests of the manifests that the origin has sent once, by version.
     """
 
     def __init__(
@@ -86,6 +90,7 @@
         self.on_request = asked
         self.holdings: dict[VersionKey, Holding] = {}
         self.skipped: set[VersionKey] = set()
+        self.unconfirmed: dict[VersionKey, set[RootDigest]] = {}
 
     def add_routes(self, router: HttpRouter) -> None:
         """Register the manifest handler on a router."""
@@ -184,18 +189,42 @@
         return PeerAnswer(status, data, headers)
 
     def _fetch_from_origin(self, key: VersionKey, address: str) -> Holding | None:
-        """Fetch a manifest from the origin; return None if it is unavailable."""
+        """Fetch a manifest from the origin; return None if it is unavailable.
+
+        Nothing else tells whether a manifest is right. It is used once two answers, of
+        this attempt or of earlier ones, agree: chunks never match a spoilt one, and
+        other processes would copy it.
+        """
         try:
-            holding = self._add_holding(key, self.origin.manifest(address, *key))
+            for _ in range(MAX_MANIFEST_ANSWERS):
+                manifest = self.origin.manifest(address, *key)
+                data = encode_manifest(manifest)
+                self.context.count_received_from_origin(PayloadKind.MANIFEST, len(data))
+                if self._is_confirmed(key, root_digest(data)):
+                    return self._add_holding(key, manifest)
         except OriginUnavailable as error:
+            self._report_unavailable(key, str(error))
+        else:
+            self._report_unavailable(key, "no two answers of the origin agree")
+        return None
+
+    def _is_confirmed(self, key: VersionKey, digest: RootDigest) -> bool:
+        """Record an answer of the origin; check whether an earlier one was the same."""
+        sent = self.unconfirmed.setdefault(key, set())
+        if digest in sent:
+            del self.unconfirmed[key]
+            return True
+        if sent:
             self.context.events.emit(
-                EventKind.MANIFEST_UNAVAILABLE, version=str(key[1]), error=str(error)
+                EventKind.MANIFEST_DIFFERS, version=str(key[1]), digest=digest
             )
-            return None
-        self.context.count_received_from_origin(
-            PayloadKind.MANIFEST, len(holding.manifest_bytes)
+        sent.add(digest)
+        return False
+
+    def _report_unavailable(self, key: VersionKey, error: str) -> None:
+        self.context.events.emit(
+            EventKind.MANIFEST_UNAVAILABLE, version=str(key[1]), error=error
         )
-        return holding
 
     def _add_holding(self, key: VersionKey, manifest: Manifest) -> Holding:
         """Return the version's holding, created from the manifest if missing."""
@@ -222,6 +251,9 @@
         known = sorted(key for key in self.holdings if key[0] == model)
         dropped = known[:-RETAINED_VERSIONS]
         self.skipped.difference_update(dropped)
+        for key in list(self.unconfirmed):
+            if key[0] == model and key < known[-1]:
+                del self.unconfirmed[key]
         return [self.holdings.pop(key) for key in dropped]
 
     def retain_chunks(self) -> None:
--- a/src/ridgecourse/net/events.py
+++ b/src/ridgecourse/net/events.py
@@ -83,6 +83,7 @@
     VERSION_DATED = "version-dated"
     ROLLOUT_STARTED = "rollout-started"
     ROLLOUT_DROPPED = "rollout-dropped"
+    MANIFEST_DIFFERS = "manifest-differs"
     MANIFEST_UNAVAILABLE = "manifest-unavailable"
     TRANSFER_PROGRESS = "transfer-progress"
     ROLLOUT_PHASE = "rollout-phase"
--- a/src/ridgecourse_standins/platform/weights.py
+++ b/src/ridgecourse_standins/platform/weights.py
@@ -296,6 +296,7 @@
         versions: Chunks of each version.
         corrupt_chunks: Chunks that are sent corrupted the next time, as version and
             index.
+        corrupt_manifests: Number of manifests that are sent with one wrong digest next.
         send_limit: Number of chunks after which further chunks are held back; None for
             no limit.
         sent: Number of chunks sent so far.
@@ -305,6 +306,7 @@
         super().__init__()
         self.versions: dict[int, list[bytes]] = {}
         self.corrupt_chunks: set[tuple[int, int]] = set()
+        self.corrupt_manifests = 0
         self.send_limit: int | None = None
         self.sent = 0
 
@@ -324,6 +326,9 @@
             return 410, b""
         if path.startswith(MANIFEST_PATH):
             digests = [sha256(chunk).hexdigest() for chunk in chunks]
+            if self.corrupt_manifests:
+                self.corrupt_manifests -= 1
+                digests[-1] = sha256(b"%d" % self.corrupt_manifests).hexdigest()
             return 200, encode({"chunk_bytes": len(chunks[0]), "digests": digests})
         if path.startswith(CHUNK_PATH):
             self.changed.notify_all()
