Guard the answers of a manifest that no known version replaces

A model without a known manifest has no newest version to compare with. No caller drops versions of such a model today; found in reading, no failure was seen.

--- a/src/ridgecourse/exchange/catalogue.py
+++ b/src/ridgecourse/exchange/catalogue.py
@@ -47,7 +47,7 @@
 
 MAX_MANIFEST_ANSWERS = 4
 """Most answers of the origin that one attempt to get a manifest requests. Of three
-answers two agree if one is spoilt."""
+answers two agree if one is corrupt."""
 SKIPPED_STATUS = 410
 """HTTP status with which a process answers that it has stopped fetching a version."""
 
@@ -192,7 +192,7 @@
         """Fetch a manifest from the origin; return None if it is unavailable.
 
         Nothing else tells whether a manifest is right. It is used once two answers, of
-        this attempt or of earlier ones, agree: chunks never match a spoilt one, and
+        this attempt or of earlier ones, agree: chunks never match a corrupt one, and
         other processes would copy it.
         """
         try:
@@ -252,7 +252,7 @@
         dropped = known[:-RETAINED_VERSIONS]
         self.skipped.difference_update(dropped)
         for key in list(self.unconfirmed):
-            if key[0] == model and key < known[-1]:
+            if key[0] == model and known and key < known[-1]:
                 del self.unconfirmed[key]
         return [self.holdings.pop(key) for key in dropped]
 
