Leave the first decision to the read of the decisions as well

A process that had read a topic without any decision took the first one from its pin, as in: the end that it had applied, 0, counted as none.

A pin that tells its revision also tells the offset of its decision, so that the end can be compared without an exception.

--- a/src/ridgecourse/cluster/decision_history.py
+++ b/src/ridgecourse/cluster/decision_history.py
@@ -71,7 +71,7 @@
         covered_end: Offset of the decisions before which none has a higher revision
             than the pin of its key.
         decision_offset: Offset of the decision among the decisions; 0 if the pin does
-            not tell.
+            not tell its revision.
     """
 
     record: KeyedRecord
--- a/src/ridgecourse/cluster/pinned_decisions.py
+++ b/src/ridgecourse/cluster/pinned_decisions.py
@@ -267,7 +267,7 @@
         A decision that follows the applied ones is left to the read of the decisions,
         which tells its offset and how late it is, although its pin may arrive earlier.
         """
-        if pin.decision_offset >= self.applied_end() > 0:
+        if pin.revision is not None and pin.decision_offset >= self.applied_end():
             return False
         known = self.in_force.get(pin.record.key)
         return known is None or known.revision < self.revisions.pin_revision(pin)
--- a/tests/platform/test_pinned_decisions.py
+++ b/tests/platform/test_pinned_decisions.py
@@ -427,3 +427,18 @@
     assert slow.version(MODEL) == 3
     assert slow.served_offset(MODEL) == 1
     assert not slow.view.history(ModelName(MODEL)).lacks_naming_time(3)
+
+
+def test_the_pin_of_the_first_decision_is_left_to_the_read_of_it() -> None:
+    """Both processes had read a topic that was still empty."""
+    store = MemoryStore()
+    slow, fast = Process(store), Process(store)
+    for process in (slow, fast):
+        process.read()
+    for version in (2, 3):
+        store.put(MODEL, version)
+    fast.skip_ahead()
+    fast.pin()
+    slow.recheck()
+    slow.read()
+    assert slow.served_offset(MODEL) == 1
