--- a/src/ridgecourse/gateway/send_recorder.py
+++ b/src/ridgecourse/gateway/send_recorder.py
@@ -30,6 +30,7 @@
 from ridgecourse.net.body_end import metric_suffix
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
+from ridgecourse.net.head_end import HeadEnd
 
 NOT_SENT_REASONS = (
     Reason.LEAVING,
@@ -97,6 +98,8 @@
 
     def record(self, send: Send, result: SendResult) -> None:
         """Record the result of a send."""
+        if result.head_end not in (None, HeadEnd.EMPTY_LINE):
+            self.events.metrics.count(f"heads_broken_{metric_suffix(result.head_end)}")
         self._update_target_state(send, result)
         self._record_contact(send, result)
         if isinstance(result, Stream):
@@ -167,6 +170,7 @@
             entry_offset=None if entry.offset is None else index_of(entry.offset),
             list_age=round(entry.age, 2),
             result=type(result).__name__,
+            head_end=result.head_end,
             signature=routed.signature.hex() if isinstance(result, Unknown) else None,
             parts=[part.hex() for part in routed.parts]
             if isinstance(result, Unknown)
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -39,6 +39,7 @@
     NotSent,
     TargetDisconnected,
 )
+from ridgecourse.net.head_end import HeadEnd
 
 CONNECT_TIMEOUT_SECONDS = 0.3
 """Longest wait for a connection: some 30 round trips between the farthest failure
@@ -100,6 +101,7 @@
         arrived: Whether the request reached the target.
         come_back: Seconds after which the client may retry, if known.
         excluded: Number of targets that were not eligible, by reason.
+        head_end: How the head of the answer ended; None if no answer was awaited.
     """
 
     reason: Reason
@@ -107,6 +109,7 @@
     arrived: bool
     come_back: float | None = None
     excluded: Mapping[str, int] = {}
+    head_end: HeadEnd | None = None
 
 
 class Unknown(Struct, frozen=True):
@@ -117,12 +120,14 @@
         late: Whether the deadline expired.
         disconnected: Whether the target closed the connection.
         body_end: How the body ended; None if no body began.
+        head_end: How the head of the answer ended; None if no answer was awaited.
     """
 
     detail: str
     late: bool
     disconnected: bool = False
     body_end: BodyEnd | None = None
+    head_end: HeadEnd | None = None
 
 
 class Whole(Struct, frozen=True):
@@ -132,11 +137,13 @@
         head: Head of the answer.
         body: The whole body.
         body_end: How the body ended.
+        head_end: How the head ended.
     """
 
     head: AnswerHead
     body: bytes
     body_end: BodyEnd | None = None
+    head_end: HeadEnd | None = None
 
 
 class Stream(Struct):
@@ -162,6 +169,11 @@
     load: EngineLoad | None = None
     flight: Flight | None = None
 
+    @property
+    def head_end(self) -> HeadEnd | None:
+        """How the head of the answer ended."""
+        return self.exchange.head_end
+
 
 SendResult = NotRun | Unknown | Whole | Stream
 
@@ -214,7 +226,9 @@
                 exchange.close()
             elif not isinstance(result, Stream):
                 exchange.abandon()
-        return result
+        if isinstance(result, Stream):
+            return result
+        return structs.replace(result, head_end=exchange.head_end)
 
     def _connect(self, exchange: Exchange, network_delay: RecentPeak) -> float:
         """Connect; return the seconds by which connecting took longer than expected."""
--- a/src/ridgecourse/net/body_end.py
+++ b/src/ridgecourse/net/body_end.py
@@ -4,6 +4,8 @@
 
 from urllib3 import BaseHTTPResponse
 
+from ridgecourse.net.head_end import HeadEnd
+
 
 class BodyEnd(Enum):
     """How a body ended.
@@ -46,6 +48,6 @@
     return BodyEnd.EARLY_CLOSE
 
 
-def metric_suffix(end: BodyEnd | None) -> str:
-    """Return the part of a metric's name that tells how a body ended."""
+def metric_suffix(end: BodyEnd | HeadEnd | None) -> str:
+    """Return the part of a metric's name that tells how a body or a head ended."""
     return "unknown" if end is None else end.value.replace("-", "_")
--- a/src/ridgecourse/net/exchange.py
+++ b/src/ridgecourse/net/exchange.py
@@ -7,19 +7,21 @@
 
 from collections.abc import Iterator
 from contextlib import suppress
+from http.client import RemoteDisconnected
 from socket import SHUT_RDWR, SO_LINGER, SOL_SOCKET
 from typing import Any
 
 from urllib3 import BaseHTTPResponse
 from urllib3._collections import HTTPHeaderDict
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError, ReadTimeoutError
 from urllib3.util import SKIP_HEADER
 
 from ridgecourse.core.ids import Seconds
 from ridgecourse.net.address import parse_address
+from ridgecourse.net.answer_connection import AnswerConnection
 from ridgecourse.net.body_end import BodyEnd, classify_failure, find_stated_end
 from ridgecourse.net.clock import boottime
+from ridgecourse.net.head_end import HeadEnd
 from ridgecourse.net.http_server import HeaderList
 from ridgecourse.net.tcp import LINGER_RESET
 
@@ -53,6 +55,7 @@
         connection: The HTTP connection.
         sock: Socket of the connection; None before ``connect``.
         response: The answer; None before its head was received.
+        head_end: How the head of the answer ended; None before its end.
         body_end: How the body ended; None before its end.
     """
 
@@ -60,9 +63,10 @@
         socket_address = parse_address(address)
         self.address = address
         self.deadline = deadline
-        self.connection = HTTPConnection(socket_address.host, socket_address.port)
+        self.connection = AnswerConnection(socket_address.host, socket_address.port)
         self.sock: Any = None
         self.response: BaseHTTPResponse | None = None
+        self.head_end: HeadEnd | None = None
         self.body_end: BodyEnd | None = None
 
     def connect(self, seconds: float) -> None:
@@ -137,14 +141,22 @@
         try:
             self.response = self.connection.getresponse()
         except TimeoutError as error:
+            self.head_end = HeadEnd.STALLED
             if wait < self.deadline - boottime():
                 raise ExchangeBroken(f"{self.address}: not begun in time") from error
             raise ExchangeTimeout(f"{self.address}: no answer in time") from error
+        except RemoteDisconnected as error:
+            self.head_end = HeadEnd.NO_ANSWER
+            raise TargetDisconnected(f"{self.address}: {error!r}") from error
         except ConnectionError as error:
+            self.head_end = HeadEnd.RESET
             raise TargetDisconnected(f"{self.address}: {error!r}") from error
         except Exception as error:
             # http.client raises its own errors for a malformed answer.
+            self.head_end = HeadEnd.INVALID
             raise ExchangeBroken(f"{self.address}: {error!r}") from error
+        original: Any = self.response._original_response
+        self.head_end = original.head_end
         return self.response
 
     def read_whole(self, limit: int) -> bytes:
