Show that answers cut in their head reach the caller as whole

An engine sends the beginning of an answer and closes in order; the cuts lie inside and between the lines of the head, and inside the size of the first chunk.

--- a/tests/platform/test_cut_heads.py
+++ b/tests/platform/test_cut_heads.py
@@ -1,10 +1,118 @@
-"""Answers that an engine cuts off inside their head."""
+"""Answers that an engine cuts off inside their head, or inside the size of a chunk."""
 
+from collections.abc import Iterator
 from socket import SHUT_WR
+from typing import NamedTuple
 
 import pytest
+from gateway_site import GatewaySite, HttpResponse
 
-from ridgecourse_standins.platform.engine import ReceivedRequest
+from ridgecourse_standins.platform.engine import (
+    Behaviour,
+    ReceivedRequest,
+    answer_head,
+    format_event,
+    send_response,
+)
+from ridgecourse_standins.platform.stream_answers import Framing
+
+PLAIN_BODY = b"the whole answer of a plain service"
+STREAM_BODY = format_event(1) + format_event(2)
+STREAM_HEADERS = ("Model: m0", "Token-Usage: 100,50")
+
+
+class WholeAnswer(NamedTuple):
+    """A whole answer of an engine.
+
+    Attributes:
+        path: Path of a route whose engine gives the answer.
+        body: The whole body.
+        framing: What tells the end of the body.
+        content_type: Type of the body.
+    """
+
+    path: str
+    body: bytes
+    framing: Framing
+    content_type: str
+
+    def encode(self, request: ReceivedRequest) -> bytes:
+        """Return all bytes of the answer to a request."""
+        lines = [*answer_head(request), f"Content-Type: {self.content_type}"]
+        body = self.body
+        if self.framing is Framing.LENGTH:
+            lines.append(f"Content-Length: {len(body)}")
+        elif self.framing is Framing.CHUNKS:
+            lines.append("Transfer-Encoding: chunked")
+            body = b"%06x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+        return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def whole_answers() -> Iterator[WholeAnswer]:
+    """Yield answers of each framing on a plain route and on a streaming one."""
+    for framing in Framing:
+        yield WholeAnswer("/once/x", PLAIN_BODY, framing, "text/plain")
+        yield WholeAnswer("/stream/x", STREAM_BODY, framing, "text/event-stream")
+    yield WholeAnswer("/safe/x", PLAIN_BODY, Framing.CLOSE, "text/plain")
+    yield WholeAnswer("/once-stream/x", STREAM_BODY, Framing.CLOSE, "text/event-stream")
+
+
+def ask_with(
+    front: GatewaySite, answer: WholeAnswer, behaviour: Behaviour
+) -> HttpResponse:
+    """Send a request that all engines answer with a behaviour."""
+    for engine in front.engines:
+        engine.behaviour = behaviour
+    return front.ask(answer.path, method="POST", extra=STREAM_HEADERS)
+
+
+def is_wrong(answer: WholeAnswer, response: HttpResponse) -> bool:
+    """Check whether a client would take a part of an answer for the whole."""
+    status, headers, body, is_complete = response
+    return status == 200 and not (
+        is_complete
+        and body == answer.body
+        and headers.get("response-signature") == "signed-by-engine"
+    )
+
+
+def find_cuts(start: bytes) -> Iterator[int]:
+    """Yield the cuts inside the lines before a body, and between these lines."""
+    line_start = 0
+    for line in start.splitlines(keepends=True):
+        line_end = line_start + len(line)
+        yield from sorted({(line_start + line_end) // 2, line_end - 2, line_end - 1})
+        if line_end < len(start):
+            yield line_end
+        line_start = line_end
+
+
+def test_answer_cut_in_its_head_is_not_taken_for_whole(front) -> None:
+    # Guards against the end of a connection inside a head passing for its end.
+    starts: list[bytes] = []
+
+    def send_cut(request: ReceivedRequest) -> None:
+        whole = answer.encode(request)
+        starts.append(whole[: whole.index(answer.body)])
+        request.connection.sendall(whole[:cut])
+        request.connection.shutdown(SHUT_WR)
+
+    for service in ("app", "llm"):
+        front.add_engine(service)
+    front.start()
+    wrong, count = [], 0
+    for answer in whole_answers():
+        cut = 0
+        ask_with(front, answer, send_cut)
+        for cut in find_cuts(starts[-1]):
+            response = ask_with(front, answer, send_cut)
+            count += 1
+            if is_wrong(answer, response):
+                wrong.append((answer.path, answer.framing.value, cut, response))
+            if response[0] != 200:
+                # A success between failures keeps the engine in use.
+                assert ask_with(front, answer, send_response)[0] == 200
+    assert wrong == [], f"{len(wrong)} of {count} answers"
 
 
 @pytest.mark.parametrize(
