Refuse an answer that is cut inside the size of a chunk or inside its trailer

Cause: http.client reads the size of a chunk up to the end of the line or of the connection. A size that is written with leading zeros and cut inside them reads as 0, the last chunk. The end of the connection inside the trailer passes for its end, and the bytes between two chunks are skipped unread.

Change: the clients use one class of answer, net/answer_connection.py, which requires the whole line of a size, digits alone before an extension, an end of line behind each chunk, and the empty line of the trailer. A body that lacks one of them ends by an early close, as one that lacks bytes does, whose handling is tested already.

--- a/src/ridgecourse/net/http_client.py
+++ b/src/ridgecourse/net/http_client.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import closing
 
-from urllib3 import BaseHTTPResponse, HTTPConnectionPool, PoolManager, Timeout
+from urllib3 import BaseHTTPResponse, HTTPConnectionPool, Timeout
 from urllib3.exceptions import (
     ConnectTimeoutError,
     HTTPError,
@@ -12,6 +12,7 @@
 from urllib3.exceptions import TimeoutError as HttpTimeout
 
 from ridgecourse.net.address import parse_address
+from ridgecourse.net.answer_connection import AnswerPool, AnswerPoolManager
 
 READ_BYTES = 16 * 1024
 """Bytes per read; small, so that the progress of a body on a slow link can be seen."""
@@ -42,7 +43,7 @@
     ) -> None:
         self.connect_seconds = connect_seconds
         self.source_address = None if source is None else (source, 0)
-        self.pool = PoolManager(
+        self.pool = AnswerPoolManager(
             num_pools=256,
             maxsize=pool_size,
             block=False,
@@ -98,7 +99,7 @@
         if not fresh:
             return self.pool.connection_from_url(f"http://{address}")
         socket_address = parse_address(address)
-        return HTTPConnectionPool(
+        return AnswerPool(
             socket_address.host,
             socket_address.port,
             maxsize=1,
--- a/src/ridgecourse/net/kept_connections.py
+++ b/src/ridgecourse/net/kept_connections.py
@@ -8,11 +8,11 @@
 from contextlib import suppress
 from typing import NamedTuple
 
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError, NewConnectionError
 
 from ridgecourse.core.ids import Seconds
 from ridgecourse.net.address import parse_address
+from ridgecourse.net.answer_connection import AnswerConnection
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_client import ExchangeFailed, NoConnection
 
@@ -47,7 +47,7 @@
     def __init__(self, address: str, source_address: str | None = None) -> None:
         self.address = address
         self.source_address = None if source_address is None else (source_address, 0)
-        self.idle_connections: list[HTTPConnection] = []
+        self.idle_connections: list[AnswerConnection] = []
 
     def get(self, path: str, timeout: float) -> PlainAnswer:
         """Send a GET request and return the answer.
@@ -108,15 +108,15 @@
         except ConnectionError as error:
             raise ExchangeFailed(f"{self.address}: {error!r}") from error
 
-    def _make_connection(self) -> HTTPConnection:
+    def _make_connection(self) -> AnswerConnection:
         socket_address = parse_address(self.address)
-        return HTTPConnection(
+        return AnswerConnection(
             socket_address.host, socket_address.port, source_address=self.source_address
         )
 
     def _exchange(
         self,
-        connection: HTTPConnection,
+        connection: AnswerConnection,
         path: str,
         timeout: float,
         method: str = "GET",
