Refuse an answer whose head is malformed or frames its body in two ways

Callers saw (in tests, none is in the users' record): an answer without the fields behind a line that is not a field, its Content-Length too, so that all bytes up to the close counted as its body; a coded body taken for one that a close ends.

Cause: the library's parser ends the fields at the first line that it cannot read, and takes a length that is no number, or a transfer coding that it does not know, for no framing at all.

Change: a line of a head must be one whole field without a bare carriage return; a folded one is obsolete and invalid. The length is one number, several fields may repeat it; the only coding is chunks, without a length beside it (RFC 9112, sections 2.2, 5 and 6). The head ends as "invalid", the request may have run.

--- a/src/ridgecourse/net/answer_connection.py
+++ b/src/ridgecourse/net/answer_connection.py
@@ -16,6 +16,8 @@
     EMPTY_LINES,
     HeadReader,
     IncompleteHead,
+    InvalidHead,
+    check_framing,
 )
 
 MAX_LINE_BYTES = 64 * 1024
@@ -39,12 +41,14 @@
 
         Raises:
             IncompleteHead: The connection ended inside the head.
+            InvalidHead: The head is malformed or contradicts itself.
         """
         stream = self.fp
         reader = HeadReader(stream)
         self.fp = reader
         try:
             super().begin()
+            check_framing(self.headers)
         finally:
             if self.fp is reader:
                 self.fp = stream
@@ -78,13 +82,13 @@
         """Read the trailer fields up to the empty line that ends the body.
 
         Raises:
-            IncompleteRead: The connection ended inside the trailer.
+            IncompleteRead: The trailer is malformed, or the connection ended inside it.
         """
         reader = HeadReader(self.fp, in_fields=True)
         try:
             while reader.readline(MAX_LINE_BYTES + 1) not in EMPTY_LINES:
                 pass
-        except IncompleteHead as error:
+        except (IncompleteHead, InvalidHead) as error:
             raise IncompleteRead(b"") from error
 
 
--- a/src/ridgecourse/net/head_reader.py
+++ b/src/ridgecourse/net/head_reader.py
@@ -1,12 +1,16 @@
-"""Reads the head of an HTTP message, which must be whole.
+"""Reads the head of an HTTP message, which must be whole and well-formed.
 
 The parsers of the standard library take the end of a connection inside a head for the
-end of the head.
+end of the head, and drop all fields behind a line that is not a field.
 """
 
+import re
+from collections.abc import Sequence
 from http.client import HTTPException
-from typing import BinaryIO
+from typing import BinaryIO, Protocol
 
+START_LINE = re.compile(rb"[^\r\n\0]*\r?\n")
+FIELD_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n\0]*\r?\n")
 EMPTY_LINES = (b"\r\n", b"\n")
 
 
@@ -14,6 +18,17 @@
     """The connection ended inside the head of a message."""
 
 
+class InvalidHead(HTTPException):
+    """A line of a head is malformed, or its fields contradict each other."""
+
+
+class HeaderFields(Protocol):
+    """The fields of a head, as ``email.message.Message`` holds them."""
+
+    def get_all(self, name: str) -> Sequence[str] | None:
+        """Return the value of each field of a name, None if there is none."""
+
+
 class HeadReader:
     """Reads the lines of heads from a stream, in place of the stream itself.
 
@@ -39,6 +54,8 @@
 
         Raises:
             IncompleteHead: The connection ended inside the head.
+            InvalidHead: The line is no start line or field. A field that is folded over
+                several lines is obsolete and invalid.
         """
         line = self.stream.readline(limit)
         if not line and not self.in_fields:
@@ -50,9 +67,35 @@
         if self.in_fields and line in EMPTY_LINES:
             self.in_fields = False
             return line
+        expected = FIELD_LINE if self.in_fields else START_LINE
+        if expected.fullmatch(line) is None:
+            raise InvalidHead(f"malformed line {line[:80]!r}")
         self.in_fields = True
         return line
 
     def close(self) -> None:
         """Close the stream."""
         self.stream.close()
+
+
+def check_framing(fields: HeaderFields) -> None:
+    """Check that the fields of a head tell in exactly one way where the body ends.
+
+    See RFC 9112, section 6.3.
+
+    Raises:
+        InvalidHead: There are several lengths, a length that is no number, a length
+            beside a transfer coding, or a coding other than chunks.
+    """
+    lengths = {value.strip() for value in fields.get_all("Content-Length") or ()}
+    codings = [value.strip() for value in fields.get_all("Transfer-Encoding") or ()]
+    if not all(length.isascii() and length.isdecimal() for length in lengths):
+        raise InvalidHead(f"Content-Length {sorted(lengths)}, expected a number")
+    if len(lengths) > 1:
+        raise InvalidHead(f"different values of Content-Length: {sorted(lengths)}")
+    if not codings:
+        return
+    if lengths:
+        raise InvalidHead("Content-Length beside Transfer-Encoding")
+    if [coding.lower() for coding in codings] != ["chunked"]:
+        raise InvalidHead(f"Transfer-Encoding {codings}, expected only chunked")
--- a/tests/test_answer_connection.py
+++ b/tests/test_answer_connection.py
@@ -150,6 +150,7 @@
         b"-1\r\nwhole\r\n0\r\n\r\n",
         b"0_5\r\nwhole\r\n0\r\n\r\n",
         b"\r\n5\r\nwhole\r\n0\r\n\r\n",
+        b"5\r\nwhole\r\n0\r\nno field\r\n\r\n",
     ],
 )
 def test_malformed_chunk_is_an_error(client, server, body: bytes) -> None:
@@ -176,3 +177,44 @@
     assert ask(client, server, head + body) == (status, body)
     for cut in range(len(head)):
         assert ask(client, server, head[:cut]) is None, head[:cut]
+
+
+@pytest.mark.parametrize("client", CLIENTS)
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"no field\r\n",
+        b" folded: 1\r\n",
+        b"Name : 1\r\n",
+        b": 1\r\n",
+        b"Name: 1\rContent-Length: 0\r\n",
+        b"Name: \x00\r\n",
+        b"Content-Length: 12\r\n",
+        b"Content-Length: 11, 11\r\n",
+        b"Content-Length: +11\r\n",
+        b"Content-Length:\r\n",
+        b"Transfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: gzip\r\n",
+    ],
+)
+def test_malformed_head_is_an_error(client, server, line: bytes) -> None:
+    # Guards against fields that are dropped behind a line that is not a field, and
+    # against a body whose end two fields tell differently.
+    start = b"HTTP/1.1 200 OK\r\nServer: x\r\n"
+    end = b"Content-Length: 11\r\n\r\nwhole piece"
+    assert ask(client, server, start + end) == (200, b"whole piece")
+    assert ask(client, server, start + line + end) is None
+
+
+@pytest.mark.parametrize("client", CLIENTS)
+def test_transfer_coding_beside_chunks_is_an_error(client, server) -> None:
+    # Guards against a coded body that is taken for one that a close ends.
+    head = CHUNKED_HEAD.replace(b"chunked", b"gzip, chunked")
+    assert ask(client, server, head + b"0\r\n\r\n") is None
+
+
+@pytest.mark.parametrize("client", CLIENTS)
+def test_repeated_equal_length_is_accepted(client, server) -> None:
+    # Guards against refusing a whole answer whose length is stated twice.
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\n"
+    assert ask(client, server, head + b"ok") == (200, b"ok")
