--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -75,3 +75,16 @@
         if search(r"\bmonotonic\(|\bperf_counter\(", path.read_text())
     ]
     assert violations == []
+
+
+def test_http_clients_use_connections_that_check_answers() -> None:
+    # Guards against a client that takes a cut answer for a whole one.
+    makes_connection = r"\b(HTTPConnection|HTTPConnectionPool|PoolManager)\("
+    other_client = r"\burllib3\.request\b|\burllib\.request import|import requests\b"
+    violations = [
+        str(path.relative_to(SOURCES))
+        for path in sorted(SOURCES.rglob("*.py"))
+        if path.name != "answer_connection.py"
+        and search(f"{makes_connection}|{other_client}", path.read_text())
+    ]
+    assert violations == []
