Keep a gateway within its number of modules

Change: how a head and how a body ended stand in one module, answer_end.py; the parser of mail addresses and what the returns library needs only to test its own types are imported at their first use, as other unused modules are.

--- a/src/ridgecourse/gateway/crash_watch.py
+++ b/src/ridgecourse/gateway/crash_watch.py
@@ -16,7 +16,7 @@
 from ridgecourse.gateway.crash_records import CrashRecords
 from ridgecourse.gateway.gateway_link import GatewayLink
 from ridgecourse.gateway.sender import NotRun, RoutedRequest, time_left
-from ridgecourse.net.body_end import BodyEnd
+from ridgecourse.net.answer_end import BodyEnd
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.record_source import RecordSource
--- a/src/ridgecourse/gateway/send_recorder.py
+++ b/src/ridgecourse/gateway/send_recorder.py
@@ -27,10 +27,9 @@
     Unknown,
     Whole,
 )
-from ridgecourse.net.body_end import metric_suffix
+from ridgecourse.net.answer_end import HeadEnd, metric_suffix
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
-from ridgecourse.net.head_end import HeadEnd
 
 NOT_SENT_REASONS = (
     Reason.LEAVING,
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -30,7 +30,7 @@
 )
 from ridgecourse.gateway.messages import AnswerHead, ClientRequest, SendTerms
 from ridgecourse.gateway.protocol import RequestProtocol
-from ridgecourse.net.body_end import BodyEnd
+from ridgecourse.net.answer_end import BodyEnd, HeadEnd
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.exchange import (
     Exchange,
@@ -39,7 +39,6 @@
     NotSent,
     TargetDisconnected,
 )
-from ridgecourse.net.head_end import HeadEnd
 
 CONNECT_TIMEOUT_SECONDS = 0.3
 """Longest wait for a connection: some 30 round trips between the farthest failure
--- a/src/ridgecourse/gateway/stream_relay.py
+++ b/src/ridgecourse/gateway/stream_relay.py
@@ -11,7 +11,7 @@
 from ridgecourse.gateway.messages import ClientRequest
 from ridgecourse.gateway.sender import RoutedRequest, Stream
 from ridgecourse.gateway.terms import Terms
-from ridgecourse.net.body_end import metric_suffix
+from ridgecourse.net.answer_end import metric_suffix
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.exchange import ExchangeBroken, ExchangeTimeout, TargetDisconnected
--- a/src/ridgecourse/net/exchange.py
+++ b/src/ridgecourse/net/exchange.py
@@ -19,9 +19,14 @@
 from ridgecourse.core.ids import Seconds
 from ridgecourse.net.address import parse_address
 from ridgecourse.net.answer_connection import AnswerConnection
-from ridgecourse.net.body_end import BodyEnd, classify_failure, find_stated_end
+from ridgecourse.net.answer_end import (
+    BodyEnd,
+    HeadEnd,
+    classify_failure,
+    classify_head_failure,
+    find_stated_end,
+)
 from ridgecourse.net.clock import boottime
-from ridgecourse.net.head_end import HeadEnd, classify_head_failure
 from ridgecourse.net.http_server import HeaderList
 from ridgecourse.net.tcp import LINGER_RESET
 
--- a/src/ridgecourse/net/patch.py
+++ b/src/ridgecourse/net/patch.py
@@ -102,8 +102,8 @@
     eventlet.monkey_patch(os=True, select=True, socket=True, thread=True, time=True)
 
 # Modules that the libraries import for features that no program uses: files, forms,
-# schemas, mail bodies, proxies, HTTP/2, TLS in TLS, compression, thread pools, HTML
-# error pages and encoded mail headers.
+# schemas, mail addresses and bodies, proxies, HTTP/2, TLS in TLS, compression, thread
+# pools, HTML error pages, encoded mail headers and tests of a library's own types.
 with defer_imports(
     {
         # Before other modules of urllib3, whose placeholders import the package.
@@ -112,6 +112,14 @@
         "concurrent.futures": (),
         "calendar": (),
         "email._encoded_words": ("decode_b",),
+        "email._parseaddr": (
+            "AddressList",
+            "_parsedate_tz",
+            "mktime_tz",
+            "parsedate",
+            "parsedate_tz",
+            "quote",
+        ),
         "email.base64mime": (),
         "email.encoders": ("encode_7or8bit",),
         "email.header": (),
@@ -126,6 +134,8 @@
         "msgspec.toml": (),
         "msgspec.yaml": (),
         "quopri": ("encodestring",),
+        "returns.functions": ("compose", "identity"),
+        "returns.primitives.asserts": ("assert_equal",),
         "shutil": (),
         "urllib.request": (),
         "urllib3.filepost": ("_TYPE_FIELDS", "encode_multipart_formdata"),
@@ -144,6 +154,7 @@
 ):
     import eventlet.wsgi  # noqa: E402
     import msgspec  # noqa: E402, F401
+    import returns.result  # noqa: E402, F401
     import urllib3  # noqa: E402, F401
     import websockets.sync.client  # noqa: E402, F401
     import websockets.sync.server  # noqa: E402, F401
