Record how a head ended for every error of an answer, and once

The log named no end of the head for errors outside ConnectionError and http.client, and request-ended repeated head_end, which is always empty-line since a cut head makes no answer.

--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -168,11 +168,7 @@
         call = routed.call
         if isinstance(result, Whole):
             outcome = Outcome.COMPLETED if result.head.success else Outcome.UNKNOWN
-            detail = {
-                "head_end": result.head_end,
-                "body_end": result.body_end,
-                "body_bytes": len(result.body),
-            }
+            detail = {"body_end": result.body_end, "body_bytes": len(result.body)}
             self._emit_ended(call, outcome, f"status {result.head.status}", detail)
             head = result.head
             return FrontReply(head.status, head.reason, head.headers, result.body)
--- a/src/ridgecourse/net/exchange.py
+++ b/src/ridgecourse/net/exchange.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Iterator
 from contextlib import suppress
-from http.client import HTTPException
 from socket import SHUT_RDWR, SO_LINGER, SOL_SOCKET
 from typing import Any
 
@@ -27,6 +26,7 @@
     find_stated_end,
 )
 from ridgecourse.net.clock import boottime
+from ridgecourse.net.head_reader import IncompleteHead
 from ridgecourse.net.http_server import HeaderList
 from ridgecourse.net.tcp import LINGER_RESET
 
@@ -150,12 +150,11 @@
             if wait < self.deadline - boottime():
                 raise ExchangeBroken(f"{self.address}: not begun in time") from error
             raise ExchangeTimeout(f"{self.address}: no answer in time") from error
-        except (ConnectionError, HTTPException) as error:
-            self.head_end = classify_head_failure(error)
-            if self.head_end is HeadEnd.INVALID:
-                raise ExchangeBroken(f"{self.address}: {error!r}") from error
-            raise TargetDisconnected(f"{self.address}: {error!r}") from error
         except Exception as error:
+            # Errors of the socket, and those of http.client for a malformed answer.
+            self.head_end = classify_head_failure(error)
+            if isinstance(error, (ConnectionError, IncompleteHead)):
+                raise TargetDisconnected(f"{self.address}: {error!r}") from error
             raise ExchangeBroken(f"{self.address}: {error!r}") from error
         self.head_end = HeadEnd.EMPTY_LINE
         return self.response
