Do not take decisions for dropped by the store because its refusal is cut

What a caller would see: a process that reads the hidden decisions at its start uses an older decision although the store still has one with a higher revision.

Cause: the store refuses dropped offsets with 410 and the first offset that it still has. Without a length a close can end that body early, and the status alone arrives. read_hidden took a refusal without the offset for "nothing is left of the range".

Change: such a refusal is no usable answer, so that the read is repeated. The platform's protocol has the offset in each 410. The other reader of the error, the follower of a topic, reads the newest records then and does not use the offset. A refusal of another era has no offset either; the repeated read meets the new era.

--- a/src/ridgecourse/cluster/decision_history.py
+++ b/src/ridgecourse/cluster/decision_history.py
@@ -23,6 +23,7 @@
     RecordBatch,
     RecordsGone,
     RecordSource,
+    SourceUnavailable,
     Topic,
 )
 from ridgecourse.wire.codec import decode_message, encode_message
@@ -290,14 +291,18 @@
     """Yield the records of a range that the store still has.
 
     Raises:
-        SourceUnavailable: The store gave no usable answer.
+        SourceUnavailable: The store gave no usable answer, or did not tell which
+            records it still has.
     """
     position = hidden.start
     while position < hidden.end:
         try:
             batch = store.read(topic, position, 0.0)
         except RecordsGone as error:
-            if error.first is None or error.first <= position:
+            if error.first is None:
+                # The refusal is cut, or the store is in another era.
+                raise SourceUnavailable(f"{error}, first offset not told") from error
+            if error.first <= position:
                 return
             position = error.first
             continue
--- a/tests/platform/test_pinned_decisions.py
+++ b/tests/platform/test_pinned_decisions.py
@@ -51,6 +51,7 @@
         topics: Key and value of all records of each topic.
         first: First offset that each topic still has.
         late: Conditional writes of the system that got no answer.
+        tells_first: Whether a refusal of dropped records tells the first offset.
         refuses: Whether reads of the decisions from an offset on are refused.
         loses_writes: Whether writes of the system get no answer and are done late.
     """
@@ -60,6 +61,7 @@
         self.first = dict.fromkeys(Topic, 0)
         self.late: list[tuple[str, bytes, Offset]] = []
         self.loses_writes = False
+        self.tells_first = True
         self.refuses = False
 
     def newest(self, topic: Topic) -> RecordBatch:
@@ -74,7 +76,8 @@
         if self.refuses and topic is Topic.DECISIONS:
             raise SourceUnavailable("refused")
         if start < self.first[topic]:
-            raise RecordsGone("gone", Offset(self.first[topic]))
+            first = Offset(self.first[topic]) if self.tells_first else None
+            raise RecordsGone("gone", first)
         stored = self.topics[topic][start : start + READ_RECORDS]
         records = [
             KeyedRecord(key, value, Offset(start + number))
@@ -394,6 +397,22 @@
     assert not started.source.has_read_hidden
 
 
+def test_a_refusal_cut_before_its_offset_conceals_no_decision() -> None:
+    # Guards against records that count as dropped because a cut 410 does not tell
+    # which records the store still has: the process then uses an older decision.
+    store = MemoryStore()
+    for version in (2, 4, 3):
+        store.put(MODEL, version)
+    store.first[Topic.DECISIONS] = 1
+    store.tells_first = False
+    process = Process(store)
+    process.read()
+    assert process.version(MODEL) == FIRST_VERSION
+    store.tells_first = True
+    process.read()
+    assert process.version(MODEL) == 4
+
+
 def test_a_pin_of_an_earlier_release_is_written_again_once() -> None:
     """Such a pin holds the record of the decision as it is."""
     key = f"{VERSION_KEY_PREFIX}{MODEL}"
