Do not take the record of this start for one of a former life

What a caller would see: a gateway whose write of its first start is done, but whose answer is lost, repeats no request for a whole window of the retry budget.

Cause: an answer that is cut leaves a write unknown, so that the start is judged again, from a list that has the record of this start. Any record of the gateway's own name counted as a former life.

Change: a record whose value is one that this start has written does not count. The value has the time of the start; a former life wrote another one.

Evidence: without the change both cases of the new test fail, on and on: the start counts as "later". The tests of the file pass with it.

--- a/src/ridgecourse/gateway/retry_control.py
+++ b/src/ridgecourse/gateway/retry_control.py
@@ -90,6 +90,7 @@
         events: Receives events and metrics.
         kind: What is known of the start of this gateway.
         give_up_at: When the readiness of this gateway does not wait any longer.
+        unconfirmed: Values that this start has tried to write to its record.
         thread: Thread that reads the store.
     """
 
@@ -99,6 +100,7 @@
         self.events = events
         self.kind = StartKind.UNKNOWN
         self.give_up_at = boottime() + MAX_READY_DELAY_SECONDS
+        self.unconfirmed: set[bytes] = set()
         self.thread: eventlet.greenthread.GreenThread | None = None
 
     def start(self) -> None:
@@ -136,6 +138,7 @@
         if not is_first:
             return StartKind.LATER
         value = encode_message(StoredStart(now))
+        self.unconfirmed.add(value)
         self.store.append(Topic.STARTS, self.site.process, value, None)
         return StartKind.FIRST
 
@@ -147,7 +150,7 @@
             now: Time of this start in seconds since 1970.
         """
         if ProcessName(record.key) == self.site.process:
-            return True
+            return record.value not in self.unconfirmed
         decoded = decode_message(record.value, StoredStart)
         if isinstance(decoded, Failure):
             error = f"{record.key}: {decoded.failure()}"
--- a/tests/platform/test_start_history.py
+++ b/tests/platform/test_start_history.py
@@ -33,12 +33,14 @@
     Attributes:
         records: Value of each record.
         failures: Number of calls that the store does not answer.
+        lost_answers: Number of writes that are done and whose answers are cut.
         calls: Number of calls.
     """
 
     def __init__(self, records: dict[str, bytes], failures: int = 0) -> None:
         self.records = records
         self.failures = failures
+        self.lost_answers = 0
         self.calls = 0
 
     def _call(self) -> None:
@@ -58,6 +60,9 @@
         assert (topic, end) == (Topic.STARTS, None)
         self._call()
         self.records[key] = value
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise SourceUnavailable("the answer is cut")
 
 
 def record_of_start(age: float) -> bytes:
@@ -115,3 +120,16 @@
     assert history.kind is StartKind.FIRST
     assert list(topic.records) == [OWN_NAME]
     assert topic.calls == failures + 2
+
+
+@pytest.mark.parametrize("lost_answers", [1, 2])
+def test_cut_answer_to_the_write_of_a_first_start_leaves_it_the_first(
+    lost_answers: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a gateway that takes its own record for one of a former life, and
+    # then repeats no request for a whole window.
+    monkeypatch.setattr("ridgecourse.gateway.retry_control.STORE_RETRY_SECONDS", 0.01)
+    topic = StartsTopic({})
+    topic.lost_answers = lost_answers
+    assert find_start(topic).kind is StartKind.FIRST
+    assert find_start(topic).kind is StartKind.LATER
