Take a chunk of the origin that a close cut for an interrupted answer

What a caller would see: a transfer that gives a version up with "origin-changed" although the origin has the right bytes, after three cut answers for one chunk. A loader then leaves the version unfinished if a newer one is named.

Cause: a body without a length or chunks ends with its connection, so that the client takes a cut one for whole. The digest rejects it, but it then counts as a corrupt copy. With a length, the same cut counts as an interrupted answer.

Change: a chunk that is shorter than the manifest says, and whose head does not state where the body ends, is no usable answer. All chunks of a version have the same size in the platform's protocol. A short chunk that is whole by its framing, and any other wrong bytes, still count as corrupt.

If the origin sent short chunks without a length for ever, the transfer would go on until the version is not needed any more, as while the origin does not answer.

--- a/src/ridgecourse/net/http_client.py
+++ b/src/ridgecourse/net/http_client.py
@@ -1,6 +1,6 @@
 """HTTP client on ``urllib3`` for requests between processes."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import closing
 
 from urllib3 import BaseHTTPResponse, HTTPConnectionPool, Timeout
@@ -17,6 +17,8 @@
 READ_BYTES = 16 * 1024
 """Bytes per read; small, so that the progress of a body on a slow link can be seen."""
 
+FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
+
 
 class NoConnection(Exception):
     """The connection could not be opened, so no byte of the request was sent."""
@@ -146,6 +148,17 @@
         self.pool.clear()
 
 
+def states_end(headers: Mapping[str, str]) -> bool:
+    """Check whether the head of an answer states where the body ends.
+
+    Otherwise the body ends with its connection, and may be cut.
+
+    Args:
+        headers: Headers of the answer.
+    """
+    return not FRAMING_HEADERS.isdisjoint(map(str.lower, headers))
+
+
 def read_pieces(response: BaseHTTPResponse, limit: int) -> Iterator[bytes]:
     """Yield the pieces of a response body.
 
--- a/src/ridgecourse/platform/origin.py
+++ b/src/ridgecourse/platform/origin.py
@@ -14,7 +14,12 @@
     OriginUnavailable,
     WeightsOrigin,
 )
-from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
+from ridgecourse.net.http_client import (
+    ExchangeFailed,
+    HttpClient,
+    NoConnection,
+    states_end,
+)
 from ridgecourse.platform.names import CHUNK_INDEX_PARAMETER, CHUNK_PATH, MANIFEST_PATH
 from ridgecourse.platform.records import decode_json
 
@@ -68,21 +73,26 @@
         """Return the origin of a version's chunks; see ``WeightsOrigin``."""
         return PlatformChunkOrigin(self, address, model, version)
 
-    def fetch(self, address: str, path: str, stall: float) -> bytes:
+    def fetch(
+        self, address: str, path: str, stall: float, least_bytes: int = 0
+    ) -> bytes:
         """Return the body that the origin serves at a path.
 
         Args:
             address: HOST:PORT of the origin.
             path: Path and query.
             stall: Timeout of each read, in seconds.
+            least_bytes: Least size of the whole body. A shorter one that ended with its
+                connection is cut.
 
         Raises:
             OriginBusy: The origin answered with status 429 or 503.
             OriginMissing: The origin answered with status 404 or 410.
-            OriginUnavailable: The origin gave no answer or one with another status.
+            OriginUnavailable: The origin gave no whole answer or one with another
+                status.
         """
         try:
-            status, data, _ = self.http.fetch(
+            status, data, headers = self.http.fetch(
                 "GET", address, path, timeout=stall, limit=MAX_ANSWER_BYTES
             )
         except (NoConnection, ExchangeFailed) as error:
@@ -93,6 +103,8 @@
             raise OriginMissing(f"{path}: status {status}")
         if status != 200:
             raise OriginUnavailable(f"{path}: status {status}, expected 200")
+        if len(data) < least_bytes and not states_end(headers):
+            raise OriginUnavailable(f"{path}: the body ended after {len(data)} bytes")
         return data
 
 
@@ -117,6 +129,6 @@
         index = place.start // place.length
         query = f"{CHUNK_INDEX_PARAMETER}={index}&version={self.version}"
         path = f"{CHUNK_PATH}{quote(self.model)}?{query}"
-        data = self.origin.fetch(self.address, path, stall)
+        data = self.origin.fetch(self.address, path, stall, place.length)
         self.received_bytes += len(data)
         return data
