--- a/tests/platform/test_pinned_decisions.py
+++ b/tests/platform/test_pinned_decisions.py
@@ -54,6 +54,7 @@
         tells_first: Whether a refusal of dropped records tells the first offset.
         refuses: Whether reads of the decisions from an offset on are refused.
         loses_writes: Whether writes of the system get no answer and are done late.
+        cuts_answers: Whether writes of the system are done and their answers are cut.
     """
 
     def __init__(self) -> None:
@@ -61,6 +62,7 @@
         self.first = dict.fromkeys(Topic, 0)
         self.late: list[tuple[str, bytes, Offset]] = []
         self.loses_writes = False
+        self.cuts_answers = False
         self.tells_first = True
         self.refuses = False
 
@@ -95,6 +97,8 @@
         if end != len(self.topics[topic]):
             raise AppendConflict(f"the topic ends at {len(self.topics[topic])}")
         self.topics[topic].append((key, value))
+        if self.cuts_answers:
+            raise SourceUnavailable("the answer is cut")
 
     def put(self, model: str, version: int) -> None:
         self.topics[Topic.DECISIONS].append(version_record(model, version))
@@ -413,6 +417,20 @@
     assert process.version(MODEL) == 4
 
 
+def test_a_pin_whose_answer_is_cut_is_written_once() -> None:
+    # Guards against pins that are written again although they are in the store.
+    store = MemoryStore()
+    store.cuts_answers = True
+    for version in (4, 3):
+        store.put(MODEL, version)
+    process = Process(store)
+    process.read()
+    for _ in range(3):
+        process.pin()
+    assert len(store.topics[Topic.KEPT]) == 1
+    assert process.version(MODEL) == 4
+
+
 def test_a_pin_of_an_earlier_release_is_written_again_once() -> None:
     """Such a pin holds the record of the decision as it is."""
     key = f"{VERSION_KEY_PREFIX}{MODEL}"
