Refuse a request whose body is cut or whose chunks are malformed

A server between processes and the server for clients both called handlers with a shorter body than the client meant, and answered with 200: a size cut inside its leading zeros ("0000" of "00005") ended the body, and so did a trailer that the end of the connection cut. Bytes between two chunks were dropped up to the next line end, and sizes such as "+5", "0x5" and "0_5" were accepted; another reader of the same bytes may take a different part of them for the next request.

Cause: eventlet.wsgi.Input reads a size with int(), a line behind a chunk without looking at it, and takes the end of the file for the end of trailers. For a body with a length it returns what arrived; read_body of both servers checked the length afterwards, the check of JSON calls in the administration API did not.

RequestBody takes the place of this input at the one place where both servers make it. It reads sizes, chunk ends and trailers strictly, with the patterns that the clients use (head_reader.py), and each read of a cut body raises. An error is kept, so that a later read can't take the rest for the body. Trailers are bounded for clients and servers; a long line was read in pieces and its end taken for the empty line.

A request whose body is cut is not answered, wherever the cut falls: the connection is closed. Before, the answer was 200, 400 or 500. A malformed chunk is answered with 400 and a close; servers between processes gave a 500 for some.

--- a/src/ridgecourse/net/answer_connection.py
+++ b/src/ridgecourse/net/answer_connection.py
@@ -5,7 +5,6 @@
 one with fewer fields or a shorter body.
 """
 
-import re
 from http.client import HTTPResponse, IncompleteRead
 from typing import Any
 
@@ -13,17 +12,15 @@
 from urllib3.connection import HTTPConnection
 
 from ridgecourse.net.head_reader import (
-    EMPTY_LINES,
+    CHUNK_SIZE_LINE,
+    MAX_LINE_BYTES,
     HeadReader,
     IncompleteHead,
     InvalidHead,
     check_framing,
+    skip_trailer,
 )
 
-MAX_LINE_BYTES = 64 * 1024
-"""Longest line with the size of a chunk, or trailer field."""
-CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n\0]*)?\r\n")
-
 
 class AnswerResponse(HTTPResponse):
     """An answer whose head and whose chunks are checked.
@@ -84,10 +81,8 @@
         Raises:
             IncompleteRead: The trailer is malformed, or the connection ended inside it.
         """
-        reader = HeadReader(self.fp, in_fields=True)
         try:
-            while reader.readline(MAX_LINE_BYTES + 1) not in EMPTY_LINES:
-                pass
+            skip_trailer(self.fp)
         except (IncompleteHead, InvalidHead) as error:
             raise IncompleteRead(b"") from error
 
--- a/src/ridgecourse/net/front_server.py
+++ b/src/ridgecourse/net/front_server.py
@@ -97,14 +97,11 @@
         if declared > limit:
             raise BodyTooLarge(f"{declared} bytes, at most {limit} accepted")
         try:
-            data = b"".join(self._read_pieces(source, limit))
+            return b"".join(self._read_pieces(source, limit))
         except ValueError as error:
             raise BadRequestHead(f"chunk framing: {error}") from error
         except OSError as error:
             raise ClientDisconnected(str(error)) from error
-        if not source.chunked_input and len(data) < declared:
-            raise ClientDisconnected("the body ended early")
-        return data
 
     def _read_pieces(self, source: Any, limit: int) -> Iterator[bytes]:
         if not source.chunked_input and not source.content_length:
--- a/src/ridgecourse/net/head_reader.py
+++ b/src/ridgecourse/net/head_reader.py
@@ -1,4 +1,4 @@
-"""Reads the head of an HTTP message, which must be whole and well-formed.
+"""Reads the head of an HTTP message, and the lines between its chunks, strictly.
 
 The parsers of the standard library take the end of a connection inside a head for the
 end of the head, and drop all fields behind a line that is not a field.
@@ -12,6 +12,11 @@
 START_LINE = re.compile(rb"[^\r\n\0]*\r?\n")
 FIELD_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n\0]*\r?\n")
 EMPTY_LINES = (b"\r\n", b"\n")
+CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n\0]*)?\r\n")
+MAX_LINE_BYTES = 64 * 1024
+"""Longest line with the size of a chunk."""
+MAX_TRAILER_BYTES = 64 * 1024
+"""Most bytes of all trailer fields of a body."""
 
 
 class IncompleteHead(HTTPException):
@@ -78,6 +83,21 @@
         self.stream.close()
 
 
+def skip_trailer(stream: BinaryIO) -> None:
+    """Read the trailer fields up to the empty line that ends a body of chunks.
+
+    Raises:
+        IncompleteHead: The connection ended inside the trailer.
+        InvalidHead: The trailer is malformed or too long.
+    """
+    reader = HeadReader(stream, in_fields=True)
+    left_bytes = MAX_TRAILER_BYTES
+    while (line := reader.readline(left_bytes)) not in EMPTY_LINES:
+        left_bytes -= len(line)
+        if left_bytes <= 0:
+            raise InvalidHead(f"trailer of over {MAX_TRAILER_BYTES} bytes")
+
+
 def check_framing(fields: HeaderFields) -> None:
     """Check that the fields of a head tell in exactly one way where the body ends.
 
--- a/src/ridgecourse/net/http_connection.py
+++ b/src/ridgecourse/net/http_connection.py
@@ -17,6 +17,7 @@
 import eventlet.wsgi
 
 from ridgecourse.net.clock import boottime
+from ridgecourse.net.request_body import RequestBody
 from ridgecourse.net.tcp import LINGER_OFF, LINGER_RESET
 
 logger = logging.getLogger(__name__)
@@ -103,8 +104,11 @@
         return bool(first_bytes) and self.state is ConnectionState.IDLE
 
     def get_environ(self) -> dict[str, Any]:
-        """Return the WSGI environment, extended by this connection."""
+        """Return the WSGI environment, with the checked body and this connection."""
         environ = super().get_environ()
+        source = environ["eventlet.input"]
+        body = RequestBody(source, source.chunked_input)
+        environ["eventlet.input"] = environ["wsgi.input"] = body
         environ[CONNECTION_KEY] = self
         return environ
 
--- a/src/ridgecourse/net/http_server.py
+++ b/src/ridgecourse/net/http_server.py
@@ -8,6 +8,7 @@
 
 import eventlet
 import eventlet.wsgi
+from eventlet.wsgi import WSGI_LOCAL, ChunkReadError
 
 from ridgecourse.net.address import Address
 from ridgecourse.net.auth import AUTH_HEADER, verify_request
@@ -106,6 +107,7 @@
         Raises:
             BodyTooLarge: The body is larger than the limit.
             ConnectionError: The body ended early.
+            ChunkReadError: The chunk framing of the body is malformed.
         """
         declared = self.header("Content-Length")
         if declared and (not declared.isdecimal() or int(declared) > limit):
@@ -113,8 +115,6 @@
         data = self.environ["wsgi.input"].read(limit + 1)
         if len(data) > limit:
             raise BodyTooLarge(f"over {limit} bytes")
-        if declared and len(data) < int(declared):
-            raise ConnectionError("the body ended early")
         return data
 
 
@@ -177,7 +177,7 @@
             return handler(request)
         except BodyTooLarge as error:
             return HttpReply(413, f"{error}\n".encode(), [("Connection", "close")])
-        except ConnectionError as error:
+        except (ConnectionError, ChunkReadError) as error:
             return HttpReply(400, f"{error}\n".encode(), [("Connection", "close")])
         except Exception:
             logger.exception("handler of %s %s failed", request.method, request.path)
@@ -260,14 +260,29 @@
     def call_app(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
-        """Call the application; while the server closes, answers end connections."""
+        """Call the application; while the server closes, answers end connections.
+
+        A request whose body is cut is not answered, like one whose head is.
+        """
 
         def start(status: str, headers: HeaderList, exc_info: Any = None) -> Any:
             if self.is_closing:
                 environ[CONNECTION_KEY].close_connection = True
             return start_response(status, headers, exc_info)
 
-        return self.app(environ, start)
+        source = environ["eventlet.input"]
+        try:
+            result = self.app(environ, start)
+        except Exception as error:
+            if not source.is_cut:
+                raise
+            logger.debug("request ended early: %s", error)
+            result = []
+        if source.is_cut:
+            # The connection is closed without anything being sent.
+            WSGI_LOCAL.already_handled = True
+            return []
+        return result
 
     def drain(self, deadline: float) -> None:
         """Stop listening, then return when all connections have ended.
--- /dev/null
+++ b/src/ridgecourse/net/request_body.py
@@ -0,0 +1,156 @@
+"""The body of a request to one of the HTTP servers.
+
+``eventlet.wsgi`` returns the beginning of a body that a length frames if the connection
+ends before the body does. Of chunks it accepts sizes that are cut inside leading zeros,
+cut or malformed trailers, and any bytes between two chunks.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from eventlet.wsgi import ChunkReadError, Input
+
+from ridgecourse.net.head_reader import (
+    CHUNK_SIZE_LINE,
+    MAX_LINE_BYTES,
+    IncompleteHead,
+    InvalidHead,
+    skip_trailer,
+)
+
+CHUNK_END = b"\r\n"
+
+
+class IncompleteBody(ConnectionError):
+    """The connection ended inside the body of a request."""
+
+
+class RequestBody(Input):
+    """A body that is never shorter than the client framed it.
+
+    Each read raises ``IncompleteBody`` if the connection ended inside the body, and
+    ``ChunkReadError`` if the framing is malformed. So do all later reads.
+
+    Attributes:
+        failure: The error that ended the reading of chunks; None if there is none.
+        is_cut: Whether the connection was found to have ended inside the body.
+    """
+
+    chunk_length: int
+    position: int
+
+    def __init__(self, source: Input, chunked_input: bool) -> None:
+        """Take the place of an input from which nothing has been read.
+
+        Args:
+            source: The input that ``eventlet.wsgi`` has made.
+            chunked_input: Whether the body is framed by chunks.
+        """
+        super().__init__(
+            source.rfile,
+            source.content_length,
+            source.get_socket(),
+            source.wfile,
+            source.wfile_line,
+            chunked_input,
+        )
+        self.failure: Exception | None = None
+        self.is_cut = False
+
+    def read(self, length: int | None = None) -> bytes:
+        """Return a number of bytes, fewer only at the end of the body."""
+        if length is not None and length < 0:
+            length = None
+        data = super().read(length)
+        if length is None or len(data) < length:
+            self._check_length()
+        return data
+
+    def readline(self, size: int | None = None) -> bytes:
+        """Return the bytes up to the end of a line, or up to a number of bytes."""
+        if size is not None and size < 0:
+            size = None
+        data = super().readline(size)
+        if not data.endswith(b"\n") and (size is None or len(data) < size):
+            self._check_length()
+        return data
+
+    def readlines(self, hint: int | None = None) -> list[bytes]:
+        """Return all lines of the body, whatever the hint."""
+        return list(iter(self.readline, b""))
+
+    def _check_length(self) -> None:
+        """Check that the body ended where its length says."""
+        if not self.chunked_input and self.position < self.content_length:
+            raise self._record_cut()
+
+    def _record_cut(self) -> IncompleteBody:
+        self.is_cut = True
+        return IncompleteBody("the body ended early")
+
+    def _chunked_read(
+        self, rfile: Any, length: int | None = None, use_readline: bool = False
+    ) -> bytes:
+        if self.failure is not None:
+            raise self.failure
+        if self.should_send_hundred_continue:
+            self.send_hundred_continue_response()
+            self.is_hundred_continue_response_sent = True
+        reader = rfile.readline if use_readline else rfile.read
+        try:
+            return self._read_chunks(reader, length, use_readline)
+        except (ChunkReadError, IncompleteBody) as error:
+            self.failure = error
+            raise
+
+    def _read_chunks(
+        self, reader: Callable[[int], bytes], length: int | None, use_readline: bool
+    ) -> bytes:
+        pieces = []
+        while self.chunk_length != 0 and length != 0:
+            left_bytes = self.chunk_length - self.position
+            if left_bytes <= 0:
+                self._begin_chunk()
+                continue
+            data = reader(left_bytes if length is None else min(left_bytes, length))
+            if not data:
+                raise self._record_cut()
+            pieces.append(data)
+            self.position += len(data)
+            if self.position == self.chunk_length:
+                self._end_chunk()
+            if length is not None:
+                length -= len(data)
+            if use_readline and data.endswith(b"\n"):
+                break
+        return b"".join(pieces)
+
+    def _begin_chunk(self) -> None:
+        """Read the size of a chunk, and the trailer behind the last one."""
+        line = self.rfile.readline(MAX_LINE_BYTES + 1)
+        size_line = CHUNK_SIZE_LINE.fullmatch(line)
+        if size_line is None:
+            if not line.endswith(b"\n") and len(line) <= MAX_LINE_BYTES:
+                raise self._record_cut()
+            raise ChunkReadError(f"malformed size {line[:80]!r}")
+        size = int(size_line[1], 16)
+        if size == 0:
+            self._skip_trailer()
+        self.chunk_length = size
+        self.position = 0
+
+    def _skip_trailer(self) -> None:
+        try:
+            skip_trailer(self.rfile)
+        except IncompleteHead as error:
+            raise self._record_cut() from error
+        except InvalidHead as error:
+            raise ChunkReadError(f"trailer: {error}") from error
+
+    def _end_chunk(self) -> None:
+        """Read the end of a chunk."""
+        end = self.rfile.read(len(CHUNK_END))
+        if len(end) < len(CHUNK_END):
+            raise self._record_cut()
+        if end != CHUNK_END:
+            raise ChunkReadError(f"{end!r} behind a chunk, expected {CHUNK_END!r}")
--- /dev/null
+++ b/tests/test_cut_requests.py
@@ -0,0 +1,130 @@
+"""Requests that end before their last byte, as each HTTP server reads them.
+
+The end of a connection inside a request must not pass for the end of the request: its
+target, its fields or its body would be others than those that the client meant.
+"""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+import pytest
+from request_servers import (
+    NOTE_HEADER,
+    RecordedRequest,
+    RecordingServer,
+    run_server,
+)
+
+
+class WholeRequest(NamedTuple):
+    """All bytes of a request, and what its handler must get."""
+
+    data: bytes
+    recorded: RecordedRequest
+    head_bytes: int
+
+
+@pytest.fixture(scope="module", params=[True, False], ids=["front", "internal"])
+def server(request) -> Iterator[RecordingServer]:
+    with run_server(request.param) as recording_server:
+        yield recording_server
+
+
+def make_request(
+    method: str = "GET",
+    target: str = "/a?b=c",
+    note: str = "one two",
+    chunks: tuple[bytes, ...] | None = None,
+    size_zeros: int = 0,
+    extension: bytes = b"",
+    trailers: bytes = b"",
+    body: bytes = b"",
+) -> WholeRequest:
+    """Return a request; one with ``chunks`` has a chunked body, else ``body``."""
+    head = f"{method} {target} HTTP/1.1\r\nHost: x\r\n{NOTE_HEADER}: {note}\r\n"
+    framed = body
+    if chunks is not None:
+        head += "Transfer-Encoding: chunked\r\n"
+        zeros = b"0" * size_zeros
+        framed = b"".join(
+            b"%s%x%s\r\n%s\r\n" % (zeros, len(chunk), extension, chunk)
+            for chunk in chunks
+        )
+        framed += b"%s0%s\r\n%s\r\n" % (zeros, extension, trailers)
+        body = b"".join(chunks)
+    elif body:
+        head += f"Content-Length: {len(body):04}\r\n"
+    head_data = f"{head}\r\n".encode()
+    recorded = RecordedRequest(method, target, note, body)
+    return WholeRequest(head_data + framed, recorded, len(head_data))
+
+
+EXAMPLES = [
+    make_request(),
+    make_request(method="POST", body=b"0\r\n\r\n whole body"),
+    make_request(
+        method="POST",
+        chunks=(b"whole", b" body"),
+        size_zeros=4,
+        extension=b";name=value",
+        trailers=b"X-Sum: 1\r\nX-Two: 2\r\n",
+    ),
+]
+
+
+@pytest.mark.parametrize("whole", EXAMPLES)
+def test_cut_body_is_not_taken_for_a_shorter_one(
+    server: RecordingServer, whole: WholeRequest
+) -> None:
+    # Guards against a size cut inside its zeros, or a cut trailer, that ends the body.
+    assert b" 200 OK" in server.exchange(whole.data)
+    assert server.settle() == [whole.recorded]
+    for cut in range(whole.head_bytes, len(whole.data)):
+        received = server.exchange(whole.data[:cut])
+        assert server.settle() == [whole.recorded._replace(body=None)], whole.data[:cut]
+        assert received == b"", whole.data[:cut]
+
+
+CHUNKED_HEAD = b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"5\r\nwholeXX0\r\n\r\n",
+        b"5\r\nwhole\n0\r\n\r\n",
+        b"5\r\nwhole-more\r\n0\r\n\r\n",
+        b"+5\r\nwhole\r\n0\r\n\r\n",
+        b"0x5\r\nwhole\r\n0\r\n\r\n",
+        b" 5\r\nwhole\r\n0\r\n\r\n",
+        b"5\nwhole\r\n0\r\n\r\n",
+        b"-1\r\nwhole\r\n0\r\n\r\n",
+        b"0_5\r\nwhole\r\n0\r\n\r\n",
+        b"\r\n5\r\nwhole\r\n0\r\n\r\n",
+        b"5\r\nwhole\r\n0\r\nno field\r\n\r\n",
+        b"5\r\nwhole\r\n0\r\n" + b"A: " + b"a" * 70_000 + b"\r\n\r\n",
+    ],
+)
+def test_malformed_chunk_is_refused(server: RecordingServer, body: bytes) -> None:
+    # Guards against framing that two readers of the same bytes could read differently:
+    # what one takes for the rest of a body, the other takes for the next request.
+    received = server.exchange(CHUNKED_HEAD + body + make_request().data)
+    [recorded] = server.settle()
+    assert recorded.body is None
+    assert received.startswith(b"HTTP/1.1 400 Bad Request\r\n")
+    assert received.count(b"HTTP/1.1 ") == 1
+
+
+def test_client_that_waits_for_100_continue_sends_its_body(
+    server: RecordingServer,
+) -> None:
+    # Guards against a check of the body that leaves out the interim answer.
+    whole = EXAMPLES[-1]
+    head = whole.data[: whole.head_bytes - 2] + b"Expect: 100-continue\r\n\r\n"
+    with server.open() as connection, connection.makefile("rb") as file:
+        connection.sendall(head)
+        assert file.readline() == b"HTTP/1.1 100 Continue\r\n"
+        assert file.readline() == b"\r\n"
+        connection.sendall(whole.data[whole.head_bytes :])
+        assert file.readline() == b"HTTP/1.1 200 OK\r\n"
+    assert server.settle() == [whole.recorded]
