Close the connection of a request whose head is cut, without an answer

A request that the end of its connection cut inside the head was served: a target "/ab" of "/abc" as HTTP/0.9, or a whole target with fewer or shorter fields, without Content-Length too, so that the body was missing. In the server for clients only the watch for lost connections kept such a request from an engine; in the servers between processes nothing did.

Cause: http.server, like http.client, takes the end of the connection for the end of the header lines, and takes a request line that lost its end for one of HTTP/0.9.

HttpConnection, which all servers use, reads the lines of a head through HeadReader, as the clients do, before the parser sees any of them. A cut head closes the connection without an answer: the request has not been read, and a client may send it again. A line that is no field gets a 400, since HeadReader tells the two apart; before, it ended the head. Limits and time-outs are those of the lines below HeadReader, as before.

--- a/src/ridgecourse/net/http_connection.py
+++ b/src/ridgecourse/net/http_connection.py
@@ -3,6 +3,7 @@
 import logging
 from contextlib import suppress
 from enum import Enum
+from io import BytesIO
 from socket import (
     MSG_DONTWAIT,
     MSG_PEEK,
@@ -17,6 +18,12 @@
 import eventlet.wsgi
 
 from ridgecourse.net.clock import boottime
+from ridgecourse.net.head_reader import (
+    EMPTY_LINES,
+    HeadReader,
+    IncompleteHead,
+    InvalidHead,
+)
 from ridgecourse.net.request_body import RequestBody
 from ridgecourse.net.tcp import LINGER_OFF, LINGER_RESET
 
@@ -56,6 +63,8 @@
             would take a close for its end.
     """
 
+    rfile: Any
+
     def __init__(self, conn_state: list[Any], server: Any) -> None:
         self.owner = server.owner
         self.state = ConnectionState.IDLE
@@ -103,6 +112,49 @@
             return False
         return bool(first_bytes) and self.state is ConnectionState.IDLE
 
+    def parse_request(self) -> bool:
+        """Read the head of a request; return whether to serve the request.
+
+        A request whose head is cut by the end of the connection is not answered. One
+        whose head is malformed gets a 400.
+        """
+        try:
+            # The parser does not see the end of the connection.
+            self.rfile = BytesIO(self._read_fields())
+            return super().parse_request()
+        except IncompleteHead as error:
+            logger.debug("connection ended inside the head of a request: %s", error)
+        except InvalidHead as error:
+            self._refuse_head(error)
+        self.close_connection = True
+        return False
+
+    def _read_fields(self) -> bytes:
+        """Return the lines behind the request line, with the empty line that ends them.
+
+        Raises:
+            IncompleteHead: The connection ended inside the head.
+            InvalidHead: A line is no field.
+        """
+        if not self.raw_requestline.endswith(b"\n"):
+            raise IncompleteHead(f"request line {self.raw_requestline[-40:]!r}")
+        if self.raw_requestline in EMPTY_LINES:
+            return b""
+        reader = HeadReader(self.rfile, in_fields=True)
+        lines = [reader.readline()]
+        while lines[-1] not in EMPTY_LINES:
+            lines.append(reader.readline())
+        return b"".join(lines)
+
+    def _refuse_head(self, error: InvalidHead) -> None:
+        """Answer a request whose head is malformed."""
+        body = f"{error}\n".encode()
+        self.wfile.write(
+            b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\n"
+            b"Content-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s"
+            % (len(body), body)
+        )
+
     def get_environ(self) -> dict[str, Any]:
         """Return the WSGI environment, with the checked body and this connection."""
         environ = super().get_environ()
--- a/tests/test_cut_requests.py
+++ b/tests/test_cut_requests.py
@@ -8,8 +8,11 @@
 from typing import NamedTuple
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from request_servers import (
     NOTE_HEADER,
+    ClientEnd,
     RecordedRequest,
     RecordingServer,
     run_server,
@@ -59,6 +62,25 @@
     return WholeRequest(head_data + framed, recorded, len(head_data))
 
 
+words = st.text("abcXYZ019.-_~", min_size=1, max_size=8)
+requests = st.one_of(
+    st.builds(make_request, target=words.map("/{}".format), note=words),
+    st.builds(
+        make_request,
+        method=st.just("POST"),
+        note=words,
+        body=st.binary(min_size=1, max_size=40),
+    ),
+    st.builds(
+        make_request,
+        method=st.just("POST"),
+        note=words,
+        chunks=st.lists(st.binary(min_size=1, max_size=20), max_size=3).map(tuple),
+        size_zeros=st.integers(0, 4),
+        extension=st.sampled_from([b"", b";a", b';a="b c"', b" ;x=0"]),
+        trailers=st.sampled_from([b"", b"X-Sum: 1\r\n", b"A: 1\r\nB: 2\r\n"]),
+    ),
+)
 EXAMPLES = [
     make_request(),
     make_request(method="POST", body=b"0\r\n\r\n whole body"),
@@ -72,6 +94,70 @@
 ]
 
 
+def is_prefix_of_whole(
+    recorded: list[RecordedRequest], whole: list[WholeRequest], cut: int
+) -> bool:
+    """Check whether a handler got no other requests than whole ones, each in its turn.
+
+    It may also have got the head of the request that was cut, if the head is whole and
+    the body could not be read.
+    """
+    start = 0
+    for index, request in enumerate(whole):
+        is_whole = start + len(request.data) <= cut
+        if index == len(recorded):
+            return True
+        expected = request.recorded
+        if not is_whole:
+            expected = expected._replace(body=None)
+            has_head = start + request.head_bytes <= cut
+            return has_head and recorded[index:] == [expected]
+        if recorded[index] != expected:
+            return False
+        start += len(request.data)
+    return len(recorded) == len(whole)
+
+
+@given(
+    whole=st.lists(requests, min_size=1, max_size=2),
+    end=st.sampled_from(ClientEnd),
+    is_bytewise=st.booleans(),
+    choices=st.data(),
+)
+@settings(derandomize=True, deadline=None, max_examples=300)
+def test_no_cut_request_is_taken_for_whole(
+    server: RecordingServer,
+    whole: list[WholeRequest],
+    end: ClientEnd,
+    is_bytewise: bool,
+    choices: st.DataObject,
+) -> None:
+    # Guards against the end of a connection passing for the end of a head or a body.
+    data = b"".join(request.data for request in whole)
+    cut = choices.draw(st.integers(0, len(data)))
+    received = server.exchange(data[:cut], end, is_bytewise)
+    recorded = server.settle()
+    assert is_prefix_of_whole(recorded, whole, cut), (data[:cut], recorded)
+    if end is ClientEnd.HALF_CLOSE:
+        served = [request for request in recorded if request.body is not None]
+        assert received.count(b"HTTP/1.1 200 OK\r\n") == len(served)
+        assert (len(served) == len(whole)) == (cut == len(data))
+
+
+@pytest.mark.parametrize("whole", EXAMPLES)
+def test_cut_request_is_not_answered(
+    server: RecordingServer, whole: WholeRequest
+) -> None:
+    # Guards against an answer that depends on where a request was cut.
+    assert b" 200 OK" in server.exchange(whole.data)
+    assert server.settle() == [whole.recorded]
+    for cut in range(len(whole.data)):
+        received = server.exchange(whole.data[:cut])
+        recorded = server.settle()
+        assert is_prefix_of_whole(recorded, [whole], cut), (whole.data[:cut], recorded)
+        assert received == b"", whole.data[:cut]
+
+
 @pytest.mark.parametrize("whole", EXAMPLES)
 def test_cut_body_is_not_taken_for_a_shorter_one(
     server: RecordingServer, whole: WholeRequest
@@ -128,3 +214,19 @@
         connection.sendall(whole.data[whole.head_bytes :])
         assert file.readline() == b"HTTP/1.1 200 OK\r\n"
     assert server.settle() == [whole.recorded]
+
+
+@pytest.mark.parametrize("first", EXAMPLES)
+def test_cut_second_request_does_not_disturb_the_first(
+    server: RecordingServer, first: WholeRequest
+) -> None:
+    # Guards against bytes behind a request that end the answer to this request.
+    second = EXAMPLES[-1]
+    for cut in range(len(second.data)):
+        received = server.exchange(first.data + second.data[:cut])
+        assert server.settle()[0] == first.recorded
+        assert received.endswith(b"served"), second.data[:cut]
+        assert received.count(b"HTTP/1.1 ") == 1, second.data[:cut]
+    received = server.exchange(first.data + second.data)
+    assert server.settle() == [first.recorded, second.recorded]
+    assert received.count(b"HTTP/1.1 200 OK\r\n") == 2
