Refuse a request whose head is malformed or frames its body in two ways

A request line of two words was served as HTTP/0.9, and one of other spellings (tabs, several spaces, HTTP/1.2, a bare carriage return) was read in the library's way. Of a body with a coding other than chunks, or with "chunked" stated twice, the server between processes took nothing, so that the body was read as the next request; a second Content-Length, or one such as "0_5", was ignored or accepted.

Cause: http.server splits the request line at any white space and accepts two words; eventlet.wsgi reads the first Content-Length with int(), and takes each coding but one for no body.

HttpConnection checks the request line, and the fields by check_framing, which the clients use as well. All of these get a 400 and a close before a handler is called. A coding other than chunks gets a 400 too, in place of 501: this is what the platform's clients get today. Whether a body is chunked follows from the field that was checked, so that no two places read it differently.

Limits on the size of a head, their texts, 505 for HTTP/2.0, a length that is repeated with the same value and any spelling of "chunked" hold as before; they have tests now.

--- a/src/ridgecourse/net/http_connection.py
+++ b/src/ridgecourse/net/http_connection.py
@@ -1,6 +1,7 @@
 """One connection of an HTTP server, with the state that a planned stop has to know."""
 
 import logging
+import re
 from contextlib import suppress
 from enum import Enum
 from io import BytesIO
@@ -23,6 +24,7 @@
     HeadReader,
     IncompleteHead,
     InvalidHead,
+    check_framing,
 )
 from ridgecourse.net.request_body import RequestBody
 from ridgecourse.net.tcp import LINGER_OFF, LINGER_RESET
@@ -31,6 +33,10 @@
 
 CONNECTION_KEY = "ridgecourse.connection"
 """Key of the connection in the WSGI environment."""
+REQUEST_LINE = re.compile(
+    rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+ [!-~\x80-\xff]+ HTTP/(?:1\.[01]|[2-9]\.[0-9])\r?\n"
+)
+"""The parser refuses versions from 2.0 on with a status of their own."""
 LINGER_SECONDS = 1.0
 """Longest wait for the client to close after the server has ended its side."""
 LINGER_READ_BYTES = 64 * 1024
@@ -121,7 +127,10 @@
         try:
             # The parser does not see the end of the connection.
             self.rfile = BytesIO(self._read_fields())
-            return super().parse_request()
+            if not super().parse_request():
+                return False
+            check_framing(self.headers)
+            return True
         except IncompleteHead as error:
             logger.debug("connection ended inside the head of a request: %s", error)
         except InvalidHead as error:
@@ -134,12 +143,14 @@
 
         Raises:
             IncompleteHead: The connection ended inside the head.
-            InvalidHead: A line is no field.
+            InvalidHead: The request line is malformed, or a line is no field.
         """
         if not self.raw_requestline.endswith(b"\n"):
             raise IncompleteHead(f"request line {self.raw_requestline[-40:]!r}")
         if self.raw_requestline in EMPTY_LINES:
             return b""
+        if REQUEST_LINE.fullmatch(self.raw_requestline) is None:
+            raise InvalidHead(f"malformed request line {self.raw_requestline[:80]!r}")
         reader = HeadReader(self.rfile, in_fields=True)
         lines = [reader.readline()]
         while lines[-1] not in EMPTY_LINES:
@@ -159,7 +170,7 @@
         """Return the WSGI environment, with the checked body and this connection."""
         environ = super().get_environ()
         source = environ["eventlet.input"]
-        body = RequestBody(source, source.chunked_input)
+        body = RequestBody(source, "Transfer-Encoding" in self.headers)
         environ["eventlet.input"] = environ["wsgi.input"] = body
         environ[CONNECTION_KEY] = self
         return environ
