Read the white space beside a transfer coding in one way

An answer with "Transfer-Encoding: chunked " (a space behind the value, which HTTP allows) passed the check of its framing, and all clients returned the sizes and chunks themselves as a body that a close ends: a cut one was taken for whole. The same held for a control character beside the coding, and the servers took such a coding for chunks.

Cause: the check removed all white space around a value that http.client compares as it stands.

HeadReader removes the spaces and tabs behind the value of each field, which are no part of it, before a parser sees the line, and the check compares values as they stand. Since lines of a trailer lose these bytes too, a trailer is now bounded by the length of each line and their number.

--- a/src/ridgecourse/net/head_reader.py
+++ b/src/ridgecourse/net/head_reader.py
@@ -14,9 +14,9 @@
 EMPTY_LINES = (b"\r\n", b"\n")
 CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n\0]*)?\r\n")
 MAX_LINE_BYTES = 64 * 1024
-"""Longest line with the size of a chunk."""
-MAX_TRAILER_BYTES = 64 * 1024
-"""Most bytes of all trailer fields of a body."""
+"""Longest line with the size of a chunk, or trailer field."""
+MAX_TRAILER_FIELDS = 100
+"""As many as the parser accepts in a head."""
 
 
 class IncompleteHead(HTTPException):
@@ -55,7 +55,8 @@
                 the caller has to check.
 
         Returns:
-            The line with its end. Empty if the connection ended before a start line.
+            The line with its end; a field without the white space behind its value.
+            Empty if the connection ended before a start line.
 
         Raises:
             IncompleteHead: The connection ended inside the head.
@@ -75,6 +76,8 @@
         expected = FIELD_LINE if self.in_fields else START_LINE
         if expected.fullmatch(line) is None:
             raise InvalidHead(f"malformed line {line[:80]!r}")
+        if self.in_fields:
+            return line.rstrip(b" \t\r\n") + b"\r\n"
         self.in_fields = True
         return line
 
@@ -91,11 +94,13 @@
         InvalidHead: The trailer is malformed or too long.
     """
     reader = HeadReader(stream, in_fields=True)
-    left_bytes = MAX_TRAILER_BYTES
-    while (line := reader.readline(left_bytes)) not in EMPTY_LINES:
-        left_bytes -= len(line)
-        if left_bytes <= 0:
-            raise InvalidHead(f"trailer of over {MAX_TRAILER_BYTES} bytes")
+    for _ in range(MAX_TRAILER_FIELDS + 1):
+        line = reader.readline(MAX_LINE_BYTES + 1)
+        if line in EMPTY_LINES:
+            return
+        if not line.endswith(b"\n"):
+            raise InvalidHead(f"trailer field of over {MAX_LINE_BYTES} bytes")
+    raise InvalidHead(f"over {MAX_TRAILER_FIELDS} trailer fields")
 
 
 def check_framing(fields: HeaderFields) -> None:
@@ -107,8 +112,8 @@
         InvalidHead: There are several lengths, a length that is no number, a length
             beside a transfer coding, or a coding other than chunks.
     """
-    lengths = {value.strip() for value in fields.get_all("Content-Length") or ()}
-    codings = [value.strip() for value in fields.get_all("Transfer-Encoding") or ()]
+    lengths = set(fields.get_all("Content-Length") or ())
+    codings = list(fields.get_all("Transfer-Encoding") or ())
     if not all(length.isascii() and length.isdecimal() for length in lengths):
         raise InvalidHead(f"Content-Length {sorted(lengths)}, expected a number")
     if len(lengths) > 1:
--- a/tests/test_answer_connection.py
+++ b/tests/test_answer_connection.py
@@ -218,3 +218,31 @@
     # Guards against refusing a whole answer whose length is stated twice.
     head = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\n"
     assert ask(client, server, head + b"ok") == (200, b"ok")
+
+
+@pytest.mark.parametrize("client", CLIENTS)
+@pytest.mark.parametrize("coding", [b"Chunked", b" \tchunked", b"chunked \t"])
+def test_white_space_beside_the_coding_leaves_chunks(client, server, coding) -> None:
+    # Guards against chunks that are taken for the body itself, up to the close.
+    head = CHUNKED_HEAD.replace(b"chunked", coding)
+    assert ask(client, server, head + b"5\r\nwhole\r\n0\r\n\r\n") == (200, b"whole")
+
+
+@pytest.mark.parametrize("client", CLIENTS)
+@pytest.mark.parametrize("coding", [b"\x0bchunked", b"chunked\x0b", b"chunked\xa0"])
+def test_control_characters_beside_the_coding_are_an_error(
+    client, server, coding
+) -> None:
+    # Guards against a coding that is checked in another spelling than it is read in.
+    head = CHUNKED_HEAD.replace(b"chunked", coding)
+    assert ask(client, server, head + b"5\r\nwhole\r\n0\r\n\r\n") is None
+
+
+@pytest.mark.parametrize("client", CLIENTS)
+@pytest.mark.parametrize(
+    "trailer", [b"A: " + b"a" * 70_000 + b"\r\n", b"A: a\r\n" * 101]
+)
+def test_too_large_trailer_is_an_error(client, server, trailer: bytes) -> None:
+    # Guards against the rest of a long line that passes for the end of the trailer, and
+    # against a trailer that never ends.
+    assert ask(client, server, CHUNKED_HEAD + b"0\r\n" + trailer + b"\r\n") is None
--- a/tests/test_malformed_requests.py
+++ b/tests/test_malformed_requests.py
@@ -63,6 +63,7 @@
         b"Transfer-Encoding: chunked\r\n",
         b"Transfer-Encoding: chunked, chunked\r\n",
         b"Transfer-Encoding: xchunked\r\n",
+        b"Transfer-Encoding: \x0bchunked\r\n",
         b"Transfer-Encoding:\r\n",
     ],
 )
