Check that a stalled request head ends its connection without an answer

A client that stops inside the request line or inside a field is disconnected after the limits on idle and header time, and no handler is called.

--- a/tests/test_cut_requests.py
+++ b/tests/test_cut_requests.py
@@ -15,9 +15,12 @@
     ClientEnd,
     RecordedRequest,
     RecordingServer,
+    receive_all,
     run_server,
 )
 
+from ridgecourse.core.routes import ClientLimits
+
 
 class WholeRequest(NamedTuple):
     """All bytes of a request, and what its handler must get."""
@@ -230,3 +233,16 @@
     received = server.exchange(first.data + second.data)
     assert server.settle() == [first.recorded, second.recorded]
     assert received.count(b"HTTP/1.1 200 OK\r\n") == 2
+
+
+@pytest.mark.parametrize("sent", [b"GET /a HT", b"GET /a HTTP/1.1\r\nHost: x\r\nX-No"])
+def test_stalled_head_is_not_answered(sent: bytes) -> None:
+    # Guards against a reader of heads that waits for the rest without a limit, or takes
+    # a time-out for the end of the head.
+    with run_server(is_front=True) as recording_server:
+        limits = ClientLimits(header_seconds=0.2, idle_seconds=0.2)
+        recording_server.server.limits = limits
+        with recording_server.open() as connection:
+            connection.sendall(sent)
+            assert receive_all(connection) == b""
+        assert recording_server.settle() == []
