Do not take a late second answer for the answer of the next request

A loader could read an engine's report shifted by one request: an engine that answers a request twice, the second time late, leaves the second answer on the kept connection, and the next request on that connection took it for its own answer. Its own answer then waited for the request after it, and so on while the connection was kept.

Cause: PersistentConnections sends a request on a kept connection without a look at what has arrived there meanwhile. HttpClient drops such a connection (urllib3 checks whether the socket is readable); Exchange opens a connection for each request.

Change: a kept connection on which bytes wait, or which has ended, is closed, and the request goes out on the next one (RFC 9112, section 9.2). An answer that arrives only after the next request was written can't be told from that request's own answer, but shifts no further one.

--- a/src/ridgecourse/net/kept_connections.py
+++ b/src/ridgecourse/net/kept_connections.py
@@ -1,11 +1,12 @@
 """Persistent connections for many small requests a second to one process.
 
-``HttpClient`` costs more per request: it looks up the pool, copies the timeouts and
-asks the system whether the connection has ended, before it sends the request.
+``HttpClient`` costs more per request: it looks up the pool and copies the timeouts
+before it sends the request.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from contextlib import suppress
+from socket import MSG_PEEK, socket
 from typing import NamedTuple
 
 from urllib3.exceptions import HTTPError, NewConnectionError
@@ -53,7 +54,7 @@
         """Send a GET request and return the answer.
 
         If the process has closed a kept connection, the request is sent again, at last
-        on a new connection.
+        on a new connection. A kept connection with unread bytes is closed.
 
         Args:
             path: Path and query.
@@ -63,9 +64,9 @@
             NoConnection: Nothing was sent.
             ExchangeFailed: The request may have been received.
         """
-        while self.idle_connections:
+        for connection in self._take_quiet_connections():
             with suppress(ConnectionError):
-                return self._exchange(self.idle_connections.pop(), path, timeout)
+                return self._exchange(connection, path, timeout)
         try:
             return self._exchange(self._make_connection(), path, timeout)
         except ConnectionError as error:
@@ -108,6 +109,19 @@
         except ConnectionError as error:
             raise ExchangeFailed(f"{self.address}: {error!r}") from error
 
+    def _take_quiet_connections(self) -> Iterator[AnswerConnection]:
+        """Take and yield kept connections on which nothing has been received.
+
+        Bytes that arrive while no request is in progress, such as a second answer to an
+        earlier request, are not the answer to the next one (RFC 9112, section 9.2).
+        """
+        while self.idle_connections:
+            connection = self.idle_connections.pop()
+            if connection.sock is not None and not is_readable(connection.sock):
+                yield connection
+            else:
+                connection.close()
+
     def _make_connection(self) -> AnswerConnection:
         socket_address = parse_address(self.address)
         return AnswerConnection(
@@ -157,3 +171,18 @@
         if connection.sock is not None:
             self.idle_connections.append(connection)
         return PlainAnswer(response.status, response.headers, data)
+
+
+def is_readable(sock: socket) -> bool:
+    """Check whether a socket has unread bytes, or its connection has ended.
+
+    The socket does not block afterwards; its timeout must be set again.
+    """
+    sock.settimeout(0.0)
+    try:
+        sock.recv(1, MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
--- a/tests/test_persistent_connections.py
+++ b/tests/test_persistent_connections.py
@@ -2,11 +2,13 @@
 
 import socket
 from collections.abc import Iterator
+from contextlib import closing, suppress
+from select import select
 from threading import Thread
 
 import pytest
 
-from ridgecourse.net.http_client import ExchangeFailed, NoConnection
+from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
 from ridgecourse.net.kept_connections import PersistentConnections
 from ridgecourse_standins.ports import free_address
 
@@ -19,8 +21,11 @@
     Attributes:
         scripts: For each connection, the responses to its requests.
         connection_count: Number of connections accepted so far.
+        connection: The connection accepted last.
     """
 
+    connection: socket.socket
+
     def __init__(self) -> None:
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.scripts: list[list[bytes]] = []
@@ -36,7 +41,8 @@
         while self.scripts:
             connection, _ = self.listener.accept()
             self.connection_count += 1
-            with connection:
+            self.connection = connection
+            with connection, suppress(ConnectionResetError):
                 for answer in self.scripts.pop(0):
                     if not connection.recv(4096):
                         break
@@ -106,3 +112,35 @@
 def test_refused_connection_is_reported_as_no_connection() -> None:
     with pytest.raises(NoConnection):
         PersistentConnections(free_address()).get("/", 2.0)
+
+
+LATE_ANSWERS = [RESPONSE.replace(b"ok", b"no"), b"HTTP/1.1 200 O"]
+
+
+def wait_readable(sock: socket.socket) -> None:
+    assert select([sock], [], [], 5.0)[0]
+
+
+@pytest.mark.parametrize("late_answer", LATE_ANSWERS)
+def test_late_second_answer_is_not_taken_for_the_next_one(server, late_answer) -> None:
+    # Guards against answers that are shifted by one request from then on.
+    client = start_server(server, [RESPONSE] * 3, [RESPONSE] * 2)
+    assert ask(client) == (200, b"ok")
+    server.connection.sendall(late_answer)
+    wait_readable(client.idle_connections[0].sock)
+    assert [ask(client) for _ in range(2)] == [(200, b"ok")] * 2
+    assert server.connection_count == 2
+
+
+@pytest.mark.parametrize("late_answer", LATE_ANSWERS)
+def test_pooled_client_does_not_take_a_late_second_answer(server, late_answer) -> None:
+    # Guards against the same in the client of the other requests between processes.
+    start_server(server, [RESPONSE] * 3, [RESPONSE] * 2)
+    with closing(HttpClient()) as client:
+        answers = [client.fetch("GET", server.address, "/")[:2]]
+        server.connection.sendall(late_answer)
+        pool = client.pool.connection_from_url(f"http://{server.address}")
+        wait_readable(pool.pool.queue[-1].sock)
+        answers += [client.fetch("GET", server.address, "/")[:2] for _ in range(2)]
+    assert answers == [(200, b"ok")] * 3
+    assert server.connection_count == 2
