Probe an engine whose answer has a malformed head, as after a cut one

A request could end one engine after another without being blocked, if the engines' last bytes were no head: after a malformed head the engine was not probed, so that its end was no strike against the request that it ran. A malformed body is followed by a probe already.

Cause: the watch of crashing requests looks only at answers that the engine broke off; a malformed head counts as an answer that can't be used.

Change: a malformed head is followed by the same probe. It is a strike only if the engine refuses connections; an engine that goes on gets none. As the gateway does not wait for the end of the connection behind a malformed head, an engine that ends more than 0.07 s after it is still not seen to end.

--- a/src/ridgecourse/gateway/send_recorder.py
+++ b/src/ridgecourse/gateway/send_recorder.py
@@ -84,13 +84,16 @@
         self.events = events
 
     def record_answer_end(self, flight: Flight, result: SendResult) -> None:
-        """Record whether an engine answered a request or closed its connection.
+        """Record whether an engine answered a request or broke its answer off.
 
         A stream has not ended yet; its relay records its end.
         """
         if isinstance(result, Whole):
             self.crash_watch.record_answer(flight, result.body_end, result.head.success)
-        elif isinstance(result, Unknown) and result.disconnected:
+        elif isinstance(result, Unknown) and (
+            result.disconnected or result.head_end is HeadEnd.INVALID
+        ):
+            # Bytes that are no head may be the last ones of an engine that ends.
             self.events.metrics.count(
                 f"answers_broken_{metric_suffix(result.body_end)}"
             )
--- a/tests/platform/test_cut_head_effects.py
+++ b/tests/platform/test_cut_head_effects.py
@@ -176,6 +176,28 @@
     assert 200 not in statuses
 
 
+def test_request_whose_engines_end_behind_a_malformed_head_is_blocked(front) -> None:
+    # Guards against an engine whose last bytes are no head, and that ends without a
+    # strike against the request that it ran.
+    numbers = iter(range(1000))
+
+    def list_engine(engine: EngineStandIn) -> str:
+        return front.register_engine(engine, "app", f"i-app-{next(numbers)}")
+
+    def end_with_malformed_head(request: ReceivedRequest) -> None:
+        engine = next(e for e in engines.incarnations if request in e.requests)
+        engine.close()
+        request.connection.sendall(make_head("200 OK", "no field"))
+
+    engines = CrashingEngines(6, list_engine, before_crash=end_with_malformed_head)
+    with closing(engines):
+        engines.start()
+        front.start()
+        for _ in range(5):
+            front.ask("/safe/x", CRASH_BODY)
+        assert len(engines.crash_requests()) == MAX_CRASHES
+
+
 @pytest.mark.parametrize("start", STARTS)
 def test_engine_that_ends_its_answers_in_their_heads_is_ejected(
     front, start: str
