Order a start only behind a pass that finds every staged chunk correct

What a caller could see: an engine that serves weights with a chunk that is not of its version. No such case is in the users' record.

Cause: a loader reads all staged chunks before it orders the start, writes those that are wrong again and takes the answer to such a write for a proof. A late second answer to an earlier write, which arrives while the next write is under way on the same connection, is taken for its answer; HTTP/1.1 does not tell them apart.

Evidence: test_chunk_whose_repair_was_lost_is_repaired_before_start fails before: the engine starts with an empty chunk 4.

Change: after a repair all chunks are read once more; if one is wrong again, the order is left to the next attempt. A connection for each write was weighed and not taken: it would not show a write that an engine answers without carrying it out, and engines bound their connections.

A start without a repair costs nothing more.

--- a/src/ridgecourse/loader/engine_start.py
+++ b/src/ridgecourse/loader/engine_start.py
@@ -87,18 +87,23 @@
     ) -> OrderOutcome | None:
         """Verify a staged version and order the engine to start it.
 
-        All chunks are read again, since staged chunks may become corrupt. If the checks
+        All chunks are read again, since staged chunks may become corrupt. After a
+        repair they are read once more: the answer to a write does not prove that it was
+        carried out, for a late answer to an earlier write looks the same. If the checks
         are too old when the order could be sent, because the instance froze for
         example, the order expires, and the caller has to repeat the call.
 
         Returns:
-            The outcome; None if the engine has restarted, so that the verified chunks
-            may have been lost with its earlier incarnation.
+            The outcome; None if chunks are corrupt again after their repair, or if the
+            engine has restarted, so that the verified chunks may have been lost with
+            its earlier incarnation.
 
         Raises:
             EngineUnavailable: The engine gave no usable answer.
         """
         repaired = staging.fill(holding.manifest)
+        if repaired and staging.fill(holding.manifest):
+            return None
         if self.engine.report().started != report.started:
             return None
         check_age = staging.checks.oldest_age(boottime())
--- a/tests/platform/test_staging_reads.py
+++ b/tests/platform/test_staging_reads.py
@@ -92,3 +92,29 @@
     with engine.changed:
         engine.staged[4] = b""
     late_switch_site.wait_serving(2)
+
+
+def test_chunk_whose_repair_was_lost_is_repaired_before_start(late_switch_site) -> None:
+    # Guards against a start with a chunk whose write is answered but was not carried
+    # out, as when the answer is a late one to an earlier write.
+    late_switch_site.register_engine()
+    late_switch_site.list_early_engine()
+    late_switch_site.start()
+    late_switch_site.wait_serving(1)
+    late_switch_site.store.put_version(MODEL, 2)
+    engine = late_switch_site.engine
+    chunks = late_switch_site.origin.versions[2]
+    engine.wait_until(lambda: [engine.staged.get(n) for n in range(CHUNKS)] == chunks)
+    lost_repairs = []
+
+    def lose_repair(staged: dict[int, bytes]) -> None:
+        if not lost_repairs:
+            lost_repairs.append(staged[4])
+            staged[4] = b""
+
+    with engine.changed:
+        engine.staged[4] = b""
+        engine.corrupt_staged = lose_repair
+    late_switch_site.wait_serving(2)
+    assert lost_repairs == [chunks[4]]
+    assert [engine.staged_at_start[2][n] for n in range(CHUNKS)] == chunks
