Bound the digits of a length, and name the fields of a head

A length with more digits than int() accepts was dropped, so that the body ended with its connection; found by the review. Such a length is refused now.

--- a/src/ridgecourse/net/answer_connection.py
+++ b/src/ridgecourse/net/answer_connection.py
@@ -1,4 +1,4 @@
-"""Connections on which all HTTP clients of this system receive answers.
+"""Connections on which the HTTP clients of all programs receive answers.
 
 An answer that is cut inside its head, inside the size of a chunk or before the end of
 its trailer fields is an error here. ``http.client`` takes such an answer for a whole
--- a/src/ridgecourse/net/answer_end.py
+++ b/src/ridgecourse/net/answer_end.py
@@ -16,7 +16,7 @@
     NO_ANSWER: The peer closed the connection before the first byte.
     RESET: The connection was reset or failed in another way.
     STALLED: No bytes arrived in time.
-    INVALID: The received bytes are no head.
+    INVALID: The received bytes are no head, or its fields contradict each other.
     """
 
     EMPTY_LINE = "empty-line"
--- a/src/ridgecourse/net/head_reader.py
+++ b/src/ridgecourse/net/head_reader.py
@@ -12,6 +12,7 @@
 START_LINE = re.compile(rb"[^\r\n\0]*\r?\n")
 FIELD_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n\0]*\r?\n")
 EMPTY_LINES = (b"\r\n", b"\n")
+CONTENT_LENGTH = re.compile(r"[0-9]{1,18}")
 CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n\0]*)?\r\n")
 MAX_LINE_BYTES = 64 * 1024
 """Longest line with the size of a chunk, or trailer field."""
@@ -27,7 +28,7 @@
     """A line of a head is malformed, or its fields contradict each other."""
 
 
-class HeaderFields(Protocol):
+class FieldValues(Protocol):
     """The fields of a head, as ``email.message.Message`` holds them."""
 
     def get_all(self, name: str) -> Sequence[str] | None:
@@ -69,7 +70,7 @@
         if not line.endswith(b"\n"):
             if len(line) == limit:
                 return line
-            raise IncompleteHead(f"the connection ended behind {line[-40:]!r}")
+            raise IncompleteHead(f"the connection ended in a line, {line[-40:]!r}")
         if self.in_fields and line in EMPTY_LINES:
             self.in_fields = False
             return line
@@ -77,6 +78,7 @@
         if expected.fullmatch(line) is None:
             raise InvalidHead(f"malformed line {line[:80]!r}")
         if self.in_fields:
+            # The parsers of the library keep white space behind a value.
             return line.rstrip(b" \t\r\n") + b"\r\n"
         self.in_fields = True
         return line
@@ -103,7 +105,7 @@
     raise InvalidHead(f"over {MAX_TRAILER_FIELDS} trailer fields")
 
 
-def check_framing(fields: HeaderFields) -> None:
+def check_framing(fields: FieldValues) -> None:
     """Check that the fields of a head tell in exactly one way where the body ends.
 
     See RFC 9112, section 6.3.
@@ -114,7 +116,7 @@
     """
     lengths = set(fields.get_all("Content-Length") or ())
     codings = list(fields.get_all("Transfer-Encoding") or ())
-    if not all(length.isascii() and length.isdecimal() for length in lengths):
+    if not all(CONTENT_LENGTH.fullmatch(length) for length in lengths):
         raise InvalidHead(f"Content-Length {sorted(lengths)}, expected a number")
     if len(lengths) > 1:
         raise InvalidHead(f"different values of Content-Length: {sorted(lengths)}")
