Return a whole answer whose socket is closed with its body

Callers saw (in tests only): Exchange.read_pieces and read_whole raise an OSError that is none of their errors, in place of the end of a whole answer with a length and "Connection: close". The gateway uses the sockets of eventlet, on which a timeout can be set after the close, so that its requests are not affected.

Cause: http.client closes the socket with the body of such an answer. The next step of the loop sets the timeout of the closed socket.

Evidence: without the change, test_answer_before_a_close_is_returned_whole fails for Exchange ("Bad file descriptor") and passes for the four other clients.

Change: the timeout is set on an open socket only. The next read returns the end of the body.

--- a/src/ridgecourse/net/exchange.py
+++ b/src/ridgecourse/net/exchange.py
@@ -217,7 +217,9 @@
         # urllib3 sets the timeout of the connection on the socket before it reads
         # the head.
         self.connection.timeout = wait
-        self.sock.settimeout(wait)
+        # The socket is closed with the body if the answer has "Connection: close".
+        if self.sock.fileno() >= 0:
+            self.sock.settimeout(wait)
 
     def abandon(self) -> None:
         """Reset the connection, which discards bytes that are not yet sent.
--- a/tests/test_answer_connection.py
+++ b/tests/test_answer_connection.py
@@ -218,3 +218,10 @@
     # Guards against refusing a whole answer whose length is stated twice.
     head = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\n"
     assert ask(client, server, head + b"ok") == (200, b"ok")
+
+
+@pytest.mark.parametrize("client", CLIENTS)
+def test_answer_before_a_close_is_returned_whole(client, server) -> None:
+    # Guards against a failure on a socket that is closed once the body is complete.
+    head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\n"
+    assert ask(client, server, head + b"ok") == (200, b"ok")
