Take a close behind an interim head for a cut head

Callers saw (in tests, none is in the users' record): PersistentConnections.get sends a request on a kept connection again although its answer had begun with a 100 Continue; the log of a gateway tells "no-answer" for such an answer.

Cause: the reader of heads knew only whether it was inside one head. Behind the head of an interim answer it reported the end of the connection as the end before the first byte.

Evidence: without the change, both new cases fail (the second request is answered on another connection; "no-answer" in the log); the cases of a cut inside a head hold before as well.

Change: the reader remembers that a line of the message was read; after it, the end of the connection is an incomplete head.

--- a/src/ridgecourse/net/head_reader.py
+++ b/src/ridgecourse/net/head_reader.py
@@ -36,11 +36,14 @@
         stream: The bytes of the connection.
         in_fields: Whether the next line is a field or ends the head. Otherwise it is a
             start line.
+        is_begun: Whether a line was read. The heads of interim answers precede that of
+            the answer and belong to the message.
     """
 
     def __init__(self, stream: BinaryIO, in_fields: bool = False) -> None:
         self.stream = stream
         self.in_fields = in_fields
+        self.is_begun = in_fields
 
     def readline(self, limit: int = -1) -> bytes:
         """Return the next line.
@@ -50,7 +53,7 @@
                 the caller has to check.
 
         Returns:
-            The line with its end. Empty if the connection ended before a start line.
+            The line with its end. Empty if the connection ended before the first.
 
         Raises:
             IncompleteHead: The connection ended inside the head.
@@ -58,8 +61,9 @@
                 several lines is obsolete and invalid.
         """
         line = self.stream.readline(limit)
-        if not line and not self.in_fields:
+        if not line and not self.is_begun:
             return line
+        self.is_begun = True
         if not line.endswith(b"\n"):
             if len(line) == limit:
                 return line
--- a/tests/platform/test_cut_heads.py
+++ b/tests/platform/test_cut_heads.py
@@ -120,6 +120,7 @@
     [
         (b"", "no-answer"),
         (b"HTTP/1.1 200 OK\r\nAttempt-", "close"),
+        (b"HTTP/1.1 100 Continue\r\n\r\n", "close"),
         (b"HTTP/1.1 200 OK\r\n\r\n", "empty-line"),
     ],
 )
--- a/tests/test_persistent_connections.py
+++ b/tests/test_persistent_connections.py
@@ -96,6 +96,18 @@
     assert not client.idle_connections
 
 
+@pytest.mark.parametrize(
+    "part", [b"H", RESPONSE[:-6], b"HTTP/1.1 100 Continue\r\n\r\n"]
+)
+def test_request_is_not_repeated_after_a_part_of_a_head(server, part: bytes) -> None:
+    # Guards against a second run of a request whose answer had begun.
+    client = start_server(server, [RESPONSE, part], [RESPONSE])
+    assert ask(client) == (200, b"ok")
+    with pytest.raises(ExchangeFailed):
+        client.get("/", 2.0)
+    assert server.connection_count == 1
+
+
 def test_missing_response_fails_after_timeout(server) -> None:
     client = start_server(server, [RESPONSE, b""])
     assert ask(client) == (200, b"ok")
