Check generated answers, whole or cut at any byte, with each HTTP client

Answers of each framing, with interim heads, extensions, leading zeros and trailers, are sent at once or byte by byte. A cut one, by an orderly close or by a reset, must not be returned, unless only a body that a close ends was cut. A GET on a kept connection may be repeated only if no byte of the answer was read; a POST never is.

The server and the clients of tests/test_answer_connection.py move into modules of their own. Its checks stay as they are, for five more ways to read an answer: pieces and lines of HttpClient, pieces of Exchange with a pause, and second requests on kept connections of both clients that keep them. The server serves connections side by side, so that a client that keeps one open does not delay the others.

--- a/tests/test_answer_connection.py
+++ b/tests/test_answer_connection.py
@@ -1,126 +1,16 @@
 """Cut or malformed answers, as each HTTP client of the system receives them."""
 
-import socket
-from collections.abc import Callable, Iterator
-from contextlib import closing
-from threading import Thread
+from collections.abc import Iterator
 
 import pytest
-
-from ridgecourse.core.ids import Seconds
-from ridgecourse.net.clock import boottime
-from ridgecourse.net.exchange import Exchange, ExchangeBroken
-from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
-from ridgecourse.net.kept_connections import PersistentConnections
-
-TIMEOUT_SECONDS = 5.0
-MAX_BODY_BYTES = 64 * 1024
-FAILURES = (ExchangeBroken, ExchangeFailed, NoConnection)
-
-
-class AnsweringServer:
-    """Answers each request with the same bytes, then closes the connection in order.
-
-    Attributes:
-        answer: All bytes that are sent on a connection.
-        listener: Listening socket.
-    """
-
-    def __init__(self) -> None:
-        self.answer = b""
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.thread = Thread(target=self.run, daemon=True)
-
-    @property
-    def address(self) -> str:
-        host, port = self.listener.getsockname()
-        return f"{host}:{port}"
-
-    def run(self) -> None:
-        while True:
-            try:
-                connection, _ = self.listener.accept()
-            except OSError:
-                return
-            with connection:
-                received = b""
-                while b"\r\n\r\n" not in received:
-                    received += connection.recv(4096)
-                connection.sendall(self.answer)
-                connection.shutdown(socket.SHUT_WR)
-                while connection.recv(4096):
-                    pass
+from answer_clients import CLIENTS, ask
+from answering_server import AnsweringServer, run_server
 
 
 @pytest.fixture
 def server() -> Iterator[AnsweringServer]:
-    answering_server = AnsweringServer()
-    answering_server.thread.start()
-    yield answering_server
-    answering_server.listener.shutdown(socket.SHUT_RDWR)
-    answering_server.listener.close()
-
-
-Answer = tuple[int, bytes]
-Client = Callable[[str], Answer]
-
-
-def ask_by_exchange(address: str) -> Answer:
-    exchange = Exchange(address, Seconds(boottime() + TIMEOUT_SECONDS))
-    with closing(exchange):
-        exchange.connect(TIMEOUT_SECONDS)
-        exchange.send("GET", "/", [], None)
-        response = exchange.receive_head()
-        return response.status, exchange.read_whole(MAX_BODY_BYTES)
-
-
-def ask_by_client(address: str) -> Answer:
-    with closing(HttpClient()) as client:
-        return client.fetch("GET", address, "/", timeout=TIMEOUT_SECONDS)[:2]
-
-
-def ask_on_fresh_connection(address: str) -> Answer:
-    with closing(HttpClient()) as client:
-        response = client.send("GET", address, "/", fresh=True)
-        with closing(response):
-            return response.status, b"".join(iter(lambda: read(response), b""))
-
-
-def read(response) -> bytes:
-    try:
-        return response.read(MAX_BODY_BYTES)
-    except Exception as error:
-        raise ExchangeFailed(str(error)) from error
-
-
-def ask_on_kept_connection(address: str) -> Answer:
-    answer = PersistentConnections(address).get("/", TIMEOUT_SECONDS)
-    return answer.status, answer.body
-
-
-def post_on_kept_connection(address: str) -> Answer:
-    until = Seconds(boottime() + TIMEOUT_SECONDS)
-    connections = PersistentConnections(address)
-    answer = connections.post("/", b"", {}, TIMEOUT_SECONDS, until)
-    return answer.status, answer.body
-
-
-CLIENTS: list[Client] = [
-    ask_by_exchange,
-    ask_by_client,
-    ask_on_fresh_connection,
-    ask_on_kept_connection,
-    post_on_kept_connection,
-]
-
-
-def ask(client: Client, server: AnsweringServer, answer: bytes) -> Answer | None:
-    """Return the answer that a client received, None if the client failed."""
-    server.answer = answer
-    try:
-        return client(server.address)
-    except FAILURES:
-        return None
+    with run_server() as answering_server:
+        yield answering_server
 
 
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
