Take no interim head for an answer

Callers saw (in tests, none is in the users' record): the first head of a 102 or 103 before a 200 as an answer without a body; the answer itself was lost.

Cause: http.client skips only heads with the status 100 and takes the head of any other interim answer for an answer without a body. A message does not end there: one or more interim answers may come before the final one (RFC 9110, section 15.2).

Evidence: without the change, test_interim_head_is_not_taken_for_an_answer fails for each of the ten clients ("102 with an empty body").

Change: interim heads are skipped as that of a 100 is. A 101 is an invalid head, as no client here asks to switch protocols; WebSockets have a client of their own.

--- a/src/ridgecourse/net/answer_connection.py
+++ b/src/ridgecourse/net/answer_connection.py
@@ -6,7 +6,13 @@
 """
 
 import re
-from http.client import HTTPResponse, IncompleteRead
+from http.client import (
+    CONTINUE,
+    OK,
+    SWITCHING_PROTOCOLS,
+    HTTPResponse,
+    IncompleteRead,
+)
 from typing import Any
 
 from urllib3 import HTTPConnectionPool, PoolManager
@@ -53,6 +59,20 @@
             if self.fp is reader:
                 self.fp = stream
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Return version, status and reason of the next head.
+
+        ``http.client`` skips only heads with the status 100, so that this status stands
+        for that of every interim answer (RFC 9110, section 15.2).
+
+        Raises:
+            InvalidHead: The server switches protocols, for which no client here asks.
+        """
+        version, status, reason = super()._read_status()  # type: ignore[misc]
+        if status == SWITCHING_PROTOCOLS:
+            raise InvalidHead("status 101 without a request to switch protocols")
+        return version, CONTINUE if status < OK else status, reason
+
     def _get_chunk_left(self) -> int | None:
         """Return the bytes left of the current chunk; None after the last one.
 
--- a/tests/test_answer_connection.py
+++ b/tests/test_answer_connection.py
@@ -115,3 +115,16 @@
     # Guards against a failure on a socket that is closed once the body is complete.
     head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\n"
     assert ask(client, server, head + b"ok") == (200, b"ok")
+
+
+@pytest.mark.parametrize("client", CLIENTS)
+def test_interim_head_is_not_taken_for_an_answer(client, server) -> None:
+    # Guards against a head before the answer that counts as an answer without a body.
+    interim = (
+        b"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+    )
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    assert ask(client, server, interim + answer) == (200, b"ok")
+    assert ask(client, server, interim) is None
+    switch = b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"
+    assert ask(client, server, switch + answer) is None
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -106,7 +106,9 @@
     interim = b""
     for _ in range(draw(st.integers(0, 2))):
         extra = draw(st.lists(fields, max_size=2))
-        interim += draw(heads(100, "HTTP/1.1", extra))
+        interim += draw(
+            heads(draw(st.sampled_from([100, 100, 103])), "HTTP/1.1", extra)
+        )
     framing = draw(st.sampled_from(["length", "chunks", "chunks", "close", "none"]))
     body = b"" if framing == "none" else draw(bodies)
     encoded = body
