Check the chunks of an answer that is read as a stream of urllib3

No caller saw this: no module of the system uses stream, read_chunked or the iteration of a urllib3 answer. Any of them would take a size cut inside its zeros, or a cut trailer, for the end of the body again.

Cause: urllib3 has a reader of chunks of its own, which passes by the checks of the class of answers that all clients use.

Evidence: without the change, test_cut_chunked_body_is_an_error_for_a_stream fails (a body cut behind the first zero of a size is returned as empty). read, read1 and the readers of net/ are checked already.

Change: answers say that they do not support this reader, so that stream reads by read, and read_chunked raises an error.

--- a/src/ridgecourse/net/answer_connection.py
+++ b/src/ridgecourse/net/answer_connection.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from urllib3 import HTTPConnectionPool, PoolManager
+from urllib3 import HTTPResponse as UrllibResponse
 from urllib3.connection import HTTPConnection
 
 from ridgecourse.net.head_reader import (
@@ -117,6 +118,17 @@
 
     response_class = AnswerResponse
 
+    def getresponse(self) -> UrllibResponse:  # type: ignore[override]
+        """Return the answer with its body unread."""
+        response = super().getresponse()
+        response.supports_chunked_reads = _never  # type: ignore[method-assign]
+        return response
+
+
+def _never() -> bool:
+    """Keep urllib3 from reading chunks itself, past the checks of the answer."""
+    return False
+
 
 class AnswerPool(HTTPConnectionPool):
     """Connections to one server whose answers are checked."""
--- a/tests/answer_clients.py
+++ b/tests/answer_clients.py
@@ -4,6 +4,7 @@
 from contextlib import closing
 
 from answering_server import EARLIER_BODY, EARLIER_PATH, AnsweringServer
+from urllib3.exceptions import HTTPError
 
 from ridgecourse.core.ids import Seconds
 from ridgecourse.net.clock import boottime
@@ -78,6 +79,16 @@
             return response.status, b"\n".join(read_lines(response, MAX_BODY_BYTES))
 
 
+def stream_by_client(address: str) -> Answer:
+    """Return an answer that is read by a way that no module uses so far."""
+    with closing(HttpClient()) as client:
+        response = client.send("GET", address, "/", fresh=True)
+        try:
+            return response.status, b"".join(response.stream(3))
+        except HTTPError as error:
+            raise ExchangeFailed(str(error)) from error
+
+
 def ask_by_client_again(address: str) -> Answer:
     with closing(HttpClient()) as client:
         earlier = client.fetch("GET", address, EARLIER_PATH, timeout=TIMEOUT_SECONDS)
--- a/tests/test_answer_connection.py
+++ b/tests/test_answer_connection.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 
 import pytest
-from answer_clients import CLIENTS, ask
+from answer_clients import CLIENTS, ask, stream_by_client
 from answering_server import AnsweringServer, run_server
 
 
@@ -128,3 +128,12 @@
     assert ask(client, server, interim) is None
     switch = b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"
     assert ask(client, server, switch + answer) is None
+
+
+def test_cut_chunked_body_is_an_error_for_a_stream(server) -> None:
+    # Guards against the reader of chunks that urllib3 has besides that of http.client.
+    body = b"000005\r\nwhole\r\n000\r\nNote: x\r\n\r\n"
+    assert ask(stream_by_client, server, CHUNKED_HEAD + body) == (200, b"whole")
+    for cut in range(len(body)):
+        answer = ask(stream_by_client, server, CHUNKED_HEAD + body[:cut])
+        assert answer is None, body[:cut]
