Read answers in stand-ins and benchmarks as the product does

Tests and benchmarks were blind to an answer of the product that is cut in its head, in the size of a chunk or in its trailer: their clients (the closed loop, the client that checks answers, the cluster, bench requests) read answers with the classes of the libraries, which take such an answer for a whole one.

Evidence: test_test_clients_use_connections_that_check_answers fails for the four modules without the change.

Change: they use the connections and answers of net/answer_connection.py, as stand-ins may import the product.

--- a/src/bench/requests.py
+++ b/src/bench/requests.py
@@ -8,15 +8,18 @@
 from argparse import ArgumentParser
 from collections.abc import Callable, Iterator, Sequence
 from functools import partial
-from http.client import HTTPConnection
+from http.client import HTTPException
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from time import monotonic, sleep
 from typing import Any, NamedTuple
 
 from msgspec.json import encode
+from urllib3.exceptions import HTTPError
 
 from bench.result import print_result
+from ridgecourse.net.address import parse_address
+from ridgecourse.net.answer_connection import AnswerConnection
 from ridgecourse.platform.names import (
     API_KEY_HEADER,
     ATTEMPT_ID_HEADER,
@@ -81,6 +84,12 @@
     return Usage(monotonic(), processor / NANOSECONDS_PER_SECOND, wakeups)
 
 
+def connect_to(address: str, timeout: float) -> AnswerConnection:
+    """Return a connection to HOST:PORT whose answers are checked."""
+    socket_address = parse_address(address)
+    return AnswerConnection(socket_address.host, socket_address.port, timeout=timeout)
+
+
 class RequestSite:
     """A gateway with stand-ins of the store and of engines that stream events.
 
@@ -163,11 +172,11 @@
 
     def is_ready(self) -> bool:
         """Check whether the gateway is ready for requests."""
-        connection = HTTPConnection(self.settings["listen"]["readiness"], timeout=1.0)
+        connection = connect_to(self.settings["listen"]["readiness"], 1.0)
         try:
             connection.request("GET", READY_PATH)
             return connection.getresponse().status == 200
-        except OSError:
+        except (OSError, HTTPError, HTTPException):
             return False
         finally:
             connection.close()
@@ -185,7 +194,7 @@
             API_KEY_HEADER: key,
             DEADLINE_HEADER: "4000",
         }
-        connection = HTTPConnection(self.settings["listen"]["frontend"], timeout=10.0)
+        connection = connect_to(self.settings["listen"]["frontend"], 10.0)
         connection.request("GET", path, headers=headers)
         answer = connection.getresponse()
         answer.read()
--- a/src/ridgecourse_standins/client.py
+++ b/src/ridgecourse_standins/client.py
@@ -13,10 +13,11 @@
 from typing import Any, NamedTuple
 from uuid import uuid4
 
-from urllib3 import PoolManager, Timeout
+from urllib3 import Timeout
 from urllib3.exceptions import HTTPError
 
 from ridgecourse.core.manifest import root_digest
+from ridgecourse.net.answer_connection import AnswerPoolManager
 from ridgecourse_standins.oracle import Weights, read_weights
 
 READ_SECONDS = 30.0
@@ -66,7 +67,7 @@
         self.entries = list(entries)
         self.fleet = fleet
         self.key = key
-        self.pool = PoolManager(num_pools=64, maxsize=256, retries=False)
+        self.pool = AnswerPoolManager(num_pools=64, maxsize=256, retries=False)
         self.weights_by_root: dict[str, Weights] = {}
         self.history: list[Answer] = []
         self.sent_count = 0
--- a/src/ridgecourse_standins/closed_loop.py
+++ b/src/ridgecourse_standins/closed_loop.py
@@ -2,12 +2,14 @@
 
 import socket
 from collections.abc import Callable, Iterator
-from http.client import HTTPException, HTTPResponse
+from http.client import HTTPException
 from select import POLLIN, poll
 from threading import Event, Thread
 from time import monotonic
 from typing import NamedTuple
 
+from ridgecourse.net.answer_connection import AnswerResponse
+
 TIMEOUT_SECONDS = 20.0
 
 
@@ -116,7 +118,7 @@
         status = 0
         try:
             connection.sendall(request)
-            response = HTTPResponse(connection)
+            response = AnswerResponse(connection)
             response.begin()
             status = response.status
             headers = {name.lower(): value for name, value in response.getheaders()}
--- a/src/ridgecourse_standins/cluster.py
+++ b/src/ridgecourse_standins/cluster.py
@@ -11,9 +11,9 @@
 from time import monotonic, sleep
 from typing import Any, NamedTuple
 
-from urllib3 import PoolManager
 from urllib3.exceptions import HTTPError
 
+from ridgecourse.net.answer_connection import AnswerPoolManager
 from ridgecourse.net.auth import token_digest
 from ridgecourse_standins.managed_process import ManagedProcess, ProcessFailed
 from ridgecourse_standins.ports import free_address
@@ -101,7 +101,7 @@
         self.directory = directory or Path(mkdtemp(prefix="ridgecourse-"))
         self.models = self.directory / "models"
         self.models.mkdir(parents=True, exist_ok=True)
-        self.pool = PoolManager(maxsize=64, retries=False)
+        self.pool = AnswerPoolManager(maxsize=64, retries=False)
         self.standins: dict[str, ManagedProcess] = {}
         self.addresses: dict[str, str] = {}
         self.entries: list[Node] = []
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -77,6 +77,18 @@
     assert violations == []
 
 
+def test_test_clients_use_connections_that_check_answers() -> None:
+    # Guards against stand-ins and benchmarks that take a cut answer for a whole one.
+    makes_client = r"\b(HTTPConnection|HTTPConnectionPool|HTTPResponse|PoolManager)\("
+    violations = [
+        path.name
+        for package in ("ridgecourse_standins", "bench")
+        for path in sorted((SOURCES.parent / package).rglob("*.py"))
+        if search(makes_client, path.read_text())
+    ]
+    assert violations == []
+
+
 def test_http_clients_use_connections_that_check_answers() -> None:
     # Guards against a client that takes a cut answer for a whole one.
     makes_connection = r"\b(HTTPConnection|HTTPConnectionPool|PoolManager)\("
