Read responses in tests of gateways as the product does

Tests were blind to a response that a gateway cuts: receive_response took the end of the connection inside the head for the end of the head, a size cut inside its zeros for the last chunk, and did not look at the trailer. A cut status line was an IndexError.

A cut head gives the status 0, as no response does; a malformed one is an error. A body that only a close ends still counts as incomplete, since gateways frame all of theirs.

--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -2,6 +2,8 @@
 
 import socket
 from collections.abc import Iterator
+from contextlib import suppress
+from http.client import IncompleteRead, RemoteDisconnected
 from pathlib import Path
 from time import monotonic, sleep
 from typing import Any
@@ -9,6 +11,8 @@
 import pytest
 from msgspec.json import encode
 
+from ridgecourse.net.answer_connection import AnswerResponse
+from ridgecourse.net.head_reader import IncompleteHead
 from ridgecourse_standins.managed_process import ManagedProcess
 from ridgecourse_standins.platform.engine import (
     Behaviour,
@@ -42,6 +46,8 @@
     "make_settings",
 ]
 
+READ_BYTES = 64 * 1024
+
 HttpResponse = tuple[int, dict[str, str], bytes, bool]
 
 
@@ -49,30 +55,24 @@
     """Read an HTTP response.
 
     Returns:
-        Status (0 if there was no response), headers by lower-case name, body, and
-        whether the response was complete.
+        Status (0 if there was no response or its head was cut), headers by lower-case
+        name, body, and whether the response was complete. One whose body only a close
+        ends counts as incomplete, as the product does not frame any so.
     """
-    file = connection.makefile("rb")
-    status_line = file.readline().decode()
-    if not status_line:
+    response = AnswerResponse(connection)
+    try:
+        response.begin()
+    except (RemoteDisconnected, IncompleteHead):
         return 0, {}, b"", False
-    headers = {}
-    while (header_line := file.readline().decode().strip()) != "":
-        name, _, value = header_line.partition(":")
-        headers[name.lower()] = value.strip()
-    status = int(status_line.split()[1])
-    if "content-length" in headers:
-        length = int(headers["content-length"])
-        body = file.read(length)
-        return status, headers, body, len(body) == length
+    headers = {name.lower(): value for name, value in response.getheaders()}
+    is_framed = response.chunked or response.length is not None
     body = b""
-    while size := file.readline().strip():
-        chunk = file.read(int(size, 16))
-        file.readline()
-        body += chunk
-        if not chunk:
-            return status, headers, body, True
-    return status, headers, body, False
+    with suppress(IncompleteRead):
+        while piece := response.read1(READ_BYTES):
+            body += piece
+        is_complete = is_framed and not response.length
+        return response.status, headers, body, is_complete
+    return response.status, headers, body, False
 
 
 class GatewaySite:
