--- a/tests/test_answer_connection.py
+++ b/tests/test_answer_connection.py
@@ -1,126 +1,16 @@
 """Cut or malformed answers, as each HTTP client of the system receives them."""
 
-import socket
-from collections.abc import Callable, Iterator
-from contextlib import closing
-from threading import Thread
+from collections.abc import Iterator
 
 import pytest
-
-from ridgecourse.core.ids import Seconds
-from ridgecourse.net.clock import boottime
-from ridgecourse.net.exchange import Exchange, ExchangeBroken
-from ridgecourse.net.http_client import ExchangeFailed, HttpClient, NoConnection
-from ridgecourse.net.kept_connections import PersistentConnections
-
-TIMEOUT_SECONDS = 5.0
-MAX_BODY_BYTES = 64 * 1024
-FAILURES = (ExchangeBroken, ExchangeFailed, NoConnection)
-
-
-class AnsweringServer:
-    """Answers each request with the same bytes, then closes the connection in order.
-
-    Attributes:
-        answer: All bytes that are sent on a connection.
-        listener: Listening socket.
-    """
-
-    def __init__(self) -> None:
-        self.answer = b""
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.thread = Thread(target=self.run, daemon=True)
-
-    @property
-    def address(self) -> str:
-        host, port = self.listener.getsockname()
-        return f"{host}:{port}"
-
-    def run(self) -> None:
-        while True:
-            try:
-                connection, _ = self.listener.accept()
-            except OSError:
-                return
-            with connection:
-                received = b""
-                while b"\r\n\r\n" not in received:
-                    received += connection.recv(4096)
-                connection.sendall(self.answer)
-                connection.shutdown(socket.SHUT_WR)
-                while connection.recv(4096):
-                    pass
+from answer_clients import CLIENTS, ask, stream_by_client
+from answering_server import AnsweringServer, run_server
 
 
 @pytest.fixture
 def server() -> Iterator[AnsweringServer]:
-    answering_server = AnsweringServer()
-    answering_server.thread.start()
-    yield answering_server
-    answering_server.listener.shutdown(socket.SHUT_RDWR)
-    answering_server.listener.close()
-
-
-Answer = tuple[int, bytes]
-Client = Callable[[str], Answer]
-
-
-def ask_by_exchange(address: str) -> Answer:
-    exchange = Exchange(address, Seconds(boottime() + TIMEOUT_SECONDS))
-    with closing(exchange):
-        exchange.connect(TIMEOUT_SECONDS)
-        exchange.send("GET", "/", [], None)
-        response = exchange.receive_head()
-        return response.status, exchange.read_whole(MAX_BODY_BYTES)
-
-
-def ask_by_client(address: str) -> Answer:
-    with closing(HttpClient()) as client:
-        return client.fetch("GET", address, "/", timeout=TIMEOUT_SECONDS)[:2]
-
-
-def ask_on_fresh_connection(address: str) -> Answer:
-    with closing(HttpClient()) as client:
-        response = client.send("GET", address, "/", fresh=True)
-        with closing(response):
-            return response.status, b"".join(iter(lambda: read(response), b""))
-
-
-def read(response) -> bytes:
-    try:
-        return response.read(MAX_BODY_BYTES)
-    except Exception as error:
-        raise ExchangeFailed(str(error)) from error
-
-
-def ask_on_kept_connection(address: str) -> Answer:
-    answer = PersistentConnections(address).get("/", TIMEOUT_SECONDS)
-    return answer.status, answer.body
-
-
-def post_on_kept_connection(address: str) -> Answer:
-    until = Seconds(boottime() + TIMEOUT_SECONDS)
-    connections = PersistentConnections(address)
-    answer = connections.post("/", b"", {}, TIMEOUT_SECONDS, until)
-    return answer.status, answer.body
-
-
-CLIENTS: list[Client] = [
-    ask_by_exchange,
-    ask_by_client,
-    ask_on_fresh_connection,
-    ask_on_kept_connection,
-    post_on_kept_connection,
-]
-
-
-def ask(client: Client, server: AnsweringServer, answer: bytes) -> Answer | None:
-    """Return the answer that a client received, None if the client failed."""
-    server.answer = answer
-    try:
-        return client(server.address)
-    except FAILURES:
-        return None
+    with run_server() as answering_server:
+        yield answering_server
 
 
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -246,3 +136,32 @@
     # Guards against the rest of a long line that passes for the end of the trailer, and
     # against a trailer that never ends.
     assert ask(client, server, CHUNKED_HEAD + b"0\r\n" + trailer + b"\r\n") is None
+
+
+@pytest.mark.parametrize("client", CLIENTS)
+def test_answer_before_a_close_is_returned_whole(client, server) -> None:
+    # Guards against a failure on a socket that is closed once the body is complete.
+    head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\n"
+    assert ask(client, server, head + b"ok") == (200, b"ok")
+
+
+@pytest.mark.parametrize("client", CLIENTS)
+def test_interim_head_is_not_taken_for_an_answer(client, server) -> None:
+    # Guards against a head before the answer that counts as an answer without a body.
+    interim = (
+        b"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+    )
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    assert ask(client, server, interim + answer) == (200, b"ok")
+    assert ask(client, server, interim) is None
+    switch = b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"
+    assert ask(client, server, switch + answer) is None
+
+
+def test_cut_chunked_body_is_an_error_for_a_stream(server) -> None:
+    # Guards against the reader of chunks that urllib3 has besides that of http.client.
+    body = b"000005\r\nwhole\r\n000\r\nNote: x\r\n\r\n"
+    assert ask(stream_by_client, server, CHUNKED_HEAD + body) == (200, b"whole")
+    for cut in range(len(body)):
+        answer = ask(stream_by_client, server, CHUNKED_HEAD + body[:cut])
+        assert answer is None, body[:cut]
