--- a/tests/answering_server.py
+++ b/tests/answering_server.py
@@ -1,8 +1,9 @@
 """A server for tests that sends given bytes as the answer to each request."""
 
 import socket
+from abc import ABC, abstractmethod
 from collections.abc import Iterator
-from contextlib import contextmanager, suppress
+from contextlib import closing, contextmanager, suppress
 from threading import Thread
 
 from ridgecourse.net.tcp import LINGER_RESET
@@ -13,31 +14,34 @@
 """Whole answer to requests of ``EARLIER_PATH``, after which a connection is kept."""
 
 
-class AnsweringServer:
-    """Answers each request with the same bytes, then ends the connection.
+class ClosingServer(ABC):
+    """Serves each connection in a thread of its own, then closes it in order.
 
     Attributes:
-        answer: All bytes that are sent as an answer.
-        resets: Whether the connection is reset in place of an orderly close.
-        is_bytewise: Whether each byte is sent by itself.
-        request_count: Number of requests that were answered with ``answer``.
         listener: Listening socket.
     """
 
     def __init__(self) -> None:
-        self.answer = b""
-        self.resets = False
-        self.is_bytewise = False
-        self.request_count = 0
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.thread = Thread(target=self.run, daemon=True)
 
     @property
     def address(self) -> str:
+        """Address of the server as "HOST:PORT"."""
         host, port = self.listener.getsockname()
         return f"{host}:{port}"
 
+    def start(self) -> None:
+        """Start accepting connections."""
+        self.thread.start()
+
+    def close(self) -> None:
+        """Stop accepting connections."""
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
     def run(self) -> None:
+        """Accept connections until the server is closed."""
         while True:
             try:
                 connection, _ = self.listener.accept()
@@ -47,11 +51,33 @@
             Thread(target=self.serve_until_end, args=(connection,), daemon=True).start()
 
     def serve_until_end(self, connection: socket.socket) -> None:
-        """Answer the requests of a connection, and close it."""
+        """Serve a connection, and close it."""
         with connection, suppress(ConnectionError):
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.serve(connection)
 
+    @abstractmethod
+    def serve(self, connection: socket.socket) -> None:
+        """Serve a connection up to its end."""
+
+
+class AnsweringServer(ClosingServer):
+    """Answers each request with the same bytes, then ends the connection.
+
+    Attributes:
+        answer: All bytes that are sent as an answer.
+        resets: Whether the connection is reset in place of an orderly close.
+        is_bytewise: Whether each byte is sent by itself.
+        request_count: Number of requests that were answered with ``answer``.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.answer = b""
+        self.resets = False
+        self.is_bytewise = False
+        self.request_count = 0
+
     def serve(self, connection: socket.socket) -> None:
         """Answer the requests of a connection up to one that ends it."""
         request = receive_head(connection)
@@ -68,9 +94,14 @@
         if resets:
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
             return
-        connection.shutdown(socket.SHUT_WR)
-        while connection.recv(4096):
-            pass
+        end_in_order(connection)
+
+
+def end_in_order(connection: socket.socket) -> None:
+    """Send the end of a connection, and wait for that of the client."""
+    connection.shutdown(socket.SHUT_WR)
+    while connection.recv(4096):
+        pass
 
 
 def receive_head(connection: socket.socket) -> bytes:
@@ -88,9 +119,6 @@
 def run_server() -> Iterator[AnsweringServer]:
     """Run a server up to the end of a ``with`` block."""
     server = AnsweringServer()
-    server.thread.start()
-    try:
+    server.start()
+    with closing(server):
         yield server
-    finally:
-        server.listener.shutdown(socket.SHUT_RDWR)
-        server.listener.close()
--- a/tests/platform/cut_answers.py
+++ b/tests/platform/cut_answers.py
@@ -3,10 +3,10 @@
 import socket
 from collections.abc import Callable, Iterator
 from contextlib import closing
-from threading import Thread
 from typing import NamedTuple
 
 import pytest
+from answering_server import ClosingServer, end_in_order, receive_head
 
 CONNECTION_FIELD = "Connection: close"
 
@@ -81,57 +81,30 @@
 ]
 
 
-class ScriptedServer:
+class ScriptedServer(ClosingServer):
     """Sends prepared bytes on each connection, then closes it in order.
 
     Attributes:
         answers: The bytes for the next connections; the last ones are sent again.
-        listener: Listening socket.
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self.answers = [b""]
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.thread = Thread(target=self.run, daemon=True)
 
-    @property
-    def address(self) -> str:
-        """Address of the server as "HOST:PORT"."""
-        host, port = self.listener.getsockname()
-        return f"{host}:{port}"
-
-    def run(self) -> None:
-        """Answer connections until the server is closed."""
-        while True:
-            try:
-                connection, _ = self.listener.accept()
-            except OSError:
-                return
-            with connection:
-                self.answer(connection)
-
-    def answer(self, connection: socket.socket) -> None:
-        """Answer a request, then wait for the client to close."""
-        received = b""
-        while b"\r\n\r\n" not in received:
-            received += connection.recv(4096)
+    def serve(self, connection: socket.socket) -> None:
+        """Answer a request."""
+        receive_head(connection)
         answer = self.answers[0]
         if len(self.answers) > 1:
             self.answers.pop(0)
         connection.sendall(answer)
-        connection.shutdown(socket.SHUT_WR)
-        while connection.recv(4096):
-            pass
-
-    def close(self) -> None:
-        """Stop accepting connections."""
-        self.listener.shutdown(socket.SHUT_RDWR)
-        self.listener.close()
+        end_in_order(connection)
 
 
 @pytest.fixture
 def server() -> Iterator[ScriptedServer]:
     """Provide a started server."""
     with closing(ScriptedServer()) as scripted_server:
-        scripted_server.thread.start()
+        scripted_server.start()
         yield scripted_server
--- a/tests/test_websocket_handshake.py
+++ b/tests/test_websocket_handshake.py
@@ -1,9 +1,10 @@
 """Handshakes of control connections that are cut."""
 
 import socket
-from threading import Thread
+from contextlib import closing
 
 import pytest
+from answering_server import ClosingServer, end_in_order, receive_head
 from websockets.utils import accept_key
 
 from ridgecourse.net.websocket import ChannelClosed, open_channel
@@ -11,14 +12,6 @@
 KEY_FIELD = b"Sec-WebSocket-Key: "
 
 
-def receive_key(connection: socket.socket) -> str:
-    """Read the request of a handshake and return its key."""
-    received = b""
-    while b"\r\n\r\n" not in received:
-        received += connection.recv(4096)
-    return received.partition(KEY_FIELD)[2].partition(b"\r\n")[0].decode()
-
-
 def make_answer(key: str) -> bytes:
     lines = [
         "HTTP/1.1 101 Switching Protocols",
@@ -31,42 +24,31 @@
     return "\r\n".join(lines).encode()
 
 
-class CuttingServer:
-    """Sends the start of the answer to a handshake, then closes in order."""
+class CuttingServer(ClosingServer):
+    """Sends the start of the answer to a handshake, then closes in order.
+
+    Attributes:
+        cut: Number of bytes that are sent; None for all.
+    """
 
     def __init__(self) -> None:
+        super().__init__()
         self.cut: int | None = None
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.thread = Thread(target=self.run, daemon=True)
-        self.thread.start()
-
-    @property
-    def address(self) -> str:
-        host, port = self.listener.getsockname()
-        return f"{host}:{port}"
 
-    def run(self) -> None:
-        while True:
-            try:
-                connection, _ = self.listener.accept()
-            except OSError:
-                return
-            with connection:
-                connection.sendall(make_answer(receive_key(connection))[: self.cut])
-                connection.shutdown(socket.SHUT_WR)
-                while connection.recv(4096):
-                    pass
+    def serve(self, connection: socket.socket) -> None:
+        """Answer a handshake."""
+        key_line = receive_head(connection).partition(KEY_FIELD)[2]
+        key = key_line.partition(b"\r\n")[0].decode()
+        connection.sendall(make_answer(key)[: self.cut])
+        end_in_order(connection)
 
 
 def test_cut_handshake_opens_no_channel() -> None:
     # Guards against a connection that counts as open behind a part of its head.
-    server = CuttingServer()
-    try:
+    with closing(CuttingServer()) as server:
+        server.start()
         open_channel(server.address, "", keepalive=False).close()
         for cut in range(len(make_answer("x" * 24))):
             server.cut = cut
             with pytest.raises(ChannelClosed):
                 open_channel(server.address, "", keepalive=False)
-    finally:
-        server.listener.shutdown(socket.SHUT_RDWR)
-        server.listener.close()
