--- a/tests/test_cut_requests.py
+++ b/tests/test_cut_requests.py
@@ -106,8 +106,8 @@
     """Check whether a handler got no other requests than whole ones, each in its turn.
 
     It may also have got the head of the request that was cut, if the head is whole and
-    the body could not be read. A reset discards bytes that have arrived and were not
-    read, so that it may cut the last request earlier than the client did.
+    the body could not be read. A reset also discards what the client's system has not
+    sent yet, so that it may cut the requests earlier than ``cut``.
     """
     start = 0
     for index, request in enumerate(whole):
