Limit the head of a request while it is read, in size, fields and time

Callers saw: a gateway that grew to 632 MB under 200 clients that sent 240 KB of tiny fields each, and to 192 MB under 400 clients with ordinary fields; its readiness server likewise. Heads that dripped were kept for as long as their clients liked.

Cause: ClientLimits.header_bytes was compared once the whole head had been read and parsed. Until then limits of the library held, 64 KB a line and 256 KB in all, and at the other servers whatever the module that was imported last had set. The time limit of a head was one of the socket, for each read.

Change: the connection counts bytes and fields as it reads them, into one buffer, and answers 431 at the first byte or field too many, at every server. A timer limits the whole head from its first byte; a head that is late ends its connection without an answer, as a stalled one did. Defaults: 16 KB, 99 fields (the parser's own limit), 3 s for clients (from the configuration), 15 s at the other servers. Each refusal counts in clients_limited_head_size, _fields or _time and emits client-limited, at most 20 a second, so that a crowd does not take the lines of ordinary requests.

--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -88,8 +88,6 @@
         config = self.view.config
         if config is None:
             return self._refuse("", Reason.NOT_READY)
-        if request.head_bytes > config.limits.header_bytes:
-            return self._reject("", 431, "the head is too long")
         decoded = self.protocol.decode_request(request)
         if isinstance(decoded, Failure):
             problems = "; ".join(map(str, decoded.failure()))
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -26,6 +26,7 @@
 from ridgecourse.gateway.relisted_watch import RelistedWatch
 from ridgecourse.gateway.retry_control import RetryControl, StartHistory
 from ridgecourse.net.address import parse_address
+from ridgecourse.net.client_limit import ClientLimit
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.figures import LoopLag, MetricsServer
@@ -122,6 +123,8 @@
         self.router = HttpRouter()
         self.router.add("GET", ready_path, self.serve_ready)
         self.readiness = HttpServer(parse_address(site.readiness), self.router)
+        for server in (self.front, self.readiness):
+            server.on_limit = self._report_limit
         self.figures = MetricsServer(site.host, self.events.metrics)
         self.stopping = False
         self.threads: list = []
@@ -151,6 +154,11 @@
             self.dispatcher.selector.forget_unlisted()
             self.view.changed.wait()
 
+    def _report_limit(self, limit: ClientLimit, detail: str) -> None:
+        """Count and log a client that has exceeded a limit."""
+        self.events.metrics.count(limit.metric)
+        self.events.emit(EventKind.CLIENT_LIMITED, limit=limit.value, why=detail)
+
     def known_gateways(self) -> Collection[Peer]:
         """Return the other known gateways."""
         return self.hub.known_gateways()
--- a/src/ridgecourse/net/events.py
+++ b/src/ridgecourse/net/events.py
@@ -22,6 +22,11 @@
 at its limit handles some 50 requests a second, each with 2 or 3 events."""
 
 
+MAX_CLIENT_EVENTS_PER_SECOND = 20
+"""Most events on clients that exceeded a limit written per second, so that a crowd of
+them does not hide the requests of others."""
+
+
 class EventKind(Enum):
     """Kinds of events."""
 
@@ -96,6 +101,7 @@
     LEASE_GRANTED = "lease-granted"
     ENGINE_RESTARTED = "engine-restarted"
     ORDER_REFUSED = "order-refused"
+    CLIENT_LIMITED = "client-limited"
     BAD_INPUT = "bad-input"
     SUPPRESSED = "suppressed"
 
@@ -159,6 +165,7 @@
         metrics: Metrics of the process; they count all events, written or not.
         current_second: The current second, for the limit on events on requests.
         request_events_in_second: Events on requests in the current second.
+        client_events_in_second: Events on clients beyond a limit in that second.
         suppressed: Events that were counted but not written, by kind.
     """
 
@@ -175,6 +182,7 @@
         self.metrics = ProcessMetrics()
         self.current_second = 0
         self.request_events_in_second = 0
+        self.client_events_in_second = 0
         self.suppressed: Counter[str] = Counter()
         self.clock = 0
         self.seq = 0
@@ -231,10 +239,14 @@
         if second != self.current_second:
             self.current_second = second
             self.request_events_in_second = 0
+            self.client_events_in_second = 0
             dropped, self.output.dropped = self.output.dropped, 0
             counts, self.suppressed = self.suppressed, Counter()
             if counts or dropped:
                 self.emit(EventKind.SUPPRESSED, counts=dict(counts), dropped=dropped)
+        if kind is EventKind.CLIENT_LIMITED:
+            self.client_events_in_second += 1
+            return self.client_events_in_second > MAX_CLIENT_EVENTS_PER_SECOND
         if kind not in RATE_LIMITED_KINDS:
             return False
         self.request_events_in_second += 1
--- a/src/ridgecourse/net/front_server.py
+++ b/src/ridgecourse/net/front_server.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import sys
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager, suppress
 from socket import MSG_DONTWAIT, MSG_PEEK
@@ -33,14 +34,9 @@
 MAX_CONNECTIONS = 2048
 """Most open connections. An entry has some 4,000 file descriptors, and each request
 uses 2."""
-MAX_HEADER_LINE_BYTES = 64 * 1024
-"""Longest header line that the server reads; ``ClientLimits`` sets what is accepted."""
 READ_BYTES = 64 * 1024
 CONNECTION_CLOSE = ("Connection", "close")
 
-eventlet.wsgi.MAX_HEADER_LINE = MAX_HEADER_LINE_BYTES
-eventlet.wsgi.MAX_TOTAL_HEADER_SIZE = 4 * MAX_HEADER_LINE_BYTES
-
 
 class ClientDisconnected(Exception):
     """The client closed its connection before it received the complete answer."""
@@ -59,7 +55,6 @@
         method: HTTP method as sent.
         target: Path and query as sent, not decoded.
         headers: Names and values in the order sent.
-        head_bytes: Length of the request head.
     """
 
     def __init__(self, environ: dict[str, Any], protocol: "FrontConnection") -> None:
@@ -68,9 +63,6 @@
         self.method: str = environ["REQUEST_METHOD"]
         self.target = protocol.raw_target()
         self.headers: HeaderList = list(environ["headers_raw"])
-        self.head_bytes = len(protocol.raw_requestline) + sum(
-            len(name) + len(value) + 4 for name, value in self.headers
-        )
 
     @property
     def path(self) -> str:
@@ -180,14 +172,9 @@
         return words[1] if len(words) > 1 else self.path
 
     def _read_request_line(self) -> bytes:
-        limits = self.owner.limits
-        self.server.keepalive = limits.idle_seconds
-        self.server.socket_timeout = limits.header_seconds
-        try:
-            return super()._read_request_line()
-        except (OSError, eventlet.Timeout) as error:
-            logger.debug("request line not received in time: %s", error)
-            return b""
+        # The library tells clients in Keep-Alive how long a connection may be idle.
+        self.server.keepalive = self.owner.limits.idle_seconds
+        return super()._read_request_line()
 
 
 class FrontServer(HttpServer):
@@ -213,7 +200,7 @@
             protocol=FrontConnection,
             minimum_chunk_size=1,
             capitalize_response_headers=False,
-            url_length_limit=MAX_HEADER_LINE_BYTES,
+            url_length_limit=sys.maxsize,
             socket_timeout=self.limits.header_seconds,
             keepalive=self.limits.idle_seconds,
             debug=False,
--- a/src/ridgecourse/net/head_reader.py
+++ b/src/ridgecourse/net/head_reader.py
@@ -17,7 +17,8 @@
 MAX_LINE_BYTES = 64 * 1024
 """Longest line with the size of a chunk, or trailer field."""
 MAX_TRAILER_FIELDS = 100
-"""As many as the parser accepts in a head."""
+MAX_HEAD_FIELDS = 99
+"""As many as the parser accepts, which counts the empty line behind them."""
 
 
 class IncompleteHead(HTTPException):
@@ -28,6 +29,18 @@
     """A line of a head is malformed, or its fields contradict each other."""
 
 
+class HeadTooLarge(InvalidHead):
+    """A head exceeds the limits of the server.
+
+    Attributes:
+        is_count: Whether the head has too many fields, rather than too many bytes.
+    """
+
+    def __init__(self, why: str, is_count: bool = False) -> None:
+        super().__init__(why)
+        self.is_count = is_count
+
+
 class FieldValues(Protocol):
     """The fields of a head, as ``email.message.Message`` holds them."""
 
--- a/src/ridgecourse/net/http_connection.py
+++ b/src/ridgecourse/net/http_connection.py
@@ -18,10 +18,13 @@
 import eventlet
 import eventlet.wsgi
 
+from ridgecourse.net.client_limit import ClientLimit
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.head_reader import (
     EMPTY_LINES,
+    MAX_HEAD_FIELDS,
     HeadReader,
+    HeadTooLarge,
     IncompleteHead,
     InvalidHead,
     check_framing,
@@ -40,6 +43,9 @@
 LINGER_SECONDS = 1.0
 """Longest wait for the client to close after the server has ended its side."""
 LINGER_READ_BYTES = 64 * 1024
+LINE_END = b"\r\n"
+BAD_REQUEST = b"400 Bad Request"
+HEAD_TOO_LARGE = b"431 Request Header Fields Too Large"
 
 
 class ConnectionState(Enum):
@@ -65,6 +71,7 @@
         must_linger: Whether the client may still be sending when the server closes. The
             server then reads on for a while, since closing a socket with unread data
             resets the connection and may destroy the answer.
+        head_timer: Ends the wait for the rest of a head; None before the first.
         must_reset: Whether a stream without chunks is under way, so that the client
             would take a close for its end.
     """
@@ -77,6 +84,7 @@
         self.idle_since = boottime()
         self.must_linger = False
         self.must_reset = False
+        self.head_timer: Any = None
         super().__init__(conn_state, server)
 
     def setup(self) -> None:
@@ -104,13 +112,22 @@
             return b""
         self.state = ConnectionState.RECEIVING
         self.must_linger = True
-        return super()._read_request_line() or b""
+        limits = self.owner.limits
+        self.connection.settimeout(limits.header_seconds)
+        self.head_timer = eventlet.Timeout(limits.header_seconds)
+        try:
+            line: bytes = self.rfile.readline(limits.header_bytes + len(LINE_END))
+        except (OSError, eventlet.Timeout) as error:
+            self._give_up_head(error)
+            return b""
+        if len(line) > limits.header_bytes:
+            self._refuse_large_head(HeadTooLarge("the request line is too long"))
+            return b""
+        return line
 
     def _wait_for_request(self) -> bool:
         """Wait for the first byte of a request; return whether to serve the request."""
-        keepalive = self.server.keepalive
-        if not isinstance(keepalive, bool):
-            self.connection.settimeout(keepalive)
+        self.connection.settimeout(self.owner.limits.idle_seconds)
         try:
             first_bytes = self.rfile.peek(1)
         except (OSError, eventlet.Timeout) as error:
@@ -118,11 +135,24 @@
             return False
         return bool(first_bytes) and self.state is ConnectionState.IDLE
 
+    def handle_one_request(self) -> None:
+        """Serve one request, with a limit on the time in which its head arrives."""
+        try:
+            super().handle_one_request()
+        finally:
+            self._stop_head_timer()
+
+    def _stop_head_timer(self) -> None:
+        if self.head_timer is not None:
+            self.head_timer.cancel()
+            self.head_timer = None
+
     def parse_request(self) -> bool:
         """Read the head of a request; return whether to serve the request.
 
-        A request whose head is cut by the end of the connection is not answered. One
-        whose head is malformed gets a 400.
+        A request whose head is cut by the end of the connection, or not complete in
+        time, is not answered. One whose head is malformed gets a 400, one whose head is
+        too large a 431.
         """
         try:
             # The parser does not see the end of the connection.
@@ -133,17 +163,36 @@
             return True
         except IncompleteHead as error:
             logger.debug("connection ended inside the head of a request: %s", error)
+        except HeadTooLarge as error:
+            self._refuse_large_head(error)
         except InvalidHead as error:
-            self._refuse_head(error)
+            self._refuse_head(BAD_REQUEST, str(error))
+        except eventlet.Timeout as error:
+            self._give_up_head(error)
+        finally:
+            self._stop_head_timer()
         self.close_connection = True
         return False
 
+    def _give_up_head(self, error: BaseException) -> None:
+        """End a connection whose head is not complete in time, without an answer.
+
+        Raises:
+            eventlet.Timeout: The error is a time-out of something else.
+        """
+        if isinstance(error, eventlet.Timeout) and error is not self.head_timer:
+            raise error
+        if isinstance(error, (TimeoutError, eventlet.Timeout)):
+            self.owner.on_limit(ClientLimit.HEAD_TIME, "")
+        logger.debug("head not received: %s", error)
+
     def _read_fields(self) -> bytes:
         """Return the lines behind the request line, with the empty line that ends them.
 
         Raises:
             IncompleteHead: The connection ended inside the head.
             InvalidHead: The request line is malformed, or a line is no field.
+            HeadTooLarge: The head exceeds the limits of the server.
         """
         if not self.raw_requestline.endswith(b"\n"):
             raise IncompleteHead(f"request line {self.raw_requestline[-40:]!r}")
@@ -151,19 +200,36 @@
             return b""
         if REQUEST_LINE.fullmatch(self.raw_requestline) is None:
             raise InvalidHead(f"malformed request line {self.raw_requestline[:80]!r}")
-        reader = HeadReader(self.rfile, in_fields=True)
-        lines = [reader.readline()]
-        while lines[-1] not in EMPTY_LINES:
-            lines.append(reader.readline())
-        return b"".join(lines)
-
-    def _refuse_head(self, error: InvalidHead) -> None:
-        """Answer a request whose head is malformed."""
-        body = f"{error}\n".encode()
+        # The library wraps the file of the connection in one with limits of its own.
+        reader = HeadReader(self.rfile.fp, in_fields=True)
+        left_bytes = self.owner.limits.header_bytes - len(self.raw_requestline)
+        head = bytearray()
+        field_count = 0
+        while True:
+            line = reader.readline(left_bytes + len(LINE_END))
+            head += line
+            if line in EMPTY_LINES:
+                return bytes(head)
+            left_bytes -= len(line)
+            if left_bytes < 0:
+                raise HeadTooLarge("the head is too long")
+            field_count += 1
+            if field_count > MAX_HEAD_FIELDS:
+                raise HeadTooLarge(f"over {MAX_HEAD_FIELDS} fields", is_count=True)
+
+    def _refuse_large_head(self, error: HeadTooLarge) -> None:
+        """Answer a request whose head exceeds the limits of the server."""
+        limit = ClientLimit.HEAD_FIELDS if error.is_count else ClientLimit.HEAD_SIZE
+        self.owner.on_limit(limit, str(error))
+        self._refuse_head(HEAD_TOO_LARGE, str(error))
+
+    def _refuse_head(self, status: bytes, why: str) -> None:
+        """Answer a request whose head cannot be served."""
+        body = f"{why}\n".encode()
         self.wfile.write(
-            b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\n"
+            b"HTTP/1.1 %s\r\nConnection: close\r\n"
             b"Content-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s"
-            % (len(body), body)
+            % (status, len(body), body)
         )
 
     def get_environ(self) -> dict[str, Any]:
--- a/src/ridgecourse/net/http_server.py
+++ b/src/ridgecourse/net/http_server.py
@@ -1,6 +1,7 @@
 """HTTP server on ``eventlet.wsgi`` for requests between processes."""
 
 import logging
+import sys
 from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
@@ -10,8 +11,10 @@
 import eventlet.wsgi
 from eventlet.wsgi import WSGI_LOCAL, ChunkReadError
 
+from ridgecourse.core.routes import ClientLimits
 from ridgecourse.net.address import Address
 from ridgecourse.net.auth import AUTH_HEADER, verify_request
+from ridgecourse.net.client_limit import LimitObserver, ignore_limit
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_connection import CONNECTION_KEY, HttpConnection
 from ridgecourse.net.tcp import accept_queued, count_queued, drop_new_connections
@@ -212,6 +215,8 @@
             has assigned.
         app: The WSGI application.
         connections: Open connections whose threads have started.
+        limits: Limits on the heads of requests and on idle connections.
+        on_limit: Called when a client exceeds a limit.
         is_closing: Whether the server closes each connection after its next answer.
     """
 
@@ -220,6 +225,10 @@
         self.app = app
         self.pool = eventlet.GreenPool(MAX_CONNECTIONS)
         self.connections: set[HttpConnection] = set()
+        self.limits = ClientLimits(
+            header_seconds=RECEIVE_TIMEOUT_SECONDS, idle_seconds=RECEIVE_TIMEOUT_SECONDS
+        )
+        self.on_limit: LimitObserver = ignore_limit
         self.is_closing = False
         self.wsgi_server: Any = None
         self.listener: Any = None
@@ -242,6 +251,8 @@
             self,
             protocol=HttpConnection,
             socket_timeout=RECEIVE_TIMEOUT_SECONDS,
+            # The limit on the whole head holds for its first line as well.
+            url_length_limit=sys.maxsize,
             # Send each token at once instead of buffering 4 KiB.
             minimum_chunk_size=1,
             debug=False,
