Let a connection with much to read give way to the others

Callers saw: no answer for as long as 200 clients sent bodies in chunks of one byte, and a gateway of 330 MB under 200 bodies in chunks of two bytes.

Cause: a read of a socket that has data does not wait, so that nothing else ran while a client's bytes came as fast as they were handled; a chunk costs as much as a small request. 200 such clients that give way to each other still leave a newcomer one turn of 200. Each chunk was kept as an object until the body was whole. The read behind a refused request (up to 1 s) did not give way either, so that its time limit could not act.

Change: a connection gives way after 64 KB read. Chunks have turns that all connections share: after 256 chunks of one connection everything else in the process runs once, however many clients send chunks. Bodies are gathered in one buffer. No limit is added: a body in chunks of one byte is still served. An ordinary request never uses up a turn.

--- a/src/ridgecourse/net/front_server.py
+++ b/src/ridgecourse/net/front_server.py
@@ -89,7 +89,10 @@
         if declared > limit:
             raise BodyTooLarge(f"{declared} bytes, at most {limit} accepted")
         try:
-            return b"".join(self._read_pieces(source, limit))
+            body = bytearray()
+            for piece in self._read_pieces(source, limit):
+                body += piece
+            return bytes(body)
         except ValueError as error:
             raise BadRequestHead(f"chunk framing: {error}") from error
         except OSError as error:
--- a/src/ridgecourse/net/http_connection.py
+++ b/src/ridgecourse/net/http_connection.py
@@ -4,7 +4,7 @@
 import re
 from contextlib import suppress
 from enum import Enum
-from io import BytesIO
+from io import BufferedReader, BytesIO
 from socket import (
     MSG_DONTWAIT,
     MSG_PEEK,
@@ -20,6 +20,7 @@
 
 from ridgecourse.net.client_limit import ClientLimit
 from ridgecourse.net.clock import boottime
+from ridgecourse.net.fair_reads import FairReader
 from ridgecourse.net.head_reader import (
     EMPTY_LINES,
     MAX_HEAD_FIELDS,
@@ -90,6 +91,7 @@
     def setup(self) -> None:
         """Register the connection with its server."""
         super().setup()
+        self.rfile = BufferedReader(FairReader(self.rfile.detach()))
         self.owner.connections.add(self)
 
     def handle(self) -> None:
@@ -314,4 +316,5 @@
         self.connection.shutdown(SHUT_WR)
         with eventlet.Timeout(LINGER_SECONDS, False):
             while self.connection.recv(LINGER_READ_BYTES):
-                pass
+                # The time limit acts, and others run, even if bytes come without end.
+                eventlet.sleep(0)
--- a/src/ridgecourse/net/request_body.py
+++ b/src/ridgecourse/net/request_body.py
@@ -10,6 +10,7 @@
 
 from eventlet.wsgi import ChunkReadError, Input
 
+from ridgecourse.net.fair_reads import PARSE_TURNS, StepCounter
 from ridgecourse.net.head_reader import (
     CHUNK_SIZE_LINE,
     MAX_LINE_BYTES,
@@ -34,6 +35,7 @@
     Attributes:
         failure: The error that ended the reading of chunks; None if there is none.
         is_cut: Whether the connection was found to have ended inside the body.
+        steps: Counts the chunks that are parsed before other green threads run.
     """
 
     chunk_length: int
@@ -56,6 +58,7 @@
         )
         self.failure: Exception | None = None
         self.is_cut = False
+        self.steps = StepCounter(PARSE_TURNS)
 
     def read(self, length: int | None = None) -> bytes:
         """Return a number of bytes, fewer only at the end of the body."""
@@ -106,7 +109,7 @@
     def _read_chunks(
         self, reader: Callable[[int], bytes], length: int | None, use_readline: bool
     ) -> bytes:
-        pieces = []
+        body = bytearray()
         while self.chunk_length != 0 and length != 0:
             left_bytes = self.chunk_length - self.position
             if left_bytes <= 0:
@@ -115,7 +118,7 @@
             data = reader(left_bytes if length is None else min(left_bytes, length))
             if not data:
                 raise self._record_cut()
-            pieces.append(data)
+            body += data
             self.position += len(data)
             if self.position == self.chunk_length:
                 self._end_chunk()
@@ -123,10 +126,11 @@
                 length -= len(data)
             if use_readline and data.endswith(b"\n"):
                 break
-        return b"".join(pieces)
+        return bytes(body)
 
     def _begin_chunk(self) -> None:
         """Read the size of a chunk, and the trailer behind the last one."""
+        self.steps.step()
         line = self.rfile.readline(MAX_LINE_BYTES + 1)
         size_line = CHUNK_SIZE_LINE.fullmatch(line)
         if size_line is None:
