Bound the memory and the time of bodies, of all clients together

Callers saw: a gateway of 233 to 295 MB under 60 to 200 bodies of legal size that were not ended, whether sent with a length or in chunks, at once or byte by byte, and of 274 MB under 200 whole ones. A body that stalled got a 500 after 3 s, which promises nothing; one that dripped was kept for as long as its client liked.

Cause: max_body_bytes limits one body, nothing limited their sum. A body had no time limit but that of the socket for each read, which is the one for heads; the deadline of the request was looked at once the body was there.

Change: MemoryBudget divides the memory of the instance (limits.memory_mb, less 10 %, 48 MB for the process and 24 KB for each connection that max_fds allows) among requests. A request takes 32 KB and six times its head, a body its length before it is read, chunks as they come. What does not fit is refused with 503 and Retry-After at once. A transfer that stays under 64 KB a second for 0.5 s gives way to a request that needs its memory, the slowest first; its client gets a 503 too, since nothing has run. A quarter of the budget is left to requests of at most 128 KB, and the budget always holds three bodies of the largest size. A body must be complete by the deadline of its request, else 408, and may pause for longer than a head. The rest of a refused body is read for at most 64 KB and 1 s; then the connection closes. The second fault, the missing time limit, is mended in the same commit, since both are in the one function that reads a body.

Bodies stand in one buffer of their length, and are sent on from it without a copy.

The double of a client's request in test_refusal_proofs.py takes the new argument; its checks are unchanged.

--- a/src/ridgecourse/core/fetch_types.py
+++ b/src/ridgecourse/core/fetch_types.py
@@ -1,4 +1,4 @@
-"""Input and output types of the chunk planner, and names of counters of fetched bytes."""
+"""Input and output types of the chunk planner, and counters of fetched bytes."""
 
 from enum import Enum
 from typing import NamedTuple
--- a/src/ridgecourse/core/outcome.py
+++ b/src/ridgecourse/core/outcome.py
@@ -42,6 +42,7 @@
     CRASHES_ENGINES = "crashes-engines"
     ENGINE_FAILED = "engine-failed"
     STOPPING = "stopping"
+    NO_MEMORY = "no-memory"
 
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
--- a/src/ridgecourse/core/request_signature.py
+++ b/src/ridgecourse/core/request_signature.py
@@ -20,7 +20,11 @@
 
 
 def sign_request(
-    account: AccountName | None, method: str, host: str, target: str, body: bytes | None
+    account: AccountName | None,
+    method: str,
+    host: str,
+    target: str,
+    body: bytes | memoryview | None,
 ) -> RequestSignature:
     """Return the digest of a request, independent of its headers and the attempt.
 
@@ -52,7 +56,7 @@
     )
 
 
-def _digest(*texts: bytes) -> Signature:
+def _digest(*texts: bytes | memoryview) -> Signature:
     """Return the digest of several texts, which cannot run into each other."""
     digest = blake2b(digest_size=SIGNATURE_BYTES)
     for text in texts:
--- a/src/ridgecourse/core/routes.py
+++ b/src/ridgecourse/core/routes.py
@@ -179,11 +179,22 @@
     HEAD_SIZE: The head is longer than ``ClientLimits.header_bytes``.
     HEAD_FIELDS: The head has more fields than the parser accepts.
     HEAD_TIME: The head was not complete within ``ClientLimits.header_seconds``.
+    BODY_SIZE: The body is longer than ``ClientLimits.body_bytes``.
+    BODY_TIME: The body was not complete by the deadline of its request.
+    MEMORY: The memory for clients' requests is in use.
+    SLOW_TRANSFER: The memory of a client that sends or reads too slowly was given to
+        another request.
+    UNREAD_BODY: The body of a refused request is too long to be skipped.
     """
 
     HEAD_SIZE = "head-size"
     HEAD_FIELDS = "head-fields"
     HEAD_TIME = "head-time"
+    BODY_SIZE = "body-size"
+    BODY_TIME = "body-time"
+    MEMORY = "memory"
+    SLOW_TRANSFER = "slow-transfer"
+    UNREAD_BODY = "unread-body"
 
     @property
     def metric(self) -> str:
--- a/src/ridgecourse/core/site.py
+++ b/src/ridgecourse/core/site.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from ridgecourse.core.ids import DomainName, ProcessName, RegionName, ServiceName
+from ridgecourse.core.memory_budget import Resources
 from ridgecourse.core.relisted_targets import DEFAULT_HEARTBEAT_SECONDS
 
 DEFAULT_COLD_OVERAGE = 1.5
@@ -81,6 +82,7 @@
         upload_bytes_per_s: Capacity of the instance's link.
         first_start: Whether the whole system starts for the first time.
         heartbeat_seconds: Usual interval between two heartbeats of a target.
+        resources: What the process may use of its instance.
     """
 
     process: ProcessName
@@ -97,6 +99,7 @@
     upload_bytes_per_s: float
     first_start: bool = False
     heartbeat_seconds: float = DEFAULT_HEARTBEAT_SECONDS
+    resources: Resources = Resources()
 
     def apply_reloadable(self, new: "Site") -> tuple[list[str], list[str]]:
         """Apply the settings that may change while the process runs.
--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -12,9 +12,14 @@
 from ridgecourse.core.client_timeout import UsualClientTimeout
 from ridgecourse.core.engine_incarnation import EngineIncarnation
 from ridgecourse.core.ids import Seconds
+from ridgecourse.core.memory_budget import GRACE_SECONDS, BudgetExceeded
 from ridgecourse.core.outcome import Outcome, Reason
 from ridgecourse.core.request_signature import sign_parts, sign_request
-from ridgecourse.core.retry import MIN_RETRY_DELAY_SECONDS, retry_delay_seconds
+from ridgecourse.core.retry import (
+    MIN_RETRY_DELAY_SECONDS,
+    retry_delay_seconds,
+    return_delay_seconds,
+)
 from ridgecourse.core.routes import RoutingConfig
 from ridgecourse.core.site import Site
 from ridgecourse.gateway.dispatcher import Dispatcher
@@ -33,6 +38,7 @@
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.events import EventKind, EventStream
 from ridgecourse.net.front_server import ClientDisconnected, FrontReply, FrontRequest
+from ridgecourse.net.request_body import Body
 
 DEFAULT_TIMEOUT_SECONDS = 30.0
 """Timeout of a request that states none, on a route without a limit."""
@@ -84,6 +90,13 @@
         Raises:
             CallerGone: The client disconnected.
         """
+        try:
+            return self._handle(request)
+        except BudgetExceeded as error:
+            come_back = return_delay_seconds(GRACE_SECONDS, self.random)
+            return self._refuse("", Reason.NO_MEMORY, str(error), come_back)
+
+    def _handle(self, request: FrontRequest) -> FrontReply:
         arrived_at = boottime()
         config = self.view.config
         if config is None:
@@ -97,13 +110,13 @@
         if isinstance(terms_result, Failure):
             return self._refuse_unroutable(call, terms_result.failure(), config)
         terms = terms_result.unwrap()
-        body = request.read_body(config.limits.body_bytes)
-        routed = self._make_routed_request(
-            request, call, terms, config, body, arrived_at
-        )
-        if routed.deadline > self.closes_at:
+        deadline = Seconds(arrived_at + self._find_timeout(call, terms))
+        if deadline > self.closes_at:
             # Its answer might be cut off by the end of the process.
             return self._refuse(call.request_id, Reason.STOPPING)
+        request.reserve_memory()
+        body = request.read_body(config.limits.body_bytes, deadline - arrived_at)
+        routed = self._make_routed_request(request, call, terms, config, body, deadline)
         try:
             with request.cancel_on_disconnect():
                 return self._answer(request, routed, terms)
@@ -111,20 +124,23 @@
             self._emit_ended(call, Outcome.UNKNOWN, "caller gone")
             raise
 
+    def _find_timeout(self, call: ClientRequest, terms: Terms) -> float:
+        """Return the seconds within which a request must be answered."""
+        timeouts = [call.wait, terms.route.timeout or None]
+        return min(
+            (limit for limit in timeouts if limit is not None),
+            default=DEFAULT_TIMEOUT_SECONDS,
+        )
+
     def _make_routed_request(
         self,
         request: FrontRequest,
         call: ClientRequest,
         terms: Terms,
         config: RoutingConfig,
-        body: bytes,
-        arrived_at: Seconds,
+        body: Body,
+        deadline: Seconds,
     ) -> RoutedRequest:
-        timeouts = [call.wait, terms.route.timeout or None]
-        timeout = min(
-            (limit for limit in timeouts if limit is not None),
-            default=DEFAULT_TIMEOUT_SECONDS,
-        )
         account = terms.account.account if terms.account else None
         origin = RequestOrigin(call.host, call.path, call.key, account)
         restriction = RegionRestriction(origin)
@@ -134,7 +150,7 @@
             body=body or None,
             account=account,
             restriction=restriction,
-            deadline=Seconds(arrived_at + timeout),
+            deadline=deadline,
             version=None,
             begin_by=None,
             last_event=call.last_event,
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -10,6 +10,7 @@
 from ridgecourse.cluster.tree_reader import Neighbours
 from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import Seconds, TargetName
+from ridgecourse.core.memory_budget import plan_capacity
 from ridgecourse.core.read_tree import gateway_parent
 from ridgecourse.core.routes import ClientLimit
 from ridgecourse.core.site import Site
@@ -120,6 +121,7 @@
         )
         assert site.callers is not None and site.readiness is not None
         self.front = FrontServer(parse_address(site.callers), self.handle)
+        self._plan_capacity()
         self.router = HttpRouter()
         self.router.add("GET", ready_path, self.serve_ready)
         self.readiness = HttpServer(parse_address(site.readiness), self.router)
@@ -151,9 +153,16 @@
         while True:
             if self.view.config is not None:
                 self.front.limits = self.view.config.limits
+                self._plan_capacity()
             self.dispatcher.selector.forget_unlisted()
             self.view.changed.wait()
 
+    def _plan_capacity(self) -> None:
+        """Limit what all clients use together, under the limits of each."""
+        body_bytes = self.front.limits.body_bytes
+        capacity = plan_capacity(self.site.resources, body_bytes)
+        self.front.budget.capacity_bytes = capacity.request_bytes
+
     def _report_limit(self, limit: ClientLimit, detail: str) -> None:
         """Count and log a client that has exceeded a limit."""
         self.events.metrics.count(limit.metric)
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -39,6 +39,7 @@
     NotSent,
     TargetDisconnected,
 )
+from ridgecourse.net.request_body import Body
 
 CONNECT_TIMEOUT_SECONDS = 0.3
 """Longest wait for a connection: some 30 round trips between the farthest failure
@@ -75,7 +76,7 @@
     """
 
     call: ClientRequest
-    body: bytes | None
+    body: Body | None
     account: AccountName | None
     restriction: RegionRestriction
     deadline: Seconds
--- a/src/ridgecourse/net/exchange.py
+++ b/src/ridgecourse/net/exchange.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 from contextlib import suppress
 from socket import SHUT_RDWR, SO_LINGER, SOL_SOCKET
-from typing import Any
+from typing import Any, cast
 
 from urllib3 import BaseHTTPResponse
 from urllib3._collections import HTTPHeaderDict
@@ -28,6 +28,7 @@
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.head_reader import IncompleteHead
 from ridgecourse.net.http_server import HeaderList
+from ridgecourse.net.request_body import Body
 from ridgecourse.net.tcp import LINGER_RESET
 
 READ_BYTES = 16 * 1024
@@ -92,7 +93,7 @@
         self.sock = self.connection.sock
 
     def send(
-        self, method: str, target: str, headers: HeaderList, body: bytes | None
+        self, method: str, target: str, headers: HeaderList, body: Body | None
     ) -> None:
         """Send the request.
 
@@ -117,7 +118,8 @@
             self.connection.request(
                 method,
                 target,
-                body=body,
+                # The library takes any buffer; its types lack memoryview.
+                body=cast(bytes | None, body),
                 headers=fields,
                 preload_content=False,
                 decode_content=False,
--- a/src/ridgecourse/net/front_server.py
+++ b/src/ridgecourse/net/front_server.py
@@ -18,24 +18,29 @@
 from eventlet.hubs import trampoline
 from greenlet import getcurrent
 
+from ridgecourse.core.memory_budget import BudgetExceeded
 from ridgecourse.core.routes import ClientLimits
 from ridgecourse.net.address import Address
 from ridgecourse.net.http_connection import CONNECTION_KEY, HttpConnection
 from ridgecourse.net.http_server import (
+    CONNECTION_CLOSE,
+    RETRY_LATER,
     STATUS_TEXT,
-    BodyTooLarge,
     HeaderList,
     HttpServer,
     WsgiServer,
 )
+from ridgecourse.net.request_body import DISCARD_BYTES, Body, BodyTooLarge, BodyTooLate
 
 logger = logging.getLogger(__name__)
 
 MAX_CONNECTIONS = 2048
 """Most open connections. An entry has some 4,000 file descriptors, and each request
 uses 2."""
-READ_BYTES = 64 * 1024
-CONNECTION_CLOSE = ("Connection", "close")
+REQUEST_BYTES = 32 * 1024
+"""Memory of a request in progress: its environment and a connection to a target."""
+HEAD_FACTOR = 6
+"""Memory of a parsed head as a multiple of its length."""
 
 
 class ClientDisconnected(Exception):
@@ -73,41 +78,37 @@
         """Return all values of a header, in the order sent."""
         return self.protocol.headers.get_all(name, [])
 
-    def read_body(self, limit: int) -> bytes:
+    def reserve_memory(self) -> None:
+        """Reserve the memory that a request needs while it is in progress.
+
+        Raises:
+            BudgetExceeded: The memory for clients' requests is in use.
+        """
+        size = REQUEST_BYTES + HEAD_FACTOR * self.protocol.head_bytes
+        self.protocol.reserve_memory(size)
+
+    def read_body(self, limit: int, seconds: float | None = None) -> Body:
         """Return the body.
 
         Args:
             limit: Largest accepted size in bytes.
+            seconds: Longest time in which the body must be complete; None for that of
+                the server.
 
         Raises:
             BodyTooLarge: The body is larger than the limit.
+            BodyTooLate: The body was not complete in time.
+            BudgetExceeded: There is no memory for the body.
             BadRequestHead: The length or the chunk framing of the body is wrong.
             ClientDisconnected: The client disconnected before the end of the body.
         """
-        source = self.environ["wsgi.input"]
-        declared = source.content_length or 0
-        if declared > limit:
-            raise BodyTooLarge(f"{declared} bytes, at most {limit} accepted")
         try:
-            body = bytearray()
-            for piece in self._read_pieces(source, limit):
-                body += piece
-            return bytes(body)
+            return self.protocol.receive_body(limit, seconds)
         except ValueError as error:
             raise BadRequestHead(f"chunk framing: {error}") from error
         except OSError as error:
             raise ClientDisconnected(str(error)) from error
 
-    def _read_pieces(self, source: Any, limit: int) -> Iterator[bytes]:
-        if not source.chunked_input and not source.content_length:
-            return
-        total = 0
-        while piece := source.read(READ_BYTES):
-            total += len(piece)
-            if total > limit:
-                raise BodyTooLarge(f"over {limit} bytes")
-            yield piece
-
     def has_disconnected(self) -> bool:
         """Check whether the client has disconnected.
 
@@ -221,6 +222,9 @@
         except BaseException:
             self.in_flight -= 1
             raise
+        unread_bytes = environ["eventlet.input"].count_unread()
+        if unread_bytes is not None and unread_bytes > DISCARD_BYTES:
+            protocol.close_connection = True
         headers = list(reply.headers)
         if CONNECTION_CLOSE in headers:
             headers.remove(CONNECTION_CLOSE)
@@ -253,6 +257,12 @@
             return FrontReply(
                 413, headers=[CONNECTION_CLOSE], body=f"{error}\n".encode()
             )
+        except BodyTooLate as error:
+            return FrontReply(
+                408, headers=[CONNECTION_CLOSE], body=f"{error}\n".encode()
+            )
+        except BudgetExceeded as error:
+            return FrontReply(503, headers=[RETRY_LATER], body=f"{error}\n".encode())
         except BadRequestHead as error:
             return FrontReply(
                 400, headers=[CONNECTION_CLOSE], body=f"{error}\n".encode()
--- a/src/ridgecourse/net/http_connection.py
+++ b/src/ridgecourse/net/http_connection.py
@@ -2,12 +2,14 @@
 
 import logging
 import re
-from contextlib import suppress
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
 from enum import Enum
 from io import BufferedReader, BytesIO
 from socket import (
     MSG_DONTWAIT,
     MSG_PEEK,
+    SHUT_RD,
     SHUT_RDWR,
     SHUT_WR,
     SO_LINGER,
@@ -18,6 +20,7 @@
 import eventlet
 import eventlet.wsgi
 
+from ridgecourse.core.memory_budget import BudgetExceeded, Reservation
 from ridgecourse.core.routes import ClientLimit
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.head_reader import (
@@ -29,7 +32,13 @@
     InvalidHead,
     check_framing,
 )
-from ridgecourse.net.request_body import RequestBody
+from ridgecourse.net.request_body import (
+    Body,
+    BodyTooLarge,
+    BodyTooLate,
+    RequestBody,
+    gather,
+)
 from ridgecourse.net.tcp import LINGER_OFF, LINGER_RESET
 from ridgecourse.net.threads import FairReader
 
@@ -44,8 +53,14 @@
 LINGER_SECONDS = 1.0
 """Longest wait for the client to close after the server has ended its side."""
 LINGER_READ_BYTES = 64 * 1024
+FREE_HEAD_BYTES = 4 * 1024
+"""Bytes of a head that are not part of the memory budget: more than most heads have."""
+BODY_READ_BYTES = 16 * 1024
+"""Bytes of a body read at once. A client at the least rate sends them well within the
+time for which a transfer may stand still."""
 LINE_END = b"\r\n"
 BAD_REQUEST = b"400 Bad Request"
+UNAVAILABLE = b"503 Service Unavailable\r\nRetry-After: 1"
 HEAD_TOO_LARGE = b"431 Request Header Fields Too Large"
 
 
@@ -73,6 +88,8 @@
             server then reads on for a while, since closing a socket with unread data
             resets the connection and may destroy the answer.
         head_timer: Ends the wait for the rest of a head; None before the first.
+        head_bytes: Length of the last head.
+        memory: Memory that is held for the present request.
         must_reset: Whether a stream without chunks is under way, so that the client
             would take a close for its end.
     """
@@ -86,6 +103,8 @@
         self.must_linger = False
         self.must_reset = False
         self.head_timer: Any = None
+        self.head_bytes = 0
+        self.memory = Reservation(self.owner.budget)
         super().__init__(conn_state, server)
 
     def setup(self) -> None:
@@ -117,6 +136,7 @@
         limits = self.owner.limits
         self.connection.settimeout(limits.header_seconds)
         self.head_timer = eventlet.Timeout(limits.header_seconds)
+        self.memory.begin_transfer(self._end_receiving, boottime())
         try:
             line: bytes = self.rfile.readline(limits.header_bytes + len(LINE_END))
         except (OSError, eventlet.Timeout) as error:
@@ -138,11 +158,18 @@
         return bool(first_bytes) and self.state is ConnectionState.IDLE
 
     def handle_one_request(self) -> None:
-        """Serve one request, with a limit on the time in which its head arrives."""
+        """Serve one request, with limits on its head's time and on its memory."""
         try:
             super().handle_one_request()
         finally:
             self._stop_head_timer()
+            self.memory.release()
+
+    def _end_receiving(self) -> None:
+        """Receive nothing more, so that the memory can be given to another request."""
+        self.owner.on_limit(ClientLimit.SLOW_TRANSFER, "receiving")
+        with suppress(OSError):
+            self.connection.shutdown(SHUT_RD)
 
     def _stop_head_timer(self) -> None:
         if self.head_timer is not None:
@@ -169,10 +196,14 @@
             self._refuse_large_head(error)
         except InvalidHead as error:
             self._refuse_head(BAD_REQUEST, str(error))
+        except BudgetExceeded as error:
+            self.owner.on_limit(ClientLimit.MEMORY, f"head: {error}")
+            self._refuse_head(UNAVAILABLE, "out of memory for requests")
         except eventlet.Timeout as error:
             self._give_up_head(error)
         finally:
             self._stop_head_timer()
+            self.memory.end_transfer()
         self.close_connection = True
         return False
 
@@ -195,6 +226,7 @@
             IncompleteHead: The connection ended inside the head.
             InvalidHead: The request line is malformed, or a line is no field.
             HeadTooLarge: The head exceeds the limits of the server.
+            BudgetExceeded: There is no memory for the head.
         """
         if not self.raw_requestline.endswith(b"\n"):
             raise IncompleteHead(f"request line {self.raw_requestline[-40:]!r}")
@@ -204,7 +236,8 @@
             raise InvalidHead(f"malformed request line {self.raw_requestline[:80]!r}")
         # The library wraps the file of the connection in one with limits of its own.
         reader = HeadReader(self.rfile.fp, in_fields=True)
-        left_bytes = self.owner.limits.header_bytes - len(self.raw_requestline)
+        self.head_bytes = len(self.raw_requestline)
+        left_bytes = self.owner.limits.header_bytes - self.head_bytes
         head = bytearray()
         field_count = 0
         while True:
@@ -212,7 +245,10 @@
             head += line
             if line in EMPTY_LINES:
                 return bytes(head)
+            self.head_bytes += len(line)
             left_bytes -= len(line)
+            if self.head_bytes > FREE_HEAD_BYTES:
+                self.memory.take(len(line), boottime())
             if left_bytes < 0:
                 raise HeadTooLarge("the head is too long")
             field_count += 1
@@ -238,11 +274,111 @@
         """Return the WSGI environment, with the checked body and this connection."""
         environ = super().get_environ()
         source = environ["eventlet.input"]
-        body = RequestBody(source, "Transfer-Encoding" in self.headers)
+        body = RequestBody(
+            source, "Transfer-Encoding" in self.headers, self._close_behind_answer
+        )
         environ["eventlet.input"] = environ["wsgi.input"] = body
         environ[CONNECTION_KEY] = self
         return environ
 
+    def _close_behind_answer(self) -> None:
+        """Close the connection, since the rest of a body is too long to be skipped."""
+        self.owner.on_limit(ClientLimit.UNREAD_BODY, "")
+        self.close_connection = True
+
+    def reserve_memory(self, size: int) -> None:
+        """Reserve memory for the present request.
+
+        Args:
+            size: Number of bytes.
+
+        Raises:
+            BudgetExceeded: The memory for clients' requests is in use.
+        """
+        with self._report_excess():
+            self.memory.take(size, boottime())
+
+    @contextmanager
+    def _report_excess(self) -> Iterator[None]:
+        """Report the limit that the client exceeds in the block."""
+        try:
+            yield
+        except BodyTooLarge as error:
+            self.owner.on_limit(ClientLimit.BODY_SIZE, str(error))
+            raise
+        except BodyTooLate as error:
+            self.owner.on_limit(ClientLimit.BODY_TIME, str(error))
+            raise
+        except BudgetExceeded as error:
+            if not self.memory.is_evicted:
+                self.owner.on_limit(ClientLimit.MEMORY, str(error))
+            raise
+
+    def receive_body(self, limit: int, seconds: float | None = None) -> Body:
+        """Return the body of the present request.
+
+        Args:
+            limit: Largest accepted size in bytes.
+            seconds: Longest time in which the body must be complete; None for that of
+                the server.
+
+        Raises:
+            BodyTooLarge: The body is larger than the limit.
+            BodyTooLate: The body was not complete in time.
+            BudgetExceeded: There is no memory for the body, or the client sends too
+                slowly while another request needs its memory.
+            ChunkReadError: The chunk framing of the body is malformed.
+            ConnectionError: The connection ended inside the body.
+        """
+        with self._report_excess():
+            if seconds is None:
+                seconds = self.owner.body_seconds
+            try:
+                return self._receive_body(limit, seconds)
+            except BaseException:
+                # Nothing is read behind a body that was not read to its end.
+                self.close_connection = True
+                raise
+
+    def _receive_body(self, limit: int, seconds: float) -> Body:
+        source = self.environ["eventlet.input"]
+        size = source.content_length or 0
+        if size > limit:
+            raise BodyTooLarge(f"{size} bytes, at most {limit} accepted")
+        if not size and not source.chunked_input:
+            return b""
+        if seconds <= 0:
+            raise BodyTooLate("no time is left")
+        now = boottime()
+        self.memory.take(size, now)
+        self.memory.begin_transfer(self._end_receiving, now)
+        self.connection.settimeout(None)
+        try:
+            with eventlet.Timeout(seconds, BodyTooLate(f"not within {seconds:.3f} s")):
+                return gather(self._body_pieces(source, limit), size)
+        except ConnectionError:
+            if not self.memory.is_evicted:
+                raise
+            # Only this side has ended the body, so that the client gets an answer.
+            source.is_cut = False
+            raise BudgetExceeded("the body came too slowly") from None
+        finally:
+            self.memory.end_transfer()
+            self.connection.settimeout(self.owner.limits.header_seconds)
+
+    def _body_pieces(self, source: RequestBody, limit: int) -> Iterator[bytes]:
+        """Yield the pieces of a body as they are received."""
+        received_bytes = 0
+        while piece := source.read(BODY_READ_BYTES):
+            received_bytes += len(piece)
+            if received_bytes > limit:
+                raise BodyTooLarge(f"over {limit} bytes")
+            now = boottime()
+            if source.chunked_input:
+                self.memory.take(len(piece), now)
+            self.memory.record_progress(len(piece), now)
+            yield piece
+
     def handle_one_response(self) -> None:
         """Call the application and send its answer."""
         self.state = ConnectionState.ANSWERING
@@ -266,8 +402,8 @@
             self.connection.setsockopt(SOL_SOCKET, SO_LINGER, LINGER_OFF)
 
     def _has_unread_body(self) -> bool:
-        source = self.environ["eventlet.input"]
-        return source.chunked_input or source.position < (source.content_length or 0)
+        unread: int | None = self.environ["eventlet.input"].count_unread()
+        return unread != 0
 
     def has_request_waiting(self) -> bool:
         """Check whether a request has arrived that is not being read yet."""
@@ -300,6 +436,7 @@
             with suppress(OSError, ValueError):
                 super().finish()
         finally:
+            self.memory.release()
             self.owner.connections.discard(self)
 
     def _reset(self) -> None:
--- a/src/ridgecourse/net/http_server.py
+++ b/src/ridgecourse/net/http_server.py
@@ -11,11 +11,13 @@
 import eventlet.wsgi
 from eventlet.wsgi import WSGI_LOCAL, ChunkReadError
 
+from ridgecourse.core.memory_budget import BudgetExceeded, MemoryBudget
 from ridgecourse.core.routes import ClientLimit, ClientLimits
 from ridgecourse.net.address import Address
 from ridgecourse.net.auth import AUTH_HEADER, verify_request
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.http_connection import CONNECTION_KEY, HttpConnection
+from ridgecourse.net.request_body import BodyTooLarge, BodyTooLate
 from ridgecourse.net.tcp import accept_queued, count_queued, drop_new_connections
 from ridgecourse.net.threads import spawn_loop
 
@@ -23,6 +25,12 @@
 
 RECEIVE_TIMEOUT_SECONDS = 15.0
 """Time without a byte after which the server closes a connection that should send."""
+BODY_SECONDS = 60.0
+"""Longest time in which a body must be complete."""
+BUDGET_BYTES = 48 * 1024 * 1024
+"""Memory for the requests of one server, unless its owner states it."""
+CONNECTION_CLOSE = ("Connection", "close")
+RETRY_LATER = ("Retry-After", "1")
 MAX_CONNECTIONS = 1024
 BACKLOG = 512
 """Most connections that wait to be accepted."""
@@ -44,6 +52,7 @@
     403: "403 Forbidden",
     404: "404 Not Found",
     405: "405 Method Not Allowed",
+    408: "408 Request Timeout",
     409: "409 Conflict",
     410: "410 Gone",
     413: "413 Content Too Large",
@@ -66,10 +75,6 @@
     """Do nothing about a client that exceeded a limit."""
 
 
-class BodyTooLarge(Exception):
-    """The body is larger than the handler accepts."""
-
-
 class HttpRequest:
     """A request, as it is passed to a handler.
 
@@ -114,16 +119,13 @@
 
         Raises:
             BodyTooLarge: The body is larger than the limit.
+            BodyTooLate: The body was not complete in the time of the server.
+            BudgetExceeded: There is no memory for the body.
             ConnectionError: The body ended early.
             ChunkReadError: The chunk framing of the body is malformed.
         """
-        declared = self.header("Content-Length")
-        if declared and (not declared.isdecimal() or int(declared) > limit):
-            raise BodyTooLarge(f"{declared} bytes, at most {limit} accepted")
-        data = self.environ["wsgi.input"].read(limit + 1)
-        if len(data) > limit:
-            raise BodyTooLarge(f"over {limit} bytes")
-        return data
+        connection: HttpConnection = self.environ[CONNECTION_KEY]
+        return bytes(connection.receive_body(limit))
 
 
 class HttpReply(NamedTuple):
@@ -184,9 +186,15 @@
         try:
             return handler(request)
         except BodyTooLarge as error:
-            return HttpReply(413, f"{error}\n".encode(), [("Connection", "close")])
+            return HttpReply(413, f"{error}\n".encode(), [CONNECTION_CLOSE])
+        except BodyTooLate as error:
+            return HttpReply(408, f"{error}\n".encode(), [CONNECTION_CLOSE])
+        except BudgetExceeded as error:
+            return HttpReply(
+                503, f"{error}\n".encode(), [CONNECTION_CLOSE, RETRY_LATER]
+            )
         except (ConnectionError, ChunkReadError) as error:
-            return HttpReply(400, f"{error}\n".encode(), [("Connection", "close")])
+            return HttpReply(400, f"{error}\n".encode(), [CONNECTION_CLOSE])
         except Exception:
             logger.exception("handler of %s %s failed", request.method, request.path)
             return HttpReply(500, b"internal error\n")
@@ -221,6 +229,9 @@
         app: The WSGI application.
         connections: Open connections whose threads have started.
         limits: Limits on the heads of requests and on idle connections.
+        body_seconds: Longest time in which a body must be complete, unless its handler
+            sets another one.
+        budget: Memory for all requests in progress.
         on_limit: Called when a client exceeds a limit.
         is_closing: Whether the server closes each connection after its next answer.
     """
@@ -233,6 +244,8 @@
         self.limits = ClientLimits(
             header_seconds=RECEIVE_TIMEOUT_SECONDS, idle_seconds=RECEIVE_TIMEOUT_SECONDS
         )
+        self.body_seconds = BODY_SECONDS
+        self.budget = MemoryBudget(BUDGET_BYTES)
         self.on_limit: LimitObserver = ignore_limit
         self.is_closing = False
         self.wsgi_server: Any = None
--- a/src/ridgecourse/net/request_body.py
+++ b/src/ridgecourse/net/request_body.py
@@ -5,9 +5,10 @@
 cut or malformed trailers, and any bytes between two chunks.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
+import eventlet
 from eventlet.wsgi import ChunkReadError, Input
 
 from ridgecourse.net.head_reader import (
@@ -20,6 +21,23 @@
 from ridgecourse.net.threads import PARSE_TURNS, StepCounter
 
 CHUNK_END = b"\r\n"
+DISCARD_BYTES = 64 * 1024
+"""Longest rest of a body that is read and dropped to keep the connection."""
+DISCARD_SECONDS = 1.0
+"""Longest time for that."""
+MAX_SMALL_BODY_BYTES = 64 * 1024
+"""Longest body that is copied out of the buffer that it was gathered in."""
+
+Body = bytes | memoryview
+"""The content of a body."""
+
+
+class BodyTooLarge(Exception):
+    """The body is larger than the handler accepts."""
+
+
+class BodyTooLate(Exception):
+    """The body was not complete in time."""
 
 
 class IncompleteBody(ConnectionError):
@@ -36,17 +54,21 @@
         failure: The error that ended the reading of chunks; None if there is none.
         is_cut: Whether the connection was found to have ended inside the body.
         steps: Counts the chunks that are parsed before other green threads run.
+        on_unread: Called if too much of the body is left unread to be dropped.
     """
 
     chunk_length: int
     position: int
 
-    def __init__(self, source: Input, chunked_input: bool) -> None:
+    def __init__(
+        self, source: Input, chunked_input: bool, on_unread: Callable[[], None]
+    ) -> None:
         """Take the place of an input from which nothing has been read.
 
         Args:
             source: The input that ``eventlet.wsgi`` has made.
             chunked_input: Whether the body is framed by chunks.
+            on_unread: Called if too much of the body is left unread to be dropped.
         """
         super().__init__(
             source.rfile,
@@ -59,6 +81,7 @@
         self.failure: Exception | None = None
         self.is_cut = False
         self.steps = StepCounter(PARSE_TURNS)
+        self.on_unread = on_unread
 
     def read(self, length: int | None = None) -> bytes:
         """Return a number of bytes, fewer only at the end of the body."""
@@ -82,6 +105,23 @@
         """Return all lines of the body, whatever the hint."""
         return list(iter(self.readline, b""))
 
+    def count_unread(self) -> int | None:
+        """Return the bytes that are left; None if unknown, since chunks go on."""
+        if self.chunked_input:
+            return 0 if self.chunk_length == 0 else None
+        return (self.content_length or 0) - self.position
+
+    def discard(self, buffer_size: int = 16 * 1024) -> None:
+        """Read and drop the rest of the body, unless it is too long or too slow."""
+        left_bytes = DISCARD_BYTES
+        with eventlet.Timeout(DISCARD_SECONDS, False):
+            while left_bytes > 0:
+                piece = self.read(min(buffer_size, left_bytes))
+                if not piece:
+                    return
+                left_bytes -= len(piece)
+        self.on_unread()
+
     def _check_length(self) -> None:
         """Check that the body ended where its length says."""
         if not self.chunked_input and self.position < self.content_length:
@@ -158,3 +198,20 @@
             raise self._record_cut()
         if end != CHUNK_END:
             raise ChunkReadError(f"{end!r} behind a chunk, expected {CHUNK_END!r}")
+
+
+def gather(pieces: Iterator[bytes], size: int) -> Body:
+    """Return all pieces as one body, in one buffer without a copy if it is large.
+
+    Args:
+        pieces: The pieces in their order.
+        size: Length of the body if it is known, else 0.
+    """
+    buffer = bytearray(size)
+    end = 0
+    for piece in pieces:
+        buffer[end : end + len(piece)] = piece
+        end += len(piece)
+    if end <= MAX_SMALL_BODY_BYTES:
+        return bytes(buffer)
+    return memoryview(buffer)
--- a/src/ridgecourse/platform/settings.py
+++ b/src/ridgecourse/platform/settings.py
@@ -13,6 +13,12 @@
 from returns.result import Failure, Result, Success
 
 from ridgecourse.core.ids import DomainName, ProcessName, RegionName, ServiceName
+from ridgecourse.core.memory_budget import (
+    DEFAULT_DESCRIPTORS,
+    DEFAULT_MEMORY_BYTES,
+    MEGABYTE,
+    Resources,
+)
 from ridgecourse.core.problem import Problem, Problems
 from ridgecourse.core.relisted_targets import DEFAULT_HEARTBEAT_SECONDS
 from ridgecourse.core.site import (
@@ -23,7 +29,11 @@
     Site,
 )
 from ridgecourse.net.site_process import SettingsSource
-from ridgecourse.platform.field_types import NonNegativeFloat, PositiveFloat
+from ridgecourse.platform.field_types import (
+    NonNegativeFloat,
+    PositiveFloat,
+    PositiveInt,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -58,9 +68,13 @@
 
     Attributes:
         bandwidth_mbps: Capacity of the instance's link in megabits per second.
+        memory_mb: Memory of a process in megabytes.
+        max_fds: Most open descriptors of a process.
     """
 
     bandwidth_mbps: float
+    memory_mb: PositiveFloat = DEFAULT_MEMORY_BYTES / MEGABYTE
+    max_fds: PositiveInt = DEFAULT_DESCRIPTORS
 
 
 class BoundFields(Struct):
@@ -246,6 +260,10 @@
         target=target,
         bounds=make_bounds(fields.bounds),
         upload_bytes_per_s=fields.limits.bandwidth_mbps * BYTES_PER_MBIT,
+        resources=Resources(
+            memory_bytes=fields.limits.memory_mb * MEGABYTE,
+            descriptors=fields.limits.max_fds,
+        ),
         first_start=fields.bootstrap,
         heartbeat_seconds=fields.heartbeat_ms * MILLISECOND,
     )
--- a/tests/platform/test_refusal_proofs.py
+++ b/tests/platform/test_refusal_proofs.py
@@ -97,7 +97,8 @@
         target="/once/x",
         headers=[("Host", HOST), ("Attempt-Id", "1"), ("Key", KEY)],
         head_bytes=80,
-        read_body=lambda limit: b"body",
+        reserve_memory=lambda: None,
+        read_body=lambda limit, seconds: b"body",
         has_disconnected=lambda: False,
     )
 
--- /dev/null
+++ b/tests/test_request_memory.py
@@ -0,0 +1,162 @@
+"""The memory and the time that a body may take, at each HTTP server.
+
+Whatever way a request ends, what it held is given back: otherwise a server would refuse
+everything after enough clients that left in the middle.
+"""
+
+import socket
+from collections.abc import Iterator
+from contextlib import suppress
+from time import monotonic, sleep
+
+import pytest
+from request_servers import (
+    ClientEnd,
+    RecordingServer,
+    receive_all,
+    run_server,
+)
+
+from ridgecourse.core.routes import ClientLimit, ClientLimits
+
+BODY_BYTES = 60_000
+LENGTH_HEAD = f"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+CHUNKED_HEAD = "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+WHOLE = LENGTH_HEAD.encode() + b"x" * BODY_BYTES
+WHOLE_CHUNKED = CHUNKED_HEAD.encode() + b"ea60\r\n" + b"x" * BODY_BYTES
+BODY_SECONDS = 0.5
+SETTLE_SECONDS = 5.0
+
+
+@pytest.fixture(params=[True, False], ids=["front", "internal"])
+def server(request) -> Iterator[RecordingServer]:
+    with run_server(request.param) as recording_server:
+        recording_server.server.body_seconds = BODY_SECONDS
+        yield recording_server
+
+
+@pytest.fixture
+def exceeded(server: RecordingServer) -> list[ClientLimit]:
+    """Return the limits that clients exceed."""
+    limits: list[ClientLimit] = []
+    server.server.on_limit = lambda limit, detail: limits.append(limit)
+    return limits
+
+
+def wait_unused(server: RecordingServer) -> None:
+    """Wait until all memory was given back."""
+    deadline = monotonic() + SETTLE_SECONDS
+    while server.server.budget.used_bytes or server.server.budget.reservations:
+        assert monotonic() < deadline, server.server.budget.used_bytes
+        sleep(0.005)
+
+
+def wait_used(server: RecordingServer, size: int) -> None:
+    """Wait until memory of a size is held."""
+    deadline = monotonic() + SETTLE_SECONDS
+    while server.server.budget.used_bytes < size:
+        assert monotonic() < deadline, server.server.budget.used_bytes
+        sleep(0.005)
+
+
+@pytest.mark.parametrize("end", ClientEnd)
+@pytest.mark.parametrize("data", [WHOLE, WHOLE_CHUNKED], ids=["length", "chunks"])
+def test_memory_is_given_back_however_a_client_ends(
+    server: RecordingServer, data: bytes, end: ClientEnd
+) -> None:
+    for cut in (len(data), len(data) - 1, len(data) - 30_000, 200, 20):
+        server.exchange(data[:cut], end)
+        wait_unused(server)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        LENGTH_HEAD.replace("60000", "99999999").encode() + b"x" * 1000,
+        CHUNKED_HEAD.encode() + b"no size\r\n",
+        CHUNKED_HEAD.encode() + b"ffff\r\n" + b"x" * 0xFFFF + b"\r\nffff\r\n",
+        b"GET /a HTTP/1.1\r\nHost: x\r\nX-Note: " + b"y" * 20_000,
+        b"GET /a HTTP/1.1\r\nno field\r\n",
+    ],
+    ids=["too-large", "malformed", "stalled-chunks", "large-head", "malformed-head"],
+)
+def test_memory_is_given_back_after_a_refusal(
+    server: RecordingServer, data: bytes
+) -> None:
+    server.exchange(data)
+    wait_unused(server)
+
+
+def test_memory_is_given_back_when_the_server_closes(server: RecordingServer) -> None:
+    with server.open() as connection:
+        connection.sendall(LENGTH_HEAD.encode())
+        wait_used(server, BODY_BYTES)
+        server.ended.set()
+        server.thread.join()
+        wait_unused(server)
+
+
+@pytest.mark.parametrize("head", [LENGTH_HEAD, CHUNKED_HEAD], ids=["length", "chunks"])
+def test_a_body_that_drips_is_refused_at_its_deadline(
+    server: RecordingServer, exceeded: list[ClientLimit], head: str
+) -> None:
+    # Guards against a limit of time for each read alone, and against an answer that
+    # says nothing: 408 promises that the request has not run.
+    received = b""
+    with server.open() as connection:
+        connection.sendall(head.encode())
+        connection.settimeout(0.05)
+        deadline = monotonic() + SETTLE_SECONDS
+        while not received:
+            assert monotonic() < deadline
+            with suppress(TimeoutError):
+                connection.sendall(b"0" if head is CHUNKED_HEAD else b"x")
+                received = connection.recv(65536)
+    assert received.startswith(b"HTTP/1.1 408 Request Timeout\r\n")
+    assert b"Connection: close" in received or b"connection: close" in received
+    assert [request.body for request in server.settle()] == [None]
+    wait_unused(server)
+
+
+def test_a_body_that_pauses_within_its_deadline_is_served(
+    server: RecordingServer,
+) -> None:
+    # Guards against a limit on heads that ends bodies.
+    server.server.limits = ClientLimits(header_seconds=0.1, idle_seconds=0.1)
+    with server.open() as connection:
+        connection.sendall(WHOLE[:-1])
+        sleep(0.3)
+        connection.sendall(WHOLE[-1:])
+        connection.shutdown(socket.SHUT_WR)
+        assert b" 200 OK" in receive_all(connection)
+    [request] = server.settle()
+    assert request.body == b"x" * BODY_BYTES
+
+
+def test_without_memory_a_body_is_refused_at_once(server: RecordingServer) -> None:
+    # Guards against a body that is read although there is no memory for it.
+    server.server.budget.capacity_bytes = BODY_BYTES // 2
+    with server.open() as connection:
+        connection.sendall(LENGTH_HEAD.encode())
+        received = receive_all(connection)
+    assert received.startswith(b"HTTP/1.1 503 ")
+    assert b"Retry-After: " in received
+    wait_unused(server)
+    assert b" 200 OK" in server.exchange(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+
+
+def test_a_stalled_body_gives_way_to_another(
+    server: RecordingServer, exceeded: list[ClientLimit]
+) -> None:
+    # Guards against clients that never end their bodies and so keep all memory.
+    server.server.budget.capacity_bytes = BODY_BYTES + BODY_BYTES // 2
+    server.server.body_seconds = 2 * SETTLE_SECONDS
+    with server.open() as stalled:
+        stalled.sendall(WHOLE[:-1])
+        wait_used(server, BODY_BYTES)
+        deadline = monotonic() + SETTLE_SECONDS
+        while b" 200 OK" not in server.exchange(WHOLE):
+            assert monotonic() < deadline
+        assert receive_all(stalled).startswith(b"HTTP/1.1 503 ")
+    wait_unused(server)
+    assert ClientLimit.SLOW_TRANSFER in exceeded
