Count answers that clients do not read in the memory budget

Callers saw: a gateway of 156 MB under 200 clients that asked for 1 MB each and did not read it.

Cause: an answer is held whole until its client has read it, joined from pieces that were held as well; nothing limited the sum, and a client that reads a little now and then kept its answer for as long as it liked.

Change: an answer takes its length from the budget of requests before it is read from the target, chunks as they come, and gives it back if the target breaks off. It stands in one buffer of its length and is sent in pieces of 16 KB. A client that reads less than 64 KB a second for 0.5 s gives way to a request that needs the memory; the cut shows by its length. If there is no memory even then, the client gets a 502, as for an answer that could not be read: the request may have run.

--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -158,6 +158,7 @@
             waited=self._waited_seconds(call, terms),
             excess=0.0,
             is_abandoned=request.has_disconnected,
+            memory=request.protocol.memory,
             parts=sign_parts(call.model, call.prompt_parts),
         )
 
--- a/src/ridgecourse/gateway/sender.py
+++ b/src/ridgecourse/gateway/sender.py
@@ -17,6 +17,7 @@
     TargetId,
     WeightsVersion,
 )
+from ridgecourse.core.memory_budget import Reservation
 from ridgecourse.core.outcome import Reason
 from ridgecourse.core.recent_peak import RecentPeak
 from ridgecourse.core.retry import return_delay_seconds
@@ -73,6 +74,8 @@
             shed.
         is_abandoned: Returns whether the client has disconnected.
         send_count: Number of targets to which the request was written so far.
+        memory: Holds the memory of the request and of its answer; None if that is not
+            limited.
     """
 
     call: ClientRequest
@@ -90,6 +93,7 @@
     sent_unnumbered: bool = False
     parts: tuple[PartSignature, ...] = ()
     send_count: int = 0
+    memory: Reservation | None = None
 
 
 class NotRun(Struct, frozen=True):
@@ -141,7 +145,7 @@
     """
 
     head: AnswerHead
-    body: bytes
+    body: Body
     body_end: BodyEnd | None = None
     head_end: HeadEnd | None = None
 
@@ -276,7 +280,7 @@
             return Unknown("the successful answer is not signed", late=False)
         if head.success and head.events:
             return self._stream(exchange, head, target.target)
-        body = exchange.read_whole(MAX_ANSWER_BYTES)
+        body = exchange.read_whole(MAX_ANSWER_BYTES, routed.memory)
         return Whole(head, body, exchange.body_end)
 
     def _stream(self, exchange: Exchange, head: AnswerHead, target: TargetId) -> Stream:
--- a/src/ridgecourse/net/exchange.py
+++ b/src/ridgecourse/net/exchange.py
@@ -16,6 +16,7 @@
 from urllib3.util import SKIP_HEADER
 
 from ridgecourse.core.ids import Seconds
+from ridgecourse.core.memory_budget import BudgetExceeded, Reservation
 from ridgecourse.net.address import parse_address
 from ridgecourse.net.answer_connection import AnswerConnection
 from ridgecourse.net.answer_end import (
@@ -28,7 +29,7 @@
 from ridgecourse.net.clock import boottime
 from ridgecourse.net.head_reader import IncompleteHead
 from ridgecourse.net.http_server import HeaderList
-from ridgecourse.net.request_body import Body
+from ridgecourse.net.request_body import Body, gather
 from ridgecourse.net.tcp import LINGER_RESET
 
 READ_BYTES = 16 * 1024
@@ -161,17 +162,43 @@
         self.head_end = HeadEnd.EMPTY_LINE
         return self.response
 
-    def read_whole(self, limit: int) -> bytes:
+    def read_whole(self, limit: int, memory: Reservation | None = None) -> Body:
         """Return the complete body.
 
         Args:
             limit: Largest accepted size in bytes.
+            memory: Holds the memory of the body; None if it is not limited.
 
         Raises:
             ExchangeTimeout: The body was not complete by the deadline.
-            ExchangeBroken: The body ended early, or is longer than the limit.
+            ExchangeBroken: The body ended early, is longer than the limit, or there is
+                no memory for the body.
         """
-        return b"".join(self.read_pieces(limit))
+        assert self.response is not None
+        size = min(self.response.length_remaining or 0, limit)
+        if memory is None:
+            return gather(self.read_pieces(limit), size)
+        held_before = memory.held_bytes
+        try:
+            memory.take(size, boottime())
+            return gather(self._reserved_pieces(limit, size, memory), size)
+        except BudgetExceeded as error:
+            memory.give_back(memory.held_bytes - held_before)
+            raise ExchangeBroken(f"{self.address}: {error}") from error
+        except ExchangeBroken:
+            memory.give_back(memory.held_bytes - held_before)
+            raise
+
+    def _reserved_pieces(
+        self, limit: int, reserved_bytes: int, memory: Reservation
+    ) -> Iterator[bytes]:
+        """Yield the pieces of the body, with memory for what exceeds its length."""
+        for piece in self.read_pieces(limit):
+            reserved_bytes -= len(piece)
+            if reserved_bytes < 0:
+                memory.take(-reserved_bytes, boottime())
+                reserved_bytes = 0
+            yield piece
 
     def read_pieces(self, limit: int, pause: float | None = None) -> Iterator[bytes]:
         """Yield the pieces of the body as they arrive.
--- a/src/ridgecourse/net/front_server.py
+++ b/src/ridgecourse/net/front_server.py
@@ -155,13 +155,13 @@
         status: HTTP status.
         reason: Reason phrase; empty for the standard phrase.
         headers: Names and values, without framing headers.
-        body: Bytes, or an iterable of bytes for a stream.
+        body: The whole body, or an iterable of bytes for a stream.
     """
 
     status: int
     reason: str = ""
     headers: HeaderList = []
-    body: bytes | Iterable[bytes] = b""
+    body: Body | Iterable[bytes] = b""
 
 
 FrontHandler = Callable[[FrontRequest], FrontReply]
@@ -232,7 +232,7 @@
         status = f"{reply.status} {reply.reason}"
         if not reply.reason:
             status = STATUS_TEXT.get(reply.status, f"{reply.status} Status")
-        if isinstance(reply.body, bytes):
+        if isinstance(reply.body, Body):
             headers.append(("Content-Length", str(len(reply.body))))
         start_response(status, headers)
         return self._send_body(reply, protocol)
@@ -241,8 +241,8 @@
         self, reply: FrontReply, protocol: FrontConnection
     ) -> Iterator[bytes]:
         try:
-            if isinstance(reply.body, bytes):
-                yield reply.body
+            if isinstance(reply.body, Body):
+                yield from protocol.body_to_send(reply.body)
             else:
                 protocol.begin_stream()
                 yield from reply.body
--- a/src/ridgecourse/net/http_connection.py
+++ b/src/ridgecourse/net/http_connection.py
@@ -33,6 +33,7 @@
     check_framing,
 )
 from ridgecourse.net.request_body import (
+    MAX_SMALL_BODY_BYTES,
     Body,
     BodyTooLarge,
     BodyTooLate,
@@ -55,9 +56,9 @@
 LINGER_READ_BYTES = 64 * 1024
 FREE_HEAD_BYTES = 4 * 1024
 """Bytes of a head that are not part of the memory budget: more than most heads have."""
-BODY_READ_BYTES = 16 * 1024
-"""Bytes of a body read at once. A client at the least rate sends them well within the
-time for which a transfer may stand still."""
+BODY_READ_BYTES = BODY_SEND_BYTES = 16 * 1024
+"""Bytes of a body received or sent at once. A client at the least rate takes well under
+the time for which a transfer may stand still."""
 LINE_END = b"\r\n"
 BAD_REQUEST = b"400 Bad Request"
 UNAVAILABLE = b"503 Service Unavailable\r\nRetry-After: 1"
@@ -379,6 +380,28 @@
             self.memory.record_progress(len(piece), now)
             yield piece
 
+    def body_to_send(self, body: Body) -> Iterator[bytes]:
+        """Yield the pieces of the body of an answer.
+
+        A client that does not read a large one gives way to other requests.
+        """
+        if len(body) <= MAX_SMALL_BODY_BYTES:
+            yield bytes(body)
+            return
+        content = memoryview(body)
+        self.memory.begin_transfer(self._end_sending, boottime())
+        for start in range(0, len(body), BODY_SEND_BYTES):
+            piece = content[start : start + BODY_SEND_BYTES]
+            yield bytes(piece)
+            self.memory.record_progress(len(piece), boottime())
+        self.memory.end_transfer()
+
+    def _end_sending(self) -> None:
+        """End the connection, so that the memory can be given to another request."""
+        self.owner.on_limit(ClientLimit.SLOW_TRANSFER, "sending")
+        with suppress(OSError):
+            self.connection.shutdown(SHUT_RDWR)
+
     def handle_one_response(self) -> None:
         """Call the application and send its answer."""
         self.state = ConnectionState.ANSWERING
--- a/src/ridgecourse/net/request_body.py
+++ b/src/ridgecourse/net/request_body.py
@@ -212,6 +212,7 @@
     for piece in pieces:
         buffer[end : end + len(piece)] = piece
         end += len(piece)
+    del buffer[end:]
     if end <= MAX_SMALL_BODY_BYTES:
         return bytes(buffer)
     return memoryview(buffer)
