Let the connections of a crowd leave descriptors and places to others

Callers saw: 1,216 descriptors of a gateway whose settings allow 900, under 1,200 silent clients or as many that send a byte of a head now and then. With all places taken the gateway accepted nobody until a time-out freed one.

Cause: 2,048 connections whatever max_fds and memory_mb say, 1,024 at each further server; the accept loop stood still for a free place. An error of accept for want of descriptors stopped it for 1 s.

Readiness and metrics have 64. When all are in use, a newcomer takes the place of the slowest transfer under the least rate, else of the connection that has been idle for the longest time; a request that is answered, or has just arrived, is not touched. Each closed one counts in clients_limited_connections.

--- a/src/ridgecourse/core/memory_budget.py
+++ b/src/ridgecourse/core/memory_budget.py
@@ -108,6 +108,19 @@
         paid_until = self.paid_until + size / MIN_BYTES_PER_SECOND
         self.paid_until = Seconds(min(paid_until, now + GRACE_SECONDS))
 
+    def is_slow(self, now: Seconds) -> bool:
+        """Check whether a transfer is in progress that has to give way."""
+        return self.on_evict is not None and self.paid_until < now
+
+    def evict(self) -> None:
+        """End the transfer in progress and take all memory back."""
+        on_evict = self.on_evict
+        assert on_evict is not None
+        self.budget.release(self)
+        self.on_evict = None
+        self.is_evicted = True
+        on_evict()
+
     def end_transfer(self) -> None:
         """Record that the transfer is complete."""
         self.on_evict = None
@@ -172,12 +185,7 @@
         if found_bytes < size:
             raise BudgetExceeded(f"{size - found_bytes} bytes too few")
         for victim in victims:
-            on_evict = victim.on_evict
-            assert on_evict is not None
-            self.release(victim)
-            victim.on_evict = None
-            victim.is_evicted = True
-            on_evict()
+            victim.evict()
 
     def _slow_transfers(self, taker: Reservation, now: Seconds) -> list[Reservation]:
         """Return the slow transfers other than the taker's, the slowest first."""
@@ -189,7 +197,7 @@
             if reservation.on_evict is not None and reservation is not taker
         ]
         transfers.sort(key=lambda transfer: transfer.paid_until)
-        slow = [transfer for transfer in transfers if transfer.paid_until < now]
+        slow = [transfer for transfer in transfers if transfer.is_slow(now)]
         if not slow:
             # Later transfers have a grace time, and progress only delays the time.
             earliest = transfers[0].paid_until if transfers else inf
--- a/src/ridgecourse/core/routes.py
+++ b/src/ridgecourse/core/routes.py
@@ -185,6 +185,7 @@
     SLOW_TRANSFER: The memory of a client that sends or reads too slowly was given to
         another request.
     UNREAD_BODY: The body of a refused request is too long to be skipped.
+    CONNECTIONS: All connections are in use, and the client's can be spared most.
     """
 
     HEAD_SIZE = "head-size"
@@ -195,6 +196,7 @@
     MEMORY = "memory"
     SLOW_TRANSFER = "slow-transfer"
     UNREAD_BODY = "unread-body"
+    CONNECTIONS = "connections"
 
     @property
     def metric(self) -> str:
--- a/src/ridgecourse/gateway/gateway.py
+++ b/src/ridgecourse/gateway/gateway.py
@@ -10,7 +10,6 @@
 from ridgecourse.cluster.tree_reader import Neighbours
 from ridgecourse.core.hubs import Peer
 from ridgecourse.core.ids import Seconds, TargetName
-from ridgecourse.core.memory_budget import plan_capacity
 from ridgecourse.core.read_tree import gateway_parent
 from ridgecourse.core.routes import ClientLimit
 from ridgecourse.core.site import Site
@@ -33,7 +32,13 @@
 from ridgecourse.net.figures import LoopLag, MetricsServer
 from ridgecourse.net.front_server import FrontReply, FrontRequest, FrontServer
 from ridgecourse.net.http_client import HttpClient
-from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter, HttpServer
+from ridgecourse.net.http_server import (
+    PROBE_CONNECTIONS,
+    HttpReply,
+    HttpRequest,
+    HttpRouter,
+    HttpServer,
+)
 from ridgecourse.net.process import new_incarnation
 from ridgecourse.net.record_follower import GATEWAY_PACE
 from ridgecourse.net.record_source import RecordSource
@@ -121,10 +126,12 @@
         )
         assert site.callers is not None and site.readiness is not None
         self.front = FrontServer(parse_address(site.callers), self.handle)
-        self._plan_capacity()
+        self.front.apply_limits(self.front.limits, site.resources)
         self.router = HttpRouter()
         self.router.add("GET", ready_path, self.serve_ready)
-        self.readiness = HttpServer(parse_address(site.readiness), self.router)
+        self.readiness = HttpServer(
+            parse_address(site.readiness), self.router, PROBE_CONNECTIONS
+        )
         for server in (self.front, self.readiness):
             server.on_limit = self._report_limit
         self.figures = MetricsServer(site.host, self.events.metrics)
@@ -152,17 +159,10 @@
     def _apply_limits(self) -> None:
         while True:
             if self.view.config is not None:
-                self.front.limits = self.view.config.limits
-                self._plan_capacity()
+                self.front.apply_limits(self.view.config.limits, self.site.resources)
             self.dispatcher.selector.forget_unlisted()
             self.view.changed.wait()
 
-    def _plan_capacity(self) -> None:
-        """Limit what all clients use together, under the limits of each."""
-        body_bytes = self.front.limits.body_bytes
-        capacity = plan_capacity(self.site.resources, body_bytes)
-        self.front.budget.capacity_bytes = capacity.request_bytes
-
     def _report_limit(self, limit: ClientLimit, detail: str) -> None:
         """Count and log a client that has exceeded a limit."""
         self.events.metrics.count(limit.metric)
--- a/src/ridgecourse/net/figures.py
+++ b/src/ridgecourse/net/figures.py
@@ -10,7 +10,13 @@
 from ridgecourse.core.recent_peak import RecentPeak
 from ridgecourse.net.address import Address
 from ridgecourse.net.clock import boottime
-from ridgecourse.net.http_server import HttpReply, HttpRequest, HttpRouter, HttpServer
+from ridgecourse.net.http_server import (
+    PROBE_CONNECTIONS,
+    HttpReply,
+    HttpRequest,
+    HttpRouter,
+    HttpServer,
+)
 from ridgecourse.net.threads import spawn_loop
 
 logger = logging.getLogger(__name__)
@@ -108,7 +114,8 @@
     def __init__(self, host: str, metrics: ProcessMetrics) -> None:
         router = HttpRouter()
         router.add("GET", METRICS_PATH, metrics.serve)
-        self.server = HttpServer(Address(host, METRICS_PORT), router)
+        address = Address(host, METRICS_PORT)
+        self.server = HttpServer(address, router, PROBE_CONNECTIONS)
 
     def start(self) -> None:
         """Start the server; log a warning if the port is in use."""
--- a/src/ridgecourse/net/front_server.py
+++ b/src/ridgecourse/net/front_server.py
@@ -18,7 +18,12 @@
 from eventlet.hubs import trampoline
 from greenlet import getcurrent
 
-from ridgecourse.core.memory_budget import BudgetExceeded
+from ridgecourse.core.memory_budget import (
+    MAX_CONNECTIONS,
+    BudgetExceeded,
+    Resources,
+    plan_capacity,
+)
 from ridgecourse.core.routes import ClientLimits
 from ridgecourse.net.address import Address
 from ridgecourse.net.http_connection import CONNECTION_KEY, HttpConnection
@@ -34,9 +39,6 @@
 
 logger = logging.getLogger(__name__)
 
-MAX_CONNECTIONS = 2048
-"""Most open connections. An entry has some 4,000 file descriptors, and each request
-uses 2."""
 REQUEST_BYTES = 32 * 1024
 """Memory of a request in progress: its environment and a connection to a target."""
 HEAD_FACTOR = 6
@@ -191,11 +193,17 @@
     """
 
     def __init__(self, address: Address, handler: FrontHandler) -> None:
-        super().__init__(address, self.answer)
+        super().__init__(address, self.answer, MAX_CONNECTIONS)
         self.handler = handler
         self.limits = ClientLimits()
         self.in_flight = 0
-        self.pool = eventlet.GreenPool(MAX_CONNECTIONS)
+
+    def apply_limits(self, limits: ClientLimits, resources: Resources) -> None:
+        """Apply limits on each client and, under these, on all clients together."""
+        self.limits = limits
+        capacity = plan_capacity(resources, limits.body_bytes)
+        self.budget.capacity_bytes = capacity.request_bytes
+        self.pool.resize(capacity.connections)
 
     def make_wsgi_server(self) -> WsgiServer:
         """Return the settings of the connections."""
--- a/src/ridgecourse/net/http_connection.py
+++ b/src/ridgecourse/net/http_connection.py
@@ -437,15 +437,20 @@
         except OSError:
             return False
 
-    def close_if_idle(self) -> None:
+    def close_if_idle(self) -> bool:
         """Close the connection if no request is in progress or has arrived.
 
         A request that arrives later is not run.
+
+        Returns:
+            Whether the connection was closed.
         """
-        if self.state is ConnectionState.IDLE and not self.has_request_waiting():
-            self.state = ConnectionState.CLOSED
-            with suppress(OSError):
-                self.connection.shutdown(SHUT_RDWR)
+        if self.state is not ConnectionState.IDLE or self.has_request_waiting():
+            return False
+        self.state = ConnectionState.CLOSED
+        with suppress(OSError):
+            self.connection.shutdown(SHUT_RDWR)
+        return True
 
     def finish(self) -> None:
         """Flush and close; the client may have disconnected."""
--- a/src/ridgecourse/net/http_server.py
+++ b/src/ridgecourse/net/http_server.py
@@ -4,6 +4,9 @@
 import sys
 from collections import Counter
 from collections.abc import Callable, Iterable
+from errno import EMFILE, ENFILE, ENOBUFS, ENOMEM
+from heapq import nsmallest
+from operator import attrgetter
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs
 
@@ -16,7 +19,11 @@
 from ridgecourse.net.address import Address
 from ridgecourse.net.auth import AUTH_HEADER, verify_request
 from ridgecourse.net.clock import boottime
-from ridgecourse.net.http_connection import CONNECTION_KEY, HttpConnection
+from ridgecourse.net.http_connection import (
+    CONNECTION_KEY,
+    ConnectionState,
+    HttpConnection,
+)
 from ridgecourse.net.request_body import BodyTooLarge, BodyTooLate
 from ridgecourse.net.tcp import accept_queued, count_queued, drop_new_connections
 from ridgecourse.net.threads import spawn_loop
@@ -32,6 +39,11 @@
 CONNECTION_CLOSE = ("Connection", "close")
 RETRY_LATER = ("Retry-After", "1")
 MAX_CONNECTIONS = 1024
+PROBE_CONNECTIONS = 64
+"""Most connections of a server that only few clients ask now and then."""
+NO_DESCRIPTORS = (EMFILE, ENFILE, ENOBUFS, ENOMEM)
+NO_DESCRIPTORS_SECONDS = 0.05
+"""Pause before the next attempt to accept a connection."""
 BACKLOG = 512
 """Most connections that wait to be accepted."""
 IDLE_SECONDS = 1.0
@@ -43,6 +55,9 @@
 """Time for handshakes that have begun when the listener closes; a round trip within a
 domain takes less."""
 DRAIN_POLL_SECONDS = 0.05
+IDLE_TRIES = 8
+"""Idle connections that are looked at to close one. One whose next request has just
+arrived is kept."""
 STATUS_TEXT = {
     200: "200 OK",
     204: "204 No Content",
@@ -236,10 +251,19 @@
         is_closing: Whether the server closes each connection after its next answer.
     """
 
-    def __init__(self, address: Address, app: WsgiApp) -> None:
+    def __init__(
+        self, address: Address, app: WsgiApp, max_connections: int = MAX_CONNECTIONS
+    ) -> None:
+        """Create a server that does not listen yet.
+
+        Args:
+            address: Address to listen on.
+            app: The WSGI application.
+            max_connections: Most open connections.
+        """
         self.address = address
         self.app = app
-        self.pool = eventlet.GreenPool(MAX_CONNECTIONS)
+        self.pool = eventlet.GreenPool(max_connections)
         self.connections: set[HttpConnection] = set()
         self.limits = ClientLimits(
             header_seconds=RECEIVE_TIMEOUT_SECONDS, idle_seconds=RECEIVE_TIMEOUT_SECONDS
@@ -278,7 +302,44 @@
 
     def _accept_connections(self) -> None:
         while True:
-            self._serve(*self.listener.accept())
+            try:
+                connection, client_address = self.listener.accept()
+            except OSError as error:
+                if error.errno not in NO_DESCRIPTORS:
+                    raise
+                logger.warning("cannot accept a connection: %s", error)
+                self._make_room()
+                eventlet.sleep(NO_DESCRIPTORS_SECONDS)
+                continue
+            if self.pool.free() <= 0:
+                self._make_room()
+            self._serve(connection, client_address)
+
+    def _make_room(self) -> None:
+        """Close the connection that can be spared most, if one can be.
+
+        Slow transfers are closed first, the slowest of them, then the connection that
+        has been idle for the longest time. Requests that are answered are not touched.
+        """
+        now = boottime()
+        slow = [
+            connection
+            for connection in self.connections
+            if connection.memory.is_slow(now)
+        ]
+        if slow:
+            self.on_limit(ClientLimit.CONNECTIONS, "slow")
+            min(slow, key=attrgetter("memory.paid_until")).memory.evict()
+            return
+        idle = [
+            connection
+            for connection in self.connections
+            if connection.state is ConnectionState.IDLE
+        ]
+        for connection in nsmallest(IDLE_TRIES, idle, key=attrgetter("idle_since")):
+            if connection.close_if_idle():
+                self.on_limit(ClientLimit.CONNECTIONS, "idle")
+                return
 
     def _serve(self, connection: Any, client_address: Any) -> None:
         """Serve a connection in a green thread, once the pool has one free."""
