Read the bodies of calls to mounted applications under the server's limits

Callers would see: an entry that grows by up to 4 MB for each of 1,024 connections whose calls to the administration API are not ended, and keeps them as long as they drip. Seen by reading; not played against an entry.

Cause: the RPC library reads bodies itself, past the limits on the memory and the time of bodies.

Change: the router reads the whole body as it does for its own handlers, then hands it to the application: 413 above 4 MB (the library's own limit), 408 after 60 s, 503 without memory.

Evidence: test_a_mounted_application_gets_whole_bodies_within_the_limits; without this change the drip in it is read by the application for as long as it goes on.

--- a/src/ridgecourse/net/http_server.py
+++ b/src/ridgecourse/net/http_server.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 from errno import EMFILE, ENFILE, ENOBUFS, ENOMEM
 from heapq import nsmallest
+from io import BytesIO
 from operator import attrgetter
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs
@@ -36,6 +37,8 @@
 """Longest time in which a body must be complete."""
 BUDGET_BYTES = 48 * 1024 * 1024
 """Memory for the requests of one server, unless its owner states it."""
+MAX_MOUNTED_BODY_BYTES = 4 * 1024 * 1024
+"""Longest body of a request to a mounted application."""
 CONNECTION_CLOSE = ("Connection", "close")
 RETRY_LATER = ("Retry-After", "1")
 MAX_CONNECTIONS = 1024
@@ -157,10 +160,24 @@
     headers: HeaderList = []
 
 
+BODY_STORED = HttpReply(200)
 Handler = Callable[[HttpRequest], HttpReply]
 WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
 
+def store_body(request: HttpRequest) -> HttpReply:
+    """Read the body under the limits of the server, for an application that reads it.
+
+    Raises:
+        BodyTooLarge, BodyTooLate, BudgetExceeded, ConnectionError, ChunkReadError: As
+            in ``HttpRequest.read_body``.
+    """
+    body = request.read_body(MAX_MOUNTED_BODY_BYTES)
+    request.environ["wsgi.input"] = BytesIO(body)
+    request.environ["CONTENT_LENGTH"] = str(len(body))
+    return BODY_STORED
+
+
 class HttpRouter:
     """A WSGI application that selects a handler by method and path prefix."""
 
@@ -180,11 +197,15 @@
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         """Answer a request as a WSGI application."""
-        path = environ.get("PATH_INFO", "/")
+        request = HttpRequest(environ)
+        reply = None
         for prefix, app in self.mounts:
-            if path.startswith(prefix):
-                return app(environ, start_response)
-        reply = self.answer(HttpRequest(environ))
+            if request.path.startswith(prefix):
+                reply = self.call(store_body, request)
+                if reply is BODY_STORED:
+                    return app(environ, start_response)
+        if reply is None:
+            reply = self.answer(request)
         headers = list(reply.headers)
         body = reply.body
         if isinstance(body, bytes):
@@ -198,6 +219,10 @@
         handler = self.find_handler(request)
         if handler is None:
             return HttpReply(404, b"no such path\n")
+        return self.call(handler, request)
+
+    def call(self, handler: Handler, request: HttpRequest) -> HttpReply:
+        """Return the reply of a handler, with an error status if the handler raises."""
         try:
             return handler(request)
         except BodyTooLarge as error:
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -160,3 +160,29 @@
         assert receive_all(stalled).startswith(b"HTTP/1.1 503 ")
     wait_unused(server)
     assert ClientLimit.SLOW_TRANSFER in exceeded
+
+
+def test_a_mounted_application_gets_whole_bodies_within_the_limits() -> None:
+    # Guards against an application of a library that reads bodies without a limit on
+    # their sum and on their time.
+    bodies: list[bytes] = []
+
+    def record(environ, start_response):  # type: ignore[no-untyped-def]
+        bodies.append(environ["wsgi.input"].read(int(environ["CONTENT_LENGTH"])))
+        start_response("200 OK", [("Content-Length", "0")])
+        return [b""]
+
+    with run_server(is_front=False) as recording_server:
+        recording_server.server.app.mount("/a", record)  # type: ignore[attr-defined]
+        recording_server.server.body_seconds = BODY_SECONDS
+        end = b"\r\n0\r\n\r\n"
+        assert b" 200 OK" in recording_server.exchange(WHOLE)
+        assert b" 200 OK" in recording_server.exchange(WHOLE_CHUNKED + end)
+        assert bodies == [b"x" * BODY_BYTES] * 2
+        with recording_server.open() as connection:
+            connection.sendall(WHOLE[:-1])
+            assert receive_all(connection).startswith(b"HTTP/1.1 408 ")
+        recording_server.server.budget.capacity_bytes = BODY_BYTES - 1
+        assert recording_server.exchange(WHOLE).startswith(b"HTTP/1.1 503 ")
+        wait_unused(recording_server)
+    assert len(bodies) == 2
