Refuse a body that gave way though its rest had arrived

Callers would see: a 502 for a request that ran, because its answer got no memory. Found by reading.

Cause: a body that gave way was told from its connection's end alone. If its rest was in the socket already, the body was whole, and its request ran with memory that another one had got.

Change: each piece of a body checks it: 503, not run. A refusal for want of memory now names its request in the event, as it is made where the request is known.

Evidence: test_a_body_that_gave_way_is_not_served_though_its_rest_had_arrived fails without the check (both servers) and passes with it.

--- a/src/ridgecourse/gateway/forwarder.py
+++ b/src/ridgecourse/gateway/forwarder.py
@@ -90,13 +90,6 @@
         Raises:
             CallerGone: The client disconnected.
         """
-        try:
-            return self._handle(request)
-        except BudgetExceeded as error:
-            come_back = return_delay_seconds(GRACE_SECONDS, self.random)
-            return self._refuse("", Reason.NO_MEMORY, str(error), come_back)
-
-    def _handle(self, request: FrontRequest) -> FrontReply:
         arrived_at = boottime()
         config = self.view.config
         if config is None:
@@ -114,8 +107,15 @@
         if deadline > self.closes_at:
             # Its answer might be cut off by the end of the process.
             return self._refuse(call.request_id, Reason.STOPPING)
-        request.reserve_memory()
-        body = request.read_body(config.limits.body_bytes, deadline - arrived_at)
+        try:
+            request.reserve_memory()
+            body = request.read_body(config.limits.body_bytes, deadline - arrived_at)
+        except BudgetExceeded as error:
+            # By then transfers that stand still now give way.
+            come_back = return_delay_seconds(GRACE_SECONDS, self.random)
+            return self._refuse(
+                call.request_id, Reason.NO_MEMORY, str(error), come_back
+            )
         routed = self._make_routed_request(request, call, terms, config, body, deadline)
         try:
             with request.cancel_on_disconnect():
--- a/src/ridgecourse/net/http_connection.py
+++ b/src/ridgecourse/net/http_connection.py
@@ -374,6 +374,8 @@
             received_bytes += len(piece)
             if received_bytes > limit:
                 raise BodyTooLarge(f"over {limit} bytes")
+            if self.memory.is_evicted:
+                raise BudgetExceeded("the body came too slowly")
             now = boottime()
             if source.chunked_input:
                 self.memory.take(len(piece), now)
--- a/tests/request_servers.py
+++ b/tests/request_servers.py
@@ -1,7 +1,7 @@
 """The HTTP servers of the system in a thread, with handlers that record requests."""
 
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 from enum import Enum
 from struct import pack
@@ -50,6 +50,7 @@
     Attributes:
         server: The server.
         requests: Requests that the handler was called with, without probes.
+        calls: Functions that are still to be called in the thread of the server.
     """
 
     def __init__(self, is_front: bool) -> None:
@@ -62,6 +63,7 @@
             for method in METHODS:
                 router.add(method, "/", self.answer_process)
             self.server = HttpServer(address, router)
+        self.calls: list[Callable[[], None]] = []
         self.started = Event()
         self.ended = Event()
         self.thread = Thread(target=self.run, daemon=True)
@@ -71,8 +73,14 @@
         self.started.set()
         while not self.ended.is_set():
             eventlet.sleep(0.005)
+            while self.calls:
+                self.calls.pop()()
         self.server.close()
 
+    def run_in_loop(self, function: Callable[[], None]) -> None:
+        """Call a function in the thread of the server."""
+        self.calls.append(function)
+
     def answer_client(self, request: FrontRequest) -> FrontReply:
         notes = ",".join(request.header_values(NOTE_HEADER))
         return FrontReply(
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -201,3 +201,23 @@
 
 def test_a_body_that_ends_before_its_stated_length_is_as_long_as_it_is() -> None:
     assert gather([b"x" * 100_000], 200_000) == b"x" * 100_000
+
+
+def test_a_body_that_gave_way_is_not_served_though_its_rest_had_arrived(
+    server: RecordingServer,
+) -> None:
+    # Guards against a request that runs with memory that was given to another one.
+    server.server.body_seconds = 2 * SETTLE_SECONDS
+    with server.open() as connection:
+        connection.sendall(WHOLE[:-1])
+        wait_used(server, BODY_BYTES)
+        [reservation] = server.server.budget.reservations
+
+        def evict_behind_the_rest() -> None:
+            connection.sendall(WHOLE[-1:])
+            reservation.evict()
+
+        server.run_in_loop(evict_behind_the_rest)
+        assert receive_all(connection).startswith(b"HTTP/1.1 503 ")
+    assert [request.body for request in server.settle()] == [None]
+    wait_unused(server)
