--- a/tests/platform/test_client_crowds.py
+++ b/tests/platform/test_client_crowds.py
@@ -11,7 +11,9 @@
 """
 
 from collections.abc import Iterator
+from contextlib import suppress
 from functools import partial
+from itertools import count
 from pathlib import Path
 from time import sleep
 from typing import Any
@@ -32,7 +34,12 @@
 from gateway_site import GatewaySite, make_config, make_route
 from msgspec.json import encode
 
-from ridgecourse_standins.platform.engine import ReceivedRequest, send_response
+from ridgecourse_standins.platform.engine import (
+    ReceivedRequest,
+    send_chunk,
+    send_response,
+    send_stream_head,
+)
 
 pytestmark = pytest.mark.crowd
 
@@ -110,6 +117,35 @@
 }
 
 
+EXPECT_HEAD = LENGTH_HEAD.replace("\r\n\r\n", "\r\nExpect: 100-continue\r\n\r\n")
+OLD_HEAD = LENGTH_HEAD.replace("HTTP/1.1", "HTTP/1.0")
+STREAM_HEAD = DRAW_HEAD.replace("/draw/", "/stream/").replace(
+    "\r\n\r\n", "\r\nModel: m0\r\n\r\n"
+)
+SAFE_HEAD = DRAW_HEAD.replace("/draw/", "/safe/")
+FURTHER_PLANS = {
+    "announced-bodies": CrowdPlan(MANY, partial(iter, [EXPECT_HEAD.encode()])),
+    "http-1.0": CrowdPlan(
+        MANY, partial(stalled_body, OLD_HEAD, BODY_BYTES, MISSING_BYTES)
+    ),
+    "unread-streams": CrowdPlan(
+        MANY, partial(iter, [STREAM_HEAD.encode()]), reads=False
+    ),
+    "pipelined": CrowdPlan(
+        100, partial(endless, b"", SAFE_HEAD.encode() * 50), reads=False
+    ),
+}
+
+
+def send_endless_stream(request: ReceivedRequest) -> None:
+    """Send events until the gateway ends the connection."""
+    with suppress(OSError):
+        send_stream_head(request)
+        for number in count(1):
+            event = f"id: {number}\ndata: {'e' * 16_000}\n\n"
+            send_chunk(request, event.encode())
+
+
 class CrowdSite:
     """A gateway on a small instance, and what is checked beside a crowd.
 
@@ -271,6 +307,18 @@
     crowd_site.check()
 
 
+@pytest.mark.parametrize("name", FURTHER_PLANS)
+def test_further_crowds_stay_within_the_memory(
+    crowd_site: CrowdSite, name: str
+) -> None:
+    crowd_site.site.add_engine("llm", send_endless_stream)
+    crowd_site.start()
+    crowd = crowd_site.press(FURTHER_PLANS[name])
+    assert is_answered(crowd_site.site), "no answer beside the crowd"
+    crowd.close()
+    crowd_site.check()
+
+
 @pytest.mark.parametrize(
     "plan",
     [
