Keep the transfer of bodies beside their framing

What receives and sends bodies within the limits on memory and time stands in request_body.py now, as a class that a connection inherits from. Moved without a change.

--- a/src/ridgecourse/net/http_connection.py
+++ b/src/ridgecourse/net/http_connection.py
@@ -2,14 +2,12 @@
 
 import logging
 import re
-from collections.abc import Iterator
-from contextlib import contextmanager, suppress
+from contextlib import suppress
 from enum import Enum
 from io import BufferedReader, BytesIO
 from socket import (
     MSG_DONTWAIT,
     MSG_PEEK,
-    SHUT_RD,
     SHUT_RDWR,
     SHUT_WR,
     SO_LINGER,
@@ -33,12 +31,8 @@
     check_framing,
 )
 from ridgecourse.net.request_body import (
-    MAX_SMALL_BODY_BYTES,
-    Body,
-    BodyTooLarge,
-    BodyTooLate,
+    BodyTransfers,
     RequestBody,
-    gather,
 )
 from ridgecourse.net.tcp import LINGER_OFF, LINGER_RESET
 from ridgecourse.net.threads import FairReader
@@ -56,9 +50,6 @@
 LINGER_READ_BYTES = 64 * 1024
 FREE_HEAD_BYTES = 4 * 1024
 """Bytes of a head that are not part of the memory budget: more than most heads have."""
-BODY_READ_BYTES = BODY_SEND_BYTES = 16 * 1024
-"""Bytes of a body received or sent at once. A client at the least rate takes well under
-the time for which a transfer may stand still."""
 LINE_END = b"\r\n"
 HEAD_END = b"\r\n\r\n"
 BAD_REQUEST = b"400 Bad Request"
@@ -79,7 +70,7 @@
     """The server has closed its side and serves no further request."""
 
 
-class HttpConnection(eventlet.wsgi.HttpProtocol):
+class HttpConnection(BodyTransfers, eventlet.wsgi.HttpProtocol):
     """A connection; the constructor serves its requests until the connection ends.
 
     Attributes:
@@ -93,7 +84,6 @@
         has_whole_head: Whether all of the next head had arrived with its first byte, as
             usual, so that it needs no limit of time.
         head_bytes: Length of the last head.
-        memory: Memory that is held for the present request.
         must_reset: Whether a stream without chunks is under way, so that the client
             would take a close for its end.
     """
@@ -172,12 +162,6 @@
             self._stop_head_timer()
             self.memory.release()
 
-    def _end_receiving(self) -> None:
-        """Receive nothing more, so that the memory can be given to another request."""
-        self.owner.on_limit(ClientLimit.SLOW_TRANSFER, "receiving")
-        with suppress(OSError):
-            self.connection.shutdown(SHUT_RD)
-
     def _stop_head_timer(self) -> None:
         if self.head_timer is not None:
             self.head_timer.cancel()
@@ -293,123 +277,6 @@
         self.owner.on_limit(ClientLimit.UNREAD_BODY, "")
         self.close_connection = True
 
-    def reserve_memory(self, size: int) -> None:
-        """Reserve memory for the present request.
-
-        Args:
-            size: Number of bytes.
-
-        Raises:
-            BudgetExceeded: The memory for clients' requests is in use.
-        """
-        with self._report_excess():
-            self.memory.take(size, boottime())
-
-    @contextmanager
-    def _report_excess(self) -> Iterator[None]:
-        """Report the limit that the client exceeds in the block."""
-        try:
-            yield
-        except BodyTooLarge as error:
-            self.owner.on_limit(ClientLimit.BODY_SIZE, str(error))
-            raise
-        except BodyTooLate as error:
-            self.owner.on_limit(ClientLimit.BODY_TIME, str(error))
-            raise
-        except BudgetExceeded as error:
-            if not self.memory.is_evicted:
-                self.owner.on_limit(ClientLimit.MEMORY, str(error))
-            raise
-
-    def receive_body(self, limit: int, seconds: float | None = None) -> Body:
-        """Return the body of the present request.
-
-        Args:
-            limit: Largest accepted size in bytes.
-            seconds: Longest time in which the body must be complete; None for that of
-                the server.
-
-        Raises:
-            BodyTooLarge: The body is larger than the limit.
-            BodyTooLate: The body was not complete in time.
-            BudgetExceeded: There is no memory for the body, or the client sends too
-                slowly while another request needs its memory.
-            ChunkReadError: The chunk framing of the body is malformed.
-            ConnectionError: The connection ended inside the body.
-        """
-        with self._report_excess():
-            if seconds is None:
-                seconds = self.owner.body_seconds
-            try:
-                return self._receive_body(limit, seconds)
-            except BaseException:
-                # Nothing is read behind a body that was not read to its end.
-                self.close_connection = True
-                raise
-
-    def _receive_body(self, limit: int, seconds: float) -> Body:
-        source = self.environ["eventlet.input"]
-        size = source.content_length or 0
-        if size > limit:
-            raise BodyTooLarge(f"{size} bytes, at most {limit} accepted")
-        if not size and not source.chunked_input:
-            return b""
-        if seconds <= 0:
-            raise BodyTooLate("no time is left")
-        now = boottime()
-        self.memory.take(size, now)
-        self.memory.begin_transfer(self._end_receiving, now)
-        self.connection.settimeout(None)
-        try:
-            with eventlet.Timeout(seconds, BodyTooLate(f"not within {seconds:.3f} s")):
-                return gather(self._body_pieces(source, limit), size)
-        except ConnectionError:
-            if not self.memory.is_evicted:
-                raise
-            # Only this side has ended the body, so that the client gets an answer.
-            source.is_cut = False
-            raise BudgetExceeded("the body came too slowly") from None
-        finally:
-            self.memory.end_transfer()
-            self.connection.settimeout(self.owner.limits.header_seconds)
-
-    def _body_pieces(self, source: RequestBody, limit: int) -> Iterator[bytes]:
-        """Yield the pieces of a body as they are received."""
-        received_bytes = 0
-        while piece := source.read(BODY_READ_BYTES):
-            received_bytes += len(piece)
-            if received_bytes > limit:
-                raise BodyTooLarge(f"over {limit} bytes")
-            if self.memory.is_evicted:
-                raise BudgetExceeded("the body came too slowly")
-            now = boottime()
-            if source.chunked_input:
-                self.memory.take(len(piece), now)
-            self.memory.record_progress(len(piece), now)
-            yield piece
-
-    def body_to_send(self, body: Body) -> Iterator[bytes]:
-        """Yield the pieces of the body of an answer.
-
-        A client that does not read a large one gives way to other requests.
-        """
-        if len(body) <= MAX_SMALL_BODY_BYTES:
-            yield bytes(body)
-            return
-        content = memoryview(body)
-        self.memory.begin_transfer(self._end_sending, boottime())
-        for start in range(0, len(body), BODY_SEND_BYTES):
-            piece = content[start : start + BODY_SEND_BYTES]
-            yield bytes(piece)
-            self.memory.record_progress(len(piece), boottime())
-        self.memory.end_transfer()
-
-    def _end_sending(self) -> None:
-        """End the connection, so that the memory can be given to another request."""
-        self.owner.on_limit(ClientLimit.SLOW_TRANSFER, "sending")
-        with suppress(OSError):
-            self.connection.shutdown(SHUT_RDWR)
-
     def handle_one_response(self) -> None:
         """Call the application and send its answer."""
         self.state = ConnectionState.ANSWERING
--- a/src/ridgecourse/net/request_body.py
+++ b/src/ridgecourse/net/request_body.py
@@ -1,17 +1,22 @@
-"""The body of a request to one of the HTTP servers.
+"""The bodies of requests to the HTTP servers, and of their answers.
 
 ``eventlet.wsgi`` returns the beginning of a body that a length frames if the connection
 ends before the body does. Of chunks it accepts sizes that are cut inside leading zeros,
 cut or malformed trailers, and any bytes between two chunks.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager, suppress
 from mmap import MAP_ANONYMOUS, MAP_PRIVATE, mmap
+from socket import SHUT_RD, SHUT_RDWR
 from typing import Any
 
 import eventlet
 from eventlet.wsgi import ChunkReadError, Input
 
+from ridgecourse.core.memory_budget import BudgetExceeded, Reservation
+from ridgecourse.core.routes import ClientLimit
+from ridgecourse.net.clock import boottime
 from ridgecourse.net.head_reader import (
     CHUNK_SIZE_LINE,
     MAX_LINE_BYTES,
@@ -26,6 +31,9 @@
 """Longest rest of a body that is read and dropped to keep the connection."""
 DISCARD_SECONDS = 1.0
 """Longest time for that."""
+BODY_READ_BYTES = BODY_SEND_BYTES = 16 * 1024
+"""Bytes of a body received or sent at once. A client at the least rate takes well under
+the time for which a transfer may stand still."""
 MAX_SMALL_BODY_BYTES = 16 * 1024
 """Longest body that is kept on the heap."""
 
@@ -254,3 +262,144 @@
     for piece in pieces:
         buffer.append(piece)
     return buffer.content()
+
+
+class BodyTransfers:
+    """Receives and sends the bodies of one connection, with limits on memory and time.
+
+    Attributes:
+        owner: The server of the connection, an ``HttpServer``.
+        connection: The socket.
+        environ: The WSGI environment of the present request.
+        close_connection: Whether the connection ends with the present request.
+        memory: Memory that is held for the present request.
+    """
+
+    owner: Any
+    connection: Any
+    environ: dict[str, Any]
+    close_connection: bool
+    memory: Reservation
+
+    def reserve_memory(self, size: int) -> None:
+        """Reserve memory for the present request.
+
+        Args:
+            size: Number of bytes.
+
+        Raises:
+            BudgetExceeded: The memory for clients' requests is in use.
+        """
+        with self._report_excess():
+            self.memory.take(size, boottime())
+
+    @contextmanager
+    def _report_excess(self) -> Iterator[None]:
+        """Report the limit that the client exceeds in the block."""
+        try:
+            yield
+        except BodyTooLarge as error:
+            self.owner.on_limit(ClientLimit.BODY_SIZE, str(error))
+            raise
+        except BodyTooLate as error:
+            self.owner.on_limit(ClientLimit.BODY_TIME, str(error))
+            raise
+        except BudgetExceeded as error:
+            if not self.memory.is_evicted:
+                self.owner.on_limit(ClientLimit.MEMORY, str(error))
+            raise
+
+    def receive_body(self, limit: int, seconds: float | None = None) -> Body:
+        """Return the body of the present request.
+
+        Args:
+            limit: Largest accepted size in bytes.
+            seconds: Longest time in which the body must be complete; None for that of
+                the server.
+
+        Raises:
+            BodyTooLarge: The body is larger than the limit.
+            BodyTooLate: The body was not complete in time.
+            BudgetExceeded: There is no memory for the body, or the client sends too
+                slowly while another request needs its memory.
+            ChunkReadError: The chunk framing of the body is malformed.
+            ConnectionError: The connection ended inside the body.
+        """
+        with self._report_excess():
+            if seconds is None:
+                seconds = self.owner.body_seconds
+            try:
+                return self._receive_body(limit, seconds)
+            except BaseException:
+                # Nothing is read behind a body that was not read to its end.
+                self.close_connection = True
+                raise
+
+    def _receive_body(self, limit: int, seconds: float) -> Body:
+        source = self.environ["eventlet.input"]
+        size = source.content_length or 0
+        if size > limit:
+            raise BodyTooLarge(f"{size} bytes, at most {limit} accepted")
+        if not size and not source.chunked_input:
+            return b""
+        if seconds <= 0:
+            raise BodyTooLate("no time is left")
+        now = boottime()
+        self.memory.take(size, now)
+        self.memory.begin_transfer(self._end_receiving, now)
+        self.connection.settimeout(None)
+        try:
+            with eventlet.Timeout(seconds, BodyTooLate(f"not within {seconds:.3f} s")):
+                return gather(self._body_pieces(source, limit), size)
+        except ConnectionError:
+            if not self.memory.is_evicted:
+                raise
+            # Only this side has ended the body, so that the client gets an answer.
+            source.is_cut = False
+            raise BudgetExceeded("the body came too slowly") from None
+        finally:
+            self.memory.end_transfer()
+            self.connection.settimeout(self.owner.limits.header_seconds)
+
+    def _body_pieces(self, source: RequestBody, limit: int) -> Iterator[bytes]:
+        """Yield the pieces of a body as they are received."""
+        received_bytes = 0
+        while piece := source.read(BODY_READ_BYTES):
+            received_bytes += len(piece)
+            if received_bytes > limit:
+                raise BodyTooLarge(f"over {limit} bytes")
+            if self.memory.is_evicted:
+                raise BudgetExceeded("the body came too slowly")
+            now = boottime()
+            if source.chunked_input:
+                self.memory.take(len(piece), now)
+            self.memory.record_progress(len(piece), now)
+            yield piece
+
+    def body_to_send(self, body: Body) -> Iterator[bytes]:
+        """Yield the pieces of the body of an answer.
+
+        A client that does not read a large one gives way to other requests.
+        """
+        if len(body) <= MAX_SMALL_BODY_BYTES:
+            yield bytes(body)
+            return
+        content = memoryview(body)
+        self.memory.begin_transfer(self._end_sending, boottime())
+        for start in range(0, len(body), BODY_SEND_BYTES):
+            piece = content[start : start + BODY_SEND_BYTES]
+            yield bytes(piece)
+            self.memory.record_progress(len(piece), boottime())
+        self.memory.end_transfer()
+
+    def _end_sending(self) -> None:
+        """End the connection, so that the memory can be given to another request."""
+        self.owner.on_limit(ClientLimit.SLOW_TRANSFER, "sending")
+        with suppress(OSError):
+            self.connection.shutdown(SHUT_RDWR)
+
+    def _end_receiving(self) -> None:
+        """Receive nothing more, so that the memory can be given to another request."""
+        self.owner.on_limit(ClientLimit.SLOW_TRANSFER, "receiving")
+        with suppress(OSError):
+            self.connection.shutdown(SHUT_RD)
