Count each connection that a long unread body ends

A gateway that ended a connection because of the length stated for an unread body did not count it, unlike one whose body turned out too long while it was skipped. Both report unread-body now; test_a_long_unread_body_ends_the_connection has both at each server.

--- a/src/ridgecourse/net/front_server.py
+++ b/src/ridgecourse/net/front_server.py
@@ -232,7 +232,7 @@
             raise
         unread_bytes = environ["eventlet.input"].count_unread()
         if unread_bytes is not None and unread_bytes > DISCARD_BYTES:
-            protocol.close_connection = True
+            protocol.close_behind_answer()
         headers = list(reply.headers)
         if CONNECTION_CLOSE in headers:
             headers.remove(CONNECTION_CLOSE)
--- a/src/ridgecourse/net/http_connection.py
+++ b/src/ridgecourse/net/http_connection.py
@@ -266,13 +266,13 @@
         environ = super().get_environ()
         source = environ["eventlet.input"]
         body = RequestBody(
-            source, "Transfer-Encoding" in self.headers, self._close_behind_answer
+            source, "Transfer-Encoding" in self.headers, self.close_behind_answer
         )
         environ["eventlet.input"] = environ["wsgi.input"] = body
         environ[CONNECTION_KEY] = self
         return environ
 
-    def _close_behind_answer(self) -> None:
+    def close_behind_answer(self) -> None:
         """Close the connection, since the rest of a body is too long to be skipped."""
         self.owner.on_limit(ClientLimit.UNREAD_BODY, "")
         self.close_connection = True
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -221,3 +221,17 @@
         assert receive_all(connection).startswith(b"HTTP/1.1 503 ")
     assert [request.body for request in server.settle()] == [None]
     wait_unused(server)
+
+
+def test_a_long_unread_body_ends_the_connection(
+    server: RecordingServer, exceeded: list[ClientLimit]
+) -> None:
+    # Guards against reading on for as long as a refused client sends.
+    length = f"POST /probe HTTP/1.1\r\nHost: x\r\nContent-Length: {2 * 65536}\r\n\r\n"
+    chunks = CHUNKED_HEAD.replace("/a", "/probe") + "20000\r\n"
+    for head in (length, chunks):
+        with server.open() as connection:
+            connection.sendall(head.encode() + b"x" * (2 * 65536 - 1))
+            assert b" 200 OK" in receive_all(connection)
+    assert exceeded == [ClientLimit.UNREAD_BODY] * 2
+    wait_unused(server)
